--- /dev/null
+++ b/crates/core/src/config/delta.rs
@@ -0,0 +1,176 @@
+//! The difference between two configurations.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+
+use crate::config::{
+    Config, ConfigContent, HistoryEntry, MAX_HISTORY_ENTRIES, Rollout, Route, ServerVersion,
+    Service, StopMark,
+};
+use crate::ids::{ConfigVersion, Digest, RouteName, ServiceName, WriteId};
+
+/// One entry that differs between two configurations.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Edit {
+    /// Adds or replaces a service.
+    PutService(Service),
+    /// Removes a service.
+    RemoveService(ServiceName),
+    /// Adds or replaces a route.
+    PutRoute(Route),
+    /// Removes a route.
+    RemoveRoute(RouteName),
+    /// Adds a version.
+    PutVersion(ServerVersion),
+    /// Removes a version.
+    RemoveVersion(ServerVersion),
+    /// Adds or replaces a rollout.
+    PutRollout(Rollout),
+    /// Removes a rollout.
+    RemoveRollout(ServiceName),
+    /// Adds a stop mark.
+    PutStop(StopMark),
+    /// Removes a stop mark.
+    RemoveStop(StopMark),
+}
+
+/// The difference between two configurations, with the digests of both.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Delta {
+    /// The digest of the configuration that the delta applies to.
+    pub base: Digest,
+    /// The digest of the configuration that it results in.
+    pub result: Digest,
+    /// The version that it results in.
+    pub version: ConfigVersion,
+    /// The id of the write that made that version.
+    pub write_id: WriteId,
+    /// The entries that differ.
+    pub edits: Vec<Edit>,
+    /// The history entries that the base lacks, oldest first.
+    pub history: Vec<HistoryEntry>,
+}
+
+/// Why a delta does not apply.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DeltaError {
+    /// The configuration is not the delta's base.
+    WrongBase,
+    /// The result has not the digest that the delta states.
+    WrongResult,
+}
+
+impl fmt::Display for DeltaError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::WrongBase => "the delta is for another base",
+            Self::WrongResult => "the delta's result has another digest than stated",
+        })
+    }
+}
+
+impl std::error::Error for DeltaError {}
+
+impl Delta {
+    /// The difference that leads from `base` to `result`.
+    pub fn between(base: &Config, result: &Config) -> Self {
+        let mut edits = Vec::new();
+        diff_contents(&base.content, &result.content, &mut edits);
+        let known = base.history.last().map(|entry| entry.version).unwrap_or_default();
+        let history =
+            result.history.iter().filter(|entry| entry.version > known).cloned().collect();
+        Self {
+            base: base.digest(),
+            result: result.digest(),
+            version: result.version,
+            write_id: result.write_id,
+            edits,
+            history,
+        }
+    }
+
+    /// The configuration that this delta makes of `base`.
+    pub fn apply(&self, base: &Config) -> Result<Config, DeltaError> {
+        if base.digest() != self.base {
+            return Err(DeltaError::WrongBase);
+        }
+        let mut content = base.content.clone();
+        for edit in &self.edits {
+            edit.apply(&mut content);
+        }
+        let mut history = base.history.clone();
+        history.extend(self.history.iter().cloned());
+        history.drain(..history.len().saturating_sub(MAX_HISTORY_ENTRIES));
+        let result = Config { version: self.version, write_id: self.write_id, content, history };
+        if result.digest() == self.result { Ok(result) } else { Err(DeltaError::WrongResult) }
+    }
+}
+
+impl Edit {
+    fn apply(&self, content: &mut ConfigContent) {
+        match self {
+            Self::PutService(service) => {
+                content.services.insert(service.name.clone(), service.clone());
+            }
+            Self::RemoveService(name) => {
+                content.services.remove(name);
+            }
+            Self::PutRoute(route) => {
+                content.routes.insert(route.name.clone(), route.clone());
+            }
+            Self::RemoveRoute(name) => {
+                content.routes.remove(name);
+            }
+            Self::PutVersion(version) => {
+                content.versions.insert(version.clone());
+            }
+            Self::RemoveVersion(version) => {
+                content.versions.remove(version);
+            }
+            Self::PutRollout(rollout) => {
+                content.rollouts.insert(rollout.service.clone(), rollout.clone());
+            }
+            Self::RemoveRollout(service) => {
+                content.rollouts.remove(service);
+            }
+            Self::PutStop(stop) => {
+                content.stops.insert(stop.clone());
+            }
+            Self::RemoveStop(stop) => {
+                content.stops.remove(stop);
+            }
+        }
+    }
+}
+
+fn diff_contents(base: &ConfigContent, result: &ConfigContent, edits: &mut Vec<Edit>) {
+    diff_maps(&base.services, &result.services, Edit::PutService, Edit::RemoveService, edits);
+    diff_maps(&base.routes, &result.routes, Edit::PutRoute, Edit::RemoveRoute, edits);
+    diff_sets(&base.versions, &result.versions, Edit::PutVersion, Edit::RemoveVersion, edits);
+    diff_maps(&base.rollouts, &result.rollouts, Edit::PutRollout, Edit::RemoveRollout, edits);
+    diff_sets(&base.stops, &result.stops, Edit::PutStop, Edit::RemoveStop, edits);
+}
+
+fn diff_maps<K: Ord + Clone, V: PartialEq + Clone>(
+    base: &BTreeMap<K, V>,
+    result: &BTreeMap<K, V>,
+    put: impl Fn(V) -> Edit,
+    remove: impl Fn(K) -> Edit,
+    edits: &mut Vec<Edit>,
+) {
+    let changed = result.iter().filter(|(key, value)| base.get(key) != Some(value));
+    edits.extend(changed.map(|(_, value)| put(value.clone())));
+    let removed = base.keys().filter(|key| !result.contains_key(key));
+    edits.extend(removed.cloned().map(remove));
+}
+
+fn diff_sets<T: Ord + Clone>(
+    base: &BTreeSet<T>,
+    result: &BTreeSet<T>,
+    put: impl Fn(T) -> Edit,
+    remove: impl Fn(T) -> Edit,
+    edits: &mut Vec<Edit>,
+) {
+    edits.extend(result.difference(base).cloned().map(put));
+    edits.extend(base.difference(result).cloned().map(remove));
+}
--- /dev/null
+++ b/crates/core/src/config/history_entry.rs
@@ -0,0 +1,27 @@
+//! An accepted change in the history of the configuration.
+
+use std::sync::Arc;
+
+use crate::ids::{ConfigVersion, OperatorName, WriteId};
+use crate::units::UnixMillis;
+
+/// Number of history entries that a configuration carries at most.
+///
+/// The history lets a writer whose answer was lost find its write id after
+/// later writes, and keeps the configuration well under the store's 1 MB.
+pub const MAX_HISTORY_ENTRIES: usize = 64;
+
+/// An accepted change.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HistoryEntry {
+    /// The version that the change made.
+    pub version: ConfigVersion,
+    /// The id of the write.
+    pub write_id: WriteId,
+    /// When the change was accepted.
+    pub at: UnixMillis,
+    /// Who asked for it.
+    pub operator: OperatorName,
+    /// What was asked for, in one sentence without line breaks.
+    pub summary: Arc<str>,
+}
--- /dev/null
+++ b/crates/core/src/config/priority.rs
@@ -0,0 +1,45 @@
+//! The priority of a route's calls.
+
+use std::fmt;
+use std::str::FromStr;
+
+use crate::ids::ParseIdError;
+
+/// Which calls go first when a backend server has no free slot.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Priority {
+    /// A person waits for the answer.
+    Interactive,
+    /// The answer can wait.
+    Background,
+}
+
+impl Priority {
+    /// Every priority, the first to be served first.
+    pub const ALL: [Self; 2] = [Self::Interactive, Self::Background];
+
+    /// The priority's text.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Interactive => "interactive",
+            Self::Background => "background",
+        }
+    }
+}
+
+impl fmt::Display for Priority {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+impl FromStr for Priority {
+    type Err = ParseIdError;
+
+    fn from_str(s: &str) -> Result<Self, Self::Err> {
+        Self::ALL
+            .into_iter()
+            .find(|priority| priority.as_str() == s)
+            .ok_or_else(|| ParseIdError::new("priority", s, "interactive or background"))
+    }
+}
--- /dev/null
+++ b/crates/core/src/ids/member_name.rs
@@ -0,0 +1,7 @@
+//! The name of a member.
+
+name_type!(
+    /// A member, one of the customers who share an installation.
+    MemberName,
+    "member"
+);
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,32 @@
+//! Decisions of almondsail, without input or output.
+//!
+//! Everything here is a plain function of its arguments: events, the time and
+//! random numbers go in, actions come out. Sockets, files, timers and threads
+//! belong to the processes that use this crate.
+//!
+//! ```
+//! use almondsail_core::ids::ServiceName;
+//!
+//! let service: ServiceName = "bays".parse()?;
+//! assert_eq!(service.to_string(), "bays");
+//! # Ok::<(), almondsail_core::ids::ParseIdError>(())
+//! ```
+
+#![deny(missing_docs, unsafe_code, rust_2018_idioms, unreachable_pub)]
+#![deny(clippy::all)]
+
+pub mod config;
+pub mod control;
+pub mod ids;
+pub mod peers;
+pub mod store;
+pub mod traffic;
+pub mod units;
+
+mod refusal_reason;
+mod retry_reason;
+mod verdict;
+
+pub use refusal_reason::RefusalReason;
+pub use retry_reason::RetryReason;
+pub use verdict::Verdict;
--- /dev/null
+++ b/crates/core/src/traffic/snapshot.rs
@@ -0,0 +1,174 @@
+//! The state that traffic threads read.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use crate::config::{Config, ConfigContent, Rollout, RolloutPhase, Route, StopMark};
+use crate::ids::{DataCentre, NodeId, Region, RouteName, ServiceName, VersionName};
+use crate::peers::{AnnouncedBackend, BackendState, Peer, PeerStatus};
+use crate::traffic::{Endpoint, TrafficSplit};
+
+/// The state that a call reads, fixed from the call's first decision to its last.
+#[derive(Debug, Clone)]
+pub struct Snapshot {
+    /// This node.
+    pub node: NodeId,
+    /// This node's data centre.
+    pub data_centre: DataCentre,
+    /// This node's region.
+    pub region: Region,
+    /// The configuration in force; `None` until the node may serve.
+    pub config: Option<Arc<Config>>,
+    /// Every route, longest prefix first.
+    routes: Vec<Route>,
+    /// The splits of the routes. Each route has one.
+    splits: BTreeMap<RouteName, TrafficSplit>,
+    /// The services and their endpoints. The service of each route is among them.
+    services: BTreeMap<ServiceName, ServiceView>,
+    /// Every stop mark known, from the configuration and from peers.
+    pub stops: BTreeSet<StopMark>,
+    /// The backend server beside this node, while one is announced.
+    pub local_backend: Option<AnnouncedBackend>,
+    /// Whether this node stops.
+    pub leaving: bool,
+}
+
+/// A service as traffic sees it.
+#[derive(Debug, Clone, Default)]
+pub struct ServiceView {
+    /// The backend servers that take calls, by version.
+    pub endpoints: BTreeMap<VersionName, Arc<[Endpoint]>>,
+}
+
+/// What a snapshot is built from.
+#[derive(Debug, Clone, Copy)]
+pub struct SnapshotInput<'a> {
+    /// This node's own entry.
+    pub own: &'a Peer,
+    /// The configuration in force, if the node may serve.
+    pub config: Option<&'a Arc<Config>>,
+    /// The stop marks heard from peers.
+    pub stops: &'a BTreeSet<StopMark>,
+}
+
+impl Snapshot {
+    /// The snapshot for `input` and every known node, this one included.
+    pub fn build<'a>(input: SnapshotInput<'a>, peers: impl Iterator<Item = &'a Peer>) -> Self {
+        let empty = ConfigContent::default();
+        let content = input.config.map_or(&empty, |cfg| &cfg.content);
+        let stops: BTreeSet<StopMark> = input.stops.union(&content.stops).cloned().collect();
+        Self {
+            node: input.own.id.clone(),
+            data_centre: input.own.data_centre.clone(),
+            region: input.own.region.clone(),
+            config: input.config.cloned(),
+            routes: sorted_routes(content),
+            splits: splits(content, &stops),
+            services: service_views(content, peers),
+            stops,
+            local_backend: input.own.backend.clone(),
+            leaving: input.own.status == PeerStatus::Leaving,
+        }
+    }
+
+    /// The route that takes `path`: the one with the longest matching prefix.
+    pub fn route(&self, path: &str) -> Option<&Route> {
+        self.routes.iter().find(|route| route.prefix.matches(path))
+    }
+
+    /// The split of `route`'s calls between versions.
+    pub fn split(&self, route: &RouteName) -> Option<&TrafficSplit> {
+        self.splits.get(route)
+    }
+
+    /// The endpoints of `service`.
+    pub fn service(&self, service: &ServiceName) -> Option<&ServiceView> {
+        self.services.get(service)
+    }
+
+    /// Whether `version` is stopped on `route`.
+    pub fn is_stopped(
+        &self,
+        service: &ServiceName,
+        version: &VersionName,
+        route: &RouteName,
+    ) -> bool {
+        self.stops.iter().any(|stop| stop.covers(service, version, route))
+    }
+}
+
+fn sorted_routes(content: &ConfigContent) -> Vec<Route> {
+    let mut routes: Vec<Route> = content.routes.values().cloned().collect();
+    routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.as_str().len()));
+    routes
+}
+
+fn splits(
+    content: &ConfigContent,
+    stops: &BTreeSet<StopMark>,
+) -> BTreeMap<RouteName, TrafficSplit> {
+    let split = |route: &Route| {
+        let stable = content.services.get(&route.service)?.stable.clone()?;
+        let rollout = content.rollouts.get(&route.service);
+        Some((route.name.clone(), route_split(route, stable, rollout, stops)))
+    };
+    content.routes.values().filter_map(split).collect()
+}
+
+fn route_split(
+    route: &Route,
+    stable: VersionName,
+    rollout: Option<&Rollout>,
+    stops: &BTreeSet<StopMark>,
+) -> TrafficSplit {
+    let is_stopped = |version: &VersionName| {
+        stops.iter().any(|s| s.covers(&route.service, version, &route.name))
+    };
+    match rollout {
+        Some(r) if r.phase.is_open() && !is_stopped(&r.to) => {
+            let share = if route.idempotent { r.share } else { r.non_idempotent_share };
+            TrafficSplit { stable, canary: Some((r.to.clone(), share)) }
+        }
+        // A version that shows itself bad after the end of its rollout gives way to the old one.
+        Some(r) if r.phase == RolloutPhase::Completed && is_stopped(&r.to) => {
+            TrafficSplit { stable: r.from.clone(), canary: None }
+        }
+        _ => TrafficSplit { stable, canary: None },
+    }
+}
+
+fn service_views<'a>(
+    content: &ConfigContent,
+    peers: impl Iterator<Item = &'a Peer>,
+) -> BTreeMap<ServiceName, ServiceView> {
+    let mut endpoints: BTreeMap<&ServiceName, BTreeMap<VersionName, Vec<Endpoint>>> =
+        BTreeMap::new();
+    for peer in peers.filter(|peer| peer.status.takes_calls()) {
+        let Some(backend) = &peer.backend else { continue };
+        if backend.state == BackendState::Draining {
+            continue;
+        }
+        let versions = endpoints.entry(&backend.service).or_default();
+        versions.entry(backend.version.clone()).or_default().push(endpoint(peer, backend));
+    }
+    let view = |name: &ServiceName| {
+        let versions = endpoints.remove(name).unwrap_or_default();
+        let endpoints =
+            versions.into_iter().map(|(version, list)| (version, list.into())).collect();
+        (name.clone(), ServiceView { endpoints })
+    };
+    content.services.keys().map(view).collect()
+}
+
+fn endpoint(peer: &Peer, backend: &AnnouncedBackend) -> Endpoint {
+    Endpoint {
+        node: peer.id.clone(),
+        incarnation: peer.incarnation,
+        door_addr: peer.door_addr,
+        data_centre: peer.data_centre.clone(),
+        region: peer.region.clone(),
+        version: backend.version.clone(),
+        slots: backend.slots,
+        state: backend.state,
+    }
+}
--- /dev/null
+++ b/crates/core/src/units/byte_count.rs
@@ -0,0 +1,39 @@
+//! A number of bytes.
+
+use std::fmt;
+use std::str::FromStr;
+
+use super::ParseUnitError;
+
+/// A number of bytes, written `1024B`.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ByteCount(u64);
+
+impl ByteCount {
+    /// The quantity for the number `n`.
+    pub const fn new(n: u64) -> Self {
+        Self(n)
+    }
+
+    /// The number, in this type's unit.
+    pub const fn get(self) -> u64 {
+        self.0
+    }
+}
+
+impl fmt::Display for ByteCount {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}B", self.0)
+    }
+}
+
+impl FromStr for ByteCount {
+    type Err = ParseUnitError;
+
+    fn from_str(s: &str) -> Result<Self, Self::Err> {
+        s.strip_suffix("B")
+            .and_then(|n| n.parse().ok())
+            .map(Self)
+            .ok_or_else(|| ParseUnitError::new(s, "a number of bytes such as 1024B"))
+    }
+}
--- /dev/null
+++ b/crates/core/src/units/mod.rs
@@ -0,0 +1,19 @@
+//! Sizes, rates, shares and times, each with its unit.
+
+mod byte_count;
+mod calls_per_second;
+mod instant;
+mod micros;
+mod millis;
+mod parse_unit_error;
+mod per_mille;
+mod unix_millis;
+
+pub use byte_count::ByteCount;
+pub use calls_per_second::CallsPerSecond;
+pub use instant::Instant;
+pub use micros::Micros;
+pub use millis::Millis;
+pub use parse_unit_error::ParseUnitError;
+pub use per_mille::PerMille;
+pub use unix_millis::UnixMillis;
