Add the store and backend stand-ins and the process harness

Cause: the node and the tool need the platform's key-value service and backend servers to run against, and tests need to run, kill and freeze processes without leaving any behind.

Change: the testkit has `standin_store` and `standin_backend` as examples over its library, and `Harness`, which starts built binaries on a loopback address of its own and kills them when dropped. A backend server has a second port for control, so that a test can read the executions while every connection for calls is in use, and `--log FILE`, a record of executions that outlives a killed process. A fault rule can begin after a delay or from a load on.

--- /dev/null
+++ b/crates/testkit/examples/standin_store.rs
@@ -0,0 +1,16 @@
+//! A stand-in for the platform's key-value service.
+
+use almondsail_testkit::store::{StoreOptions, StoreServer};
+use almondsail_testkit::{BoundAddresses, stop_signal};
+use eyre::Result;
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> Result<()> {
+    let server = StoreServer::bind(StoreOptions::from_args()?).await?;
+    BoundAddresses::default().with("address", server.address()?).print()?;
+    let (_never, running) = tokio::sync::watch::channel(false);
+    tokio::select! {
+        () = server.serve(running) => Ok(()),
+        stopped = stop_signal() => stopped,
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/backend/call.rs
@@ -0,0 +1,42 @@
+//! A request as the backend stand-in sees it.
+
+use std::time::Duration;
+
+use almondsail_core::ids::Digest;
+use bytes::Bytes;
+use http::request::Parts;
+use tokio::time::Instant;
+
+/// The remaining time of a call without a deadline.
+const NO_DEADLINE: Duration = Duration::from_secs(3_600);
+
+/// A request as the backend stand-in sees it.
+#[derive(Debug)]
+pub(super) struct Call {
+    pub(super) method: String,
+    /// The path and query.
+    pub(super) path: String,
+    pub(super) key: Option<String>,
+    pub(super) digest: Digest,
+    pub(super) deadline: Option<Instant>,
+}
+
+impl Call {
+    pub(super) fn new(parts: &Parts, body: &Bytes) -> Self {
+        let text = |name: &str| parts.headers.get(name).and_then(|value| value.to_str().ok());
+        let remaining = text("almondsail-deadline-ms").and_then(|ms| ms.parse().ok());
+        Self {
+            method: parts.method.to_string(),
+            path: parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned(),
+            key: text("idempotency-key").map(str::to_owned),
+            digest: Digest::of(body),
+            deadline: remaining.map(|ms| Instant::now() + Duration::from_millis(ms)),
+        }
+    }
+
+    /// The time to the deadline.
+    pub(super) fn remaining(&self) -> Duration {
+        self.deadline
+            .map_or(NO_DEADLINE, |deadline| deadline.saturating_duration_since(Instant::now()))
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/backend/mod.rs
@@ -0,0 +1,30 @@
+//! The stand-in for a backend server.
+
+mod announcement;
+mod call;
+mod echo;
+mod execution;
+mod execution_log;
+mod fault;
+mod fault_rule;
+mod faults;
+mod options;
+mod plan;
+mod report_fault;
+mod reports;
+mod server;
+mod service_time;
+mod slots;
+
+pub use announcement::Announcement;
+pub use echo::Echo;
+pub use execution::{Execution, ExecutionEnd};
+pub use execution_log::ExecutionLog;
+pub use fault::Fault;
+pub use fault_rule::FaultRule;
+pub use faults::Faults;
+pub use options::BackendOptions;
+pub use plan::Plan;
+pub use report_fault::ReportFault;
+pub use server::BackendServer;
+pub use service_time::ServiceTime;
--- /dev/null
+++ b/crates/testkit/src/backend/reports.rs
@@ -0,0 +1,41 @@
+//! The states and loads of the recent past, for announcements that lag.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use almondsail_core::peers::BackendState;
+
+use super::ReportFault;
+
+/// Number of reports kept; at one per second, the longest lag in seconds.
+const MAX_REPORTS: usize = 120;
+
+/// The states and loads of the recent past, for announcements that lag.
+#[derive(Debug, Default)]
+pub(super) struct Reports(VecDeque<(Instant, BackendState, usize)>);
+
+impl Reports {
+    /// Adds the state and load at `now` and returns those to announce.
+    pub(super) fn next(
+        &mut self,
+        now: Instant,
+        actual: (BackendState, usize),
+        fault: &ReportFault,
+    ) -> (BackendState, usize) {
+        if self.0.len() == MAX_REPORTS {
+            self.0.pop_front();
+        }
+        self.0.push_back((now, actual.0, actual.1));
+        let lag = Duration::from_millis(fault.lag_ms);
+        let is_old = |at: &Instant| now.saturating_duration_since(*at) >= lag;
+        let (state, load) = self
+            .0
+            .iter()
+            .rev()
+            .find(|(at, ..)| is_old(at))
+            .or(self.0.front())
+            .map_or(actual, |&(_, state, load)| (state, load));
+        let forced = fault.state.as_deref().and_then(|text| text.parse().ok());
+        (forced.unwrap_or(state), fault.load.unwrap_or(load))
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/harness/mod.rs
@@ -0,0 +1,15 @@
+//! Runs built binaries as child processes on loopback addresses.
+
+mod binary;
+mod launch;
+mod process;
+mod process_id;
+mod process_set;
+mod temp_folder;
+mod wait;
+
+pub use binary::Binary;
+pub use launch::Launch;
+pub use process_id::ProcessId;
+pub use process_set::Harness;
+pub use wait::{CEILING, wait_until};
--- /dev/null
+++ b/crates/testkit/src/harness/wait.rs
@@ -0,0 +1,33 @@
+//! Waits for conditions.
+
+use std::future::Future;
+use std::time::{Duration, Instant};
+
+use eyre::{Report, Result};
+
+/// How long a condition may take to hold, far above what it needs, so that a
+/// busy machine fails no test.
+pub const CEILING: Duration = Duration::from_secs(60);
+
+/// How long to wait between two attempts.
+const PAUSE: Duration = Duration::from_millis(30);
+
+/// Tries `attempt` until it succeeds and returns its result.
+///
+/// The error after [`CEILING`] names `what` and the last attempt's error.
+pub async fn wait_until<T, F>(what: &str, mut attempt: impl FnMut() -> F) -> Result<T>
+where
+    F: Future<Output = Result<T>>,
+{
+    let begun = Instant::now();
+    loop {
+        let error: Report = match attempt().await {
+            Ok(value) => return Ok(value),
+            Err(error) => error,
+        };
+        if begun.elapsed() > CEILING {
+            return Err(error.wrap_err(format!("{what}: not within {CEILING:?}")));
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/http/client.rs
@@ -0,0 +1,104 @@
+//! A client for short requests.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use eyre::{Result, WrapErr};
+use http::{HeaderName, HeaderValue, Method, Request};
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+use super::Reply;
+
+/// A client that opens a connection for each request.
+///
+/// A connection of its own keeps a fault of one request away from the next one.
+#[derive(Debug, Clone)]
+pub struct HttpClient {
+    address: SocketAddr,
+    ceiling: Duration,
+}
+
+impl HttpClient {
+    /// How long a request may take by default, far above what one needs.
+    pub const DEFAULT_CEILING: Duration = Duration::from_secs(60);
+
+    /// A client of the server at `address`.
+    pub fn new(address: SocketAddr) -> Self {
+        Self { address, ceiling: Self::DEFAULT_CEILING }
+    }
+
+    /// The same client with this limit on the time of a request.
+    pub fn with_ceiling(self, ceiling: Duration) -> Self {
+        Self { ceiling, ..self }
+    }
+
+    /// The address of the server.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Gets `target`.
+    pub async fn get(&self, target: &str) -> Result<Reply> {
+        self.send(Method::GET, target, Bytes::new(), &[]).await
+    }
+
+    /// Puts `body` at `target`.
+    pub async fn put(&self, target: &str, body: impl Into<Bytes>) -> Result<Reply> {
+        self.send(Method::PUT, target, body.into(), &[]).await
+    }
+
+    /// Posts `body` to `target`.
+    pub async fn post(&self, target: &str, body: impl Into<Bytes>) -> Result<Reply> {
+        self.send(Method::POST, target, body.into(), &[]).await
+    }
+
+    /// Deletes `target`.
+    pub async fn delete(&self, target: &str) -> Result<Reply> {
+        self.send(Method::DELETE, target, Bytes::new(), &[]).await
+    }
+
+    /// Sends a request with header fields and reads the whole answer.
+    pub async fn send(
+        &self,
+        method: Method,
+        target: &str,
+        body: Bytes,
+        headers: &[(&str, &str)],
+    ) -> Result<Reply> {
+        let what = format!("{method} {}{target}", self.address);
+        let mut req = Request::builder().method(method).uri(target).body(Full::new(body))?;
+        let host = HeaderValue::try_from(self.address.to_string())?;
+        req.headers_mut().insert(http::header::HOST, host);
+        for (name, value) in headers {
+            req.headers_mut().insert(HeaderName::try_from(*name)?, HeaderValue::try_from(*value)?);
+        }
+        tokio::time::timeout(self.ceiling, self.exchange(req))
+            .await
+            .wrap_err_with(|| format!("{what}: no answer within {:?}", self.ceiling))?
+            .wrap_err(what)
+    }
+
+    async fn exchange(&self, req: Request<Full<Bytes>>) -> Result<Reply> {
+        let stream = TcpStream::connect(self.address).await?;
+        stream.set_nodelay(true)?;
+        let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+        let driver = AbortOnDrop(tokio::spawn(connection));
+        let (parts, body) = sender.send_request(req).await?.into_parts();
+        let body = body.collect().await?.to_bytes();
+        drop(driver);
+        Ok(Reply { status: parts.status, headers: parts.headers, body })
+    }
+}
+
+/// Closes the connection when the request ends or is dropped.
+struct AbortOnDrop(tokio::task::JoinHandle<hyper::Result<()>>);
+
+impl Drop for AbortOnDrop {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/http/mod.rs
@@ -0,0 +1,15 @@
+//! The small HTTP/1.1 server and client that the stand-ins and tests share.
+
+mod client;
+mod query;
+mod reply;
+mod reply_body;
+mod server;
+mod server_options;
+
+pub use client::HttpClient;
+pub use query::Query;
+pub use reply::Reply;
+pub use reply_body::ReplyBody;
+pub use server::{Handled, HttpServer};
+pub use server_options::ServerOptions;
--- /dev/null
+++ b/crates/testkit/src/http/server.rs
@@ -0,0 +1,102 @@
+//! An HTTP/1.1 server with a limit of connections and a graceful stop.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use eyre::{Result, eyre};
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use super::{ReplyBody, ServerOptions};
+
+/// What a handler does with a request.
+#[derive(Debug)]
+pub enum Handled {
+    /// Sends this answer.
+    Answer(Response<ReplyBody>),
+    /// Closes the connection without an answer.
+    Close,
+}
+
+/// An HTTP/1.1 server with a limit of connections and a graceful stop.
+#[derive(Debug)]
+pub struct HttpServer {
+    listener: TcpListener,
+    options: ServerOptions,
+}
+
+impl HttpServer {
+    /// Listens on `address`.
+    pub async fn bind(address: SocketAddr, options: ServerOptions) -> Result<Self> {
+        Ok(Self { listener: TcpListener::bind(address).await?, options })
+    }
+
+    /// The address that it listens on.
+    pub fn address(&self) -> Result<SocketAddr> {
+        Ok(self.listener.local_addr()?)
+    }
+
+    /// Serves until `stop` turns true, then ends the calls in flight and returns.
+    pub async fn serve<H, F>(self, handler: H, mut stop: watch::Receiver<bool>)
+    where
+        H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = Handled> + Send + 'static,
+    {
+        let open = Arc::new(AtomicUsize::new(0));
+        let (alive, mut all_ended) = tokio::sync::mpsc::channel::<Infallible>(1);
+        loop {
+            let accepted = tokio::select! {
+                accepted = self.listener.accept() => accepted,
+                _ = stop.wait_for(|stopped| *stopped) => break,
+            };
+            let Ok((stream, _)) = accepted else { continue };
+            if open.load(Ordering::Relaxed) >= self.options.max_connections {
+                continue;
+            }
+            open.fetch_add(1, Ordering::Relaxed);
+            let (handler, stop) = (handler.clone(), stop.clone());
+            let (open, alive) = (Arc::clone(&open), alive.clone());
+            tokio::spawn(async move {
+                serve_connection(stream, handler, stop).await;
+                open.fetch_sub(1, Ordering::Relaxed);
+                drop(alive);
+            });
+        }
+        drop((alive, self.listener));
+        let _ended = all_ended.recv().await;
+    }
+}
+
+async fn serve_connection<H, F>(stream: TcpStream, handler: H, mut stop: watch::Receiver<bool>)
+where
+    H: Fn(Request<Incoming>) -> F,
+    F: Future<Output = Handled>,
+{
+    let _unsupported = stream.set_nodelay(true);
+    let service = service_fn(|req| {
+        let handled = handler(req);
+        async move {
+            match handled.await {
+                Handled::Answer(response) => Ok(response),
+                Handled::Close => Err(eyre!("closed without an answer")),
+            }
+        }
+    });
+    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    // Errors of one connection concern its client alone, which sees it closed.
+    tokio::select! {
+        _ended = connection.as_mut() => return,
+        _ = stop.wait_for(|stopped| *stopped) => {}
+    }
+    connection.as_mut().graceful_shutdown();
+    let _ended = connection.await;
+}
--- /dev/null
+++ b/crates/testkit/src/store/rate_limit.rs
@@ -0,0 +1,34 @@
+//! A limit on the rate of calls.
+
+use std::time::{Duration, Instant};
+
+use almondsail_core::units::CallsPerSecond;
+
+/// A token bucket that holds at most the tokens of one second.
+#[derive(Debug)]
+pub struct RateLimit {
+    rate: CallsPerSecond,
+    tokens: f64,
+    /// When `tokens` was last brought up to date.
+    at: Instant,
+}
+
+impl RateLimit {
+    /// A full bucket for `rate`.
+    pub fn new(rate: CallsPerSecond, now: Instant) -> Self {
+        Self { rate, tokens: rate.get() as f64, at: now }
+    }
+
+    /// Takes a token; false if there is none.
+    pub fn allows(&mut self, now: Instant) -> bool {
+        let passed: Duration = now.saturating_duration_since(self.at);
+        let full = self.rate.get() as f64;
+        self.tokens = full.min(self.tokens + passed.as_secs_f64() * full);
+        self.at = now;
+        let has_token = self.tokens >= 1.0;
+        if has_token {
+            self.tokens -= 1.0;
+        }
+        has_token
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/store/revision.rs
@@ -0,0 +1,36 @@
+//! The revision of a value.
+
+use std::fmt;
+use std::num::ParseIntError;
+use std::str::FromStr;
+
+/// The revision of a value; zero means that there is no value.
+///
+/// Revisions rise over all keys, so that a value which was deleted and written
+/// again never repeats one.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Revision(u64);
+
+impl Revision {
+    /// The revision of a key without a value.
+    pub const NONE: Self = Self(0);
+
+    /// The revision after this one.
+    pub const fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
+impl fmt::Display for Revision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for Revision {
+    type Err = ParseIntError;
+
+    fn from_str(s: &str) -> Result<Self, Self::Err> {
+        s.parse().map(Self)
+    }
+}
