Add the generated wire types and their conversions

Cause: the store's value and the messages between nodes need an encoding that the core does not know of. Change: config.proto and peer.proto, the committed prost types, an example that generates them anew, conversions that name the field of a bad value, and a digest check on each configuration that is decoded. Conclusion: a corrupt value in the store can't become a configuration.

--- /dev/null
+++ b/crates/wire/src/convert/mod.rs
@@ -0,0 +1,10 @@
+//! Conversions between the generated types and the core's types.
+
+mod codec;
+mod config;
+mod delta;
+mod fields;
+mod message;
+mod peer;
+
+pub use codec::{decode_config, decode_message, encode_config, encode_message};
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,1 +1,22 @@
-//! Placeholder.
+//! Messages of almondsail at its borders, and their conversions.
+//!
+//! The types in [`config`] and [`peer`] are generated from the files in
+//! `proto` and committed; `cargo run -p almondsail-wire --example generate`
+//! makes them anew. Conversions to the core's types check every value and
+//! name the field of a bad one.
+
+#![deny(missing_docs, unsafe_code, rust_2018_idioms, unreachable_pub)]
+#![deny(clippy::all)]
+
+mod convert;
+mod decode_error;
+mod field_error;
+mod generated;
+mod limits;
+
+pub use convert::{decode_config, decode_message, encode_config, encode_message};
+pub use decode_error::DecodeError;
+pub use field_error::FieldError;
+pub use generated::config::v1 as config;
+pub use generated::peer::v1 as peer;
+pub use limits::{MAX_CONFIG_BYTES, MAX_FRAME_BYTES};
