Extend the control interface by outcome questions and the scope of history entries

Cause: a command with a base version is refused only if its service changed since, which the history did not tell; an operator must be able to ask for a write id; a stop mark that an operator cleared must not return from a node that missed the clearing version.

Change: HistoryEntry has the service concerned; Event::AskOutcome and Outcome::NotFound; PeerMessage::StopMarks states the configuration version where the marks were set; a reply to PeerUpdates may be TableEntries with the entries that override those sent.

--- a/crates/core/src/config/accepted.rs
+++ b/crates/core/src/config/accepted.rs
@@ -34,9 +34,10 @@
         writeln!(out, "config {} {}", self.version, self.write_id)?;
         self.content.write_canonical(out)?;
         for entry in &self.history {
+            let service = entry.service.as_ref().map_or("", |s| s.as_str());
             writeln!(
                 out,
-                "history {} {} {} {} {}",
+                "history {} {} {} {service} {} {}",
                 entry.version, entry.write_id, entry.at, entry.operator, entry.summary
             )?;
         }
--- a/crates/core/src/config/history_entry.rs
+++ b/crates/core/src/config/history_entry.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::ids::{ConfigVersion, OperatorName, WriteId};
+use crate::ids::{ConfigVersion, OperatorName, ServiceName, WriteId};
 use crate::units::UnixMillis;
 
 /// Number of history entries that a configuration carries at most.
@@ -20,6 +20,8 @@
     pub write_id: WriteId,
     /// When the change was accepted.
     pub at: UnixMillis,
+    /// The one service that the change concerned; `None` if it may concern several.
+    pub service: Option<ServiceName>,
     /// Who asked for it.
     pub operator: OperatorName,
     /// What was asked for, in one sentence without line breaks.
--- a/crates/core/src/control/event.rs
+++ b/crates/core/src/control/event.rs
@@ -4,6 +4,7 @@
 
 use crate::config::StopMark;
 use crate::control::{PeerFailure, PeerMessage, RequestId};
+use crate::ids::WriteId;
 use crate::peers::AnnouncedBackend;
 use crate::store::{StoreReply, Submission};
 
@@ -44,6 +45,13 @@
         /// The change.
         submission: Submission,
     },
+    /// An operator asks how the change with this write id ended.
+    AskOutcome {
+        /// Matches the outcome.
+        id: RequestId,
+        /// The change's write id.
+        write_id: WriteId,
+    },
     /// This node saw that a version must be stopped.
     VersionFailed {
         /// The marks to set.
--- a/crates/core/src/control/peer_message.rs
+++ b/crates/core/src/control/peer_message.rs
@@ -34,7 +34,8 @@
     PeerUpdates(Vec<Peer>),
     /// Request: the digests of the sender's table, one a bucket.
     TableBuckets(Vec<u64>),
-    /// Reply to `TableBuckets`: the entries of the buckets that differ.
+    /// Reply to `TableBuckets`: the entries of the buckets that differ. Reply to
+    /// `PeerUpdates`: the entries that override those sent, if there are any.
     TableEntries(Vec<Peer>),
     /// Request: a new version, as a difference to the one before.
     ConfigPush(Delta),
@@ -50,6 +51,9 @@
     StopMarks {
         /// The marks.
         marks: Vec<StopMark>,
+        /// The configuration version in force where they were set; a later
+        /// operator's command that clears them takes precedence.
+        since: ConfigVersion,
         /// Why, in one sentence.
         reason: Arc<str>,
     },
--- a/crates/core/src/store/outcome.rs
+++ b/crates/core/src/store/outcome.rs
@@ -14,4 +14,7 @@
     Refused(RefusedChange),
     /// The store's answer was lost and could not be found out; ask for this write id later.
     Unknown(WriteId),
+    /// Reply to a question for an outcome: neither the configuration of this
+    /// version nor its history carries the write id.
+    NotFound(WriteId, ConfigVersion),
 }
