--- a/crates/wire/src/convert/config.rs
+++ b/crates/wire/src/convert/config.rs
@@ -146,6 +146,7 @@
             at_unix_ms: entry.at.get(),
             operator: entry.operator.to_string(),
             summary: entry.summary.to_string(),
+            service: optional_text(entry.service.as_ref()),
         }
     }
 }
@@ -160,6 +161,7 @@
             at: UnixMillis::new(w.at_unix_ms),
             operator: parse("operator", &w.operator)?,
             summary: plain_text("summary", w.summary)?,
+            service: parse_optional("service", &w.service)?,
         })
     }
 }
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -22,6 +22,7 @@
         version: ConfigVersion::new(1),
         write_id: WriteId::new([7; WriteId::BYTES]),
         at: now,
+        service: Some("bays".parse().unwrap()),
         operator: "ana".parse().unwrap(),
         summary: "first".into(),
     };
