Generate the wire types from the testkit

Cause: the generator was an example of the wire crate, which does not compile while its generated types are out of date, so it could not be run after a change of a proto file. Change: it is an example of the testkit, which does not depend on the wire crate. Conclusion: one command regenerates the types after any change.

--- a/crates/wire/examples/generate.rs
+++ b/crates/testkit/examples/generate_wire.rs
@@ -1,6 +1,8 @@
-//! Writes the generated types in `src/generated` from the files in `proto`.
+//! Writes the generated types of `almondsail-wire` from its `.proto` files.
 //!
-//! Run it after each change of a `.proto` file: `cargo run -p almondsail-wire --example generate`.
+//! Run it after each change of a `.proto` file: `cargo run -p almondsail-testkit --example generate_wire`.
+//! It is not part of `almondsail-wire`, because that crate does not compile while
+//! its generated types are out of date.
 
 use std::error::Error;
 use std::path::Path;
@@ -9,7 +11,7 @@
 const PROTO_FILES: [&str; 2] = ["config.proto", "peer.proto"];
 
 fn main() -> Result<(), Box<dyn Error>> {
-    let root = Path::new(env!("CARGO_MANIFEST_DIR"));
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../wire");
     let descriptors = protox::compile(PROTO_FILES, [root.join("proto")])?;
     prost_build::Config::new()
         .out_dir(root.join("src/generated"))
