Add a mesh of processes and a caller that checks every answer

Cause: process tests, the demo and the convergence measurement all start a store, nodes and backend servers, and need to know which calls were lost or ran twice.

Change: `Mesh` starts the processes with generated settings, restarts nodes and backend servers on their former addresses, and reads counters, executions and memory. `Caller` compares each answer with its request and repeats a call only after a verdict that allows it; `Tally` and `Audit` compare what callers were told with what ran.

`Mesh` has not run yet, because the node is not there.

--- a/crates/testkit/src/harness/launch.rs
+++ b/crates/testkit/src/harness/launch.rs
@@ -21,9 +21,22 @@
         Self { binary, name: name.into(), args: Vec::new() }
     }
 
-    /// Adds the arguments `--NAME VALUE`.
+    /// Sets the option `--NAME VALUE`, in place of an earlier value.
     pub fn with(mut self, name: &str, value: impl Into<OsString>) -> Self {
-        self.args.extend([OsString::from(format!("--{name}")), value.into()]);
+        let option = OsString::from(format!("--{name}"));
+        match self.args.iter().position(|arg| *arg == option) {
+            Some(at) if !Self::REPEATED.contains(&name) => self.args[at + 1] = value.into(),
+            _ => self.args.extend([option, value.into()]),
+        }
         self
     }
+
+    /// Adds an argument without a name.
+    pub fn with_value(mut self, value: impl Into<OsString>) -> Self {
+        self.args.push(value.into());
+        self
+    }
+
+    /// Options that may be given several times.
+    const REPEATED: [&str; 1] = ["service-time"];
 }
--- a/crates/testkit/src/harness/process_set.rs
+++ b/crates/testkit/src/harness/process_set.rs
@@ -11,6 +11,7 @@
 use super::process::Process;
 use super::temp_folder::TempFolder;
 use super::{Launch, ProcessId};
+use crate::BoundAddresses;
 
 /// The processes of one test; they end when it is dropped.
 ///
@@ -87,6 +88,11 @@
         Ok(&self.slot(id)?.launch)
     }
 
+    /// The addresses that a process printed.
+    pub fn addresses(&self, id: ProcessId) -> Result<&BoundAddresses> {
+        Ok(self.process(id)?.addresses())
+    }
+
     /// The address that a process printed under `name`.
     pub fn address(&self, id: ProcessId, name: &str) -> Result<SocketAddr> {
         self.process(id)?.addresses().get(name)
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -10,7 +10,9 @@
 pub mod backend;
 pub mod harness;
 pub mod http;
+pub mod mesh;
 pub mod store;
+pub mod traffic;
 
 mod bound_addresses;
 mod stop_signal;
--- /dev/null
+++ b/crates/testkit/src/mesh/mesh_builder.rs
@@ -0,0 +1,130 @@
+//! The size and options of a mesh.
+
+use eyre::{Result, WrapErr};
+
+use super::mesh_type::MeshParts;
+use super::{Listen, Mesh, MeshNode, NodeSettings};
+use crate::harness::{Binary, Harness, Launch, ProcessId};
+use crate::http::HttpClient;
+
+/// How many nodes that run already a node gets as seeds.
+const SEEDS: usize = 3;
+
+/// The size and options of a mesh.
+#[derive(Debug, Clone)]
+pub struct MeshBuilder {
+    data_centres: usize,
+    nodes: usize,
+    services: Vec<String>,
+    backend_options: Vec<(String, String)>,
+    has_backends: bool,
+}
+
+impl Default for MeshBuilder {
+    fn default() -> Self {
+        Self {
+            data_centres: 2,
+            nodes: 4,
+            services: vec!["bays".to_owned()],
+            backend_options: Vec::new(),
+            has_backends: true,
+        }
+    }
+}
+
+impl MeshBuilder {
+    /// The nodes are spread over this many data centres.
+    pub fn data_centres(self, data_centres: usize) -> Self {
+        Self { data_centres, ..self }
+    }
+
+    /// The number of nodes, each with a backend server.
+    pub fn nodes(self, nodes: usize) -> Self {
+        Self { nodes, ..self }
+    }
+
+    /// The services of the backend servers: the first half of the nodes has the
+    /// first of two services, and so on.
+    pub fn services(self, services: &[&str]) -> Self {
+        Self { services: services.iter().map(|name| (*name).to_owned()).collect(), ..self }
+    }
+
+    /// Starts every backend server with the option `--NAME VALUE`.
+    pub fn backend_option(mut self, name: &str, value: &str) -> Self {
+        self.backend_options.push((name.to_owned(), value.to_owned()));
+        self
+    }
+
+    /// Starts no backend servers; the nodes expect them at a closed port.
+    pub fn without_backends(self) -> Self {
+        Self { has_backends: false, ..self }
+    }
+
+    /// Starts the processes and waits until each has told its addresses.
+    pub async fn start(self) -> Result<Mesh> {
+        let mut harness = Harness::new()?;
+        let listen = harness.any_port().to_string();
+        harness.write_file(NodeSettings::KEY_FILE, "key-of-the-testkit-0123456789abcdef")?;
+        let store =
+            harness.start(Launch::new(Binary::Store, "store").with("listen", &listen)).await?;
+        let mut parts = MeshParts { harness, store, nodes: Vec::new() };
+        for index in 0..self.nodes {
+            let node = self.start_pair(&mut parts, index).await?;
+            parts.nodes.push(node);
+        }
+        Ok(Mesh::new(parts))
+    }
+
+    /// The service of the node at `index`.
+    fn service(&self, index: usize) -> &str {
+        &self.services[index * self.services.len() / self.nodes]
+    }
+
+    async fn start_pair(&self, parts: &mut MeshParts, index: usize) -> Result<MeshNode> {
+        let name = format!("{}-{index}", self.service(index));
+        let backend = self.start_backend(parts, index).await?;
+        let backend_address = match backend {
+            Some(id) => parts.harness.address(id, "address")?,
+            None => parts.closed_port()?,
+        };
+        let store = parts.harness.address(parts.store, "address")?;
+        let listen = Listen::any_port(parts.harness.any_port());
+        let settings = NodeSettings::new(&name, listen, store, backend_address)
+            .data_centre(&format!("dc-{}", index % self.data_centres + 1))
+            .seeds(parts.seeds(SEEDS)?);
+        let file = format!("{name}.json");
+        parts.harness.write_file(&file, &settings.text()?)?;
+        let launch = Launch::new(Binary::Node, &name).with_value(file);
+        let node = parts.harness.start(launch).await.wrap_err_with(|| name.clone())?;
+        let bound = Listen::bound(parts.harness.addresses(node)?)?;
+        if let Some(backend) = backend {
+            let control = HttpClient::new(parts.harness.address(backend, "control")?);
+            control.put("/control/node", bound.local.to_string()).await?.success()?;
+        }
+        Ok(MeshNode {
+            name,
+            service: self.service(index).to_owned(),
+            node,
+            backend,
+            settings: settings.listen(bound),
+        })
+    }
+
+    async fn start_backend(
+        &self,
+        parts: &mut MeshParts,
+        index: usize,
+    ) -> Result<Option<ProcessId>> {
+        if !self.has_backends {
+            return Ok(None);
+        }
+        let launch = Launch::new(Binary::Backend, format!("backend-{index}"))
+            .with("listen", parts.harness.any_port().to_string())
+            .with("service", self.service(index))
+            .with("version", Mesh::VERSION)
+            .with("log", Mesh::log_name(index));
+        let add = |launch: Launch, (name, value): &(String, String)| launch.with(name, value);
+        let launch = self.backend_options.iter().fold(launch, add);
+        parts.harness.start(launch).await.map(Some)
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/mesh/mesh_type.rs
@@ -0,0 +1,221 @@
+//! A running mesh.
+
+use std::net::SocketAddr;
+
+use eyre::{Result, WrapErr, ensure, eyre};
+
+use super::{MeshBuilder, MeshNode, Metrics, Operator};
+use crate::backend::{Execution, Faults};
+use crate::harness::{Harness, ProcessId, wait_until};
+use crate::http::HttpClient;
+use crate::store::{StoreCounts, StoreMode};
+
+/// A running mesh: a store, nodes and the backend servers beside them.
+#[derive(Debug)]
+pub struct Mesh {
+    parts: MeshParts,
+}
+
+/// The processes of a mesh that may still grow.
+#[derive(Debug)]
+pub(super) struct MeshParts {
+    pub(super) harness: Harness,
+    pub(super) store: ProcessId,
+    pub(super) nodes: Vec<MeshNode>,
+}
+
+impl MeshParts {
+    /// The peer addresses of the newest `most` nodes.
+    pub(super) fn seeds(&self, most: usize) -> Result<Vec<SocketAddr>> {
+        let newest = self.nodes.iter().rev().take(most);
+        newest.map(|node| self.harness.address(node.node, "peers")).collect()
+    }
+
+    /// An address at which nothing listens.
+    pub(super) fn closed_port(&self) -> Result<SocketAddr> {
+        Ok(std::net::TcpListener::bind(self.harness.any_port())?.local_addr()?)
+    }
+}
+
+impl Mesh {
+    /// The version of the backend servers that a builder starts.
+    pub const VERSION: &'static str = "v1";
+
+    /// The size and options of a mesh to start.
+    pub fn builder() -> MeshBuilder {
+        MeshBuilder::default()
+    }
+
+    pub(super) fn new(parts: MeshParts) -> Self {
+        Self { parts }
+    }
+
+    /// The name of the file with the executions of the backend server at `index`.
+    pub(super) fn log_name(index: usize) -> String {
+        format!("executions-{index}.log")
+    }
+
+    /// The processes.
+    pub fn harness(&mut self) -> &mut Harness {
+        &mut self.parts.harness
+    }
+
+    /// The nodes, in the order in which they were started.
+    pub fn nodes(&self) -> &[MeshNode] {
+        &self.parts.nodes
+    }
+
+    /// The process of the store.
+    pub fn store_process(&self) -> ProcessId {
+        self.parts.store
+    }
+
+    /// A client of the store.
+    pub fn store(&self) -> Result<HttpClient> {
+        self.client(self.parts.store, "address")
+    }
+
+    /// Sets the faults of the store.
+    pub async fn set_store_mode(&self, mode: StoreMode) -> Result<()> {
+        self.store()?.put("/control/mode", serde_json::to_vec(&mode)?).await?.success()
+    }
+
+    /// The calls that the store counted.
+    pub async fn store_counts(&self) -> Result<StoreCounts> {
+        self.store()?.get("/control/counts").await?.json()
+    }
+
+    /// An operator who talks to the node at `index`.
+    pub fn operator(&self, index: usize) -> Result<Operator> {
+        Ok(Operator::new(self.address(index, "operators")?))
+    }
+
+    /// The address of the node at `index` for the purpose `name`.
+    pub fn address(&self, index: usize, name: &str) -> Result<SocketAddr> {
+        self.parts.harness.address(self.node(index)?.node, name)
+    }
+
+    /// The callers' addresses of all nodes that run.
+    pub fn entries(&self) -> Vec<SocketAddr> {
+        let address = |node: &MeshNode| self.parts.harness.address(node.node, "callers").ok();
+        self.parts.nodes.iter().filter_map(address).collect()
+    }
+
+    /// The counters of the node at `index`.
+    pub async fn metrics(&self, index: usize) -> Result<Metrics> {
+        let reply = HttpClient::new(self.address(index, "local")?).get("/metrics").await?;
+        reply.success()?;
+        Metrics::parse(&String::from_utf8_lossy(&reply.body))
+    }
+
+    /// Sets the faults of the backend server at `index`.
+    pub async fn set_faults(&self, index: usize, faults: &Faults) -> Result<()> {
+        let control = self.client(self.backend(index)?, "control")?;
+        control.put("/control/faults", serde_json::to_vec(faults)?).await?.success()
+    }
+
+    /// Every execution of every backend server, also of processes that ended.
+    pub fn executions(&self) -> Result<Vec<Execution>> {
+        let mut executions = Vec::new();
+        for index in 0..self.parts.nodes.len() {
+            let path = self.parts.harness.folder().join(Self::log_name(index));
+            let text = std::fs::read_to_string(&path).unwrap_or_default();
+            for line in text.lines() {
+                executions.push(serde_json::from_str(line).wrap_err_with(|| line.to_owned())?);
+            }
+        }
+        Ok(executions)
+    }
+
+    /// Creates each service with the version of its backend servers and routes
+    /// below `/SERVICE`: reads are idempotent, `/SERVICE/book` is not.
+    pub async fn configure(&self, services: &[&str]) -> Result<()> {
+        let operator = self.operator(0)?;
+        for service in services {
+            for command in Self::commands(service) {
+                operator.run(&command).await?;
+            }
+        }
+        Ok(())
+    }
+
+    /// The commands by which [`configure`](Self::configure) creates a service.
+    pub fn commands(service: &str) -> [String; 4] {
+        let version = Self::VERSION;
+        let route = |name: &str, path: &str, kind: &str| {
+            format!(
+                "create route {service}-{name} service {service} prefix {path} {kind} \
+                 priority interactive deadline 5000ms"
+            )
+        };
+        [
+            format!("create service {service} member depots"),
+            format!("create version {service}/{version}"),
+            route("lookup", &format!("/{service}"), "idempotent"),
+            route("book", &format!("/{service}/book"), "non-idempotent"),
+        ]
+    }
+
+    /// Waits until `call` succeeds through every node that runs.
+    pub async fn wait_until_served(&self, target: &str) -> Result<()> {
+        for entry in self.entries() {
+            let client = HttpClient::new(entry);
+            wait_until(&format!("{target} through {entry}"), || async {
+                let reply = client.get(target).await?;
+                let reason = reply.header("almondsail-reason").unwrap_or("").to_owned();
+                reply.success().wrap_err(reason)
+            })
+            .await?;
+        }
+        Ok(())
+    }
+
+    /// Kills the node at `index`, as a crash would.
+    pub fn kill_node(&mut self, index: usize) -> Result<()> {
+        let id = self.node(index)?.node;
+        self.parts.harness.kill(id)
+    }
+
+    /// Asks the node at `index` to stop and waits for its end.
+    pub async fn stop_node(&mut self, index: usize) -> Result<()> {
+        let id = self.node(index)?.node;
+        let status = self.parts.harness.stop(id).await?;
+        ensure!(status.success(), "the node {index} ended with {status}");
+        Ok(())
+    }
+
+    /// Starts the node at `index` again, on its former addresses.
+    pub async fn start_node(&mut self, index: usize) -> Result<()> {
+        let node = self.node(index)?.clone();
+        let others = self.parts.nodes.iter().filter(|other| other.name != node.name);
+        let peers = |other: &MeshNode| self.parts.harness.address(other.node, "peers").ok();
+        let seeds: Vec<_> = others.filter_map(peers).take(3).collect();
+        let text = node.settings.seeds(seeds).text()?;
+        self.parts.harness.write_file(&format!("{}.json", node.name), &text)?;
+        self.parts.harness.restart(node.node, None).await
+    }
+
+    /// Asks the backend server at `index` to stop, waits and starts it again.
+    pub async fn restart_backend(&mut self, index: usize) -> Result<()> {
+        let id = self.backend(index)?;
+        let address = self.parts.harness.address(id, "address")?;
+        let status = self.parts.harness.stop(id).await?;
+        ensure!(status.success(), "the backend server {index} ended with {status}");
+        let node = self.address(index, "local")?;
+        let launch = self.parts.harness.launch(id)?.clone();
+        let launch = launch.with("listen", address.to_string()).with("node", node.to_string());
+        self.parts.harness.restart(id, Some(launch)).await
+    }
+
+    fn node(&self, index: usize) -> Result<&MeshNode> {
+        self.parts.nodes.get(index).ok_or_else(|| eyre!("there is no node {index}"))
+    }
+
+    fn backend(&self, index: usize) -> Result<ProcessId> {
+        self.node(index)?.backend.ok_or_else(|| eyre!("the mesh has no backend servers"))
+    }
+
+    fn client(&self, id: ProcessId, name: &str) -> Result<HttpClient> {
+        Ok(HttpClient::new(self.parts.harness.address(id, name)?))
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/traffic/audit.rs
@@ -0,0 +1,36 @@
+//! The comparison of what callers were told with what ran.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::Tally;
+use crate::backend::Execution;
+
+/// The comparison of what callers were told with what ran.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Audit {
+    /// Keys that ran more than once.
+    pub doubled: BTreeSet<String>,
+    /// Keys that were answered but did not run.
+    pub answered_unrun: BTreeSet<String>,
+}
+
+impl Audit {
+    /// Compares the answered keys of `tally` with `executions`.
+    pub fn of(tally: &Tally, executions: &[Execution]) -> Self {
+        let mut runs: BTreeMap<&str, usize> = BTreeMap::new();
+        for key in executions.iter().filter_map(|execution| execution.key.as_deref()) {
+            *runs.entry(key).or_default() += 1;
+        }
+        let is_doubled = |(key, n): (&&str, &usize)| (*n > 1).then(|| (*key).to_owned());
+        let is_unrun = |key: &&String| !runs.contains_key(key.as_str());
+        Self {
+            doubled: runs.iter().filter_map(is_doubled).collect(),
+            answered_unrun: tally.answered_keys.iter().filter(is_unrun).cloned().collect(),
+        }
+    }
+
+    /// Whether nothing is wrong.
+    pub fn is_clean(&self) -> bool {
+        self.doubled.is_empty() && self.answered_unrun.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/traffic/load.rs
@@ -0,0 +1,70 @@
+//! Calls in the background.
+
+use eyre::Result;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+use super::{CallRequest, Caller, LoadOptions, Tally};
+
+/// Calls in the background, half of them bookings with keys of their own.
+#[derive(Debug)]
+pub struct Load {
+    workers: JoinSet<Tally>,
+    stop: watch::Sender<bool>,
+}
+
+impl Load {
+    /// Starts the workers.
+    pub fn start(caller: &Caller, options: &LoadOptions) -> Self {
+        let (stop, _) = watch::channel(false);
+        let mut workers = JoinSet::new();
+        for number in 0..options.workers {
+            let worker = Worker { number, caller: caller.clone(), options: options.clone() };
+            workers.spawn(worker.run(stop.subscribe()));
+        }
+        Self { workers, stop }
+    }
+
+    /// Lets the calls under way end and gives the counts.
+    pub async fn stop(mut self) -> Result<Tally> {
+        self.stop.send_replace(true);
+        let mut total = Tally::default();
+        while let Some(tally) = self.workers.join_next().await {
+            total.add(tally?);
+        }
+        Ok(total)
+    }
+}
+
+#[derive(Debug)]
+struct Worker {
+    number: usize,
+    caller: Caller,
+    options: LoadOptions,
+}
+
+impl Worker {
+    async fn run(self, stop: watch::Receiver<bool>) -> Tally {
+        let mut tally = Tally::default();
+        for n in 0..self.options.max_calls {
+            if *stop.borrow() {
+                break;
+            }
+            let request = self.request(n);
+            let (end, sent) = self.caller.call(self.number + n as usize, &request).await;
+            tally.count(&request, &end, sent);
+            tokio::time::sleep(self.options.pause).await;
+        }
+        tally
+    }
+
+    fn request(&self, n: u64) -> CallRequest {
+        let services = &self.options.services;
+        let service = &services[(self.number + n as usize / 2) % services.len()];
+        if n.is_multiple_of(2) {
+            CallRequest::lookup(service, n)
+        } else {
+            CallRequest::booking(service, &format!("worker-{}", self.number), n)
+        }
+    }
+}
--- /dev/null
+++ b/crates/testkit/tests/caller.rs
@@ -0,0 +1,124 @@
+//! The caller and its counts against a backend stand-in without a mesh.
+
+use almondsail_testkit::backend::{Echo, Execution, Fault, FaultRule, Faults};
+use almondsail_testkit::harness::{Binary, Harness, Launch};
+use almondsail_testkit::http::HttpClient;
+use almondsail_testkit::traffic::{Audit, CallEnd, CallRequest, Caller, Tally};
+use eyre::Result;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+
+struct Backend {
+    _harness: Harness,
+    caller: Caller,
+    control: HttpClient,
+}
+
+impl Backend {
+    async fn start() -> Result<Self> {
+        let mut harness = Harness::new()?;
+        let launch = Launch::new(Binary::Backend, "backend")
+            .with("listen", harness.any_port().to_string())
+            .with("service", "bays")
+            .with("version", "v1");
+        let id = harness.start(launch).await?;
+        let caller = Caller::new(vec![harness.address(id, "address")?]);
+        let control = HttpClient::new(harness.address(id, "control")?);
+        Ok(Self { _harness: harness, caller, control })
+    }
+
+    async fn set_fault(&self, fault: Fault) -> Result<()> {
+        let faults = Faults::of_calls([FaultRule::new("/", fault)]);
+        self.control.put("/control/faults", serde_json::to_vec(&faults)?).await?.success()
+    }
+
+    async fn tally(&self, request: &CallRequest) -> Result<(Tally, Vec<Execution>)> {
+        let mut tally = Tally::default();
+        let (end, sent) = self.caller.call(0, request).await;
+        tally.count(request, &end, sent);
+        Ok((tally, self.control.get("/control/executions").await?.json()?))
+    }
+}
+
+// Guards against a caller that counts a sound call as lost or doubled.
+#[tokio::test]
+async fn tally_sound_call() -> Result<()> {
+    let backend = Backend::start().await?;
+    let (tally, executions) = backend.tally(&CallRequest::booking("bays", "c", 1)).await?;
+    assert_eq!((tally.calls, tally.answered, tally.lost()), (1, 1, 0));
+    assert_eq!(tally.answered_keys, ["c-1"]);
+    assert!(Audit::of(&tally, &executions).is_clean());
+    Ok(())
+}
+
+// Guards against an audit that overlooks a call that ran twice.
+#[tokio::test]
+async fn audit_doubled_call() -> Result<()> {
+    let backend = Backend::start().await?;
+    backend.set_fault(Fault::RunTwice).await?;
+    let (tally, executions) = backend.tally(&CallRequest::booking("bays", "c", 1)).await?;
+    let audit = Audit::of(&tally, &executions);
+    assert_eq!(audit.doubled.into_iter().collect::<Vec<_>>(), ["c-1"]);
+    Ok(())
+}
+
+// Guards against an audit that overlooks an answered call that did not run.
+#[test]
+fn audit_unrun_call() {
+    let tally = Tally { answered_keys: vec!["c-1".to_owned()], ..Tally::default() };
+    let audit = Audit::of(&tally, &[]);
+    assert!(!audit.is_clean());
+    assert_eq!(audit.answered_unrun.len(), 1);
+}
+
+// Guards against a truncated answer that passes as complete, and a broken
+// exchange that is sent again.
+#[tokio::test]
+async fn tally_truncated_answer() -> Result<()> {
+    let backend = Backend::start().await?;
+    backend.set_fault(Fault::Truncate).await?;
+    let (tally, executions) = backend.tally(&CallRequest::booking("bays", "c", 1)).await?;
+    assert_eq!((tally.lost(), tally.repeats, executions.len()), (1, 0, 1));
+    assert!(tally.unanswered.contains_key("broken"), "{tally}");
+    Ok(())
+}
+
+// Guards against the answer to another request that passes as the own one.
+#[tokio::test]
+async fn send_crossed_answer() -> Result<()> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let caller = Caller::new(vec![listener.local_addr()?]);
+    let echo = Echo {
+        service: "bays".to_owned(),
+        version: "v1".to_owned(),
+        process: 1,
+        method: "GET".to_owned(),
+        path: "/bays/item?n=2".to_owned(),
+        body_sha256: String::new(),
+        key: None,
+        execution: 1,
+    };
+    let body = serde_json::to_string(&echo)?;
+    let server = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await?;
+        let _request = stream.read(&mut [0; 4_096]).await?;
+        let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len());
+        stream.write_all(answer.as_bytes()).await
+    });
+    let end = caller.send(0, &CallRequest::lookup("bays", 1)).await;
+    server.await??;
+    assert!(matches!(end, CallEnd::Wrong(_)), "{end:?}");
+    Ok(())
+}
+
+// Guards against a call that may have run and is sent again.
+#[tokio::test]
+async fn send_closed_port() -> Result<()> {
+    let address = TcpListener::bind("127.0.0.1:0").await?.local_addr()?;
+    let end = Caller::new(vec![address]).send(0, &CallRequest::lookup("bays", 1)).await;
+    assert!(matches!(end, CallEnd::NotConnected(_)), "{end:?}");
+    assert!(end.is_safe_to_repeat());
+    assert!(!CallEnd::Broken(String::new()).is_safe_to_repeat());
+    assert!(!CallEnd::Wrong(String::new()).is_safe_to_repeat());
+    Ok(())
+}
--- /dev/null
+++ b/crates/testkit/tests/harness.rs
@@ -0,0 +1,70 @@
+//! The harness itself.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use almondsail_testkit::harness::{Binary, Harness, Launch, ProcessId};
+use almondsail_testkit::http::HttpClient;
+use eyre::Result;
+
+async fn start() -> Result<(Harness, ProcessId)> {
+    let mut harness = Harness::new()?;
+    let launch = Launch::new(Binary::Store, "store");
+    let launch = launch.with("listen", harness.any_port().to_string());
+    let id = harness.start(launch).await?;
+    Ok((harness, id))
+}
+
+// Guards against processes that outlive a test that panics.
+#[tokio::test]
+async fn drop_after_panic() -> Result<()> {
+    let test = tokio::spawn(async {
+        let (harness, id) = start().await?;
+        let pid = harness.pid(id)?;
+        harness.freeze(id)?;
+        assert!(pid == 0, "{pid}");
+        Ok::<(), eyre::Report>(())
+    });
+    let panic = test.await.expect_err("the task panics").into_panic();
+    let pid = panic.downcast_ref::<String>().expect("a panic with a text");
+    let process = PathBuf::from(format!("/proc/{}", pid.trim()));
+    assert!(!process.exists(), "{}", process.display());
+    Ok(())
+}
+
+// Guards against a frozen process that goes on, or stays frozen.
+#[tokio::test]
+async fn freeze_and_thaw() -> Result<()> {
+    let (harness, id) = start().await?;
+    let store = HttpClient::new(harness.address(id, "address")?);
+    harness.freeze(id)?;
+    let impatient = store.clone().with_ceiling(Duration::from_millis(200));
+    assert!(impatient.get("/v1/kv/k").await.is_err());
+    harness.thaw(id)?;
+    assert_eq!(store.get("/v1/kv/k").await?.status, 404);
+    Ok(())
+}
+
+// Guards against a restarted process that is reached at another address.
+#[tokio::test]
+async fn restart_same_address() -> Result<()> {
+    let (mut harness, id) = start().await?;
+    let (address, pid) = (harness.address(id, "address")?, harness.pid(id)?);
+    harness.kill(id)?;
+    assert!(harness.address(id, "address").is_err());
+    let launch = harness.launch(id)?.clone().with("listen", address.to_string());
+    harness.restart(id, Some(launch)).await?;
+    assert_eq!(harness.address(id, "address")?, address);
+    assert_ne!(harness.pid(id)?, pid);
+    harness.check_running()
+}
+
+// Guards against a failed start that does not show what the process said.
+#[tokio::test]
+async fn start_bad_option() -> Result<()> {
+    let mut harness = Harness::new()?;
+    let launch = Launch::new(Binary::Store, "store").with("reads", "many");
+    let error = harness.start(launch).await.expect_err("the option is refused");
+    assert!(format!("{error:#}").contains("a rate such as"), "{error:#}");
+    Ok(())
+}
