Add the node's settings, links to peers, store client and local API

Cause: the core's decisions need sockets, files and timers round them. Change: a checked settings file that reports every mistake at once, sealed messages over tarpc with a pool of connections and byte counts, a store client that tells a write without effect from one in doubt, counters in the Prometheus text format, and the announcement of a backend server over HTTP.

--- /dev/null
+++ b/crates/node/src/local_api.rs
@@ -0,0 +1,108 @@
+//! HTTP for the backend server beside the node and for whoever reads its counters.
+
+use std::panic::AssertUnwindSafe;
+use std::sync::Arc;
+
+use almondsail_core::control::Event;
+use almondsail_core::peers::AnnouncedBackend;
+use almondsail_wire::local::Announcement;
+use gotham::handler::HandlerError;
+use gotham::helpers::http::Body;
+use gotham::helpers::http::response::create_response;
+use gotham::hyper::{Response, StatusCode};
+use gotham::middleware::state::StateMiddleware;
+use gotham::pipeline::{single_middleware, single_pipeline};
+use gotham::router::Router;
+use gotham::router::builder::{DefineSingleRoute, DrawRoutes, build_router};
+use gotham::state::{FromState, State, StateData};
+use http_body_util::{BodyExt, Limited};
+use tokio::sync::mpsc;
+
+use crate::control_input::ControlInput;
+use crate::metrics::Metrics;
+
+/// Number of bytes of an announcement at most.
+const MAX_ANNOUNCEMENT_BYTES: usize = 4_096;
+
+/// HTTP for the backend server beside the node and for whoever reads its counters.
+///
+/// A handler that panics leaves its parts intact: both can be used from many
+/// threads at a time and hold no state between two of their operations.
+#[derive(Debug, Clone)]
+pub struct LocalApi(Arc<AssertUnwindSafe<Parts>>);
+
+#[derive(Debug)]
+struct Parts {
+    control: mpsc::Sender<ControlInput>,
+    metrics: Metrics,
+}
+
+impl StateData for LocalApi {}
+
+impl LocalApi {
+    /// Hands announcements to `control` and shows the counters of `metrics`.
+    pub fn new(control: mpsc::Sender<ControlInput>, metrics: Metrics) -> Self {
+        Self(Arc::new(AssertUnwindSafe(Parts { control, metrics })))
+    }
+
+    /// The routes: `PUT /v1/backend`, `POST /v1/backend/leave`, `GET /metrics` and `GET /health`.
+    pub fn router(self) -> Router {
+        let middleware = StateMiddleware::new(self);
+        let (chain, pipelines) = single_pipeline(single_middleware(middleware));
+        build_router(chain, pipelines, |route| {
+            route.put("/v1/backend").to_async(announce);
+            route.post("/v1/backend/leave").to_async(leave);
+            route.get("/metrics").to(metrics);
+            route.get("/health").to(health);
+        })
+    }
+
+    /// Hands an event to the control thread and says how that went.
+    async fn send(&self, event: Event) -> (StatusCode, String) {
+        match self.0.control.send(ControlInput::Event(event)).await {
+            Ok(()) => (StatusCode::OK, "ok\n".to_owned()),
+            Err(_) => (StatusCode::SERVICE_UNAVAILABLE, "the node stops\n".to_owned()),
+        }
+    }
+}
+
+async fn announce(mut state: State) -> Result<(State, Response<Body>), (State, HandlerError)> {
+    let body: Body = state.take();
+    let api = LocalApi::borrow_from(&state).clone();
+    let (status, answer) = match read_announcement(body).await {
+        Err(problem) => (StatusCode::BAD_REQUEST, problem),
+        Ok(backend) => api.send(Event::BackendAnnounced(backend)).await,
+    };
+    let response = text(&state, status, answer);
+    Ok((state, response))
+}
+
+async fn leave(state: State) -> Result<(State, Response<Body>), (State, HandlerError)> {
+    let api = LocalApi::borrow_from(&state).clone();
+    let (status, answer) = api.send(Event::BackendLeaving).await;
+    let response = text(&state, status, answer);
+    Ok((state, response))
+}
+
+fn metrics(state: State) -> (State, Response<Body>) {
+    let body = LocalApi::borrow_from(&state).0.metrics.text();
+    let response = text(&state, StatusCode::OK, body);
+    (state, response)
+}
+
+fn health(state: State) -> (State, Response<Body>) {
+    let response = text(&state, StatusCode::OK, "ok\n".to_owned());
+    (state, response)
+}
+
+async fn read_announcement(body: Body) -> Result<AnnouncedBackend, String> {
+    let body = Limited::new(body, MAX_ANNOUNCEMENT_BYTES).collect().await;
+    let body = body.map_err(|e| format!("the announcement can't be read: {e}\n"))?.to_bytes();
+    let announcement: Announcement =
+        serde_json::from_slice(&body).map_err(|e| format!("not an announcement: {e}\n"))?;
+    announcement.try_into().map_err(|e| format!("not an announcement: {e}\n"))
+}
+
+fn text(state: &State, status: StatusCode, body: String) -> Response<Body> {
+    create_response(state, status, mime::TEXT_PLAIN_UTF_8, body)
+}
--- /dev/null
+++ b/crates/node/src/main.rs
@@ -0,0 +1,3 @@
+//! The almondsail process beside each backend server.
+
+fn main() {}
--- /dev/null
+++ b/crates/node/src/peer_link/client_pool.rs
@@ -0,0 +1,98 @@
+//! Connections to other nodes.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use almondsail_core::control::{PeerFailure, PeerMessage};
+use almondsail_wire::MAX_FRAME_BYTES;
+use tarpc::tokio_serde::formats::Bincode;
+use tarpc::{client, context};
+use tokio::net::TcpStream;
+use tokio::sync::Mutex;
+use tokio::time::timeout;
+use tokio_util::codec::LengthDelimitedCodec;
+
+use super::counted_stream::CountedStream;
+use super::{ByteCounts, Direction, FrameSeal, PeerServiceClient};
+
+/// Persistent connections to other nodes, one to each address.
+///
+/// Only the control thread's runtime uses the pool, so its lock is never
+/// waited for by the path of a call.
+#[derive(Debug)]
+pub struct ClientPool {
+    seal: FrameSeal,
+    counts: ByteCounts,
+    clients: Mutex<HashMap<SocketAddr, PooledClient>>,
+}
+
+#[derive(Debug)]
+struct PooledClient {
+    client: PeerServiceClient,
+    last_used: Instant,
+}
+
+impl ClientPool {
+    /// A connection that was not used for this long is closed.
+    const IDLE_LIMIT: Duration = Duration::from_secs(60);
+
+    /// An empty pool.
+    pub fn new(seal: FrameSeal, counts: ByteCounts) -> Self {
+        Self { seal, counts, clients: Mutex::default() }
+    }
+
+    /// Sends a request and waits for its reply, for `limit` at most.
+    pub async fn send(
+        &self,
+        to: SocketAddr,
+        message: &PeerMessage,
+        limit: Duration,
+    ) -> Result<PeerMessage, PeerFailure> {
+        let reply = timeout(limit, self.exchange(to, message, limit)).await;
+        let reply = reply.unwrap_or(Err(PeerFailure::Timeout));
+        if reply.is_err() {
+            self.clients.lock().await.remove(&to);
+        }
+        reply
+    }
+
+    async fn exchange(
+        &self,
+        to: SocketAddr,
+        message: &PeerMessage,
+        limit: Duration,
+    ) -> Result<PeerMessage, PeerFailure> {
+        let client = self.client(to).await?;
+        let mut cx = context::current();
+        cx.deadline = Instant::now() + limit;
+        let frame = self.seal.seal(Direction::Request, message);
+        let reply = client.exchange(cx, frame).await.map_err(|_| PeerFailure::Unreachable)?;
+        let reply = reply.ok_or(PeerFailure::BadReply)?;
+        self.seal.open(Direction::Reply, &reply).map_err(|_| PeerFailure::BadReply)
+    }
+
+    /// The connection to `to`, opened if there is none.
+    async fn client(&self, to: SocketAddr) -> Result<PeerServiceClient, PeerFailure> {
+        if let Some(pooled) = self.clients.lock().await.get_mut(&to) {
+            pooled.last_used = Instant::now();
+            return Ok(pooled.client.clone());
+        }
+        let client = self.connect(to).await.map_err(|_| PeerFailure::Unreachable)?;
+        let mut clients = self.clients.lock().await;
+        clients.retain(|_, pooled| pooled.last_used.elapsed() < Self::IDLE_LIMIT);
+        let pooled = PooledClient { client: client.clone(), last_used: Instant::now() };
+        clients.insert(to, pooled);
+        Ok(client)
+    }
+
+    async fn connect(&self, to: SocketAddr) -> std::io::Result<PeerServiceClient> {
+        let stream = TcpStream::connect(to).await?;
+        stream.set_nodelay(true)?;
+        let stream = CountedStream::new(stream, self.counts.clone());
+        let framed =
+            LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_framed(stream);
+        let transport = tarpc::serde_transport::new(framed, Bincode::default());
+        Ok(PeerServiceClient::new(client::Config::default(), transport).spawn())
+    }
+}
--- /dev/null
+++ b/crates/node/src/peer_link/server.rs
@@ -0,0 +1,114 @@
+//! Takes messages of other nodes.
+
+use std::sync::Arc;
+
+use almondsail_core::control::PeerMessage;
+use almondsail_wire::MAX_FRAME_BYTES;
+use almondsail_wire::peer::SealedFrame;
+use futures::StreamExt;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Counter;
+use tarpc::context::Context;
+use tarpc::server::{BaseChannel, Channel};
+use tarpc::tokio_serde::formats::Bincode;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, mpsc, oneshot};
+use tokio_util::codec::LengthDelimitedCodec;
+
+use super::counted_stream::CountedStream;
+use super::{ByteCounts, Direction, FrameSeal, OpenError, PeerService};
+
+/// A request of another node and the way to answer it.
+#[derive(Debug)]
+pub struct IncomingRequest {
+    /// The request.
+    pub message: PeerMessage,
+    /// Takes the reply.
+    pub reply: oneshot::Sender<PeerMessage>,
+}
+
+/// Takes requests of other nodes and hands them to the control thread.
+#[derive(Debug, Clone)]
+pub struct PeerServer {
+    seal: FrameSeal,
+    counts: ByteCounts,
+    requests: mpsc::Sender<IncomingRequest>,
+    refused: Counter<u64>,
+}
+
+impl PeerServer {
+    /// Number of connections that are served at a time: a node has about 12
+    /// links in, and a herd of joining nodes comes on top.
+    const MAX_CONNECTIONS: usize = 512;
+
+    /// A server that hands requests to `requests` and counts refused ones in `refused`.
+    pub fn new(
+        seal: FrameSeal,
+        counts: ByteCounts,
+        requests: mpsc::Sender<IncomingRequest>,
+        refused: Counter<u64>,
+    ) -> Self {
+        Self { seal, counts, requests, refused }
+    }
+
+    /// Serves connections for ever.
+    pub async fn listen(self, listener: TcpListener) {
+        let slots = Arc::new(Semaphore::new(Self::MAX_CONNECTIONS));
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+                continue;
+            };
+            let Ok(permit) = slots.clone().try_acquire_owned() else {
+                self.refuse("too_many_connections");
+                continue;
+            };
+            let connection = self.clone().serve_connection(stream);
+            tokio::spawn(async move {
+                connection.await;
+                drop(permit);
+            });
+        }
+    }
+
+    async fn serve_connection(self, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let stream = CountedStream::new(stream, self.counts.clone());
+        let framed =
+            LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_framed(stream);
+        let transport = tarpc::serde_transport::new(framed, Bincode::default());
+        let mut requests = std::pin::pin!(BaseChannel::with_defaults(transport).requests());
+        while let Some(request) = requests.next().await {
+            let Ok(request) = request else {
+                self.refuse("garbage");
+                return;
+            };
+            let server = self.clone();
+            tokio::spawn(request.execute(server.serve()));
+        }
+    }
+
+    fn refuse(&self, reason: &'static str) {
+        self.refused.add(1, &[KeyValue::new("reason", reason)]);
+    }
+}
+
+impl PeerService for PeerServer {
+    async fn exchange(self, _: Context, request: SealedFrame) -> Option<SealedFrame> {
+        let message = match self.seal.open(Direction::Request, &request) {
+            Ok(message) => message,
+            Err(OpenError::Unauthenticated) => {
+                self.refuse("unauthenticated");
+                return None;
+            }
+            Err(OpenError::Malformed(_)) => {
+                self.refuse("malformed");
+                return None;
+            }
+        };
+        let (reply, answer) = oneshot::channel();
+        self.requests.send(IncomingRequest { message, reply }).await.ok()?;
+        let answer = answer.await.ok()?;
+        Some(self.seal.seal(Direction::Reply, &answer))
+    }
+}
--- /dev/null
+++ b/crates/node/src/settings/fields.rs
@@ -0,0 +1,177 @@
+//! Reads the fields of an object and collects every mistake.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde_json::{Map, Value};
+
+use super::Mistake;
+
+/// An object of the settings file whose fields are taken one by one.
+///
+/// Mistakes go to a list, so that all of them are reported at once. Each
+/// method that misses a value returns `None` after it has noted why.
+pub(super) struct Fields<'a> {
+    path: String,
+    values: Map<String, Value>,
+    mistakes: &'a mut Vec<Mistake>,
+}
+
+impl<'a> Fields<'a> {
+    /// The fields of `value`, which stands at `path`.
+    pub(super) fn new(path: &str, value: Value, mistakes: &'a mut Vec<Mistake>) -> Self {
+        let values = match value {
+            Value::Object(values) => values,
+            other => {
+                let problem = format!("expected an object, found {}", kind(&other));
+                mistakes.push(Mistake { path: display_path(path), problem });
+                Map::new()
+            }
+        };
+        Self { path: path.to_owned(), values, mistakes }
+    }
+
+    /// Takes a required field that is an object.
+    pub(super) fn object(&mut self, name: &str) -> Option<Fields<'_>> {
+        let value = self.required(name)?;
+        Some(Fields::new(&self.path_of(name), value, self.mistakes))
+    }
+
+    /// Takes a field that is an object and may be absent.
+    pub(super) fn optional_object(&mut self, name: &str) -> Option<Fields<'_>> {
+        let value = self.values.remove(name)?;
+        Some(Fields::new(&self.path_of(name), value, self.mistakes))
+    }
+
+    /// Takes a required field with a text of the form that `T` parses.
+    pub(super) fn text<T>(&mut self, name: &str) -> Option<T>
+    where
+        T: FromStr,
+        T::Err: fmt::Display,
+    {
+        let value = self.required(name)?;
+        self.parse(&self.path_of(name), &value)
+    }
+
+    /// Takes a field with a whole number in `range`, or the default if it is absent.
+    pub(super) fn number_or(
+        &mut self,
+        name: &str,
+        default: u64,
+        range: std::ops::RangeInclusive<u64>,
+    ) -> Option<u64> {
+        let Some(value) = self.values.remove(name) else {
+            return Some(default);
+        };
+        let number = value.as_u64().filter(|n| range.contains(n));
+        if number.is_none() {
+            let (from, to) = range.into_inner();
+            self.note(name, format!("expected a whole number from {from} to {to}, found {value}"));
+        }
+        number
+    }
+
+    /// Takes a field with a list of texts; an absent field is an empty list.
+    pub(super) fn texts<T>(&mut self, name: &str) -> Vec<T>
+    where
+        T: FromStr,
+        T::Err: fmt::Display,
+    {
+        let items = self.list(name);
+        let path = self.path_of(name);
+        let parse = |(i, value)| self.parse(&format!("{path}[{i}]"), &value);
+        items.into_iter().enumerate().filter_map(parse).collect()
+    }
+
+    /// Takes a field with a list of objects and reads each of them.
+    pub(super) fn objects<T>(
+        &mut self,
+        name: &str,
+        read: impl Fn(&mut Fields<'_>) -> Option<T>,
+    ) -> Vec<T> {
+        let items = self.list(name);
+        let path = self.path_of(name);
+        let mut values = Vec::new();
+        for (i, item) in items.into_iter().enumerate() {
+            let mut fields = Fields::new(&format!("{path}[{i}]"), item, self.mistakes);
+            let value = read(&mut fields);
+            fields.finish();
+            values.extend(value);
+        }
+        values
+    }
+
+    /// Notes a mistake of the field `name`.
+    pub(super) fn note(&mut self, name: &str, problem: impl fmt::Display) {
+        let path = self.path_of(name);
+        self.mistakes.push(Mistake { path, problem: problem.to_string() });
+    }
+
+    /// Notes every field that was not taken as a mistake.
+    pub(super) fn finish(self) {
+        for name in self.values.keys() {
+            let path = join(&self.path, name);
+            self.mistakes.push(Mistake { path, problem: "unknown field".to_owned() });
+        }
+    }
+
+    fn required(&mut self, name: &str) -> Option<Value> {
+        let value = self.values.remove(name);
+        if value.is_none() {
+            self.note(name, "missing");
+        }
+        value
+    }
+
+    fn list(&mut self, name: &str) -> Vec<Value> {
+        match self.values.remove(name) {
+            None => Vec::new(),
+            Some(Value::Array(items)) => items,
+            Some(other) => {
+                self.note(name, format!("expected a list, found {}", kind(&other)));
+                Vec::new()
+            }
+        }
+    }
+
+    fn parse<T>(&mut self, path: &str, value: &Value) -> Option<T>
+    where
+        T: FromStr,
+        T::Err: fmt::Display,
+    {
+        let parsed = match value {
+            Value::String(text) => text.parse().map_err(|e: T::Err| e.to_string()),
+            other => Err(format!("expected a text, found {}", kind(other))),
+        };
+        match parsed {
+            Ok(value) => Some(value),
+            Err(problem) => {
+                self.mistakes.push(Mistake { path: path.to_owned(), problem });
+                None
+            }
+        }
+    }
+
+    fn path_of(&self, name: &str) -> String {
+        join(&self.path, name)
+    }
+}
+
+fn join(path: &str, name: &str) -> String {
+    if path.is_empty() { name.to_owned() } else { format!("{path}.{name}") }
+}
+
+fn display_path(path: &str) -> String {
+    if path.is_empty() { "(whole file)".to_owned() } else { path.to_owned() }
+}
+
+fn kind(value: &Value) -> &'static str {
+    match value {
+        Value::Null => "null",
+        Value::Bool(_) => "a truth value",
+        Value::Number(_) => "a number",
+        Value::String(_) => "a text",
+        Value::Array(_) => "a list",
+        Value::Object(_) => "an object",
+    }
+}
--- /dev/null
+++ b/crates/node/src/settings/mod.rs
@@ -0,0 +1,16 @@
+//! The settings file: JSON with comments, checked in full.
+
+mod fields;
+mod identity;
+mod installation_key;
+mod listen;
+mod mistake;
+mod node_settings;
+mod operator_token;
+
+pub use identity::Identity;
+pub use installation_key::InstallationKey;
+pub use listen::Listen;
+pub use mistake::Mistake;
+pub use node_settings::{NodeSettings, SettingsError};
+pub use operator_token::OperatorToken;
--- a/crates/testkit/examples/generate_wire.rs
+++ b/crates/testkit/examples/generate_wire.rs
@@ -8,7 +8,7 @@
 use std::path::Path;
 
 /// Files that hold messages, each compiled into the module of its package.
-const PROTO_FILES: [&str; 2] = ["config.proto", "peer.proto"];
+const PROTO_FILES: [&str; 3] = ["config.proto", "local.proto", "peer.proto"];
 
 fn main() -> Result<(), Box<dyn Error>> {
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../wire");
--- a/crates/wire/src/convert/peer.rs
+++ b/crates/wire/src/convert/peer.rs
@@ -5,7 +5,7 @@
 use almondsail_core::peers::{AnnouncedBackend, Peer};
 
 use super::fields::{count, optional_digest, parse};
-use crate::{FieldError, peer as wire};
+use crate::{FieldError, local, peer as wire};
 
 impl From<&AnnouncedBackend> for wire::Backend {
     fn from(backend: &AnnouncedBackend) -> Self {
@@ -33,6 +33,15 @@
     }
 }
 
+impl TryFrom<local::Announcement> for AnnouncedBackend {
+    type Error = FieldError;
+
+    fn try_from(w: local::Announcement) -> Result<Self, FieldError> {
+        let local::Announcement { service, version, slots, connections, state, load: _ } = w;
+        wire::Backend { service, version, slots, connections, state }.try_into()
+    }
+}
+
 impl From<&Peer> for wire::Peer {
     fn from(peer: &Peer) -> Self {
         Self {
