--- /dev/null
+++ b/crates/node/src/state_log.rs
@@ -0,0 +1,82 @@
+//! Logs and counts changes of the control state.
+
+use almondsail_core::control::StateChange;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Meter};
+use slog::{Logger, info, warn};
+
+/// Logs and counts changes of the control state.
+#[derive(Debug, Clone)]
+pub struct StateLog {
+    log: Logger,
+    changes: Counter<u64>,
+}
+
+impl StateLog {
+    /// Writes lines to `log` and counts with `meter`.
+    pub fn new(log: Logger, meter: &Meter) -> Self {
+        let changes = meter
+            .u64_counter("almondsail_state_changes")
+            .with_description("Changes of the control state and refused updates, by kind")
+            .build();
+        Self { log, changes }
+    }
+
+    /// Counts a change, and logs it unless it is one that can recur many times a second.
+    pub fn report(&self, change: &StateChange) {
+        let kind = kind(change);
+        self.changes.add(1, &[KeyValue::new("kind", kind)]);
+        match change {
+            StateChange::ConfigApplied(version) => {
+                info!(self.log, "configuration in force"; "version" => version.get());
+            }
+            StateChange::ConfigInvalid(version) => {
+                warn!(self.log, "configuration refused"; "version" => version.get());
+            }
+            StateChange::PeerStatusChanged(peer, status) => {
+                info!(self.log, "peer status changed";
+                    "peer" => peer.as_str(), "status" => status.as_str());
+            }
+            StateChange::FloorUnmet(floor) => {
+                warn!(self.log, "waiting for a configuration that this node is known to have had";
+                    "version" => floor.get());
+            }
+            StateChange::SelfDoubt(doubts) => {
+                warn!(self.log, "most pings fail; declaring no peer dead"; "doubt" => doubts);
+            }
+            StateChange::StoreLost | StateChange::StoreValueCorrupt => {
+                warn!(self.log, "store trouble"; "kind" => kind);
+            }
+            StateChange::Joined
+            | StateChange::StoreRegained
+            | StateChange::ReaderStarted
+            | StateChange::ReaderStopped
+            | StateChange::SuspicionRefuted
+            | StateChange::BackendUp
+            | StateChange::BackendDown => info!(self.log, "state changed"; "kind" => kind),
+            StateChange::ConfigOlder(_) | StateChange::SnapshotRefused => {}
+        }
+    }
+}
+
+/// The label of a change in the counter.
+fn kind(change: &StateChange) -> &'static str {
+    match change {
+        StateChange::Joined => "joined",
+        StateChange::ConfigApplied(_) => "config_applied",
+        StateChange::ConfigInvalid(_) => "config_invalid",
+        StateChange::ConfigOlder(_) => "config_older",
+        StateChange::StoreValueCorrupt => "store_value_corrupt",
+        StateChange::StoreLost => "store_lost",
+        StateChange::StoreRegained => "store_regained",
+        StateChange::ReaderStarted => "reader_started",
+        StateChange::ReaderStopped => "reader_stopped",
+        StateChange::PeerStatusChanged(..) => "peer_status_changed",
+        StateChange::SuspicionRefuted => "suspicion_refuted",
+        StateChange::SelfDoubt(_) => "self_doubt",
+        StateChange::BackendUp => "backend_up",
+        StateChange::BackendDown => "backend_down",
+        StateChange::SnapshotRefused => "snapshot_refused",
+        StateChange::FloorUnmet(_) => "floor_unmet",
+    }
+}
--- /dev/null
+++ b/crates/node/tests/settings_check.rs
@@ -0,0 +1,83 @@
+//! Tests of the settings file's checks.
+
+use std::path::Path;
+
+use almondsail_node::settings::{NodeSettings, SettingsError};
+
+fn samples() -> &'static Path {
+    Path::new(concat!(env!("CARGO_MANIFEST_DIR"), "/../../samples"))
+}
+
+fn paths_of_mistakes(text: &str) -> Vec<String> {
+    match NodeSettings::parse(text, samples()) {
+        Err(SettingsError::Mistakes(mistakes)) => mistakes.into_iter().map(|m| m.path).collect(),
+        other => panic!("expected mistakes, got {other:?}"),
+    }
+}
+
+/// Guards against a shipped sample that no longer passes its own check.
+#[test]
+fn read_shipped_samples() {
+    for name in ["depots.jsonc", "wellboats.jsonc"] {
+        let settings = NodeSettings::read(&samples().join(name));
+        assert!(settings.is_ok(), "{name}: {}", settings.unwrap_err());
+    }
+}
+
+/// Guards against a check that stops at the first mistake.
+#[test]
+fn parse_reports_every_mistake() {
+    let text = r#"{
+        // An upper-case id, a missing host, an unknown field.
+        "node": {"id": "Bays", "data_centre": "a", "region": "r", "rack": "7"},
+        "listen": {"callers": "127.0.0.1:0", "door": "0.0.0.0:1", "peers": "nowhere",
+                   "operators": "127.0.0.1:0", "local": "10.0.0.1:7"},
+        "seeds": ["127.0.0.1:1", 5],
+        "store": {"address": "127.0.0.1:6000", "timeout_ms": 0},
+        "backend": [],
+        "installation_key_file": "absent.key",
+        "operators": [{"name": "ana", "member": "Depots", "token_sha256": "12"}],
+        "colour": "red",
+    }"#;
+    let mut paths = paths_of_mistakes(text);
+    paths.sort();
+    let expected = [
+        "backend",
+        "backend.address",
+        "colour",
+        "installation_key_file",
+        "listen.door",
+        "listen.local",
+        "listen.peers",
+        "node.host",
+        "node.id",
+        "node.rack",
+        "operators[0].member",
+        "operators[0].token_sha256",
+        "seeds[1]",
+        "store.timeout_ms",
+    ];
+    assert_eq!(paths, expected);
+}
+
+/// Guards against taking a file that is not JSON with comments for an empty one.
+#[test]
+fn parse_bad_syntax() {
+    for text in ["", "{", "node = 1", "{\"node\": }"] {
+        let result = NodeSettings::parse(text, samples());
+        assert!(matches!(result, Err(SettingsError::Syntax(_))), "{text:?} was accepted");
+    }
+}
+
+/// Guards against an empty or short key that anyone could guess.
+#[test]
+fn parse_short_key() {
+    let folder = std::env::temp_dir().join(format!("almondsail-key-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    std::fs::write(folder.join("example.key"), "short").unwrap();
+    let text = std::fs::read_to_string(samples().join("depots.jsonc")).unwrap();
+    let result = NodeSettings::parse(&text, &folder);
+    std::fs::remove_dir_all(&folder).unwrap();
+    let Err(SettingsError::Mistakes(mistakes)) = result else { panic!("accepted a short key") };
+    assert_eq!(mistakes[0].path, "installation_key_file");
+}
