Add operators' commands, queries and answers to the core and the wire

Cause: operators need typed commands and questions that do not depend on the encoding of the interface.

Change: `operators/` in the core has Command, Query, Answer and View, the pure function that answers a query; Command::into_change makes the change. The wire crate has operator.proto, the generated types and the conversions, which name the path of a bad field.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod config;
 pub mod control;
 pub mod ids;
+pub mod operators;
 pub mod peers;
 pub mod store;
 pub mod traffic;
--- /dev/null
+++ b/crates/core/src/operators/view.rs
@@ -0,0 +1,152 @@
+//! What a node knows when it answers an operator.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use crate::config::{Config, HistoryEntry, Rollout, RolloutPhase, ServerVersion, StopMark};
+use crate::ids::{ConfigVersion, NodeId, ServiceName};
+use crate::operators::{Answer, AnswerBody, NodeRow, Query, VersionRole, VersionRow};
+use crate::peers::{BackendState, Peer};
+
+/// What a node knows when it answers an operator.
+#[derive(Debug, Clone, Copy)]
+pub struct View<'a> {
+    /// The node that answers.
+    pub node: &'a NodeId,
+    /// The configuration in force on it.
+    pub config: Option<&'a Arc<Config>>,
+    /// The stop marks heard from peers.
+    pub stops: &'a BTreeSet<StopMark>,
+    /// Every known node, the answering one included.
+    pub nodes: &'a [NodeView<'a>],
+}
+
+/// What is known of one node.
+#[derive(Debug, Clone, Copy)]
+pub struct NodeView<'a> {
+    /// The node's entry.
+    pub peer: &'a Peer,
+    /// The version in force there, as last heard.
+    pub applied: Option<ConfigVersion>,
+}
+
+impl View<'_> {
+    /// The answer to `query`.
+    pub fn answer(&self, query: &Query) -> Answer {
+        let body = match query {
+            Query::Config => AnswerBody::Config(self.config.cloned()),
+            Query::Services => AnswerBody::Services(
+                self.all(|cfg| cfg.content.services.values().cloned().collect()),
+            ),
+            Query::Routes => {
+                AnswerBody::Routes(self.all(|cfg| cfg.content.routes.values().cloned().collect()))
+            }
+            Query::Versions(service) => AnswerBody::Versions(self.versions(service.as_ref())),
+            Query::Rollouts(service) => AnswerBody::Rollouts(self.rollouts(service.as_ref())),
+            Query::History(service) => AnswerBody::History(self.history(service.as_ref())),
+            Query::Nodes { data_centre, lagging } => AnswerBody::Nodes(self.nodes_where(|row| {
+                is_chosen(data_centre.as_ref(), &row.peer.data_centre)
+                    && (!lagging || row.is_lagging())
+            })),
+            Query::Where { service, version, data_centre } => {
+                AnswerBody::Nodes(self.nodes_where(|row| {
+                    is_chosen(data_centre.as_ref(), &row.peer.data_centre)
+                        && row.peer.backend.as_ref().is_some_and(|backend| {
+                            backend.service == *service
+                                && is_chosen(version.as_ref(), &backend.version)
+                        })
+                }))
+            }
+        };
+        let version = self.config.map_or(ConfigVersion::default(), |cfg| cfg.version);
+        Answer { node: self.node.clone(), version, body }
+    }
+
+    fn all<T>(&self, rows: impl Fn(&Config) -> Vec<T>) -> Vec<T> {
+        self.config.map(|cfg| rows(cfg)).unwrap_or_default()
+    }
+
+    fn versions(&self, service: Option<&ServiceName>) -> Vec<VersionRow> {
+        self.all(|cfg| {
+            let chosen = cfg.content.versions.iter().filter(|v| is_chosen(service, &v.service));
+            chosen.map(|version| self.version_row(cfg, version)).collect()
+        })
+    }
+
+    fn version_row(&self, cfg: &Config, version: &ServerVersion) -> VersionRow {
+        let is_mark =
+            |stop: &&StopMark| stop.service == version.service && stop.version == version.version;
+        let stops = self.stops.union(&cfg.content.stops).filter(is_mark).cloned().collect();
+        let servers = self.nodes.iter().filter(|node| takes_calls(node.peer, version)).count();
+        VersionRow { version: version.clone(), role: role(cfg, version), stops, servers }
+    }
+
+    fn rollouts(&self, service: Option<&ServiceName>) -> Vec<Rollout> {
+        self.all(|cfg| {
+            let rollouts = cfg.content.rollouts.values();
+            rollouts.filter(|r| is_chosen(service, &r.service)).cloned().collect()
+        })
+    }
+
+    fn history(&self, service: Option<&ServiceName>) -> Vec<HistoryEntry> {
+        self.all(|cfg| {
+            let entries = cfg.history.iter().rev();
+            entries.filter(|e| may_concern(e, service)).cloned().collect()
+        })
+    }
+
+    fn nodes_where(&self, is_wanted: impl Fn(&NodeRow) -> bool) -> Vec<NodeRow> {
+        let newest = self.newest();
+        let row = |node: &NodeView<'_>| NodeRow {
+            peer: node.peer.clone(),
+            applied: node.applied,
+            behind: node.applied.map(|v| newest.get().saturating_sub(v.get())),
+        };
+        let mut rows: Vec<NodeRow> = self.nodes.iter().map(row).filter(is_wanted).collect();
+        rows.sort_by(|a, b| {
+            (&a.peer.data_centre, &a.peer.id).cmp(&(&b.peer.data_centre, &b.peer.id))
+        });
+        rows
+    }
+
+    /// The newest configuration version that this node has heard of.
+    fn newest(&self) -> ConfigVersion {
+        let own = self.config.map(|cfg| cfg.version);
+        let heard = self.nodes.iter().filter_map(|node| node.applied);
+        own.into_iter().chain(heard).max().unwrap_or_default()
+    }
+}
+
+/// Whether `value` passes a filter that may be absent.
+fn is_chosen<T: PartialEq>(wanted: Option<&T>, value: &T) -> bool {
+    wanted.is_none_or(|wanted| wanted == value)
+}
+
+fn takes_calls(peer: &Peer, version: &ServerVersion) -> bool {
+    peer.status.takes_calls()
+        && peer.backend.as_ref().is_some_and(|backend| {
+            backend.service == version.service
+                && backend.version == version.version
+                && backend.state != BackendState::Draining
+        })
+}
+
+fn role(cfg: &Config, version: &ServerVersion) -> VersionRole {
+    let service = cfg.content.services.get(&version.service);
+    if service.is_some_and(|s| s.stable.as_ref() == Some(&version.version)) {
+        return VersionRole::Stable;
+    }
+    match cfg.content.rollouts.get(&version.service) {
+        Some(r) if r.phase.is_open() && r.to == version.version => VersionRole::Incoming,
+        Some(r) if r.phase == RolloutPhase::Completed && r.from == version.version => {
+            VersionRole::Previous
+        }
+        _ => VersionRole::Idle,
+    }
+}
+
+/// Whether the change of `entry` concerned `service`, or may have: a change of
+/// several services is listed under each.
+fn may_concern(entry: &HistoryEntry, service: Option<&ServiceName>) -> bool {
+    service.is_none() || entry.service.is_none() || entry.service.as_ref() == service
+}
--- a/crates/testkit/examples/generate_wire.rs
+++ b/crates/testkit/examples/generate_wire.rs
@@ -8,7 +8,7 @@
 use std::path::Path;
 
 /// Files that hold messages, each compiled into the module of its package.
-const PROTO_FILES: [&str; 2] = ["config.proto", "peer.proto"];
+const PROTO_FILES: [&str; 3] = ["config.proto", "peer.proto", "operator.proto"];
 
 fn main() -> Result<(), Box<dyn Error>> {
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../wire");
@@ -17,6 +17,7 @@
         .out_dir(root.join("src/generated"))
         .type_attribute(".", "#[derive(serde::Serialize, serde::Deserialize)]")
         .message_attribute(".", "#[serde(default, deny_unknown_fields)]")
+        .enum_attribute(".almondsail.operator", "#[serde(rename_all = \"snake_case\")]")
         .compile_fds(descriptors)?;
     Ok(())
 }
--- a/crates/wire/src/convert/mod.rs
+++ b/crates/wire/src/convert/mod.rs
@@ -5,6 +5,9 @@
 mod delta;
 mod fields;
 mod message;
+mod operator_answer;
+mod operator_command;
+mod operator_query;
 mod peer;
 
 pub use codec::{decode_config, decode_message, encode_config, encode_message};
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,6 +1,6 @@
 //! Messages of almondsail at its borders, and their conversions.
 //!
-//! The types in [`config`] and [`peer`] are generated from the files in
+//! The types in [`config`], [`peer`] and [`operator`] are generated from the files in
 //! `proto` and committed; `cargo run -p almondsail-testkit --example generate_wire`
 //! makes them anew. Conversions to the core's types check every value and
 //! name the field of a bad one.
@@ -18,5 +18,6 @@
 pub use decode_error::DecodeError;
 pub use field_error::FieldError;
 pub use generated::config::v1 as config;
+pub use generated::operator::v1 as operator;
 pub use generated::peer::v1 as peer;
 pub use limits::{MAX_CONFIG_BYTES, MAX_FRAME_BYTES};
