--- /dev/null
+++ b/crates/core/src/traffic/balancer.rs
@@ -0,0 +1,139 @@
+//! The choice of an endpoint.
+
+use rand::Rng;
+
+use crate::ids::{DataCentre, NodeId, Region};
+use crate::peers::BackendState;
+use crate::traffic::{Endpoint, EndpointLoad};
+use crate::units::{Instant, Micros, Millis, PerMille};
+
+/// Chooses the endpoint for a call: the better of two drawn at random, near ones first.
+#[derive(Debug, Clone)]
+pub struct Balancer {
+    /// The data centre of this node.
+    pub data_centre: DataCentre,
+    /// The region of this node.
+    pub region: Region,
+}
+
+/// An endpoint with its observed load.
+#[derive(Debug, Clone, Copy)]
+pub struct Candidate<'a> {
+    /// The endpoint.
+    pub endpoint: &'a Endpoint,
+    /// Its load.
+    pub load: &'a EndpointLoad,
+}
+
+impl Balancer {
+    /// The largest share of the candidates that is set aside at once.
+    ///
+    /// Setting aside more would send the whole load to the few others, although
+    /// failures everywhere usually have a common cause.
+    pub const MAX_SET_ASIDE: PerMille = match PerMille::new(500) {
+        Some(share) => share,
+        None => PerMille::ZERO,
+    };
+    /// How long an endpoint takes to reach its full share after a cold start.
+    pub const WARM_UP: Millis = Millis::new(10_000);
+    /// The share of its slots that counts at the beginning of a cold start.
+    const COLD_SHARE: f64 = 0.1;
+    /// How much worse a nearer endpoint may be before a farther one is chosen. At 1.5, a
+    /// call leaves the data centre when its endpoints are busy in more than half of their slots.
+    const NEAR_PREFERENCE: f64 = 1.5;
+    /// The latency assumed until a call has ended.
+    const UNKNOWN_LATENCY: Micros = Micros::new(1_000);
+
+    /// The index of the chosen candidate. Those in `tried` are left out, and so
+    /// are those set aside, up to [`Self::MAX_SET_ASIDE`] of all candidates.
+    pub fn choose(
+        &self,
+        now: Instant,
+        candidates: &[Candidate<'_>],
+        tried: &[NodeId],
+        rng: &mut impl Rng,
+    ) -> Option<usize> {
+        let set_aside = set_aside(now, candidates);
+        let mut best: Option<(f64, usize)> = None;
+        for (distance, preference) in
+            [1.0, Self::NEAR_PREFERENCE, Self::NEAR_PREFERENCE.powi(2)].into_iter().enumerate()
+        {
+            let is_allowed = |i: &usize| {
+                let endpoint = candidates[*i].endpoint;
+                self.distance(endpoint) == distance
+                    && !tried.contains(&endpoint.node)
+                    && !set_aside.contains(i)
+            };
+            let tier: Vec<usize> = (0..candidates.len()).filter(is_allowed).collect();
+            let chosen = better_of_two(now, candidates, &tier, rng);
+            let weighted = chosen.map(|(cost, i)| (cost * preference, i));
+            best = match (best, weighted) {
+                (Some(near), Some(far)) if far.0 < near.0 => Some(far),
+                (near, far) => near.or(far),
+            };
+        }
+        best.map(|(_, i)| i)
+    }
+
+    /// 0 in the same data centre, 1 in the same region, 2 elsewhere.
+    fn distance(&self, endpoint: &Endpoint) -> usize {
+        match (endpoint.data_centre == self.data_centre, endpoint.region == self.region) {
+            (true, _) => 0,
+            (false, true) => 1,
+            (false, false) => 2,
+        }
+    }
+}
+
+/// The candidates that are set aside at `now`, those with the latest end first.
+fn set_aside(now: Instant, candidates: &[Candidate<'_>]) -> Vec<usize> {
+    let mut marked: Vec<(Instant, usize)> = candidates
+        .iter()
+        .enumerate()
+        .filter_map(|(i, candidate)| Some((candidate.load.set_aside_until(now)?, i)))
+        .collect();
+    let limit = candidates.len() * usize::from(Balancer::MAX_SET_ASIDE.get())
+        / usize::from(PerMille::WHOLE.get());
+    marked.sort_unstable_by(|a, b| b.cmp(a));
+    marked.truncate(limit);
+    marked.into_iter().map(|(_, i)| i).collect()
+}
+
+fn better_of_two(
+    now: Instant,
+    candidates: &[Candidate<'_>],
+    tier: &[usize],
+    rng: &mut impl Rng,
+) -> Option<(f64, usize)> {
+    let priced = |i: usize| (cost(now, candidates[i]), i);
+    match tier.len() {
+        0 => None,
+        1 => Some(priced(tier[0])),
+        n => {
+            let a = rng.random_range(0..n);
+            let b = (a + rng.random_range(1..n)) % n;
+            let (a, b) = (priced(tier[a]), priced(tier[b]));
+            Some(if b.0 < a.0 { b } else { a })
+        }
+    }
+}
+
+/// The expected time to an answer, in microseconds: the smoothed latency, raised
+/// by the share of busy slots and by recent refusals.
+fn cost(now: Instant, candidate: Candidate<'_>) -> f64 {
+    let Candidate { endpoint, load } = candidate;
+    let latency = load.latency().unwrap_or(Balancer::UNKNOWN_LATENCY).get() as f64;
+    let slots = f64::from(endpoint.slots.max(1)) * warmth(now, candidate);
+    let busy = (load.estimated_in_flight(now) + 1.0) / slots;
+    latency * (1.0 + busy) * (1.0 + f64::from(load.refusals()))
+}
+
+/// The share of its slots that an endpoint can use: it grows during the warm-up.
+fn warmth(now: Instant, candidate: Candidate<'_>) -> f64 {
+    let warm_up = Micros::from(Balancer::WARM_UP).get() as f64;
+    let grown = candidate.load.warm_for(now).get() as f64 / warm_up;
+    match candidate.endpoint.state {
+        BackendState::Starting => grown.clamp(Balancer::COLD_SHARE, 0.5),
+        BackendState::Ready | BackendState::Draining => grown.clamp(Balancer::COLD_SHARE, 1.0),
+    }
+}
--- /dev/null
+++ b/crates/core/src/traffic/deadline.rs
@@ -0,0 +1,41 @@
+//! The deadline of a call.
+
+use crate::units::{Instant, Micros, Millis};
+
+/// The point in time after which a caller has no use for the answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Deadline(Instant);
+
+impl Deadline {
+    /// The longest time that a call may take.
+    pub const LONGEST: Millis = Millis::new(600_000);
+
+    /// The deadline of a call that arrives at `now`: the time `asked`, capped at `limit`.
+    pub fn new(now: Instant, asked: Option<Millis>, limit: Millis) -> Self {
+        let limit = limit.min(Self::LONGEST);
+        Self(now + asked.map_or(limit, |asked| asked.min(limit)))
+    }
+
+    /// The time left at `now`, zero if the deadline has passed.
+    pub const fn left(self, now: Instant) -> Micros {
+        self.0.since(now)
+    }
+
+    /// Whether the deadline has passed at `now`.
+    pub fn has_passed(self, now: Instant) -> bool {
+        self.0 <= now
+    }
+
+    /// The deadline as a point in time.
+    pub const fn at(self) -> Instant {
+        self.0
+    }
+
+    /// The deadline for the next hop: earlier by a tenth of the time left, at most
+    /// 10 ms, so that the next hop's verdict arrives while this hop still waits.
+    pub fn for_next_hop(self, now: Instant) -> Self {
+        const LARGEST_MARGIN: u64 = 10_000;
+        let left = self.left(now).get();
+        Self(now + Micros::new(left - (left / 10).min(LARGEST_MARGIN)))
+    }
+}
--- /dev/null
+++ b/crates/core/src/traffic/endpoint_load.rs
@@ -0,0 +1,155 @@
+//! The load of an endpoint as this node observes it.
+
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+
+use crate::traffic::LoadReport;
+use crate::units::{Instant, Micros, Millis};
+
+/// What this node has observed of an endpoint. Threads update it without a lock.
+#[derive(Debug)]
+pub struct EndpointLoad {
+    /// The calls that this node has sent and that have not ended.
+    in_flight: AtomicU32,
+    /// The in-flight count that the door last reported.
+    reported: AtomicU32,
+    /// When it was reported, in microseconds.
+    reported_at: AtomicU64,
+    /// The smoothed latency in microseconds; zero until a call has ended.
+    latency: AtomicU64,
+    /// Recent refusals, halved by each call that is not refused.
+    refusals: AtomicU32,
+    /// The failures since the last success.
+    failures: AtomicU32,
+    /// How often the endpoint was set aside since the last success.
+    times_set_aside: AtomicU32,
+    /// The end of the time for which the endpoint is set aside, in microseconds.
+    set_aside_until: AtomicU64,
+    /// Since when the endpoint has taken calls, in microseconds.
+    warming_since: AtomicU64,
+}
+
+impl EndpointLoad {
+    /// The failures in a row after which an endpoint is set aside.
+    pub const MAX_FAILURES: u32 = 5;
+    /// How long an endpoint is set aside the first time. Doubled each further time.
+    pub const SET_ASIDE: Millis = Millis::new(1_000);
+    /// The longest time for which an endpoint is set aside.
+    pub const LONGEST_SET_ASIDE: Millis = Millis::new(32_000);
+    /// The largest number of refusals that count.
+    const MAX_REFUSALS: u32 = 8;
+
+    /// An endpoint first seen at `now`.
+    pub fn new(now: Instant) -> Self {
+        Self {
+            in_flight: AtomicU32::new(0),
+            reported: AtomicU32::new(0),
+            reported_at: AtomicU64::new(0),
+            latency: AtomicU64::new(0),
+            refusals: AtomicU32::new(0),
+            failures: AtomicU32::new(0),
+            times_set_aside: AtomicU32::new(0),
+            set_aside_until: AtomicU64::new(0),
+            warming_since: AtomicU64::new(now.get()),
+        }
+    }
+
+    /// Counts a call that is sent. Each is followed by one [`Self::end`].
+    pub fn start(&self) {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Counts the end of a call that was sent.
+    pub fn end(&self) {
+        self.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    /// Notes the load that the door reported.
+    pub fn report(&self, now: Instant, load: LoadReport) {
+        self.reported.store(load.in_flight, Ordering::Relaxed);
+        self.reported_at.store(now.get(), Ordering::Relaxed);
+    }
+
+    /// Notes an answer that took `latency`.
+    pub fn succeeded(&self, latency: Micros) {
+        let smooth = |old: u64| {
+            Some(if old == 0 { latency.get() } else { old - old / 8 + latency.get() / 8 })
+        };
+        let _ = self.latency.fetch_update(Ordering::Relaxed, Ordering::Relaxed, smooth);
+        self.failures.store(0, Ordering::Relaxed);
+        self.times_set_aside.store(0, Ordering::Relaxed);
+        let halve = |n: u32| (n > 0).then_some(n / 2);
+        let _ = self.refusals.fetch_update(Ordering::Relaxed, Ordering::Relaxed, halve);
+    }
+
+    /// Notes that the door refused a call.
+    pub fn refused(&self) {
+        let count = |n: u32| (n < Self::MAX_REFUSALS).then_some(n + 1);
+        let _ = self.refusals.fetch_update(Ordering::Relaxed, Ordering::Relaxed, count);
+    }
+
+    /// Notes that an exchange failed. Several failures in a row set the endpoint aside.
+    pub fn failed(&self, now: Instant) {
+        if self.failures.fetch_add(1, Ordering::Relaxed) + 1 >= Self::MAX_FAILURES {
+            self.set_aside(now);
+        }
+    }
+
+    /// Notes that no connection could be opened, which sets the endpoint aside at once.
+    pub fn unreachable(&self, now: Instant) {
+        self.set_aside(now);
+    }
+
+    /// Notes that the endpoint announced a cold start.
+    pub fn warm_from(&self, now: Instant) {
+        self.warming_since.store(now.get(), Ordering::Relaxed);
+    }
+
+    /// The end of the time for which the endpoint is set aside at `now`, if it is.
+    pub fn set_aside_until(&self, now: Instant) -> Option<Instant> {
+        let until = self.set_aside_until.load(Ordering::Relaxed);
+        (until > now.get()).then_some(Instant::new(until))
+    }
+
+    /// The calls from this node that have not ended.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// The smoothed latency, if a call has ended.
+    pub fn latency(&self) -> Option<Micros> {
+        let latency = self.latency.load(Ordering::Relaxed);
+        (latency > 0).then_some(Micros::new(latency))
+    }
+
+    /// The recent refusals.
+    pub fn refusals(&self) -> u32 {
+        self.refusals.load(Ordering::Relaxed)
+    }
+
+    /// The calls in flight at the door, as far as known: the calls of this node, or
+    /// the count that the door reported, which loses weight as it ages.
+    pub fn estimated_in_flight(&self, now: Instant) -> f64 {
+        const REPORT_LIFE: f64 = 1_000_000.0;
+        let own = f64::from(self.in_flight());
+        let at = self.reported_at.load(Ordering::Relaxed);
+        let age = Instant::since(now, Instant::new(at)).get() as f64;
+        let weight = if at == 0 { 0.0 } else { (1.0 - age / REPORT_LIFE).max(0.0) };
+        own.max(f64::from(self.reported.load(Ordering::Relaxed)) * weight)
+    }
+
+    /// The time since the endpoint began to take calls.
+    pub fn warm_for(&self, now: Instant) -> Micros {
+        now.since(Instant::new(self.warming_since.load(Ordering::Relaxed)))
+    }
+
+    fn set_aside(&self, now: Instant) {
+        if self.set_aside_until(now).is_some() {
+            return;
+        }
+        const MAX_DOUBLINGS: u32 = 5;
+        let times = self.times_set_aside.fetch_add(1, Ordering::Relaxed).min(MAX_DOUBLINGS);
+        let span = Millis::new(Self::SET_ASIDE.get() << times).min(Self::LONGEST_SET_ASIDE);
+        self.set_aside_until.store((now + span).get(), Ordering::Relaxed);
+        self.failures.store(0, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/core/src/traffic/load_report.rs
@@ -0,0 +1,33 @@
+//! The load that a door reports.
+
+use std::fmt;
+use std::str::FromStr;
+
+use crate::ids::ParseIdError;
+
+/// The load of a door, written `in flight/slots`, such as `3/12`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LoadReport {
+    /// The calls that run or wait at the door.
+    pub in_flight: u32,
+    /// The slots of the door.
+    pub slots: u16,
+}
+
+impl fmt::Display for LoadReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.in_flight, self.slots)
+    }
+}
+
+impl FromStr for LoadReport {
+    type Err = ParseIdError;
+
+    fn from_str(s: &str) -> Result<Self, Self::Err> {
+        let parse = || {
+            let (in_flight, slots) = s.split_once('/')?;
+            Some(Self { in_flight: in_flight.parse().ok()?, slots: slots.parse().ok()? })
+        };
+        parse().ok_or_else(|| ParseIdError::new("load", s, "calls in flight/slots such as 3/12"))
+    }
+}
--- /dev/null
+++ b/crates/core/src/traffic/recorded_answers.rs
@@ -0,0 +1,84 @@
+//! The answers that a door recorded for repeats.
+
+use std::collections::{HashMap, VecDeque};
+
+use crate::ids::CallKey;
+use crate::traffic::CallKeys;
+use crate::units::{ByteCount, Instant, Micros};
+
+/// The answers to calls with an idempotency key that ran at this door.
+///
+/// `A` is the representation of an answer, which this type does not interpret.
+#[derive(Debug)]
+pub struct RecordedAnswers<A> {
+    answers: HashMap<CallKey, (Instant, ByteCount, A)>,
+    /// The recorded keys, oldest first; the same keys as in `answers`.
+    order: VecDeque<CallKey>,
+    /// The sum of the sizes of `answers`; at most [`Self::MAX_TOTAL`].
+    total: u64,
+}
+
+/// What a door knows about a repeated call.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Replay<A> {
+    /// The first call's answer.
+    Answer(A),
+    /// The first call still runs, broke off, or had an answer that was not kept.
+    InDoubt,
+}
+
+impl<A: Clone> RecordedAnswers<A> {
+    /// The largest answer that is recorded.
+    pub const MAX_ANSWER: ByteCount = ByteCount::new(16 * 1024);
+    /// The largest sum of recorded answers; the oldest are dropped first.
+    pub const MAX_TOTAL: ByteCount = ByteCount::new(4 * 1024 * 1024);
+
+    /// No answers.
+    pub fn new() -> Self {
+        Self { answers: HashMap::new(), order: VecDeque::new(), total: 0 }
+    }
+
+    /// Records the complete answer to the call with `key`, unless it is too large.
+    pub fn record(&mut self, now: Instant, key: CallKey, size: ByteCount, answer: A) {
+        self.expire(now);
+        if size > Self::MAX_ANSWER || self.answers.contains_key(&key) {
+            return;
+        }
+        while self.total + size.get() > Self::MAX_TOTAL.get() && self.drop_oldest() {}
+        self.total += size.get();
+        self.order.push_back(key.clone());
+        self.answers.insert(key, (now, size, answer));
+    }
+
+    /// What is known about the call with `key`, of which a repeat arrived.
+    pub fn replay(&mut self, now: Instant, key: &CallKey) -> Replay<A> {
+        self.expire(now);
+        self.answers
+            .get(key)
+            .map_or(Replay::InDoubt, |(_, _, answer)| Replay::Answer(answer.clone()))
+    }
+
+    fn expire(&mut self, now: Instant) {
+        let is_old = |at: Instant| now.since(at) > Micros::from(CallKeys::RETENTION);
+        while let Some(key) = self.order.front()
+            && self.answers.get(key).is_none_or(|(at, _, _)| is_old(*at))
+        {
+            self.drop_oldest();
+        }
+    }
+
+    /// Drops the oldest answer; `false` if there is none.
+    fn drop_oldest(&mut self) -> bool {
+        let Some(key) = self.order.pop_front() else { return false };
+        if let Some((_, size, _)) = self.answers.remove(&key) {
+            self.total -= size.get();
+        }
+        true
+    }
+}
+
+impl<A: Clone> Default for RecordedAnswers<A> {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/core/src/traffic/retry_policy.rs
@@ -0,0 +1,92 @@
+//! Whether a failed call is sent again.
+
+use crate::traffic::RetryBudget;
+use crate::units::{Instant, Micros};
+use crate::{RefusalReason, RetryReason, Verdict};
+
+/// An attempt of a call that failed.
+#[derive(Debug, Clone, Copy)]
+pub struct FailedAttempt {
+    /// What is known about the execution.
+    pub verdict: Verdict,
+    /// Why the attempt failed.
+    pub reason: RefusalReason,
+    /// Whether the call may run more than once without harm.
+    pub idempotent: bool,
+    /// The number of attempts so far, this one included.
+    pub attempts: u8,
+    /// The time left.
+    pub left: Micros,
+}
+
+/// What to do after a failed attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RetryDecision {
+    /// Send the call to another endpoint.
+    Retry(RetryReason),
+    /// Report the failure to the caller as it is.
+    Report,
+    /// Report that the budget for retries is used up; the verdict stays.
+    BudgetUsedUp,
+}
+
+/// Decides on retries.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct RetryPolicy;
+
+impl RetryPolicy {
+    /// The largest number of attempts of one call.
+    pub const MAX_ATTEMPTS: u8 = 3;
+    /// The least time left with which another attempt is worth sending.
+    pub const MIN_LEFT: Micros = Micros::new(2_000);
+
+    /// What to do after `failed`. Takes a retry out of `budget` only for a retry.
+    pub fn decide(
+        self,
+        failed: FailedAttempt,
+        budget: &RetryBudget,
+        now: Instant,
+    ) -> RetryDecision {
+        let Some(reason) = retry_reason(failed) else { return RetryDecision::Report };
+        if failed.attempts >= Self::MAX_ATTEMPTS || failed.left < Self::MIN_LEFT {
+            return RetryDecision::Report;
+        }
+        if budget.try_take(now) {
+            RetryDecision::Retry(reason)
+        } else {
+            RetryDecision::BudgetUsedUp
+        }
+    }
+}
+
+/// The reason for which `failed` may be sent again; `None` if it may not, or if
+/// another endpoint would fail in the same way.
+fn retry_reason(failed: FailedAttempt) -> Option<RetryReason> {
+    use RefusalReason as R;
+    if !failed.verdict.is_safe_to_retry() {
+        let broken = matches!(failed.reason, R::BrokenExchange | R::BadAnswer);
+        return (failed.idempotent && broken).then_some(RetryReason::IdempotentBroken);
+    }
+    match failed.reason {
+        R::ConnectFailed | R::BrokenExchange => Some(RetryReason::ConnectFailed),
+        R::Leaving => Some(RetryReason::Leaving),
+        R::NoBackend
+        | R::BackendDown
+        | R::StoppedVersion
+        | R::QueueFull
+        | R::DeadlineTooNear
+        | R::BackendShed
+        | R::BodyMemory
+        | R::NoConfig => Some(RetryReason::RefusedUnrun),
+        R::UnknownRoute
+        | R::BadRequest
+        | R::HeaderTooLarge
+        | R::BodyTooLarge
+        | R::KeyRegistrarUnreachable
+        | R::RepeatInDoubt
+        | R::DeadlinePassed
+        | R::BadAnswer
+        | R::RetryBudget
+        | R::PeerUnauthorized => None,
+    }
+}
--- /dev/null
+++ b/crates/node/src/answer_body.rs
@@ -0,0 +1,236 @@
+//! The body of an answer on its way to the caller.
+
+use std::future::Future as _;
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+
+use bytes::Bytes;
+use http::{Response, StatusCode};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use tokio::time::Sleep;
+
+use crate::answer_watcher::{AnswerEnd, AnswerWatcher};
+use crate::exchange::{AfterAnswer, Exchange};
+use crate::exchange_pool::ExchangePool;
+
+/// An answer of a backend server.
+pub(crate) type Answer = Response<AnswerBody>;
+
+/// Streams the body of an answer and returns its connection to the pool at the end.
+///
+/// The last bytes are passed on only when it is known that the answer ended with
+/// them. Every other end is an error, on which the caller's connection is closed.
+/// Dropping the body before its end closes the connection to the next hop.
+#[derive(Debug)]
+pub(crate) struct AnswerBody {
+    source: Source,
+    status: StatusCode,
+    /// Told once of the end.
+    watchers: Vec<AnswerWatcher>,
+    ended: bool,
+}
+
+#[derive(Debug)]
+enum Source {
+    /// A recorded answer; `None` after it was read.
+    Recorded(Option<Bytes>),
+    Stream(Box<Stream>),
+}
+
+#[derive(Debug)]
+struct Stream {
+    incoming: Incoming,
+    /// `None` after the end.
+    exchange: Option<Exchange>,
+    pool: Arc<ExchangePool>,
+    timeout: Pin<Box<Sleep>>,
+    /// The bytes that must still come, if the answer tells its length.
+    remaining: Option<u64>,
+}
+
+impl AnswerBody {
+    /// The body `incoming` of the answer that came over `exchange`.
+    pub(crate) fn stream(
+        status: StatusCode,
+        incoming: Incoming,
+        exchange: Exchange,
+        pool: Arc<ExchangePool>,
+        timeout: Pin<Box<Sleep>>,
+    ) -> Self {
+        let remaining = incoming.size_hint().exact();
+        let stream = Stream { incoming, exchange: Some(exchange), pool, timeout, remaining };
+        Self::new(status, Source::Stream(Box::new(stream)))
+    }
+
+    /// The body of a recorded answer.
+    pub(crate) fn recorded(status: StatusCode, bytes: Bytes) -> Self {
+        Self::new(status, Source::Recorded(Some(bytes)))
+    }
+
+    const fn new(status: StatusCode, source: Source) -> Self {
+        Self { source, status, watchers: Vec::new(), ended: false }
+    }
+
+    /// Adds a watcher of the body's end.
+    pub(crate) fn watch(&mut self, watcher: AnswerWatcher) {
+        self.watchers.push(watcher);
+    }
+
+    /// Ends a body without bytes, so that an error is noticed before the answer's
+    /// head is passed on. `false` if the answer is malformed.
+    pub(crate) fn end_if_empty(&mut self, cx: &mut Context<'_>) -> bool {
+        let Source::Stream(stream) = &mut self.source else { return true };
+        if !stream.incoming.is_end_stream() {
+            return true;
+        }
+        let result = stream.finish(cx);
+        let is_whole = result.is_ok();
+        self.end(if is_whole { AnswerEnd::Complete } else { AnswerEnd::Broken });
+        is_whole
+    }
+
+    fn end(&mut self, end: AnswerEnd) {
+        self.ended = true;
+        for watcher in self.watchers.drain(..) {
+            watcher.ended(self.status, end);
+        }
+    }
+}
+
+impl Stream {
+    fn poll_frame(&mut self, cx: &mut Context<'_>) -> Poll<Result<Option<Bytes>, StreamError>> {
+        loop {
+            let Some(data) = ready!(self.poll_data(cx))? else {
+                if self.remaining.is_some_and(|n| n > 0) {
+                    return Poll::Ready(Err(StreamError::Broken));
+                }
+                self.finish(cx)?;
+                return Poll::Ready(Ok(None));
+            };
+            if let Some(remaining) = &mut self.remaining {
+                *remaining = remaining.saturating_sub(data.len() as u64);
+                if *remaining == 0 {
+                    self.finish(cx)?;
+                }
+            }
+            if !data.is_empty() {
+                return Poll::Ready(Ok(Some(data)));
+            }
+        }
+    }
+
+    fn poll_data(&mut self, cx: &mut Context<'_>) -> Poll<Result<Option<Bytes>, StreamError>> {
+        let mut frame = Pin::new(&mut self.incoming).poll_frame(cx);
+        if frame.is_pending() {
+            if let Some(exchange) = &mut self.exchange {
+                exchange.drive(cx);
+            }
+            frame = Pin::new(&mut self.incoming).poll_frame(cx);
+        }
+        match frame {
+            Poll::Ready(None) => Poll::Ready(Ok(None)),
+            // Trailers are not passed on; they count as an empty piece.
+            Poll::Ready(Some(Ok(frame))) => {
+                Poll::Ready(Ok(Some(frame.into_data().unwrap_or_default())))
+            }
+            Poll::Ready(Some(Err(_))) => Poll::Ready(Err(StreamError::Broken)),
+            Poll::Pending => {
+                ready!(self.timeout.as_mut().poll(cx));
+                Poll::Ready(Err(StreamError::TimedOut))
+            }
+        }
+    }
+
+    /// Returns the connection to the pool, or closes it if it can't be used again.
+    fn finish(&mut self, cx: &mut Context<'_>) -> Result<(), StreamError> {
+        let Some(mut exchange) = self.exchange.take() else { return Ok(()) };
+        match exchange.after_answer(cx) {
+            AfterAnswer::Reusable => self.pool.put(exchange),
+            AfterAnswer::Closed => {}
+            AfterAnswer::Surplus => return Err(StreamError::Broken),
+        }
+        Ok(())
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+enum StreamError {
+    Broken,
+    TimedOut,
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        if self.ended {
+            return Poll::Ready(None);
+        }
+        let result = match &mut self.source {
+            Source::Recorded(bytes) => Ok(bytes.take().filter(|bytes| !bytes.is_empty())),
+            Source::Stream(stream) => ready!(stream.poll_frame(cx)),
+        };
+        match result {
+            Ok(Some(data)) => {
+                for watcher in &mut self.watchers {
+                    watcher.passed(&data);
+                }
+                // hyper does not poll again after the last byte of a known length.
+                if self.is_complete() {
+                    self.end(AnswerEnd::Complete);
+                }
+                Poll::Ready(Some(Ok(Frame::data(data))))
+            }
+            Ok(None) => {
+                self.end(AnswerEnd::Complete);
+                Poll::Ready(None)
+            }
+            Err(StreamError::Broken) => {
+                self.end(AnswerEnd::Broken);
+                Poll::Ready(Some(Err(io::Error::other("the answer broke off or was malformed"))))
+            }
+            Err(StreamError::TimedOut) => {
+                self.end(AnswerEnd::TimedOut);
+                Poll::Ready(Some(Err(io::Error::other("the deadline passed during the answer"))))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.ended || self.is_complete()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match &self.source {
+            Source::Recorded(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
+            }
+            Source::Stream(stream) => {
+                stream.remaining.map_or_else(SizeHint::default, SizeHint::with_exact)
+            }
+        }
+    }
+}
+
+impl AnswerBody {
+    fn is_complete(&self) -> bool {
+        match &self.source {
+            Source::Recorded(bytes) => bytes.is_none(),
+            Source::Stream(stream) => stream.remaining == Some(0) && stream.exchange.is_none(),
+        }
+    }
+}
+
+impl Drop for AnswerBody {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.end(AnswerEnd::Dropped);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/answer_recorder.rs
@@ -0,0 +1,56 @@
+//! Records the answer of a call for its repeats.
+
+use std::sync::Arc;
+
+use almondsail_core::ids::{CallKey, Digest};
+use almondsail_core::traffic::RecordedAnswers;
+use almondsail_core::units::ByteCount;
+use bytes::Bytes;
+use http::{HeaderMap, StatusCode};
+
+use crate::claims::Claims;
+
+/// An answer that was given to a call with an idempotency key.
+#[derive(Debug, Clone)]
+pub(crate) struct RecordedAnswer {
+    /// The digest of the request, so that another request with the same key gets no wrong answer.
+    pub(crate) request: Digest,
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+/// Collects an answer while it is passed on.
+#[derive(Debug)]
+pub(crate) struct AnswerRecorder {
+    claims: Arc<Claims>,
+    key: CallKey,
+    answer: RecordedAnswer,
+    /// The body so far; `None` once it is too large.
+    body: Option<Vec<u8>>,
+}
+
+const MAX_ANSWER: usize = RecordedAnswers::<RecordedAnswer>::MAX_ANSWER.get() as usize;
+
+impl AnswerRecorder {
+    /// Records the answer to the call with `key`, whose head is in `answer`.
+    pub(crate) const fn new(claims: Arc<Claims>, key: CallKey, answer: RecordedAnswer) -> Self {
+        Self { claims, key, answer, body: Some(Vec::new()) }
+    }
+
+    pub(crate) fn passed(&mut self, data: &Bytes) {
+        if let Some(body) = &mut self.body {
+            body.extend_from_slice(data);
+            if body.len() > MAX_ANSWER {
+                self.body = None;
+            }
+        }
+    }
+
+    pub(crate) fn complete(self) {
+        let Some(body) = self.body else { return };
+        let size = body.len() + crate::call_headers::size(&self.answer.headers);
+        let answer = RecordedAnswer { body: body.into(), ..self.answer };
+        self.claims.record(self.key, ByteCount::new(size as u64), answer);
+    }
+}
--- /dev/null
+++ b/crates/node/src/body.rs
@@ -0,0 +1,81 @@
+//! The body of a request, held in memory until an answer begins.
+
+use std::sync::Arc;
+
+use almondsail_core::RefusalReason;
+use almondsail_core::traffic::BodyBudget;
+use almondsail_core::units::ByteCount;
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt as _;
+use hyper::body::Body;
+
+/// The largest body of a request.
+pub const MAX_BODY: ByteCount = ByteCount::new(1024 * 1024);
+
+/// A complete body, whose bytes count against the budget of the node.
+#[derive(Debug)]
+pub(crate) struct HeldBody {
+    bytes: Bytes,
+    _share: BudgetShare,
+}
+
+impl HeldBody {
+    /// Reads `body`. On an error nothing is held.
+    pub(crate) async fn read<B>(
+        mut body: B,
+        budget: &Arc<BodyBudget>,
+    ) -> Result<Self, RefusalReason>
+    where
+        B: Body<Data = Bytes> + Unpin,
+    {
+        let mut share = BudgetShare { budget: Arc::clone(budget), taken: 0 };
+        if body.size_hint().lower() > MAX_BODY.get() {
+            return Err(RefusalReason::BodyTooLarge);
+        }
+        let mut first = Bytes::new();
+        let mut rest = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|_| RefusalReason::BadRequest)?;
+            let Ok(data) = frame.into_data() else { continue };
+            share.take(data.len() as u64)?;
+            if first.is_empty() {
+                first = data;
+            } else {
+                rest.extend_from_slice(&data);
+            }
+        }
+        let bytes = if rest.is_empty() { first } else { [&first[..], &rest[..]].concat().into() };
+        Ok(Self { bytes, _share: share })
+    }
+
+    /// The bytes.
+    pub(crate) fn bytes(&self) -> &Bytes {
+        &self.bytes
+    }
+}
+
+/// The part of the budget that a body takes, given back on drop.
+#[derive(Debug)]
+struct BudgetShare {
+    budget: Arc<BodyBudget>,
+    taken: u64,
+}
+
+impl BudgetShare {
+    fn take(&mut self, bytes: u64) -> Result<(), RefusalReason> {
+        if self.taken + bytes > MAX_BODY.get() {
+            return Err(RefusalReason::BodyTooLarge);
+        }
+        if !self.budget.try_take(ByteCount::new(bytes)) {
+            return Err(RefusalReason::BodyMemory);
+        }
+        self.taken += bytes;
+        Ok(())
+    }
+}
+
+impl Drop for BudgetShare {
+    fn drop(&mut self) {
+        self.budget.give_back(ByteCount::new(self.taken));
+    }
+}
--- /dev/null
+++ b/crates/node/src/call_table.rs
@@ -0,0 +1,173 @@
+//! The snapshot with the state that outlives it.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+
+use almondsail_core::ids::{ConfigVersion, NodeId, RouteName, ServiceName, VersionName};
+use almondsail_core::peers::BackendState;
+use almondsail_core::traffic::{Endpoint, EndpointLoad, Snapshot};
+use almondsail_core::units::Instant;
+
+use crate::call_counters::{CallCell, CallCounters, CountKey, CountedAt};
+use crate::exchange_pool::{ExchangePool, PoolLimits};
+
+/// What a call reads: a snapshot, and the loads, connections and counters for it.
+#[derive(Debug)]
+pub(crate) struct CallTable {
+    pub(crate) snapshot: Arc<Snapshot>,
+    /// The services of the snapshot.
+    pub(crate) services: HashMap<ServiceName, ServiceTable>,
+    /// The routes of the snapshot.
+    pub(crate) routes: HashMap<RouteName, RouteCells>,
+    /// The counters of calls that match no route.
+    pub(crate) unknown: Arc<CallCell>,
+}
+
+/// The endpoints of a service.
+#[derive(Debug)]
+pub(crate) struct ServiceTable {
+    pub(crate) versions: BTreeMap<VersionName, Vec<Target>>,
+    /// The nodes with an endpoint of the service.
+    pub(crate) nodes: BTreeSet<NodeId>,
+    /// When `nodes` last changed.
+    pub(crate) nodes_changed: Instant,
+}
+
+/// An endpoint with its observed load and connections.
+#[derive(Debug, Clone)]
+pub(crate) struct Target {
+    pub(crate) endpoint: Endpoint,
+    pub(crate) load: Arc<EndpointLoad>,
+    pub(crate) pool: Arc<ExchangePool>,
+}
+
+/// The counters of a route.
+#[derive(Debug)]
+pub(crate) struct RouteCells {
+    /// The calls that were not sent to a backend server.
+    pub(crate) entry: Arc<CallCell>,
+    pub(crate) versions: BTreeMap<VersionName, VersionCells>,
+}
+
+/// The counters of a version on a route.
+#[derive(Debug)]
+pub(crate) struct VersionCells {
+    pub(crate) entry: Arc<CallCell>,
+    pub(crate) door: Arc<CallCell>,
+}
+
+impl CallTable {
+    /// The table for `snapshot`, which keeps the state of `old` for what both contain.
+    pub(crate) fn build(
+        snapshot: Arc<Snapshot>,
+        old: Option<&Self>,
+        now: Instant,
+        limits: PoolLimits,
+        counters: &CallCounters,
+    ) -> Self {
+        let routes = route_cells(&snapshot, counters);
+        let services: BTreeSet<&ServiceName> =
+            snapshot.config.iter().flat_map(|cfg| cfg.content.services.keys()).collect();
+        let services = services
+            .into_iter()
+            .map(|name| {
+                let old = old.and_then(|table| table.services.get(name));
+                (name.clone(), ServiceTable::build(&snapshot, name, old, now, limits))
+            })
+            .collect();
+        let unknown = counters.cell(CountKey { at: CountedAt::Entry, route: None, version: None });
+        Self { snapshot, services, routes, unknown }
+    }
+
+    /// The version of the configuration in force.
+    pub(crate) fn config_version(&self) -> ConfigVersion {
+        self.snapshot.config.as_ref().map_or(ConfigVersion::default(), |cfg| cfg.version)
+    }
+
+    /// The endpoint of `service` at `node`.
+    pub(crate) fn target(&self, service: &ServiceName, node: &NodeId) -> Option<&Target> {
+        let versions = &self.services.get(service)?.versions;
+        versions.values().flatten().find(|target| target.endpoint.node == *node)
+    }
+
+    /// The counters of `version` on `route`.
+    pub(crate) fn cells(&self, route: &RouteName, version: &VersionName) -> Option<&VersionCells> {
+        self.routes.get(route)?.versions.get(version)
+    }
+}
+
+impl ServiceTable {
+    fn build(
+        snapshot: &Snapshot,
+        name: &ServiceName,
+        old: Option<&Self>,
+        now: Instant,
+        limits: PoolLimits,
+    ) -> Self {
+        let mut versions: BTreeMap<VersionName, Vec<Target>> = BTreeMap::new();
+        let endpoints = snapshot.service(name).map(|view| &view.endpoints);
+        for endpoint in endpoints.into_iter().flatten().flat_map(|(_, list)| list.iter()) {
+            let target = Target::build(endpoint, old, now, limits);
+            versions.entry(endpoint.version.clone()).or_default().push(target);
+        }
+        let nodes: BTreeSet<NodeId> =
+            versions.values().flatten().map(|target| target.endpoint.node.clone()).collect();
+        let nodes_changed =
+            old.filter(|old| old.nodes == nodes).map_or(now, |old| old.nodes_changed);
+        Self { versions, nodes, nodes_changed }
+    }
+}
+
+impl Target {
+    fn build(
+        endpoint: &Endpoint,
+        old: Option<&ServiceTable>,
+        now: Instant,
+        limits: PoolLimits,
+    ) -> Self {
+        let old = old
+            .and_then(|old| old.versions.get(&endpoint.version))
+            .and_then(|list| list.iter().find(|target| target.endpoint.node == endpoint.node));
+        let endpoint = endpoint.clone();
+        let Some(old) = old else {
+            let pool = Arc::new(ExchangePool::new(endpoint.door_addr, limits));
+            return Self { endpoint, load: Arc::new(EndpointLoad::new(now)), pool };
+        };
+        if endpoint.state == BackendState::Starting && old.endpoint.state != BackendState::Starting
+        {
+            old.load.warm_from(now);
+        }
+        let pool = if old.endpoint.door_addr == endpoint.door_addr {
+            Arc::clone(&old.pool)
+        } else {
+            Arc::new(ExchangePool::new(endpoint.door_addr, limits))
+        };
+        Self { endpoint, load: Arc::clone(&old.load), pool }
+    }
+}
+
+fn route_cells(snapshot: &Snapshot, counters: &CallCounters) -> HashMap<RouteName, RouteCells> {
+    let Some(config) = &snapshot.config else { return HashMap::new() };
+    let mut routes = HashMap::new();
+    for route in config.content.routes.values() {
+        let cell = |at, version| {
+            let label = Some((route.service.clone(), route.name.clone()));
+            counters.cell(CountKey { at, route: label, version })
+        };
+        let versions = config
+            .content
+            .versions
+            .iter()
+            .filter(|version| version.service == route.service)
+            .map(|version| {
+                let name = version.version.clone();
+                let entry = cell(CountedAt::Entry, Some(name.clone()));
+                let door = cell(CountedAt::Door, Some(name.clone()));
+                (name, VersionCells { entry, door })
+            })
+            .collect();
+        let entry = cell(CountedAt::Entry, None);
+        routes.insert(route.name.clone(), RouteCells { entry, versions });
+    }
+    routes
+}
--- /dev/null
+++ b/crates/node/src/door.rs
@@ -0,0 +1,200 @@
+//! The door: runs calls at the backend server beside this node.
+
+use std::sync::Arc;
+
+use almondsail_core::RefusalReason;
+use almondsail_core::Verdict;
+use almondsail_core::ids::{CallKey, Digest};
+use almondsail_core::peers::BackendState;
+use almondsail_core::traffic::{DoorLimits, Replay};
+use http::{HeaderMap, Response};
+use hyper::body::{Body as _, Incoming};
+
+use crate::answer_body::{Answer, AnswerBody};
+use crate::answer_recorder::{AnswerRecorder, RecordedAnswer};
+use crate::answer_watcher::{AnswerWatcher, CallTimer};
+use crate::call_counters::CancelCount;
+use crate::call_headers as names;
+use crate::call_table::CallTable;
+use crate::claims::HeldClaim;
+use crate::door_request::DoorCall;
+use crate::exchange::{Exchange, ExchangeError};
+use crate::failure::Failure;
+use crate::slot::{Slot, SlotEnd};
+use crate::traffic::Inner;
+
+/// Runs `call`, or gives the recorded answer if the call asks only for that.
+pub(crate) async fn run(inner: &Arc<Inner>, call: DoorCall) -> Result<Answer, Failure> {
+    let table = inner.table();
+    let started = inner.clock.now();
+    let cell = table.cells(&call.route, &call.target).map(|cells| &cells.door);
+    let cancel = CancelCount::new(cell);
+    let result = match &call.key {
+        Some(key) if call.replay => replay(inner, &call, key),
+        _ => run_new(inner, &table, &call).await,
+    };
+    cancel.disarm();
+    match (result, cell) {
+        (Ok(mut answer), Some(cell)) if !call.replay => {
+            let timer = CallTimer::new(Arc::clone(cell), inner.clock, started);
+            answer.body_mut().watch(AnswerWatcher::Count(timer));
+            Ok(answer)
+        }
+        (Err(failure), Some(cell)) => {
+            cell.failed(failure.reason);
+            Err(failure)
+        }
+        (result, _) => result,
+    }
+}
+
+async fn run_new(
+    inner: &Arc<Inner>,
+    table: &CallTable,
+    call: &DoorCall,
+) -> Result<Answer, Failure> {
+    check_backend(table, call).map_err(Failure::unrun)?;
+    let slot = inner.slots.take(call.priority, call.deadline).await.map_err(Failure::unrun)?;
+    // The backend server may have left while the call waited.
+    check_backend(&inner.table(), call).map_err(Failure::unrun)?;
+    let Some(key) = call.key.as_ref().filter(|_| !call.idempotent) else {
+        return exchange(inner, call, slot).await;
+    };
+    match HeldClaim::take(inner, table, call, key).await {
+        Ok(claim) => run_claimed(inner, call, key, slot, claim).await,
+        Err(failure) if failure.holder.as_ref() == Some(&table.snapshot.node) => {
+            drop(slot);
+            replay(inner, call, key)
+        }
+        Err(failure) => Err(failure),
+    }
+}
+
+/// Why the backend server beside this node can't take `call`.
+fn check_backend(table: &CallTable, call: &DoorCall) -> Result<(), RefusalReason> {
+    let snapshot = &table.snapshot;
+    if snapshot.leaving {
+        return Err(RefusalReason::Leaving);
+    }
+    let Some(backend) = &snapshot.local_backend else { return Err(RefusalReason::BackendDown) };
+    if backend.service != call.service || backend.version != call.target {
+        return Err(RefusalReason::BackendDown);
+    }
+    if backend.state == BackendState::Draining {
+        return Err(RefusalReason::Leaving);
+    }
+    if snapshot.is_stopped(&call.service, &call.target, &call.route) {
+        return Err(RefusalReason::StoppedVersion);
+    }
+    Ok(())
+}
+
+async fn run_claimed(
+    inner: &Arc<Inner>,
+    call: &DoorCall,
+    key: &CallKey,
+    slot: Slot,
+    mut claim: HeldClaim,
+) -> Result<Answer, Failure> {
+    // From here a cancelled call may have run.
+    claim.keep();
+    match exchange(inner, call, slot).await {
+        Ok(mut answer) => {
+            let recorded = RecordedAnswer {
+                request: digest(call),
+                status: answer.status(),
+                headers: answer.headers().clone(),
+                body: bytes::Bytes::new(),
+            };
+            let recorder = AnswerRecorder::new(Arc::clone(&inner.claims), key.clone(), recorded);
+            answer.body_mut().watch(AnswerWatcher::Record(recorder));
+            Ok(answer)
+        }
+        Err(failure) => {
+            if failure.verdict != Verdict::MayHaveRun {
+                claim.release();
+            }
+            Err(failure)
+        }
+    }
+}
+
+fn replay(inner: &Inner, call: &DoorCall, key: &CallKey) -> Result<Answer, Failure> {
+    match inner.claims.replay(key) {
+        Replay::Answer(recorded) if recorded.request == digest(call) => {
+            let body = AnswerBody::recorded(recorded.status, recorded.body);
+            let mut answer = Response::new(body);
+            *answer.status_mut() = recorded.status;
+            *answer.headers_mut() = recorded.headers;
+            Ok(answer)
+        }
+        _ => Err(Failure::may_have_run(RefusalReason::RepeatInDoubt)),
+    }
+}
+
+/// The digest of what the caller asked for.
+fn digest(call: &DoorCall) -> Digest {
+    let head = format!("{} {} {}\n", call.service, call.method, call.uri);
+    Digest::of(&[head.as_bytes(), &call.body].concat())
+}
+
+/// Sends `call` to the backend server.
+async fn exchange(inner: &Arc<Inner>, call: &DoorCall, slot: Slot) -> Result<Answer, Failure> {
+    let request = || call.to_backend_request(inner.clock.now());
+    let until = inner.clock.timer(call.deadline.at());
+    match inner.backend_pool.send(request, until).await {
+        Ok((response, exchange)) => answer(inner, call, response, exchange, slot).await,
+        Err(ExchangeError::NotSent) => Err(Failure::not_sent(RefusalReason::BackendDown)),
+        Err(ExchangeError::Broken) => Err(Failure::may_have_run(RefusalReason::BrokenExchange)),
+        Err(ExchangeError::BadAnswer) => Err(Failure::may_have_run(RefusalReason::BadAnswer)),
+        Err(ExchangeError::TimedOut) => {
+            slot.end(SlotEnd::Ran);
+            Err(Failure::may_have_run(RefusalReason::DeadlinePassed))
+        }
+    }
+}
+
+async fn answer(
+    inner: &Arc<Inner>,
+    call: &DoorCall,
+    response: Response<Incoming>,
+    exchange: Exchange,
+    slot: Slot,
+) -> Result<Answer, Failure> {
+    let (mut parts, incoming) = response.into_parts();
+    if is_shed(&parts) {
+        return Err(Failure::unrun(RefusalReason::BackendShed));
+    }
+    if !tells_its_end(&parts.headers, &incoming) {
+        return Err(Failure::may_have_run(RefusalReason::BadAnswer));
+    }
+    names::remove_own(&mut parts.headers);
+    let timeout = Box::pin(tokio::time::sleep_until(inner.clock.timer(call.deadline.at())));
+    let pool = Arc::clone(&inner.backend_pool);
+    let mut body = AnswerBody::stream(parts.status, incoming, exchange, pool, timeout);
+    body.watch(AnswerWatcher::Slot(slot));
+    if !std::future::poll_fn(|cx| std::task::Poll::Ready(body.end_if_empty(cx))).await {
+        return Err(Failure::may_have_run(RefusalReason::BadAnswer));
+    }
+    Ok(Response::from_parts(parts, body))
+}
+
+/// Whether the backend server refused the call before it ran.
+fn is_shed(parts: &http::response::Parts) -> bool {
+    parts.status == http::StatusCode::SERVICE_UNAVAILABLE
+        && names::parse(&parts.headers, &names::VERDICT) == Ok(Some(Verdict::RefusedUnrun))
+}
+
+/// Whether a truncated answer can be told from a whole one: not if its end is
+/// marked only by the end of the connection.
+fn tells_its_end(headers: &HeaderMap, incoming: &Incoming) -> bool {
+    incoming.size_hint().exact().is_some() || headers.contains_key(http::header::TRANSFER_ENCODING)
+}
+
+/// The limits that the backend server beside this node announced.
+pub(crate) fn limits(table: &CallTable) -> DoorLimits {
+    table.snapshot.local_backend.as_ref().map_or(
+        DoorLimits { slots: 0, connections: 0 },
+        |backend| DoorLimits { slots: backend.slots, connections: backend.connections },
+    )
+}
--- /dev/null
+++ b/crates/node/src/door_request.rs
@@ -0,0 +1,165 @@
+//! Calls on their way from the entry node to a door.
+
+use almondsail_core::config::Priority;
+use almondsail_core::ids::{CallKey, ConfigVersion, RouteName, ServiceName, VersionName};
+use almondsail_core::traffic::{CallId, Deadline};
+use almondsail_core::units::{Instant, Millis};
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, Uri};
+use http_body_util::Full;
+
+use crate::call_headers::{self as names, BadHeader};
+use crate::peer_token::PeerToken;
+
+/// A call that an entry node sends to a door.
+#[derive(Debug, Clone)]
+pub(crate) struct DoorCall {
+    pub(crate) id: CallId,
+    pub(crate) service: ServiceName,
+    pub(crate) route: RouteName,
+    /// The version of the backend server that the call is for.
+    pub(crate) target: VersionName,
+    pub(crate) priority: Priority,
+    pub(crate) idempotent: bool,
+    pub(crate) key: Option<CallKey>,
+    /// How often the caller has sent the call, this time included.
+    pub(crate) attempt: u32,
+    /// Whether the door is only asked for a recorded answer.
+    pub(crate) replay: bool,
+    pub(crate) deadline: Deadline,
+    /// The configuration version by which the call was routed.
+    pub(crate) config_version: ConfigVersion,
+    pub(crate) method: Method,
+    /// Path and query.
+    pub(crate) uri: Uri,
+    /// The caller's headers, without those of this mesh and of the connection.
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+/// What a request at the door asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum DoorRequest {
+    /// Run a call.
+    Call,
+    /// Give the recorded answer of a call.
+    Replay,
+    /// Claim an idempotency key.
+    Claim,
+    /// Release an idempotency key.
+    Release,
+}
+
+impl DoorRequest {
+    pub(crate) const fn as_str(self) -> &'static str {
+        match self {
+            Self::Call => "call",
+            Self::Replay => "replay",
+            Self::Claim => "claim",
+            Self::Release => "release",
+        }
+    }
+}
+
+impl std::fmt::Display for DoorRequest {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+impl std::str::FromStr for DoorRequest {
+    type Err = BadHeader;
+
+    fn from_str(s: &str) -> Result<Self, Self::Err> {
+        [Self::Call, Self::Replay, Self::Claim, Self::Release]
+            .into_iter()
+            .find(|request| request.as_str() == s)
+            .ok_or(BadHeader)
+    }
+}
+
+impl DoorCall {
+    /// The request for another node's door at `now`.
+    pub(crate) fn to_request(&self, token: &PeerToken, now: Instant) -> Request<Full<Bytes>> {
+        let mut request = self.bare_request(now);
+        let headers = request.headers_mut();
+        headers.insert(names::TOKEN, token.header());
+        let message = if self.replay { DoorRequest::Replay } else { DoorRequest::Call };
+        names::set(headers, names::MESSAGE, message);
+        names::set(headers, names::CALL, self.id);
+        names::set(headers, names::SERVICE, &self.service);
+        names::set(headers, names::ROUTE, &self.route);
+        names::set(headers, names::TARGET, &self.target);
+        names::set(headers, names::PRIORITY, self.priority);
+        names::set(headers, names::IDEMPOTENT, self.idempotent);
+        request
+    }
+
+    /// The request for the backend server at `now`.
+    pub(crate) fn to_backend_request(&self, now: Instant) -> Request<Full<Bytes>> {
+        self.bare_request(now)
+    }
+
+    fn bare_request(&self, now: Instant) -> Request<Full<Bytes>> {
+        const MICROS_PER_MILLI: u64 = 1_000;
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.headers_mut() = self.headers.clone();
+        let headers = request.headers_mut();
+        let left = self.deadline.left(now).get() / MICROS_PER_MILLI;
+        names::set(headers, names::DEADLINE_MS, left);
+        names::set(headers, names::ATTEMPT, self.attempt);
+        names::set(headers, names::VERSION, self.config_version);
+        if let Some(key) = &self.key {
+            names::set(headers, names::IDEMPOTENCY_KEY, key);
+        }
+        request
+    }
+
+    /// The call in a request of another node, which arrived at `now`.
+    pub(crate) fn from_request(
+        parts: http::request::Parts,
+        body: Bytes,
+        now: Instant,
+    ) -> Result<Self, BadHeader> {
+        let headers = &parts.headers;
+        let left = Millis::new(required(headers, &names::DEADLINE_MS)?);
+        let message: DoorRequest = required(headers, &names::MESSAGE)?;
+        let mut call = Self {
+            id: required(headers, &names::CALL)?,
+            service: required(headers, &names::SERVICE)?,
+            route: required(headers, &names::ROUTE)?,
+            target: required(headers, &names::TARGET)?,
+            priority: required(headers, &names::PRIORITY)?,
+            idempotent: required(headers, &names::IDEMPOTENT)?,
+            key: names::parse(headers, &names::IDEMPOTENCY_KEY)?,
+            attempt: required(headers, &names::ATTEMPT)?,
+            replay: message == DoorRequest::Replay,
+            deadline: Deadline::new(now, Some(left), Deadline::LONGEST),
+            config_version: required(headers, &names::VERSION)?,
+            method: parts.method,
+            uri: parts.uri,
+            headers: HeaderMap::new(),
+            body,
+        };
+        call.headers = parts.headers;
+        clean(&mut call.headers);
+        Ok(call)
+    }
+}
+
+/// Removes the headers that the next hop gets anew.
+pub(crate) fn clean(headers: &mut HeaderMap) {
+    names::remove_own(headers);
+    headers.remove(names::IDEMPOTENCY_KEY);
+    headers.remove(http::header::CONTENT_LENGTH);
+}
+
+/// The value of header `name`; an error if it is missing.
+pub(crate) fn required<T: std::str::FromStr>(
+    headers: &HeaderMap,
+    name: &http::HeaderName,
+) -> Result<T, BadHeader> {
+    names::parse(headers, name)?.ok_or(BadHeader)
+}
--- /dev/null
+++ b/crates/node/src/door_server.rs
@@ -0,0 +1,79 @@
+//! HTTP for the other nodes of the installation.
+
+use std::sync::Arc;
+
+use almondsail_core::RefusalReason;
+use gotham::helpers::http::Body;
+use http::{HeaderMap, Request, Response};
+use http_body_util::BodyExt as _;
+use hyper::body::Incoming;
+
+use crate::body::HeldBody;
+use crate::call_headers as names;
+use crate::callers::full;
+use crate::clock::duration;
+use crate::door;
+use crate::door_request::{DoorCall, DoorRequest, required};
+use crate::failure::Failure;
+use crate::traffic::{Inner, Traffic};
+
+/// Takes calls of other nodes on `listener` until `stop` becomes true, then waits for
+/// those in flight.
+pub async fn serve_door(
+    listener: tokio::net::TcpListener,
+    traffic: Traffic,
+    stop: tokio::sync::watch::Receiver<bool>,
+) {
+    let inner = Arc::clone(&traffic.inner);
+    crate::server::serve(listener, &traffic.inner, stop, move |request, _| {
+        let inner = Arc::clone(&inner);
+        async move { Ok::<_, std::convert::Infallible>(answer(&inner, request).await) }
+    })
+    .await;
+}
+
+async fn answer(inner: &Arc<Inner>, request: Request<Incoming>) -> Response<Body> {
+    let mut response = match dispatch(inner, request).await {
+        Ok(response) => response,
+        Err(failure) => {
+            let mut response = failure.to_response().map(full);
+            if let Some(holder) = &failure.holder {
+                names::set(response.headers_mut(), names::HOLDER, holder);
+            }
+            response
+        }
+    };
+    names::set(response.headers_mut(), names::LOAD, inner.slots.load());
+    response
+}
+
+async fn dispatch(
+    inner: &Arc<Inner>,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Failure> {
+    if !inner.token.matches(request.headers().get(names::TOKEN)) {
+        return Err(Failure::unrun(RefusalReason::PeerUnauthorized));
+    }
+    let refuse = |_| Failure::unrun(RefusalReason::BadRequest);
+    match required::<DoorRequest>(request.headers(), &names::MESSAGE).map_err(refuse)? {
+        message @ (DoorRequest::Claim | DoorRequest::Release) => {
+            let headers: &HeaderMap = request.headers();
+            Ok(inner.claims.answer(message, headers).map(full))
+        }
+        DoorRequest::Call | DoorRequest::Replay => call(inner, request).await,
+    }
+}
+
+async fn call(inner: &Arc<Inner>, request: Request<Incoming>) -> Result<Response<Body>, Failure> {
+    let now = inner.clock.now();
+    let (parts, body) = request.into_parts();
+    let read = HeldBody::read(body, &inner.bodies);
+    let held = tokio::time::timeout(duration(inner.settings.body_time), read)
+        .await
+        .unwrap_or(Err(RefusalReason::BadRequest))
+        .map_err(Failure::unrun)?;
+    let call = DoorCall::from_request(parts, held.bytes().clone(), now)
+        .map_err(|_| Failure::unrun(RefusalReason::BadRequest))?;
+    let answer = door::run(inner, call).await?;
+    Ok(answer.map(|body| body.boxed_unsync()))
+}
--- /dev/null
+++ b/crates/node/src/exchange.rs
@@ -0,0 +1,149 @@
+//! One connection to the next hop.
+
+use std::error::Error as _;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::{Pin, pin};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::task::{Context, Poll, Waker};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{Builder, Connection, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+use crate::counted_stream::CountedStream;
+
+/// The largest header of an answer.
+const MAX_ANSWER_HEADER: usize = 64 * 1024;
+
+/// A client connection that carries one exchange at a time.
+///
+/// No task drives the connection: it makes progress only while the call that owns
+/// it polls it. Dropping it closes the socket at once, and no two calls can touch it.
+#[derive(Debug)]
+pub(crate) struct Exchange {
+    sender: SendRequest<Full<Bytes>>,
+    /// `None` after the connection has ended.
+    conn: Option<Connection<TokioIo<CountedStream>, Full<Bytes>>>,
+    /// The bytes written to the socket.
+    written: Arc<AtomicU64>,
+    /// When the connection was last used.
+    pub(crate) used: Instant,
+}
+
+/// Why an exchange has no answer.
+#[derive(Debug)]
+pub(crate) enum ExchangeError {
+    /// No byte of the request was written to the socket.
+    NotSent,
+    /// The connection broke after at least one byte was written.
+    Broken,
+    /// The answer is malformed.
+    BadAnswer,
+    /// The time ended before the head of the answer came.
+    TimedOut,
+}
+
+/// The state of a connection after an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum AfterAnswer {
+    /// It can carry another exchange.
+    Reusable,
+    /// It was closed, or is not ready for another exchange.
+    Closed,
+    /// The next hop sent more than the answer.
+    Surplus,
+}
+
+impl Exchange {
+    /// Connects to `addr` within `timeout`.
+    pub(crate) async fn connect(addr: SocketAddr, timeout: Duration) -> io::Result<Self> {
+        let stream = tokio::time::timeout(timeout, TcpStream::connect(addr)).await??;
+        stream.set_nodelay(true)?;
+        let (stream, written) = CountedStream::new(stream);
+        let mut builder = Builder::new();
+        builder.max_header_size(MAX_ANSWER_HEADER);
+        let (sender, conn) =
+            builder.handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+        Ok(Self { sender, conn: Some(conn), written, used: Instant::now() })
+    }
+
+    /// Sends `req` and waits for the head of the answer until `until`.
+    pub(crate) async fn send(
+        &mut self,
+        req: Request<Full<Bytes>>,
+        until: Instant,
+    ) -> Result<Response<Incoming>, ExchangeError> {
+        let before = self.written.load(Ordering::Relaxed);
+        let result = tokio::time::timeout_at(until, self.send_untimed(req)).await;
+        match result.unwrap_or(Err(ExchangeError::TimedOut)) {
+            Err(_) if self.written.load(Ordering::Relaxed) == before => Err(ExchangeError::NotSent),
+            result => result,
+        }
+    }
+
+    async fn send_untimed(
+        &mut self,
+        req: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, ExchangeError> {
+        let mut answer = pin!(self.sender.try_send_request(req));
+        let conn = &mut self.conn;
+        let result = std::future::poll_fn(|cx| {
+            if let Poll::Ready(result) = answer.as_mut().poll(cx) {
+                return Poll::Ready(result);
+            }
+            let _ = poll_conn(conn, cx);
+            answer.as_mut().poll(cx)
+        })
+        .await;
+        result.map_err(|error| {
+            if error.error().is_parse() { ExchangeError::BadAnswer } else { ExchangeError::Broken }
+        })
+    }
+
+    /// Reads and writes what is possible now.
+    pub(crate) fn drive(&mut self, cx: &mut Context<'_>) {
+        let _ = poll_conn(&mut self.conn, cx);
+    }
+
+    /// The state of the connection, to be called when the answer is complete.
+    pub(crate) fn after_answer(&mut self, cx: &mut Context<'_>) -> AfterAnswer {
+        match poll_conn(&mut self.conn, cx) {
+            Poll::Pending if self.sender.is_ready() => AfterAnswer::Reusable,
+            Poll::Ready(Err(error)) if !is_io_error(&error) => AfterAnswer::Surplus,
+            _ => AfterAnswer::Closed,
+        }
+    }
+
+    /// Whether an idle connection can carry another exchange.
+    ///
+    /// The connection reads from the socket before it sends, so that bytes which
+    /// arrived while it was idle close it and are never taken for an answer.
+    pub(crate) fn is_reusable(&mut self) -> bool {
+        let mut cx = Context::from_waker(Waker::noop());
+        self.after_answer(&mut cx) == AfterAnswer::Reusable
+    }
+}
+
+type Conn = Connection<TokioIo<CountedStream>, Full<Bytes>>;
+
+fn poll_conn(conn: &mut Option<Conn>, cx: &mut Context<'_>) -> Poll<hyper::Result<()>> {
+    let Some(open) = conn else { return Poll::Ready(Ok(())) };
+    let result = Pin::new(open).poll(cx);
+    if result.is_ready() {
+        *conn = None;
+    }
+    result
+}
+
+fn is_io_error(error: &hyper::Error) -> bool {
+    error.source().is_some_and(|source| source.is::<io::Error>())
+}
--- /dev/null
+++ b/crates/node/src/exchange_pool.rs
@@ -0,0 +1,91 @@
+//! The idle connections to one next hop.
+
+use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use tokio::time::Instant;
+
+use crate::exchange::{Exchange, ExchangeError};
+
+/// The idle connections to one address, most recently used last.
+#[derive(Debug)]
+pub(crate) struct ExchangePool {
+    addr: SocketAddr,
+    limits: PoolLimits,
+    /// At most `limits.idle` connections. Locked only to push or pop one.
+    idle: Mutex<Vec<Exchange>>,
+}
+
+/// The limits of a pool.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct PoolLimits {
+    /// The largest number of idle connections.
+    pub(crate) idle: usize,
+    /// How long a connection may stay idle.
+    pub(crate) idle_time: Duration,
+    /// How long opening a connection may take.
+    pub(crate) connect_time: Duration,
+}
+
+impl ExchangePool {
+    pub(crate) const fn new(addr: SocketAddr, limits: PoolLimits) -> Self {
+        Self { addr, limits, idle: Mutex::new(Vec::new()) }
+    }
+
+    /// An idle connection that is still usable.
+    fn take_idle(&self) -> Option<Exchange> {
+        loop {
+            let mut exchange = self.lock().pop()?;
+            if exchange.used.elapsed() < self.limits.idle_time && exchange.is_reusable() {
+                return Some(exchange);
+            }
+        }
+    }
+
+    /// Sends a request over an idle or a new connection, and waits for the head of the
+    /// answer until `until`. `request` makes the request anew for each connection.
+    pub(crate) async fn send(
+        &self,
+        request: impl Fn() -> Request<Full<Bytes>>,
+        until: Instant,
+    ) -> Result<(Response<Incoming>, Exchange), ExchangeError> {
+        if let Some(mut exchange) = self.take_idle() {
+            match exchange.send(request(), until).await {
+                Ok(response) => return Ok((response, exchange)),
+                // The next hop closed the idle connection; a new one may do.
+                Err(ExchangeError::NotSent) => {}
+                Err(error) => return Err(error),
+            }
+        }
+        let connect = Exchange::connect(self.addr, self.limits.connect_time);
+        let Ok(Ok(mut exchange)) = tokio::time::timeout_at(until, connect).await else {
+            return Err(ExchangeError::NotSent);
+        };
+        let response = exchange.send(request(), until).await?;
+        Ok((response, exchange))
+    }
+
+    /// Keeps a connection for another exchange.
+    pub(crate) fn put(&self, mut exchange: Exchange) {
+        exchange.used = Instant::now();
+        let mut idle = self.lock();
+        if idle.len() < self.limits.idle {
+            idle.push(exchange);
+        }
+    }
+
+    /// Closes the connections that have been idle for too long.
+    pub(crate) fn close_old(&self) {
+        let idle_time = self.limits.idle_time;
+        self.lock().retain(|exchange| exchange.used.elapsed() < idle_time);
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<Exchange>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/node/src/failure.rs
@@ -0,0 +1,92 @@
+//! A failed call.
+
+use almondsail_core::ids::NodeId;
+use almondsail_core::{RefusalReason, Verdict};
+use bytes::Bytes;
+use http::{HeaderValue, Response, StatusCode, header};
+
+use crate::call_headers;
+
+/// Why a call has no answer of a backend server, and whether it may have run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Failure {
+    pub(crate) verdict: Verdict,
+    pub(crate) reason: RefusalReason,
+    /// The node that holds the call's idempotency key, if another call has it.
+    pub(crate) holder: Option<NodeId>,
+}
+
+impl Failure {
+    pub(crate) const fn new(verdict: Verdict, reason: RefusalReason) -> Self {
+        Self { verdict, reason, holder: None }
+    }
+
+    /// A call refused before any byte went to a backend server.
+    pub(crate) const fn unrun(reason: RefusalReason) -> Self {
+        Self::new(Verdict::RefusedUnrun, reason)
+    }
+
+    /// A call of which no byte was sent.
+    pub(crate) const fn not_sent(reason: RefusalReason) -> Self {
+        Self::new(Verdict::NotSent, reason)
+    }
+
+    /// A call that may have run.
+    pub(crate) const fn may_have_run(reason: RefusalReason) -> Self {
+        Self::new(Verdict::MayHaveRun, reason)
+    }
+
+    /// The response that reports the failure.
+    pub(crate) fn to_response(&self) -> Response<Bytes> {
+        let text = format!("{} {}\n", self.verdict, self.reason);
+        let mut response = Response::new(Bytes::from(text));
+        *response.status_mut() = self.status();
+        let headers = response.headers_mut();
+        headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+        call_headers::set_failure(headers, self.verdict, self.reason);
+        if closes_connection(self.reason) {
+            headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+
+    fn status(&self) -> StatusCode {
+        use RefusalReason as R;
+        match self.reason {
+            R::UnknownRoute => StatusCode::NOT_FOUND,
+            R::BadRequest => StatusCode::BAD_REQUEST,
+            R::HeaderTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            R::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            R::PeerUnauthorized => StatusCode::FORBIDDEN,
+            R::RepeatInDoubt => StatusCode::CONFLICT,
+            R::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
+            R::BrokenExchange | R::BadAnswer => StatusCode::BAD_GATEWAY,
+            R::NoConfig
+            | R::BodyMemory
+            | R::KeyRegistrarUnreachable
+            | R::NoBackend
+            | R::BackendDown
+            | R::Leaving
+            | R::StoppedVersion
+            | R::QueueFull
+            | R::DeadlineTooNear
+            | R::BackendShed
+            | R::ConnectFailed
+            | R::RetryBudget => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+}
+
+/// Whether the connection is closed after the failure: the node is leaving, or the
+/// rest of the request was not read.
+const fn closes_connection(reason: RefusalReason) -> bool {
+    matches!(
+        reason,
+        RefusalReason::Leaving
+            | RefusalReason::BadRequest
+            | RefusalReason::HeaderTooLarge
+            | RefusalReason::BodyTooLarge
+            | RefusalReason::BodyMemory
+            | RefusalReason::PeerUnauthorized
+    )
+}
--- /dev/null
+++ b/crates/node/src/stall_limit.rs
@@ -0,0 +1,82 @@
+//! A stream whose writes fail when the other side stops reading.
+
+use std::future::Future as _;
+use std::io::{self, IoSlice};
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::Sleep;
+
+/// A TCP stream that limits the time for which a write may make no progress.
+#[derive(Debug)]
+pub(crate) struct StallLimit {
+    stream: TcpStream,
+    limit: Duration,
+    /// Set while a write makes no progress.
+    stalled: Option<Pin<Box<Sleep>>>,
+}
+
+impl StallLimit {
+    pub(crate) const fn new(stream: TcpStream, limit: Duration) -> Self {
+        Self { stream, limit, stalled: None }
+    }
+
+    fn check<T>(
+        &mut self,
+        cx: &mut Context<'_>,
+        result: Poll<io::Result<T>>,
+    ) -> Poll<io::Result<T>> {
+        if result.is_ready() {
+            self.stalled = None;
+            return result;
+        }
+        let limit = self.limit;
+        let sleep = self.stalled.get_or_insert_with(|| Box::pin(tokio::time::sleep(limit)));
+        sleep.as_mut().poll(cx).map(|()| Err(io::ErrorKind::TimedOut.into()))
+    }
+}
+
+impl AsyncRead for StallLimit {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for StallLimit {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.check(cx, result)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.check(cx, result)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- /dev/null
+++ b/crates/node/src/traffic.rs
@@ -0,0 +1,188 @@
+//! The traffic side of a node.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use almondsail_core::traffic::{BodyBudget, DoorCounts, RetryBudget, Snapshot};
+use arc_swap::{ArcSwap, ArcSwapOption};
+use opentelemetry::metrics::Meter;
+
+use crate::call_counters::{CallCounters, CallCountsReader};
+use crate::call_table::CallTable;
+use crate::claims::Claims;
+use crate::clock::{Clock, duration};
+use crate::door;
+use crate::exchange_pool::{ExchangePool, PoolLimits};
+use crate::peer_token::PeerToken;
+use crate::slot::Slots;
+use crate::traffic_settings::TrafficSettings;
+
+/// The traffic side of a node: its state between calls.
+#[derive(Debug, Clone)]
+pub struct Traffic {
+    pub(crate) inner: Arc<Inner>,
+}
+
+/// What the calls of a node share.
+#[derive(Debug)]
+pub(crate) struct Inner {
+    pub(crate) settings: TrafficSettings,
+    pub(crate) clock: Clock,
+    pub(crate) token: PeerToken,
+    pub(crate) slots: Arc<Slots>,
+    pub(crate) claims: Arc<Claims>,
+    pub(crate) retries: RetryBudget,
+    pub(crate) bodies: Arc<BodyBudget>,
+    pub(crate) backend_pool: Arc<ExchangePool>,
+    pub(crate) counters: CallCounters,
+    snapshot: Arc<ArcSwap<Snapshot>>,
+    /// The table of the newest snapshot that a call or the timer has seen.
+    table: ArcSwapOption<CallTable>,
+    /// Held to build a table, which happens once for each snapshot.
+    building: Mutex<()>,
+}
+
+/// Builds a [`Traffic`].
+#[derive(Debug)]
+pub struct TrafficBuilder {
+    snapshot: Arc<ArcSwap<Snapshot>>,
+    settings: TrafficSettings,
+    installation_key: Vec<u8>,
+    meter: Option<Meter>,
+}
+
+/// Why traffic could not be set up.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum TrafficError {
+    /// The installation's key is too short.
+    ShortKey,
+}
+
+impl std::fmt::Display for TrafficError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::ShortKey => {
+                write!(f, "the installation key has less than {MIN_KEY_BYTES} bytes")
+            }
+        }
+    }
+}
+
+impl std::error::Error for TrafficError {}
+
+/// Number of bytes that the installation's key must have at least.
+const MIN_KEY_BYTES: usize = 16;
+
+impl TrafficBuilder {
+    /// Traffic that follows `snapshot`.
+    pub fn new(snapshot: Arc<ArcSwap<Snapshot>>, settings: TrafficSettings) -> Self {
+        Self { snapshot, settings, installation_key: Vec::new(), meter: None }
+    }
+
+    /// Sets the installation's key.
+    #[must_use]
+    pub fn installation_key(mut self, key: &[u8]) -> Self {
+        self.installation_key = key.to_vec();
+        self
+    }
+
+    /// Exports the counters through `meter`.
+    #[must_use]
+    pub fn meter(mut self, meter: Meter) -> Self {
+        self.meter = Some(meter);
+        self
+    }
+
+    /// The traffic.
+    pub fn build(self) -> Result<Traffic, TrafficError> {
+        if self.installation_key.len() < MIN_KEY_BYTES {
+            return Err(TrafficError::ShortKey);
+        }
+        let token =
+            PeerToken::derive(&self.installation_key).map_err(|_| TrafficError::ShortKey)?;
+        let clock = Clock::start();
+        let counters = CallCounters::default();
+        if let Some(meter) = &self.meter {
+            counters.export(meter);
+        }
+        let limits = PoolLimits { idle: usize::MAX, ..pool_limits(&self.settings) };
+        let backend_pool = Arc::new(ExchangePool::new(self.settings.backend_addr, limits));
+        Ok(Traffic {
+            inner: Arc::new(Inner {
+                clock,
+                token,
+                slots: Arc::new(Slots::new(clock)),
+                claims: Arc::new(Claims::new(clock)),
+                retries: RetryBudget::new(clock.now()),
+                bodies: Arc::new(BodyBudget::new(self.settings.body_memory)),
+                backend_pool,
+                counters,
+                settings: self.settings,
+                snapshot: self.snapshot,
+                table: ArcSwapOption::empty(),
+                building: Mutex::new(()),
+            }),
+        })
+    }
+}
+
+impl Traffic {
+    /// A reader of the counts of calls. One reader sees each call once.
+    pub fn counts_reader(&self) -> CallCountsReader {
+        CallCountsReader::new(self.inner.counters.clone())
+    }
+
+    /// The counts of this node's door.
+    pub fn door_counts(&self) -> DoorCounts {
+        self.inner.slots.counts()
+    }
+}
+
+impl Inner {
+    /// The table of the newest snapshot.
+    pub(crate) fn table(&self) -> Arc<CallTable> {
+        let snapshot = self.snapshot.load();
+        if let Some(table) = self.table.load().as_ref()
+            && Arc::ptr_eq(&table.snapshot, &snapshot)
+        {
+            return Arc::clone(table);
+        }
+        drop(snapshot);
+        self.rebuild()
+    }
+
+    /// Closes connections that have been idle for too long, and follows the snapshot
+    /// while no calls arrive.
+    pub(crate) fn tidy(&self) {
+        self.backend_pool.close_old();
+        let table = self.table();
+        for target in table.services.values().flat_map(|s| s.versions.values()).flatten() {
+            target.pool.close_old();
+        }
+    }
+
+    fn rebuild(&self) -> Arc<CallTable> {
+        let _guard = self.building.lock().unwrap_or_else(PoisonError::into_inner);
+        let snapshot = self.snapshot.load_full();
+        let old = self.table.load_full();
+        if let Some(table) = &old
+            && Arc::ptr_eq(&table.snapshot, &snapshot)
+        {
+            return Arc::clone(table);
+        }
+        let limits = pool_limits(&self.settings);
+        let now = self.clock.now();
+        let table = CallTable::build(snapshot, old.as_deref(), now, limits, &self.counters);
+        self.slots.set_limits(door::limits(&table));
+        let table = Arc::new(table);
+        self.table.store(Some(Arc::clone(&table)));
+        table
+    }
+}
+
+fn pool_limits(settings: &TrafficSettings) -> PoolLimits {
+    PoolLimits {
+        idle: settings.idle_per_door,
+        idle_time: duration(settings.idle_time),
+        connect_time: duration(settings.connect_time),
+    }
+}
--- /dev/null
+++ b/crates/node/tests/support/fake_backend.rs
@@ -0,0 +1,197 @@
+//! A backend server that answers as its test wants.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::{TcpListener, TcpStream};
+
+/// A request as the fake read it.
+#[derive(Debug, Clone)]
+pub struct FakeRequest {
+    pub head: String,
+    pub body: Vec<u8>,
+}
+
+impl FakeRequest {
+    /// Path and query.
+    pub fn path(&self) -> &str {
+        self.head.split(' ').nth(1).unwrap_or("")
+    }
+
+    /// The value of header `name`.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let lines = self.head.lines().skip(1).filter_map(|line| line.split_once(": "));
+        lines.into_iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v)
+    }
+}
+
+/// What the fake does with a request.
+#[derive(Debug, Clone)]
+pub struct FakeReply {
+    pub delay: Duration,
+    pub bytes: Vec<u8>,
+    /// Whether the request counts as run.
+    pub runs: bool,
+    /// Whether the connection closes after the reply.
+    pub close: bool,
+}
+
+impl FakeReply {
+    /// A whole answer with `body`.
+    pub fn ok(body: &[u8]) -> Self {
+        Self::raw(&answer_bytes("200 OK", "", body))
+    }
+
+    /// These bytes as they are.
+    pub fn raw(bytes: &[u8]) -> Self {
+        Self { delay: Duration::ZERO, bytes: bytes.to_vec(), runs: true, close: false }
+    }
+
+    /// A refusal before running.
+    pub fn shed() -> Self {
+        let head = "Almondsail-Verdict: refused-unrun\r\n";
+        let bytes = answer_bytes("503 Service Unavailable", head, b"busy");
+        Self { runs: false, ..Self::raw(&bytes) }
+    }
+
+    #[must_use]
+    pub fn after(self, millis: u64) -> Self {
+        Self { delay: Duration::from_millis(millis), ..self }
+    }
+
+    #[must_use]
+    pub fn closing(self) -> Self {
+        Self { close: true, ..self }
+    }
+}
+
+/// An answer with a length.
+pub fn answer_bytes(status: &str, extra_head: &str, body: &[u8]) -> Vec<u8> {
+    let head = format!("HTTP/1.1 {status}\r\n{extra_head}Content-Length: {}\r\n\r\n", body.len());
+    [head.as_bytes(), body].concat()
+}
+
+type Script = dyn Fn(&FakeRequest) -> FakeReply + Send + Sync;
+
+/// What a fake has seen.
+#[derive(Default)]
+pub struct Seen {
+    pub runs: AtomicUsize,
+    pub running: AtomicUsize,
+    pub most_running: AtomicUsize,
+    pub connections: AtomicUsize,
+    pub bytes: AtomicUsize,
+    pub requests: Mutex<Vec<FakeRequest>>,
+}
+
+/// A backend server on a loopback port.
+pub struct FakeBackend {
+    pub addr: SocketAddr,
+    pub seen: Arc<Seen>,
+    task: tokio::task::JoinHandle<()>,
+}
+
+impl FakeBackend {
+    /// Starts a fake that answers by `script`.
+    pub async fn start(script: impl Fn(&FakeRequest) -> FakeReply + Send + Sync + 'static) -> Self {
+        Self::start_cut(script, usize::MAX).await
+    }
+
+    /// As [`Self::start`], but closes each connection after reading `cut` bytes of it.
+    pub async fn start_cut(
+        script: impl Fn(&FakeRequest) -> FakeReply + Send + Sync + 'static,
+        cut: usize,
+    ) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        let seen = Arc::new(Seen::default());
+        let script: Arc<Script> = Arc::new(script);
+        let counts = Arc::clone(&seen);
+        let task = tokio::spawn(async move {
+            let mut connections = tokio::task::JoinSet::new();
+            while let Ok((stream, _)) = listener.accept().await {
+                counts.connections.fetch_add(1, Ordering::SeqCst);
+                connections.spawn(serve(stream, Arc::clone(&script), Arc::clone(&counts), cut));
+            }
+        });
+        Self { addr, seen, task }
+    }
+
+    /// The number of requests that were run.
+    pub fn runs(&self) -> usize {
+        self.seen.runs.load(Ordering::SeqCst)
+    }
+
+    /// Stops and closes every connection.
+    pub fn stop(&self) {
+        self.task.abort();
+    }
+}
+
+impl Drop for FakeBackend {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn serve(mut stream: TcpStream, script: Arc<Script>, seen: Arc<Seen>, cut: usize) {
+    let mut buf = Vec::new();
+    let mut read = 0;
+    while let Some(request) = read_request(&mut stream, &mut buf, &seen, &mut read, cut).await {
+        let reply = script(&request);
+        seen.requests.lock().unwrap().push(request);
+        if reply.runs {
+            seen.runs.fetch_add(1, Ordering::SeqCst);
+        }
+        let running = seen.running.fetch_add(1, Ordering::SeqCst) + 1;
+        seen.most_running.fetch_max(running, Ordering::SeqCst);
+        if !reply.delay.is_zero() {
+            tokio::time::sleep(reply.delay).await;
+        }
+        seen.running.fetch_sub(1, Ordering::SeqCst);
+        let written = stream.write_all(&reply.bytes).await;
+        if written.is_err() || reply.close {
+            let _ = stream.shutdown().await;
+            return;
+        }
+    }
+}
+
+async fn read_request(
+    stream: &mut TcpStream,
+    buf: &mut Vec<u8>,
+    seen: &Seen,
+    read: &mut usize,
+    cut: usize,
+) -> Option<FakeRequest> {
+    loop {
+        if let Some(request) = parse(buf) {
+            return Some(request);
+        }
+        let mut chunk = [0; 16 * 1024];
+        let room = chunk.len().min(cut - *read);
+        if room == 0 {
+            return None;
+        }
+        let n = stream.read(&mut chunk[..room]).await.ok().filter(|&n| n > 0)?;
+        *read += n;
+        seen.bytes.fetch_add(n, Ordering::SeqCst);
+        buf.extend_from_slice(&chunk[..n]);
+    }
+}
+
+fn parse(buf: &mut Vec<u8>) -> Option<FakeRequest> {
+    let end = buf.windows(4).position(|w| w == b"\r\n\r\n")? + 4;
+    let head = String::from_utf8_lossy(&buf[..end]).into_owned();
+    let request = FakeRequest { head, body: Vec::new() };
+    let length: usize = request.header("content-length").map_or(0, |n| n.parse().unwrap());
+    if buf.len() < end + length {
+        return None;
+    }
+    let body = buf[end..end + length].to_vec();
+    buf.drain(..end + length);
+    Some(FakeRequest { body, ..request })
+}
--- /dev/null
+++ b/crates/node/tests/support/mesh.rs
@@ -0,0 +1,180 @@
+//! Nodes that know each other.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use almondsail_core::config::{Config, ConfigContent, Priority, Route, ServerVersion, Service};
+use almondsail_core::ids::{ConfigVersion, Incarnation, WriteId};
+use almondsail_core::peers::{AnnouncedBackend, BackendState, Peer, PeerStatus};
+use almondsail_core::traffic::{Snapshot, SnapshotInput};
+use almondsail_core::units::Millis;
+use almondsail_node::{Traffic, TrafficBuilder, TrafficSettings, serve_callers, serve_door};
+use arc_swap::ArcSwap;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+pub const KEY: &[u8] = b"a key of the tests' installation";
+
+/// A node with a backend server.
+pub struct TestNode {
+    pub callers: SocketAddr,
+    pub door: SocketAddr,
+    pub traffic: Traffic,
+    pub snapshot: Arc<ArcSwap<Snapshot>>,
+    pub stop: watch::Sender<bool>,
+    pub tasks: Vec<tokio::task::JoinHandle<()>>,
+    pub peer: Peer,
+}
+
+/// Nodes that know each other.
+pub struct TestMesh {
+    pub nodes: Vec<TestNode>,
+    pub config: Arc<Config>,
+}
+
+/// What a test wants of a mesh.
+pub struct MeshPlan {
+    /// The addresses of the backend servers; a node without one only takes callers' calls.
+    pub backends: Vec<Option<SocketAddr>>,
+    pub slots: u16,
+    pub connections: u16,
+    pub deadline: Millis,
+}
+
+impl MeshPlan {
+    pub fn new(backends: &[Option<SocketAddr>]) -> Self {
+        let deadline = Millis::new(2_000);
+        Self { backends: backends.to_vec(), slots: 12, connections: 120, deadline }
+    }
+}
+
+/// Routes `/read` (idempotent), `/book` (not), and `/report` (idempotent, background).
+fn config(deadline: Millis) -> Config {
+    let mut content = ConfigContent::default();
+    let service = Service {
+        name: "bays".parse().unwrap(),
+        member: "depots".parse().unwrap(),
+        stable: Some("v1".parse().unwrap()),
+    };
+    content.services.insert(service.name.clone(), service);
+    let version =
+        ServerVersion { service: "bays".parse().unwrap(), version: "v1".parse().unwrap() };
+    content.versions.insert(version);
+    for (name, priority, idempotent) in [
+        ("read", Priority::Interactive, true),
+        ("book", Priority::Interactive, false),
+        ("report", Priority::Background, true),
+    ] {
+        let route = Route {
+            name: name.parse().unwrap(),
+            service: "bays".parse().unwrap(),
+            prefix: format!("/{name}").parse().unwrap(),
+            priority,
+            idempotent,
+            deadline,
+        };
+        content.routes.insert(route.name.clone(), route);
+    }
+    let write_id = WriteId::new([1; 16]);
+    Config { version: ConfigVersion::new(7), write_id, content, history: Vec::new() }
+}
+
+fn peer(i: usize, door: SocketAddr, plan: &MeshPlan) -> Peer {
+    let backend = plan.backends[i].map(|_| AnnouncedBackend {
+        service: "bays".parse().unwrap(),
+        version: "v1".parse().unwrap(),
+        slots: plan.slots,
+        connections: plan.connections,
+        state: BackendState::Ready,
+    });
+    Peer {
+        id: format!("node-{i}").parse().unwrap(),
+        host: format!("host-{i}").parse().unwrap(),
+        data_centre: "dc-1".parse().unwrap(),
+        region: "region-1".parse().unwrap(),
+        peer_addr: "127.0.0.1:1".parse().unwrap(),
+        door_addr: door,
+        incarnation: Incarnation::new(1),
+        status: PeerStatus::Alive,
+        backend,
+    }
+}
+
+impl TestMesh {
+    /// Starts a node for each entry of the plan.
+    pub async fn start(plan: &MeshPlan) -> Self {
+        Self::start_with(plan, |_| {}).await
+    }
+
+    /// As [`Self::start`], with changed settings.
+    pub async fn start_with(plan: &MeshPlan, change: impl Fn(&mut TrafficSettings)) -> Self {
+        let config = Arc::new(config(plan.deadline));
+        let mut listeners = Vec::new();
+        let mut peers = Vec::new();
+        for i in 0..plan.backends.len() {
+            let door = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            peers.push(peer(i, door.local_addr().unwrap(), plan));
+            listeners.push((door, TcpListener::bind("127.0.0.1:0").await.unwrap()));
+        }
+        let mut nodes = Vec::new();
+        for (i, (door, callers)) in listeners.into_iter().enumerate() {
+            let unused = "127.0.0.1:1".parse().unwrap();
+            let mut settings = TrafficSettings::new(plan.backends[i].unwrap_or(unused));
+            change(&mut settings);
+            let snapshot = snapshot(&peers[i], Some(&config), &peers);
+            nodes.push(TestNode::start(peers[i].clone(), snapshot, settings, door, callers));
+        }
+        Self { nodes, config }
+    }
+
+    /// Where node `i` takes callers' calls.
+    pub fn entry(&self, i: usize) -> SocketAddr {
+        self.nodes[i].callers
+    }
+
+    /// Changes the entry of node `i` and tells every node.
+    pub fn change_peer(&mut self, i: usize, change: impl Fn(&mut Peer)) {
+        change(&mut self.nodes[i].peer);
+        let peers: Vec<Peer> = self.nodes.iter().map(|node| node.peer.clone()).collect();
+        for node in &self.nodes {
+            node.snapshot.store(Arc::new(snapshot(&node.peer, Some(&self.config), &peers)));
+        }
+    }
+}
+
+/// The snapshot of `own` with every one of `peers`.
+pub fn snapshot(own: &Peer, config: Option<&Arc<Config>>, peers: &[Peer]) -> Snapshot {
+    let stops = BTreeSet::new();
+    Snapshot::build(SnapshotInput { own, config, stops: &stops }, peers.iter())
+}
+
+impl TestNode {
+    fn start(
+        peer: Peer,
+        snapshot: Snapshot,
+        settings: TrafficSettings,
+        door: TcpListener,
+        callers: TcpListener,
+    ) -> Self {
+        let snapshot = Arc::new(ArcSwap::from_pointee(snapshot));
+        let traffic = TrafficBuilder::new(Arc::clone(&snapshot), settings)
+            .installation_key(KEY)
+            .build()
+            .unwrap();
+        let (stop, stopped) = watch::channel(false);
+        let (callers_addr, door_addr) = (callers.local_addr().unwrap(), door.local_addr().unwrap());
+        let tasks = vec![
+            tokio::spawn(serve_callers(callers, traffic.clone(), stopped.clone())),
+            tokio::spawn(serve_door(door, traffic.clone(), stopped)),
+        ];
+        Self { callers: callers_addr, door: door_addr, traffic, snapshot, stop, tasks, peer }
+    }
+
+    /// Ends the node at once, with every connection.
+    pub fn kill(&self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
