--- /dev/null
+++ b/crates/core/src/control/backoff.rs
@@ -0,0 +1,32 @@
+//! Waiting times between attempts.
+
+use rand::Rng;
+
+use crate::units::Millis;
+
+/// Waiting times with full jitter: each is drawn between zero and a bound that
+/// doubles with every failure, so that nodes that fail together do not retry together.
+#[derive(Debug, Clone)]
+pub(crate) struct Backoff {
+    first: Millis,
+    most: Millis,
+    failures: u32,
+}
+
+impl Backoff {
+    pub(crate) const fn new(first: Millis, most: Millis) -> Self {
+        Self { first, most, failures: 0 }
+    }
+
+    /// Counts a failure and draws the time until the next attempt.
+    pub(crate) fn draw(&mut self, rng: &mut impl Rng) -> Millis {
+        let factor = 1_u64.checked_shl(self.failures).unwrap_or(u64::MAX);
+        let bound = self.first.get().saturating_mul(factor).min(self.most.get());
+        self.failures = (self.failures + 1).min(u64::BITS - 1);
+        Millis::new(rng.random_range(0..=bound))
+    }
+
+    pub(crate) const fn reset(&mut self) {
+        self.failures = 0;
+    }
+}
--- /dev/null
+++ b/crates/core/src/control/dissemination.rs
@@ -0,0 +1,182 @@
+//! How configurations reach this node, traffic and other nodes.
+
+use std::sync::Arc;
+
+use rand::Rng;
+
+use crate::config::{Config, Delta};
+use crate::control::cx::Cx;
+use crate::control::membership::{EXCHANGE_TIMEOUT, Membership};
+use crate::control::pending_request::PendingRequest;
+use crate::control::{PeerMessage, StateChange, SyncStatus};
+use crate::ids::{ConfigVersion, NodeId};
+use crate::peers::{PING_TIMEOUT, PeerStatus};
+use crate::sync::{ConfigSync, FloorGate, Offer, PeerVersions, Puller};
+use crate::units::Millis;
+
+/// How configurations reach this node, traffic and other nodes.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Dissemination {
+    pub(crate) sync: ConfigSync,
+    pub(crate) versions: PeerVersions,
+    pub(crate) floor: FloorGate,
+    /// The configuration that traffic uses. Its version only rises.
+    pub(crate) published: Option<Arc<Config>>,
+    puller: Puller,
+    /// Whether the last delta did not fit, so that a snapshot is asked for.
+    wants_snapshot: bool,
+    /// Whether a version came into force during this event.
+    is_fresh: bool,
+    is_floor_reported: bool,
+}
+
+impl Dissemination {
+    /// Takes a whole configuration from the store or a peer.
+    pub(crate) fn offer<R>(&mut self, config: Arc<Config>, cx: &mut Cx<'_, R>) -> Offer {
+        let version = config.version;
+        let offer = self.sync.offer(config);
+        self.note_offer(offer, version, cx);
+        offer
+    }
+
+    /// Takes a difference from a peer.
+    pub(crate) fn offer_delta<R>(&mut self, delta: &Delta, cx: &mut Cx<'_, R>) -> Offer {
+        let offer = self.sync.offer_delta(delta);
+        self.note_offer(offer, delta.version, cx);
+        self.wants_snapshot |= offer == Offer::Invalid;
+        offer
+    }
+
+    fn note_offer<R>(&mut self, offer: Offer, version: ConfigVersion, cx: &mut Cx<'_, R>) {
+        match offer {
+            Offer::Applied => {
+                self.is_fresh = true;
+                self.wants_snapshot = false;
+            }
+            Offer::Older => cx.report(StateChange::ConfigOlder(version)),
+            Offer::Invalid => cx.report(StateChange::ConfigInvalid(version)),
+            Offer::Same | Offer::WrongBase => {}
+        }
+    }
+
+    /// Takes the outcome of a pull: `from` sent a configuration that became `offer`.
+    pub(crate) fn end_pull<R: Rng>(&mut self, offer: Offer, cx: &mut Cx<'_, R>) {
+        match offer {
+            Offer::Applied | Offer::Same => self.puller.succeed(),
+            Offer::Older | Offer::WrongBase | Offer::Invalid => self.fail_pull(Millis::new(0), cx),
+        }
+    }
+
+    pub(crate) fn fail_pull<R: Rng>(&mut self, at_least: Millis, cx: &mut Cx<'_, R>) {
+        self.puller.fail(at_least, cx.now, cx.rng);
+    }
+
+    /// Pulls a newer configuration if a live peer holds one and it is time.
+    pub(crate) fn pull<R: Rng>(&mut self, members: &Membership, cx: &mut Cx<'_, R>) {
+        let is_live = |id: &&NodeId| {
+            members.table.get(id).is_some_and(|peer| peer.status != PeerStatus::Dead)
+        };
+        let mut holders = self.versions.above(self.sync.version());
+        holders.retain(is_live);
+        let Some(peer) = self.puller.begin(&holders, cx.now, cx.rng) else { return };
+        let Some(to) = members.addr(&peer) else { return };
+        let digest = self.sync.digest().filter(|_| !self.wants_snapshot);
+        let request = PendingRequest::Pull { peer };
+        cx.send(to, PeerMessage::ConfigPull(digest), EXCHANGE_TIMEOUT, request);
+    }
+
+    /// Hands the version in force to the links that are not known to have it.
+    pub(crate) fn push<R>(
+        &mut self,
+        members: &mut Membership,
+        status: &SyncStatus,
+        cx: &mut Cx<'_, R>,
+    ) {
+        let version = self.sync.version();
+        if version == ConfigVersion::default() {
+            return;
+        }
+        let delta = self.sync.last_delta();
+        for link in members.links().outgoing.clone() {
+            let Some(peer) = members.table.get(&link) else { continue };
+            if peer.status != PeerStatus::Alive || self.versions.get(&link).held >= version {
+                continue;
+            }
+            match &delta {
+                Some(delta) => {
+                    let request = PendingRequest::Push { peer: link, version };
+                    let message = PeerMessage::ConfigPush(delta.clone());
+                    cx.send(peer.peer_addr, message, EXCHANGE_TIMEOUT, request);
+                }
+                None => announce(peer.peer_addr, status, cx),
+            }
+        }
+    }
+
+    /// A link acknowledged a push with the version that it holds now.
+    pub(crate) fn take_ack<R>(
+        &mut self,
+        peer: &NodeId,
+        pushed: ConfigVersion,
+        held: ConfigVersion,
+        (members, status): (&Membership, &SyncStatus),
+        cx: &mut Cx<'_, R>,
+    ) {
+        self.versions.note(peer, held);
+        if held < pushed
+            && let Some(to) = members.addr(peer)
+        {
+            // The delta did not fit; a heartbeat makes the peer pull.
+            announce(to, status, cx);
+        }
+    }
+
+    /// Passes a version on that came into force during this event.
+    pub(crate) fn flush<R>(
+        &mut self,
+        members: &mut Membership,
+        status: &SyncStatus,
+        cx: &mut Cx<'_, R>,
+    ) {
+        if std::mem::take(&mut self.is_fresh) {
+            self.push(members, status, cx);
+        }
+    }
+
+    /// Asks links for the version floor, and settles it when all have answered.
+    pub(crate) fn learn_floor<R>(&mut self, members: &mut Membership, cx: &mut Cx<'_, R>) {
+        const ASK_TIMEOUT: Millis = Millis::new(250);
+        if self.floor.is_settled() {
+            return;
+        }
+        let links = members.links().both();
+        for link in self.floor.due(&links, cx.now) {
+            if let Some(to) = members.addr(&link) {
+                members.join_peer(to, ASK_TIMEOUT, cx);
+            }
+        }
+        let is_alone = members.joiner.is_alone(members.seeds.len());
+        self.floor.settle(&links, is_alone);
+    }
+
+    /// Lets traffic use the version in force if the floor admits it.
+    pub(crate) fn publish<R>(&mut self, cx: &mut Cx<'_, R>) {
+        let version = self.sync.version();
+        let published = self.published.as_ref().map(|cfg| cfg.version).unwrap_or_default();
+        if self.floor.admits(version) && version > published {
+            self.published = self.sync.config().cloned();
+            cx.report(StateChange::ConfigApplied(version));
+            cx.out.publish();
+        } else if self.floor.is_settled() && version < self.floor.floor() && !self.is_floor_reported
+        {
+            self.is_floor_reported = true;
+            cx.report(StateChange::FloorUnmet(self.floor.floor()));
+        }
+    }
+}
+
+/// Sends a heartbeat out of turn, which shows the version that this node holds.
+fn announce<R>(to: std::net::SocketAddr, status: &SyncStatus, cx: &mut Cx<'_, R>) {
+    let request = PendingRequest::Probe { to };
+    cx.send(to, PeerMessage::Ping(status.clone()), PING_TIMEOUT, request);
+}
--- /dev/null
+++ b/crates/core/src/control/membership.rs
@@ -0,0 +1,377 @@
+//! Who belongs to the installation and who answers.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use rand::Rng;
+use rand::seq::IteratorRandom;
+
+use crate::control::cx::Cx;
+use crate::control::joiner::Joiner;
+use crate::control::pending_request::PendingRequest;
+use crate::control::{PeerMessage, RequestId, StateChange, SyncStatus};
+use crate::ids::NodeId;
+use crate::peers::{FailureDetector, Links, Merge, PING_TIMEOUT, Peer, PeerStatus, PeerTable};
+use crate::units::{Instant, Millis};
+
+/// An exchange that is not a ping fails after this time.
+pub(crate) const EXCHANGE_TIMEOUT: Millis = Millis::new(1_000);
+/// An indirect ping fails after this time: a ping by the helper and a way there and back.
+const INDIRECT_TIMEOUT: Millis = Millis::new(800);
+/// Number of other nodes that are asked to ping a node that did not answer.
+const HELPERS: usize = 2;
+/// Number of entries in the reply to a join.
+const SAMPLE: usize = 64;
+/// More changed entries than this at once come from a comparison of whole
+/// tables and are not passed on: every node compares tables itself.
+const MAX_PASSED_ON: usize = 32;
+/// Tables are compared once in this time at most.
+const COMPARE_PERIOD: Millis = Millis::new(1_000);
+
+/// Who belongs to the installation and who answers.
+#[derive(Debug, Clone)]
+pub(crate) struct Membership {
+    pub(crate) table: PeerTable,
+    pub(crate) detector: FailureDetector,
+    pub(crate) joiner: Joiner,
+    pub(crate) seeds: Vec<SocketAddr>,
+    links: Links,
+    /// The table's change count when `links` was computed.
+    links_at: u64,
+    /// The indirect pings without an answer yet, by target.
+    indirect: BTreeMap<NodeId, usize>,
+    /// The entries that changed during this event and are to be passed on.
+    fresh: BTreeSet<NodeId>,
+    next_compare: Instant,
+}
+
+impl Membership {
+    pub(crate) fn new(own: Peer, seeds: Vec<SocketAddr>, now: Instant) -> Self {
+        Self {
+            table: PeerTable::new(own, now),
+            detector: FailureDetector::default(),
+            joiner: Joiner::default(),
+            seeds,
+            links: Links::default(),
+            links_at: 0,
+            indirect: BTreeMap::new(),
+            fresh: BTreeSet::new(),
+            next_compare: Instant::default(),
+        }
+    }
+
+    /// The links by the table as it is now.
+    pub(crate) fn links(&mut self) -> &Links {
+        if self.links_at != self.table.changes() {
+            self.links = self.table.links_of(&self.table.own().id);
+            self.links_at = self.table.changes();
+        }
+        &self.links
+    }
+
+    /// The links as they were computed last.
+    pub(crate) const fn last_links(&self) -> &Links {
+        &self.links
+    }
+
+    pub(crate) fn addr(&self, id: &NodeId) -> Option<SocketAddr> {
+        self.table.get(id).map(|peer| peer.peer_addr)
+    }
+
+    /// Notes that an event comes in, maybe after a pause of this process.
+    pub(crate) fn note_event(&mut self, now: Instant) {
+        if self.detector.note_event(&mut self.table, now) {
+            self.indirect.clear();
+        }
+    }
+
+    /// Asks the seeds for admission if it is time.
+    pub(crate) fn join<R: Rng>(&mut self, cx: &mut Cx<'_, R>) {
+        if self.joiner.begins_attempt(self.seeds.len(), cx.now) {
+            for seed in &self.seeds {
+                let message = PeerMessage::Join(self.table.own().clone());
+                cx.send(*seed, message, PING_TIMEOUT, PendingRequest::JoinSeed);
+            }
+        }
+    }
+
+    /// Asks the node at `to` for admission, which tells what it knows of this node.
+    pub(crate) fn join_peer<R>(&self, to: SocketAddr, timeout: Millis, cx: &mut Cx<'_, R>) {
+        let message = PeerMessage::Join(self.table.own().clone());
+        cx.send(to, message, timeout, PendingRequest::JoinPeer);
+    }
+
+    /// Pings a link and probes a dead peer or an unknown seed.
+    pub(crate) fn ping<R: Rng>(&mut self, status: &SyncStatus, cx: &mut Cx<'_, R>) {
+        let links = self.links().outgoing.clone();
+        if let Some(target) = self.detector.next_link(&links)
+            && let Some(to) = self.addr(&target)
+        {
+            let request = PendingRequest::Ping { target, began: cx.now };
+            cx.send(to, PeerMessage::Ping(status.clone()), PING_TIMEOUT, request);
+        }
+        if let Some(to) = self.choose_probe(cx.rng) {
+            let request = PendingRequest::Probe { to };
+            cx.send(to, PeerMessage::Ping(status.clone()), PING_TIMEOUT, request);
+        }
+    }
+
+    fn choose_probe(&self, rng: &mut impl Rng) -> Option<SocketAddr> {
+        let is_dead = |peer: &&Peer| peer.status == PeerStatus::Dead;
+        let dead = self.table.iter().filter(is_dead).map(|peer| peer.peer_addr);
+        let is_known = |seed: &&SocketAddr| self.table.live().any(|p| p.peer_addr == **seed);
+        let seeds = self.seeds.iter().filter(|seed| !is_known(seed)).copied();
+        dead.chain(seeds).choose(rng)
+    }
+
+    /// Lets time pass: concludes suspicions and drops what is too old.
+    pub(crate) fn pass_time<R>(&mut self, cx: &mut Cx<'_, R>) {
+        if self.detector.update_doubt(&mut self.table, cx.now) {
+            cx.report(StateChange::SelfDoubt(self.detector.doubts_itself()));
+        }
+        for id in self.detector.conclude(&mut self.table, cx.now) {
+            self.note_status(id, PeerStatus::Dead, cx);
+        }
+        for id in self.table.expire(cx.now) {
+            if self.table.set_status(&id, PeerStatus::Dead, cx.now) {
+                self.note_status(id, PeerStatus::Dead, cx);
+            }
+        }
+    }
+
+    /// The reply to the request of `peer` to be admitted: this node, the links
+    /// of `peer`, whom it asks for its version floor, and some others.
+    pub(crate) fn admit<R: Rng>(&mut self, peer: Peer, cx: &mut Cx<'_, R>) -> Vec<Peer> {
+        let id = peer.id.clone();
+        self.merge(peer.clone(), cx);
+        let mut wanted: BTreeSet<NodeId> = self.table.links_of(&id).both().into_iter().collect();
+        wanted.insert(self.table.own().id.clone());
+        let others = self.table.live().filter(|p| p.id != id && !wanted.contains(&p.id));
+        let missing = SAMPLE.saturating_sub(wanted.len());
+        let others: Vec<NodeId> = others.map(|p| p.id.clone()).choose_multiple(cx.rng, missing);
+        wanted.extend(others);
+        let mut sample: Vec<Peer> =
+            wanted.iter().filter_map(|id| self.table.get(id)).cloned().collect();
+        // A node whose clock went back learns which incarnation to exceed.
+        sample.extend(self.table.get(&id).filter(|held| held.overrides(&peer)).cloned());
+        sample
+    }
+
+    /// Takes entries sent by another node; returns those that override them.
+    pub(crate) fn take_updates<R>(&mut self, peers: Vec<Peer>, cx: &mut Cx<'_, R>) -> Vec<Peer> {
+        self.merge_all(peers.clone(), cx);
+        let overriding = |sent: &Peer| self.table.get(&sent.id).filter(|held| held.overrides(sent));
+        peers.iter().filter_map(overriding).cloned().collect()
+    }
+
+    /// Takes entries from the reply of `from`.
+    pub(crate) fn take_entries<R>(
+        &mut self,
+        peers: Vec<Peer>,
+        from: Option<&NodeId>,
+        cx: &mut Cx<'_, R>,
+    ) {
+        let refuted = self.merge_all(peers, cx);
+        if refuted && let Some(from) = from {
+            // It may not be a link, so it would not learn of the refutation otherwise.
+            self.send_entries(from, &[], cx);
+        }
+    }
+
+    /// Takes the status that a node sent of itself.
+    pub(crate) fn take_status<R>(
+        &mut self,
+        status: &SyncStatus,
+        own_digest: u64,
+        cx: &mut Cx<'_, R>,
+    ) {
+        let Some(peer) = self.table.get(&status.node).cloned() else { return };
+        let is_accused = matches!(peer.status, PeerStatus::Suspected | PeerStatus::Dead);
+        if is_accused || status.incarnation > peer.incarnation {
+            // It refutes the entry or sends the newer one in its reply.
+            self.send_entries(&peer.id.clone(), &[peer], cx);
+        } else if status.table_digest != own_digest && cx.now >= self.next_compare {
+            self.next_compare = cx.now + COMPARE_PERIOD;
+            self.compare(&peer, cx);
+        }
+    }
+
+    /// A ping was answered.
+    pub(crate) fn take_pong<R>(&mut self, target: &NodeId, began: Instant, cx: &mut Cx<'_, R>) {
+        self.indirect.remove(target);
+        self.detector.record(target, began, true, cx.now);
+    }
+
+    /// A ping was not answered: asks others to ping the target.
+    pub(crate) fn ping_failed<R: Rng>(
+        &mut self,
+        target: NodeId,
+        began: Instant,
+        cx: &mut Cx<'_, R>,
+    ) {
+        let counts = self.detector.record(&target, began, false, cx.now);
+        let is_alive = self.table.get(&target).is_some_and(|p| p.status == PeerStatus::Alive);
+        if !counts || !is_alive || self.indirect.contains_key(&target) {
+            return;
+        }
+        let helpers = self.helpers(&target, cx.rng);
+        for helper in &helpers {
+            let message = PeerMessage::PingFor(target.clone());
+            let request = PendingRequest::IndirectPing { target: target.clone() };
+            cx.send(*helper, message, INDIRECT_TIMEOUT, request);
+        }
+        if helpers.is_empty() {
+            self.suspect(target, cx);
+        } else {
+            self.indirect.insert(target, helpers.len());
+        }
+    }
+
+    /// An indirect ping was answered or not.
+    pub(crate) fn take_indirect<R>(&mut self, target: NodeId, ok: bool, cx: &mut Cx<'_, R>) {
+        let Some(waiting) = self.indirect.get_mut(&target) else { return };
+        *waiting -= 1;
+        if ok {
+            self.indirect.remove(&target);
+        } else if *waiting == 0 {
+            self.indirect.remove(&target);
+            self.suspect(target, cx);
+        }
+    }
+
+    /// Pings `target` for another node, which waits for the reply to `asked`.
+    pub(crate) fn relay_ping<R>(
+        &self,
+        target: NodeId,
+        asked: RequestId,
+        status: SyncStatus,
+        cx: &mut Cx<'_, R>,
+    ) {
+        match self.addr(&target) {
+            Some(to) => {
+                let request = PendingRequest::RelayedPing { target, asked };
+                cx.send(to, PeerMessage::Ping(status), PING_TIMEOUT, request);
+            }
+            None => cx.out.reply(asked, PeerMessage::NoAnswer(target)),
+        }
+    }
+
+    /// Passes this node's own changed entry on.
+    pub(crate) fn pass_on_own(&mut self) {
+        self.fresh.insert(self.table.own().id.clone());
+    }
+
+    /// Sends the entries that changed during this event to the links.
+    pub(crate) fn flush<R>(&mut self, cx: &mut Cx<'_, R>) {
+        let fresh = std::mem::take(&mut self.fresh);
+        if fresh.is_empty() {
+            return;
+        }
+        let entries: Vec<Peer> =
+            fresh.iter().filter_map(|id| self.table.get(id)).cloned().collect();
+        for link in self.links().outgoing.clone() {
+            self.send_updates(&link, entries.clone(), cx);
+        }
+    }
+
+    /// Sends `entries` and this node's own entry to `to`.
+    fn send_entries<R>(&self, to: &NodeId, entries: &[Peer], cx: &mut Cx<'_, R>) {
+        let own = self.table.own();
+        self.send_updates(to, entries.iter().chain([own]).cloned().collect(), cx);
+    }
+
+    fn send_updates<R>(&self, to: &NodeId, entries: Vec<Peer>, cx: &mut Cx<'_, R>) {
+        if let Some(addr) = self.addr(to) {
+            let request = PendingRequest::Updates { peer: to.clone() };
+            cx.send(addr, PeerMessage::PeerUpdates(entries), EXCHANGE_TIMEOUT, request);
+        }
+    }
+
+    /// Asks `peer` for the entries that differ. Sends this node's own entry
+    /// too: a node that does not know this one can't compare in turn.
+    fn compare<R>(&self, peer: &Peer, cx: &mut Cx<'_, R>) {
+        let message = PeerMessage::TableBuckets(self.table.buckets().to_vec());
+        let request = PendingRequest::Buckets { peer: peer.id.clone() };
+        cx.send(peer.peer_addr, message, EXCHANGE_TIMEOUT, request);
+        self.send_entries(&peer.id, &[], cx);
+    }
+
+    /// Two links of `target` that can ping it.
+    fn helpers(&self, target: &NodeId, rng: &mut impl Rng) -> Vec<SocketAddr> {
+        let own = &self.table.own().id;
+        let links = self.table.links_of(target).both();
+        let is_able = |peer: &&Peer| peer.status == PeerStatus::Alive && peer.id != *own;
+        let able = links.iter().filter_map(|id| self.table.get(id)).filter(is_able);
+        able.map(|peer| peer.peer_addr).choose_multiple(rng, HELPERS)
+    }
+
+    fn suspect<R>(&mut self, target: NodeId, cx: &mut Cx<'_, R>) {
+        if self.table.set_status(&target, PeerStatus::Suspected, cx.now) {
+            self.note_status(target, PeerStatus::Suspected, cx);
+        }
+    }
+
+    /// Merges `peers`; returns whether this node had to refute one of them.
+    fn merge_all<R>(&mut self, peers: Vec<Peer>, cx: &mut Cx<'_, R>) -> bool {
+        let mut refuted = false;
+        let before = std::mem::take(&mut self.fresh);
+        for peer in peers {
+            refuted |= self.merge(peer, cx) == Merge::Refuted;
+        }
+        if self.fresh.len() > MAX_PASSED_ON {
+            self.fresh.clear();
+        }
+        self.fresh.extend(before);
+        if refuted {
+            self.pass_on_own();
+        }
+        refuted
+    }
+
+    fn merge<R>(&mut self, peer: Peer, cx: &mut Cx<'_, R>) -> Merge {
+        let id = peer.id.clone();
+        let before = self.table.get(&id).map(|p| (p.status, p.incarnation, p.backend.is_some()));
+        let merge = self.table.merge(peer, cx.now);
+        match merge {
+            Merge::Unchanged => {}
+            Merge::Refuted => {
+                cx.report(StateChange::SuspicionRefuted);
+                cx.out.publish();
+                self.pass_on_own();
+            }
+            Merge::Changed => self.note_merged(id, before, cx),
+        }
+        merge
+    }
+
+    fn note_merged<R>(
+        &mut self,
+        id: NodeId,
+        before: Option<(PeerStatus, crate::ids::Incarnation, bool)>,
+        cx: &mut Cx<'_, R>,
+    ) {
+        let Some(peer) = self.table.get(&id) else { return };
+        let (status, incarnation) = (peer.status, peer.incarnation);
+        let had_backend = before.is_some_and(|(_, _, had)| had);
+        if (had_backend || peer.backend.is_some())
+            && before.map(|(_, incarnation, _)| incarnation) != Some(incarnation)
+        {
+            cx.out.publish();
+        }
+        if before.map(|(status, ..)| status) == Some(status) {
+            self.fresh.insert(id);
+        } else {
+            self.note_status(id, status, cx);
+        }
+    }
+
+    /// Reports a changed status, passes it on, and publishes it if calls depend on it.
+    fn note_status<R>(&mut self, id: NodeId, status: PeerStatus, cx: &mut Cx<'_, R>) {
+        let has_backend = self.table.get(&id).is_some_and(|peer| peer.backend.is_some());
+        if has_backend && status != PeerStatus::Suspected {
+            cx.out.publish();
+        }
+        cx.report(StateChange::PeerStatusChanged(id.clone(), status));
+        self.fresh.insert(id);
+    }
+}
--- /dev/null
+++ b/crates/core/src/control/outbox.rs
@@ -0,0 +1,92 @@
+//! The requests and actions that leave the control state.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use crate::control::pending_request::PendingRequest;
+use crate::control::{Action, PeerMessage, RequestId, StateChange};
+use crate::store::StoreRequest;
+use crate::units::{Instant, Millis};
+
+/// A request whose failure was never reported is forgotten this long after its timeout.
+const FORGET_AFTER: Millis = Millis::new(5_000);
+/// A watch ends within 30 s; a store request without a reply is forgotten after this time.
+const STORE_TIMEOUT: Millis = Millis::new(45_000);
+
+/// Collects the actions of one event and remembers the requests that wait for a reply.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Outbox {
+    actions: Vec<Action>,
+    pending: BTreeMap<RequestId, (PendingRequest, Instant)>,
+    last_id: u64,
+    /// Whether a new snapshot is to be published after this event.
+    publish: bool,
+}
+
+impl Outbox {
+    pub(crate) fn send(
+        &mut self,
+        to: SocketAddr,
+        message: PeerMessage,
+        timeout: Millis,
+        request: PendingRequest,
+        now: Instant,
+    ) {
+        let id = self.remember(request, now + timeout + FORGET_AFTER);
+        self.actions.push(Action::Send { id, to, message, timeout });
+    }
+
+    pub(crate) fn ask_store(
+        &mut self,
+        request: StoreRequest,
+        purpose: PendingRequest,
+        now: Instant,
+    ) {
+        let id = self.remember(purpose, now + STORE_TIMEOUT);
+        self.actions.push(Action::Store { id, request });
+    }
+
+    pub(crate) fn reply(&mut self, id: RequestId, message: PeerMessage) {
+        self.actions.push(Action::Reply { id, message });
+    }
+
+    pub(crate) fn report(&mut self, change: StateChange) {
+        self.actions.push(Action::Report(change));
+    }
+
+    pub(crate) fn push(&mut self, action: Action) {
+        self.actions.push(action);
+    }
+
+    pub(crate) const fn publish(&mut self) {
+        self.publish = true;
+    }
+
+    /// The request to which a reply with `id` belongs; each has one reply.
+    pub(crate) fn take(&mut self, id: RequestId) -> Option<PendingRequest> {
+        self.pending.remove(&id).map(|(request, _)| request)
+    }
+
+    /// The requests that are forgotten now.
+    pub(crate) fn overdue(&mut self, now: Instant) -> Vec<PendingRequest> {
+        let is_over = |(_, until): &(PendingRequest, Instant)| now >= *until;
+        let ids: Vec<RequestId> =
+            self.pending.iter().filter(|(_, entry)| is_over(entry)).map(|(id, _)| *id).collect();
+        ids.into_iter().filter_map(|id| self.take(id)).collect()
+    }
+
+    /// The actions collected, at most one of them a publication.
+    pub(crate) fn drain(&mut self) -> Vec<Action> {
+        if std::mem::take(&mut self.publish) {
+            self.actions.push(Action::Publish);
+        }
+        std::mem::take(&mut self.actions)
+    }
+
+    fn remember(&mut self, request: PendingRequest, until: Instant) -> RequestId {
+        self.last_id += 1;
+        let id = RequestId::new(self.last_id);
+        self.pending.insert(id, (request, until));
+        id
+    }
+}
--- /dev/null
+++ b/crates/core/src/control/stop_marks.rs
@@ -0,0 +1,141 @@
+//! The stop marks that no configuration holds yet.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use crate::config::{Change, Config, ServerVersion, StopMark};
+use crate::ids::{ConfigVersion, ServiceName};
+use crate::peers::hash::hash_text;
+use crate::units::Instant;
+
+/// Number of marks at most; a configuration holds no more either.
+const MAX_MARKS: usize = 1_024;
+
+/// Number of bytes of a reason at most; less than a configuration allows.
+const MAX_REASON_BYTES: usize = 256;
+
+/// Why and when a mark was set.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Origin {
+    /// The configuration version in force where it was set.
+    pub(crate) since: ConfigVersion,
+    /// Why, in one sentence.
+    pub(crate) reason: Arc<str>,
+    /// When this node learnt of it.
+    pub(crate) noted: Instant,
+}
+
+impl Origin {
+    /// The origin of marks set by `reason`, which is cut to what a configuration may hold.
+    pub(crate) fn new(since: ConfigVersion, reason: &str, noted: Instant) -> Self {
+        let mut reason: String = reason.chars().filter(|c| !c.is_control()).collect();
+        while reason.len() > MAX_REASON_BYTES {
+            reason.pop();
+        }
+        Self { since, reason: reason.into(), noted }
+    }
+}
+
+/// The stop marks that were set and that no configuration holds yet.
+///
+/// The configuration takes over each mark. An operator's command that clears a
+/// mark is a configuration too, so the marks here must not outlive it.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct StopMarks {
+    marks: BTreeSet<StopMark>,
+    /// Has the same keys as `marks`.
+    origins: BTreeMap<StopMark, Origin>,
+    /// The XOR of the hashes of the marks.
+    digest: u64,
+}
+
+impl StopMarks {
+    pub(crate) const fn marks(&self) -> &BTreeSet<StopMark> {
+        &self.marks
+    }
+
+    pub(crate) const fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// Adds `marks`, except those that `config` already decided on; returns the new ones.
+    pub(crate) fn add(
+        &mut self,
+        marks: Vec<StopMark>,
+        origin: &Origin,
+        config: Option<&Config>,
+    ) -> Vec<StopMark> {
+        let mut new = Vec::new();
+        for mark in marks {
+            let is_decided = config.is_some_and(|cfg| is_decided(&mark, origin.since, cfg));
+            if !is_decided && self.marks.len() < MAX_MARKS && self.marks.insert(mark.clone()) {
+                self.digest ^= hash_text(&mark.to_string());
+                self.origins.insert(mark.clone(), origin.clone());
+                new.push(mark);
+            }
+        }
+        new
+    }
+
+    /// Drops the marks that `config` decided on. Returns whether there were any.
+    pub(crate) fn settle(&mut self, config: &Config) -> bool {
+        let is_settled =
+            |(mark, origin): &(&StopMark, &Origin)| is_decided(mark, origin.since, config);
+        let settled: Vec<StopMark> =
+            self.origins.iter().filter(is_settled).map(|(mark, _)| mark.clone()).collect();
+        for mark in &settled {
+            self.marks.remove(mark);
+            self.origins.remove(mark);
+            self.digest ^= hash_text(&mark.to_string());
+        }
+        !settled.is_empty()
+    }
+
+    /// The marks in groups of the same origin.
+    pub(crate) fn groups(&self) -> Vec<(Vec<StopMark>, Origin)> {
+        self.group_by(|_| None)
+    }
+
+    /// The marks in groups of the same origin and service.
+    pub(crate) fn groups_by_service(&self) -> Vec<(Vec<StopMark>, Origin)> {
+        self.group_by(|mark| Some(mark.service.clone()))
+    }
+
+    fn group_by(
+        &self,
+        key: impl Fn(&StopMark) -> Option<ServiceName>,
+    ) -> Vec<(Vec<StopMark>, Origin)> {
+        let mut groups: BTreeMap<_, (Vec<StopMark>, Origin)> = BTreeMap::new();
+        for (mark, origin) in &self.origins {
+            let key = (key(mark), origin.since, origin.reason.clone());
+            let group = groups.entry(key).or_insert_with(|| (Vec::new(), origin.clone()));
+            group.0.push(mark.clone());
+            group.1.noted = group.1.noted.min(origin.noted);
+        }
+        groups.into_values().collect()
+    }
+}
+
+/// Whether `config` holds `mark`, was made by clearing it after it was set, or
+/// no longer has what it stops.
+fn is_decided(mark: &StopMark, since: ConfigVersion, config: &Config) -> bool {
+    let version = ServerVersion { service: mark.service.clone(), version: mark.version.clone() };
+    let content = &config.content;
+    if config.version < since {
+        return false;
+    }
+    if content.stops.contains(mark) {
+        return true;
+    }
+    let has_route = mark.route.as_ref().is_none_or(|route| content.routes.contains_key(route));
+    if !content.versions.contains(&version) || !has_route {
+        return true;
+    }
+    // The history names each change in the words of its command.
+    let cleared = [
+        Change::ClearStop(version.clone()).to_string(),
+        Change::RemoveVersion(version).to_string(),
+    ];
+    let later = config.history.iter().rev().take_while(|entry| entry.version > since);
+    later.into_iter().any(|entry| cleared.iter().any(|text| **text == *entry.summary))
+}
--- /dev/null
+++ b/crates/core/src/control/store_access.rs
@@ -0,0 +1,191 @@
+//! How this node uses the store.
+
+use rand::Rng;
+
+use crate::config::{Change, Config, ServerVersion, StopMark};
+use crate::control::Backoff;
+use crate::control::cx::Cx;
+use crate::control::pending_request::PendingRequest;
+use crate::control::stop_marks::{Origin, StopMarks};
+use crate::control::{Action, StateChange};
+use crate::ids::{OperatorName, WriteId};
+use crate::peers::PeerTable;
+use crate::store::{
+    JobId, Outcome, READERS_PER_DATA_CENTRE, ReadResult, ReaderRole, StoreReader, StoreWriter,
+    Submission, WriterStep,
+};
+use crate::units::{Instant, Micros, Millis};
+
+/// The name under which nodes record stop marks.
+const MESH_OPERATOR: &str = "almondsail";
+/// The node that ranks next for a mark records it if it is not recorded after
+/// this time, because the one before it may be cut off from the store.
+const NEXT_RECORDER_AFTER: Millis = Millis::new(3_000);
+/// Number of nodes that record marks at most.
+const MAX_RECORDERS: usize = 16;
+/// The first and the longest bound of the time between attempts to record marks.
+const FIRST_WAIT: Millis = Millis::new(200);
+const LONGEST_WAIT: Millis = Millis::new(2_000);
+
+/// How this node uses the store.
+#[derive(Debug, Clone)]
+pub(crate) struct StoreAccess {
+    pub(crate) reader: StoreReader,
+    pub(crate) writer: StoreWriter,
+    pub(crate) is_lost: bool,
+    /// The submission of stop marks under way; there is one at most.
+    recording: Option<u64>,
+    recordings: u64,
+    next_recording: Instant,
+    backoff: Backoff,
+}
+
+impl Default for StoreAccess {
+    fn default() -> Self {
+        Self {
+            reader: StoreReader::default(),
+            writer: StoreWriter::default(),
+            is_lost: false,
+            recording: None,
+            recordings: 0,
+            next_recording: Instant::default(),
+            backoff: Backoff::new(FIRST_WAIT, LONGEST_WAIT),
+        }
+    }
+}
+
+impl StoreAccess {
+    /// Takes the node's place among the readers and asks the store if it is time.
+    pub(crate) fn read<R: Rng>(&mut self, table: &PeerTable, is_leaving: bool, cx: &mut Cx<'_, R>) {
+        let role = reader_role(table, is_leaving);
+        if self.reader.set_role(role, cx.now, cx.rng) {
+            cx.report(match role {
+                ReaderRole::None => StateChange::ReaderStopped,
+                ReaderRole::Ranked | ReaderRole::Alone => StateChange::ReaderStarted,
+            });
+        }
+        if let Some(request) = self.reader.poll(cx.now) {
+            cx.out.ask_store(request, PendingRequest::StoreRead, cx.now);
+        }
+    }
+
+    /// Reports what the reader met; returns the configuration that it found.
+    pub(crate) fn note_read<R>(
+        &mut self,
+        result: ReadResult,
+        cx: &mut Cx<'_, R>,
+    ) -> Option<std::sync::Arc<Config>> {
+        let is_lost = matches!(result, ReadResult::Failed);
+        if std::mem::replace(&mut self.is_lost, is_lost) != is_lost {
+            cx.report(if is_lost { StateChange::StoreLost } else { StateChange::StoreRegained });
+        }
+        match result {
+            ReadResult::Config(config) => return Some(config),
+            ReadResult::Stale(version) => cx.report(StateChange::ConfigOlder(version)),
+            ReadResult::Corrupt => cx.report(StateChange::StoreValueCorrupt),
+            ReadResult::Nothing | ReadResult::Failed => {}
+        }
+        None
+    }
+
+    /// Sends the writer's requests and outcomes; returns the configurations that it saw.
+    pub(crate) fn take_steps<R: Rng>(
+        &mut self,
+        steps: Vec<WriterStep>,
+        cx: &mut Cx<'_, R>,
+    ) -> Vec<std::sync::Arc<Config>> {
+        let mut seen = Vec::new();
+        for step in steps {
+            match step {
+                WriterStep::Request(job, request) => {
+                    cx.out.ask_store(request, PendingRequest::StoreWrite(job), cx.now);
+                }
+                WriterStep::Done(job, outcome, config) => {
+                    seen.extend(config);
+                    self.finish(job, outcome, cx);
+                }
+            }
+        }
+        seen
+    }
+
+    fn finish<R: Rng>(&mut self, job: JobId, outcome: Outcome, cx: &mut Cx<'_, R>) {
+        match job {
+            JobId::Submitter(id) => cx.out.push(Action::Submitted { id, outcome }),
+            JobId::StopMarks(number) if self.recording == Some(number) => {
+                self.recording = None;
+                match outcome {
+                    Outcome::Accepted(_) => self.backoff.reset(),
+                    _ => self.next_recording = cx.now + self.backoff.draw(cx.rng),
+                }
+            }
+            JobId::StopMarks(_) => {}
+        }
+    }
+
+    /// Records stop marks in the store if it falls to this node.
+    pub(crate) fn record_stops<R: Rng>(
+        &mut self,
+        stops: &StopMarks,
+        config: Option<&Config>,
+        table: &PeerTable,
+        cx: &mut Cx<'_, R>,
+    ) {
+        if self.recording.is_some() || cx.now < self.next_recording {
+            return;
+        }
+        let Some(config) = config else { return };
+        for (mut marks, origin) in stops.groups_by_service() {
+            marks.retain(|mark| is_recordable(mark, config));
+            if !marks.is_empty() && is_recorder(&marks[0], &origin, table, cx.now) {
+                self.record(marks, &origin, cx);
+                return;
+            }
+        }
+    }
+
+    fn record<R: Rng>(&mut self, marks: Vec<StopMark>, origin: &Origin, cx: &mut Cx<'_, R>) {
+        let Ok(operator) = MESH_OPERATOR.parse::<OperatorName>() else { return };
+        let submission = Submission {
+            write_id: WriteId::new(cx.rng.random()),
+            operator,
+            member: None,
+            base: None,
+            change: Change::AddStops { marks, reason: origin.reason.clone() },
+            dry_run: false,
+        };
+        self.recordings += 1;
+        if self.writer.submit(JobId::StopMarks(self.recordings), submission, cx.now) {
+            self.recording = Some(self.recordings);
+        }
+    }
+}
+
+fn reader_role(table: &PeerTable, is_leaving: bool) -> ReaderRole {
+    let own = table.own();
+    if is_leaving {
+        ReaderRole::None
+    } else if table.is_alone() {
+        ReaderRole::Alone
+    } else {
+        let readers = table.rank("reader", Some(&own.data_centre), READERS_PER_DATA_CENTRE);
+        if readers.contains(&&own.id) { ReaderRole::Ranked } else { ReaderRole::None }
+    }
+}
+
+/// Whether `config` has what `mark` stops; otherwise the change would be refused.
+fn is_recordable(mark: &StopMark, config: &Config) -> bool {
+    let version = ServerVersion { service: mark.service.clone(), version: mark.version.clone() };
+    config.content.versions.contains(&version)
+        && mark.route.as_ref().is_none_or(|route| config.content.routes.contains_key(route))
+}
+
+/// Whether it falls to this node to record `mark`.
+fn is_recorder(mark: &StopMark, origin: &Origin, table: &PeerTable, now: Instant) -> bool {
+    let ranked = table.rank(&format!("stops/{}", mark.service), None, MAX_RECORDERS);
+    let place = ranked.iter().position(|id| **id == table.own().id);
+    place.is_some_and(|place| {
+        let wait = NEXT_RECORDER_AFTER.get().saturating_mul(place as u64);
+        now.since(origin.noted) >= Micros::from(Millis::new(wait))
+    })
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod ids;
 pub mod peers;
 pub mod store;
+pub mod sync;
 pub mod traffic;
 pub mod units;
 
--- a/crates/core/src/peers/mod.rs
+++ b/crates/core/src/peers/mod.rs
@@ -2,10 +2,19 @@
 
 mod announced_backend;
 mod backend_state;
+mod failure_detector;
+pub(crate) mod hash;
+mod links;
 mod peer;
 mod peer_status;
+mod peer_table;
+mod rendezvous;
 
 pub use announced_backend::AnnouncedBackend;
 pub use backend_state::BackendState;
+pub use failure_detector::{FailureDetector, PING_PERIOD, PING_TIMEOUT, SUSPICION};
+pub use links::Links;
 pub use peer::Peer;
 pub use peer_status::PeerStatus;
+pub use peer_table::{BUCKETS, Merge, PeerTable};
+pub use rendezvous::rank;
--- /dev/null
+++ b/crates/core/src/peers/peer_table.rs
@@ -0,0 +1,258 @@
+//! The peer table.
+
+use std::collections::BTreeMap;
+
+use crate::ids::{DataCentre, Incarnation, NodeId};
+use crate::peers::hash::{hash_text, mix};
+use crate::peers::rendezvous::rank_positions;
+use crate::peers::{AnnouncedBackend, Links, Peer, PeerStatus};
+use crate::units::{Instant, Micros, Millis};
+
+/// Number of buckets in which differences between two tables are looked for.
+pub const BUCKETS: usize = 64;
+
+/// Dead entries are kept this long, so that a data centre that was partitioned is found again.
+const DEAD_KEPT: Millis = Millis::new(3_600_000);
+/// A leaving node is taken for dead after this time: it waits at most 30 s for calls in flight.
+const LEAVING_LASTS: Millis = Millis::new(40_000);
+/// Number of entries at most; twice the largest installation that is planned for.
+const MAX_ENTRIES: usize = 8_192;
+
+/// What became of an entry that was merged.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Merge {
+    /// The table knew as much already.
+    Unchanged,
+    /// The entry is new or overrode the one held.
+    Changed,
+    /// The entry said something false of this node, which raised its incarnation.
+    Refuted,
+}
+
+/// The nodes of the installation as this node knows them, itself included.
+#[derive(Debug, Clone)]
+pub struct PeerTable {
+    /// This node. Always has an entry, which only this node changes.
+    own: NodeId,
+    entries: BTreeMap<NodeId, Entry>,
+    /// The XOR of the digests of the entries of each bucket that are not dead.
+    /// Dead ones don't count because nodes drop them at different times.
+    buckets: [u64; BUCKETS],
+    /// Counts the changes.
+    changes: u64,
+}
+
+#[derive(Debug, Clone)]
+struct Entry {
+    peer: Peer,
+    /// The hash of the node's id: its place on the ring.
+    position: u64,
+    /// When the status was set here.
+    since: Instant,
+}
+
+impl Entry {
+    fn new(peer: Peer, now: Instant) -> Self {
+        Self { position: hash_text(peer.id.as_str()), peer, since: now }
+    }
+
+    const fn bucket(&self) -> usize {
+        // The top six bits choose one of 64 buckets.
+        (self.position >> 58) as usize
+    }
+
+    fn digest(&self) -> u64 {
+        match self.peer.status {
+            PeerStatus::Dead => 0,
+            status => mix(self.position ^ mix(self.peer.incarnation.get() << 2 | status as u64)),
+        }
+    }
+}
+
+impl PeerTable {
+    /// The table of the node with the entry `own`, which knows nobody else.
+    pub fn new(own: Peer, now: Instant) -> Self {
+        let mut table = Self {
+            own: own.id.clone(),
+            entries: BTreeMap::new(),
+            buckets: [0; BUCKETS],
+            changes: 0,
+        };
+        table.put(own, now);
+        table
+    }
+
+    /// This node's own entry.
+    pub fn own(&self) -> &Peer {
+        &self.entries[&self.own].peer
+    }
+
+    /// The entry of `id`.
+    pub fn get(&self, id: &NodeId) -> Option<&Peer> {
+        self.entries.get(id).map(|entry| &entry.peer)
+    }
+
+    /// Every entry, this node's own included.
+    pub fn iter(&self) -> impl Iterator<Item = &Peer> {
+        self.entries.values().map(|entry| &entry.peer)
+    }
+
+    /// The entries of other nodes that are not dead.
+    pub fn live(&self) -> impl Iterator<Item = &Peer> {
+        self.iter().filter(|peer| peer.id != self.own && peer.status != PeerStatus::Dead)
+    }
+
+    /// Whether this node knows no other live node.
+    pub fn is_alone(&self) -> bool {
+        self.live().next().is_none()
+    }
+
+    /// Counts the changes of the table, so that others see when to look again.
+    pub const fn changes(&self) -> u64 {
+        self.changes
+    }
+
+    /// Merges an entry heard from another node.
+    ///
+    /// A node that is held alive or suspected is never dead by hearsay: the
+    /// suspicion runs its time here, so that the node can refute it. Without
+    /// this, two halves of a partition kill each other's nodes when it heals.
+    pub fn merge(&mut self, mut peer: Peer, now: Instant) -> Merge {
+        let Some(held) = self.entries.get(&peer.id) else {
+            let is_useful = peer.status != PeerStatus::Dead && self.entries.len() < MAX_ENTRIES;
+            if is_useful {
+                self.put(peer, now);
+            }
+            return if is_useful { Merge::Changed } else { Merge::Unchanged };
+        };
+        if !peer.overrides(&held.peer) {
+            return Merge::Unchanged;
+        }
+        if peer.id == self.own {
+            self.refute(peer.incarnation, now);
+            return Merge::Refuted;
+        }
+        if peer.status == PeerStatus::Dead && held.peer.status.takes_calls() {
+            peer.status = PeerStatus::Suspected;
+            if !peer.overrides(&held.peer) {
+                return Merge::Unchanged;
+            }
+        }
+        self.put(peer, now);
+        Merge::Changed
+    }
+
+    /// Changes the status of another node at its present incarnation.
+    /// Returns whether it overrode the status held.
+    pub fn set_status(&mut self, id: &NodeId, status: PeerStatus, now: Instant) -> bool {
+        match self.entries.get(id) {
+            Some(entry) if *id != self.own && entry.peer.status < status => {
+                let peer = Peer { status, ..entry.peer.clone() };
+                self.put(peer, now);
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Changes this node's announced backend server and raises its incarnation.
+    pub fn set_backend(&mut self, backend: Option<AnnouncedBackend>, now: Instant) {
+        let own = self.own().clone();
+        let incarnation = own.incarnation.next();
+        self.put(Peer { backend, incarnation, ..own }, now);
+    }
+
+    /// Announces that this node leaves, and raises its incarnation.
+    pub fn set_leaving(&mut self, now: Instant) {
+        let own = self.own().clone();
+        let incarnation = own.incarnation.next();
+        self.put(Peer { status: PeerStatus::Leaving, incarnation, ..own }, now);
+    }
+
+    /// The nodes whose suspicion has lasted for `span`.
+    pub fn suspected_for(&self, span: Millis, now: Instant) -> Vec<NodeId> {
+        self.with_status_for(PeerStatus::Suspected, span, now)
+    }
+
+    /// Lets every suspicion begin anew.
+    pub fn restart_suspicions(&mut self, now: Instant) {
+        let is_suspected = |entry: &&mut Entry| entry.peer.status == PeerStatus::Suspected;
+        self.entries.values_mut().filter(is_suspected).for_each(|entry| entry.since = now);
+    }
+
+    /// Drops dead entries that are too old; returns the leaving nodes whose time has passed.
+    pub fn expire(&mut self, now: Instant) -> Vec<NodeId> {
+        for id in self.with_status_for(PeerStatus::Dead, DEAD_KEPT, now) {
+            self.entries.remove(&id);
+        }
+        self.with_status_for(PeerStatus::Leaving, LEAVING_LASTS, now)
+    }
+
+    /// The digest of each bucket.
+    pub const fn buckets(&self) -> &[u64; BUCKETS] {
+        &self.buckets
+    }
+
+    /// The digest of the table.
+    pub fn digest(&self) -> u64 {
+        self.buckets.iter().fold(0, |digest, bucket| mix(digest ^ bucket))
+    }
+
+    /// The entries of the buckets whose digests differ from `theirs`.
+    pub fn differing(&self, theirs: &[u64]) -> Vec<Peer> {
+        let differs = |entry: &&Entry| {
+            let bucket = entry.bucket();
+            theirs.get(bucket) != Some(&self.buckets[bucket])
+        };
+        self.entries.values().filter(differs).map(|entry| entry.peer.clone()).collect()
+    }
+
+    /// The links of `id`, which counts as live for this.
+    pub fn links_of(&self, id: &NodeId) -> Links {
+        let is_on_ring = |entry: &&Entry| entry.peer.status.takes_calls() || entry.peer.id == *id;
+        let mut ring: Vec<(u64, &NodeId)> =
+            self.entries.values().filter(is_on_ring).map(|e| (e.position, &e.peer.id)).collect();
+        ring.sort_unstable();
+        let ring: Vec<&NodeId> = ring.into_iter().map(|(_, id)| id).collect();
+        match ring.iter().position(|other| *other == id) {
+            Some(index) => Links::of(&ring, index),
+            None => Links::default(),
+        }
+    }
+
+    /// The alive nodes that rank first for `key`, in `data_centre` if one is given.
+    pub fn rank(&self, key: &str, data_centre: Option<&DataCentre>, count: usize) -> Vec<&NodeId> {
+        let is_candidate = |entry: &&Entry| {
+            entry.peer.status == PeerStatus::Alive
+                && data_centre.is_none_or(|dc| entry.peer.data_centre == *dc)
+        };
+        let candidates = self.entries.values().filter(is_candidate);
+        rank_positions(key, candidates.map(|entry| (entry.position, &entry.peer.id)), count)
+    }
+
+    fn with_status_for(&self, status: PeerStatus, span: Millis, now: Instant) -> Vec<NodeId> {
+        let span = Micros::from(span);
+        let is_due = |entry: &&Entry| {
+            entry.peer.status == status
+                && now.since(entry.since) >= span
+                && entry.peer.id != self.own
+        };
+        self.entries.values().filter(is_due).map(|entry| entry.peer.id.clone()).collect()
+    }
+
+    fn refute(&mut self, claimed: Incarnation, now: Instant) {
+        let own = self.own().clone();
+        self.put(Peer { incarnation: claimed.next(), ..own }, now);
+    }
+
+    /// Replaces an entry; keeps the bucket digests.
+    fn put(&mut self, peer: Peer, now: Instant) {
+        let entry = Entry::new(peer, now);
+        let bucket = entry.bucket();
+        self.buckets[bucket] ^= entry.digest();
+        if let Some(old) = self.entries.insert(entry.peer.id.clone(), entry) {
+            self.buckets[bucket] ^= old.digest();
+        }
+        self.changes += 1;
+    }
+}
--- /dev/null
+++ b/crates/core/src/store/job_id.rs
@@ -0,0 +1,12 @@
+//! Who waits for a job of the writer.
+
+use crate::control::RequestId;
+
+/// Who waits for a job of the writer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum JobId {
+    /// An operator or the driver of a rollout.
+    Submitter(RequestId),
+    /// This node itself, which records stop marks; the number is unique.
+    StopMarks(u64),
+}
--- /dev/null
+++ b/crates/core/src/store/scope.rs
@@ -0,0 +1,85 @@
+//! What a change concerns.
+
+use crate::config::{Change, ConfigContent, ConfigError, HistoryEntry};
+use crate::ids::{ConfigVersion, MemberName, ServiceName};
+use crate::store::Submission;
+
+/// The services that `change` concerns in `content`; empty if it concerns all.
+fn services<'a>(change: &'a Change, content: &'a ConfigContent) -> Vec<&'a ServiceName> {
+    let owner_of = |route| content.routes.get(route).map(|route| &route.service);
+    let mut services: Vec<&ServiceName> = match change {
+        Change::RemoveRoute(route) => owner_of(route).into_iter().collect(),
+        Change::ReplaceRoute(route) => {
+            [Some(&route.service), owner_of(&route.name)].into_iter().flatten().collect()
+        }
+        Change::AddStops { marks, .. } => marks.iter().map(|mark| &mark.service).collect(),
+        _ => change.service().into_iter().collect(),
+    };
+    services.sort();
+    services.dedup();
+    services
+}
+
+/// The service that `change` concerns in `content`, if it is one.
+pub(crate) fn single_service(change: &Change, content: &ConfigContent) -> Option<ServiceName> {
+    match services(change, content)[..] {
+        [service] => Some(service.clone()),
+        _ => None,
+    }
+}
+
+/// Refuses a change of a service of another member than the submission's.
+pub(crate) fn check_member(
+    submission: &Submission,
+    content: &ConfigContent,
+) -> Result<(), ConfigError> {
+    let Some(member) = &submission.member else { return Ok(()) };
+    if let Change::CreateService { name, member: owner } = &submission.change {
+        return require_same(name, owner, member);
+    }
+    let concerned = match &submission.change {
+        Change::Restore { .. } => content.services.keys().collect(),
+        change => services(change, content),
+    };
+    for name in concerned {
+        if let Some(service) = content.services.get(name) {
+            require_same(name, &service.member, member)?;
+        }
+    }
+    if let Change::Restore { content: earlier, .. } = &submission.change {
+        for service in earlier.services.values() {
+            require_same(&service.name, &service.member, member)?;
+        }
+    }
+    Ok(())
+}
+
+fn require_same(
+    service: &ServiceName,
+    owner: &MemberName,
+    member: &MemberName,
+) -> Result<(), ConfigError> {
+    if owner == member {
+        Ok(())
+    } else {
+        Err(ConfigError::WrongMember(service.clone(), owner.clone()))
+    }
+}
+
+/// The change in `history` that came first, if what `concerned` names may have changed since `base`.
+///
+/// If the history does not reach back to the base, the last entry counts as the winner.
+pub(crate) fn overtaken_by(
+    history: &[HistoryEntry],
+    base: ConfigVersion,
+    concerned: Option<&ServiceName>,
+) -> Option<HistoryEntry> {
+    let last = history.last().filter(|entry| entry.version > base)?;
+    if history.first().is_some_and(|oldest| oldest.version > base.next()) {
+        return Some(last.clone());
+    }
+    let concerns = |entry: &&HistoryEntry| {
+        concerned.is_none() || entry.service.is_none() || entry.service.as_ref() == concerned
+    };
+    history.iter().rev().take_while(|entry| entry.version > base).find(concerns).cloned()
+}
--- /dev/null
+++ b/crates/core/src/store/store_job.rs
@@ -0,0 +1,235 @@
+//! A submission in hand, or a question for the outcome of one.
+
+use std::sync::Arc;
+
+use crate::config::{Config, ConfigContent, Delta, HistoryEntry, MAX_HISTORY_ENTRIES};
+use crate::ids::{ConfigVersion, WriteId};
+use crate::store::edit_text::edit_text;
+use crate::store::scope::{check_member, overtaken_by, single_service};
+use crate::store::{
+    JobId, Outcome, RefusedChange, Revision, StoreError, StoreReply, StoreRequest, StoredConfig,
+    Submission,
+};
+use crate::units::{Instant, UnixMillis};
+
+/// Number of lost races after which a submission is refused.
+const MAX_CONFLICTS: u8 = 16;
+
+/// What a job is to bring about.
+#[derive(Debug, Clone)]
+pub(crate) enum Task {
+    /// A change is to be accepted.
+    Submit(Box<Submission>),
+    /// The outcome of the change with this write id is to be found.
+    Ask(WriteId),
+}
+
+/// What a job waits for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Phase {
+    /// The time of its next request, which is a read.
+    Idle,
+    /// The reply to a read.
+    Reading,
+    /// The reply to a compare-and-swap.
+    Writing,
+}
+
+/// What a job asks for next.
+#[derive(Debug, Clone)]
+pub(crate) enum JobStep {
+    /// To wait for the reply, or for the next attempt at once or after a backoff.
+    Again {
+        /// Whether the store failed, so that a backoff is due.
+        backoff: bool,
+    },
+    /// To send this request.
+    Request(StoreRequest),
+    /// The end, with a configuration that the store was seen to hold.
+    Done(Outcome, Option<Arc<Config>>),
+}
+
+/// A submission in hand, or a question for the outcome of one.
+#[derive(Debug, Clone)]
+pub(crate) struct StoreJob {
+    pub(crate) id: JobId,
+    pub(crate) submitted: Instant,
+    task: Task,
+    phase: Phase,
+    /// The last compare-and-swap, while it may have taken effect or may still do so.
+    /// Nothing else is written before this is found out.
+    doubtful: Option<(Revision, Arc<Config>)>,
+    /// Whether an answer to that compare-and-swap was lost. A refusal of a later
+    /// copy of the same write then doesn't show that the first one had no effect.
+    is_answer_lost: bool,
+    conflicts: u8,
+}
+
+impl StoreJob {
+    pub(crate) const fn new(id: JobId, task: Task, submitted: Instant) -> Self {
+        let (phase, doubtful) = (Phase::Idle, None);
+        Self { id, submitted, task, phase, doubtful, is_answer_lost: false, conflicts: 0 }
+    }
+
+    /// Whether no request is under way.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.phase == Phase::Idle
+    }
+
+    /// The read with which an attempt begins.
+    pub(crate) fn begin(&mut self) -> StoreRequest {
+        self.phase = Phase::Reading;
+        StoreRequest::Read
+    }
+
+    /// The outcome if the time is over now.
+    pub(crate) fn overdue_outcome(&self) -> Outcome {
+        if self.doubtful.is_some() || matches!(self.task, Task::Ask(_)) {
+            Outcome::Unknown(self.write_id())
+        } else {
+            Outcome::Refused(RefusedChange::StoreUnreachable)
+        }
+    }
+
+    /// Takes the reply to the request under way; this node holds the version `held`.
+    pub(crate) fn reply(
+        &mut self,
+        reply: StoreReply,
+        held: ConfigVersion,
+        wall: UnixMillis,
+    ) -> JobStep {
+        let phase = std::mem::replace(&mut self.phase, Phase::Idle);
+        match (phase, reply) {
+            (Phase::Reading, StoreReply::Value(value)) => self.take_value(value, held, wall),
+            (Phase::Reading, StoreReply::Failed(StoreError::Corrupt))
+                if self.doubtful.is_none() && matches!(self.task, Task::Submit(_)) =>
+            {
+                JobStep::Done(Outcome::Refused(RefusedChange::StoreCorrupt), None)
+            }
+            (Phase::Writing, StoreReply::Written(_)) => self.take_written(),
+            (Phase::Writing, StoreReply::Failed(error)) => self.take_write_error(error),
+            _ => JobStep::Again { backoff: true },
+        }
+    }
+
+    fn take_value(
+        &mut self,
+        value: StoredConfig,
+        held: ConfigVersion,
+        wall: UnixMillis,
+    ) -> JobStep {
+        if let Some(version) = find_write(value.config.as_deref(), self.write_id()) {
+            return JobStep::Done(Outcome::Accepted(version), value.config);
+        }
+        let version = value.config.as_ref().map(|cfg| cfg.version).unwrap_or_default();
+        if let Some((revision, config)) = self.doubtful.clone() {
+            // While the revision stands, the lost write can still take effect:
+            // the same write again tells whether it has.
+            if value.revision <= revision {
+                return self.write(revision, config);
+            }
+            let beyond_history = config.version.get() + MAX_HISTORY_ENTRIES as u64;
+            if version.get() >= beyond_history {
+                return JobStep::Done(Outcome::Unknown(self.write_id()), value.config);
+            }
+            self.doubtful = None;
+            self.is_answer_lost = false;
+        }
+        if version < held {
+            return JobStep::Again { backoff: true };
+        }
+        match &self.task {
+            Task::Ask(write_id) => {
+                JobStep::Done(Outcome::NotFound(*write_id, version), value.config)
+            }
+            Task::Submit(submission) => match prepare(submission, value.config.as_deref(), wall) {
+                Ok(Prepared::DryRun(lines)) => JobStep::Done(Outcome::WouldAccept(lines), None),
+                Ok(Prepared::Write(config)) => self.write(value.revision, config),
+                Err(refused) => JobStep::Done(Outcome::Refused(refused), value.config),
+            },
+        }
+    }
+
+    /// Until its reply shows the contrary, the write may have taken effect.
+    fn write(&mut self, revision: Revision, config: Arc<Config>) -> JobStep {
+        self.phase = Phase::Writing;
+        self.doubtful = Some((revision, config.clone()));
+        JobStep::Request(StoreRequest::CompareAndSwap { revision, config })
+    }
+
+    fn take_written(&mut self) -> JobStep {
+        match self.doubtful.take() {
+            Some((_, config)) => JobStep::Done(Outcome::Accepted(config.version), Some(config)),
+            None => JobStep::Again { backoff: true },
+        }
+    }
+
+    fn take_write_error(&mut self, error: StoreError) -> JobStep {
+        match error {
+            StoreError::Conflict => self.conflicts += 1,
+            StoreError::NoEffect => {}
+            StoreError::Unknown | StoreError::Corrupt => self.is_answer_lost = true,
+        }
+        if !self.is_answer_lost {
+            self.doubtful = None;
+            if self.conflicts > MAX_CONFLICTS {
+                return JobStep::Done(Outcome::Refused(RefusedChange::TooManyConflicts), None);
+            }
+        }
+        // The first lost race is followed by the next attempt at once.
+        JobStep::Again { backoff: error != StoreError::Conflict || self.conflicts > 1 }
+    }
+
+    const fn write_id(&self) -> WriteId {
+        match &self.task {
+            Task::Submit(submission) => submission.write_id,
+            Task::Ask(write_id) => *write_id,
+        }
+    }
+}
+
+enum Prepared {
+    Write(Arc<Config>),
+    DryRun(Vec<String>),
+}
+
+/// The configuration that `submission` makes of `current`, or why it is refused.
+fn prepare(
+    submission: &Submission,
+    current: Option<&Config>,
+    wall: UnixMillis,
+) -> Result<Prepared, RefusedChange> {
+    let empty = ConfigContent::default();
+    let content = current.map_or(&empty, |cfg| &cfg.content);
+    let history = current.map_or(&[][..], |cfg| &cfg.history);
+    check_member(submission, content).map_err(|e| RefusedChange::Invalid(vec![e]))?;
+    let service = single_service(&submission.change, content);
+    if let Some(base) = submission.base
+        && let Some(winner) = overtaken_by(history, base, service.as_ref())
+    {
+        return Err(RefusedChange::Overtaken(winner));
+    }
+    let changed = submission.change.apply(content, wall).map_err(RefusedChange::Invalid)?;
+    let entry = HistoryEntry {
+        version: Config::next_version(current),
+        write_id: submission.write_id,
+        at: wall,
+        service,
+        operator: submission.operator.clone(),
+        summary: submission.change.to_string().into(),
+    };
+    let config = Config::following(current, changed, entry);
+    if !submission.dry_run {
+        return Ok(Prepared::Write(Arc::new(config)));
+    }
+    let nothing = Config { content: empty, history: Vec::new(), ..config.clone() };
+    let delta = Delta::between(current.unwrap_or(&nothing), &config);
+    Ok(Prepared::DryRun(delta.edits.iter().map(edit_text).collect()))
+}
+
+/// The version that the write with `write_id` made, if `config` or its history has it.
+pub(crate) fn find_write(config: Option<&Config>, write_id: WriteId) -> Option<ConfigVersion> {
+    let config = config?;
+    let entry = config.history.iter().find(|entry| entry.write_id == write_id);
+    entry.map(|entry| entry.version).or((config.write_id == write_id).then_some(config.version))
+}
--- /dev/null
+++ b/crates/core/src/store/store_reader.rs
@@ -0,0 +1,141 @@
+//! The reader of the store.
+
+use std::sync::Arc;
+
+use rand::Rng;
+
+use crate::config::Config;
+use crate::control::Backoff;
+use crate::ids::ConfigVersion;
+use crate::store::{Revision, StoreError, StoreReply, StoreRequest, StoredConfig};
+use crate::units::{Instant, Millis};
+
+/// Number of nodes that watch the store in each data centre.
+pub const READERS_PER_DATA_CENTRE: usize = 2;
+/// The first and the longest bound of the time between failed requests.
+const FIRST_WAIT: Millis = Millis::new(200);
+const LONGEST_WAIT: Millis = Millis::new(2_000);
+/// A node that knows nobody waits up to this long: 1,400 nodes that start
+/// together then stay under the store's 2,000 reads per second.
+const LONE_WAIT: Millis = Millis::new(1_000);
+
+/// Why a node may read the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReaderRole {
+    /// It may not.
+    None,
+    /// It ranks among the first of its data centre.
+    Ranked,
+    /// It knows nobody.
+    Alone,
+}
+
+/// What a reply of the store brought.
+#[derive(Debug, Clone)]
+pub enum ReadResult {
+    /// Nothing new.
+    Nothing,
+    /// A configuration to put in force.
+    Config(Arc<Config>),
+    /// An answer older than what this node holds.
+    Stale(ConfigVersion),
+    /// The value can't be read as a configuration.
+    Corrupt,
+    /// The store did not answer.
+    Failed,
+}
+
+/// Decides when this node reads and watches the store.
+#[derive(Debug, Clone)]
+pub struct StoreReader {
+    role: ReaderRole,
+    /// Whether a request is under way; there is one at most.
+    is_asking: bool,
+    /// When the next request may be made.
+    next: Instant,
+    /// The revision last read; `None` until then. Never goes down. A watch that
+    /// ends with this revision or an older one is stale.
+    revision: Option<Revision>,
+    backoff: Backoff,
+}
+
+impl Default for StoreReader {
+    fn default() -> Self {
+        Self {
+            role: ReaderRole::None,
+            is_asking: false,
+            next: Instant::default(),
+            revision: None,
+            backoff: Backoff::new(FIRST_WAIT, LONGEST_WAIT),
+        }
+    }
+}
+
+impl StoreReader {
+    /// Why this node reads the store at present.
+    pub const fn role(&self) -> ReaderRole {
+        self.role
+    }
+
+    /// Takes the node's present role. Returns whether it became or ceased to be a reader.
+    pub fn set_role(&mut self, role: ReaderRole, now: Instant, rng: &mut impl Rng) -> bool {
+        let before = std::mem::replace(&mut self.role, role);
+        match (before, role) {
+            (ReaderRole::None, ReaderRole::Alone) => {
+                self.next = now + Millis::new(rng.random_range(0..=LONE_WAIT.get()));
+            }
+            (ReaderRole::Alone, ReaderRole::Ranked) if self.revision.is_none() => self.next = now,
+            _ => {}
+        }
+        (before == ReaderRole::None) != (role == ReaderRole::None)
+    }
+
+    /// The request that is to be made now.
+    pub fn poll(&mut self, now: Instant) -> Option<StoreRequest> {
+        if self.role == ReaderRole::None || self.is_asking || now < self.next {
+            return None;
+        }
+        self.is_asking = true;
+        Some(match self.revision {
+            None => StoreRequest::Read,
+            Some(revision) => StoreRequest::Watch(revision),
+        })
+    }
+
+    /// Takes the store's reply; this node holds the version `held`.
+    pub fn reply(
+        &mut self,
+        reply: StoreReply,
+        held: ConfigVersion,
+        now: Instant,
+        rng: &mut impl Rng,
+    ) -> ReadResult {
+        self.is_asking = false;
+        let result = match reply {
+            StoreReply::Value(value) => self.take_value(value, held),
+            StoreReply::Unchanged => ReadResult::Nothing,
+            StoreReply::Failed(StoreError::Corrupt) => ReadResult::Corrupt,
+            StoreReply::Failed(_) | StoreReply::Written(_) => ReadResult::Failed,
+        };
+        match result {
+            ReadResult::Nothing | ReadResult::Config(_) => self.backoff.reset(),
+            // A watch on a stale value would return at once, again and again.
+            ReadResult::Stale(_) | ReadResult::Corrupt | ReadResult::Failed => {
+                self.next = now + self.backoff.draw(rng);
+            }
+        }
+        result
+    }
+
+    fn take_value(&mut self, value: StoredConfig, held: ConfigVersion) -> ReadResult {
+        let version = value.config.as_ref().map(|cfg| cfg.version).unwrap_or_default();
+        if version < held || self.revision.is_some_and(|seen| value.revision <= seen) {
+            return ReadResult::Stale(version);
+        }
+        self.revision = Some(value.revision);
+        match value.config {
+            Some(config) if version > held => ReadResult::Config(config),
+            _ => ReadResult::Nothing,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/store/store_writer.rs
@@ -0,0 +1,132 @@
+//! The writer of the store.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use rand::Rng;
+
+use crate::config::Config;
+use crate::control::Backoff;
+use crate::ids::{ConfigVersion, WriteId};
+use crate::store::store_job::{JobStep, StoreJob, Task};
+use crate::store::{JobId, Outcome, StoreReply, StoreRequest, Submission};
+use crate::units::{Instant, Micros, Millis, UnixMillis};
+
+/// Number of submissions and questions in hand at most.
+pub const MAX_JOBS: usize = 32;
+/// A submission is answered within this time.
+pub const JOB_TIME: Millis = Millis::new(5_000);
+/// The first and the longest bound of the time between attempts.
+const FIRST_WAIT: Millis = Millis::new(50);
+const LONGEST_WAIT: Millis = Millis::new(800);
+
+/// What the writer asks for.
+#[derive(Debug, Clone)]
+pub enum WriterStep {
+    /// Send a request to the store and hand its reply to the job.
+    Request(JobId, StoreRequest),
+    /// Tell the submitter the outcome. The store was seen to hold the configuration.
+    Done(JobId, Outcome, Option<Arc<Config>>),
+}
+
+/// Takes submitted changes to the store, one at a time.
+///
+/// One at a time, because two writes of one node would only race each other.
+#[derive(Debug, Clone)]
+pub struct StoreWriter {
+    /// The first one is being worked on. At most [`MAX_JOBS`].
+    jobs: VecDeque<StoreJob>,
+    /// When the first one may make its next attempt.
+    next: Instant,
+    backoff: Backoff,
+}
+
+impl Default for StoreWriter {
+    fn default() -> Self {
+        let backoff = Backoff::new(FIRST_WAIT, LONGEST_WAIT);
+        Self { jobs: VecDeque::new(), next: Instant::default(), backoff }
+    }
+}
+
+impl StoreWriter {
+    /// Number of submissions and questions in hand.
+    pub fn len(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Whether nothing is in hand.
+    pub fn is_empty(&self) -> bool {
+        self.jobs.is_empty()
+    }
+
+    /// Takes a change in hand. Returns whether there was room for it.
+    pub fn submit(&mut self, id: JobId, submission: Submission, now: Instant) -> bool {
+        self.push(StoreJob::new(id, Task::Submit(Box::new(submission)), now))
+    }
+
+    /// Takes a question for an outcome in hand. Returns whether there was room for it.
+    pub fn ask(&mut self, id: JobId, write_id: WriteId, now: Instant) -> bool {
+        self.push(StoreJob::new(id, Task::Ask(write_id), now))
+    }
+
+    /// Ends jobs whose time is over and begins the next attempt if it is time.
+    pub fn poll(&mut self, now: Instant) -> Vec<WriterStep> {
+        let mut steps = Vec::new();
+        let is_over = |job: &StoreJob| now.since(job.submitted) >= Micros::from(JOB_TIME);
+        for job in self.jobs.iter().filter(|job| is_over(job)) {
+            steps.push(WriterStep::Done(job.id, job.overdue_outcome(), None));
+        }
+        let first = self.jobs.front().map(|job| job.id);
+        self.jobs.retain(|job| !is_over(job));
+        if self.jobs.front().map(|job| job.id) != first {
+            self.begin_next(now);
+        }
+        if now >= self.next
+            && let Some(job) = self.jobs.front_mut().filter(|job| job.is_idle())
+        {
+            steps.push(WriterStep::Request(job.id, job.begin()));
+        }
+        steps
+    }
+
+    /// Takes the store's reply for the job `id`; this node holds the version `held`.
+    pub fn reply(
+        &mut self,
+        id: JobId,
+        reply: StoreReply,
+        held: ConfigVersion,
+        (now, wall): (Instant, UnixMillis),
+        rng: &mut impl Rng,
+    ) -> Vec<WriterStep> {
+        // The reply to a job whose time was over comes too late.
+        let Some(job) = self.jobs.front_mut().filter(|job| job.id == id && !job.is_idle()) else {
+            return Vec::new();
+        };
+        let mut steps = Vec::new();
+        match job.reply(reply, held, wall) {
+            JobStep::Request(request) => steps.push(WriterStep::Request(id, request)),
+            JobStep::Again { backoff: false } => {}
+            JobStep::Again { backoff: true } => self.next = now + self.backoff.draw(rng),
+            JobStep::Done(outcome, config) => {
+                steps.push(WriterStep::Done(id, outcome, config));
+                self.jobs.pop_front();
+                self.begin_next(now);
+            }
+        }
+        steps.extend(self.poll(now));
+        steps
+    }
+
+    fn push(&mut self, job: StoreJob) -> bool {
+        let has_room = self.jobs.len() < MAX_JOBS;
+        if has_room {
+            self.jobs.push_back(job);
+        }
+        has_room
+    }
+
+    fn begin_next(&mut self, now: Instant) {
+        self.next = now;
+        self.backoff.reset();
+    }
+}
--- /dev/null
+++ b/crates/core/src/sync/config_sync.rs
@@ -0,0 +1,127 @@
+//! The configuration in force.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use crate::config::{Config, Delta, DeltaError, check};
+use crate::control::PeerMessage;
+use crate::ids::{ConfigVersion, Digest};
+use crate::sync::Offer;
+use crate::units::{Instant, Micros, Millis};
+
+/// Number of snapshots that a node serves in a second at most: at 1 MB each,
+/// more would disturb the calls on the host's network.
+pub const SNAPSHOTS_PER_SECOND: usize = 4;
+/// Number of earlier versions kept as bases of deltas.
+const RECENT_VERSIONS: usize = 4;
+/// The time over which served snapshots are counted.
+const SERVING_WINDOW: Millis = Millis::new(1_000);
+
+/// The configuration in force, and what other nodes may have of it.
+#[derive(Debug, Clone, Default)]
+pub struct ConfigSync {
+    /// The versions that were in force, oldest first; the last one is in force.
+    /// Each is valid and higher than the one before.
+    versions: VecDeque<Held>,
+    /// When the last snapshots were served, oldest first.
+    served: VecDeque<Instant>,
+}
+
+#[derive(Debug, Clone)]
+struct Held {
+    config: Arc<Config>,
+    digest: Digest,
+}
+
+impl ConfigSync {
+    /// The configuration in force.
+    pub fn config(&self) -> Option<&Arc<Config>> {
+        self.versions.back().map(|held| &held.config)
+    }
+
+    /// The version in force; zero for none.
+    pub fn version(&self) -> ConfigVersion {
+        self.config().map(|cfg| cfg.version).unwrap_or_default()
+    }
+
+    /// The digest of the configuration in force.
+    pub fn digest(&self) -> Option<Digest> {
+        self.versions.back().map(|held| held.digest)
+    }
+
+    /// Puts `config` in force if its version is higher and its content valid.
+    pub fn offer(&mut self, config: Arc<Config>) -> Offer {
+        if let Some(refused) = self.refuse_version(config.version) {
+            return refused;
+        }
+        if check(&config.content).is_err() {
+            return Offer::Invalid;
+        }
+        let digest = config.digest();
+        self.versions.push_back(Held { config, digest });
+        if self.versions.len() > RECENT_VERSIONS + 1 {
+            self.versions.pop_front();
+        }
+        Offer::Applied
+    }
+
+    /// Puts the result of `delta` in force if its base is, on the same conditions.
+    pub fn offer_delta(&mut self, delta: &Delta) -> Offer {
+        if let Some(refused) = self.refuse_version(delta.version) {
+            return refused;
+        }
+        let Some(held) = self.versions.back().filter(|held| held.digest == delta.base) else {
+            return Offer::WrongBase;
+        };
+        match delta.apply(&held.config) {
+            Ok(config) => self.offer(Arc::new(config)),
+            Err(DeltaError::WrongBase) => Offer::WrongBase,
+            Err(DeltaError::WrongResult) => Offer::Invalid,
+        }
+    }
+
+    /// The difference between the version in force and the one before it.
+    pub fn last_delta(&self) -> Option<Delta> {
+        let before = self.versions.len().checked_sub(2)?;
+        Some(Delta::between(&self.versions[before].config, self.config()?))
+    }
+
+    /// The reply to a pull by a node that holds the configuration with the digest `theirs`.
+    pub fn serve(&mut self, theirs: Option<Digest>, now: Instant) -> PeerMessage {
+        let Some(held) = self.versions.back().filter(|held| Some(held.digest) != theirs) else {
+            return PeerMessage::Ack(self.version());
+        };
+        let base = self.versions.iter().find(|held| Some(held.digest) == theirs);
+        if let Some(base) = base {
+            return PeerMessage::ConfigDelta(Delta::between(&base.config, &held.config));
+        }
+        let snapshot = held.config.clone();
+        match self.take_turn(now) {
+            Ok(()) => PeerMessage::ConfigSnapshot(snapshot),
+            Err(wait) => PeerMessage::Busy(wait),
+        }
+    }
+
+    /// Counts a snapshot, or tells after what time one can be served.
+    fn take_turn(&mut self, now: Instant) -> Result<(), Millis> {
+        let window = Micros::from(SERVING_WINDOW);
+        while self.served.front().is_some_and(|at| now.since(*at) >= window) {
+            self.served.pop_front();
+        }
+        if self.served.len() >= SNAPSHOTS_PER_SECOND {
+            return Err(SERVING_WINDOW);
+        }
+        self.served.push_back(now);
+        Ok(())
+    }
+
+    fn refuse_version(&self, version: ConfigVersion) -> Option<Offer> {
+        if version < self.version() {
+            Some(Offer::Older)
+        } else if version == self.version() {
+            Some(Offer::Same)
+        } else {
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/sync/floor_gate.rs
@@ -0,0 +1,88 @@
+//! The version floor of a node that was started.
+
+use std::collections::BTreeMap;
+
+use crate::ids::{ConfigVersion, NodeId};
+use crate::units::{Instant, Millis};
+
+/// A link that does not answer is asked again after this time.
+const ASK_PERIOD: Millis = Millis::new(250);
+/// A link is asked this often at most: a dead one delays the start by 2 s.
+const MAX_ASKS: u8 = 8;
+
+/// Holds a started node back from traffic until it knows the version that it must have.
+///
+/// A node may have been in force with a version before it was restarted, which
+/// only its former links remember. It asks all of them before it publishes.
+#[derive(Debug, Clone, Default)]
+pub struct FloorGate {
+    /// The node publishes no version below this one. Never goes down.
+    floor: ConfigVersion,
+    /// Whether every link has answered or was asked often enough. Stays set once it is.
+    is_settled: bool,
+    asks: BTreeMap<NodeId, Ask>,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Ask {
+    answered: bool,
+    count: u8,
+    next: Instant,
+}
+
+impl Ask {
+    const fn is_over(&self) -> bool {
+        self.answered || self.count > MAX_ASKS
+    }
+}
+
+impl FloorGate {
+    /// The lowest version that the node may publish, as far as it is known.
+    pub const fn floor(&self) -> ConfigVersion {
+        self.floor
+    }
+
+    /// Whether the floor is known.
+    pub const fn is_settled(&self) -> bool {
+        self.is_settled
+    }
+
+    /// Whether `version` may be published.
+    pub fn admits(&self, version: ConfigVersion) -> bool {
+        self.is_settled && version >= self.floor
+    }
+
+    /// Takes the answer of `node`: this node must have `version`.
+    pub fn answer(&mut self, node: &NodeId, version: ConfigVersion) {
+        self.floor = self.floor.max(version);
+        self.asks.entry(node.clone()).or_default().answered = true;
+    }
+
+    /// The links that are to be asked now.
+    pub fn due(&mut self, links: &[NodeId], now: Instant) -> Vec<NodeId> {
+        if self.is_settled {
+            return Vec::new();
+        }
+        let mut due = Vec::new();
+        for link in links {
+            let ask = self.asks.entry(link.clone()).or_default();
+            if !ask.is_over() && now >= ask.next {
+                ask.count += 1;
+                ask.next = now + ASK_PERIOD;
+                due.push(link.clone());
+            }
+        }
+        due
+    }
+
+    /// Settles if no link is still to answer and at least one node has answered,
+    /// or there is nobody who could: no seed answered either.
+    pub fn settle(&mut self, links: &[NodeId], is_alone: bool) {
+        let is_over = |link: &NodeId| self.asks.get(link).is_some_and(Ask::is_over);
+        let has_answer = self.asks.values().any(|ask| ask.answered);
+        self.is_settled = self.is_settled || (has_answer || is_alone) && links.iter().all(is_over);
+        if self.is_settled {
+            self.asks.clear();
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/sync/mod.rs
@@ -0,0 +1,13 @@
+//! Which configuration is in force and how versions spread between nodes.
+
+mod config_sync;
+mod floor_gate;
+mod offer;
+mod peer_versions;
+mod puller;
+
+pub use config_sync::{ConfigSync, SNAPSHOTS_PER_SECOND};
+pub use floor_gate::FloorGate;
+pub use offer::Offer;
+pub use peer_versions::{PeerVersion, PeerVersions};
+pub use puller::Puller;
