--- /dev/null
+++ b/crates/core/tests/common/mod.rs
@@ -0,0 +1,497 @@
+//! Several `Control`s on a deterministic clock, network and store with faults.
+
+#![allow(dead_code, unreachable_pub)]
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use almondsail_core::config::{Change, Config, HistoryEntry, ServerVersion, StopMark, check};
+use almondsail_core::control::{
+    Action, Control, ControlSettings, Event, PeerFailure, PeerMessage, RequestId, StateChange,
+};
+use almondsail_core::ids::{ConfigVersion, NodeId, WriteId};
+use almondsail_core::peers::PeerStatus;
+use almondsail_core::store::{
+    Outcome, Revision, StoreError, StoreReply, StoreRequest, StoredConfig, Submission,
+};
+use almondsail_core::units::{Instant, UnixMillis};
+use quickcheck::{Gen, QuickCheck};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+const TICK: u64 = 100_000;
+const START_OF_WALL: u64 = 1_700_000_000_000;
+const WATCH: u64 = 30_000_000;
+
+/// A quickcheck runner; `ALMONDSAIL_CASES` and `ALMONDSAIL_SEED` override the defaults.
+pub fn checker(cases: u64) -> QuickCheck {
+    let setting = |name, default| {
+        std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
+    };
+    let cases = setting("ALMONDSAIL_CASES", cases);
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(12, setting("ALMONDSAIL_SEED", 7)))
+        .tests(cases)
+        .min_tests_passed(cases)
+}
+
+pub fn name<T: std::str::FromStr>(text: &str) -> T {
+    text.parse().unwrap_or_else(|_| panic!("{text:?} is a name"))
+}
+
+pub fn addr(index: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], 7_000 + index as u16))
+}
+
+pub fn node_id(index: usize) -> NodeId {
+    name(&format!("n{index}"))
+}
+
+/// The settings of node `index`; nodes 0 and 1 are the seeds of all.
+pub fn settings(index: usize) -> ControlSettings {
+    let builder = ControlSettings::builder()
+        .node(node_id(index))
+        .host(name(&format!("h{index}")))
+        .data_centre(name(&format!("dc{}", index % 2)))
+        .region(name("r1"))
+        .peer_addr(addr(index))
+        .door_addr(addr(index + 10_000))
+        .seed(addr(0))
+        .seed(addr(1));
+    builder.build().expect("every setting is set")
+}
+
+pub fn submission(id: u64, change: Change) -> Submission {
+    let mut bytes = [0; WriteId::BYTES];
+    bytes[..8].copy_from_slice(&id.to_be_bytes());
+    Submission {
+        write_id: WriteId::new(bytes),
+        operator: name("op"),
+        member: None,
+        base: None,
+        change,
+        dry_run: false,
+    }
+}
+
+pub fn create_service(service: &str) -> Change {
+    Change::CreateService { name: name(service), member: name("depots") }
+}
+
+pub fn create_version(service: &str, version: &str) -> Change {
+    Change::CreateVersion(ServerVersion { service: name(service), version: name(version) })
+}
+
+pub fn stop_mark(service: &str, version: &str) -> StopMark {
+    StopMark { service: name(service), version: name(version), route: None }
+}
+
+/// The store: accepted configurations in order; the revision is their number.
+#[derive(Default)]
+pub struct FakeStore {
+    pub values: Vec<Arc<Config>>,
+    pub down: bool,
+    /// Of 100 requests: answers lost after the effect, and effects after the answer was given up.
+    pub lost: u32,
+    /// Of 100 reads: answered with an older value.
+    pub stale: u32,
+    watches: Vec<(Origin, u64)>,
+}
+
+impl FakeStore {
+    fn value(&self, revision: usize) -> StoreReply {
+        let config = revision.checked_sub(1).and_then(|index| self.values.get(index)).cloned();
+        StoreReply::Value(StoredConfig { revision: Revision::new(revision as u64), config })
+    }
+
+    fn swap(&mut self, revision: Revision, config: &Arc<Config>) -> StoreReply {
+        if revision.get() != self.values.len() as u64 {
+            return StoreReply::Failed(StoreError::Conflict);
+        }
+        self.values.push(config.clone());
+        StoreReply::Written(Revision::new(self.values.len() as u64))
+    }
+
+    /// A write by an operator that uses no node.
+    pub fn race(&mut self, change: &Change, write_id: WriteId, wall: UnixMillis) {
+        let current = self.values.last().map(|cfg| &**cfg);
+        let content = current.map(|cfg| cfg.content.clone()).unwrap_or_default();
+        let Ok(content) = change.apply(&content, wall) else { return };
+        let entry = HistoryEntry {
+            version: Config::next_version(current),
+            write_id,
+            at: wall,
+            service: change.service().cloned(),
+            operator: name("racer"),
+            summary: change.to_string().into(),
+        };
+        self.values.push(Arc::new(Config::following(current, content, entry)));
+    }
+
+    pub fn contains(&self, write_id: WriteId) -> bool {
+        self.values.iter().any(|cfg| cfg.write_id == write_id)
+    }
+}
+
+/// A process of a node, and one of its requests.
+type Origin = (usize, u32, RequestId);
+
+enum Item {
+    Tick(usize, u32),
+    Event(usize, u32, Event),
+    /// A request or reply on its way to a node.
+    Request {
+        from: Origin,
+        to: usize,
+        message: PeerMessage,
+    },
+    Reply {
+        from: usize,
+        to: Origin,
+        message: PeerMessage,
+    },
+    StoreRequest(Origin, StoreRequest),
+    LateSwap(Revision, Arc<Config>),
+}
+
+#[derive(Default)]
+pub struct Slot {
+    pub control: Option<Control>,
+    /// Counts the starts. What belongs to an earlier process is dropped.
+    pub epoch: u32,
+    paused_until: u64,
+    inbox: Vec<Event>,
+    /// The requests of others in hand, by this process's id for them.
+    open: BTreeMap<RequestId, Origin>,
+    /// The last version that this node published, in any of its processes.
+    pub published: ConfigVersion,
+    /// What others knew of the published version when this process started.
+    witnesses: Vec<(usize, u32, ConfigVersion)>,
+    started: u64,
+    /// When this node was last paused or cut off.
+    disturbed: u64,
+    pub deaths: Vec<NodeId>,
+    pub outcomes: BTreeMap<RequestId, Outcome>,
+}
+
+pub struct Sim {
+    pub now: u64,
+    pub rng: SmallRng,
+    pub nodes: Vec<Slot>,
+    pub store: FakeStore,
+    /// Of 100 messages: lost, doubled.
+    pub loss: u32,
+    pub doubling: u32,
+    /// The longest delay of a message, in milliseconds; messages overtake each other.
+    pub delay: u64,
+    /// The nodes on the far side of a partition, without the store.
+    pub far: BTreeSet<usize>,
+    queue: BTreeMap<(u64, u64), Item>,
+    serial: u64,
+}
+
+impl Sim {
+    pub fn new(nodes: usize, seed: u64) -> Self {
+        let mut sim = Self {
+            now: 1_000_000,
+            rng: SmallRng::seed_from_u64(seed),
+            nodes: (0..nodes).map(|_| Slot::default()).collect(),
+            store: FakeStore::default(),
+            loss: 0,
+            doubling: 0,
+            delay: 2,
+            far: BTreeSet::new(),
+            queue: BTreeMap::new(),
+            serial: 0,
+        };
+        for index in 0..nodes {
+            sim.start(index);
+        }
+        sim
+    }
+
+    pub fn wall(&self) -> UnixMillis {
+        UnixMillis::new(START_OF_WALL + self.now / 1_000)
+    }
+
+    pub fn control(&self, index: usize) -> &Control {
+        self.nodes[index].control.as_ref().expect("the node runs")
+    }
+
+    pub fn published(&self, index: usize) -> ConfigVersion {
+        self.control(index).status().published
+    }
+
+    pub fn newest(&self) -> ConfigVersion {
+        self.store.values.last().map(|cfg| cfg.version).unwrap_or_default()
+    }
+
+    pub fn start(&mut self, index: usize) {
+        let witnesses = self.witnesses(index);
+        let control = Control::new(settings(index), Instant::new(self.now), self.wall());
+        let now = self.now;
+        let slot = &mut self.nodes[index];
+        slot.control = Some(control);
+        slot.epoch += 1;
+        (slot.started, slot.paused_until, slot.witnesses) = (now, 0, witnesses);
+        let tick = Item::Tick(index, slot.epoch);
+        let phase = self.rng.random_range(0..TICK);
+        self.at(self.now + phase, tick);
+    }
+
+    pub fn stop(&mut self, index: usize) {
+        let slot = &mut self.nodes[index];
+        slot.control = None;
+        slot.epoch += 1;
+        slot.inbox.clear();
+        slot.open.clear();
+        slot.disturbed = self.now;
+    }
+
+    pub fn pause(&mut self, index: usize, millis: u64) {
+        let until = self.now + millis * 1_000;
+        let slot = &mut self.nodes[index];
+        slot.paused_until = until;
+        slot.disturbed = until;
+    }
+
+    pub fn cut_off(&mut self, far: BTreeSet<usize>) {
+        for index in far.union(&self.far) {
+            self.nodes[*index].disturbed = self.now;
+        }
+        self.far = far;
+    }
+
+    /// Gives an event to a node at once; an event for a stopped node is lost.
+    pub fn event(&mut self, index: usize, event: Event) {
+        let slot = &mut self.nodes[index];
+        if slot.control.is_none() {
+            return;
+        }
+        if slot.paused_until > self.now {
+            slot.inbox.push(event);
+            return;
+        }
+        let waiting = std::mem::take(&mut slot.inbox);
+        for event in waiting.into_iter().chain([event]) {
+            let (now, wall) = (Instant::new(self.now), self.wall());
+            let Some(control) = &mut self.nodes[index].control else { return };
+            let actions = control.handle(now, wall, event, &mut self.rng);
+            for action in actions {
+                self.act(index, action);
+            }
+        }
+    }
+
+    pub fn submit(&mut self, index: usize, submission: Submission) -> RequestId {
+        self.serial += 1;
+        let id = RequestId::new(self.serial);
+        self.event(index, Event::Submit { id, submission });
+        id
+    }
+
+    pub fn run(&mut self, millis: u64) {
+        let end = self.now + millis * 1_000;
+        while let Some(entry) = self.queue.first_entry().filter(|entry| entry.key().0 <= end) {
+            let ((at, _), item) = entry.remove_entry();
+            self.now = self.now.max(at);
+            self.deliver(item);
+        }
+        self.now = end;
+    }
+
+    fn at(&mut self, time: u64, item: Item) {
+        self.serial += 1;
+        self.queue.insert((time, self.serial), item);
+    }
+
+    fn deliver(&mut self, item: Item) {
+        match item {
+            Item::Tick(index, epoch) if self.nodes[index].epoch == epoch => {
+                let next = self.nodes[index].paused_until.max(self.now + TICK);
+                self.at(next, Item::Tick(index, epoch));
+                self.event(index, Event::Tick);
+            }
+            Item::Event(index, epoch, event) if self.nodes[index].epoch == epoch => {
+                self.event(index, event);
+            }
+            Item::Request { from, to, message } => {
+                if self.nodes[to].control.is_none() {
+                    let reply = Err(PeerFailure::Unreachable);
+                    return self.event_of(from, Event::PeerReply { id: from.2, reply });
+                }
+                self.serial += 1;
+                let id = RequestId::new(self.serial);
+                self.nodes[to].open.insert(id, from);
+                self.event(to, Event::PeerRequest { id, message });
+            }
+            Item::Reply { from, to, message } if self.is_connected(from, to.0) => {
+                self.event_of(to, Event::PeerReply { id: to.2, reply: Ok(message) });
+            }
+            Item::StoreRequest(origin, request) => self.ask_store(origin, request),
+            Item::LateSwap(revision, config) => {
+                self.store.swap(revision, &config);
+                self.wake_watches();
+            }
+            Item::Tick(..) | Item::Event(..) | Item::Reply { .. } => {}
+        }
+    }
+
+    fn event_of(&mut self, (index, epoch, _): Origin, event: Event) {
+        if self.nodes[index].epoch == epoch {
+            self.event(index, event);
+        }
+    }
+
+    fn is_connected(&self, a: usize, b: usize) -> bool {
+        self.far.contains(&a) == self.far.contains(&b)
+    }
+
+    fn chance(&mut self, of_100: u32) -> bool {
+        self.rng.random_range(0..100) < of_100
+    }
+
+    fn latency(&mut self) -> u64 {
+        self.rng.random_range(100..=self.delay * 1_000)
+    }
+
+    fn act(&mut self, index: usize, action: Action) {
+        let epoch = self.nodes[index].epoch;
+        match action {
+            Action::Send { id, to, message, timeout } => {
+                let from = (index, epoch, id);
+                let to = usize::from(to.port()) - 7_000;
+                let reply = Err(PeerFailure::Timeout);
+                let late = Item::Event(index, epoch, Event::PeerReply { id, reply });
+                self.at(self.now + timeout.get() * 1_000, late);
+                let copies = 1 + u32::from(self.chance(self.doubling));
+                for _ in 0..copies {
+                    if to < self.nodes.len()
+                        && self.is_connected(index, to)
+                        && !self.chance(self.loss)
+                    {
+                        let at = self.now + self.latency();
+                        let message = message.clone();
+                        self.at(at, Item::Request { from, to, message });
+                    }
+                }
+            }
+            Action::Reply { id, message } => {
+                let to = self.nodes[index].open.remove(&id).expect("one reply for each request");
+                if !self.chance(self.loss) {
+                    let at = self.now + self.latency();
+                    self.at(at, Item::Reply { from: index, to, message });
+                }
+            }
+            Action::Store { id, request } => {
+                let at = self.now + self.rng.random_range(500..5_000);
+                self.at(at, Item::StoreRequest((index, epoch, id), request));
+            }
+            Action::Submitted { id, outcome } => {
+                let before = self.nodes[index].outcomes.insert(id, outcome);
+                assert_eq!(before, None, "a submission has one outcome");
+            }
+            Action::Publish => self.check_published(index),
+            Action::Report(StateChange::PeerStatusChanged(id, PeerStatus::Dead)) => {
+                self.nodes[index].deaths.push(id);
+            }
+            Action::Report(_) => {}
+        }
+    }
+
+    fn ask_store(&mut self, origin: Origin, request: StoreRequest) {
+        if self.store.down || self.far.contains(&origin.0) {
+            let error = if self.chance(50) { StoreError::NoEffect } else { StoreError::Unknown };
+            return self.store_reply(origin, 200, StoreReply::Failed(error));
+        }
+        let count = self.store.values.len();
+        let read =
+            if self.chance(self.store.stale) { self.rng.random_range(0..=count) } else { count };
+        let (is_lost, is_late) = (self.chance(self.store.lost), self.chance(50));
+        let reply = match request {
+            StoreRequest::Read => self.store.value(read),
+            StoreRequest::Watch(revision) if revision.get() == read as u64 => {
+                self.store.watches.push((origin, self.now + WATCH));
+                let event = Event::StoreReply { id: origin.2, reply: StoreReply::Unchanged };
+                return self.at(self.now + WATCH, Item::Event(origin.0, origin.1, event));
+            }
+            StoreRequest::Watch(_) => self.store.value(read),
+            StoreRequest::CompareAndSwap { revision, config } if is_lost && is_late => {
+                let at = self.now + self.rng.random_range(0..2_000_000);
+                self.at(at, Item::LateSwap(revision, config));
+                StoreReply::Unchanged
+            }
+            StoreRequest::CompareAndSwap { revision, config } => self.store.swap(revision, &config),
+        };
+        if is_lost {
+            self.store_reply(origin, 300, StoreReply::Failed(StoreError::Unknown));
+        } else {
+            self.store_reply(origin, 2, reply);
+        }
+        self.wake_watches();
+    }
+
+    /// Wakes the watches that wait for another revision than the newest.
+    pub fn wake_watches(&mut self) {
+        let count = self.store.values.len();
+        if self.store.watches.is_empty() || self.store.down {
+            return;
+        }
+        for (origin, _) in std::mem::take(&mut self.store.watches) {
+            let value = self.store.value(count);
+            self.store_reply(origin, 2, value);
+        }
+    }
+
+    fn store_reply(&mut self, (index, epoch, id): Origin, millis: u64, reply: StoreReply) {
+        let event = Event::StoreReply { id, reply };
+        self.at(self.now + millis * 1_000, Item::Event(index, epoch, event));
+    }
+
+    /// Checks what node `index` gives to traffic.
+    fn check_published(&mut self, index: usize) {
+        let Some(config) = self.control(index).snapshot().config else { return };
+        assert_eq!(check(&config.content), Ok(()), "node {index} published an invalid version");
+        let accepted = self.store.values.iter().find(|cfg| cfg.version == config.version);
+        assert_eq!(accepted, Some(&config), "node {index} published what was not accepted");
+        let floor = self.known_floor(index);
+        assert!(
+            config.version >= floor,
+            "node {index} published {} after {floor} at {}us",
+            config.version,
+            self.now
+        );
+        let slot = &mut self.nodes[index];
+        slot.published = config.version;
+        slot.witnesses = vec![(index, slot.epoch, config.version)];
+    }
+
+    /// What the other nodes know of the version of node `index`, which starts now.
+    fn witnesses(&self, index: usize) -> Vec<(usize, u32, ConfigVersion)> {
+        let last = self.nodes[index].published;
+        let known = |other: usize| {
+            let slot = &self.nodes[other];
+            let control = slot.control.as_ref().filter(|_| other != index)?;
+            let id = node_id(index);
+            let noted = control.peer_versions().find(|(node, _)| **node == id);
+            let highest = noted.map(|(_, version)| version.highest).unwrap_or_default();
+            Some((other, slot.epoch, highest.max(control.status().held).min(last)))
+        };
+        (0..self.nodes.len()).filter_map(known).collect()
+    }
+
+    /// The highest version that node `index` published, as far as a node knows
+    /// of it that was in reach since node `index` started.
+    fn known_floor(&self, index: usize) -> ConfigVersion {
+        let started = self.nodes[index].started;
+        let was_in_reach = |other: usize, epoch: u32| {
+            let slot = &self.nodes[other];
+            let is_calm = slot.disturbed < started && self.nodes[index].disturbed < started;
+            other == index || slot.epoch == epoch && is_calm && self.is_connected(index, other)
+        };
+        let witnesses = self.nodes[index].witnesses.iter();
+        let known = witnesses.filter(|(other, epoch, _)| was_in_reach(*other, *epoch));
+        known.map(|(.., version)| *version).max().unwrap_or_default()
+    }
+}
