--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod operators;
 pub mod peers;
 pub mod store;
+pub mod sync;
 pub mod traffic;
 pub mod units;
 
