Join the control thread, the servers and the settings into a node

Cause: the parts of a node ran in tests only. Change: node.rs binds the listeners, starts the control thread and the traffic runtime, prints the bound addresses and stops on SIGTERM after the leave was announced. Counters for bytes between nodes, refused frames and the version in force. Conclusion: a node can be started; operators' HTTP is still missing.

--- /dev/null
+++ b/crates/node/src/control_metrics.rs
@@ -0,0 +1,40 @@
+//! Counters of the control state.
+
+use std::sync::Arc;
+
+use almondsail_core::traffic::Snapshot;
+use arc_swap::ArcSwap;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Meter};
+
+use crate::peer_link::ByteCounts;
+
+/// Exports the version in force and the bytes exchanged with other nodes.
+pub fn export(meter: &Meter, snapshot: &Arc<ArcSwap<Snapshot>>, bytes: &ByteCounts) {
+    let snapshot = snapshot.clone();
+    meter
+        .u64_observable_gauge("almondsail_config_version")
+        .with_description("Version of the configuration in force; 0 for none")
+        .with_callback(move |gauge| {
+            let version = snapshot.load().config.as_ref().map_or(0, |cfg| cfg.version.get());
+            gauge.observe(version, &[]);
+        })
+        .build();
+    let bytes = bytes.clone();
+    meter
+        .u64_observable_counter("almondsail_control_bytes")
+        .with_description("Bytes of messages to and from other nodes, without TCP and IP headers")
+        .with_callback(move |counter| {
+            counter.observe(bytes.sent(), &[KeyValue::new("direction", "sent")]);
+            counter.observe(bytes.received(), &[KeyValue::new("direction", "received")]);
+        })
+        .build();
+}
+
+/// Counts frames of other nodes that were refused, by reason.
+pub fn refused_peer_frames(meter: &Meter) -> Counter<u64> {
+    meter
+        .u64_counter("almondsail_peer_frames_refused")
+        .with_description("Frames and connections of other nodes that were refused, by reason")
+        .build()
+}
--- a/crates/node/src/control_thread.rs
+++ b/crates/node/src/control_thread.rs
@@ -16,7 +16,7 @@
 
 use crate::clock::Clock;
 use crate::control_input::ControlInput;
-use crate::peer_link::ClientPool;
+use crate::peer_link::{ClientPool, IncomingRequest};
 use crate::state_log::StateLog;
 use crate::store_client::StoreClient;
 
@@ -61,8 +61,12 @@
 }
 
 impl<S: StoreClient> ControlThread<S> {
-    /// Serves `inputs` until every sender is gone.
-    pub async fn run(parts: ControlParts<S>, mut inputs: mpsc::Receiver<ControlInput>) {
+    /// Serves `inputs` and `incoming` until every sender of `inputs` is gone.
+    pub async fn run(
+        parts: ControlParts<S>,
+        mut inputs: mpsc::Receiver<ControlInput>,
+        mut incoming: mpsc::Receiver<IncomingRequest>,
+    ) {
         // The control state bounds the number of its requests, and with it this channel.
         let (results, mut finished) = mpsc::unbounded_channel();
         let mut thread = Self {
@@ -86,6 +90,7 @@
                     Some(input) => thread.take(input),
                     None => return,
                 },
+                Some(request) = incoming.recv() => thread.take_request(request),
                 Some(event) = finished.recv() => thread.handle(event),
                 _ = ticks.tick() => thread.handle(Event::Tick),
             }
@@ -95,14 +100,15 @@
     fn take(&mut self, input: ControlInput) {
         match input {
             ControlInput::Event(event) => self.handle(event),
-            ControlInput::Peer(request) => {
-                let id = self.next_incoming();
-                self.replies.insert(id, request.reply);
-                self.handle(Event::PeerRequest { id, message: request.message });
-            }
         }
     }
 
+    fn take_request(&mut self, request: IncomingRequest) {
+        let id = self.next_incoming();
+        self.replies.insert(id, request.reply);
+        self.handle(Event::PeerRequest { id, message: request.message });
+    }
+
     fn next_incoming(&mut self) -> RequestId {
         self.incoming += 1;
         RequestId::new(self.incoming)
@@ -142,13 +148,7 @@
         }
     }
 
-    fn send(
-        &self,
-        id: RequestId,
-        to: std::net::SocketAddr,
-        message: PeerMessage,
-        timeout: Millis,
-    ) {
+    fn send(&self, id: RequestId, to: std::net::SocketAddr, message: PeerMessage, timeout: Millis) {
         let (links, results) = (self.links.clone(), self.results.clone());
         tokio::task::spawn_local(async move {
             let limit = Duration::from_millis(timeout.get());
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,3 +1,25 @@
 //! The almondsail process beside each backend server.
 
-fn main() {}
+use std::process::ExitCode;
+
+use almondsail_node::cli::{self, Invocation};
+use almondsail_node::node;
+use almondsail_node::settings::NodeSettings;
+
+fn main() -> ExitCode {
+    let result = match Invocation::from_matches(cli::command().get_matches()) {
+        Invocation::Check(file) => NodeSettings::read(&file)
+            .map(|_| println!("{}: no mistakes", file.display()))
+            .map_err(Into::into),
+        Invocation::Run(file) => {
+            NodeSettings::read(&file).map_err(Into::into).and_then(|settings| node::run(&settings))
+        }
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("{e:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/node.rs
@@ -0,0 +1,260 @@
+//! Puts the parts of a node together and runs them.
+
+use std::net::{SocketAddr, TcpListener as StdTcpListener};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use almondsail_core::control::{Control, ControlSettings, Event};
+use almondsail_core::traffic::Snapshot;
+use arc_swap::ArcSwap;
+use eyre::WrapErr;
+use serde::Serialize;
+use slog::{Logger, info};
+use tokio::net::TcpListener;
+use tokio::runtime::{Builder, Runtime};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{mpsc, watch};
+use tokio::task::LocalSet;
+
+use crate::clock::Clock;
+use crate::control_input::ControlInput;
+use crate::control_metrics;
+use crate::control_thread::{ControlParts, ControlThread};
+use crate::http_server;
+use crate::local_api::LocalApi;
+use crate::log;
+use crate::metrics::Metrics;
+use crate::peer_link::{ByteCounts, ClientPool, FrameSeal, IncomingRequest, PeerServer};
+use crate::settings::NodeSettings;
+use crate::state_log::StateLog;
+use crate::store_client::{CallCounts, HttpStore};
+use crate::{Traffic, TrafficBuilder, TrafficSettings, serve_callers, serve_door};
+
+/// Number of inputs that wait for the control thread at most; senders wait beyond it.
+const CONTROL_QUEUE: usize = 1_024;
+/// Number of connections to the local API at a time.
+const LOCAL_CONNECTIONS: usize = 32;
+/// Time between the announcement of a planned stop and the end of the
+/// listeners, in which peers and callers turn to other nodes.
+const LEAVE_TIME: Duration = Duration::from_secs(2);
+
+/// The addresses on which a node listens, printed as one line of JSON at the start.
+#[derive(Debug, Clone, Copy, Serialize)]
+struct BoundAddresses {
+    callers: SocketAddr,
+    door: SocketAddr,
+    peers: SocketAddr,
+    operators: SocketAddr,
+    local: SocketAddr,
+}
+
+/// The listeners of a node.
+struct Listeners {
+    callers: StdTcpListener,
+    door: StdTcpListener,
+    peers: StdTcpListener,
+    operators: StdTcpListener,
+    local: StdTcpListener,
+}
+
+impl Listeners {
+    fn bind(settings: &NodeSettings) -> eyre::Result<Self> {
+        let listen = &settings.listen;
+        Ok(Self {
+            callers: bind("listen.callers", listen.callers)?,
+            door: bind("listen.door", listen.door)?,
+            peers: bind("listen.peers", listen.peers)?,
+            operators: bind("listen.operators", listen.operators)?,
+            local: bind("listen.local", listen.local)?,
+        })
+    }
+
+    fn addresses(&self) -> std::io::Result<BoundAddresses> {
+        Ok(BoundAddresses {
+            callers: self.callers.local_addr()?,
+            door: self.door.local_addr()?,
+            peers: self.peers.local_addr()?,
+            operators: self.operators.local_addr()?,
+            local: self.local.local_addr()?,
+        })
+    }
+}
+
+fn bind(name: &str, addr: SocketAddr) -> eyre::Result<StdTcpListener> {
+    let listener = StdTcpListener::bind(addr).wrap_err_with(|| format!("{name}: {addr}"))?;
+    listener.set_nonblocking(true)?;
+    Ok(listener)
+}
+
+/// Runs a node until it is told to stop by SIGTERM or SIGINT.
+pub fn run(settings: &NodeSettings) -> eyre::Result<()> {
+    let listeners = Listeners::bind(settings)?;
+    let addresses = listeners.addresses()?;
+    let log = log::logger(&settings.identity);
+    let metrics = Metrics::new()?;
+    let clock = Clock::start();
+    let control = Control::new(control_settings(settings, &addresses)?, clock.now(), clock.wall());
+    let snapshot = Arc::new(ArcSwap::from_pointee(control.snapshot()));
+    let traffic = traffic(settings, &snapshot, &metrics)?;
+
+    let (inputs, control_inputs) = mpsc::channel(CONTROL_QUEUE);
+    let (stop, stopped) = watch::channel(false);
+    let byte_counts = ByteCounts::default();
+    control_metrics::export(&metrics.meter(), &snapshot, &byte_counts);
+    let seal = FrameSeal::new(settings.key.clone());
+    let store_counts = CallCounts::new(&metrics.meter());
+    let store_timeout = Duration::from_millis(settings.store_timeout.get());
+    let parts = ControlParts {
+        control,
+        clock,
+        links: ClientPool::new(seal.clone(), byte_counts.clone()),
+        store: HttpStore::new(settings.store, store_timeout, store_counts),
+        log: StateLog::new(log.clone(), &metrics.meter()),
+        snapshot,
+    };
+    let refused = control_metrics::refused_peer_frames(&metrics.meter());
+    let (peer_requests, incoming) = mpsc::channel(CONTROL_QUEUE);
+    let server = PeerServer::new(seal, byte_counts, peer_requests, refused);
+    let control_thread =
+        ControlRuntime { parts, server, peers: listeners.peers }.start(control_inputs, incoming)?;
+
+    let runtime = traffic_runtime(settings)?;
+    let servers = Servers { traffic, inputs, metrics, log };
+    println!("{}", serde_json::to_string(&addresses)?);
+    runtime.block_on(servers.serve(
+        ServerListeners {
+            callers: listeners.callers,
+            door: listeners.door,
+            local: listeners.local,
+        },
+        stop,
+        stopped,
+    ))?;
+    drop(runtime);
+    // The last sender of inputs is gone, so the control thread ends.
+    control_thread.join().map_err(|_| eyre::eyre!("the control thread panicked"))?
+}
+
+fn control_settings(
+    settings: &NodeSettings,
+    addresses: &BoundAddresses,
+) -> eyre::Result<ControlSettings> {
+    let identity = settings.identity.clone();
+    let builder = ControlSettings::builder()
+        .node(identity.id)
+        .host(identity.host)
+        .data_centre(identity.data_centre)
+        .region(identity.region)
+        .peer_addr(addresses.peers)
+        .door_addr(addresses.door);
+    let builder = settings.seeds.iter().fold(builder, |builder, seed| builder.seed(*seed));
+    Ok(builder.build()?)
+}
+
+fn traffic(
+    settings: &NodeSettings,
+    snapshot: &Arc<ArcSwap<Snapshot>>,
+    metrics: &Metrics,
+) -> eyre::Result<Traffic> {
+    let traffic_settings = TrafficSettings::new(settings.backend);
+    Ok(TrafficBuilder::new(snapshot.clone(), traffic_settings)
+        .installation_key(settings.key.as_bytes())
+        .meter(metrics.meter())
+        .build()?)
+}
+
+fn traffic_runtime(settings: &NodeSettings) -> eyre::Result<Runtime> {
+    Ok(Builder::new_multi_thread()
+        .worker_threads(settings.traffic_threads)
+        .thread_name("traffic")
+        .enable_all()
+        .build()?)
+}
+
+/// What runs on the control thread.
+struct ControlRuntime {
+    parts: ControlParts<HttpStore>,
+    server: PeerServer,
+    peers: StdTcpListener,
+}
+
+impl ControlRuntime {
+    fn start(
+        self,
+        inputs: mpsc::Receiver<ControlInput>,
+        incoming: mpsc::Receiver<IncomingRequest>,
+    ) -> eyre::Result<thread::JoinHandle<eyre::Result<()>>> {
+        let runtime = Builder::new_current_thread().enable_all().build()?;
+        let thread = thread::Builder::new().name("control".to_owned());
+        Ok(thread.spawn(move || {
+            LocalSet::new().block_on(&runtime, async {
+                let peers = TcpListener::from_std(self.peers)?;
+                tokio::spawn(self.server.listen(peers));
+                ControlThread::run(self.parts, inputs, incoming).await;
+                Ok(())
+            })
+        })?)
+    }
+}
+
+/// The listeners of the servers on the traffic runtime.
+struct ServerListeners {
+    callers: StdTcpListener,
+    door: StdTcpListener,
+    local: StdTcpListener,
+}
+
+/// The servers on the traffic runtime.
+struct Servers {
+    traffic: Traffic,
+    inputs: mpsc::Sender<ControlInput>,
+    metrics: Metrics,
+    log: Logger,
+}
+
+impl Servers {
+    /// Serves until a signal asks to stop, then ends without cutting a call.
+    async fn serve(
+        self,
+        listeners: ServerListeners,
+        stop: watch::Sender<bool>,
+        stopped: watch::Receiver<bool>,
+    ) -> eyre::Result<()> {
+        let callers = TcpListener::from_std(listeners.callers)?;
+        let door = TcpListener::from_std(listeners.door)?;
+        let local = TcpListener::from_std(listeners.local)?;
+        let local_api = LocalApi::new(self.inputs.clone(), self.metrics.clone());
+        let (stop_local, local_stopped) = watch::channel(false);
+        let local = tokio::spawn(http_server::serve(
+            local,
+            local_api.router(),
+            LOCAL_CONNECTIONS,
+            local_stopped,
+        ));
+        let callers = tokio::spawn(serve_callers(callers, self.traffic.clone(), stopped.clone()));
+        let door = tokio::spawn(serve_door(door, self.traffic.clone(), stopped));
+
+        wait_for_signal().await?;
+        info!(self.log, "stopping");
+        self.inputs.send(ControlInput::Event(Event::StopRequested)).await?;
+        tokio::time::sleep(LEAVE_TIME).await;
+        stop.send_replace(true);
+        callers.await?;
+        door.await?;
+        stop_local.send_replace(true);
+        local.abort();
+        info!(self.log, "stopped");
+        Ok(())
+    }
+}
+
+async fn wait_for_signal() -> eyre::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
