--- /dev/null
+++ b/crates/core/src/rollout/call_outcome.rs
@@ -0,0 +1,17 @@
+//! How a call ended at the door.
+
+/// How a call ended at the door.
+///
+/// The outcomes that depend on the load and the speed of the host are kept
+/// apart from failures, so that an overload does not look like a bad version.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum CallOutcome {
+    /// The backend server answered without an error of its own.
+    Answered,
+    /// The backend server answered with an error, or the exchange broke.
+    Failed,
+    /// The deadline passed after sending. Counts as the slowest answer, not as a failure.
+    TimedOut,
+    /// The door or the backend server refused the call unrun.
+    Refused,
+}
--- /dev/null
+++ b/crates/core/src/rollout/comparison.rs
@@ -0,0 +1,28 @@
+//! The calls of both versions in one stratum.
+
+use crate::rollout::BadCalls;
+
+/// The calls of both versions in one stratum, and how many of them count against them.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Comparison {
+    /// The calls of the new version.
+    pub new_calls: f64,
+    /// Those of them that count against it.
+    pub new_bad: f64,
+    /// The calls of the old version.
+    pub old_calls: f64,
+    /// Those of them that count against it.
+    pub old_bad: f64,
+}
+
+impl Comparison {
+    /// The comparison of the calls of the new and the old version.
+    pub fn of(new: BadCalls, old: BadCalls) -> Self {
+        Self {
+            new_calls: new.calls as f64,
+            new_bad: new.bad as f64,
+            old_calls: old.calls as f64,
+            old_bad: old.bad as f64,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/rollout/door_evidence.rs
@@ -0,0 +1,124 @@
+//! What a door counts first-hand.
+
+use std::collections::BTreeMap;
+
+use crate::ids::{Incarnation, NodeId, RouteName, ServiceName, VersionName};
+use crate::rollout::{
+    CallOutcome, CellLabel, EvidenceReport, HostSpeed, MAX_WINDOWS, Tally, Window,
+};
+use crate::units::{Micros, Millis, UnixMillis};
+
+/// The time between two reports of a door.
+pub const REPORT_INTERVAL: Millis = Millis::new(5_000);
+/// Number of windows in an ordinary report: a lost report is made good by the next ones.
+const REPORT_WINDOWS: u64 = 3;
+/// Number of cells that a door keeps at most; the oldest windows go first.
+const MAX_DOOR_CELLS: usize = 16_384;
+/// Number of failures since the last report from which a failure pattern can be seen.
+const PATTERN_FAILURES: u32 = 3;
+
+/// What a door counts first-hand, and when it reports it.
+#[derive(Debug, Clone)]
+pub struct DoorEvidence {
+    service: ServiceName,
+    node: NodeId,
+    incarnation: Incarnation,
+    speed: HostSpeed,
+    /// At most [`MAX_DOOR_CELLS`], of at most [`MAX_WINDOWS`] windows.
+    cells: BTreeMap<CellLabel, Tally>,
+    sequence: u64,
+    last_report: Option<UnixMillis>,
+    calls_since_report: u32,
+    failures_since_report: u32,
+}
+
+impl DoorEvidence {
+    /// An empty count of a door on a host of `speed`.
+    pub fn new(
+        service: ServiceName,
+        node: NodeId,
+        incarnation: Incarnation,
+        speed: HostSpeed,
+    ) -> Self {
+        Self {
+            service,
+            node,
+            incarnation,
+            speed,
+            cells: BTreeMap::new(),
+            sequence: 0,
+            last_report: None,
+            calls_since_report: 0,
+            failures_since_report: 0,
+        }
+    }
+
+    /// Counts a call that ended at `now`.
+    pub fn record(
+        &mut self,
+        now: UnixMillis,
+        route: &RouteName,
+        version: &VersionName,
+        outcome: CallOutcome,
+        latency: Micros,
+    ) {
+        let window = Window::at(now);
+        let label = CellLabel { window, route: route.clone(), version: version.clone() };
+        self.cells.entry(label).or_default().record(outcome, latency, self.speed);
+        self.calls_since_report = self.calls_since_report.saturating_add(1);
+        if outcome == CallOutcome::Failed {
+            self.failures_since_report = self.failures_since_report.saturating_add(1);
+        }
+        self.drop_old();
+    }
+
+    /// Whether a report is due: after 5 s, or at once when at least half of
+    /// three or more calls since the last report failed.
+    pub fn is_due(&self, now: UnixMillis) -> bool {
+        let shows_pattern = self.failures_since_report >= PATTERN_FAILURES
+            && self.failures_since_report >= self.calls_since_report / 2;
+        shows_pattern || self.last_report.is_none_or(|last| now.since(last) >= REPORT_INTERVAL)
+    }
+
+    /// The report of the last windows, as of `now`.
+    pub fn report(&mut self, now: UnixMillis) -> EvidenceReport {
+        let first = Window::new(Window::at(now).get().saturating_sub(REPORT_WINDOWS - 1));
+        self.report_from(first, now)
+    }
+
+    /// The report of everything kept, for a driver that is new to this door.
+    pub fn full_report(&mut self, now: UnixMillis) -> EvidenceReport {
+        self.report_from(Window::default(), now)
+    }
+
+    fn report_from(&mut self, first: Window, now: UnixMillis) -> EvidenceReport {
+        self.last_report = Some(now);
+        self.calls_since_report = 0;
+        self.failures_since_report = 0;
+        self.sequence += 1;
+        let is_recent = |label: &CellLabel| label.window >= first;
+        let cells = self.cells.iter().filter(|(label, _)| is_recent(label));
+        EvidenceReport {
+            service: self.service.clone(),
+            node: self.node.clone(),
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            cells: cells.map(|(label, tally)| (label.clone(), *tally)).collect(),
+        }
+    }
+
+    fn drop_old(&mut self) {
+        let Some((newest, _)) = self.cells.last_key_value() else { return };
+        let mut floor = Window::new((newest.window.get() + 1).saturating_sub(MAX_WINDOWS));
+        if self.cells.len() > MAX_DOOR_CELLS
+            && let Some((oldest, _)) = self.cells.first_key_value()
+        {
+            floor = floor.max(oldest.window.next());
+        }
+        while let Some(oldest) = self.cells.first_entry()
+            && oldest.key().window < floor
+        {
+            oldest.remove();
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/rollout/e_process.rs
@@ -0,0 +1,85 @@
+//! A sequential test that stays valid however often it is looked at.
+
+use crate::rollout::Comparison;
+
+/// How many times as often as the old version the new one may go bad without blame.
+///
+/// Hosts differ a little, and so do the calls they get; 1.5 covers that.
+const TOLERATED_RATIO: f64 = 1.5;
+/// The ratios that the test looks for, in equal parts.
+const RATIOS: [f64; 4] = [3.0, 10.0, 30.0, 100.0];
+/// The factors over a tolerated rate that the test against a fixed rate looks for.
+const FACTORS: [f64; 4] = [2.0, 4.0, 10.0, 30.0];
+
+/// An e-process: evidence that the new version goes bad more often than tolerated.
+///
+/// Of `m` bad calls in a stratum, the number that fell on the new version is
+/// binomial with a known bound on its share if the new version is no worse,
+/// whatever the rate that both had. The product of the likelihood ratios over
+/// strata is a nonnegative supermartingale; for calls drawn without replacement
+/// Hoeffding's convex ordering keeps it one. The process is a mixture over
+/// ratios and over the stratum in which the badness began, with weights that
+/// sum to one, so it finds late badness too. By Ville's inequality it exceeds
+/// `1 / a` with probability `a` at most, over all looks together.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EProcess {
+    /// The logarithm of each ratio's part, without its weight.
+    ln_parts: [f64; 4],
+}
+
+impl Default for EProcess {
+    fn default() -> Self {
+        Self { ln_parts: [f64::NEG_INFINITY; 4] }
+    }
+}
+
+impl EProcess {
+    /// Takes a stratum that begins `offset` windows after the first one possible.
+    ///
+    /// Each offset may be given once. Which calls make up the stratum must not
+    /// depend on how they ended.
+    pub fn compare(&mut self, offset: u64, seen: Comparison) {
+        let is_informative =
+            seen.new_calls > 0.0 && seen.old_calls > 0.0 && seen.new_bad + seen.old_bad > 0.0;
+        let share = |ratio: f64| {
+            let weighted = ratio * seen.new_calls;
+            weighted / (weighted + seen.old_calls)
+        };
+        let tolerated = share(TOLERATED_RATIO);
+        self.take(offset, RATIOS, |ratio| {
+            if !is_informative {
+                return 0.0;
+            }
+            let suspected = share(ratio);
+            let on_new = seen.new_bad * (suspected / tolerated).ln();
+            on_new + seen.old_bad * ((1.0 - suspected) / (1.0 - tolerated)).ln()
+        });
+    }
+
+    /// Takes a stratum in which only the new version had calls, against a tolerated rate.
+    pub fn compare_with_rate(&mut self, offset: u64, calls: f64, bad: f64, tolerated: f64) {
+        // (1 + p(f - 1))^n is at most exp(n p (f - 1)), so this is an e-value for any p tolerated.
+        self.take(offset, FACTORS, |factor| bad * factor.ln() - calls * tolerated * (factor - 1.0));
+    }
+
+    /// The natural logarithm of the evidence.
+    pub fn ln_value(&self) -> f64 {
+        let sum = self.ln_parts.into_iter().fold(f64::NEG_INFINITY, ln_add);
+        sum - (self.ln_parts.len() as f64).ln()
+    }
+
+    fn take(&mut self, offset: u64, suspected: [f64; 4], ln_ratio: impl Fn(f64) -> f64) {
+        // The weights 1 / ((k + 1)(k + 2)) sum to one.
+        let k = offset as f64;
+        let ln_weight = -((k + 1.0) * (k + 2.0)).ln();
+        for (part, value) in self.ln_parts.iter_mut().zip(suspected) {
+            *part = ln_add(*part, ln_weight) + ln_ratio(value);
+        }
+    }
+}
+
+/// The logarithm of the sum of two numbers given by their logarithms.
+fn ln_add(a: f64, b: f64) -> f64 {
+    let (low, high) = if a < b { (a, b) } else { (b, a) };
+    if low == f64::NEG_INFINITY { high } else { high + (low - high).exp().ln_1p() }
+}
--- /dev/null
+++ b/crates/core/src/rollout/evidence.rs
@@ -0,0 +1,138 @@
+//! Merged evidence of a service's doors.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::ids::{Incarnation, NodeId, RouteName, VersionName};
+use crate::rollout::{EvidenceReport, MAX_CLOCK_SKEW, Tally, Window};
+use crate::units::UnixMillis;
+
+/// Number of windows that are kept: 80 min, enough for the hour after a
+/// rollout and the old version's last minutes before it.
+pub const MAX_WINDOWS: u64 = 480;
+/// Number of cells that are kept at most; the oldest windows go first.
+pub const MAX_CELLS: usize = 65_536;
+/// Number of the latest reports of a door among which missing ones are counted.
+const REPORTS_TRACKED: u64 = 64;
+/// Number of doors whose reports are tracked at most; the first by name go first.
+const MAX_DOORS: usize = 1_024;
+
+/// The calls of one version on one route at one door, within a window.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct CellKey {
+    route: RouteName,
+    version: VersionName,
+    node: NodeId,
+    incarnation: Incarnation,
+}
+
+/// Merged evidence of the doors of one service.
+///
+/// Each cell holds the latest known state of one door's counter. Counters only
+/// grow, so the higher count is the later one, and reports that come twice, late
+/// or out of order merge to the same evidence. Calls that no report names are
+/// missing; nothing is put in their place.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Evidence {
+    /// No window is empty, and none is before `floor`.
+    windows: BTreeMap<Window, BTreeMap<CellKey, Tally>>,
+    /// The number of cells in `windows`, at most [`MAX_CELLS`] after each merge.
+    cells: usize,
+    /// The first window kept. Never decreases.
+    floor: Window,
+    /// The latest sequence numbers received, by door.
+    sequences: BTreeMap<(NodeId, Incarnation), BTreeSet<u64>>,
+}
+
+impl Evidence {
+    /// Merges a report that arrives at `now`.
+    ///
+    /// Windows that begin after `now` by more than the tolerated clock skew are
+    /// left out, so that one wrong clock can't displace all other evidence.
+    pub fn merge(&mut self, report: &EvidenceReport, now: UnixMillis) {
+        let last = Window::at(now + MAX_CLOCK_SKEW);
+        let kept = self.floor..=last.max(self.floor);
+        for (label, tally) in report.cells.iter().filter(|(l, _)| kept.contains(&l.window)) {
+            let key = CellKey {
+                route: label.route.clone(),
+                version: label.version.clone(),
+                node: report.node.clone(),
+                incarnation: report.incarnation,
+            };
+            let window = self.windows.entry(label.window).or_default();
+            let before = window.len();
+            window.entry(key).or_default().join(tally);
+            self.cells += window.len() - before;
+        }
+        self.track(report);
+        self.drop_old();
+    }
+
+    /// The route, version, node and counts of every cell of `window`.
+    pub fn window(
+        &self,
+        window: Window,
+    ) -> impl Iterator<Item = (&RouteName, &VersionName, &NodeId, &Tally)> {
+        let cells = self.windows.get(&window).into_iter().flatten();
+        cells.map(|(key, tally)| (&key.route, &key.version, &key.node, tally))
+    }
+
+    /// The counts of `version` on `route` in the windows from `first` on.
+    pub fn total(&self, first: Window, route: &RouteName, version: &VersionName) -> Tally {
+        let mut total = Tally::default();
+        let cells = self.windows.range(first..).flat_map(|(_, cells)| cells);
+        for (_, tally) in cells.filter(|(key, _)| key.route == *route && key.version == *version) {
+            total.add(tally);
+        }
+        total
+    }
+
+    /// The windows that have evidence, from `first` to `last`.
+    pub fn windows(&self, first: Window, last: Window) -> impl Iterator<Item = Window> {
+        self.windows.range(first..=last.max(first)).map(|(window, _)| *window)
+    }
+
+    /// The number of reports that are missing among the latest ones of every door.
+    pub fn missing_reports(&self) -> u64 {
+        let gaps = |received: &BTreeSet<u64>| match (received.first(), received.last()) {
+            (Some(first), Some(last)) => last - first + 1 - received.len() as u64,
+            _ => 0,
+        };
+        self.sequences.values().map(gaps).sum()
+    }
+
+    /// The number of cells held.
+    pub const fn len(&self) -> usize {
+        self.cells
+    }
+
+    /// Whether there is no evidence.
+    pub const fn is_empty(&self) -> bool {
+        self.cells == 0
+    }
+
+    fn track(&mut self, report: &EvidenceReport) {
+        let door = (report.node.clone(), report.incarnation);
+        let received = self.sequences.entry(door).or_default();
+        received.insert(report.sequence);
+        while let (Some(first), Some(last)) = (received.first(), received.last())
+            && last - first >= REPORTS_TRACKED
+        {
+            received.pop_first();
+        }
+        while self.sequences.len() > MAX_DOORS {
+            self.sequences.pop_first();
+        }
+    }
+
+    fn drop_old(&mut self) {
+        let Some((newest, _)) = self.windows.last_key_value() else { return };
+        let kept_from = (newest.get() + 1).saturating_sub(MAX_WINDOWS);
+        self.floor = self.floor.max(Window::new(kept_from));
+        while let Some(oldest) = self.windows.first_entry()
+            && (self.cells > MAX_CELLS || *oldest.key() < self.floor)
+        {
+            self.floor = self.floor.max(oldest.key().next());
+            self.cells -= oldest.remove().len();
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/rollout/judge.rs
@@ -0,0 +1,130 @@
+//! The comparison of the new version with the old one.
+
+use std::collections::BTreeMap;
+
+use crate::config::Rollout;
+use crate::ids::{RouteName, ServiceName, VersionName};
+use crate::rollout::route_judge::{RouteJudge, RouteWindow};
+use crate::rollout::{Evidence, RouteFinding, Window};
+use crate::units::{Millis, PerMille, UnixMillis};
+
+/// The probability that a rollout of a version that is no worse is blamed by
+/// the judge, over all routes, symptoms and looks together.
+pub const FALSE_ALARM_RATE: f64 = 0.01;
+/// The difference between the clocks of two hosts that is tolerated.
+pub const MAX_CLOCK_SKEW: Millis = Millis::new(500);
+/// The probability that a version that is no worse is ever doubtful.
+const DOUBT_RATE: f64 = 0.2;
+/// The time after the end of a window from which it is compared: a report
+/// interval, [`MAX_CLOCK_SKEW`] and 500 ms on the way.
+pub(crate) const SETTLE_TIME: Millis = Millis::new(6_000);
+/// The time that a step takes to be in force everywhere: 4 s, and [`MAX_CLOCK_SKEW`].
+pub(crate) const IN_FORCE_TIME: Millis = Millis::new(4_500);
+/// The tests on each route: two symptoms, each before and after the end of the rollout.
+const TESTS_PER_ROUTE: f64 = 4.0;
+
+/// The comparison of the new version of a rollout with the old one.
+///
+/// It holds nothing that can't be computed from the evidence again.
+#[derive(Debug, Clone)]
+pub struct Judge {
+    service: ServiceName,
+    from: VersionName,
+    to: VersionName,
+    started: UnixMillis,
+    /// When the step began that the counts of calls since the last step concern.
+    step_began: UnixMillis,
+    /// The first window that is not yet judged.
+    next: Window,
+    /// Keys are the service's routes.
+    routes: BTreeMap<RouteName, RouteJudge>,
+    /// Whether the calls of each route are idempotent. Has the same keys.
+    kinds: BTreeMap<RouteName, bool>,
+}
+
+impl Judge {
+    /// A judge of `rollout` that has judged nothing yet. `kinds` has the service's
+    /// routes, and whether their calls are idempotent.
+    pub fn new(rollout: &Rollout, kinds: &BTreeMap<RouteName, bool>) -> Self {
+        let judges = kinds.keys().map(|route| (route.clone(), RouteJudge::default()));
+        Self {
+            service: rollout.service.clone(),
+            from: rollout.from.clone(),
+            to: rollout.to.clone(),
+            started: rollout.started,
+            step_began: rollout.changed,
+            next: Window::at(rollout.started).next(),
+            routes: judges.collect(),
+            kinds: kinds.clone(),
+        }
+    }
+
+    /// Whether this judge is for `rollout` on the routes of `kinds`.
+    pub fn is_for(&self, rollout: &Rollout, kinds: &BTreeMap<RouteName, bool>) -> bool {
+        self.service == rollout.service
+            && self.from == rollout.from
+            && self.to == rollout.to
+            && self.started == rollout.started
+            && self.kinds == *kinds
+    }
+
+    /// Judges the windows that are complete at `now`.
+    pub fn advance(&mut self, rollout: &Rollout, evidence: &Evidence, now: UnixMillis) {
+        if self.step_began != rollout.changed {
+            self.step_began = rollout.changed;
+            self.routes.values_mut().for_each(RouteJudge::begin_step);
+        }
+        let settled = UnixMillis::new(now.get().saturating_sub(SETTLE_TIME.get()));
+        let end = Window::at(settled);
+        if end <= self.next {
+            return;
+        }
+        let last = Window::new(end.get() - 1);
+        for window in evidence.windows(self.next, last) {
+            self.judge(rollout, evidence, window);
+        }
+        self.next = end;
+        let limit_ln = self.limit_ln(FALSE_ALARM_RATE);
+        self.routes.values_mut().for_each(|judge| judge.decide(limit_ln));
+    }
+
+    /// What is found on each route.
+    pub fn findings(&self) -> Vec<RouteFinding> {
+        let doubt_ln = self.limit_ln(DOUBT_RATE);
+        self.routes.iter().map(|(route, judge)| judge.finding(route, doubt_ln)).collect()
+    }
+
+    /// The evidence that all tests together exceed with the probability `rate` at most.
+    fn limit_ln(&self, rate: f64) -> f64 {
+        (self.routes.len() as f64 * TESTS_PER_ROUTE / rate).ln()
+    }
+
+    fn judge(&mut self, rollout: &Rollout, evidence: &Evidence, window: Window) {
+        let offset = window.since(Window::at(self.started));
+        let in_force = rollout.changed + IN_FORCE_TIME;
+        let is_in_step = window.start() >= in_force;
+        let mut counts: BTreeMap<&RouteName, RouteWindow> = BTreeMap::new();
+        for (route, version, node, tally) in evidence.window(window) {
+            let entry = counts.entry(route).or_default();
+            if *version == self.to {
+                entry.new.add(tally);
+            } else if *version == self.from {
+                entry.old.push((node.clone(), *tally));
+            }
+        }
+        for (route, judge) in &mut self.routes {
+            let Some(counts) = counts.get(route) else { continue };
+            let is_whole = share_of(rollout, self.kinds[route]) == PerMille::WHOLE;
+            if is_in_step && is_whole {
+                judge.take_alone(offset, &counts.new);
+            } else {
+                judge.take(offset, counts, is_in_step);
+            }
+        }
+    }
+}
+
+/// The share of the new version among the calls of an idempotent, or a non-idempotent, route.
+pub(crate) const fn share_of(rollout: &Rollout, is_idempotent: bool) -> PerMille {
+    if is_idempotent { rollout.share } else { rollout.non_idempotent_share }
+}
--- /dev/null
+++ b/crates/core/src/rollout/ramp.rs
@@ -0,0 +1,153 @@
+//! The choice of the next share.
+
+use crate::config::{Rollout, RolloutPhase};
+use crate::rollout::judge::{IN_FORCE_TIME, share_of};
+use crate::rollout::{RampStep, RouteFinding, RouteVerdict};
+use crate::units::{Millis, UnixMillis};
+
+/// The shortest time between steps while the deadline allows it: the step is in
+/// force after 4.5 s, and a whole window of it is judged 16 s later.
+const MIN_DWELL: Millis = Millis::new(30_000);
+/// The longest time between steps while there is enough evidence.
+const MAX_DWELL: Millis = Millis::new(600_000);
+/// The part of a rollout's time that each step lasts while there is enough evidence.
+const DWELL_PART: u64 = 20;
+/// The part of a rollout's time that each step lasts in any case, up to [`MIN_DWELL`].
+const SHORTEST_DWELL_PART: u64 = 16;
+/// The hundredths of a rollout's time after which each step is taken although
+/// evidence is missing. The last step has a tenth of the time left.
+const LATEST_START: [u64; 8] = [0, 15, 28, 40, 52, 64, 77, 90];
+/// The time before the deadline at which the last step is taken at the latest:
+/// the step is in force 4.5 s later, on hosts whose clocks differ by 500 ms.
+const LAST_STEP_MARGIN: Millis = Millis::new(6_000);
+/// The time from a failure until its evidence stops the version.
+const DETECTION_TIME: Millis = Millis::new(20_000);
+/// How many calls a step may expose before its evidence is in, for each call judged so far.
+const EXPOSURE_GROWTH: u64 = 8;
+/// Number of calls that a step may expose before its evidence is in, whatever was judged.
+const FREE_EXPOSURE: u64 = 100;
+/// The number of calls that must be missing before the new version counts as not reporting.
+const ABSENT_CALLS: u64 = 50;
+
+/// What the ramp decides on.
+#[derive(Debug, Clone, Copy)]
+pub struct Ramp<'a> {
+    /// The rollout as it stands.
+    pub rollout: &'a Rollout,
+    /// The findings on the service's routes, each with whether its calls are idempotent.
+    pub findings: &'a [(RouteFinding, bool)],
+    /// The calls of the new version that were judged since the rollout began.
+    pub judged_calls: u64,
+    /// The calls of both versions in the last minute, by whether they are idempotent: yes, no.
+    pub calls_per_minute: [u64; 2],
+}
+
+/// What the ramp decides.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RampDecision {
+    /// Take this step, since the evidence of the last one is in.
+    StepOnEvidence(RampStep),
+    /// Take this step, since the time left demands it and nothing speaks against it.
+    StepOnTime(RampStep),
+    /// Wait for evidence or time.
+    Wait,
+    /// Wait, since something speaks against the new version.
+    Doubt,
+    /// The rollout is held or over.
+    Stay,
+}
+
+impl Ramp<'_> {
+    /// The decision at `now`.
+    pub fn decide(&self, now: UnixMillis) -> RampDecision {
+        if self.rollout.phase != RolloutPhase::Ramping {
+            return RampDecision::Stay;
+        }
+        if self.findings.iter().any(|(finding, kind)| self.is_doubtful(finding, *kind, now)) {
+            return RampDecision::Doubt;
+        }
+        let Some(index) = self.next_index() else { return RampDecision::Stay };
+        let step = RampStep::ALL[index];
+        let in_step = now.since(self.rollout.changed);
+        if index == 0 || (in_step >= self.dwell() && self.has_evidence() && self.is_bounded(step)) {
+            RampDecision::StepOnEvidence(step)
+        } else if now >= self.latest_start(index) && in_step >= self.shortest_dwell() {
+            RampDecision::StepOnTime(step)
+        } else {
+            RampDecision::Wait
+        }
+    }
+
+    /// When the step at `index` is taken although evidence is missing.
+    fn latest_start(&self, index: usize) -> UnixMillis {
+        let span = self.span();
+        let planned = span * LATEST_START[index] / 100;
+        // A rollout too short for the margin spreads its steps over the first half of its time.
+        let margin = LAST_STEP_MARGIN.get().min(span / 2);
+        let usable = (span - margin) * (index as u64 + 1) / RampStep::ALL.len() as u64;
+        self.rollout.started + Millis::new(planned.min(usable))
+    }
+
+    fn span(&self) -> u64 {
+        self.rollout.deadline.since(self.rollout.started).get()
+    }
+
+    fn dwell(&self) -> Millis {
+        Millis::new(self.span() / DWELL_PART).clamp(MIN_DWELL, MAX_DWELL)
+    }
+
+    /// The shortest time between steps in any case, so that a driver that comes
+    /// late to its task does not raise the share from 1% to 100% at once.
+    fn shortest_dwell(&self) -> Millis {
+        MIN_DWELL.min(Millis::new(self.span() / SHORTEST_DWELL_PART))
+    }
+
+    /// The first step that raises a share and lowers none.
+    fn next_index(&self) -> Option<usize> {
+        let (share, other) = (self.rollout.share, self.rollout.non_idempotent_share);
+        RampStep::ALL.iter().position(|step| {
+            step.share >= share
+                && step.non_idempotent_share >= other
+                && (step.share > share || step.non_idempotent_share > other)
+        })
+    }
+
+    /// Whether each route that has calls and takes part in the step is no worse.
+    fn has_evidence(&self) -> bool {
+        let takes_part = |finding: &RouteFinding, is_idempotent: bool| {
+            let has_calls = finding.step_calls + finding.old_step_calls > 0;
+            has_calls && self.share_of(is_idempotent) > 0
+        };
+        let mut exposed =
+            self.findings.iter().filter(|(finding, kind)| takes_part(finding, *kind)).peekable();
+        let is_exposed = exposed.peek().is_some();
+        let has_only_non_idempotent = self.findings.iter().all(|(_, kind)| !kind);
+        (is_exposed || (has_only_non_idempotent && self.rollout.non_idempotent_share.get() == 0))
+            && exposed.all(|(finding, _)| finding.verdict == RouteVerdict::NoWorse)
+    }
+
+    /// Whether few enough calls are exposed to `step` before its evidence is in.
+    fn is_bounded(&self, step: RampStep) -> bool {
+        let exposed = |calls: u64, is_idempotent: bool| {
+            const MINUTE: u64 = 60_000;
+            let share = u64::from(step.share_of(is_idempotent).get());
+            calls * share * DETECTION_TIME.get() / MINUTE / 1_000
+        };
+        let [idempotent, other] = self.calls_per_minute;
+        let expected = exposed(idempotent, true) + exposed(other, false);
+        expected <= FREE_EXPOSURE.max(EXPOSURE_GROWTH * self.judged_calls)
+    }
+
+    /// Whether there is evidence against the new version, or it takes no calls at all.
+    fn is_doubtful(&self, finding: &RouteFinding, is_idempotent: bool, now: UnixMillis) -> bool {
+        let share = self.share_of(is_idempotent);
+        let rest = 1_000_u64.saturating_sub(share).max(1);
+        let expected = finding.old_step_calls * share / rest;
+        let is_in_force = now.since(self.rollout.changed) > IN_FORCE_TIME;
+        finding.is_doubtful || (is_in_force && finding.step_calls == 0 && expected >= ABSENT_CALLS)
+    }
+
+    fn share_of(&self, is_idempotent: bool) -> u64 {
+        share_of(self.rollout, is_idempotent).get().into()
+    }
+}
--- /dev/null
+++ b/crates/core/src/rollout/route_judge.rs
@@ -0,0 +1,207 @@
+//! The comparison of two versions on one route.
+
+use std::collections::BTreeMap;
+
+use crate::ids::{NodeId, RouteName};
+use crate::rollout::{
+    BadCalls, Comparison, EProcess, LatencyCounts, RouteFinding, RouteVerdict, Symptom, Tally,
+};
+
+/// Number of calls that each version must have in a stratum before it is closed.
+const STRATUM_CALLS: u32 = 8;
+/// Number of windows after which a stratum is closed in any case: 10 min.
+const STRATUM_WINDOWS: u64 = 60;
+/// Number of calls since the last step from which a version may be called no worse.
+const ENOUGH_CALLS: u64 = 100;
+/// The share of the old version's calls above which a latency is slow, at most.
+const SLOW_SHARE: f64 = 0.05;
+/// Number of buckets by which the new version may be slower: one, a factor of 2 in time.
+const TOLERATED_BUCKETS: usize = 1;
+/// Number of calls from which the speed of a host is known well enough to compare it.
+const HOST_CALLS: u64 = 50;
+/// The share of refused calls from which a stratum shows an overload.
+const OVERLOAD_REFUSED: f64 = 0.01;
+/// The factor over the old version's last rate that is tolerated once it has no calls.
+///
+/// Without calls of the old version in the same minutes, the rate of a good
+/// version drifts with the load and with other services.
+const ALONE_TOLERATED: f64 = 3.0;
+/// Number of standard deviations and of calls added to the old version's count of bad calls.
+const RATE_MARGIN: f64 = 3.0;
+
+/// The counts of one window on one route.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct RouteWindow {
+    /// The calls of the new version.
+    pub(crate) new: Tally,
+    /// The calls of the old version, by node.
+    pub(crate) old: Vec<(NodeId, Tally)>,
+}
+
+/// A run of windows that is compared as a whole.
+#[derive(Debug, Clone, Default)]
+struct Stratum {
+    offset: u64,
+    windows: u64,
+    new: Tally,
+    old: Tally,
+}
+
+/// The comparison of two versions on one route.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct RouteJudge {
+    open: Option<Stratum>,
+    failing: EProcess,
+    slow: EProcess,
+    alone_failing: EProcess,
+    alone_slow: EProcess,
+    /// The old version's latencies in closed strata.
+    old_latency: LatencyCounts,
+    /// The same by node.
+    old_hosts: BTreeMap<NodeId, LatencyCounts>,
+    /// Both versions' calls in the windows in which both were to have calls.
+    new_total: BadCalls,
+    old_total: BadCalls,
+    new_slow: BadCalls,
+    old_slow: BadCalls,
+    step_calls: u64,
+    old_step_calls: u64,
+    /// The first symptom whose evidence exceeded the limit. Stays once set.
+    blamed: Option<Symptom>,
+}
+
+impl RouteJudge {
+    /// Begins a new step of the rollout.
+    pub(crate) fn begin_step(&mut self) {
+        self.step_calls = 0;
+        self.old_step_calls = 0;
+    }
+
+    /// Takes a window in which both versions were to have calls.
+    pub(crate) fn take(&mut self, offset: u64, window: &RouteWindow, is_in_step: bool) {
+        let stratum = self.open.get_or_insert_with(|| Stratum { offset, ..Stratum::default() });
+        stratum.windows = offset - stratum.offset + 1;
+        stratum.new.add(&window.new);
+        for (node, tally) in &window.old {
+            stratum.old.add(tally);
+            self.old_hosts.entry(node.clone()).or_default().add(&tally.latency);
+            if is_in_step {
+                self.old_step_calls += u64::from(tally.calls);
+            }
+        }
+        if is_in_step {
+            self.step_calls += u64::from(window.new.calls);
+        }
+        let has_calls = stratum.new.calls >= STRATUM_CALLS && stratum.old.calls >= STRATUM_CALLS;
+        if has_calls || stratum.windows >= STRATUM_WINDOWS {
+            self.close();
+        }
+    }
+
+    /// Takes a window in which only the new version was to have calls.
+    ///
+    /// It is compared with the old version's rates before that.
+    pub(crate) fn take_alone(&mut self, offset: u64, new: &Tally) {
+        if new.refused_share() > OVERLOAD_REFUSED {
+            return;
+        }
+        let calls = f64::from(new.calls);
+        if let Some(rate) = tolerated_rate(self.old_total) {
+            self.alone_failing.compare_with_rate(offset, calls, f64::from(new.failures), rate);
+        }
+        let Some(bucket) = self.slow_bucket() else { return };
+        if let Some(rate) = tolerated_rate(self.old_slow) {
+            let slow = new.latency.above(bucket + self.tolerated_buckets() + 1);
+            self.alone_slow.compare_with_rate(offset, calls, slow as f64, rate);
+        }
+    }
+
+    /// Blames the new version if the evidence exceeds the logarithm `limit_ln`.
+    pub(crate) fn decide(&mut self, limit_ln: f64) {
+        let is_over = |process: &EProcess| process.ln_value() >= limit_ln;
+        let symptom = if is_over(&self.failing) || is_over(&self.alone_failing) {
+            Some(Symptom::Failing)
+        } else if is_over(&self.slow) || is_over(&self.alone_slow) {
+            Some(Symptom::Slow)
+        } else {
+            None
+        };
+        self.blamed = self.blamed.or(symptom);
+    }
+
+    /// What is found on `route`, this judge's route; doubtful from the evidence `doubt_ln` on.
+    pub(crate) fn finding(&self, route: &RouteName, doubt_ln: f64) -> RouteFinding {
+        let processes = [&self.failing, &self.slow, &self.alone_failing, &self.alone_slow];
+        let is_doubtful = processes.iter().any(|process| process.ln_value() >= doubt_ln);
+        let verdict = match self.blamed {
+            Some(symptom) => RouteVerdict::Worse(symptom),
+            None if is_doubtful || self.step_calls < ENOUGH_CALLS => RouteVerdict::NotEnough,
+            None => RouteVerdict::NoWorse,
+        };
+        let is_slow = match self.blamed {
+            Some(symptom) => symptom == Symptom::Slow,
+            None => self.slow.ln_value() > self.failing.ln_value(),
+        };
+        let (new, old) =
+            if is_slow { (self.new_slow, self.old_slow) } else { (self.new_total, self.old_total) };
+        RouteFinding {
+            route: route.clone(),
+            verdict,
+            is_doubtful,
+            step_calls: self.step_calls,
+            old_step_calls: self.old_step_calls,
+            new,
+            old,
+        }
+    }
+
+    fn close(&mut self) {
+        let Some(stratum) = self.open.take() else { return };
+        let (new, old) = (&stratum.new, &stratum.old);
+        let seen = Comparison::of(
+            add(&mut self.new_total, new.calls, new.failures.into()),
+            add(&mut self.old_total, old.calls, old.failures.into()),
+        );
+        self.failing.compare(stratum.offset, seen);
+        // The threshold comes from earlier strata, so that it does not depend on this one's calls.
+        if let Some(bucket) = self.slow_bucket() {
+            let new_slow = new.latency.above(bucket + self.tolerated_buckets());
+            let old_slow = old.latency.above(bucket);
+            let seen = Comparison::of(
+                add(&mut self.new_slow, new.calls, new_slow),
+                add(&mut self.old_slow, old.calls, old_slow),
+            );
+            self.slow.compare(stratum.offset, seen);
+        }
+        self.old_latency.add(&old.latency);
+    }
+
+    fn slow_bucket(&self) -> Option<usize> {
+        self.old_latency.quantile_bucket(SLOW_SHARE)
+    }
+
+    /// By how many buckets the new version may be slower: one, and as many as
+    /// the hosts of the old version differ among themselves.
+    fn tolerated_buckets(&self) -> usize {
+        let known = self.old_hosts.values().filter(|counts| counts.total() >= HOST_CALLS);
+        let means: Vec<f64> = known.filter_map(LatencyCounts::mean_bucket).collect();
+        let low = means.iter().copied().fold(f64::INFINITY, f64::min);
+        let high = means.iter().copied().fold(f64::NEG_INFINITY, f64::max);
+        let spread = if means.is_empty() { 0.0 } else { high - low };
+        TOLERATED_BUCKETS + spread.round() as usize
+    }
+}
+
+/// Adds calls to a total and returns them.
+fn add(total: &mut BadCalls, calls: u32, bad: u64) -> BadCalls {
+    total.calls += u64::from(calls);
+    total.bad += bad;
+    BadCalls { calls: calls.into(), bad }
+}
+
+/// The rate that is tolerated where `old` is all that is known; `None` if nothing is.
+fn tolerated_rate(old: BadCalls) -> Option<f64> {
+    let bad = old.bad as f64;
+    let upper = bad + RATE_MARGIN * bad.sqrt() + RATE_MARGIN;
+    (old.calls > 0).then(|| (ALONE_TOLERATED * upper / old.calls as f64).min(1.0))
+}
--- /dev/null
+++ b/crates/core/src/rollout/tally.rs
@@ -0,0 +1,54 @@
+//! Counts of calls.
+
+use crate::rollout::{CallOutcome, HostSpeed, LatencyCounts};
+use crate::units::Micros;
+
+/// Counts of the calls of one version on one route.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// The calls that were sent to the backend server.
+    pub calls: u32,
+    /// Those that failed; at most `calls`.
+    pub failures: u32,
+    /// The calls refused unrun; not among `calls`.
+    pub refused: u32,
+    /// The latencies of the calls that did not fail, scaled to the reference host.
+    pub latency: LatencyCounts,
+}
+
+impl Tally {
+    /// Counts a call that ended as `outcome` after `latency` on a host of `speed`.
+    pub fn record(&mut self, outcome: CallOutcome, latency: Micros, speed: HostSpeed) {
+        match outcome {
+            CallOutcome::Refused => self.refused = self.refused.saturating_add(1),
+            CallOutcome::Answered => self.latency.record(speed.scale(latency)),
+            CallOutcome::TimedOut => self.latency.record_timeout(),
+            CallOutcome::Failed => self.failures = self.failures.saturating_add(1),
+        }
+        if outcome != CallOutcome::Refused {
+            self.calls = self.calls.saturating_add(1);
+        }
+    }
+
+    /// Adds the counts of other calls.
+    pub fn add(&mut self, other: &Self) {
+        self.calls = self.calls.saturating_add(other.calls);
+        self.failures = self.failures.saturating_add(other.failures);
+        self.refused = self.refused.saturating_add(other.refused);
+        self.latency.add(&other.latency);
+    }
+
+    /// Takes the higher of each count: the later state of the same counters.
+    pub fn join(&mut self, other: &Self) {
+        self.calls = self.calls.max(other.calls);
+        self.failures = self.failures.max(other.failures);
+        self.refused = self.refused.max(other.refused);
+        self.latency.join(&other.latency);
+    }
+
+    /// The share of refused calls, from 0 to 1.
+    pub fn refused_share(&self) -> f64 {
+        let all = f64::from(self.calls) + f64::from(self.refused);
+        if all == 0.0 { 0.0 } else { f64::from(self.refused) / all }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/rollout_driver.rs
@@ -0,0 +1,254 @@
+//! Tests of the ramp and of the driver.
+
+mod rollout_common;
+
+use almondsail_core::config::{Change, RolloutPhase};
+use almondsail_core::rollout::{Driver, NoticeKind, RampStep};
+use almondsail_core::units::PerMille;
+use rollout_common::{Behaviour, GOOD, SERVICE, START, Trial, after, content, name, runner};
+
+const HOUR: u64 = 3_600_000;
+const FAILING: Behaviour = Behaviour { failing: 0.3, ..GOOD };
+
+/// Lets windows pass until the rollout is no longer ramping, or `windows` have passed.
+fn run(trial: &mut Trial, windows: u64, calls: u32, new: impl Fn(usize) -> Behaviour) {
+    for _ in 0..windows {
+        if trial.phase() != RolloutPhase::Ramping {
+            break;
+        }
+        trial.pass(calls, |_| GOOD, &new);
+    }
+}
+
+/// Guards against a good version that is late or rolled back.
+#[test]
+fn decide_good_version_completes_in_time() {
+    fn property(seed: u64, minutes: u8, calls: u8) -> bool {
+        let span = (10 + u64::from(minutes % 50)) * 60_000;
+        let mut trial = Trial::new(content(2, 1, span), seed);
+        run(&mut trial, span / 10_000, u32::from(calls), |_| GOOD);
+        trial.phase() == RolloutPhase::Completed && trial.rollout().changed <= after(span)
+    }
+    runner().quickcheck(property as fn(_, _, _) -> _);
+}
+
+/// Guards against a share that grows while an operator holds the rollout.
+#[test]
+fn decide_held_never_steps() {
+    fn property(seed: u64, held_at: u8, calls: u8) -> bool {
+        let mut trial = Trial::new(content(2, 1, HOUR / 2), seed);
+        run(&mut trial, u64::from(held_at % 60), u32::from(calls), |_| GOOD);
+        if trial.phase() != RolloutPhase::Ramping {
+            return true;
+        }
+        trial.apply(&Change::HoldRollout(name(SERVICE)));
+        let shares = (trial.rollout().share, trial.rollout().non_idempotent_share);
+        for _ in 0..200 {
+            trial.pass(u32::from(calls), |_| GOOD, |_| GOOD);
+        }
+        shares == (trial.rollout().share, trial.rollout().non_idempotent_share)
+            && trial.has_notice(NoticeKind::Held)
+            && trial.has_notice(NoticeKind::Late)
+    }
+    runner().quickcheck(property as fn(_, _, _) -> _);
+}
+
+/// Guards against a hold that keeps a bad version in use.
+#[test]
+fn decide_held_rolls_back() {
+    let mut trial = Trial::new(content(1, 1, HOUR), 1);
+    run(&mut trial, 20, 500, |_| GOOD);
+    trial.apply(&Change::HoldRollout(name(SERVICE)));
+    for _ in 0..20 {
+        trial.pass(500, |_| GOOD, |_| FAILING);
+    }
+    assert_eq!(trial.phase(), RolloutPhase::RolledBack);
+    assert!(trial.has_notice(NoticeKind::RolledBack));
+}
+
+/// Guards against stop marks that disappear, and against a step after a stop.
+#[test]
+fn decide_stops_only_grow() {
+    fn property(seed: u64, bad_from: u8) -> bool {
+        let mut trial = Trial::new(content(2, 1, HOUR / 2), seed);
+        for window in 0..200 {
+            let new = if window < u64::from(bad_from) { GOOD } else { FAILING };
+            let before = trial.content.stops.clone();
+            trial.pass(100, |_| GOOD, |_| new);
+            let has_traffic = trial.rollout().share > PerMille::ZERO;
+            if !trial.content.stops.is_superset(&before)
+                || (!trial.content.stops.is_empty() && has_traffic)
+            {
+                return false;
+            }
+        }
+        trial.content.stops.is_empty() != (trial.phase() == RolloutPhase::RolledBack)
+    }
+    runner().quickcheck(property as fn(_, _) -> _);
+}
+
+/// Guards against a step that a paused driver takes again, or after another one.
+#[test]
+fn decide_stale_step_is_refused() {
+    fn property(seed: u64, steps: u8) -> bool {
+        let mut trial = Trial::new(content(2, 1, HOUR / 2), seed);
+        let mut taken: Vec<Change> = Vec::new();
+        for _ in 0..u64::from(steps) % 60 + 30 {
+            if trial.phase() == RolloutPhase::Ramping {
+                taken.extend(trial.pass(200, |_| GOOD, |_| GOOD).changes);
+            }
+            if taken.iter().any(|change| change.apply(&trial.content, trial.now).is_ok()) {
+                return false;
+            }
+        }
+        !taken.is_empty()
+    }
+    runner().quickcheck(property as fn(_, _) -> _);
+}
+
+/// Guards against a driver that decides otherwise because it is new.
+#[test]
+fn decide_new_driver_agrees() {
+    fn property(seed: u64, windows: u8) -> bool {
+        let mut trial = Trial::new(content(2, 1, HOUR / 2), seed);
+        for _ in 0..u64::from(windows) {
+            let mut fresh = Driver::new(name(SERVICE));
+            let before = trial.content.clone();
+            let decision =
+                trial.pass(200, |_| GOOD, |index| if index == 0 { GOOD } else { FAILING });
+            let other = fresh.decide(&before, &trial.evidence, trial.now);
+            if decision.changes != other.changes {
+                return false;
+            }
+        }
+        true
+    }
+    runner().quickcheck(property as fn(_, _) -> _);
+}
+
+/// Guards against shares that skip a step, go down, or move non-idempotent calls too early.
+#[test]
+fn decide_steps_in_order() {
+    let mut trial = Trial::new(content(2, 1, HOUR / 2), 2);
+    let mut steps = Vec::new();
+    while trial.phase() == RolloutPhase::Ramping && trial.now < after(HOUR) {
+        for change in trial.pass(500, |_| GOOD, |_| GOOD).changes {
+            if let Change::StepRollout { share, non_idempotent_share, .. } = change {
+                steps.push(RampStep { share, non_idempotent_share });
+            }
+        }
+    }
+    assert_eq!(steps, RampStep::ALL);
+    let early = steps.iter().filter(|step| step.share.get() < 50);
+    assert!(early.into_iter().all(|step| step.non_idempotent_share == PerMille::ZERO));
+}
+
+/// Guards against a rollout without evidence that goes unannounced, or ends late.
+#[test]
+fn decide_no_calls_warns_and_completes() {
+    let mut trial = Trial::new(content(1, 1, HOUR), 3);
+    while trial.now < after(HOUR / 4 * 3) {
+        trial.decide();
+        trial.now = trial.now + almondsail_core::units::Millis::new(1_000);
+    }
+    assert!(!trial.has_notice(NoticeKind::WillBeLate));
+    trial.decide();
+    assert!(trial.has_notice(NoticeKind::WillBeLate));
+    while trial.now < after(HOUR) {
+        trial.decide();
+        trial.now = trial.now + almondsail_core::units::Millis::new(1_000);
+    }
+    assert_eq!(trial.phase(), RolloutPhase::Completed);
+    assert!(
+        trial.rollout().reason.contains("evidence is incomplete"),
+        "{}",
+        trial.rollout().reason
+    );
+}
+
+/// Guards against a very short rollout that misses its deadline for lack of time to step.
+#[test]
+fn decide_short_deadline() {
+    for span in [10_000, 30_000, 60_000, 120_000] {
+        let mut trial = Trial::new(content(1, 1, span), 4);
+        while trial.now < after(span) && trial.phase() == RolloutPhase::Ramping {
+            trial.decide();
+            trial.now = trial.now + almondsail_core::units::Millis::new(100);
+        }
+        assert_eq!(trial.phase(), RolloutPhase::Completed, "span {span} ms");
+    }
+}
+
+/// Guards against a driver that comes late and raises the share at once.
+#[test]
+fn decide_late_driver_steps_slowly() {
+    let mut trial = Trial::new(content(1, 1, HOUR), 5);
+    trial.decide();
+    trial.now = after(HOUR - 20_000);
+    let steps: usize = (0..200)
+        .map(|_| {
+            trial.now = trial.now + almondsail_core::units::Millis::new(100);
+            trial.decide().changes.len()
+        })
+        .sum();
+    assert_eq!(steps, 1);
+    trial.now = after(HOUR);
+    trial.decide();
+    assert!(trial.has_notice(NoticeKind::Late));
+}
+
+/// Guards against a version that takes no calls and gets all of them at the deadline.
+#[test]
+fn decide_absent_version_is_held() {
+    let mut trial = Trial::new(content(1, 1, HOUR / 2), 6);
+    trial.decide();
+    let cell = |window: u64| {
+        let tally = almondsail_core::rollout::Tally { calls: 5_000, ..Default::default() };
+        (window, rollout_common::route(0), "v1", tally)
+    };
+    while trial.now < after(HOUR / 2) {
+        let window = almondsail_core::rollout::Window::at(trial.now).get();
+        trial.now = trial.now + almondsail_core::rollout::Window::LENGTH;
+        trial.evidence.merge(&rollout_common::report("door-1", window, [cell(window)]), trial.now);
+        trial.decide();
+    }
+    assert_eq!(trial.phase(), RolloutPhase::Ramping);
+    assert!(trial.has_notice(NoticeKind::Held) && trial.has_notice(NoticeKind::WillBeLate));
+}
+
+/// Guards against a version that goes bad within the hour after its rollout.
+#[test]
+fn decide_bad_after_completion() {
+    let mut trial = Trial::new(content(1, 1, HOUR / 2), 7);
+    run(&mut trial, 180, 200, |_| GOOD);
+    assert_eq!(trial.phase(), RolloutPhase::Completed);
+    for _ in 0..60 {
+        trial.pass(200, |_| GOOD, |_| GOOD);
+    }
+    assert_eq!(trial.phase(), RolloutPhase::Completed);
+    assert!(trial.has_notice(NoticeKind::Done));
+    for _ in 0..6 {
+        trial.pass(200, |_| GOOD, |_| FAILING);
+    }
+    assert_eq!(trial.phase(), RolloutPhase::RolledBack);
+}
+
+/// Guards against a bad version that touches many calls.
+#[test]
+fn decide_bad_at_once_touches_few_calls() {
+    for seed in 0..10 {
+        let mut trial = Trial::new(content(2, 1, HOUR), seed);
+        run(&mut trial, 360, 1_000, |_| FAILING);
+        assert_eq!(trial.phase(), RolloutPhase::RolledBack, "seed {seed}");
+        assert!(trial.new_calls < 200, "seed {seed}: {} calls", trial.new_calls);
+    }
+}
+
+/// Guards against a decision before the rollout exists.
+#[test]
+fn decide_no_rollout() {
+    let mut content = content(1, 1, HOUR);
+    content.rollouts.clear();
+    let decision = Driver::new(name(SERVICE)).decide(&content, &Default::default(), START);
+    assert!(decision.changes.is_empty() && decision.notices.is_empty());
+}
--- /dev/null
+++ b/crates/core/tests/rollout_evidence.rs
@@ -0,0 +1,180 @@
+//! Tests of the merging of evidence.
+
+mod rollout_common;
+
+use almondsail_core::ids::Incarnation;
+use almondsail_core::rollout::{
+    CallOutcome, DoorEvidence, Evidence, EvidenceReport, HostSpeed, LatencyCounts, MAX_WINDOWS,
+    Tally, Window,
+};
+use almondsail_core::units::{Micros, Millis};
+use rand::seq::SliceRandom;
+use rollout_common::{START, after, name, report, rng, route, runner};
+
+/// Three doors that count calls and report every 5 s.
+fn reports(calls: &[(u8, u16, bool)]) -> Vec<EvidenceReport> {
+    let mut reports = Vec::new();
+    for door in 0..3 {
+        let node = name(&format!("door-{door}"));
+        let incarnation = Incarnation::new(1);
+        let mut counted = DoorEvidence::new(name("bays"), node, incarnation, HostSpeed::REFERENCE);
+        let mut now = START;
+        for (_, wait, has_failed) in calls.iter().filter(|(at, _, _)| at % 3 == door) {
+            now = now + Millis::new(u64::from(*wait) % 4_000);
+            let outcome = if *has_failed { CallOutcome::Failed } else { CallOutcome::Answered };
+            let latency = Micros::new(u64::from(*wait) * 100);
+            counted.record(now, &route(usize::from(*wait % 2)), &name("v1"), outcome, latency);
+            if counted.is_due(now) {
+                reports.push(counted.report(now));
+            }
+        }
+        reports.push(counted.report(now));
+    }
+    reports
+}
+
+fn merged<'a>(reports: impl IntoIterator<Item = &'a EvidenceReport>) -> Evidence {
+    let mut evidence = Evidence::default();
+    for report in reports {
+        evidence.merge(report, after(100_000_000));
+    }
+    evidence
+}
+
+/// Guards against evidence that depends on how reports travelled.
+#[test]
+fn merge_any_order() {
+    fn property(calls: Vec<(u8, u16, bool)>, seed: u64) -> bool {
+        let reports = reports(&calls);
+        let mut crossed: Vec<&EvidenceReport> = reports.iter().chain(&reports).collect();
+        crossed.shuffle(&mut rng(seed));
+        merged(&reports) == merged(crossed)
+    }
+    runner().quickcheck(property as fn(_, _) -> _);
+}
+
+/// Guards against calls that are counted twice or dropped when a report comes twice.
+#[test]
+fn merge_counts_each_call_once() {
+    fn property(calls: Vec<(u8, u16, bool)>) -> bool {
+        let reports = reports(&calls);
+        let evidence = merged(reports.iter().chain(&reports));
+        let total = |r| evidence.total(Window::default(), &route(r), &name("v1")).calls as usize;
+        total(0) + total(1) == calls.len()
+    }
+    runner().quickcheck(property as fn(_) -> _);
+}
+
+/// Guards against windows that displace newer ones, and against order when old ones are dropped.
+#[test]
+fn merge_bounded_in_any_order() {
+    fn property(windows: Vec<u16>, seed: u64) -> bool {
+        let tally = Tally { calls: 1, ..Tally::default() };
+        let cell = |w: &u16| (1_000 + u64::from(*w), route(0), "v1", tally);
+        let mut reports: Vec<EvidenceReport> =
+            windows.iter().map(|w| report("door-1", 1, [cell(w)])).collect();
+        let in_order = merged(&reports);
+        reports.shuffle(&mut rng(seed));
+        in_order == merged(&reports) && in_order.len() as u64 <= MAX_WINDOWS
+    }
+    runner().quickcheck(property as fn(_, _) -> _);
+}
+
+/// Guards against a door with a wrong clock that displaces the evidence of the others.
+#[test]
+fn merge_window_of_wrong_clock() {
+    let tally = Tally { calls: 1, ..Tally::default() };
+    let now = Window::at(START).get();
+    let mut evidence = Evidence::default();
+    evidence.merge(&report("door-1", 1, [(now, route(0), "v1", tally)]), START);
+    evidence.merge(&report("door-2", 1, [(now + 100_000, route(0), "v1", tally)]), START);
+    assert_eq!(evidence.window(Window::new(now)).count(), 1);
+    assert_eq!(evidence.len(), 1);
+}
+
+/// Guards against a door that starts again and has its first counts taken for later ones.
+#[test]
+fn merge_restarted_door() {
+    let tally = Tally { calls: 7, ..Tally::default() };
+    let now = Window::at(START).get();
+    let first = report("door-1", 9, [(now, route(0), "v1", tally)]);
+    let mut again = report("door-1", 1, [(now, route(0), "v1", tally)]);
+    again.incarnation = Incarnation::new(2);
+    let evidence = merged([&first, &again]);
+    assert_eq!(evidence.total(Window::default(), &route(0), &name("v1")).calls, 14);
+}
+
+/// Guards against a lost report that goes unnoticed.
+#[test]
+fn missing_reports_after_loss() {
+    let numbers = [1, 2, 5];
+    let reports = numbers.map(|sequence| report("door-1", sequence, []));
+    assert_eq!(merged(&reports).missing_reports(), 2);
+}
+
+/// Guards against a failure pattern that waits for the next regular report.
+#[test]
+fn is_due_at_failure_pattern() {
+    let mut door =
+        DoorEvidence::new(name("bays"), name("door-1"), Incarnation::new(1), HostSpeed::REFERENCE);
+    door.report(START);
+    let mut record = |outcome| {
+        door.record(START, &route(0), &name("v2"), outcome, Micros::new(10));
+        door.is_due(START)
+    };
+    assert!(!record(CallOutcome::Answered));
+    assert!(!record(CallOutcome::Failed));
+    assert!(!record(CallOutcome::Failed));
+    assert!(record(CallOutcome::Failed));
+    door.report(START);
+    assert!(!door.is_due(after(4_999)));
+    assert!(door.is_due(after(5_000)));
+}
+
+/// Guards against a new driver that starts without the evidence that doors still hold.
+#[test]
+fn full_report_repeats_old_windows() {
+    let mut door =
+        DoorEvidence::new(name("bays"), name("door-1"), Incarnation::new(1), HostSpeed::REFERENCE);
+    for at in [0, 60_000, 600_000] {
+        let outcome = CallOutcome::Answered;
+        door.record(after(at), &route(0), &name("v1"), outcome, Micros::new(10));
+    }
+    assert_eq!(door.report(after(600_000)).cells.len(), 1);
+    assert_eq!(door.full_report(after(600_000)).cells.len(), 3);
+}
+
+/// Guards against timeouts and refusals that look like failures of the version.
+#[test]
+fn record_timeout_and_refusal() {
+    let mut tally = Tally::default();
+    for outcome in [CallOutcome::TimedOut, CallOutcome::Refused] {
+        tally.record(outcome, Micros::new(10), HostSpeed::REFERENCE);
+    }
+    assert_eq!((tally.calls, tally.failures, tally.refused), (1, 0, 1));
+    assert_eq!(tally.latency.counts()[LatencyCounts::BUCKETS - 1], 1);
+}
+
+/// Guards against a slow host's answers that count as slow answers of the version.
+#[test]
+fn scale_latency_of_slow_host() {
+    let half = HostSpeed::new(500).expect("above zero");
+    assert_eq!(half.scale(Micros::new(8_000)), Micros::new(4_000));
+    assert_eq!(LatencyCounts::bucket(Micros::new(1_000)), 0);
+    assert_eq!(LatencyCounts::bucket(Micros::new(1_001)), 1);
+    assert_eq!(LatencyCounts::bucket(Micros::new(u64::MAX)), LatencyCounts::BUCKETS - 1);
+}
+
+/// Guards against quantities whose text can't be read back.
+#[test]
+fn display_round_trip() {
+    fn property(speed: u32, window: u64) -> bool {
+        let window = Window::new(window);
+        HostSpeed::new(speed).is_none_or(|speed| speed.to_string().parse() == Ok(speed))
+            && window.to_string().parse() == Ok(window)
+    }
+    runner().quickcheck(property as fn(_, _) -> _);
+    for text in ["0.000x", "1.0x", "1x", "+1.000x", "5000000.000x"] {
+        assert!(text.parse::<HostSpeed>().is_err(), "{text}");
+    }
+}
--- /dev/null
+++ b/crates/core/tests/rollout_judge.rs
@@ -0,0 +1,197 @@
+//! Tests of the comparison of two versions.
+
+mod rollout_common;
+
+use std::collections::BTreeMap;
+
+use almondsail_core::config::ConfigContent;
+use almondsail_core::ids::RouteName;
+use almondsail_core::rollout::{
+    Comparison, EProcess, Evidence, FALSE_ALARM_RATE, Judge, RouteVerdict, Symptom, Window,
+};
+use almondsail_core::units::Millis;
+use rand::Rng;
+use rollout_common::{
+    Behaviour, GOOD, START, after, content, report, rng, rollout, route, runner, tally,
+};
+
+const FIRST: u64 = START.get() / Window::LENGTH.get() + 1;
+const FAILING: Behaviour = Behaviour { failing: 0.2, ..GOOD };
+const SLOW: Behaviour = Behaviour { mean_bucket: 8.0, ..GOOD };
+
+fn kinds(content: &ConfigContent) -> BTreeMap<RouteName, bool> {
+    content.routes.values().map(|r| (r.name.clone(), r.idempotent)).collect()
+}
+
+/// Evidence of `windows` windows with calls of the old and the new version on each route.
+fn evidence(
+    content: &ConfigContent,
+    seed: u64,
+    windows: u64,
+    calls: (u32, u32),
+    behave: impl Fn(u64, usize) -> (Behaviour, Behaviour),
+) -> Evidence {
+    let mut rng = rng(seed);
+    let mut evidence = Evidence::default();
+    for window in FIRST..FIRST + windows {
+        let (mut old, mut new) = (Vec::new(), Vec::new());
+        for (index, route) in content.routes.keys().enumerate() {
+            let (old_behaves, new_behaves) = behave(window - FIRST, index);
+            old.push((window, route.clone(), "v1", tally(&mut rng, calls.0, old_behaves)));
+            new.push((window, route.clone(), "v2", tally(&mut rng, calls.1, new_behaves)));
+        }
+        let end = Window::new(window).end();
+        evidence.merge(&report("door-1", window, old), end);
+        evidence.merge(&report("door-2", window, new), end);
+    }
+    evidence
+}
+
+fn verdicts(content: &ConfigContent, evidence: &Evidence) -> Vec<RouteVerdict> {
+    let mut judge = Judge::new(rollout(content), &kinds(content));
+    judge.advance(rollout(content), evidence, after(4_000_000));
+    judge.findings().iter().map(|finding| finding.verdict).collect()
+}
+
+/// Guards against a version that fails on one route of twenty and hides behind the others.
+#[test]
+fn judge_bad_on_one_route_of_twenty() {
+    let content = content(20, 20, 3_600_000);
+    let evidence = evidence(&content, 1, 12, (500, 20), |_, index| {
+        (GOOD, if index == 7 { FAILING } else { GOOD })
+    });
+    for (index, verdict) in verdicts(&content, &evidence).into_iter().enumerate() {
+        let is_expected = match verdict {
+            RouteVerdict::Worse(symptom) => index == 7 && symptom == Symptom::Failing,
+            RouteVerdict::NoWorse => index != 7,
+            RouteVerdict::NotEnough => false,
+        };
+        assert!(is_expected, "route {index}: {verdict}");
+    }
+}
+
+/// Guards against a version that answers slowly without any error.
+#[test]
+fn judge_slow_without_errors() {
+    let content = content(1, 1, 3_600_000);
+    let evidence = evidence(&content, 2, 12, (500, 20), |_, _| (GOOD, SLOW));
+    assert_eq!(verdicts(&content, &evidence), [RouteVerdict::Worse(Symptom::Slow)]);
+}
+
+/// Guards against an hour of good evidence that outweighs later failures.
+#[test]
+fn judge_bad_after_an_hour() {
+    let content = content(1, 1, 7_200_000);
+    let evidence = evidence(&content, 3, 372, (500, 20), |window, _| {
+        (GOOD, if window < 360 { GOOD } else { FAILING })
+    });
+    assert_eq!(verdicts(&content, &evidence), [RouteVerdict::Worse(Symptom::Failing)]);
+}
+
+/// Guards against blame for failures and delays that both versions have.
+#[test]
+fn judge_overload_of_both() {
+    let content = content(1, 1, 3_600_000);
+    let evidence = evidence(&content, 4, 60, (500, 50), |window, _| {
+        let overload = Behaviour { failing: 0.4, mean_bucket: 10.0 };
+        let both = if (20..40).contains(&window) { overload } else { GOOD };
+        (both, both)
+    });
+    assert_eq!(verdicts(&content, &evidence), [RouteVerdict::NoWorse]);
+}
+
+/// Guards against blame for a host whose spread the old version's hosts show too.
+#[test]
+fn judge_unequal_hosts() {
+    let content = content(1, 1, 3_600_000);
+    let mut rng = rng(5);
+    let mut evidence = Evidence::default();
+    for window in FIRST..FIRST + 60 {
+        let end = Window::new(window).end();
+        for (door, version, bucket) in
+            [("door-1", "v1", 4.0), ("door-2", "v1", 6.0), ("door-3", "v2", 6.0)]
+        {
+            let behaves = Behaviour { mean_bucket: bucket, ..GOOD };
+            let cell = (window, route(0), version, tally(&mut rng, 50, behaves));
+            evidence.merge(&report(door, window, [cell]), end);
+        }
+    }
+    assert_eq!(verdicts(&content, &evidence), [RouteVerdict::NoWorse]);
+}
+
+/// Guards against a verdict on a version that was hardly called.
+#[test]
+fn judge_few_calls() {
+    let content = content(1, 1, 3_600_000);
+    let evidence = evidence(&content, 6, 12, (1, 1), |_, _| (GOOD, GOOD));
+    assert_eq!(verdicts(&content, &evidence), [RouteVerdict::NotEnough]);
+}
+
+/// Guards against a window that is judged while reports of it are still on their way.
+#[test]
+fn advance_waits_for_reports() {
+    let content = content(1, 1, 3_600_000);
+    let evidence = evidence(&content, 7, 1, (500, 100), |_, _| (GOOD, FAILING));
+    let mut judge = Judge::new(rollout(&content), &kinds(&content));
+    let end = Window::new(FIRST).end();
+    judge.advance(rollout(&content), &evidence, end + Millis::new(5_999));
+    assert_eq!(judge.findings()[0].verdict, RouteVerdict::NotEnough);
+    judge.advance(rollout(&content), &evidence, end + Millis::new(6_000));
+    assert_eq!(judge.findings()[0].verdict, RouteVerdict::Worse(Symptom::Failing));
+}
+
+/// Guards against a judge that decides otherwise after its node was replaced.
+#[test]
+fn advance_rebuilt_judge_agrees() {
+    fn property(seed: u64, windows: u8) -> bool {
+        let content = content(2, 1, 3_600_000);
+        let windows = 1 + u64::from(windows % 40);
+        let evidence = evidence(&content, seed, windows, (40, 8), |_, _| (GOOD, FAILING));
+        let mut steady = Judge::new(rollout(&content), &kinds(&content));
+        for window in 0..=windows + 2 {
+            steady.advance(rollout(&content), &evidence, after(window * 10_000));
+        }
+        let mut rebuilt = Judge::new(rollout(&content), &kinds(&content));
+        rebuilt.advance(rollout(&content), &evidence, after((windows + 2) * 10_000));
+        steady.findings() == rebuilt.findings()
+    }
+    runner().quickcheck(property as fn(_, _) -> _);
+}
+
+/// Guards against a false-alarm rate above the stated one, where rates vary for both versions
+/// and the new one fails as much more often as is tolerated.
+#[test]
+fn e_process_false_alarms() {
+    const RUNS: usize = 1_000;
+    const CALLS: u32 = 40;
+    let limit_ln = (1.0 / FALSE_ALARM_RATE).ln();
+    let mut rng = rng(8);
+    let mut has_alarm = || {
+        let mut process = EProcess::default();
+        (0..200).any(|offset| {
+            let failing = rng.random_range(0.0..0.2);
+            let mut bad = |p| (0..CALLS).filter(|_| rng.random_bool(p)).count() as f64;
+            let (new_bad, old_bad) = (bad(failing * 1.5), bad(failing));
+            let calls = f64::from(CALLS);
+            process.compare(
+                offset,
+                Comparison { new_calls: calls, new_bad, old_calls: calls, old_bad },
+            );
+            process.ln_value() >= limit_ln
+        })
+    };
+    let alarms = (0..RUNS).filter(|_| has_alarm()).count();
+    let allowed = (RUNS as f64 * FALSE_ALARM_RATE) as usize;
+    assert!(alarms <= allowed, "{alarms} alarms in {RUNS} runs, {allowed} allowed");
+}
+
+/// Guards against evidence of calls that one side did not have.
+#[test]
+fn compare_one_sided() {
+    let mut process = EProcess::default();
+    for offset in 0..50 {
+        let bad = Comparison { new_calls: 9.0, new_bad: 9.0, ..Comparison::default() };
+        process.compare(offset, bad);
+    }
+    assert!(process.ln_value() <= 0.0);
+}
--- /dev/null
+++ b/crates/core/tests/rollout_local.rs
@@ -0,0 +1,48 @@
+//! Tests of the rule by which a node stops a version that it sees fail.
+
+mod rollout_common;
+
+use almondsail_core::rollout::{LOCAL_FALSE_ALARM_RATE, LocalRule};
+use rand::Rng;
+use rollout_common::{after, rng, route};
+
+/// The number of calls of the new version until the rule stops it, or `None`.
+fn calls_until_stop(seed: u64, calls: u64, share: f64, failing: (f64, f64)) -> Option<u64> {
+    let mut rng = rng(seed);
+    let mut rule = LocalRule::new(30, 20);
+    let mut touched = 0;
+    for call in 0..calls {
+        let is_new = rng.random_bool(share);
+        let has_failed = rng.random_bool(if is_new { failing.1 } else { failing.0 });
+        touched += u64::from(is_new);
+        if rule.record(after(call * 20), &route(0), is_new, has_failed) {
+            return Some(touched);
+        }
+    }
+    None
+}
+
+/// Guards against a node that keeps sending calls to a version that fails each of them.
+#[test]
+fn record_all_fail() {
+    for seed in 0..20 {
+        let touched = calls_until_stop(seed, 20_000, 0.01, (0.001, 1.0));
+        assert!(touched.is_some_and(|calls| calls <= 12), "seed {seed}: {touched:?}");
+    }
+}
+
+/// Guards against a stop when both versions fail together.
+#[test]
+fn record_both_fail() {
+    const RUNS: u64 = 1_000;
+    let stops = (0..RUNS).filter(|seed| calls_until_stop(*seed, 2_000, 0.1, (0.5, 0.5)).is_some());
+    let allowed = (RUNS as f64 * LOCAL_FALSE_ALARM_RATE) as usize;
+    let stops = stops.count();
+    assert!(stops <= allowed, "{stops} stops in {RUNS} runs, {allowed} allowed");
+}
+
+/// Guards against blame without calls of the old version to compare with.
+#[test]
+fn record_without_old_calls() {
+    assert_eq!(calls_until_stop(1, 1_000, 1.0, (0.0, 1.0)), None);
+}
