Add the operators' command language

Cause: operators write commands as text and need to know where a mistake is.

Change: `language/` in the tool's crate parses statements with winnow into the core's Command and Query. The input carries the furthest place at which a word was missing, so an error lists every alternative there, with a caret.

--- /dev/null
+++ b/crates/cli/src/language/mod.rs
@@ -0,0 +1,16 @@
+//! The operators' command language.
+
+mod expected;
+mod furthest;
+mod grammar;
+mod parser;
+mod statement;
+mod syntax_error;
+mod time;
+mod words;
+
+pub use expected::Expected;
+pub use grammar::GRAMMAR;
+pub use statement::Statement;
+pub use syntax_error::SyntaxError;
+pub use time::parse_time;
--- /dev/null
+++ b/crates/cli/src/language/statement.rs
@@ -0,0 +1,56 @@
+//! A statement of the operators' language.
+
+use std::fmt;
+use std::str::FromStr;
+
+use almondsail_core::ids::ConfigVersion;
+use almondsail_core::operators::{Command, Query};
+
+use super::parser;
+use crate::language::SyntaxError;
+
+/// A statement of the operators' language.
+///
+/// ```
+/// use almondsail_cli::language::Statement;
+///
+/// let text = "dry-run stop bays/v2 on moves at version 17";
+/// let statement: Statement = text.parse()?;
+/// assert_eq!(statement.to_string(), text);
+/// # Ok::<(), almondsail_cli::language::SyntaxError>(())
+/// ```
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Statement {
+    /// A question; it changes nothing.
+    Query(Query),
+    /// A command.
+    Command {
+        /// The command.
+        command: Command,
+        /// Whether only to say what would change.
+        dry_run: bool,
+        /// The configuration version that the operator decided on, if stated.
+        base: Option<ConfigVersion>,
+    },
+}
+
+impl fmt::Display for Statement {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Query(query) => query.fmt(f),
+            Self::Command { command, dry_run, base } => {
+                f.write_str(if *dry_run { "dry-run " } else { "" })?;
+                command.fmt(f)?;
+                base.map_or(Ok(()), |version| write!(f, " at version {version}"))
+            }
+        }
+    }
+}
+
+impl FromStr for Statement {
+    type Err = SyntaxError;
+
+    fn from_str(s: &str) -> Result<Self, Self::Err> {
+        parser::parse(s)
+    }
+}
