Add the operators' tool and HTTP service

Cause: operators need one command line that works with any node, and that never leaves in the open whether a change was made.

Change: the node serves POST /v1/commands, POST /v1/queries and GET /v1/outcomes/WRITE_ID with gotham; tokens are compared by digest in constant time, and every error is described in JSON and handed to a hook for counting. Handlers talk to the control thread through ControlRequest, with a bounded queue: a full or closed queue is a refusal, a missing answer after that is an unknown outcome. The tool tries the nodes in turn; a command is repeated only with the same write id, and once an answer was lost only an acceptance counts as the end. In a run of several lines commands are based on the version shown last.

--- /dev/null
+++ b/crates/cli/src/cli.rs
@@ -0,0 +1,190 @@
+//! The command line's options.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use almondsail_core::ids::{MemberName, WriteId};
+use almondsail_core::units::UnixMillis;
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+
+use crate::language::parse_time;
+use crate::output::Format;
+
+/// Text after the options in `--help`.
+const AFTER_HELP: &str = "\
+Exit codes:
+  0  accepted or answered
+  1  refused; nothing was changed
+  2  wrong options or wrong command text; nothing was sent
+  3  unknown whether the change was accepted; `almondsail outcome WRITE_ID` finds out
+  4  no node could be reached; nothing was sent";
+
+/// What the tool is asked to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Task {
+    /// Run one statement.
+    Run(String),
+    /// Run a statement from each line of the standard input.
+    RunLines,
+    /// Ask how a command ended.
+    Outcome(WriteId),
+    /// Ask for the report of a member.
+    Report {
+        /// The member.
+        member: MemberName,
+        /// The start of the time that it covers.
+        since: UnixMillis,
+    },
+    /// Print the grammar.
+    Grammar,
+}
+
+/// How nodes are asked and results are written.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Options {
+    /// The nodes to ask, in this order.
+    pub nodes: Vec<SocketAddr>,
+    /// The file that holds the operator's token.
+    pub token_file: Option<PathBuf>,
+    /// The form of the output.
+    pub format: Format,
+    /// How long one node may take to answer; more than zero.
+    pub timeout: Duration,
+}
+
+/// Reads the options. Prints the help or the mistake and exits if there is nothing to do.
+pub fn parse() -> (Task, Options) {
+    let matches = command().get_matches();
+    (task(&matches), options(&matches))
+}
+
+/// The definition of the options.
+pub fn command() -> Command {
+    Command::new("almondsail")
+        .about("Shows and changes the configuration of an almondsail installation")
+        .version(env!("CARGO_PKG_VERSION"))
+        .after_help(AFTER_HELP)
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .args(global_args())
+        .subcommand(run_command())
+        .subcommand(outcome_command())
+        .subcommand(report_command())
+        .subcommand(Command::new("grammar").about("Prints the grammar of the command language"))
+}
+
+fn global_args() -> [Arg; 4] {
+    [
+        Arg::new("node")
+            .long("node")
+            .value_name("ADDR")
+            .global(true)
+            .action(ArgAction::Append)
+            .value_parser(value_parser!(SocketAddr))
+            .help("Address of a node's operator port, such as 10.0.0.7:7003; when repeated, the nodes are tried in turn"),
+        Arg::new("token-file")
+            .long("token-file")
+            .value_name("FILE")
+            .global(true)
+            .value_parser(value_parser!(PathBuf))
+            .help("File that holds the operator's token"),
+        Arg::new("output")
+            .long("output")
+            .value_name("FORM")
+            .global(true)
+            .default_value("text")
+            .value_parser(["text", "json"])
+            .help("Form of the output: tables and sentences for people, or one line of JSON for each statement"),
+        Arg::new("timeout")
+            .long("timeout")
+            .value_name("SPAN")
+            .global(true)
+            .default_value("10s")
+            .value_parser(parse_timeout)
+            .help("How long one node may take to answer, such as 500ms or 10s"),
+    ]
+}
+
+fn run_command() -> Command {
+    Command::new("run").about("Runs a statement of the command language").arg(
+        Arg::new("statement")
+            .value_name("COMMAND TEXT")
+            .required(true)
+            .help("The statement, in quotes; `-` runs one statement a line from the standard input and stops at the first that fails"),
+    )
+}
+
+fn outcome_command() -> Command {
+    Command::new("outcome").about("Finds out how a command with an unknown outcome ended").arg(
+        Arg::new("write-id")
+            .value_name("WRITE_ID")
+            .required(true)
+            .value_parser(value_parser!(WriteId))
+            .help("The write id that the tool printed: 32 hexadecimal digits"),
+    )
+}
+
+fn report_command() -> Command {
+    Command::new("report")
+        .about("Shows what was delivered to a member and at what cost")
+        .arg(
+            Arg::new("member")
+                .long("member")
+                .value_name("NAME")
+                .required(true)
+                .value_parser(value_parser!(MemberName))
+                .help("The member"),
+        )
+        .arg(
+            Arg::new("since")
+                .long("since")
+                .value_name("TIME")
+                .required(true)
+                .value_parser(parse_since)
+                .help("Start of the report: RFC 3339 in UTC, such as 2027-01-31T06:00:00Z, or unix:1500ms"),
+        )
+}
+
+fn parse_timeout(text: &str) -> Result<Duration, String> {
+    match humantime::parse_duration(text) {
+        Ok(span) if !span.is_zero() => Ok(span),
+        Ok(_) => Err("must be more than zero".to_owned()),
+        Err(e) => Err(e.to_string()),
+    }
+}
+
+fn parse_since(text: &str) -> Result<UnixMillis, String> {
+    parse_time(text)
+        .ok_or_else(|| "expected a time such as 2027-01-31T06:00:00Z or unix:1500ms".to_owned())
+}
+
+fn task(matches: &ArgMatches) -> Task {
+    match matches.subcommand() {
+        Some(("run", args)) => match args.get_one::<String>("statement").map(String::as_str) {
+            Some("-") | None => Task::RunLines,
+            Some(text) => Task::Run(text.to_owned()),
+        },
+        Some(("outcome", args)) => Task::Outcome(required(args, "write-id")),
+        Some(("report", args)) => {
+            Task::Report { member: required(args, "member"), since: required(args, "since") }
+        }
+        _ => Task::Grammar,
+    }
+}
+
+/// The value of an argument that clap has checked to be there.
+fn required<T: Clone + Send + Sync + 'static>(args: &ArgMatches, id: &str) -> T {
+    args.get_one::<T>(id).cloned().unwrap_or_else(|| unreachable!("clap requires {id}"))
+}
+
+fn options(matches: &ArgMatches) -> Options {
+    let nodes = matches.get_many("node").unwrap_or_default().copied().collect();
+    let is_json = matches.get_one::<String>("output").is_some_and(|form| form == "json");
+    Options {
+        nodes,
+        token_file: matches.get_one("token-file").cloned(),
+        format: if is_json { Format::Json } else { Format::Text },
+        timeout: required(matches, "timeout"),
+    }
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,1 +1,7 @@
-fn main() {}
+//! The binary `almondsail`.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    almondsail_cli::session::main().into()
+}
--- /dev/null
+++ b/crates/cli/src/output/answer_text.rs
@@ -0,0 +1,185 @@
+//! The tables of an answer.
+
+use std::time::{Duration, UNIX_EPOCH};
+
+use almondsail_wire::operator::answer::Body;
+use almondsail_wire::operator::{Answer, ConfigAnswer, HistoryEntry, NodeRow, VersionRow};
+use almondsail_wire::{config, peer};
+
+use crate::output::Table;
+
+/// The tables of an answer, with the version and the node that they come from.
+pub fn answer_text(answer: &Answer) -> String {
+    let body = match &answer.body {
+        Some(Body::Config(cfg)) => config_text(cfg),
+        Some(Body::Services(list)) => services(&list.services).to_string(),
+        Some(Body::Routes(list)) => routes(&list.routes).to_string(),
+        Some(Body::Versions(list)) => versions(&list.versions).to_string(),
+        Some(Body::Rollouts(list)) => rollouts(&list.rollouts).to_string(),
+        Some(Body::Nodes(list)) => nodes(&list.nodes).to_string(),
+        Some(Body::History(list)) => history(&list.entries).to_string(),
+        None => String::new(),
+    };
+    format!("{body}{}\n", source(answer))
+}
+
+fn source(answer: &Answer) -> String {
+    match answer.version {
+        0 => format!("node {} has no configuration", answer.node),
+        version => format!("configuration version {version} on node {}", answer.node),
+    }
+}
+
+fn config_text(cfg: &ConfigAnswer) -> String {
+    let empty = config::Content::default();
+    let content = cfg.content.as_ref().unwrap_or(&empty);
+    let tables = [
+        services(&content.services),
+        routes(&content.routes),
+        server_versions(&content.versions),
+        rollouts(&content.rollouts),
+        stops(&content.stops),
+    ];
+    let text: String = tables.iter().map(|table| format!("{table}\n")).collect();
+    format!("{text}digest {}\nwrite id {}\n", cfg.digest, cfg.write_id)
+}
+
+fn services(rows: &[config::Service]) -> Table {
+    let mut table = Table::new(&["SERVICE", "MEMBER", "STABLE VERSION"]);
+    for s in rows {
+        table.row([&s.name, &s.member, or_dash(&s.stable)]);
+    }
+    table
+}
+
+fn routes(rows: &[config::Route]) -> Table {
+    let mut table =
+        Table::new(&["ROUTE", "SERVICE", "PREFIX", "IDEMPOTENT", "PRIORITY", "DEADLINE"]);
+    for r in rows {
+        let idempotent = if r.idempotent { "yes" } else { "no" };
+        let deadline = format!("{}ms", r.deadline_ms);
+        table.row([&r.name, &r.service, &r.prefix, idempotent, &r.priority, &deadline]);
+    }
+    table
+}
+
+fn server_versions(rows: &[config::ServerVersion]) -> Table {
+    let mut table = Table::new(&["VERSION"]);
+    for v in rows {
+        table.row([format!("{}/{}", v.service, v.version)]);
+    }
+    table
+}
+
+fn versions(rows: &[VersionRow]) -> Table {
+    let mut table = Table::new(&["VERSION", "ROLE", "SERVERS", "STOPPED ON"]);
+    for v in rows {
+        let stops: Vec<&str> = v.stops.iter().map(stopped_route).collect();
+        table.row([
+            format!("{}/{}", v.service, v.version),
+            v.role.clone(),
+            v.servers.to_string(),
+            or_dash(&stops.join(", ")).to_owned(),
+        ]);
+    }
+    table
+}
+
+fn stops(rows: &[config::StopMark]) -> Table {
+    let mut table = Table::new(&["STOPPED VERSION", "ON"]);
+    for stop in rows {
+        table.row([format!("{}/{}", stop.service, stop.version), stopped_route(stop).to_owned()]);
+    }
+    table
+}
+
+fn stopped_route(stop: &config::StopMark) -> &str {
+    if stop.route.is_empty() { "every route" } else { &stop.route }
+}
+
+fn rollouts(rows: &[config::Rollout]) -> Table {
+    let mut table = Table::new(&[
+        "SERVICE",
+        "FROM",
+        "TO",
+        "PHASE",
+        "SHARE",
+        "NON-IDEMPOTENT",
+        "DEADLINE",
+        "REASON",
+    ]);
+    for r in rows {
+        table.row([
+            &r.service,
+            &r.from,
+            &r.to,
+            &r.phase,
+            &percent(r.share_per_mille),
+            &percent(r.non_idempotent_share_per_mille),
+            &time(r.deadline_unix_ms),
+            &r.reason,
+        ]);
+    }
+    table
+}
+
+fn nodes(rows: &[NodeRow]) -> Table {
+    let mut table = Table::new(&[
+        "NODE",
+        "DATA CENTRE",
+        "HOST",
+        "STATUS",
+        "CONFIG",
+        "BEHIND",
+        "BACKEND",
+        "STATE",
+        "SLOTS",
+    ]);
+    let none = peer::Peer::default();
+    for row in rows {
+        let p = row.peer.as_ref().unwrap_or(&none);
+        let [backend, state, slots] = backend_cells(p.backend.as_ref());
+        let [applied, behind] = [number(row.applied), number(row.behind)];
+        let cells = [&p.id, &p.data_centre, &p.host, &p.status, &applied, &behind];
+        table.row(cells.into_iter().chain([&backend, &state, &slots]));
+    }
+    table
+}
+
+fn backend_cells(backend: Option<&peer::Backend>) -> [String; 3] {
+    match backend {
+        Some(b) => [format!("{}/{}", b.service, b.version), b.state.clone(), b.slots.to_string()],
+        None => ["-".to_owned(), "-".to_owned(), "-".to_owned()],
+    }
+}
+
+fn history(rows: &[HistoryEntry]) -> Table {
+    let mut table = Table::new(&["VERSION", "ACCEPTED", "OPERATOR", "CHANGE"]);
+    for entry in rows {
+        let version = entry.version.to_string();
+        table.row([&version, &time(entry.at_unix_ms), &entry.operator, &entry.summary]);
+    }
+    table
+}
+
+fn or_dash(text: &str) -> &str {
+    if text.is_empty() { "-" } else { text }
+}
+
+/// A number that may not be known.
+fn number(n: Option<u64>) -> String {
+    n.map_or_else(|| "?".to_owned(), |n| n.to_string())
+}
+
+fn percent(per_mille: u32) -> String {
+    format!("{}.{}%", per_mille / 10, per_mille % 10)
+}
+
+/// A wall-clock time in RFC 3339, or its number where that form ends (the year 9999).
+fn time(unix_ms: u64) -> String {
+    const LAST_MS: u64 = 253_402_300_799_999;
+    if unix_ms > LAST_MS {
+        return format!("unix:{unix_ms}ms");
+    }
+    humantime::format_rfc3339_millis(UNIX_EPOCH + Duration::from_millis(unix_ms)).to_string()
+}
--- /dev/null
+++ b/crates/cli/src/output/mod.rs
@@ -0,0 +1,13 @@
+//! The output for people and for programs.
+
+mod answer_text;
+mod console;
+mod format;
+mod outcome_text;
+mod table;
+
+pub use answer_text::answer_text;
+pub use console::Console;
+pub use format::Format;
+pub use outcome_text::outcome_text;
+pub use table::Table;
--- /dev/null
+++ b/crates/cli/src/output/outcome_text.rs
@@ -0,0 +1,34 @@
+//! The sentence on the outcome of a command.
+
+use almondsail_wire::operator::outcome::Outcome;
+
+/// The sentence on an outcome.
+pub fn outcome_text(outcome: &Outcome) -> String {
+    match outcome {
+        Outcome::Accepted(version) => format!("accepted at version {version}\n"),
+        Outcome::WouldAccept(would) if would.changes.is_empty() => {
+            "would be accepted, without a change\n".to_owned()
+        }
+        Outcome::WouldAccept(would) => {
+            format!("would be accepted, with these changes:\n{}", list(&would.changes))
+        }
+        Outcome::Refused(refused) if refused.mistakes.len() > 1 => {
+            format!("refused because of these mistakes:\n{}", list(&refused.mistakes))
+        }
+        Outcome::Refused(refused) => format!("refused because {}\n", refused.message),
+        Outcome::Unknown(write_id) => {
+            format!(
+                "unknown whether it was accepted; find out with: almondsail outcome {write_id}\n"
+            )
+        }
+        Outcome::NotFound(not_found) => format!(
+            "not accepted so far: the history of version {} does not have the write id {}; \
+             the change may still be on its way, or be older than the history\n",
+            not_found.version, not_found.write_id
+        ),
+    }
+}
+
+fn list(lines: &[String]) -> String {
+    lines.iter().map(|line| format!("  {line}\n")).collect()
+}
--- /dev/null
+++ b/crates/cli/src/output/table.rs
@@ -0,0 +1,56 @@
+//! Aligned columns.
+
+use std::fmt;
+
+/// A table with aligned columns, two spaces apart.
+///
+/// ```
+/// use almondsail_cli::output::Table;
+///
+/// let mut table = Table::new(&["SERVICE", "MEMBER"]);
+/// table.row(["bays", "depots"]);
+/// assert_eq!(table.to_string(), "SERVICE  MEMBER\nbays     depots\n");
+/// ```
+#[derive(Debug, Clone)]
+pub struct Table {
+    /// The header, then the rows. Each has as many cells as the header.
+    rows: Vec<Vec<String>>,
+}
+
+impl Table {
+    /// A table without rows.
+    pub fn new(header: &[&str]) -> Self {
+        Self { rows: vec![header.iter().map(ToString::to_string).collect()] }
+    }
+
+    /// Adds a row. Missing cells are empty, and cells beyond the header are dropped.
+    pub fn row<T: Into<String>>(&mut self, cells: impl IntoIterator<Item = T>) {
+        let mut row: Vec<String> = cells.into_iter().map(|cell| visible(cell.into())).collect();
+        row.resize(self.rows[0].len(), String::new());
+        self.rows.push(row);
+    }
+
+    fn widths(&self) -> Vec<usize> {
+        let columns = 0..self.rows[0].len();
+        let width =
+            |i: usize| self.rows.iter().map(|row| row[i].chars().count()).max().unwrap_or(0);
+        columns.map(width).collect()
+    }
+}
+
+/// Replaces control characters, which could change the state of a terminal.
+fn visible(cell: String) -> String {
+    cell.replace(char::is_control, "?")
+}
+
+impl fmt::Display for Table {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let widths = self.widths();
+        for row in &self.rows {
+            let cells = row.iter().zip(&widths);
+            let line: Vec<String> = cells.map(|(cell, &width)| format!("{cell:width$}")).collect();
+            writeln!(f, "{}", line.join("  ").trim_end())?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/cli/src/session.rs
@@ -0,0 +1,213 @@
+//! The run of the tool.
+
+use std::io::{self, BufRead};
+use std::path::Path;
+
+use almondsail_core::ids::{ConfigVersion, WriteId};
+use almondsail_core::operators::{CommandRequest, Query};
+use almondsail_wire::operator as wire;
+use almondsail_wire::operator::outcome::Outcome;
+use bytes::Bytes;
+use eyre::{WrapErr, bail, eyre};
+use http::Method;
+use rand::TryRngCore;
+use rand::rngs::OsRng;
+use serde::Serialize;
+use tokio::runtime::Runtime;
+
+use crate::cli::{self, Options, Task};
+use crate::delivery::{self, Delivery};
+use crate::exit::Exit;
+use crate::language::{GRAMMAR, Statement};
+use crate::node_client::{NodeClient, NodeRequest};
+use crate::output::{Console, answer_text, outcome_text};
+
+/// Reads the options, carries out the task and returns how it ended.
+pub fn main() -> Exit {
+    let (task, options) = cli::parse();
+    if task == Task::Grammar {
+        print!("{GRAMMAR}");
+        return Exit::Done;
+    }
+    let console = Console::new(options.format);
+    match Session::start(options) {
+        Ok(mut session) => session.run(task),
+        Err(e) => {
+            console.own_error("usage", &format!("{e:#}"));
+            Exit::Usage
+        }
+    }
+}
+
+/// The statements of one run of the tool.
+struct Session {
+    options: Options,
+    client: NodeClient,
+    console: Console,
+    runtime: Runtime,
+    /// The version that the operator last saw; commands are based on it.
+    /// `None` until an answer was shown: such commands apply to the newest version.
+    shown: Option<ConfigVersion>,
+}
+
+impl Session {
+    fn start(options: Options) -> eyre::Result<Self> {
+        if options.nodes.is_empty() {
+            bail!("give the address of a node with --node");
+        }
+        let file = options.token_file.as_deref();
+        let token =
+            read_token(file.ok_or_else(|| eyre!("give the operator's token with --token-file"))?)?;
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        let client = NodeClient::new(token, options.timeout);
+        let console = Console::new(options.format);
+        Ok(Self { options, client, console, runtime, shown: None })
+    }
+
+    fn run(&mut self, task: Task) -> Exit {
+        match task {
+            Task::Run(text) => self.run_text(&text),
+            Task::RunLines => self.run_lines(),
+            Task::Outcome(write_id) => self.ask_outcome(write_id),
+            Task::Report { .. } => self.usage("nodes do not serve reports yet"),
+            Task::Grammar => Exit::Done,
+        }
+    }
+
+    /// Runs the lines of the standard input until one fails, since later lines
+    /// may rely on it. Empty lines and lines that begin with `#` are skipped.
+    fn run_lines(&mut self) -> Exit {
+        for (i, line) in io::stdin().lock().lines().enumerate() {
+            let Ok(line) = line else {
+                return self.usage("the standard input is not UTF-8 text");
+            };
+            let text = line.trim();
+            if text.is_empty() || text.starts_with('#') {
+                continue;
+            }
+            let exit = self.run_text(text);
+            if exit != Exit::Done {
+                eprintln!("stopped at line {}", i + 1);
+                return exit;
+            }
+        }
+        Exit::Done
+    }
+
+    fn run_text(&mut self, text: &str) -> Exit {
+        let (command, dry_run, base) = match text.parse() {
+            Ok(Statement::Query(query)) => return self.query(&query),
+            Ok(Statement::Command { command, dry_run, base }) => (command, dry_run, base),
+            Err(e) => return self.usage(&e.to_string()),
+        };
+        let write_id = match new_write_id() {
+            Ok(write_id) => write_id,
+            Err(e) => return self.usage(&format!("{e:#}")),
+        };
+        let base = base.or(self.shown);
+        self.command(&CommandRequest { write_id, command, base, dry_run })
+    }
+
+    fn query(&mut self, query: &Query) -> Exit {
+        let request = post("/v1/queries", &wire::Query::from(query));
+        let asked = delivery::ask::<wire::Answer>(&self.client, &self.options.nodes, &request);
+        match self.runtime.block_on(asked) {
+            Delivery::Answered(answer) => {
+                self.shown = Some(ConfigVersion::new(answer.version)).filter(|v| v.get() > 0);
+                self.console.show(&answer, answer_text);
+                Exit::Done
+            }
+            other => self.failed(other),
+        }
+    }
+
+    fn command(&mut self, request: &CommandRequest) -> Exit {
+        let body = post("/v1/commands", &wire::CommandRequest::from(request));
+        let sent = delivery::command(&self.client, &self.options.nodes, &body);
+        match self.runtime.block_on(sent) {
+            Delivery::Answered(outcome) => self.ended(outcome),
+            Delivery::InDoubt(failures) if !request.dry_run => {
+                self.console.failures(&failures);
+                self.ended(Outcome::Unknown(request.write_id.to_string()))
+            }
+            other => self.failed(other),
+        }
+    }
+
+    fn ask_outcome(&mut self, write_id: WriteId) -> Exit {
+        let path = format!("/v1/outcomes/{write_id}");
+        let request = NodeRequest { method: Method::GET, path, body: Bytes::new() };
+        let asked = delivery::ask::<wire::Outcome>(&self.client, &self.options.nodes, &request);
+        match self.runtime.block_on(asked) {
+            Delivery::Answered(wire::Outcome { outcome: Some(outcome) }) => self.ended(outcome),
+            Delivery::Answered(_) => self.ended(Outcome::Unknown(write_id.to_string())),
+            other => self.failed(other),
+        }
+    }
+
+    /// Shows an outcome.
+    fn ended(&mut self, outcome: Outcome) -> Exit {
+        self.advance(&outcome);
+        let exit = match &outcome {
+            Outcome::Accepted(_) | Outcome::WouldAccept(_) => Exit::Done,
+            Outcome::Refused(_) => Exit::Refused,
+            Outcome::Unknown(_) | Outcome::NotFound(_) => Exit::Unknown,
+        };
+        let text = outcome_text(&outcome);
+        self.console.show(&wire::Outcome { outcome: Some(outcome) }, |_| text);
+        exit
+    }
+
+    /// Counts the operator's own change as seen, unless a change that the
+    /// operator has not seen came between.
+    fn advance(&mut self, outcome: &Outcome) {
+        if let (Outcome::Accepted(version), Some(shown)) = (outcome, self.shown)
+            && shown.next().get() == *version
+        {
+            self.shown = Some(shown.next());
+        }
+    }
+
+    /// Shows that no node carried out a request.
+    fn failed<T>(&self, delivery: Delivery<T>) -> Exit {
+        match delivery {
+            Delivery::Refused(e) => {
+                self.console.error(&e);
+                Exit::Refused
+            }
+            Delivery::InDoubt(failures) | Delivery::NoNode(failures) => {
+                self.console.failures(&failures);
+                self.console.own_error("no_node", "no node answered; nothing was changed");
+                Exit::NoNode
+            }
+            // Callers show answers themselves.
+            Delivery::Answered(_) => Exit::Done,
+        }
+    }
+
+    fn usage(&self, message: &str) -> Exit {
+        self.console.own_error("usage", message);
+        Exit::Usage
+    }
+}
+
+fn read_token(file: &Path) -> eyre::Result<String> {
+    let text = std::fs::read_to_string(file).wrap_err_with(|| file.display().to_string())?;
+    let token = text.trim();
+    if token.is_empty() || !token.bytes().all(|b| b.is_ascii_graphic()) {
+        bail!("{} does not hold one token of ASCII letters, digits and signs", file.display());
+    }
+    Ok(token.to_owned())
+}
+
+fn new_write_id() -> eyre::Result<WriteId> {
+    let mut bytes = [0; WriteId::BYTES];
+    OsRng.try_fill_bytes(&mut bytes).wrap_err("the system gives no random numbers")?;
+    Ok(WriteId::new(bytes))
+}
+
+fn post<T: Serialize>(path: &str, body: &T) -> NodeRequest {
+    // A generated type has text keys only and so can be written.
+    let body = serde_json::to_vec(body).unwrap_or_default().into();
+    NodeRequest { method: Method::POST, path: path.to_owned(), body }
+}
--- /dev/null
+++ b/crates/cli/tests/tool.rs
@@ -0,0 +1,189 @@
+//! Tests of the binary against a node's operator port with a fake control thread.
+
+#[path = "../../node/tests/operators_support/mod.rs"]
+mod operators_support;
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Stdio;
+use std::sync::LazyLock;
+
+use operators_support::{FakeControl, Port, TOKEN, serve};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use tokio::process::Command;
+
+/// Exit code, standard output and standard error.
+type Run = (i32, String, String);
+
+/// The file with the operator's token, written once: tests run at the same time.
+static TOKEN_FILE: LazyLock<PathBuf> = LazyLock::new(|| {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("ana.token");
+    std::fs::write(&path, format!("{TOKEN}\n")).unwrap();
+    path
+});
+
+async fn tool(nodes: &[SocketAddr], args: &[&str], stdin: &str) -> Run {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_almondsail"));
+    for node in nodes {
+        command.args(["--node", &node.to_string()]);
+    }
+    command.arg("--token-file").arg(&*TOKEN_FILE).args(["--timeout", "2s"]).args(args);
+    command.stdin(Stdio::piped()).stdout(Stdio::piped()).stderr(Stdio::piped());
+    let mut child = command.spawn().unwrap();
+    child.stdin.take().unwrap().write_all(stdin.as_bytes()).await.unwrap();
+    let output = child.wait_with_output().await.unwrap();
+    let text = |bytes| String::from_utf8(bytes).unwrap();
+    (output.status.code().unwrap(), text(output.stdout), text(output.stderr))
+}
+
+async fn node() -> Port {
+    let (port, requests) = serve(8, Box::new(|_| ())).await;
+    tokio::spawn(FakeControl::default().run(requests));
+    port
+}
+
+/// An address at which nothing listens.
+async fn closed() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap()
+}
+
+/// A node that takes one request and closes the connection without an answer.
+async fn silent() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut buf = [0; 4_096];
+        let _ = stream.read(&mut buf).await;
+    });
+    addr
+}
+
+/// Guards against a broken path from the text to the table.
+#[tokio::test]
+async fn run_lines_in_turn() {
+    let port = node().await;
+    let script = "# A service with a route.\n\
+        create service bays member depots\n\
+        create version bays/v1\n\n\
+        create route moves service bays prefix /moves non-idempotent priority interactive deadline 800ms\n\
+        show config\n\
+        show nodes\n";
+    let (code, out, err) = tool(&[port.addr], &["run", "-"], script).await;
+    assert_eq!((code, err.as_str()), (0, ""));
+    assert!(
+        out.starts_with("accepted at version 1\naccepted at version 2\naccepted at version 3\n")
+    );
+    let lines = [
+        "ROUTE  SERVICE  PREFIX  IDEMPOTENT  PRIORITY     DEADLINE\n\
+         moves  bays     /moves  no          interactive  800ms\n",
+        "NODE  DATA CENTRE  HOST  STATUS  CONFIG  BEHIND  BACKEND  STATE  SLOTS\n\
+         n1    dc-a         h1    alive   3       0       -        -      -\n",
+        "configuration version 3 on node n1\n",
+    ];
+    for line in lines {
+        assert!(out.contains(line), "missing {line:?} in {out}");
+    }
+}
+
+/// Guards against an exit code that tells a script the wrong end.
+#[tokio::test]
+async fn exit_codes() {
+    let port = node().await;
+    let create = ["run", "create service bays member depots"];
+    assert_eq!(tool(&[port.addr], &create, "").await.0, 0);
+    let (code, out, _) = tool(&[port.addr], &create, "").await;
+    assert_eq!((code, out.as_str()), (1, "refused because service bays exists already\n"));
+    let (code, _, err) = tool(&[port.addr], &["run", "hold Bays"], "").await;
+    assert_eq!(code, 2);
+    assert_eq!(err, "hold Bays\n     ^\nexpected a service name; found \"Bays\"\n");
+    assert_eq!(tool(&[port.addr], &["run"], "").await.0, 2);
+    assert_eq!(
+        tool(&[port.addr], &["report", "--member", "depots", "--since", "now"], "").await.0,
+        2
+    );
+    assert_eq!(tool(&[], &create, "").await.0, 2);
+    let (code, _, err) = tool(&[closed().await], &create, "").await;
+    assert_eq!(code, 4, "{err}");
+    let (code, out, _) = tool(&[silent().await], &create, "").await;
+    assert_eq!(code, 3);
+    assert!(out.contains("find out with: almondsail outcome "), "{out}");
+    let (code, out, _) = tool(&[port.addr], &["outcome", &"0".repeat(32)], "").await;
+    assert_eq!(code, 3);
+    assert!(out.starts_with("not accepted so far: the history of version 1"), "{out}");
+}
+
+/// Guards against giving up while another node can take the command.
+#[tokio::test]
+async fn command_next_node() {
+    let port = node().await;
+    let nodes = [closed().await, port.addr];
+    let (code, out, err) = tool(&nodes, &["run", "create service bays member depots"], "").await;
+    assert_eq!((code, out.as_str(), err.as_str()), (0, "accepted at version 1\n", ""));
+}
+
+/// Guards against a second change after a lost answer: the repeat has the same write id.
+#[tokio::test]
+async fn command_repeated_with_same_write_id() {
+    let port = node().await;
+    // Takes the command to the node, and drops the node's answer.
+    let relay = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let nodes = [relay.local_addr().unwrap(), port.addr];
+    let addr = port.addr;
+    tokio::spawn(async move {
+        let (mut from, _) = relay.accept().await.unwrap();
+        let mut to = tokio::net::TcpStream::connect(addr).await.unwrap();
+        let mut buf = vec![0; 8_192];
+        loop {
+            tokio::select! {
+                n = from.read(&mut buf) => to.write_all(&buf[..n.unwrap()]).await.unwrap(),
+                _ = to.readable() => return,
+            }
+        }
+    });
+    let (code, out, err) = tool(&nodes, &["run", "create service bays member depots"], "").await;
+    assert_eq!((code, out.as_str(), err.as_str()), (0, "accepted at version 1\n", ""));
+    let (_, out, _) = tool(&[port.addr], &["run", "show history"], "").await;
+    assert_eq!(out.matches("create service bays").count(), 1, "{out}");
+}
+
+/// Guards against taking another node's refusal for the end of a command whose
+/// answer was lost.
+#[tokio::test]
+async fn command_in_doubt_stays_unknown() {
+    let port = node().await;
+    let create = ["run", "create service bays member depots"];
+    assert_eq!(tool(&[port.addr], &create, "").await.0, 0);
+    let (code, out, err) = tool(&[silent().await, port.addr], &create, "").await;
+    assert_eq!(code, 3, "{out}{err}");
+    assert!(err.contains("service bays exists already"), "{err}");
+}
+
+/// Guards against JSON output that a program can't read line by line.
+#[tokio::test]
+async fn json_lines() {
+    let port = node().await;
+    let script = "create service bays member depots\nshow services\nhold bays\n";
+    let (code, out, _) = tool(&[port.addr], &["--output", "json", "run", "-"], script).await;
+    assert_eq!(code, 1);
+    let lines: Vec<serde_json::Value> =
+        out.lines().map(|line| serde_json::from_str(line).unwrap()).collect();
+    assert_eq!(lines.len(), 3);
+    assert_eq!(lines[0]["outcome"]["accepted"], 1);
+    assert_eq!(lines[1]["body"]["services"]["services"][0]["name"], "bays");
+    assert_eq!(lines[2]["outcome"]["refused"]["code"], "invalid");
+}
+
+/// Guards against an option without a description.
+#[test]
+fn help_describes_every_option() {
+    let command = almondsail_cli::cli::command();
+    for sub in std::iter::once(&command).chain(command.get_subcommands()) {
+        for arg in
+            sub.get_arguments().filter(|arg| !["help", "version"].contains(&arg.get_id().as_str()))
+        {
+            assert!(arg.get_help().is_some(), "{} {}", sub.get_name(), arg.get_id());
+        }
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,11 +9,17 @@
 #![deny(clippy::all)]
 
 pub mod cli;
+pub mod clock;
 pub mod control_input;
+pub mod control_request;
 pub mod http_server;
 pub mod local_api;
 pub mod log;
 pub mod metrics;
+pub mod operator_auth;
+pub mod operator_control;
+pub mod operator_error;
+pub mod operators;
 pub mod peer_link;
 pub mod settings;
 pub mod store_client;
--- /dev/null
+++ b/crates/node/src/operator_control.rs
@@ -0,0 +1,99 @@
+//! What operators' requests ask of the control thread.
+
+use std::time::Duration;
+
+use almondsail_core::config::{Change, ConfigContent, ConfigError};
+use almondsail_core::ids::WriteId;
+use almondsail_core::operators::{Answer, Command, CommandRequest, Query};
+use almondsail_core::store::{Outcome, RefusedChange, Submission};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::clock::Clock;
+use crate::control_request::ControlRequest;
+use crate::operator_error::OperatorError;
+use crate::settings::OperatorToken;
+
+/// How long an operator waits for the control thread. It is longer than a write
+/// to the store with its read-back, so that the wait rarely ends first.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(8);
+
+/// Hands operators' requests to the control thread.
+#[derive(Debug, Clone)]
+pub struct OperatorControl {
+    requests: mpsc::Sender<ControlRequest>,
+    clock: Clock,
+}
+
+impl OperatorControl {
+    /// Hands requests to `requests` and resolves times by `clock`.
+    pub const fn new(requests: mpsc::Sender<ControlRequest>, clock: Clock) -> Self {
+        Self { requests, clock }
+    }
+
+    /// Submits the command of `operator`.
+    pub async fn command(
+        &self,
+        operator: &OperatorToken,
+        request: CommandRequest,
+    ) -> Result<Outcome, OperatorError> {
+        let change = match self.change(request.command).await? {
+            Ok(change) => change,
+            Err(e) => return Ok(Outcome::Refused(RefusedChange::Invalid(vec![e]))),
+        };
+        let submission = Submission {
+            write_id: request.write_id,
+            operator: operator.name.clone(),
+            member: operator.member.clone(),
+            base: request.base,
+            change,
+            dry_run: request.dry_run,
+        };
+        self.submit(submission).await
+    }
+
+    /// How the write `id` ended.
+    pub async fn ask_outcome(&self, id: WriteId) -> Result<Outcome, OperatorError> {
+        self.ask(|reply| ControlRequest::AskOutcome(id, reply)).await
+    }
+
+    /// The answer to `query`.
+    pub async fn query(&self, query: Query) -> Result<Answer, OperatorError> {
+        self.ask(|reply| ControlRequest::Query(query, reply)).await
+    }
+
+    async fn change(&self, command: Command) -> Result<Result<Change, ConfigError>, OperatorError> {
+        let earlier: Option<ConfigContent> = match command.restored_version() {
+            Some(version) => self.ask(|reply| ControlRequest::KeptContent(version, reply)).await?,
+            None => None,
+        };
+        Ok(command.into_change(self.clock.wall(), earlier))
+    }
+
+    /// Submits a change. From the moment the control thread has it, a missing
+    /// answer is an unknown outcome: the change may take effect later.
+    async fn submit(&self, submission: Submission) -> Result<Outcome, OperatorError> {
+        let write_id = submission.write_id;
+        let answer = self.ask(|reply| ControlRequest::Submit(Box::new(submission), reply)).await;
+        match answer {
+            Err(OperatorError::NoAnswer) => Ok(Outcome::Unknown(write_id)),
+            other => other,
+        }
+    }
+
+    /// Sends a request and waits for its answer. `Busy` and `Stopping` mean that
+    /// the control thread did not get it.
+    async fn ask<T>(
+        &self,
+        request: impl FnOnce(oneshot::Sender<T>) -> ControlRequest,
+    ) -> Result<T, OperatorError> {
+        let (reply, answer) = oneshot::channel();
+        self.requests.try_send(request(reply)).map_err(|e| match e {
+            mpsc::error::TrySendError::Full(_) => OperatorError::Busy,
+            mpsc::error::TrySendError::Closed(_) => OperatorError::Stopping,
+        })?;
+        match tokio::time::timeout(ANSWER_TIMEOUT, answer).await {
+            Ok(Ok(answer)) => Ok(answer),
+            Ok(Err(_)) | Err(_) => Err(OperatorError::NoAnswer),
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/operators.rs
@@ -0,0 +1,210 @@
+//! HTTP for operators.
+
+use std::panic::AssertUnwindSafe;
+use std::sync::Arc;
+use std::time::Duration;
+
+use almondsail_core::ids::WriteId;
+use almondsail_core::operators::{CommandRequest, Query};
+use almondsail_wire::{FieldError, operator as wire};
+use gotham::handler::{HandlerResult, IntoBody};
+use gotham::helpers::http::Body;
+use gotham::helpers::http::response::create_response;
+use gotham::hyper::{Response, StatusCode};
+use gotham::middleware::state::StateMiddleware;
+use gotham::pipeline::{single_middleware, single_pipeline};
+use gotham::router::Router;
+use gotham::router::builder::{DefineSingleRoute, DrawRoutes, build_router};
+use gotham::router::response::StaticResponseExtender;
+use gotham::state::{FromState, State, StateData};
+use http::HeaderMap;
+use http::header::{AUTHORIZATION, WWW_AUTHENTICATE};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+use crate::operator_auth::OperatorAuth;
+use crate::operator_control::OperatorControl;
+use crate::operator_error::OperatorError;
+use crate::settings::OperatorToken;
+
+/// Number of bytes of a request's body at most.
+pub const MAX_BODY_BYTES: usize = 1_000_000;
+/// A body that has not arrived after this time is refused.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// HTTP for operators.
+///
+/// A handler that panics leaves its parts intact: all can be used from many
+/// threads at a time and hold no state between two of their operations.
+#[derive(Clone)]
+pub struct OperatorApi(Arc<AssertUnwindSafe<Parts>>);
+
+/// Called with each error that is answered, to count it.
+pub type ErrorHook = Box<dyn Fn(&OperatorError) + Send + Sync>;
+
+struct Parts {
+    auth: OperatorAuth,
+    control: OperatorControl,
+    on_error: ErrorHook,
+}
+
+impl StateData for OperatorApi {}
+
+impl OperatorApi {
+    /// Serves the operators of `auth` by `control`, and hands each error to `on_error`.
+    pub fn new(auth: OperatorAuth, control: OperatorControl, on_error: ErrorHook) -> Self {
+        Self(Arc::new(AssertUnwindSafe(Parts { auth, control, on_error })))
+    }
+
+    /// The routes: `POST /v1/commands`, `POST /v1/queries` and `GET /v1/outcomes/WRITE_ID`.
+    pub fn router(self) -> Router {
+        let no_such_path = self.extender(OperatorError::NoSuchPath);
+        let wrong_method = self.extender(OperatorError::WrongMethod);
+        let middleware = StateMiddleware::new(self);
+        let (chain, pipelines) = single_pipeline(single_middleware(middleware));
+        build_router(chain, pipelines, |route| {
+            route.post("/v1/commands").to_async(command);
+            route.post("/v1/queries").to_async(query);
+            route
+                .get("/v1/outcomes/:write_id")
+                .with_path_extractor::<OutcomePath>()
+                .to_async(outcome);
+            route.add_response_extender(StatusCode::NOT_FOUND, no_such_path);
+            route.add_response_extender(StatusCode::METHOD_NOT_ALLOWED, wrong_method);
+        })
+    }
+
+    /// Counts and describes `e` where the router itself answers.
+    fn extender(&self, e: OperatorError) -> impl Fn(&mut State, &mut Response<Body>) + use<> {
+        let api = self.clone();
+        move |_: &mut State, res: &mut Response<Body>| {
+            (api.0.on_error)(&e);
+            describe(res, &e);
+        }
+    }
+
+    /// The operator who sent the request.
+    fn operator(&self, headers: &HeaderMap) -> Result<&OperatorToken, OperatorError> {
+        let token = headers
+            .get(AUTHORIZATION)
+            .and_then(|value| value.to_str().ok())
+            .and_then(|value| value.strip_prefix("Bearer "))
+            .ok_or(OperatorError::TokenMissing)?;
+        self.0.auth.find(token.trim()).ok_or(OperatorError::TokenUnknown)
+    }
+}
+
+/// The part of a request that its handler reads.
+struct Request {
+    api: OperatorApi,
+    headers: HeaderMap,
+    body: Body,
+}
+
+impl Request {
+    fn take(state: &mut State) -> Self {
+        Self {
+            api: OperatorApi::borrow_from(state).clone(),
+            headers: state.take(),
+            body: state.take(),
+        }
+    }
+}
+
+/// The path of a question for an outcome.
+#[derive(Deserialize)]
+struct OutcomePath {
+    write_id: String,
+}
+
+impl StateData for OutcomePath {}
+
+impl StaticResponseExtender for OutcomePath {
+    type ResBody = Body;
+
+    fn extend(_: &mut State, res: &mut Response<Body>) {
+        let problem = FieldError::new("write_id", "expected 32 lower-case hexadecimal digits");
+        describe(res, &problem.into());
+    }
+}
+
+async fn command(mut state: State) -> HandlerResult {
+    let Request { api, headers, body } = Request::take(&mut state);
+    let run = async {
+        let operator = api.operator(&headers)?;
+        let request: wire::CommandRequest = read_json(body).await?;
+        let request = CommandRequest::try_from(request)?;
+        let outcome = api.0.control.command(operator, request).await?;
+        Ok(wire::Outcome::from(&outcome))
+    };
+    let result = run.await;
+    Ok(respond(state, &api, result))
+}
+
+async fn query(mut state: State) -> HandlerResult {
+    let Request { api, headers, body } = Request::take(&mut state);
+    let run = async {
+        api.operator(&headers)?;
+        let query: wire::Query = read_json(body).await?;
+        let answer = api.0.control.query(Query::try_from(query)?).await?;
+        Ok(wire::Answer::from(&answer))
+    };
+    let result = run.await;
+    Ok(respond(state, &api, result))
+}
+
+async fn outcome(mut state: State) -> HandlerResult {
+    let Request { api, headers, .. } = Request::take(&mut state);
+    let OutcomePath { write_id } = state.take();
+    let run = async {
+        api.operator(&headers)?;
+        let write_id: WriteId = write_id.parse().map_err(|e| FieldError::new("write_id", e))?;
+        let outcome = api.0.control.ask_outcome(write_id).await?;
+        Ok(wire::Outcome::from(&outcome))
+    };
+    let result = run.await;
+    Ok(respond(state, &api, result))
+}
+
+async fn read_json<T: DeserializeOwned>(body: Body) -> Result<T, OperatorError> {
+    let read = Limited::new(body, MAX_BODY_BYTES).collect();
+    let body = match tokio::time::timeout(BODY_TIMEOUT, read).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(e)) if e.is::<LengthLimitError>() => return Err(OperatorError::BodyTooLarge),
+        Ok(Err(_)) | Err(_) => return Err(OperatorError::BodyIncomplete),
+    };
+    serde_json::from_slice(&body).map_err(|e| OperatorError::BadJson(e.to_string()))
+}
+
+fn respond<T: Serialize>(
+    state: State,
+    api: &OperatorApi,
+    result: Result<T, OperatorError>,
+) -> (State, Response<Body>) {
+    let response = match result {
+        Ok(answer) => {
+            create_response(&state, StatusCode::OK, mime::APPLICATION_JSON, json(&answer))
+        }
+        Err(e) => {
+            (api.0.on_error)(&e);
+            let mut res = create_response(&state, e.status(), mime::APPLICATION_JSON, "");
+            describe(&mut res, &e);
+            res
+        }
+    };
+    (state, response)
+}
+
+/// Describes an error in the body of its answer.
+fn describe(res: &mut Response<Body>, e: &OperatorError) {
+    if e.status() == StatusCode::UNAUTHORIZED {
+        res.headers_mut().insert(WWW_AUTHENTICATE, http::HeaderValue::from_static("Bearer"));
+    }
+    *res.body_mut() = json(&wire::Error::from(e)).into_body();
+}
+
+/// The JSON text of a generated type, which has text keys only and so can be written.
+fn json<T: Serialize>(value: &T) -> String {
+    serde_json::to_string(value).unwrap_or_default()
+}
