--- a/crates/core/src/control/state.rs
+++ b/crates/core/src/control/state.rs
@@ -486,7 +486,8 @@
         PeerMessage::Ack(self.spread.sync.version())
     }
 
-    fn sync_status(&self) -> SyncStatus {
+    /// What this node holds, as it tells other nodes.
+    pub fn sync_status(&self) -> SyncStatus {
         let own = self.members.table.own();
         SyncStatus {
             node: own.id.clone(),
--- a/crates/core/src/sync/mod.rs
+++ b/crates/core/src/sync/mod.rs
@@ -2,12 +2,14 @@
 
 mod config_sync;
 mod floor_gate;
+mod kept_versions;
 mod offer;
 mod peer_versions;
 mod puller;
 
 pub use config_sync::{ConfigSync, SNAPSHOTS_PER_SECOND};
 pub use floor_gate::FloorGate;
+pub use kept_versions::KeptVersions;
 pub use offer::Offer;
 pub use peer_versions::{PeerVersion, PeerVersions};
 pub use puller::Puller;
--- a/crates/node/src/control_metrics.rs
+++ b/crates/node/src/control_metrics.rs
@@ -38,3 +38,11 @@
         .with_description("Frames and connections of other nodes that were refused, by reason")
         .build()
 }
+
+/// Counts operators' requests that were answered with an error, by reason.
+pub fn operator_errors(meter: &Meter) -> Counter<u64> {
+    meter
+        .u64_counter("almondsail_operator_errors")
+        .with_description("Requests of operators that were answered with an error, by reason")
+        .build()
+}
--- a/crates/node/src/control_thread.rs
+++ b/crates/node/src/control_thread.rs
@@ -1,11 +1,16 @@
 //! The thread that owns the control state.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use almondsail_core::config::ConfigContent;
 use almondsail_core::control::{Action, Control, Event, PeerMessage, RequestId};
+use almondsail_core::ids::{ConfigVersion, NodeId};
+use almondsail_core::operators::{Answer, NodeView, Query, View};
 use almondsail_core::store::Outcome;
+use almondsail_core::sync::KeptVersions;
 use almondsail_core::traffic::Snapshot;
 use almondsail_core::units::Millis;
 use arc_swap::ArcSwap;
@@ -16,9 +21,11 @@
 
 use crate::clock::Clock;
 use crate::control_input::ControlInput;
+use crate::control_request::ControlRequest;
 use crate::peer_link::{ClientPool, IncomingRequest};
 use crate::state_log::StateLog;
 use crate::store_client::StoreClient;
+use crate::version_survey;
 
 /// Longest time between two events of the control state.
 const TICK: Duration = Duration::from_millis(100);
@@ -28,20 +35,21 @@
 /// Runs on a runtime of its own with a single thread.
 pub struct ControlThread<S> {
     control: Control,
+    kept: KeptVersions,
     clock: Clock,
     rng: SmallRng,
     links: Arc<ClientPool>,
     store: S,
     log: StateLog,
     snapshot: Arc<ArcSwap<Snapshot>>,
-    /// Number of requests that came from outside; the last one's id.
+    /// The id of the last request that came from outside.
     incoming: u64,
     /// Peers that wait for a reply.
     replies: HashMap<RequestId, oneshot::Sender<PeerMessage>>,
     /// Submitters that wait for an outcome.
     outcomes: HashMap<RequestId, oneshot::Sender<Outcome>>,
     /// Takes the results of requests that this thread sent.
-    results: mpsc::UnboundedSender<Event>,
+    results: mpsc::UnboundedSender<Finished>,
 }
 
 /// The parts that a control thread works with.
@@ -60,55 +68,101 @@
     pub snapshot: Arc<ArcSwap<Snapshot>>,
 }
 
+/// Where a control thread takes its inputs from.
+pub struct ControlInputs {
+    /// Events of this node; the thread ends when every sender is gone.
+    pub inputs: mpsc::Receiver<ControlInput>,
+    /// Requests of other nodes.
+    pub peers: mpsc::Receiver<IncomingRequest>,
+    /// Requests of operators.
+    pub operators: mpsc::Receiver<ControlRequest>,
+}
+
+/// A request of the control thread that ended.
+enum Finished {
+    /// An event for the control state.
+    Event(Event),
+    /// The versions that other nodes hold, for the answer to a query.
+    Survey(Query, BTreeMap<NodeId, ConfigVersion>, oneshot::Sender<Answer>),
+}
+
 impl<S: StoreClient> ControlThread<S> {
-    /// Serves `inputs` and `incoming` until every sender of `inputs` is gone.
-    pub async fn run(
-        parts: ControlParts<S>,
-        mut inputs: mpsc::Receiver<ControlInput>,
-        mut incoming: mpsc::Receiver<IncomingRequest>,
-    ) {
+    /// Serves `inputs` until every sender of events is gone.
+    pub async fn run(parts: ControlParts<S>, mut inputs: ControlInputs) {
         // The control state bounds the number of its requests, and with it this channel.
         let (results, mut finished) = mpsc::unbounded_channel();
-        let mut thread = Self {
-            control: parts.control,
-            clock: parts.clock,
-            rng: SmallRng::from_os_rng(),
-            links: Arc::new(parts.links),
-            store: parts.store,
-            log: parts.log,
-            snapshot: parts.snapshot,
-            incoming: 0,
-            replies: HashMap::new(),
-            outcomes: HashMap::new(),
-            results,
-        };
+        let mut thread = Self::new(parts, results);
         let mut ticks = tokio::time::interval(TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             tokio::select! {
-                input = inputs.recv() => match input {
-                    Some(input) => thread.take(input),
+                input = inputs.inputs.recv() => match input {
+                    Some(ControlInput::Event(event)) => thread.handle(event),
                     None => return,
                 },
-                Some(request) = incoming.recv() => thread.take_request(request),
-                Some(event) = finished.recv() => thread.handle(event),
+                Some(request) = inputs.peers.recv() => thread.take_peer_request(request),
+                Some(request) = inputs.operators.recv() => thread.take_operator_request(request),
+                Some(finished) = finished.recv() => thread.take_finished(finished),
                 _ = ticks.tick() => thread.handle(Event::Tick),
             }
         }
     }
 
-    fn take(&mut self, input: ControlInput) {
-        match input {
-            ControlInput::Event(event) => self.handle(event),
+    fn new(parts: ControlParts<S>, results: mpsc::UnboundedSender<Finished>) -> Self {
+        Self {
+            control: parts.control,
+            kept: KeptVersions::default(),
+            clock: parts.clock,
+            rng: SmallRng::from_os_rng(),
+            links: Arc::new(parts.links),
+            store: parts.store,
+            log: parts.log,
+            snapshot: parts.snapshot,
+            incoming: 0,
+            replies: HashMap::new(),
+            outcomes: HashMap::new(),
+            results,
         }
     }
 
-    fn take_request(&mut self, request: IncomingRequest) {
+    fn take_peer_request(&mut self, request: IncomingRequest) {
         let id = self.next_incoming();
         self.replies.insert(id, request.reply);
         self.handle(Event::PeerRequest { id, message: request.message });
     }
 
+    fn take_operator_request(&mut self, request: ControlRequest) {
+        match request {
+            ControlRequest::Submit(submission, reply) => {
+                let id = self.next_incoming();
+                self.outcomes.insert(id, reply);
+                self.handle(Event::Submit { id, submission: *submission });
+            }
+            ControlRequest::AskOutcome(write_id, reply) => {
+                let id = self.next_incoming();
+                self.outcomes.insert(id, reply);
+                self.handle(Event::AskOutcome { id, write_id });
+            }
+            ControlRequest::Query(query @ Query::Nodes { .. }, reply) => self.survey(query, reply),
+            ControlRequest::Query(query, reply) => {
+                // The operator may have gone meanwhile; the same holds for the other replies.
+                let _ = reply.send(self.answer(&query, &BTreeMap::new()));
+            }
+            ControlRequest::KeptContent(version, reply) => {
+                let _ = reply.send(self.kept_content(version));
+            }
+        }
+    }
+
+    fn take_finished(&mut self, finished: Finished) {
+        match finished {
+            Finished::Event(event) => self.handle(event),
+            Finished::Survey(query, versions, reply) => {
+                let _ = reply.send(self.answer(&query, &versions));
+            }
+        }
+    }
+
     fn next_incoming(&mut self) -> RequestId {
         self.incoming += 1;
         RequestId::new(self.incoming)
@@ -134,26 +188,72 @@
                 let (store, results) = (self.store.clone(), self.results.clone());
                 tokio::task::spawn_local(async move {
                     let reply = store.request(request).await;
-                    let _ = results.send(Event::StoreReply { id, reply });
+                    let _ = results.send(Finished::Event(Event::StoreReply { id, reply }));
                 });
             }
             Action::Submitted { id, outcome } => {
                 if let Some(submitter) = self.outcomes.remove(&id) {
-                    // The operator may have gone meanwhile.
                     let _ = submitter.send(outcome);
                 }
             }
-            Action::Publish => self.snapshot.store(Arc::new(self.control.snapshot())),
+            Action::Publish => self.publish(),
             Action::Report(change) => self.log.report(&change),
         }
     }
 
-    fn send(&self, id: RequestId, to: std::net::SocketAddr, message: PeerMessage, timeout: Millis) {
+    fn publish(&mut self) {
+        if let Some(config) = self.control.config() {
+            self.kept.keep(config);
+        }
+        self.snapshot.store(Arc::new(self.control.snapshot()));
+    }
+
+    fn send(&self, id: RequestId, to: SocketAddr, message: PeerMessage, timeout: Millis) {
         let (links, results) = (self.links.clone(), self.results.clone());
         tokio::task::spawn_local(async move {
             let limit = Duration::from_millis(timeout.get());
             let reply = links.send(to, &message, limit).await;
-            let _ = results.send(Event::PeerReply { id, reply });
+            let _ = results.send(Finished::Event(Event::PeerReply { id, reply }));
+        });
+    }
+
+    /// Asks every node for its version and then answers `query`.
+    fn survey(&self, query: Query, reply: oneshot::Sender<Answer>) {
+        let own = self.control.status().node;
+        let nodes = self.control.peers().filter(|peer| peer.id != own && peer.status.takes_calls());
+        let nodes: Vec<(NodeId, SocketAddr)> =
+            nodes.map(|peer| (peer.id.clone(), peer.peer_addr)).collect();
+        let ping = PeerMessage::Ping(self.control.sync_status());
+        let (links, results) = (self.links.clone(), self.results.clone());
+        tokio::task::spawn_local(async move {
+            let versions = version_survey::ask(&links, ping, nodes).await;
+            let _ = results.send(Finished::Survey(query, versions, reply));
         });
     }
+
+    /// The answer to `query`, with the versions that a survey of the nodes found.
+    fn answer(&self, query: &Query, surveyed: &BTreeMap<NodeId, ConfigVersion>) -> Answer {
+        let status = self.control.status();
+        let snapshot = self.snapshot.load();
+        let mut applied: BTreeMap<&NodeId, ConfigVersion> =
+            self.control.peer_versions().map(|(id, version)| (id, version.held)).collect();
+        applied.extend(surveyed.iter().map(|(id, version)| (id, *version)));
+        applied.insert(&status.node, status.published);
+        let nodes: Vec<NodeView<'_>> = self
+            .control
+            .peers()
+            .map(|peer| NodeView { peer, applied: applied.get(&peer.id).copied() })
+            .collect();
+        let view = View {
+            node: &status.node,
+            config: snapshot.config.as_ref(),
+            stops: &snapshot.stops,
+            nodes: &nodes,
+        };
+        view.answer(query)
+    }
+
+    fn kept_content(&self, version: ConfigVersion) -> Option<ConfigContent> {
+        self.kept.get(version).map(|config| config.content.clone())
+    }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod store_client;
 mod traffic;
 mod traffic_settings;
+mod version_survey;
 
 pub use body::MAX_BODY;
 pub use callers::{MAX_HEADER, serve_callers};
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -9,6 +9,7 @@
 use almondsail_core::traffic::Snapshot;
 use arc_swap::ArcSwap;
 use eyre::WrapErr;
+use opentelemetry::KeyValue;
 use serde::Serialize;
 use slog::{Logger, info};
 use tokio::net::TcpListener;
@@ -20,12 +21,17 @@
 use crate::clock::Clock;
 use crate::control_input::ControlInput;
 use crate::control_metrics;
-use crate::control_thread::{ControlParts, ControlThread};
+use crate::control_request::ControlRequest;
+use crate::control_thread::{ControlInputs, ControlParts, ControlThread};
 use crate::http_server;
 use crate::local_api::LocalApi;
 use crate::log;
 use crate::metrics::Metrics;
-use crate::peer_link::{ByteCounts, ClientPool, FrameSeal, IncomingRequest, PeerServer};
+use crate::operator_auth::OperatorAuth;
+use crate::operator_control::OperatorControl;
+use crate::operator_error::OperatorError;
+use crate::operators::OperatorApi;
+use crate::peer_link::{ByteCounts, ClientPool, FrameSeal, PeerServer};
 use crate::settings::NodeSettings;
 use crate::state_log::StateLog;
 use crate::store_client::{CallCounts, HttpStore};
@@ -33,6 +39,10 @@
 
 /// Number of inputs that wait for the control thread at most; senders wait beyond it.
 const CONTROL_QUEUE: usize = 1_024;
+/// Number of operators' requests that wait for the control thread at most; more are refused.
+const OPERATOR_QUEUE: usize = 64;
+/// Number of operators' connections at a time.
+const OPERATOR_CONNECTIONS: usize = 64;
 /// Number of connections to the local API at a time.
 const LOCAL_CONNECTIONS: usize = 32;
 /// Time between the announcement of a planned stop and the end of the
@@ -99,6 +109,7 @@
     let traffic = traffic(settings, &snapshot, &metrics)?;
 
     let (inputs, control_inputs) = mpsc::channel(CONTROL_QUEUE);
+    let (operator_requests, operators) = mpsc::channel(OPERATOR_QUEUE);
     let (stop, stopped) = watch::channel(false);
     let byte_counts = ByteCounts::default();
     control_metrics::export(&metrics.meter(), &snapshot, &byte_counts);
@@ -114,18 +125,21 @@
         snapshot,
     };
     let refused = control_metrics::refused_peer_frames(&metrics.meter());
-    let (peer_requests, incoming) = mpsc::channel(CONTROL_QUEUE);
+    let (peer_requests, peers) = mpsc::channel(CONTROL_QUEUE);
     let server = PeerServer::new(seal, byte_counts, peer_requests, refused);
+    let control_inputs = ControlInputs { inputs: control_inputs, peers, operators };
     let control_thread =
-        ControlRuntime { parts, server, peers: listeners.peers }.start(control_inputs, incoming)?;
+        ControlRuntime { parts, server, peers: listeners.peers }.start(control_inputs)?;
 
     let runtime = traffic_runtime(settings)?;
-    let servers = Servers { traffic, inputs, metrics, log };
+    let operators = operator_api(settings, operator_requests, clock, &metrics);
+    let servers = Servers { traffic, inputs, metrics, operators, log };
     println!("{}", serde_json::to_string(&addresses)?);
     runtime.block_on(servers.serve(
         ServerListeners {
             callers: listeners.callers,
             door: listeners.door,
+            operators: listeners.operators,
             local: listeners.local,
         },
         stop,
@@ -164,6 +178,18 @@
         .build()?)
 }
 
+fn operator_api(
+    settings: &NodeSettings,
+    requests: mpsc::Sender<ControlRequest>,
+    clock: Clock,
+    metrics: &Metrics,
+) -> OperatorApi {
+    let auth = OperatorAuth::new(settings.operators.clone());
+    let errors = control_metrics::operator_errors(&metrics.meter());
+    let count = move |e: &OperatorError| errors.add(1, &[KeyValue::new("reason", e.code())]);
+    OperatorApi::new(auth, OperatorControl::new(requests, clock), Box::new(count))
+}
+
 fn traffic_runtime(settings: &NodeSettings) -> eyre::Result<Runtime> {
     Ok(Builder::new_multi_thread()
         .worker_threads(settings.traffic_threads)
@@ -180,18 +206,14 @@
 }
 
 impl ControlRuntime {
-    fn start(
-        self,
-        inputs: mpsc::Receiver<ControlInput>,
-        incoming: mpsc::Receiver<IncomingRequest>,
-    ) -> eyre::Result<thread::JoinHandle<eyre::Result<()>>> {
+    fn start(self, inputs: ControlInputs) -> eyre::Result<thread::JoinHandle<eyre::Result<()>>> {
         let runtime = Builder::new_current_thread().enable_all().build()?;
         let thread = thread::Builder::new().name("control".to_owned());
         Ok(thread.spawn(move || {
             LocalSet::new().block_on(&runtime, async {
                 let peers = TcpListener::from_std(self.peers)?;
                 tokio::spawn(self.server.listen(peers));
-                ControlThread::run(self.parts, inputs, incoming).await;
+                ControlThread::run(self.parts, inputs).await;
                 Ok(())
             })
         })?)
@@ -202,6 +224,7 @@
 struct ServerListeners {
     callers: StdTcpListener,
     door: StdTcpListener,
+    operators: StdTcpListener,
     local: StdTcpListener,
 }
 
@@ -210,6 +233,7 @@
     traffic: Traffic,
     inputs: mpsc::Sender<ControlInput>,
     metrics: Metrics,
+    operators: OperatorApi,
     log: Logger,
 }
 
@@ -225,12 +249,19 @@
         let door = TcpListener::from_std(listeners.door)?;
         let local = TcpListener::from_std(listeners.local)?;
         let local_api = LocalApi::new(self.inputs.clone(), self.metrics.clone());
-        let (stop_local, local_stopped) = watch::channel(false);
+        let (stop_control, control_stopped) = watch::channel(false);
         let local = tokio::spawn(http_server::serve(
             local,
             local_api.router(),
             LOCAL_CONNECTIONS,
-            local_stopped,
+            control_stopped.clone(),
+        ));
+        let operators = TcpListener::from_std(listeners.operators)?;
+        let operators = tokio::spawn(http_server::serve(
+            operators,
+            self.operators.router(),
+            OPERATOR_CONNECTIONS,
+            control_stopped,
         ));
         let callers = tokio::spawn(serve_callers(callers, self.traffic.clone(), stopped.clone()));
         let door = tokio::spawn(serve_door(door, self.traffic.clone(), stopped));
@@ -242,8 +273,9 @@
         stop.send_replace(true);
         callers.await?;
         door.await?;
-        stop_local.send_replace(true);
-        local.abort();
+        stop_control.send_replace(true);
+        operators.await?;
+        local.await?;
         info!(self.log, "stopped");
         Ok(())
     }
--- /dev/null
+++ b/crates/node/src/version_survey.rs
@@ -0,0 +1,38 @@
+//! Asks nodes which configuration version they hold.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use almondsail_core::control::PeerMessage;
+use almondsail_core::ids::{ConfigVersion, NodeId};
+use futures::{StreamExt, stream};
+
+use crate::peer_link::ClientPool;
+
+/// Number of nodes that are asked at a time.
+const CONCURRENCY: usize = 64;
+/// A node that has not answered after this time is left out.
+const TIMEOUT: Duration = Duration::from_millis(500);
+
+/// The versions that `nodes` hold, as they answer to `ping`. Only an operator's
+/// question causes this, so its cost does not count against the idle budget.
+pub(crate) async fn ask(
+    links: &ClientPool,
+    ping: PeerMessage,
+    nodes: Vec<(NodeId, SocketAddr)>,
+) -> BTreeMap<NodeId, ConfigVersion> {
+    let ask_one = |(id, addr)| {
+        let ping = &ping;
+        async move {
+            match links.send(addr, ping, TIMEOUT).await {
+                Ok(PeerMessage::Pong(status)) if status.node == id => {
+                    Some((id, status.config_version))
+                }
+                _ => None,
+            }
+        }
+    };
+    let answers = stream::iter(nodes).map(ask_one).buffer_unordered(CONCURRENCY);
+    answers.filter_map(|answer| async { answer }).collect().await
+}
