Test properties of Control under faults; wait for former links before a lone start

Cause: the property test publish_under_faults found a node that restarted while both its seeds were down: it published the store's stale version 5 after 8, although a former link knew better and was in reach.

Change: control_faults runs stories of faults (loss, doubling, delay, partitions, pauses, restarts, store outages, lost answers, stale reads, racing operators). A node without an answer from a seed is alone only after 4 s, in which its former links ping it.

--- a/crates/core/src/control/dissemination.rs
+++ b/crates/core/src/control/dissemination.rs
@@ -155,7 +155,7 @@
                 members.join_peer(to, ASK_TIMEOUT, cx);
             }
         }
-        let is_alone = members.joiner.is_alone(members.seeds.len());
+        let is_alone = members.joiner.is_alone(members.seeds.len(), cx.now);
         self.floor.settle(&links, is_alone);
     }
 
--- /dev/null
+++ b/crates/core/tests/control_faults.rs
@@ -0,0 +1,270 @@
+//! Properties of several `Control`s under faults.
+
+mod common;
+
+use std::collections::BTreeSet;
+
+use almondsail_core::config::StopMark;
+use almondsail_core::control::{Event, RequestId};
+use almondsail_core::ids::WriteId;
+use almondsail_core::peers::PeerStatus;
+use almondsail_core::store::Outcome;
+use common::{Sim, checker, create_service, create_version, stop_mark, submission};
+use quickcheck::{Arbitrary, Gen};
+
+/// One event of a story. Faults last until the story ends or the same kind comes again.
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    Wait(u64),
+    Network { loss: u32, doubling: u32, delay: u64 },
+    Cut(u8),
+    Pause(usize, u64),
+    Restart(usize, u64),
+    Store { down: bool, lost: u32, stale: u32 },
+    Submit(usize),
+    Race,
+    Stop(usize, u8),
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let mut draw = |bound: u64| u64::arbitrary(g) % bound;
+        let node = draw(16) as usize;
+        match draw(12) {
+            0 => Self::Wait(draw(6_000)),
+            1 => {
+                let (loss, doubling) = (draw(25) as u32, draw(30) as u32);
+                Self::Network { loss, doubling, delay: 1 + draw(200) }
+            }
+            2 => Self::Cut(draw(256) as u8),
+            3 => Self::Pause(node, draw(9_000)),
+            4 | 5 => Self::Restart(node, draw(3_000)),
+            6 => {
+                let (lost, stale) = (draw(60) as u32, draw(60) as u32);
+                Self::Store { down: draw(3) == 0, lost, stale }
+            }
+            7..=9 => Self::Submit(node),
+            10 => Self::Race,
+            _ => Self::Stop(node, draw(6) as u8),
+        }
+    }
+}
+
+#[derive(Debug, Clone)]
+struct Story {
+    nodes: usize,
+    seed: u64,
+    steps: Vec<(Step, u64)>,
+}
+
+impl Arbitrary for Story {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let nodes = 2 + usize::arbitrary(g) % 6;
+        let steps: Vec<(Step, u16)> = Vec::arbitrary(g);
+        let steps = steps.into_iter().map(|(step, gap)| (step, u64::from(gap) % 1_500)).collect();
+        Self { nodes, seed: u64::arbitrary(g), steps }
+    }
+
+    fn shrink(&self) -> Box<dyn Iterator<Item = Self>> {
+        let story = self.clone();
+        let without = move |index| {
+            let mut shorter = story.clone();
+            shorter.steps.remove(index);
+            shorter
+        };
+        Box::new((0..self.steps.len()).map(without))
+    }
+}
+
+/// What a story leaves behind. Prints the story when a property fails.
+struct Told {
+    story: Story,
+    sim: Sim,
+    submitted: Vec<(usize, u32, RequestId, WriteId)>,
+    marked: Vec<(usize, u32, StopMark)>,
+}
+
+impl Drop for Told {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            eprintln!("failed: {:?}", self.story);
+        }
+    }
+}
+
+impl Told {
+    /// The state when all faults of `story` have stopped.
+    fn of(story: &Story) -> Self {
+        let mut told = Self {
+            story: story.clone(),
+            sim: Sim::new(story.nodes, story.seed),
+            submitted: Vec::new(),
+            marked: Vec::new(),
+        };
+        let sim = &mut told.sim;
+        sim.store.race(&create_service("bays"), WriteId::new([1; 16]), sim.wall());
+        for version in 0..6 {
+            let change = create_version("bays", &format!("v{version}"));
+            sim.store.race(&change, WriteId::new([2 + version; 16]), sim.wall());
+        }
+        sim.run(2_500);
+        let mut restarts = Vec::new();
+        for (number, (step, gap)) in story.steps.iter().enumerate() {
+            told.take(*step, number, &mut restarts);
+            told.run(*gap, &mut restarts);
+        }
+        told.heal(&mut restarts);
+        told
+    }
+
+    fn take(&mut self, step: Step, number: usize, restarts: &mut Vec<(u64, usize)>) {
+        let sim = &mut self.sim;
+        let count = sim.nodes.len();
+        match step {
+            Step::Wait(time) => self.run(time, restarts),
+            Step::Network { loss, doubling, delay } => {
+                (sim.loss, sim.doubling, sim.delay) = (loss, doubling, delay);
+            }
+            Step::Cut(mask) => sim.cut_off((0..count).filter(|i| mask >> i & 1 == 1).collect()),
+            Step::Pause(node, time) => sim.pause(node % count, time),
+            Step::Restart(node, time) => {
+                sim.stop(node % count);
+                restarts.retain(|(_, other)| *other != node % count);
+                restarts.push((sim.now + time * 1_000, node % count));
+            }
+            Step::Store { down, lost, stale } => {
+                (sim.store.down, sim.store.lost, sim.store.stale) = (down, lost, stale);
+            }
+            Step::Submit(node) => {
+                let change = create_service(&format!("s{number}"));
+                let change = submission(number as u64, change);
+                let (node, write_id) = (node % count, change.write_id);
+                let id = sim.submit(node, change);
+                self.submitted.push((node, sim.nodes[node].epoch, id, write_id));
+            }
+            Step::Race => {
+                let write_id = WriteId::new([100 + number as u8; 16]);
+                sim.store.race(&create_service(&format!("r{number}")), write_id, sim.wall());
+                sim.wake_watches();
+            }
+            Step::Stop(node, version) => {
+                let node = node % count;
+                let mark = stop_mark("bays", &format!("v{version}"));
+                let (marks, reason) = (vec![mark.clone()], "it failed".into());
+                sim.event(node, Event::VersionFailed { marks, reason });
+                self.marked.push((node, sim.nodes[node].epoch, mark));
+            }
+        }
+    }
+
+    fn run(&mut self, millis: u64, restarts: &mut Vec<(u64, usize)>) {
+        let end = self.sim.now + millis * 1_000;
+        restarts.sort_unstable();
+        while let Some((at, node)) = restarts.first().copied().filter(|(at, _)| *at <= end) {
+            restarts.remove(0);
+            self.sim.run(at.saturating_sub(self.sim.now) / 1_000);
+            self.sim.start(node);
+        }
+        self.sim.run(end.saturating_sub(self.sim.now) / 1_000);
+    }
+
+    fn heal(&mut self, restarts: &mut Vec<(u64, usize)>) {
+        self.run(9_000, restarts);
+        let sim = &mut self.sim;
+        (sim.loss, sim.doubling, sim.delay) = (0, 0, 2);
+        sim.cut_off(BTreeSet::new());
+        (sim.store.down, sim.store.lost, sim.store.stale) = (false, 0, 0);
+        sim.wake_watches();
+    }
+}
+
+/// Guards against a version that goes down, is invalid or was never accepted:
+/// `Sim` checks each publication, also across restarts.
+#[test]
+fn publish_under_faults() {
+    fn property(story: Story) {
+        let mut told = Told::of(&story);
+        told.sim.run(4_000);
+    }
+    checker(100).quickcheck(property as fn(Story));
+}
+
+/// Guards against a node that misses the newest version after the faults.
+#[test]
+fn converge_after_faults() {
+    fn property(story: Story) {
+        let mut told = Told::of(&story);
+        told.sim.run(4_000);
+        let newest = told.sim.newest();
+        for index in 0..story.nodes {
+            // Stop marks may be recorded just now.
+            let published = told.sim.published(index);
+            assert!(published >= newest, "node {index} has {published}, not {newest}");
+        }
+    }
+    checker(100).quickcheck(property as fn(Story));
+}
+
+/// Guards against outcomes that the store's history contradicts.
+#[test]
+fn submit_outcome_is_true() {
+    fn property(story: Story) {
+        let mut told = Told::of(&story);
+        told.sim.run(8_000);
+        for (node, epoch, id, write_id) in &told.submitted {
+            let slot = &told.sim.nodes[*node];
+            let version = told.sim.store.values.iter().find(|cfg| cfg.write_id == *write_id);
+            match slot.outcomes.get(id) {
+                Some(Outcome::Accepted(at)) => {
+                    assert_eq!(version.map(|cfg| cfg.version), Some(*at));
+                }
+                Some(Outcome::Refused(why)) => assert_eq!(version, None, "refused: {why}"),
+                Some(Outcome::Unknown(id)) => assert_eq!(id, write_id),
+                None => assert_ne!(slot.epoch, *epoch, "no outcome"),
+                other => panic!("{other:?}"),
+            }
+        }
+    }
+    checker(100).quickcheck(property as fn(Story));
+}
+
+/// Guards against a node that stays declared dead although it lives.
+#[test]
+fn peers_alive_after_faults() {
+    fn property(story: Story) {
+        let mut told = Told::of(&story);
+        told.sim.run(20_000);
+        for index in 0..story.nodes {
+            let peers: Vec<_> = told.sim.control(index).peers().collect();
+            assert_eq!(peers.len(), story.nodes, "node {index} knows too few");
+            for peer in peers {
+                assert_eq!(peer.status, PeerStatus::Alive, "{} at node {index}", peer.id);
+            }
+        }
+    }
+    checker(60).quickcheck(property as fn(Story));
+}
+
+/// Guards against a stop mark that is lost while nodes know of it, or never recorded.
+#[test]
+fn stop_marks_reach_all() {
+    fn property(story: Story) {
+        let mut told = Told::of(&story);
+        let sim = &mut told.sim;
+        let is_kept = |(node, epoch, _): &&(usize, u32, StopMark)| {
+            sim.nodes[*node].control.is_some() && sim.nodes[*node].epoch == *epoch
+        };
+        let kept: Vec<_> = told.marked.iter().filter(is_kept).map(|(.., m)| m.clone()).collect();
+        sim.run(4_000);
+        for index in 0..story.nodes {
+            let stops = sim.control(index).snapshot().stops;
+            assert!(kept.iter().all(|mark| stops.contains(mark)), "node {index} has {stops:?}");
+        }
+        sim.run(15_000);
+        let recorded = sim.store.values.last().map(|cfg| cfg.content.stops.clone());
+        let recorded = recorded.unwrap_or_default();
+        assert!(kept.iter().all(|mark| recorded.contains(mark)), "recorded: {recorded:?}");
+        assert!((0..story.nodes).all(|index| sim.control(index).status().pending_stops == 0));
+    }
+    checker(60).quickcheck(property as fn(Story));
+}
