Let only settled nodes vouch for a version floor

Change: PeerMessage::Welcome states whether the answering node knows its own floor (interface addition). Without a settled node a start takes 4 s.

--- a/crates/core/src/control/dissemination.rs
+++ b/crates/core/src/control/dissemination.rs
@@ -155,8 +155,8 @@
                 members.join_peer(to, ASK_TIMEOUT, cx);
             }
         }
-        let is_alone = members.joiner.is_alone(members.seeds.len(), cx.now);
-        self.floor.settle(&links, is_alone);
+        let waited = members.joiner.has_waited(members.seeds.len(), cx.now);
+        self.floor.settle(&links, waited);
     }
 
     /// Lets traffic use the version in force if the floor admits it.
--- a/crates/core/src/control/joiner.rs
+++ b/crates/core/src/control/joiner.rs
@@ -8,9 +8,10 @@
 /// The first and the longest bound of the time between attempts to join.
 const FIRST_WAIT: Millis = Millis::new(200);
 const LONGEST_WAIT: Millis = Millis::new(5_000);
-/// A node is alone after this number of attempts without an answer and this
-/// time. Its former links ping it meanwhile, even when no seed runs.
+/// A node that is not joined makes this number of attempts before it starts alone.
 const ATTEMPTS_UNTIL_ALONE: u32 = 3;
+/// A node that finds no settled node starts after this time. Its former links
+/// ping it meanwhile, even when no seed runs or the seeds were restarted too.
 const TIME_UNTIL_ALONE: Millis = Millis::new(4_000);
 
 /// Decides when the seeds are asked for admission.
@@ -53,11 +54,11 @@
         begins
     }
 
-    /// Whether there is nobody to learn from: no seed is known or none answered often enough.
-    pub(crate) fn is_alone(&self, seeds: usize, now: Instant) -> bool {
-        let gave_up = self.attempts >= ATTEMPTS_UNTIL_ALONE
-            && now.since(self.began) >= Micros::from(TIME_UNTIL_ALONE);
-        !self.is_joined && (seeds == 0 || gave_up)
+    /// Whether the node has waited long enough for somebody who knows its version floor.
+    pub(crate) fn has_waited(&self, seeds: usize, now: Instant) -> bool {
+        let has_tried = self.is_joined || self.attempts >= ATTEMPTS_UNTIL_ALONE;
+        let is_time = now.since(self.began) >= Micros::from(TIME_UNTIL_ALONE);
+        seeds == 0 || has_tried && is_time
     }
 
     /// A seed answered; returns whether it is the first one to do so.
--- a/crates/core/src/control/peer_message.rs
+++ b/crates/core/src/control/peer_message.rs
@@ -19,6 +19,9 @@
         peers: Vec<Peer>,
         /// The highest configuration version that the joining node is known to have had.
         floor: ConfigVersion,
+        /// Whether the answering node knows its own floor. One that does not was
+        /// started just now and can't tell what others remember.
+        is_settled: bool,
         /// What the answering node holds.
         status: SyncStatus,
     },
--- a/crates/core/src/control/state.rs
+++ b/crates/core/src/control/state.rs
@@ -17,7 +17,7 @@
     Action, ControlSettings, ControlStatus, Event, PeerFailure, PeerMessage, RequestId,
     StateChange, SyncStatus,
 };
-use crate::ids::{ConfigVersion, DataCentre, NodeId, WriteId};
+use crate::ids::{DataCentre, NodeId, WriteId};
 use crate::peers::{AnnouncedBackend, Peer, PeerStatus};
 use crate::store::{JobId, Outcome, RefusedChange, StoreReply, Submission};
 use crate::sync::{Offer, PeerVersion};
@@ -242,8 +242,12 @@
         match (request, reply) {
             (
                 PendingRequest::JoinSeed | PendingRequest::JoinPeer,
-                Ok(PeerMessage::Welcome { peers, floor, status }),
-            ) => self.take_welcome(peers, floor, &status, cx),
+                Ok(PeerMessage::Welcome { peers, floor, is_settled, status }),
+            ) => {
+                let version = floor.max(status.config_version);
+                self.spread.floor.answer(&status.node, version, is_settled);
+                self.take_welcome(peers, &status, cx);
+            }
             (PendingRequest::Ping { target, began }, Ok(PeerMessage::Pong(status))) => {
                 self.members.take_pong(&target, began, cx);
                 self.take_status(&status, cx);
@@ -306,21 +310,19 @@
         let floor = self.spread.versions.get(&peer.id).highest;
         self.spread.versions.note_join(&peer.id);
         let peers = self.members.admit(peer, cx);
-        PeerMessage::Welcome { peers, floor, status: self.sync_status() }
+        PeerMessage::Welcome {
+            peers,
+            floor,
+            is_settled: self.spread.floor.is_settled(),
+            status: self.sync_status(),
+        }
     }
 
-    fn take_welcome<R: Rng>(
-        &mut self,
-        peers: Vec<Peer>,
-        floor: ConfigVersion,
-        status: &SyncStatus,
-        cx: &mut Cx<'_, R>,
-    ) {
+    fn take_welcome<R: Rng>(&mut self, peers: Vec<Peer>, status: &SyncStatus, cx: &mut Cx<'_, R>) {
         self.members.take_entries(peers, Some(&status.node), cx);
         if self.members.joiner.succeed() {
             cx.report(StateChange::Joined);
         }
-        self.spread.floor.answer(&status.node, floor.max(status.config_version));
         self.take_status(status, cx);
     }
 
--- a/crates/core/src/sync/floor_gate.rs
+++ b/crates/core/src/sync/floor_gate.rs
@@ -20,6 +20,8 @@
     floor: ConfigVersion,
     /// Whether every link has answered or was asked often enough. Stays set once it is.
     is_settled: bool,
+    /// Whether a settled node has answered.
+    has_proof: bool,
     asks: BTreeMap<NodeId, Ask>,
 }
 
@@ -52,9 +54,11 @@
         self.is_settled && version >= self.floor
     }
 
-    /// Takes the answer of `node`: this node must have `version`.
-    pub fn answer(&mut self, node: &NodeId, version: ConfigVersion) {
+    /// Takes the answer of `node`: this node must have `version`. The answer of
+    /// a node that is not settled itself is no proof that there was none.
+    pub fn answer(&mut self, node: &NodeId, version: ConfigVersion, is_settled: bool) {
         self.floor = self.floor.max(version);
+        self.has_proof |= is_settled;
         self.asks.entry(node.clone()).or_default().answered = true;
     }
 
@@ -75,12 +79,12 @@
         due
     }
 
-    /// Settles if no link is still to answer and at least one node has answered,
-    /// or there is nobody who could: no seed answered either.
-    pub fn settle(&mut self, links: &[NodeId], is_alone: bool) {
+    /// Settles if no link is still to answer and a settled node has answered, or
+    /// `waited` tells that none has been found for long enough.
+    pub fn settle(&mut self, links: &[NodeId], waited: bool) {
         let is_over = |link: &NodeId| self.asks.get(link).is_some_and(Ask::is_over);
-        let has_answer = self.asks.values().any(|ask| ask.answered);
-        self.is_settled = self.is_settled || (has_answer || is_alone) && links.iter().all(is_over);
+        let has_source = self.has_proof || waited;
+        self.is_settled = self.is_settled || has_source && links.iter().all(is_over);
         if self.is_settled {
             self.asks.clear();
         }
--- a/crates/core/tests/control_faults.rs
+++ b/crates/core/tests/control_faults.rs
@@ -107,7 +107,7 @@
             let change = create_version("bays", &format!("v{version}"));
             sim.store.race(&change, WriteId::new([2 + version; 16]), sim.wall());
         }
-        sim.run(2_500);
+        sim.run(5_500);
         let mut restarts = Vec::new();
         for (number, (step, gap)) in story.steps.iter().enumerate() {
             told.take(*step, number, &mut restarts);
