Add the members' reports and the sharing of cost

Cause: the members' boards read what was delivered and at what cost; nothing adds it up yet. Change: nodes' records of a minute merge by the higher count, so a record that comes twice counts once. A quarter of each cost is shared equally and the rest by numbers of calls; shares add up exactly.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod control;
 pub mod ids;
 pub mod peers;
+pub mod report;
 pub mod rollout;
 pub mod store;
 pub mod traffic;
--- /dev/null
+++ b/crates/core/src/report/cost.rs
@@ -0,0 +1,88 @@
+//! What the mesh costs, and how members share it.
+
+use std::collections::BTreeMap;
+
+use crate::ids::MemberName;
+use crate::units::{ByteCount, Micros, PerMille};
+
+/// The part of each cost that the members share equally: peers, configuration
+/// and heartbeats cost the same however few calls a member has.
+pub const FIXED_PART: PerMille = match PerMille::new(250) {
+    Some(part) => part,
+    None => PerMille::WHOLE,
+};
+
+/// What the mesh costs.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Cost {
+    /// Processor time.
+    pub cpu: Micros,
+    /// Bytes between nodes, and between nodes and the store.
+    pub bytes: ByteCount,
+    /// Calls of the store.
+    pub store_calls: u64,
+}
+
+impl Cost {
+    /// Adds another cost.
+    pub const fn add(&mut self, other: &Self) {
+        self.cpu = Micros::new(self.cpu.get().saturating_add(other.cpu.get()));
+        self.bytes = ByteCount::new(self.bytes.get().saturating_add(other.bytes.get()));
+        self.store_calls = self.store_calls.saturating_add(other.store_calls);
+    }
+
+    /// Takes the higher of each cost: the later state of the same counters.
+    pub fn join(&mut self, other: &Self) {
+        self.cpu = self.cpu.max(other.cpu);
+        self.bytes = self.bytes.max(other.bytes);
+        self.store_calls = self.store_calls.max(other.store_calls);
+    }
+
+    /// Shares this cost between the members of `calls`: [`FIXED_PART`] equally,
+    /// the rest by their numbers of calls, or equally if there were none.
+    ///
+    /// The shares add up to the cost exactly; what whole units can't divide goes
+    /// to the members in the order of their names, one unit each.
+    pub fn share(&self, calls: &BTreeMap<MemberName, u64>) -> BTreeMap<MemberName, Self> {
+        let weights: Vec<u64> = calls.values().copied().collect();
+        let cpu = split(self.cpu.get(), &weights);
+        let bytes = split(self.bytes.get(), &weights);
+        let store_calls = split(self.store_calls, &weights);
+        let share = |(i, member): (usize, &MemberName)| {
+            let cpu = Micros::new(cpu[i]);
+            let bytes = ByteCount::new(bytes[i]);
+            (member.clone(), Self { cpu, bytes, store_calls: store_calls[i] })
+        };
+        calls.keys().enumerate().map(share).collect()
+    }
+}
+
+/// Splits `amount` by the rule of [`Cost::share`].
+fn split(amount: u64, weights: &[u64]) -> Vec<u64> {
+    let whole = u128::from(PerMille::WHOLE.get());
+    let fixed = (u128::from(amount) * u128::from(FIXED_PART.get()) / whole) as u64;
+    let by_calls = split_by_weight(amount - fixed, weights);
+    let equally = split_by_weight(fixed, &vec![1; weights.len()]);
+    by_calls.into_iter().zip(equally).map(|(a, b)| a + b).collect()
+}
+
+fn split_by_weight(amount: u64, weights: &[u64]) -> Vec<u64> {
+    let total: u128 = weights.iter().map(|&w| u128::from(w)).sum();
+    if total == 0 {
+        return if weights.is_empty() {
+            Vec::new()
+        } else {
+            split_by_weight(amount, &vec![1; weights.len()])
+        };
+    }
+    // Each part is at most `amount`, so it fits in 64 bits.
+    let part = |&weight: &u64| (u128::from(amount) * u128::from(weight) / total) as u64;
+    let mut parts: Vec<u64> = weights.iter().map(part).collect();
+    let mut rest = amount - parts.iter().sum::<u64>();
+    for part in parts.iter_mut().take(rest as usize) {
+        *part += 1;
+        rest -= 1;
+    }
+    debug_assert_eq!(rest, 0, "rounding leaves less than one unit for each member");
+    parts
+}
