--- /dev/null
+++ b/crates/core/benches/rollout_policies/policy.rs
@@ -0,0 +1,112 @@
+//! The policies that are compared.
+
+use std::fmt;
+
+use almondsail_core::config::{Change, ConfigContent, Rollout, RolloutPhase, StopMark};
+use almondsail_core::ids::VersionName;
+use almondsail_core::rollout::{Driver, Evidence, RampStep, Tally, Window};
+use almondsail_core::units::{Millis, UnixMillis};
+
+/// A policy.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Policy {
+    /// The driver and the local rule of this crate.
+    Almondsail,
+    /// Steps at fixed times; rolls back when too many calls of the last minute failed.
+    FixedRamp,
+    /// Steps when the new version's own calls look well; does not look at the old version.
+    NoComparison,
+}
+
+/// The share of failed calls from which the simpler policies roll back.
+const ERROR_THRESHOLD: f64 = 0.05;
+/// The share of slow calls from which [`Policy::NoComparison`] rolls back.
+const SLOW_THRESHOLD: f64 = 0.2;
+/// The bucket above which it takes a call as slow: 64 ms, three times the usual latency.
+const SLOW_BUCKET: usize = 6;
+/// The number of calls of a route from which the simpler policies judge it.
+const JUDGED_CALLS: u32 = 20;
+/// The number of calls of the new version in the last minute that a step needs.
+const STEP_CALLS: u32 = 100;
+/// The shortest time between two steps of [`Policy::NoComparison`].
+const STEP_TIME: Millis = Millis::new(90_000);
+/// The windows that the simpler policies look at: a minute.
+const WINDOWS: u64 = 6;
+
+impl Policy {
+    pub(crate) const ALL: [Self; 3] = [Self::Almondsail, Self::FixedRamp, Self::NoComparison];
+
+    /// The changes that the policy makes at `now`.
+    pub(crate) fn decide(
+        self,
+        driver: &mut Driver,
+        content: &ConfigContent,
+        evidence: &Evidence,
+        now: UnixMillis,
+    ) -> Vec<Change> {
+        if self == Self::Almondsail {
+            return driver.decide(content, evidence, now).changes;
+        }
+        let Some(rollout) = content.rollouts.values().next() else { return Vec::new() };
+        let first = Window::new(Window::at(now).get().saturating_sub(WINDOWS));
+        let new: Vec<Tally> =
+            content.routes.keys().map(|route| evidence.total(first, route, &rollout.to)).collect();
+        if rollout.phase == RolloutPhase::RolledBack {
+            Vec::new()
+        } else if new.iter().any(|tally| self.is_bad(tally)) {
+            vec![stop(rollout, &rollout.to)]
+        } else if rollout.phase == RolloutPhase::Ramping && self.is_time(rollout, &new, now) {
+            next_step(rollout).into_iter().collect()
+        } else {
+            Vec::new()
+        }
+    }
+
+    fn is_bad(self, tally: &Tally) -> bool {
+        let share = |n: f64| n / f64::from(tally.calls);
+        let is_failing = share(f64::from(tally.failures)) > ERROR_THRESHOLD;
+        let is_slow = share(tally.latency.above(SLOW_BUCKET) as f64) > SLOW_THRESHOLD;
+        tally.calls >= JUDGED_CALLS && (is_failing || (self == Self::NoComparison && is_slow))
+    }
+
+    fn is_time(self, rollout: &Rollout, new: &[Tally], now: UnixMillis) -> bool {
+        let index = RampStep::ALL.iter().filter(|step| is_reached(rollout, step)).count() as u64;
+        let span = rollout.deadline.since(rollout.started).get();
+        let steps = RampStep::ALL.len() as u64 + 1;
+        let is_due = now >= rollout.started + Millis::new(span * index / steps);
+        let calls: u32 = new.iter().map(|tally| tally.calls).sum();
+        let looks_well =
+            index == 0 || (now.since(rollout.changed) >= STEP_TIME && calls >= STEP_CALLS);
+        is_due || (self == Self::NoComparison && looks_well)
+    }
+}
+
+fn is_reached(rollout: &Rollout, step: &RampStep) -> bool {
+    rollout.share >= step.share && rollout.non_idempotent_share >= step.non_idempotent_share
+}
+
+fn next_step(rollout: &Rollout) -> Option<Change> {
+    let step = RampStep::ALL.iter().find(|step| !is_reached(rollout, step))?;
+    Some(Change::StepRollout {
+        expected: rollout.clone(),
+        share: step.share,
+        non_idempotent_share: step.non_idempotent_share,
+        reason: "".into(),
+    })
+}
+
+/// The change that stops `version`.
+pub(crate) fn stop(rollout: &Rollout, version: &VersionName) -> Change {
+    let mark = StopMark { service: rollout.service.clone(), version: version.clone(), route: None };
+    Change::AddStops { marks: vec![mark], reason: "".into() }
+}
+
+impl fmt::Display for Policy {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Almondsail => "almondsail",
+            Self::FixedRamp => "fixed ramp, 5% errors",
+            Self::NoComparison => "no comparison",
+        })
+    }
+}
--- /dev/null
+++ b/crates/core/benches/rollout_policies/scenario.rs
@@ -0,0 +1,168 @@
+//! The kinds of versions and of load.
+
+use std::fmt;
+
+use rand::Rng;
+use rand::rngs::SmallRng;
+
+/// How a call of one version behaves.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Behaviour {
+    /// The probability that it fails.
+    pub(crate) failing: f64,
+    /// The factor on its latency.
+    pub(crate) slowness: f64,
+}
+
+/// A kind of version and of load.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Scenario {
+    BadAtOnce,
+    BadMildly,
+    BadFromEightMinutes,
+    BadFromAnHour,
+    BadUnderLoad,
+    BadOnOneOfTwenty,
+    SlowByFour,
+    SlowByTwoAndAHalf,
+    BadNonIdempotent,
+    BadFewCalls,
+    Good,
+    GoodNoisy,
+    GoodUnderOverload,
+    GoodOverloadAfterwards,
+    GoodUnequalKnown,
+    GoodUnequalUnknown,
+    GoodFewCalls,
+}
+
+/// The failure rate of a good version.
+const USUAL_FAILING: f64 = 0.001;
+/// When the new version of [`Scenario::BadFromEightMinutes`] becomes bad, in seconds.
+const EIGHT_MINUTES: u64 = 480;
+/// When the new version of [`Scenario::BadFromAnHour`] becomes bad, in seconds.
+const HOUR: u64 = 3_600;
+/// The time of high load within the ramp, in seconds.
+const HIGH_LOAD: std::ops::Range<u64> = 300..900;
+/// The time of an overload after the ramp, in seconds.
+const LATE_OVERLOAD: std::ops::Range<u64> = 2_700..3_000;
+
+impl Scenario {
+    pub(crate) const ALL: [Self; 17] = [
+        Self::BadAtOnce,
+        Self::BadMildly,
+        Self::BadFromEightMinutes,
+        Self::BadFromAnHour,
+        Self::BadUnderLoad,
+        Self::BadOnOneOfTwenty,
+        Self::SlowByFour,
+        Self::SlowByTwoAndAHalf,
+        Self::BadNonIdempotent,
+        Self::BadFewCalls,
+        Self::Good,
+        Self::GoodNoisy,
+        Self::GoodUnderOverload,
+        Self::GoodOverloadAfterwards,
+        Self::GoodUnequalKnown,
+        Self::GoodUnequalUnknown,
+        Self::GoodFewCalls,
+    ];
+
+    pub(crate) const fn is_bad(self) -> bool {
+        (self as usize) < Self::Good as usize
+    }
+
+    pub(crate) const fn routes(self) -> usize {
+        match self {
+            Self::BadOnOneOfTwenty => 20,
+            Self::BadFewCalls | Self::GoodFewCalls => 1,
+            _ => 4,
+        }
+    }
+
+    /// The routes before this one are idempotent.
+    pub(crate) const fn idempotent_routes(self) -> usize {
+        self.routes().div_ceil(2)
+    }
+
+    /// The number of calls of a route within a window of 10 s.
+    pub(crate) fn calls(self, second: u64) -> u32 {
+        match self {
+            Self::BadFewCalls | Self::GoodFewCalls => 1,
+            Self::BadOnOneOfTwenty => 40,
+            Self::BadUnderLoad if HIGH_LOAD.contains(&second) => 200,
+            _ => 100,
+        }
+    }
+
+    /// How a call of the old, or the new, version behaves.
+    pub(crate) fn behaviour(self, is_new: bool, route: usize, second: u64) -> Behaviour {
+        let usual = Behaviour { failing: USUAL_FAILING, slowness: 1.0 };
+        let failing = |failing| Behaviour { failing, ..usual };
+        let overloaded = Behaviour { failing: 0.3, slowness: 8.0 };
+        match self {
+            Self::GoodNoisy => failing(0.03),
+            Self::GoodUnderOverload if HIGH_LOAD.contains(&second) => overloaded,
+            Self::GoodOverloadAfterwards if LATE_OVERLOAD.contains(&second) => overloaded,
+            Self::BadUnderLoad if HIGH_LOAD.contains(&second) => {
+                Behaviour { failing: if is_new { 0.2 } else { 0.01 }, slowness: 2.0 }
+            }
+            _ if !is_new || !self.is_affected(route, second) => usual,
+            Self::BadMildly => failing(0.02),
+            Self::SlowByFour => Behaviour { slowness: 4.0, ..usual },
+            Self::SlowByTwoAndAHalf => Behaviour { slowness: 2.5, ..usual },
+            Self::BadFewCalls => failing(0.5),
+            _ => failing(0.3),
+        }
+    }
+
+    /// Whether the new version is bad on `route` at this time.
+    pub(crate) fn is_affected(self, route: usize, second: u64) -> bool {
+        match self {
+            Self::BadFromEightMinutes => second >= EIGHT_MINUTES,
+            Self::BadFromAnHour => second >= HOUR,
+            Self::BadUnderLoad => HIGH_LOAD.contains(&second),
+            Self::BadOnOneOfTwenty => route == 7,
+            Self::BadNonIdempotent => route >= self.idempotent_routes(),
+            _ => self.is_bad(),
+        }
+    }
+
+    /// The factor on the latencies of a host.
+    pub(crate) fn host_slowness(self, rng: &mut SmallRng) -> f64 {
+        match self {
+            Self::GoodUnequalKnown | Self::GoodUnequalUnknown => {
+                [1.0, 2.0, 4.0][rng.random_range(0..3)]
+            }
+            _ => 1.0,
+        }
+    }
+
+    pub(crate) const fn knows_host_speed(self) -> bool {
+        matches!(self, Self::GoodUnequalKnown)
+    }
+}
+
+impl fmt::Display for Scenario {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::BadAtOnce => "bad: 30% fail at once",
+            Self::BadMildly => "bad: 2% fail at once",
+            Self::BadFromEightMinutes => "bad: 30% fail from 8 min on",
+            Self::BadFromAnHour => "bad: 30% fail from 60 min on",
+            Self::BadUnderLoad => "bad: 20% fail under load",
+            Self::BadOnOneOfTwenty => "bad: 30% fail on 1 route of 20",
+            Self::SlowByFour => "bad: 4 times as slow",
+            Self::SlowByTwoAndAHalf => "bad: 2.5 times as slow",
+            Self::BadNonIdempotent => "bad: 30% of non-idempotent calls fail",
+            Self::BadFewCalls => "bad: 50% fail, 1 call in 10 s",
+            Self::Good => "good: identical",
+            Self::GoodNoisy => "good: 3% fail on both",
+            Self::GoodUnderOverload => "good: overload of both in the ramp",
+            Self::GoodOverloadAfterwards => "good: overload after the ramp",
+            Self::GoodUnequalKnown => "good: unequal hosts, speed known",
+            Self::GoodUnequalUnknown => "good: unequal hosts, speed unknown",
+            Self::GoodFewCalls => "good: 1 call in 10 s",
+        })
+    }
+}
