--- a/crates/core/benches/rollout_policies/policy.rs
+++ b/crates/core/benches/rollout_policies/policy.rs
@@ -23,7 +23,7 @@
 /// The share of slow calls from which [`Policy::NoComparison`] rolls back.
 const SLOW_THRESHOLD: f64 = 0.2;
 /// The bucket above which it takes a call as slow: 64 ms, three times the usual latency.
-const SLOW_BUCKET: usize = 6;
+const SLOW_BUCKET: usize = 12;
 /// The number of calls of a route from which the simpler policies judge it.
 const JUDGED_CALLS: u32 = 20;
 /// The number of calls of the new version in the last minute that a step needs.
--- a/crates/core/benches/rollout_policies/run.rs
+++ b/crates/core/benches/rollout_policies/run.rs
@@ -28,6 +28,8 @@
 const CALLERS: usize = 5;
 /// The time from the end of a window until it is judged.
 const JUDGED_AFTER: Millis = Millis::new(6_000);
+/// The time from a change until it is in force on every node.
+const IN_FORCE_AFTER: Millis = Millis::new(4_000);
 /// The time from a node's stop until every node has it.
 const STOP_SPREAD: Millis = Millis::new(1_000);
 /// The greatest deviation of a host's clock, in milliseconds.
@@ -82,8 +84,10 @@
     evidence: Evidence,
     driver: Driver,
     local: Vec<LocalRule>,
-    /// The rollout as the nodes have it in force; the newest one follows a window later.
+    /// The rollout as the nodes have it in force.
     in_force: Rollout,
+    /// The rollout that follows it, and from when it is in force.
+    pending: Option<(UnixMillis, Rollout)>,
     /// When a node's own stop is known to all.
     stopped_at: Option<UnixMillis>,
     touched: u64,
@@ -109,6 +113,7 @@
             driver,
             local,
             in_force,
+            pending: None,
             stopped_at: None,
             touched: 0,
         }
@@ -118,7 +123,6 @@
     pub(crate) fn finish(mut self) -> Outcome {
         for index in 0..WINDOWS {
             let window = Window::new(Window::at(START).get() + index);
-            let newest = rollout(&self.content).clone();
             self.pass(window);
             self.report(window);
             let now = window.end() + JUDGED_AFTER;
@@ -127,7 +131,6 @@
             if self.in_force.phase == RolloutPhase::RolledBack {
                 break;
             }
-            self.in_force = newest;
         }
         let last = rollout(&self.content);
         let is_rolled_back = last.phase == RolloutPhase::RolledBack;
@@ -140,15 +143,19 @@
 
     fn apply(&mut self, change: &Change, now: UnixMillis) {
         self.content = change.apply(&self.content, now).expect("a policy's change applies");
+        self.pending = Some((now + IN_FORCE_AFTER, rollout(&self.content).clone()));
     }
 
-    /// Lets the calls of a window pass.
+    /// Lets the calls pass that come until `window` is judged.
     fn pass(&mut self, window: Window) {
         let second = window.start().since(START).get() / 1_000;
         let calls = self.scenario.calls(second);
         for call in 0..calls {
             let at = Window::LENGTH.get() * u64::from(call) / u64::from(calls);
-            let now = window.start() + Millis::new(at);
+            let now = window.start() + JUDGED_AFTER + Millis::new(at);
+            if let Some((_, rollout)) = self.pending.take_if(|(at, _)| now >= *at) {
+                self.in_force = rollout;
+            }
             for route in 0..self.routes.len() {
                 self.call(route, now, second);
             }
@@ -160,8 +167,13 @@
         let behaviour = self.scenario.behaviour(is_new, route, second);
         let host = self.rng.random_range(0..HOSTS) + if is_new { HOSTS } else { 0 };
         let has_failed = self.rng.random_bool(behaviour.failing);
+        if behaviour.refused > 0.0 && self.rng.random_bool(behaviour.refused) {
+            self.hosts[host].record(route, now, CallOutcome::Refused, 0.0);
+            return;
+        }
         let latency = LATENCIES[self.rng.random_range(0..QUANTILES)] * behaviour.slowness;
-        self.hosts[host].record(route, now, has_failed, latency);
+        let outcome = if has_failed { CallOutcome::Failed } else { CallOutcome::Answered };
+        self.hosts[host].record(route, now, outcome, latency);
         if is_new && self.scenario.is_affected(route, second) {
             self.touched += 1;
         }
@@ -232,10 +244,9 @@
         }
     }
 
-    fn record(&mut self, route: usize, now: UnixMillis, has_failed: bool, latency: f64) {
+    fn record(&mut self, route: usize, now: UnixMillis, outcome: CallOutcome, latency: f64) {
         let by_clock = UnixMillis::new(now.get().saturating_add_signed(self.clock_offset));
         let window = Window::at(by_clock).get();
-        let outcome = if has_failed { CallOutcome::Failed } else { CallOutcome::Answered };
         let latency = Micros::new((latency * self.slowness) as u64);
         self.tallies[(window % 3) as usize][route].record(outcome, latency, self.speed);
     }
--- a/crates/core/benches/rollout_policies/scenario.rs
+++ b/crates/core/benches/rollout_policies/scenario.rs
@@ -10,6 +10,8 @@
 pub(crate) struct Behaviour {
     /// The probability that it fails.
     pub(crate) failing: f64,
+    /// The probability that it is refused unrun.
+    pub(crate) refused: f64,
     /// The factor on its latency.
     pub(crate) slowness: f64,
 }
@@ -31,6 +33,7 @@
     GoodNoisy,
     GoodUnderOverload,
     GoodOverloadAfterwards,
+    GoodFaultAfterwards,
     GoodUnequalKnown,
     GoodUnequalUnknown,
     GoodFewCalls,
@@ -48,7 +51,7 @@
 const LATE_OVERLOAD: std::ops::Range<u64> = 2_700..3_000;
 
 impl Scenario {
-    pub(crate) const ALL: [Self; 17] = [
+    pub(crate) const ALL: [Self; 18] = [
         Self::BadAtOnce,
         Self::BadMildly,
         Self::BadFromEightMinutes,
@@ -63,6 +66,7 @@
         Self::GoodNoisy,
         Self::GoodUnderOverload,
         Self::GoodOverloadAfterwards,
+        Self::GoodFaultAfterwards,
         Self::GoodUnequalKnown,
         Self::GoodUnequalUnknown,
         Self::GoodFewCalls,
@@ -97,16 +101,17 @@
 
     /// How a call of the old, or the new, version behaves.
     pub(crate) fn behaviour(self, is_new: bool, route: usize, second: u64) -> Behaviour {
-        let usual = Behaviour { failing: USUAL_FAILING, slowness: 1.0 };
+        let usual = Behaviour { failing: USUAL_FAILING, refused: 0.0, slowness: 1.0 };
         let failing = |failing| Behaviour { failing, ..usual };
-        let overloaded = Behaviour { failing: 0.3, slowness: 8.0 };
+        let overloaded = Behaviour { failing: 0.3, refused: 0.1, slowness: 8.0 };
         match self {
             Self::GoodNoisy => failing(0.03),
             Self::GoodUnderOverload if HIGH_LOAD.contains(&second) => overloaded,
             Self::GoodOverloadAfterwards if LATE_OVERLOAD.contains(&second) => overloaded,
             Self::BadUnderLoad if HIGH_LOAD.contains(&second) => {
-                Behaviour { failing: if is_new { 0.2 } else { 0.01 }, slowness: 2.0 }
+                Behaviour { slowness: 2.0, ..failing(if is_new { 0.2 } else { 0.01 }) }
             }
+            Self::GoodFaultAfterwards if LATE_OVERLOAD.contains(&second) => failing(0.3),
             _ if !is_new || !self.is_affected(route, second) => usual,
             Self::BadMildly => failing(0.02),
             Self::SlowByFour => Behaviour { slowness: 4.0, ..usual },
@@ -160,6 +165,7 @@
             Self::GoodNoisy => "good: 3% fail on both",
             Self::GoodUnderOverload => "good: overload of both in the ramp",
             Self::GoodOverloadAfterwards => "good: overload after the ramp",
+            Self::GoodFaultAfterwards => "good: 30% fail after the ramp, as the old one would",
             Self::GoodUnequalKnown => "good: unequal hosts, speed known",
             Self::GoodUnequalUnknown => "good: unequal hosts, speed unknown",
             Self::GoodFewCalls => "good: 1 call in 10 s",
--- a/crates/core/src/rollout/e_process.rs
+++ b/crates/core/src/rollout/e_process.rs
@@ -7,7 +7,7 @@
 /// Hosts differ a little, and so do the calls they get; 1.5 covers that.
 const TOLERATED_RATIO: f64 = 1.5;
 /// The ratios that the test looks for, in equal parts.
-const RATIOS: [f64; 4] = [3.0, 10.0, 30.0, 100.0];
+const RATIOS: [f64; 4] = [2.0, 5.0, 20.0, 100.0];
 /// The factors over a tolerated rate that the test against a fixed rate looks for.
 const FACTORS: [f64; 4] = [2.0, 4.0, 10.0, 30.0];
 
--- a/crates/core/src/rollout/judge.rs
+++ b/crates/core/src/rollout/judge.rs
@@ -4,7 +4,8 @@
 
 use crate::config::Rollout;
 use crate::ids::{RouteName, ServiceName, VersionName};
-use crate::rollout::route_judge::{RouteJudge, RouteWindow};
+use crate::rollout::host_latencies::HostLatencies;
+use crate::rollout::route_judge::{RouteCounts, RouteJudge};
 use crate::rollout::{Evidence, RouteFinding, Window};
 use crate::units::{Millis, PerMille, UnixMillis};
 
@@ -40,6 +41,8 @@
     routes: BTreeMap<RouteName, RouteJudge>,
     /// Whether the calls of each route are idempotent. Has the same keys.
     kinds: BTreeMap<RouteName, bool>,
+    /// The hosts' latencies in the windows judged.
+    hosts: HostLatencies,
 }
 
 impl Judge {
@@ -56,6 +59,7 @@
             next: Window::at(rollout.started).next(),
             routes: judges.collect(),
             kinds: kinds.clone(),
+            hosts: HostLatencies::default(),
         }
     }
 
@@ -101,24 +105,49 @@
 
     fn judge(&mut self, rollout: &Rollout, evidence: &Evidence, window: Window) {
         let offset = window.since(Window::at(self.started));
-        let in_force = rollout.changed + IN_FORCE_TIME;
-        let is_in_step = window.start() >= in_force;
-        let mut counts: BTreeMap<&RouteName, RouteWindow> = BTreeMap::new();
+        let is_in_step = window.start() >= rollout.changed + IN_FORCE_TIME;
+        let counts = self.counts(evidence, window);
+        let tolerated = self.hosts.tolerated_buckets();
+        for (route, judge) in &mut self.routes {
+            let Some(counts) = counts.get(route) else { continue };
+            if is_in_step {
+                judge.count_in_step(counts);
+            }
+            if is_in_step && share_of(rollout, self.kinds[route]) == PerMille::WHOLE {
+                judge.take_alone(offset, counts, tolerated);
+            } else {
+                judge.take(offset, counts, tolerated);
+            }
+        }
+        self.count_hosts(evidence, window);
+    }
+
+    /// The counts of `window` by route.
+    fn counts<'a>(
+        &self,
+        evidence: &'a Evidence,
+        window: Window,
+    ) -> BTreeMap<&'a RouteName, RouteCounts> {
+        let fast_limit = self.hosts.fast_limit();
+        let mut counts: BTreeMap<&RouteName, RouteCounts> = BTreeMap::new();
         for (route, version, node, tally) in evidence.window(window) {
-            let entry = counts.entry(route).or_default();
+            let counts = counts.entry(route).or_default();
             if *version == self.to {
-                entry.new.add(tally);
+                counts.new.add(tally);
+                if self.hosts.is_fast(node, fast_limit) {
+                    counts.fast_new.add(tally);
+                }
             } else if *version == self.from {
-                entry.old.push((node.clone(), *tally));
+                counts.old.add(tally);
             }
         }
-        for (route, judge) in &mut self.routes {
-            let Some(counts) = counts.get(route) else { continue };
-            let is_whole = share_of(rollout, self.kinds[route]) == PerMille::WHOLE;
-            if is_in_step && is_whole {
-                judge.take_alone(offset, &counts.new);
-            } else {
-                judge.take(offset, counts, is_in_step);
+        counts
+    }
+
+    fn count_hosts(&mut self, evidence: &Evidence, window: Window) {
+        for (_, version, node, tally) in evidence.window(window) {
+            if *version == self.to || *version == self.from {
+                self.hosts.add(*version == self.to, node, &tally.latency);
             }
         }
     }
--- a/crates/core/src/rollout/latency_counts.rs
+++ b/crates/core/src/rollout/latency_counts.rs
@@ -4,16 +4,18 @@
 
 /// Counts of calls in fixed buckets of latency.
 ///
-/// Bucket `i` holds latencies up to 2^i ms, the last one all longer ones. The
-/// buckets are the same on every node, so that counts merge by addition.
+/// Each bucket's upper bound is higher than the one before by the square root of
+/// 2, from 1 ms to 8.2 s; the last bucket holds all longer latencies. The buckets
+/// are the same on every node, so that counts merge by addition.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct LatencyCounts([u32; Self::BUCKETS]);
 
 impl LatencyCounts {
     /// Number of buckets.
-    pub const BUCKETS: usize = 16;
-    /// The upper bound of the first bucket; each next one is twice as high.
-    const FIRST_BOUND: Micros = Micros::new(1_000);
+    pub const BUCKETS: usize = 28;
+    /// The upper bounds of the first two buckets; each other one is twice as high
+    /// as the one two before.
+    const FIRST_BOUNDS: [Micros; 2] = [Micros::new(1_000), Micros::new(1_414)];
 
     /// Counts from one number for each bucket.
     pub const fn new(counts: [u32; Self::BUCKETS]) -> Self {
@@ -27,7 +29,7 @@
 
     /// The bucket of `latency`.
     pub fn bucket(latency: Micros) -> usize {
-        let fits = |i: &usize| latency.get() <= Self::FIRST_BOUND.get() << i;
+        let fits = |i: &usize| latency.get() <= Self::FIRST_BOUNDS[i % 2].get() << (i / 2);
         (0..Self::BUCKETS - 1).find(fits).unwrap_or(Self::BUCKETS - 1)
     }
 
--- a/crates/core/src/rollout/mod.rs
+++ b/crates/core/src/rollout/mod.rs
@@ -14,6 +14,7 @@
 mod e_process;
 mod evidence;
 mod evidence_report;
+mod host_latencies;
 mod host_speed;
 mod judge;
 mod latency_counts;
--- a/crates/core/src/rollout/route_judge.rs
+++ b/crates/core/src/rollout/route_judge.rs
@@ -1,8 +1,6 @@
 //! The comparison of two versions on one route.
 
-use std::collections::BTreeMap;
-
-use crate::ids::{NodeId, RouteName};
+use crate::ids::RouteName;
 use crate::rollout::{
     BadCalls, Comparison, EProcess, LatencyCounts, RouteFinding, RouteVerdict, Symptom, Tally,
 };
@@ -15,10 +13,6 @@
 const ENOUGH_CALLS: u64 = 100;
 /// The share of the old version's calls above which a latency is slow, at most.
 const SLOW_SHARE: f64 = 0.05;
-/// Number of buckets by which the new version may be slower: one, a factor of 2 in time.
-const TOLERATED_BUCKETS: usize = 1;
-/// Number of calls from which the speed of a host is known well enough to compare it.
-const HOST_CALLS: u64 = 50;
 /// The share of refused calls from which a stratum shows an overload.
 const OVERLOAD_REFUSED: f64 = 0.01;
 /// The factor over the old version's last rate that is tolerated once it has no calls.
@@ -26,16 +20,28 @@
 /// Without calls of the old version in the same minutes, the rate of a good
 /// version drifts with the load and with other services.
 const ALONE_TOLERATED: f64 = 3.0;
+/// Number of buckets by which it may be slower in addition then: a factor of 2 in time.
+const ALONE_TOLERATED_BUCKETS: usize = 2;
 /// Number of standard deviations and of calls added to the old version's count of bad calls.
 const RATE_MARGIN: f64 = 3.0;
 
-/// The counts of one window on one route.
-#[derive(Debug, Clone, Default)]
-pub(crate) struct RouteWindow {
+/// The counts of a run of windows on one route.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct RouteCounts {
     /// The calls of the new version.
     pub(crate) new: Tally,
-    /// The calls of the old version, by node.
-    pub(crate) old: Vec<(NodeId, Tally)>,
+    /// Those of them on its fastest hosts, as known from earlier windows.
+    pub(crate) fast_new: Tally,
+    /// The calls of the old version.
+    pub(crate) old: Tally,
+}
+
+impl RouteCounts {
+    fn add(&mut self, other: &Self) {
+        self.new.add(&other.new);
+        self.fast_new.add(&other.fast_new);
+        self.old.add(&other.old);
+    }
 }
 
 /// A run of windows that is compared as a whole.
@@ -43,8 +49,7 @@
 struct Stratum {
     offset: u64,
     windows: u64,
-    new: Tally,
-    old: Tally,
+    counts: RouteCounts,
 }
 
 /// The comparison of two versions on one route.
@@ -57,8 +62,6 @@
     alone_slow: EProcess,
     /// The old version's latencies in closed strata.
     old_latency: LatencyCounts,
-    /// The same by node.
-    old_hosts: BTreeMap<NodeId, LatencyCounts>,
     /// Both versions' calls in the windows in which both were to have calls.
     new_total: BadCalls,
     old_total: BadCalls,
@@ -77,45 +80,45 @@
         self.old_step_calls = 0;
     }
 
-    /// Takes a window in which both versions were to have calls.
-    pub(crate) fn take(&mut self, offset: u64, window: &RouteWindow, is_in_step: bool) {
+    /// Takes a window in which both versions were to have calls. The new version
+    /// may be slower by `tolerated` buckets.
+    pub(crate) fn take(&mut self, offset: u64, window: &RouteCounts, tolerated: usize) {
         let stratum = self.open.get_or_insert_with(|| Stratum { offset, ..Stratum::default() });
         stratum.windows = offset - stratum.offset + 1;
-        stratum.new.add(&window.new);
-        for (node, tally) in &window.old {
-            stratum.old.add(tally);
-            self.old_hosts.entry(node.clone()).or_default().add(&tally.latency);
-            if is_in_step {
-                self.old_step_calls += u64::from(tally.calls);
-            }
-        }
-        if is_in_step {
-            self.step_calls += u64::from(window.new.calls);
-        }
-        let has_calls = stratum.new.calls >= STRATUM_CALLS && stratum.old.calls >= STRATUM_CALLS;
+        stratum.counts.add(window);
+        let counts = &stratum.counts;
+        let has_calls = counts.new.calls >= STRATUM_CALLS && counts.old.calls >= STRATUM_CALLS;
         if has_calls || stratum.windows >= STRATUM_WINDOWS {
-            self.close();
+            self.close(tolerated);
         }
     }
 
     /// Takes a window in which only the new version was to have calls.
     ///
     /// It is compared with the old version's rates before that.
-    pub(crate) fn take_alone(&mut self, offset: u64, new: &Tally) {
+    pub(crate) fn take_alone(&mut self, offset: u64, window: &RouteCounts, tolerated: usize) {
+        let (new, fast_new) = (&window.new, &window.fast_new);
         if new.refused_share() > OVERLOAD_REFUSED {
             return;
         }
-        let calls = f64::from(new.calls);
         if let Some(rate) = tolerated_rate(self.old_total) {
-            self.alone_failing.compare_with_rate(offset, calls, f64::from(new.failures), rate);
+            let (calls, failures) = (f64::from(new.calls), f64::from(new.failures));
+            self.alone_failing.compare_with_rate(offset, calls, failures, rate);
         }
         let Some(bucket) = self.slow_bucket() else { return };
         if let Some(rate) = tolerated_rate(self.old_slow) {
-            let slow = new.latency.above(bucket + self.tolerated_buckets() + 1);
+            let slow = fast_new.latency.above(bucket + tolerated + ALONE_TOLERATED_BUCKETS);
+            let calls = f64::from(fast_new.calls);
             self.alone_slow.compare_with_rate(offset, calls, slow as f64, rate);
         }
     }
 
+    /// Counts a window's calls to the current step.
+    pub(crate) fn count_in_step(&mut self, window: &RouteCounts) {
+        self.step_calls += u64::from(window.new.calls);
+        self.old_step_calls += u64::from(window.old.calls);
+    }
+
     /// Blames the new version if the evidence exceeds the logarithm `limit_ln`.
     pub(crate) fn decide(&mut self, limit_ln: f64) {
         let is_over = |process: &EProcess| process.ln_value() >= limit_ln;
@@ -155,23 +158,18 @@
         }
     }
 
-    fn close(&mut self) {
-        let Some(stratum) = self.open.take() else { return };
-        let (new, old) = (&stratum.new, &stratum.old);
-        let seen = Comparison::of(
-            add(&mut self.new_total, new.calls, new.failures.into()),
-            add(&mut self.old_total, old.calls, old.failures.into()),
-        );
-        self.failing.compare(stratum.offset, seen);
+    fn close(&mut self, tolerated: usize) {
+        let Some(Stratum { offset, counts, .. }) = self.open.take() else { return };
+        let RouteCounts { new, fast_new, old } = counts;
+        let new_failing = add(&mut self.new_total, new.calls, new.failures.into());
+        let old_failing = add(&mut self.old_total, old.calls, old.failures.into());
+        self.failing.compare(offset, Comparison::of(new_failing, old_failing));
         // The threshold comes from earlier strata, so that it does not depend on this one's calls.
         if let Some(bucket) = self.slow_bucket() {
-            let new_slow = new.latency.above(bucket + self.tolerated_buckets());
-            let old_slow = old.latency.above(bucket);
-            let seen = Comparison::of(
-                add(&mut self.new_slow, new.calls, new_slow),
-                add(&mut self.old_slow, old.calls, old_slow),
-            );
-            self.slow.compare(stratum.offset, seen);
+            let slow = fast_new.latency.above(bucket + tolerated);
+            let new_slow = add(&mut self.new_slow, fast_new.calls, slow);
+            let old_slow = add(&mut self.old_slow, old.calls, old.latency.above(bucket));
+            self.slow.compare(offset, Comparison::of(new_slow, old_slow));
         }
         self.old_latency.add(&old.latency);
     }
@@ -179,17 +177,6 @@
     fn slow_bucket(&self) -> Option<usize> {
         self.old_latency.quantile_bucket(SLOW_SHARE)
     }
-
-    /// By how many buckets the new version may be slower: one, and as many as
-    /// the hosts of the old version differ among themselves.
-    fn tolerated_buckets(&self) -> usize {
-        let known = self.old_hosts.values().filter(|counts| counts.total() >= HOST_CALLS);
-        let means: Vec<f64> = known.filter_map(LatencyCounts::mean_bucket).collect();
-        let low = means.iter().copied().fold(f64::INFINITY, f64::min);
-        let high = means.iter().copied().fold(f64::NEG_INFINITY, f64::max);
-        let spread = if means.is_empty() { 0.0 } else { high - low };
-        TOLERATED_BUCKETS + spread.round() as usize
-    }
 }
 
 /// Adds calls to a total and returns them.
--- a/crates/core/tests/rollout_common/mod.rs
+++ b/crates/core/tests/rollout_common/mod.rs
@@ -86,7 +86,7 @@
 }
 
 /// A version that fails once in a thousand calls and answers within about 32 ms.
-pub const GOOD: Behaviour = Behaviour { failing: 0.001, mean_bucket: 5.0 };
+pub const GOOD: Behaviour = Behaviour { failing: 0.001, mean_bucket: 10.0 };
 
 /// A random generator for one case.
 pub fn rng(seed: u64) -> SmallRng {
@@ -102,7 +102,7 @@
             failures += 1;
         } else {
             let spread = rng.random::<f64>() + rng.random::<f64>() - 1.0;
-            let bucket = (behaviour.mean_bucket + 2.0 * spread).round().clamp(0.0, 15.0);
+            let bucket = (behaviour.mean_bucket + 4.0 * spread).round().clamp(0.0, 27.0);
             latency[bucket as usize] += 1;
         }
     }
--- a/crates/core/tests/rollout_evidence.rs
+++ b/crates/core/tests/rollout_evidence.rs
@@ -162,6 +162,7 @@
     assert_eq!(half.scale(Micros::new(8_000)), Micros::new(4_000));
     assert_eq!(LatencyCounts::bucket(Micros::new(1_000)), 0);
     assert_eq!(LatencyCounts::bucket(Micros::new(1_001)), 1);
+    assert_eq!(LatencyCounts::bucket(Micros::new(2_000)), 2);
     assert_eq!(LatencyCounts::bucket(Micros::new(u64::MAX)), LatencyCounts::BUCKETS - 1);
 }
 
--- a/crates/core/tests/rollout_judge.rs
+++ b/crates/core/tests/rollout_judge.rs
@@ -17,7 +17,7 @@
 
 const FIRST: u64 = START.get() / Window::LENGTH.get() + 1;
 const FAILING: Behaviour = Behaviour { failing: 0.2, ..GOOD };
-const SLOW: Behaviour = Behaviour { mean_bucket: 8.0, ..GOOD };
+const SLOW: Behaviour = Behaviour { mean_bucket: 15.0, ..GOOD };
 
 fn kinds(content: &ConfigContent) -> BTreeMap<RouteName, bool> {
     content.routes.values().map(|r| (r.name.clone(), r.idempotent)).collect()
@@ -93,7 +93,7 @@
 fn judge_overload_of_both() {
     let content = content(1, 1, 3_600_000);
     let evidence = evidence(&content, 4, 60, (500, 50), |window, _| {
-        let overload = Behaviour { failing: 0.4, mean_bucket: 10.0 };
+        let overload = Behaviour { failing: 0.4, mean_bucket: 20.0 };
         let both = if (20..40).contains(&window) { overload } else { GOOD };
         (both, both)
     });
@@ -109,7 +109,7 @@
     for window in FIRST..FIRST + 60 {
         let end = Window::new(window).end();
         for (door, version, bucket) in
-            [("door-1", "v1", 4.0), ("door-2", "v1", 6.0), ("door-3", "v2", 6.0)]
+            [("door-1", "v1", 8.0), ("door-2", "v1", 12.0), ("door-3", "v2", 13.0)]
         {
             let behaves = Behaviour { mean_bucket: bucket, ..GOOD };
             let cell = (window, route(0), version, tally(&mut rng, 50, behaves));
