Drive rollouts from the control state

Cause: the judge, the ramp and the driver ran in tests only. Change: doors hand their counts to the node that ranks first for the service, which decides once a second and submits the steps; a node that sees a version fail in its own calls stops it at once and tells its peers. Evidence goes over the wire as one message of counters that only grow. The door's latency counts leave out server errors, so that fast errors don't pass for fast answers. Conclusion: the parts are joined; a run between processes follows.

--- a/crates/core/src/control/event.rs
+++ b/crates/core/src/control/event.rs
@@ -6,6 +6,7 @@
 use crate::control::{PeerFailure, PeerMessage, RequestId};
 use crate::ids::WriteId;
 use crate::peers::AnnouncedBackend;
+use crate::rollout::CountedCalls;
 use crate::store::{StoreReply, Submission};
 
 /// An event that the control state takes.
@@ -52,6 +53,8 @@
         /// The change's write id.
         write_id: WriteId,
     },
+    /// The calls that this node counted since the last such event.
+    CallsCounted(Vec<CountedCalls>),
     /// This node saw that a version must be stopped.
     VersionFailed {
         /// The marks to set.
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -15,6 +15,7 @@
 mod peer_message;
 mod pending_request;
 mod request_id;
+mod rollout_control;
 mod state;
 mod state_change;
 mod stop_marks;
--- a/crates/core/src/control/peer_message.rs
+++ b/crates/core/src/control/peer_message.rs
@@ -6,6 +6,7 @@
 use crate::control::SyncStatus;
 use crate::ids::{ConfigVersion, Digest, NodeId};
 use crate::peers::Peer;
+use crate::rollout::EvidenceReport;
 use crate::units::Millis;
 
 /// A message between nodes. Each request is answered by exactly one reply.
@@ -60,6 +61,8 @@
         /// Why, in one sentence.
         reason: Arc<str>,
     },
+    /// Request: what the sender's door counted, for the driver of its service's rollout.
+    Evidence(EvidenceReport),
     /// Reply: taken. States the configuration version that the answering node has now.
     Ack(ConfigVersion),
 }
--- a/crates/core/src/control/pending_request.rs
+++ b/crates/core/src/control/pending_request.rs
@@ -32,6 +32,8 @@
     Pull { peer: NodeId },
     /// To tell a peer of stop marks.
     Stops { peer: NodeId },
+    /// To hand evidence to the driver of a rollout.
+    Evidence,
     /// To read or watch the store.
     StoreRead,
     /// To bring on a job of the writer.
--- /dev/null
+++ b/crates/core/src/control/rollout_control.rs
@@ -0,0 +1,227 @@
+//! The rollouts that this node drives or takes part in.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use crate::config::{Change, ConfigContent, Rollout, StopMark};
+use crate::ids::{NodeId, ServiceName};
+use crate::peers::Peer;
+use crate::rollout::{
+    AFTERCARE, CallOutcome, CountedAt, CountedCalls, DoorEvidence, Driver, DriverDecision,
+    Evidence, EvidenceReport, HostSpeed, LocalRule,
+};
+use crate::units::{Instant, Micros, Millis, UnixMillis};
+
+/// Time between two looks at the rollouts.
+const LOOK_PERIOD: Millis = Millis::new(1_000);
+/// A step that was submitted is not submitted again before this time: the
+/// writer gives up after 5 s.
+const STEP_TIME: Millis = Millis::new(6_000);
+
+/// The rollouts that this node drives or takes part in.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct RolloutControl {
+    door: Option<LocalDoor>,
+    /// The services whose evidence this node has; it drives those that it ranks first for.
+    driven: BTreeMap<ServiceName, Driven>,
+    /// The comparison of this node's own calls, for each service with an open rollout.
+    rules: BTreeMap<ServiceName, RuleOfRollout>,
+    next_look: Instant,
+}
+
+/// The evidence of the backend server beside this node.
+#[derive(Debug, Clone)]
+struct LocalDoor {
+    service: ServiceName,
+    evidence: DoorEvidence,
+    /// The driver that got the last report.
+    driver: Option<NodeId>,
+}
+
+#[derive(Debug, Clone)]
+struct Driven {
+    driver: Driver,
+    evidence: Evidence,
+    /// When the last step was submitted, and for which state of the rollout.
+    submitted: Option<(Instant, Rollout)>,
+}
+
+#[derive(Debug, Clone)]
+struct RuleOfRollout {
+    started: UnixMillis,
+    rule: LocalRule,
+}
+
+/// Marks to set at once, and why.
+pub(crate) struct Stop {
+    pub(crate) mark: StopMark,
+    pub(crate) reason: Arc<str>,
+}
+
+impl RolloutControl {
+    /// Whether it is time to look at the rollouts.
+    pub(crate) fn begins_look(&mut self, now: Instant) -> bool {
+        let is_due = now >= self.next_look;
+        if is_due {
+            self.next_look = now + LOOK_PERIOD;
+        }
+        is_due
+    }
+
+    /// Counts calls; returns the versions that this node must stop on what it saw.
+    pub(crate) fn count(
+        &mut self,
+        counted: &[CountedCalls],
+        content: &ConfigContent,
+        own: &Peer,
+        nodes: usize,
+        wall: UnixMillis,
+    ) -> Vec<Stop> {
+        let mut stops = Vec::new();
+        for calls in counted {
+            match calls.at {
+                CountedAt::Door => self.count_at_door(calls, own, wall),
+                CountedAt::Entry => stops.extend(self.count_at_entry(calls, content, nodes, wall)),
+            }
+        }
+        stops
+    }
+
+    fn count_at_door(&mut self, calls: &CountedCalls, own: &Peer, wall: UnixMillis) {
+        let is_local = self.door.as_ref().is_some_and(|door| door.service == calls.service);
+        if !is_local {
+            let service = calls.service.clone();
+            let evidence = DoorEvidence::new(
+                service.clone(),
+                own.id.clone(),
+                own.incarnation,
+                HostSpeed::REFERENCE,
+            );
+            self.door = Some(LocalDoor { service, evidence, driver: None });
+        }
+        if let Some(door) = &mut self.door {
+            for _ in 0..calls.calls {
+                let (route, version) = (&calls.route, &calls.version);
+                door.evidence.record(wall, route, version, calls.outcome, calls.latency);
+            }
+        }
+    }
+
+    fn count_at_entry(
+        &mut self,
+        calls: &CountedCalls,
+        content: &ConfigContent,
+        nodes: usize,
+        wall: UnixMillis,
+    ) -> Option<Stop> {
+        let rollout = content.rollouts.get(&calls.service).filter(|r| r.phase.is_open())?;
+        let is_new = calls.version == rollout.to;
+        if calls.outcome == CallOutcome::Refused || !(is_new || calls.version == rollout.from) {
+            return None;
+        }
+        let rule = self.rule(rollout, content, nodes);
+        let has_failed = calls.outcome == CallOutcome::Failed;
+        let must_stop = (0..calls.calls)
+            .fold(false, |stop, _| rule.record(wall, &calls.route, is_new, has_failed) | stop);
+        must_stop.then(|| Stop {
+            mark: StopMark {
+                service: calls.service.clone(),
+                version: rollout.to.clone(),
+                route: Some(calls.route.clone()),
+            },
+            reason: format!(
+                "{} fails more often than {} on {} as one node saw it",
+                rollout.to, rollout.from, calls.route
+            )
+            .into(),
+        })
+    }
+
+    fn rule(&mut self, rollout: &Rollout, content: &ConfigContent, nodes: usize) -> &mut LocalRule {
+        let routes = content.routes.values().filter(|r| r.service == rollout.service).count();
+        let new =
+            || RuleOfRollout { started: rollout.started, rule: LocalRule::new(nodes, routes) };
+        let entry = self.rules.entry(rollout.service.clone()).or_insert_with(new);
+        if entry.started != rollout.started {
+            *entry = new();
+        }
+        &mut entry.rule
+    }
+
+    /// Takes the evidence of another node's door.
+    pub(crate) fn take_evidence(
+        &mut self,
+        report: &EvidenceReport,
+        content: &ConfigContent,
+        wall: UnixMillis,
+    ) {
+        let rollout = content.rollouts.get(&report.service);
+        if rollout.is_some_and(|rollout| is_active(rollout, wall)) {
+            self.driven(&report.service).evidence.merge(report, wall);
+        }
+    }
+
+    /// The report of this node's door that is due for `driver`.
+    pub(crate) fn due_report(
+        &mut self,
+        service: &ServiceName,
+        driver: &NodeId,
+        wall: UnixMillis,
+    ) -> Option<EvidenceReport> {
+        let door = self.door.as_mut().filter(|door| door.service == *service)?;
+        if door.driver.as_ref() != Some(driver) {
+            door.driver = Some(driver.clone());
+            return Some(door.evidence.full_report(wall));
+        }
+        door.evidence.is_due(wall).then(|| door.evidence.report(wall))
+    }
+
+    /// What this node, as the driver for `service`, decides now.
+    pub(crate) fn decide(
+        &mut self,
+        service: &ServiceName,
+        content: &ConfigContent,
+        now: Instant,
+        wall: UnixMillis,
+    ) -> DriverDecision {
+        let driven = self.driven(service);
+        let rollout = content.rollouts.get(service);
+        let is_in_hand = driven.submitted.as_ref().is_some_and(|(at, decided_on)| {
+            rollout == Some(decided_on) && now.since(*at) < Micros::from(STEP_TIME)
+        });
+        if is_in_hand {
+            return DriverDecision::default();
+        }
+        let decision = driven.driver.decide(content, &driven.evidence, wall);
+        let has_step = |change: &Change| matches!(change, Change::StepRollout { .. });
+        if decision.changes.iter().any(has_step) {
+            driven.submitted = rollout.map(|rollout| (now, rollout.clone()));
+        }
+        decision
+    }
+
+    /// Forgets the services whose rollout is over.
+    pub(crate) fn forget(&mut self, content: &ConfigContent, wall: UnixMillis) {
+        let is_over = |service: &ServiceName| {
+            !content.rollouts.get(service).is_some_and(|rollout| is_active(rollout, wall))
+        };
+        self.driven.retain(|service, _| !is_over(service));
+        let is_open = |service: &ServiceName| {
+            content.rollouts.get(service).is_some_and(|rollout| rollout.phase.is_open())
+        };
+        self.rules.retain(|service, _| is_open(service));
+    }
+
+    fn driven(&mut self, service: &ServiceName) -> &mut Driven {
+        self.driven.entry(service.clone()).or_insert_with(|| Driven {
+            driver: Driver::new(service.clone()),
+            evidence: Evidence::default(),
+            submitted: None,
+        })
+    }
+}
+
+/// Whether evidence about the versions of `rollout` is still collected.
+pub(crate) fn is_active(rollout: &Rollout, wall: UnixMillis) -> bool {
+    rollout.phase.is_open() || wall.since(rollout.changed) <= AFTERCARE
+}
--- a/crates/core/src/control/state.rs
+++ b/crates/core/src/control/state.rs
@@ -4,21 +4,23 @@
 
 use rand::Rng;
 
-use crate::config::{Config, StopMark};
+use crate::config::{Change, Config, StopMark};
 use crate::control::cx::Cx;
 use crate::control::dissemination::Dissemination;
 use crate::control::local_backend::LocalBackend;
 use crate::control::membership::{EXCHANGE_TIMEOUT, Membership};
 use crate::control::outbox::Outbox;
 use crate::control::pending_request::PendingRequest;
+use crate::control::rollout_control::{RolloutControl, is_active};
 use crate::control::stop_marks::{Origin, StopMarks};
 use crate::control::store_access::StoreAccess;
 use crate::control::{
     Action, ControlSettings, ControlStatus, Event, PeerFailure, PeerMessage, RequestId,
     StateChange, SyncStatus,
 };
-use crate::ids::{DataCentre, NodeId, WriteId};
+use crate::ids::{ConfigVersion, DataCentre, NodeId, ServiceName, WriteId};
 use crate::peers::{AnnouncedBackend, Peer, PeerStatus};
+use crate::rollout::{CountedCalls, DriverDecision};
 use crate::store::{JobId, Outcome, RefusedChange, StoreReply, Submission};
 use crate::sync::{Offer, PeerVersion};
 use crate::traffic::{Snapshot, SnapshotInput};
@@ -32,6 +34,7 @@
     store: StoreAccess,
     stops: StopMarks,
     backend: LocalBackend,
+    rollouts: RolloutControl,
     is_leaving: bool,
     outbox: Outbox,
 }
@@ -46,6 +49,7 @@
             store: StoreAccess::default(),
             stops: StopMarks::default(),
             backend: LocalBackend::default(),
+            rollouts: RolloutControl::default(),
             is_leaving: false,
             outbox: Outbox::default(),
         }
@@ -142,6 +146,7 @@
             }
             Event::Submit { id, submission } => self.submit(id, submission, cx),
             Event::AskOutcome { id, write_id } => self.ask_outcome(id, write_id, cx),
+            Event::CallsCounted(counted) => self.count_calls(&counted, cx),
             Event::VersionFailed { marks, reason } => {
                 let origin = Origin::new(self.spread.sync.version(), &reason, cx.now);
                 self.add_stops(marks, &origin, cx);
@@ -167,6 +172,7 @@
         }
         let config = self.spread.sync.config();
         self.store.record_stops(&self.stops, config.map(|cfg| &**cfg), &self.members.table, cx);
+        self.drive_rollouts(cx);
         let steps = self.store.writer.poll(cx.now);
         self.take_writer_steps(steps, cx);
     }
@@ -220,6 +226,12 @@
                 self.add_stops(marks, &Origin::new(since, &reason, cx.now), cx);
                 self.ack()
             }
+            PeerMessage::Evidence(report) => {
+                if let Some(config) = self.spread.sync.config() {
+                    self.rollouts.take_evidence(&report, &config.content, cx.wall);
+                }
+                self.ack()
+            }
             // A reply that comes as a request changes nothing.
             PeerMessage::Welcome { .. }
             | PeerMessage::Pong(_)
@@ -302,6 +314,7 @@
             | PendingRequest::Buckets { .. }
             | PendingRequest::Updates { .. }
             | PendingRequest::Push { .. }
+            | PendingRequest::Evidence
             | PendingRequest::Stops { .. } => {}
         }
     }
@@ -417,6 +430,77 @@
         }
     }
 
+    /// Takes the calls that this node counted, and stops a version that it saw fail.
+    fn count_calls<R>(&mut self, counted: &[CountedCalls], cx: &mut Cx<'_, R>) {
+        let Some(config) = self.spread.sync.config().cloned() else { return };
+        let table = &self.members.table;
+        let (own, nodes) = (table.own(), table.live().count());
+        let stops = self.rollouts.count(counted, &config.content, own, nodes, cx.wall);
+        for stop in stops {
+            let origin = Origin::new(config.version, &stop.reason, cx.now);
+            self.add_stops(vec![stop.mark], &origin, cx);
+        }
+    }
+
+    /// Reports evidence to the drivers of rollouts and drives those that fall to this node.
+    fn drive_rollouts<R: Rng>(&mut self, cx: &mut Cx<'_, R>) {
+        if self.is_leaving || !self.rollouts.begins_look(cx.now) {
+            return;
+        }
+        let Some(config) = self.spread.published.clone() else { return };
+        self.rollouts.forget(&config.content, cx.wall);
+        for (service, rollout) in &config.content.rollouts {
+            if is_active(rollout, cx.wall) {
+                self.drive_rollout(service, &config, cx);
+            }
+        }
+    }
+
+    fn drive_rollout<R: Rng>(
+        &mut self,
+        service: &ServiceName,
+        config: &Config,
+        cx: &mut Cx<'_, R>,
+    ) {
+        let ranked = self.members.table.rank(&format!("rollout/{service}"), None, 1);
+        let Some(driver) = ranked.first().map(|id| (*id).clone()) else { return };
+        let is_own = driver == self.members.table.own().id;
+        if let Some(report) = self.rollouts.due_report(service, &driver, cx.wall) {
+            if is_own {
+                self.rollouts.take_evidence(&report, &config.content, cx.wall);
+            } else if let Some(to) = self.members.addr(&driver) {
+                let message = PeerMessage::Evidence(report);
+                cx.send(to, message, EXCHANGE_TIMEOUT, PendingRequest::Evidence);
+            }
+        }
+        if is_own {
+            let decision = self.rollouts.decide(service, &config.content, cx.now, cx.wall);
+            self.carry_out(decision, config.version, cx);
+        }
+    }
+
+    fn carry_out<R: Rng>(
+        &mut self,
+        decision: DriverDecision,
+        decided_on: ConfigVersion,
+        cx: &mut Cx<'_, R>,
+    ) {
+        for change in decision.changes {
+            match change {
+                // Peers hear of a stop at once; the record in the store follows.
+                Change::AddStops { marks, reason } => {
+                    self.add_stops(marks, &Origin::new(decided_on, &reason, cx.now), cx);
+                }
+                step => {
+                    self.store.submit_step(step, cx);
+                }
+            }
+        }
+        for notice in decision.notices {
+            cx.report(StateChange::RolloutNotice(notice));
+        }
+    }
+
     fn add_stops<R>(&mut self, marks: Vec<StopMark>, origin: &Origin, cx: &mut Cx<'_, R>) {
         let config = self.spread.sync.config().map(|cfg| &**cfg);
         let new = self.stops.add(marks, origin, config);
--- a/crates/core/src/control/state_change.rs
+++ b/crates/core/src/control/state_change.rs
@@ -2,6 +2,7 @@
 
 use crate::ids::{ConfigVersion, NodeId};
 use crate::peers::PeerStatus;
+use crate::rollout::Notice;
 
 /// A change of state worth a log line, or a refusal worth a counter.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -36,6 +37,8 @@
     BackendDown,
     /// A snapshot was refused because too many were asked for.
     SnapshotRefused,
+    /// The driver of a rollout has news for the operators.
+    RolloutNotice(Notice),
     /// This node lacks the configuration version that it is known to have had.
     FloorUnmet(ConfigVersion),
 }
--- a/crates/core/src/control/store_access.rs
+++ b/crates/core/src/control/store_access.rs
@@ -8,7 +8,7 @@
 use crate::control::pending_request::PendingRequest;
 use crate::control::stop_marks::{Origin, StopMarks};
 use crate::control::{Action, StateChange};
-use crate::ids::{OperatorName, WriteId};
+use crate::ids::WriteId;
 use crate::peers::PeerTable;
 use crate::store::{
     JobId, Outcome, READERS_PER_DATA_CENTRE, ReadResult, ReaderRole, StoreReader, StoreWriter,
@@ -36,6 +36,8 @@
     /// The submission of stop marks under way; there is one at most.
     recording: Option<u64>,
     recordings: u64,
+    /// Number of steps of rollouts submitted.
+    steps: u64,
     next_recording: Instant,
     backoff: Backoff,
 }
@@ -48,6 +50,7 @@
             is_lost: false,
             recording: None,
             recordings: 0,
+            steps: 0,
             next_recording: Instant::default(),
             backoff: Backoff::new(FIRST_WAIT, LONGEST_WAIT),
         }
@@ -119,7 +122,8 @@
                     _ => self.next_recording = cx.now + self.backoff.draw(cx.rng),
                 }
             }
-            JobId::StopMarks(_) => {}
+            // The next look at the rollout finds out what became of its step.
+            JobId::StopMarks(_) | JobId::RolloutStep(_) => {}
         }
     }
 
@@ -144,16 +148,16 @@
         }
     }
 
+    /// Submits the step of a rollout that this node drives; returns whether the writer took it.
+    pub(crate) fn submit_step<R: Rng>(&mut self, change: Change, cx: &mut Cx<'_, R>) -> bool {
+        let Some(submission) = mesh_submission(change, cx.rng) else { return false };
+        self.steps += 1;
+        self.writer.submit(JobId::RolloutStep(self.steps), submission, cx.now)
+    }
+
     fn record<R: Rng>(&mut self, marks: Vec<StopMark>, origin: &Origin, cx: &mut Cx<'_, R>) {
-        let Ok(operator) = MESH_OPERATOR.parse::<OperatorName>() else { return };
-        let submission = Submission {
-            write_id: WriteId::new(cx.rng.random()),
-            operator,
-            member: None,
-            base: None,
-            change: Change::AddStops { marks, reason: origin.reason.clone() },
-            dry_run: false,
-        };
+        let change = Change::AddStops { marks, reason: origin.reason.clone() };
+        let Some(submission) = mesh_submission(change, cx.rng) else { return };
         self.recordings += 1;
         if self.writer.submit(JobId::StopMarks(self.recordings), submission, cx.now) {
             self.recording = Some(self.recordings);
@@ -161,6 +165,18 @@
     }
 }
 
+/// A change that nodes submit of their own accord.
+fn mesh_submission(change: Change, rng: &mut impl Rng) -> Option<Submission> {
+    Some(Submission {
+        write_id: WriteId::new(rng.random()),
+        operator: MESH_OPERATOR.parse().ok()?,
+        member: None,
+        base: None,
+        change,
+        dry_run: false,
+    })
+}
+
 fn reader_role(table: &PeerTable, is_leaving: bool) -> ReaderRole {
     let own = table.own();
     if is_leaving {
--- a/crates/core/src/rollout/mod.rs
+++ b/crates/core/src/rollout/mod.rs
@@ -8,6 +8,7 @@
 mod bad_calls;
 mod call_outcome;
 mod comparison;
+mod counted_calls;
 mod door_evidence;
 mod driver;
 mod driver_decision;
@@ -31,6 +32,7 @@
 pub use bad_calls::BadCalls;
 pub use call_outcome::CallOutcome;
 pub use comparison::Comparison;
+pub use counted_calls::{CountedAt, CountedCalls};
 pub use door_evidence::{DoorEvidence, REPORT_INTERVAL};
 pub use driver::{AFTERCARE, Driver};
 pub use driver_decision::DriverDecision;
--- a/crates/node/src/call_counters.rs
+++ b/crates/node/src/call_counters.rs
@@ -63,7 +63,7 @@
     pub failures: [u64; RefusalReason::ALL.len()],
     /// The retries, in the order of [`RetryReason::ALL`].
     pub retries: [u64; RetryReason::ALL.len()],
-    /// The complete answers by latency; see [`latency_bound`].
+    /// The complete answers without a server error by latency; see [`latency_bound`].
     pub latency: [u64; LATENCY_BUCKETS],
 }
 
@@ -121,6 +121,7 @@
         add(&self.calls);
         if is_server_error {
             add(&self.server_errors);
+            return;
         }
         let is_above = |i: &usize| latency_bound(*i).is_some_and(|bound| bound < latency);
         let bucket = (0..LATENCY_BUCKETS).find(|i| !is_above(i)).unwrap_or(LATENCY_BUCKETS - 1);
--- a/crates/node/src/control_thread.rs
+++ b/crates/node/src/control_thread.rs
@@ -12,16 +12,18 @@
 use almondsail_core::store::Outcome;
 use almondsail_core::sync::KeptVersions;
 use almondsail_core::traffic::Snapshot;
-use almondsail_core::units::Millis;
+use almondsail_core::units::{Instant, Millis};
 use arc_swap::ArcSwap;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::MissedTickBehavior;
 
+use crate::call_counters::CallCountsReader;
 use crate::clock::Clock;
 use crate::control_input::ControlInput;
 use crate::control_request::ControlRequest;
+use crate::counted_calls;
 use crate::peer_link::{ClientPool, IncomingRequest};
 use crate::state_log::StateLog;
 use crate::store_client::StoreClient;
@@ -30,6 +32,9 @@
 /// Longest time between two events of the control state.
 const TICK: Duration = Duration::from_millis(100);
 
+/// Time between two readings of what traffic threads counted.
+const COUNT_PERIOD: Millis = Millis::new(1_000);
+
 /// Owns the control state, feeds it events and carries out its actions.
 ///
 /// Runs on a runtime of its own with a single thread.
@@ -48,6 +53,9 @@
     replies: HashMap<RequestId, oneshot::Sender<PeerMessage>>,
     /// Submitters that wait for an outcome.
     outcomes: HashMap<RequestId, oneshot::Sender<Outcome>>,
+    /// Reads what traffic threads counted.
+    calls: CallCountsReader,
+    next_count: Instant,
     /// Takes the results of requests that this thread sent.
     results: mpsc::UnboundedSender<Finished>,
 }
@@ -66,6 +74,8 @@
     pub log: StateLog,
     /// Where traffic threads read the published snapshot.
     pub snapshot: Arc<ArcSwap<Snapshot>>,
+    /// Reads what traffic threads counted.
+    pub calls: CallCountsReader,
 }
 
 /// Where a control thread takes its inputs from.
@@ -103,7 +113,7 @@
                 Some(request) = inputs.peers.recv() => thread.take_peer_request(request),
                 Some(request) = inputs.operators.recv() => thread.take_operator_request(request),
                 Some(finished) = finished.recv() => thread.take_finished(finished),
-                _ = ticks.tick() => thread.handle(Event::Tick),
+                _ = ticks.tick() => thread.tick(),
             }
         }
     }
@@ -121,10 +131,24 @@
             incoming: 0,
             replies: HashMap::new(),
             outcomes: HashMap::new(),
+            calls: parts.calls,
+            next_count: Instant::default(),
             results,
         }
     }
 
+    fn tick(&mut self) {
+        let now = self.clock.now();
+        if now >= self.next_count {
+            self.next_count = now + COUNT_PERIOD;
+            let counted = counted_calls::from_counts(self.calls.drain());
+            if !counted.is_empty() {
+                self.handle(Event::CallsCounted(counted));
+            }
+        }
+        self.handle(Event::Tick);
+    }
+
     fn take_peer_request(&mut self, request: IncomingRequest) {
         let id = self.next_incoming();
         self.replies.insert(id, request.reply);
--- /dev/null
+++ b/crates/node/src/counted_calls.rs
@@ -0,0 +1,81 @@
+//! Turns counters of calls into events for the control state.
+
+use almondsail_core::RefusalReason;
+use almondsail_core::rollout::{CallOutcome, CountedAt as CoreCountedAt, CountedCalls};
+use almondsail_core::units::Micros;
+
+use crate::call_counters::{CallCounts, CountKey, CountedAt, LATENCY_BUCKETS, latency_bound};
+
+/// The calls behind `counts`, without those that were sent to no version.
+pub(crate) fn from_counts(counts: Vec<(CountKey, CallCounts)>) -> Vec<CountedCalls> {
+    let mut all = Vec::new();
+    for (key, counts) in counts {
+        if let (Some((service, route)), Some(version)) = (key.route, key.version) {
+            let at = match key.at {
+                CountedAt::Entry => CoreCountedAt::Entry,
+                CountedAt::Door => CoreCountedAt::Door,
+            };
+            all.extend(ended(&counts).map(|(outcome, latency, calls)| CountedCalls {
+                at,
+                service: service.clone(),
+                route: route.clone(),
+                version: version.clone(),
+                outcome,
+                latency,
+                calls,
+            }));
+        }
+    }
+    all
+}
+
+/// How the calls of one cell ended, with their number; none is zero.
+fn ended(counts: &CallCounts) -> impl Iterator<Item = (CallOutcome, Micros, u32)> {
+    let answered =
+        (0..LATENCY_BUCKETS).map(|i| (CallOutcome::Answered, upper_bound(i), counts.latency[i]));
+    let failed = RefusalReason::ALL.iter().zip(counts.failures).filter_map(|(reason, calls)| {
+        outcome(*reason).map(|outcome| (outcome, Micros::new(0), calls))
+    });
+    let errors = (CallOutcome::Failed, Micros::new(0), counts.server_errors);
+    let all = answered.chain(failed).chain([errors]).filter(|(_, _, calls)| *calls > 0);
+    let all: Vec<_> = all
+        .map(|(outcome, latency, calls)| {
+            (outcome, latency, u32::try_from(calls).unwrap_or(u32::MAX))
+        })
+        .collect();
+    all.into_iter()
+}
+
+/// The upper bound of a latency bucket; twice the last bound for the one without.
+fn upper_bound(i: usize) -> Micros {
+    latency_bound(i).unwrap_or_else(|| {
+        let last = latency_bound(LATENCY_BUCKETS - 2).unwrap_or_default();
+        Micros::new(last.get() * 2)
+    })
+}
+
+/// What a failure says about the version; `None` if it says nothing.
+fn outcome(reason: RefusalReason) -> Option<CallOutcome> {
+    match reason {
+        RefusalReason::BrokenExchange | RefusalReason::BadAnswer => Some(CallOutcome::Failed),
+        RefusalReason::DeadlinePassed => Some(CallOutcome::TimedOut),
+        RefusalReason::BackendShed
+        | RefusalReason::BackendDown
+        | RefusalReason::QueueFull
+        | RefusalReason::DeadlineTooNear => Some(CallOutcome::Refused),
+        RefusalReason::NoConfig
+        | RefusalReason::UnknownRoute
+        | RefusalReason::BadRequest
+        | RefusalReason::HeaderTooLarge
+        | RefusalReason::BodyTooLarge
+        | RefusalReason::BodyMemory
+        | RefusalReason::KeyRegistrarUnreachable
+        | RefusalReason::RepeatInDoubt
+        | RefusalReason::NoBackend
+        | RefusalReason::Leaving
+        | RefusalReason::StoppedVersion
+        | RefusalReason::ConnectFailed
+        | RefusalReason::RetryBudget
+        | RefusalReason::PeerUnauthorized => None,
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod control_metrics;
 pub mod control_request;
 pub mod control_thread;
+mod counted_calls;
 mod counted_stream;
 mod door;
 mod door_request;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -123,6 +123,7 @@
         store: HttpStore::new(settings.store, store_timeout, store_counts),
         log: StateLog::new(log.clone(), &metrics.meter()),
         snapshot,
+        calls: traffic.counts_reader(),
     };
     let refused = control_metrics::refused_peer_frames(&metrics.meter());
     let (peer_requests, peers) = mpsc::channel(CONTROL_QUEUE);
--- a/crates/node/src/state_log.rs
+++ b/crates/node/src/state_log.rs
@@ -41,6 +41,10 @@
                 warn!(self.log, "waiting for a configuration that this node is known to have had";
                     "version" => floor.get());
             }
+            StateChange::RolloutNotice(notice) => {
+                info!(self.log, "rollout"; "service" => notice.service.as_str(),
+                    "news" => %notice.kind, "reason" => &*notice.reason);
+            }
             StateChange::SelfDoubt(doubts) => {
                 warn!(self.log, "most pings fail; declaring no peer dead"; "doubt" => doubts);
             }
@@ -77,6 +81,7 @@
         StateChange::BackendUp => "backend_up",
         StateChange::BackendDown => "backend_down",
         StateChange::SnapshotRefused => "snapshot_refused",
+        StateChange::RolloutNotice(_) => "rollout_notice",
         StateChange::FloorUnmet(_) => "floor_unmet",
     }
 }
--- a/crates/wire/src/convert/message.rs
+++ b/crates/wire/src/convert/message.rs
@@ -15,11 +15,14 @@
     fn from(message: &PeerMessage) -> Self {
         let message = match message {
             PeerMessage::Join(peer) => Message::Join(peer.into()),
-            PeerMessage::Welcome { peers, floor, status } => Message::Welcome(wire::Welcome {
-                peers: to_wire(peers),
-                floor: floor.get(),
-                status: Some(status.into()),
-            }),
+            PeerMessage::Welcome { peers, floor, status, is_settled } => {
+                Message::Welcome(wire::Welcome {
+                    is_settled: *is_settled,
+                    peers: to_wire(peers),
+                    floor: floor.get(),
+                    status: Some(status.into()),
+                })
+            }
             PeerMessage::Ping(status) => Message::Ping(status.into()),
             PeerMessage::Pong(status) => Message::Pong(status.into()),
             PeerMessage::PingFor(node) => Message::PingFor(node.to_string()),
@@ -48,6 +51,7 @@
                 })
             }
             PeerMessage::Ack(version) => Message::Ack(version.get()),
+            PeerMessage::Evidence(report) => Message::Evidence(report.into()),
         };
         Self { message: Some(message) }
     }
@@ -60,6 +64,7 @@
         Ok(match required("message", w.message)? {
             Message::Join(peer) => Self::Join(peer.try_into()?),
             Message::Welcome(welcome) => Self::Welcome {
+                is_settled: welcome.is_settled,
                 peers: each("peers", welcome.peers)?,
                 floor: ConfigVersion::new(welcome.floor),
                 status: required("status", welcome.status)?.try_into()?,
@@ -82,6 +87,7 @@
                 reason: plain_text("reason", stops.reason)?,
             },
             Message::Ack(version) => Self::Ack(ConfigVersion::new(version)),
+            Message::Evidence(report) => Self::Evidence(report.try_into()?),
         })
     }
 }
--- a/crates/wire/src/convert/mod.rs
+++ b/crates/wire/src/convert/mod.rs
@@ -3,6 +3,7 @@
 mod codec;
 mod config;
 mod delta;
+mod evidence;
 mod fields;
 mod message;
 mod operator_answer;
