Start after 3 s without a settled node; keep stop marks set without a configuration

Change: the wait is 3 s; a mark set without a configuration is not dropped because an old configuration lacks what it stops.

--- a/crates/core/src/control/joiner.rs
+++ b/crates/core/src/control/joiner.rs
@@ -12,7 +12,7 @@
 const ATTEMPTS_UNTIL_ALONE: u32 = 3;
 /// A node that finds no settled node starts after this time. Its former links
 /// ping it meanwhile, even when no seed runs or the seeds were restarted too.
-const TIME_UNTIL_ALONE: Millis = Millis::new(4_000);
+const TIME_UNTIL_ALONE: Millis = Millis::new(3_000);
 
 /// Decides when the seeds are asked for admission.
 #[derive(Debug, Clone)]
--- a/crates/core/src/control/stop_marks.rs
+++ b/crates/core/src/control/stop_marks.rs
@@ -128,7 +128,9 @@
         return true;
     }
     let has_route = mark.route.as_ref().is_none_or(|route| content.routes.contains_key(route));
-    if !content.versions.contains(&version) || !has_route {
+    let is_gone = !content.versions.contains(&version) || !has_route;
+    // Where a mark was set without a configuration, what it stops may be newer than this one.
+    if is_gone && since > ConfigVersion::default() {
         return true;
     }
     // The history names each change in the words of its command.
