--- /dev/null
+++ b/crates/core/tests/traffic_balancer.rs
@@ -0,0 +1,159 @@
+//! The choice of an endpoint.
+
+use almondsail_core::ids::Incarnation;
+use almondsail_core::peers::BackendState;
+use almondsail_core::traffic::{Balancer, Candidate, Endpoint, EndpointLoad, LoadReport};
+use almondsail_core::units::{Instant, Micros, Millis};
+use quickcheck::quickcheck;
+use rand::SeedableRng as _;
+use rand::rngs::SmallRng;
+
+const WARM: Instant = Instant::new(60_000_000);
+
+fn endpoint(i: usize, data_centre: &str, region: &str) -> Endpoint {
+    Endpoint {
+        node: format!("node-{i}").parse().expect("a name"),
+        incarnation: Incarnation::new(1),
+        door_addr: "127.0.0.1:1".parse().expect("an address"),
+        data_centre: data_centre.parse().expect("a name"),
+        region: region.parse().expect("a name"),
+        version: "v1".parse().expect("a name"),
+        slots: 12,
+        state: BackendState::Ready,
+    }
+}
+
+fn near(n: usize) -> Vec<(Endpoint, EndpointLoad)> {
+    (0..n).map(|i| (endpoint(i, "dc-1", "r-1"), EndpointLoad::new(Instant::new(0)))).collect()
+}
+
+fn candidates(list: &[(Endpoint, EndpointLoad)]) -> Vec<Candidate<'_>> {
+    list.iter().map(|(endpoint, load)| Candidate { endpoint, load }).collect()
+}
+
+fn balancer() -> Balancer {
+    let (data_centre, region) = ("dc-1".parse().expect("a name"), "r-1".parse().expect("a name"));
+    Balancer { data_centre, region }
+}
+
+/// How often each endpoint is chosen in `n` calls; `keep` leaves the calls in flight.
+fn shares(list: &[(Endpoint, EndpointLoad)], now: Instant, n: usize, keep: bool) -> Vec<usize> {
+    let mut rng = SmallRng::seed_from_u64(7);
+    let mut shares = vec![0; list.len()];
+    for _ in 0..n {
+        let Some(chosen) = balancer().choose(now, &candidates(list), &[], &mut rng) else {
+            assert!(list.is_empty(), "no choice although there are endpoints");
+            break;
+        };
+        shares[chosen] += 1;
+        if keep {
+            list[chosen].1.start();
+        }
+    }
+    shares
+}
+
+quickcheck! {
+    /// Guards against more endpoints set aside than the stated share, an endpoint that was
+    /// tried already, and no choice although an endpoint is left.
+    fn choose_any_failures(failed: Vec<bool>, tried: Vec<u8>, seed: u64) -> bool {
+        let list = near(failed.len());
+        for ((_, load), failed) in list.iter().zip(&failed) {
+            if *failed {
+                load.unreachable(WARM);
+            }
+        }
+        let in_use = shares(&list, WARM, 200, false).iter().filter(|n| **n > 0).count();
+        let allowed = failed.len() / 2;
+        let set_aside = failed.iter().filter(|failed| **failed).count().min(allowed);
+        assert!(in_use + set_aside <= failed.len());
+        assert!(failed.is_empty() || in_use > 0);
+        let tried: Vec<_> = tried.iter().filter_map(|i| list.get(usize::from(*i))).collect();
+        let nodes: Vec<_> = tried.iter().map(|(endpoint, _)| endpoint.node.clone()).collect();
+        let mut rng = SmallRng::seed_from_u64(seed);
+        match balancer().choose(WARM, &candidates(&list), &nodes, &mut rng) {
+            Some(i) => !nodes.contains(&list[i].0.node),
+            None => nodes.iter().collect::<std::collections::BTreeSet<_>>().len()
+                >= failed.len() - set_aside,
+        }
+    }
+}
+
+/// Guards against all endpoints set aside when all of them fail.
+#[test]
+fn choose_all_failed() {
+    let list = near(10);
+    for (_, load) in &list {
+        load.unreachable(WARM);
+    }
+    let in_use = shares(&list, WARM, 500, false).iter().filter(|n| **n > 0).count();
+    assert_eq!(in_use, 5);
+}
+
+/// Guards against a failing endpoint that keeps its calls, and one that never gets them back.
+#[test]
+fn choose_failures_in_a_row() {
+    let list = near(4);
+    for _ in 1..EndpointLoad::MAX_FAILURES {
+        list[0].1.failed(WARM);
+    }
+    assert!(shares(&list, WARM, 400, false)[0] > 0);
+    list[0].1.failed(WARM);
+    assert_eq!(shares(&list, WARM, 400, false)[0], 0);
+    let later = WARM + EndpointLoad::SET_ASIDE + Millis::new(1);
+    assert!(shares(&list, later, 400, false)[0] > 0);
+}
+
+/// Guards against an uneven spread over equal endpoints.
+#[test]
+fn choose_equal_endpoints() {
+    let shares = shares(&near(6), WARM, 600, true);
+    assert!(shares.iter().all(|n| (85..=115).contains(n)), "{shares:?}");
+}
+
+/// Guards against as many calls at a backend server four times slower.
+#[test]
+fn choose_slow_endpoint() {
+    let list = near(4);
+    for (i, (_, load)) in list.iter().enumerate() {
+        load.succeeded(Micros::new(if i == 0 { 40_000 } else { 10_000 }));
+    }
+    let shares = shares(&list, WARM, 100, true);
+    assert!(shares[0] * 2 < shares[1], "{shares:?}");
+}
+
+/// Guards against load that other nodes put on an endpoint and that this one ignores,
+/// and against a report that counts forever.
+#[test]
+fn choose_reported_load() {
+    let list = near(2);
+    list[0].1.report(WARM, LoadReport { in_flight: 30, slots: 12 });
+    assert_eq!(shares(&list, WARM, 100, false)[0], 0);
+    let later = WARM + Millis::new(2_000);
+    assert!(shares(&list, later, 100, false)[0] > 0);
+}
+
+/// Guards against a full share for a backend server that has just started.
+#[test]
+fn choose_cold_start() {
+    let list = near(4);
+    list[0].1.warm_from(WARM);
+    let cold = shares(&list, WARM, 80, true)[0];
+    assert!(cold <= 6, "{cold}");
+    let list = near(4);
+    list[0].1.warm_from(WARM);
+    let warm = shares(&list, WARM + Balancer::WARM_UP, 80, true)[0];
+    assert!(warm >= 18, "{warm}");
+}
+
+/// Guards against calls that leave the data centre without need, and ones that stay there
+/// although it is worse.
+#[test]
+fn choose_near_until_worse() {
+    let mut list = near(2);
+    list.push((endpoint(2, "dc-2", "r-1"), EndpointLoad::new(Instant::new(0))));
+    list.push((endpoint(3, "dc-3", "r-2"), EndpointLoad::new(Instant::new(0))));
+    assert_eq!(shares(&list, WARM, 6, true)[2..], [0, 0]);
+    let spread = shares(&list, WARM, 60, true);
+    assert!(spread[2] > spread[3] && spread[3] > 0, "{spread:?}");
+}
--- /dev/null
+++ b/crates/core/tests/traffic_door.rs
@@ -0,0 +1,197 @@
+//! Admission control at the door.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use almondsail_core::RefusalReason;
+use almondsail_core::config::Priority;
+use almondsail_core::traffic::{Admission, Deadline, Door, DoorLimits, Ticket, Wakeup};
+use almondsail_core::units::{Instant, Micros, Millis};
+use quickcheck::{Arbitrary, Gen, quickcheck};
+
+#[derive(Debug, Clone, Copy)]
+enum Op {
+    Admit { background: bool, left_ms: u8 },
+    End { took_ms: u8 },
+    Cancel(u8),
+    Limits { slots: u8, connections: u8 },
+    Close,
+    Open,
+    Pass(u8),
+}
+
+impl Arbitrary for Op {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let n = u8::arbitrary(g);
+        match u8::arbitrary(g) % 16 {
+            0..=6 => Self::Admit { background: bool::arbitrary(g), left_ms: n },
+            7..=10 => Self::End { took_ms: n },
+            11 => Self::Cancel(n),
+            12 => Self::Limits { slots: n % 6, connections: u8::arbitrary(g) % 6 },
+            13 => Self::Close,
+            14 => Self::Open,
+            _ => Self::Pass(n),
+        }
+    }
+}
+
+/// A door with a record of what it decided.
+struct Checked {
+    door: Door,
+    limits: DoorLimits,
+    now: Instant,
+    closed: bool,
+    running: Vec<Priority>,
+    waiting: BTreeMap<Ticket, (Priority, Deadline)>,
+}
+
+impl Checked {
+    fn new(slots: u16, connections: u16) -> Self {
+        let limits = DoorLimits { slots, connections };
+        Self {
+            door: Door::new(limits),
+            limits,
+            now: Instant::new(1),
+            closed: false,
+            running: Vec::new(),
+            waiting: BTreeMap::new(),
+        }
+    }
+
+    fn run(&mut self, op: Op) {
+        let before = self.running.len();
+        match op {
+            Op::Admit { background, left_ms } => self.admit(background, left_ms),
+            Op::End { took_ms } => self.end(took_ms),
+            Op::Cancel(n) => self.cancel(n),
+            Op::Limits { slots, connections } => {
+                self.limits = DoorLimits { slots: slots.into(), connections: connections.into() };
+                let wakeups = self.door.set_limits(self.now, self.limits);
+                self.wake(wakeups);
+            }
+            Op::Close => {
+                self.door.close(RefusalReason::Leaving);
+                self.closed = true;
+            }
+            Op::Open => {
+                self.door.open();
+                self.closed = false;
+            }
+            Op::Pass(ms) => self.now = self.now + Millis::new(ms.into()),
+        }
+        self.check(before);
+    }
+
+    fn admit(&mut self, background: bool, left_ms: u8) {
+        let priority = if background { Priority::Background } else { Priority::Interactive };
+        let left = Some(Millis::new(left_ms.into()));
+        let deadline = Deadline::new(self.now, left, Deadline::LONGEST);
+        let (admission, displaced) = self.door.admit(self.now, priority, deadline);
+        if let Some(wakeup) = displaced {
+            assert_eq!(wakeup.refused, Some(RefusalReason::QueueFull));
+            let (displaced, _) = self.waiting.remove(&wakeup.ticket).expect("it waited");
+            assert_eq!((displaced, priority), (Priority::Background, Priority::Interactive));
+        }
+        let may_be_admitted = !self.closed && left_ms > 0;
+        assert!(may_be_admitted || matches!(admission, Admission::Refused(_)));
+        match admission {
+            Admission::Run => self.running.push(priority),
+            Admission::Wait(ticket) => {
+                assert!(self.waiting.insert(ticket, (priority, deadline)).is_none());
+            }
+            Admission::Refused(_) => {}
+        }
+    }
+
+    fn end(&mut self, took_ms: u8) {
+        if let Some(priority) = self.running.pop() {
+            let took = (took_ms > 100).then(|| Micros::from(Millis::new(took_ms.into())));
+            let wakeups = self.door.end(self.now, priority, took);
+            self.wake(wakeups);
+        }
+    }
+
+    fn cancel(&mut self, n: u8) {
+        let ticket = self.waiting.keys().nth(usize::from(n % 4)).copied();
+        if let Some(ticket) = ticket {
+            assert!(self.door.cancel(ticket));
+            assert!(!self.door.cancel(ticket));
+            self.waiting.remove(&ticket);
+        }
+    }
+
+    fn wake(&mut self, wakeups: Vec<Wakeup>) {
+        for wakeup in wakeups {
+            let first = self.waiting.iter().min_by_key(|(t, (p, _))| (*p, **t)).map(|(t, _)| *t);
+            assert_eq!(first, Some(wakeup.ticket), "interactive calls and earlier calls go first");
+            let (priority, deadline) = self.waiting.remove(&wakeup.ticket).expect("it waited");
+            if wakeup.refused.is_none() {
+                assert!(!deadline.has_passed(self.now));
+                self.running.push(priority);
+            }
+        }
+    }
+
+    fn check(&self, running_before: usize) {
+        let counts = self.door.counts();
+        assert_eq!(counts.running, self.running.len() as u64);
+        assert_eq!(counts.queued, self.waiting.len() as u64);
+        let sum = counts.refused + counts.cancelled + counts.queued + counts.running + counts.ended;
+        assert_eq!(counts.arrived, sum);
+        // A smaller limit does not stop calls that run, but no further ones start.
+        let limit = usize::from(self.limits.slots.min(self.limits.connections));
+        assert!(self.running.len() <= limit.max(running_before));
+    }
+}
+
+quickcheck! {
+    /// Guards against more running calls than slots or connections, counts that drift, work
+    /// at a closed door, and background calls that go first.
+    fn door_any_sequence(slots: u8, connections: u8, ops: Vec<Op>) -> bool {
+        let mut checked = Checked::new(u16::from(slots % 6), u16::from(connections % 6));
+        for op in ops {
+            checked.run(op);
+        }
+        true
+    }
+}
+
+fn far(now: Instant) -> Deadline {
+    Deadline::new(now, None, Deadline::LONGEST)
+}
+
+/// Guards against a queue without bound, and an interactive call refused for background ones.
+#[test]
+fn door_queue_bounded() {
+    let now = Instant::new(1);
+    let limits = DoorLimits { slots: 2, connections: 9 };
+    let mut door = Door::new(limits);
+    let mut displaced = BTreeSet::new();
+    let mut refused = 0;
+    for i in 0..60 {
+        let priority = if i < 30 { Priority::Background } else { Priority::Interactive };
+        let (admission, wakeup) = door.admit(now, priority, far(now));
+        displaced.extend(wakeup.map(|wakeup| wakeup.ticket));
+        refused += usize::from(admission == Admission::Refused(RefusalReason::QueueFull));
+        assert!(door.counts().queued <= limits.queued() as u64);
+    }
+    assert_eq!(displaced.len(), limits.queued());
+    assert_eq!(refused, 60 - 2 - 2 * limits.queued());
+}
+
+/// Guards against a call that waits although it can't end in time, and against a service time
+/// that is never corrected because every call is refused.
+#[test]
+fn door_deadline_too_near() {
+    let now = Instant::new(1);
+    let mut door = Door::new(DoorLimits { slots: 1, connections: 1 });
+    let priority = Priority::Interactive;
+    let hurried = Deadline::new(now, Some(Millis::new(50)), Deadline::LONGEST);
+    assert_eq!(door.admit(now, priority, far(now)).0, Admission::Run);
+    door.end(now, priority, Some(Micros::new(100_000)));
+    assert_eq!(door.admit(now, priority, hurried).0, Admission::Run);
+    let refused = Admission::Refused(RefusalReason::DeadlineTooNear);
+    assert_eq!(door.admit(now, priority, hurried).0, refused);
+    let enough = Deadline::new(now, Some(Millis::new(250)), Deadline::LONGEST);
+    assert!(matches!(door.admit(now, priority, enough).0, Admission::Wait(_)));
+    assert_eq!(door.admit(now, priority, enough).0, refused);
+}
--- /dev/null
+++ b/crates/core/tests/traffic_retry.rs
@@ -0,0 +1,101 @@
+//! Retries, deadlines and the memory of bodies.
+
+use almondsail_core::traffic::{
+    BodyBudget, CallId, Deadline, FailedAttempt, LoadReport, RetryBudget, RetryDecision,
+    RetryPolicy,
+};
+use almondsail_core::units::{ByteCount, Instant, Micros, Millis};
+use almondsail_core::{RefusalReason, Verdict};
+use quickcheck::quickcheck;
+
+quickcheck! {
+    /// Guards against retries that multiply the load: more than a tenth of the calls and ten a second.
+    fn budget_any_sequence(steps: Vec<(u8, u16)>) -> bool {
+        let mut now = Instant::new(5);
+        let budget = RetryBudget::new(now);
+        let (mut calls, mut retries) = (0_u64, 0_u64);
+        for (n, pass_ms) in steps {
+            now = now + Millis::new(u64::from(pass_ms % 500));
+            for _ in 0..n {
+                budget.count_call();
+                calls += 1;
+                retries += u64::from(budget.try_take(now));
+            }
+        }
+        let seconds = now.get() as f64 / 1e6;
+        retries as f64 <= calls as f64 * 0.1 + 10.0 + seconds * 10.0 + 0.1
+    }
+
+    /// Guards against a retry of a non-idempotent call that may have run, one after the last
+    /// attempt or without time, and one that takes nothing out of the budget.
+    fn decide_any_failure(v: u8, r: u8, idempotent: bool, attempts: u8, left: u32) -> bool {
+        let now = Instant::new(5);
+        let budget = RetryBudget::new(now);
+        let failed = FailedAttempt {
+            verdict: Verdict::ALL[usize::from(v) % Verdict::ALL.len()],
+            reason: RefusalReason::ALL[usize::from(r) % RefusalReason::ALL.len()],
+            idempotent,
+            attempts: attempts % 5 + 1,
+            left: Micros::new(left.into()),
+        };
+        let RetryDecision::Retry(_) = RetryPolicy.decide(failed, &budget, now) else { return true };
+        let remaining = (0..20).filter(|_| budget.try_take(now)).count();
+        (idempotent || failed.verdict.is_safe_to_retry())
+            && failed.attempts < RetryPolicy::MAX_ATTEMPTS
+            && failed.left >= RetryPolicy::MIN_LEFT
+            && failed.reason != RefusalReason::RepeatInDoubt
+            && remaining == 9
+    }
+
+    /// Guards against a deadline that grows on the way or exceeds the longest one.
+    fn deadline_any(now: u32, asked: Option<u32>, limit: u32, later: u32) -> bool {
+        let now = Instant::new(now.into());
+        let asked = asked.map(|ms| Millis::new(ms.into()));
+        let deadline = Deadline::new(now, asked, Millis::new(limit.into()));
+        let later = now + Micros::new(later.into());
+        let next = deadline.for_next_hop(later);
+        deadline.left(now) <= Micros::from(Deadline::LONGEST.min(Millis::new(limit.into())))
+            && next.left(later) <= deadline.left(later)
+            && (deadline.left(later).get() < 10 || next.left(later) < deadline.left(later))
+    }
+
+    /// Guards against more held bytes than the limit, and a share that is not given back.
+    fn body_budget_any_sequence(limit: u16, takes: Vec<u16>) -> bool {
+        let budget = BodyBudget::new(ByteCount::new(limit.into()));
+        let mut held = Vec::new();
+        for take in takes {
+            let take = ByteCount::new(take.into());
+            if budget.try_take(take) {
+                held.push(take);
+            } else if let Some(last) = held.pop() {
+                budget.give_back(last);
+            }
+            let sum: u64 = held.iter().map(|bytes| bytes.get()).sum();
+            assert!(budget.held().get() == sum && sum <= limit.into());
+        }
+        true
+    }
+
+    /// Guards against texts that are read back as another value.
+    fn texts_round_trip(in_flight: u32, slots: u16, id: u128) -> bool {
+        let load = LoadReport { in_flight, slots };
+        let id = CallId::new(id);
+        load.to_string().parse() == Ok(load) && id.to_string().parse() == Ok(id)
+    }
+}
+
+/// Guards against a retry after the budget is used up, and a changed verdict in its place.
+#[test]
+fn decide_budget_used_up() {
+    let now = Instant::new(5);
+    let budget = RetryBudget::new(now);
+    while budget.try_take(now) {}
+    let failed = FailedAttempt {
+        verdict: Verdict::NotSent,
+        reason: RefusalReason::ConnectFailed,
+        idempotent: false,
+        attempts: 1,
+        left: Micros::new(1_000_000),
+    };
+    assert_eq!(RetryPolicy.decide(failed, &budget, now), RetryDecision::BudgetUsedUp);
+}
--- a/crates/node/src/answer_body.rs
+++ b/crates/node/src/answer_body.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 
+use almondsail_core::RefusalReason;
 use bytes::Bytes;
 use http::{Response, StatusCode};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -27,6 +28,8 @@
 pub(crate) struct AnswerBody {
     source: Source,
     status: StatusCode,
+    /// Bytes that were read but not passed on.
+    first: Option<Bytes>,
     /// Told once of the end.
     watchers: Vec<AnswerWatcher>,
     ended: bool,
@@ -70,7 +73,7 @@
     }
 
     const fn new(status: StatusCode, source: Source) -> Self {
-        Self { source, status, watchers: Vec::new(), ended: false }
+        Self { source, status, first: None, watchers: Vec::new(), ended: false }
     }
 
     /// Adds a watcher of the body's end.
@@ -78,17 +81,29 @@
         self.watchers.push(watcher);
     }
 
-    /// Ends a body without bytes, so that an error is noticed before the answer's
-    /// head is passed on. `false` if the answer is malformed.
-    pub(crate) fn end_if_empty(&mut self, cx: &mut Context<'_>) -> bool {
-        let Source::Stream(stream) = &mut self.source else { return true };
-        if !stream.incoming.is_end_stream() {
-            return true;
+    /// Reads what has already come, so that an error which shows at once is reported
+    /// with its reason instead of by a closed connection.
+    pub(crate) async fn prefetch(&mut self) -> Result<(), RefusalReason> {
+        let poll = std::future::poll_fn(|cx| Poll::Ready(self.poll_source(cx))).await;
+        match poll {
+            Poll::Pending => {}
+            Poll::Ready(Ok(Some(data))) => self.first = Some(data),
+            Poll::Ready(Ok(None)) => self.end(AnswerEnd::Complete),
+            Poll::Ready(Err(error)) => {
+                self.end(error.answer_end());
+                return Err(error.reason());
+            }
+        }
+        Ok(())
+    }
+
+    fn poll_source(&mut self, cx: &mut Context<'_>) -> Poll<Result<Option<Bytes>, StreamError>> {
+        match &mut self.source {
+            Source::Recorded(bytes) => {
+                Poll::Ready(Ok(bytes.take().filter(|bytes| !bytes.is_empty())))
+            }
+            Source::Stream(stream) => stream.poll_frame(cx),
         }
-        let result = stream.finish(cx);
-        let is_whole = result.is_ok();
-        self.end(if is_whole { AnswerEnd::Complete } else { AnswerEnd::Broken });
-        is_whole
     }
 
     fn end(&mut self, end: AnswerEnd) {
@@ -149,7 +164,7 @@
         match exchange.after_answer(cx) {
             AfterAnswer::Reusable => self.pool.put(exchange),
             AfterAnswer::Closed => {}
-            AfterAnswer::Surplus => return Err(StreamError::Broken),
+            AfterAnswer::Surplus => return Err(StreamError::Surplus),
         }
         Ok(())
     }
@@ -158,9 +173,28 @@
 #[derive(Debug, Clone, Copy)]
 enum StreamError {
     Broken,
+    /// The next hop sent more than the answer.
+    Surplus,
     TimedOut,
 }
 
+impl StreamError {
+    const fn answer_end(self) -> AnswerEnd {
+        match self {
+            Self::Broken | Self::Surplus => AnswerEnd::Broken,
+            Self::TimedOut => AnswerEnd::TimedOut,
+        }
+    }
+
+    const fn reason(self) -> RefusalReason {
+        match self {
+            Self::Broken => RefusalReason::BrokenExchange,
+            Self::Surplus => RefusalReason::BadAnswer,
+            Self::TimedOut => RefusalReason::DeadlinePassed,
+        }
+    }
+}
+
 impl Body for AnswerBody {
     type Data = Bytes;
     type Error = io::Error;
@@ -172,9 +206,9 @@
         if self.ended {
             return Poll::Ready(None);
         }
-        let result = match &mut self.source {
-            Source::Recorded(bytes) => Ok(bytes.take().filter(|bytes| !bytes.is_empty())),
-            Source::Stream(stream) => ready!(stream.poll_frame(cx)),
+        let result = match self.first.take() {
+            Some(data) => Ok(Some(data)),
+            None => ready!(self.poll_source(cx)),
         };
         match result {
             Ok(Some(data)) => {
@@ -191,13 +225,9 @@
                 self.end(AnswerEnd::Complete);
                 Poll::Ready(None)
             }
-            Err(StreamError::Broken) => {
-                self.end(AnswerEnd::Broken);
-                Poll::Ready(Some(Err(io::Error::other("the answer broke off or was malformed"))))
-            }
-            Err(StreamError::TimedOut) => {
-                self.end(AnswerEnd::TimedOut);
-                Poll::Ready(Some(Err(io::Error::other("the deadline passed during the answer"))))
+            Err(error) => {
+                self.end(error.answer_end());
+                Poll::Ready(Some(Err(io::Error::other(error.reason().as_str()))))
             }
         }
     }
@@ -207,23 +237,23 @@
     }
 
     fn size_hint(&self) -> SizeHint {
-        match &self.source {
-            Source::Recorded(bytes) => {
-                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
-            }
-            Source::Stream(stream) => {
-                stream.remaining.map_or_else(SizeHint::default, SizeHint::with_exact)
-            }
-        }
+        let rest = match &self.source {
+            Source::Recorded(bytes) => Some(bytes.as_ref().map_or(0, Bytes::len) as u64),
+            Source::Stream(stream) => stream.remaining,
+        };
+        let first = self.first.as_ref().map_or(0, Bytes::len) as u64;
+        rest.map_or_else(SizeHint::default, |rest| SizeHint::with_exact(first + rest))
     }
 }
 
 impl AnswerBody {
+    /// Whether every byte of an answer of known length was passed on.
     fn is_complete(&self) -> bool {
-        match &self.source {
+        let is_read = match &self.source {
             Source::Recorded(bytes) => bytes.is_none(),
             Source::Stream(stream) => stream.remaining == Some(0) && stream.exchange.is_none(),
-        }
+        };
+        is_read && self.first.is_none()
     }
 }
 
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -142,11 +142,13 @@
     if header_size > MAX_HEADER {
         return Err((RefusalReason::HeaderTooLarge, None));
     }
+    // A tunnel is no exchange of one request and one answer.
+    let target = origin_form(&uri).filter(|_| method != Method::CONNECT);
+    let target = target.ok_or((RefusalReason::BadRequest, None))?;
     let route = snapshot.route(uri.path()).ok_or((RefusalReason::UnknownRoute, None))?;
     let refuse = |reason| (reason, Some(route.name.clone()));
     let split = snapshot.split(&route.name).ok_or(refuse(RefusalReason::NoBackend))?;
-    let marks =
-        CallerMarks::parse(&method, &headers).map_err(|_| refuse(RefusalReason::BadRequest))?;
+    let marks = CallerMarks::parse(&headers).map_err(|_| refuse(RefusalReason::BadRequest))?;
     let deadline = Deadline::new(now, marks.deadline, route.deadline);
     clean(&mut headers);
     let body = read_body(inner, body, deadline).await.map_err(refuse)?;
@@ -163,7 +165,7 @@
         deadline,
         config_version: table.config_version(),
         method,
-        uri: origin_form(&uri).ok_or(refuse(RefusalReason::BadRequest))?,
+        uri: target,
         headers,
         body: body.bytes().clone(),
     };
@@ -190,11 +192,7 @@
 }
 
 impl CallerMarks {
-    fn parse(method: &Method, headers: &HeaderMap) -> Result<Self, names::BadHeader> {
-        // A tunnel is no exchange of one request and one answer.
-        if *method == Method::CONNECT {
-            return Err(names::BadHeader);
-        }
+    fn parse(headers: &HeaderMap) -> Result<Self, names::BadHeader> {
         Ok(Self {
             deadline: names::parse(headers, &names::DEADLINE_MS)?.map(Millis::new),
             key: names::parse(headers, &names::IDEMPOTENCY_KEY)?,
--- a/crates/node/src/door.rs
+++ b/crates/node/src/door.rs
@@ -173,9 +173,7 @@
     let pool = Arc::clone(&inner.backend_pool);
     let mut body = AnswerBody::stream(parts.status, incoming, exchange, pool, timeout);
     body.watch(AnswerWatcher::Slot(slot));
-    if !std::future::poll_fn(|cx| std::task::Poll::Ready(body.end_if_empty(cx))).await {
-        return Err(Failure::may_have_run(RefusalReason::BadAnswer));
-    }
+    body.prefetch().await.map_err(Failure::may_have_run)?;
     Ok(Response::from_parts(parts, body))
 }
 
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -31,14 +31,22 @@
 #[derive(Debug)]
 pub(crate) struct Exchange {
     sender: SendRequest<Full<Bytes>>,
-    /// `None` after the connection has ended.
-    conn: Option<Connection<TokioIo<CountedStream>, Full<Bytes>>>,
+    conn: ConnState,
     /// The bytes written to the socket.
     written: Arc<AtomicU64>,
     /// When the connection was last used.
     pub(crate) used: Instant,
 }
 
+/// The connection, or how it ended. The end may be noticed before the answer is read.
+#[derive(Debug)]
+enum ConnState {
+    Open(Box<Connection<TokioIo<CountedStream>, Full<Bytes>>>),
+    Closed,
+    /// The next hop sent bytes that belong to no answer.
+    Surplus,
+}
+
 /// Why an exchange has no answer.
 #[derive(Debug)]
 pub(crate) enum ExchangeError {
@@ -73,7 +81,7 @@
         builder.max_header_size(MAX_ANSWER_HEADER);
         let (sender, conn) =
             builder.handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
-        Ok(Self { sender, conn: Some(conn), written, used: Instant::now() })
+        Ok(Self { sender, conn: ConnState::Open(Box::new(conn)), written, used: Instant::now() })
     }
 
     /// Sends `req` and waits for the head of the answer until `until`.
@@ -100,7 +108,7 @@
             if let Poll::Ready(result) = answer.as_mut().poll(cx) {
                 return Poll::Ready(result);
             }
-            let _ = poll_conn(conn, cx);
+            conn.poll(cx);
             answer.as_mut().poll(cx)
         })
         .await;
@@ -111,15 +119,16 @@
 
     /// Reads and writes what is possible now.
     pub(crate) fn drive(&mut self, cx: &mut Context<'_>) {
-        let _ = poll_conn(&mut self.conn, cx);
+        self.conn.poll(cx);
     }
 
     /// The state of the connection, to be called when the answer is complete.
     pub(crate) fn after_answer(&mut self, cx: &mut Context<'_>) -> AfterAnswer {
-        match poll_conn(&mut self.conn, cx) {
-            Poll::Pending if self.sender.is_ready() => AfterAnswer::Reusable,
-            Poll::Ready(Err(error)) if !is_io_error(&error) => AfterAnswer::Surplus,
-            _ => AfterAnswer::Closed,
+        self.conn.poll(cx);
+        match self.conn {
+            ConnState::Open(_) if self.sender.is_ready() => AfterAnswer::Reusable,
+            ConnState::Open(_) | ConnState::Closed => AfterAnswer::Closed,
+            ConnState::Surplus => AfterAnswer::Surplus,
         }
     }
 
@@ -133,15 +142,15 @@
     }
 }
 
-type Conn = Connection<TokioIo<CountedStream>, Full<Bytes>>;
-
-fn poll_conn(conn: &mut Option<Conn>, cx: &mut Context<'_>) -> Poll<hyper::Result<()>> {
-    let Some(open) = conn else { return Poll::Ready(Ok(())) };
-    let result = Pin::new(open).poll(cx);
-    if result.is_ready() {
-        *conn = None;
+impl ConnState {
+    fn poll(&mut self, cx: &mut Context<'_>) {
+        let Self::Open(conn) = self else { return };
+        match Pin::new(conn.as_mut()).poll(cx) {
+            Poll::Pending => {}
+            Poll::Ready(Err(error)) if !is_io_error(&error) => *self = Self::Surplus,
+            Poll::Ready(_) => *self = Self::Closed,
+        }
     }
-    result
 }
 
 fn is_io_error(error: &hyper::Error) -> bool {
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -178,9 +178,7 @@
         return Err(failure);
     }
     names::remove_own(&mut parts.headers);
-    if !std::future::poll_fn(|cx| std::task::Poll::Ready(body.end_if_empty(cx))).await {
-        return Err(Failure::may_have_run(RefusalReason::BadAnswer));
-    }
+    body.prefetch().await.map_err(Failure::may_have_run)?;
     Ok(Response::from_parts(parts, body))
 }
 
--- /dev/null
+++ b/crates/node/tests/calls_keys.rs
@@ -0,0 +1,175 @@
+//! Repeats of calls with an idempotency key.
+
+mod support;
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use support::caller::{CallerAnswer, request, send};
+use support::fake_backend::{FakeBackend, FakeReply, FakeRequest};
+use support::mesh::{MeshPlan, TestMesh};
+
+fn book(req: &FakeRequest) -> FakeReply {
+    FakeReply::ok(&[b"booked ", &req.body[..]].concat())
+}
+
+/// Three nodes with a backend server each, which share one script.
+async fn three(script: fn(&FakeRequest) -> FakeReply) -> (Vec<FakeBackend>, TestMesh) {
+    let mut backends = Vec::new();
+    for _ in 0..3 {
+        backends.push(FakeBackend::start(script).await);
+    }
+    let addrs: Vec<_> = backends.iter().map(|backend| Some(backend.addr)).collect();
+    let mesh = TestMesh::start(&MeshPlan::new(&addrs)).await;
+    (backends, mesh)
+}
+
+fn runs(backends: &[FakeBackend]) -> usize {
+    backends.iter().map(FakeBackend::runs).sum()
+}
+
+async fn send_key(
+    mesh: &TestMesh,
+    entry: usize,
+    key: &str,
+    attempt: &str,
+    body: &[u8],
+) -> CallerAnswer {
+    let headers = [("idempotency-key", key), ("almondsail-attempt", attempt)];
+    send(mesh.entry(entry), request("POST", "/book", &headers, body)).await.unwrap()
+}
+
+/// Guards against a repeat that runs again, at the same or at another node, and against a
+/// repeat that gets no answer although the first one is known.
+#[tokio::test]
+async fn repeat_answered_from_record() {
+    let (backends, mesh) = three(book).await;
+    for i in 0..12 {
+        let (key, body) = (format!("key-{i}"), format!("bay {i}"));
+        let first = send_key(&mesh, i % 3, &key, "1", body.as_bytes()).await;
+        assert_eq!(&first.body[..], format!("booked {body}").as_bytes());
+        for entry in 0..3 {
+            let repeat = send_key(&mesh, entry, &key, "2", body.as_bytes()).await;
+            assert_eq!((repeat.status, &repeat.body), (first.status, &first.body));
+        }
+        assert_eq!(runs(&backends), i + 1);
+    }
+}
+
+/// Guards against a recorded answer that is given to another request with the same key.
+#[tokio::test]
+async fn repeat_with_other_body() {
+    let (backends, mesh) = three(book).await;
+    send_key(&mesh, 0, "key", "1", b"bay 1").await;
+    let other = send_key(&mesh, 1, "key", "1", b"bay 2").await;
+    assert_eq!(other.status, 409);
+    assert_eq!(other.failure(), ("may-have-run", "repeat_in_doubt"));
+    assert_eq!(runs(&backends), 1);
+}
+
+/// Guards against a repeat that runs while the first call still does.
+#[tokio::test]
+async fn repeat_while_first_runs() {
+    let (backends, mesh) = three(|req| book(req).after(300)).await;
+    let headers = [("idempotency-key", "key")];
+    let first = tokio::spawn(send(mesh.entry(0), request("POST", "/book", &headers, b"bay 1")));
+    while runs(&backends) == 0 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    for entry in 0..3 {
+        let repeat = send_key(&mesh, entry, "key", "2", b"bay 1").await;
+        assert_eq!(repeat.failure(), ("may-have-run", "repeat_in_doubt"));
+    }
+    assert_eq!(first.await.unwrap().unwrap().status, 200);
+    assert_eq!(runs(&backends), 1);
+}
+
+/// Guards against two simultaneous calls with one key that both run.
+#[tokio::test(flavor = "multi_thread", worker_threads = 3)]
+async fn repeats_at_once() {
+    let (backends, mesh) = three(|req| book(req).after(5)).await;
+    for i in 0..40 {
+        let key = format!("key-{i}");
+        let headers = [("idempotency-key", key.as_str())];
+        let call =
+            |entry: usize| send(mesh.entry(entry), request("POST", "/book", &headers, b"bay"));
+        let _ = tokio::join!(call(0), call(1), call(2), call(0));
+        assert!(runs(&backends) <= i + 1, "key {i} ran more than once");
+    }
+}
+
+/// Guards against a repeat of a call whose first exchange broke.
+#[tokio::test]
+async fn repeat_after_broken_exchange() {
+    let (backends, mesh) = three(|_| FakeReply::raw(b"HTTP/1.1 200").closing()).await;
+    let first = send_key(&mesh, 0, "key", "1", b"bay").await;
+    assert_eq!(first.failure(), ("may-have-run", "broken_exchange"));
+    for entry in 0..3 {
+        let repeat = send_key(&mesh, entry, "key", "2", b"bay").await;
+        assert_eq!(repeat.failure(), ("may-have-run", "repeat_in_doubt"));
+    }
+    assert_eq!(runs(&backends), 1);
+}
+
+/// Guards against a refused call that keeps its key and blocks its repeat.
+#[tokio::test]
+async fn repeat_after_shed() {
+    let (backends, mesh) =
+        three(|req| if req.body == b"shed" { FakeReply::shed() } else { book(req) }).await;
+    let first = send_key(&mesh, 0, "key", "1", b"shed").await;
+    assert_eq!(first.failure().0, "refused-unrun");
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let repeat = send_key(&mesh, 1, "key", "1", b"bay").await;
+    assert_eq!(repeat.status, 200);
+    assert_eq!(runs(&backends), 1);
+}
+
+/// Guards against a marked repeat that runs although the registrars can't know the first call.
+#[tokio::test]
+async fn repeat_unknown_to_young_registrars() {
+    let (backends, mesh) = three(book).await;
+    let repeat = send_key(&mesh, 0, "key", "2", b"bay").await;
+    assert_eq!(repeat.failure(), ("may-have-run", "repeat_in_doubt"));
+    assert_eq!(runs(&backends), 0);
+}
+
+/// Guards against a key that is forgotten with the loss of one node of three.
+#[tokio::test]
+async fn repeat_after_loss_of_a_node() {
+    for lost in 0..3 {
+        let (backends, mut mesh) = three(book).await;
+        send_key(&mesh, (lost + 1) % 3, "key", "1", b"bay").await;
+        mesh.nodes[lost].kill();
+        mesh.change_peer(lost, |peer| peer.status = almondsail_core::peers::PeerStatus::Dead);
+        for entry in (0..3).filter(|&entry| entry != lost) {
+            let repeat = send_key(&mesh, entry, "key", "1", b"bay").await;
+            assert!(repeat.status == 200 || repeat.failure().0 == "may-have-run");
+        }
+        assert_eq!(runs(&backends), 1, "node {lost} lost");
+    }
+}
+
+/// Guards against a call that runs unregistered.
+#[tokio::test]
+async fn registrars_unreachable() {
+    let backend = FakeBackend::start(book).await;
+    let gone = [FakeBackend::start(book).await, FakeBackend::start(book).await];
+    let plan = MeshPlan::new(&[Some(backend.addr), Some(gone[0].addr), Some(gone[1].addr)]);
+    let mesh = TestMesh::start(&plan).await;
+    mesh.nodes[1].kill();
+    mesh.nodes[2].kill();
+    tokio::task::yield_now().await;
+    let mut refused = 0;
+    for i in 0..24 {
+        let answer = send_key(&mesh, 0, &format!("key-{i}"), "1", b"bay").await;
+        match answer.failure() {
+            ("", "") => {}
+            ("refused-unrun", "key_registrar_unreachable") => refused += 1,
+            other => assert_eq!(other.0, "not-sent", "{other:?}"),
+        }
+    }
+    let unregistered = backend.runs() + refused;
+    assert!(refused > 0, "{unregistered} calls arrived at the door");
+    assert_eq!(backend.seen.requests.lock().unwrap().len(), backend.runs());
+    assert!(backend.seen.connections.load(Ordering::SeqCst) > 0);
+}
--- /dev/null
+++ b/crates/node/tests/calls_limits.rs
@@ -0,0 +1,260 @@
+//! Limits of size, number and time, and planned stops.
+
+mod support;
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use almondsail_core::peers::{BackendState, PeerStatus};
+use almondsail_core::units::{ByteCount, Millis};
+use support::caller::{get, post, request, send, send_raw};
+use support::fake_backend::{FakeBackend, FakeReply, FakeRequest};
+use support::mesh::{MeshPlan, TestMesh};
+use tokio::io::AsyncWriteExt as _;
+
+const MB: usize = 1024 * 1024;
+
+fn size(req: &FakeRequest) -> FakeReply {
+    FakeReply::ok(req.body.len().to_string().as_bytes())
+}
+
+async fn two(script: fn(&FakeRequest) -> FakeReply) -> (FakeBackend, TestMesh) {
+    let backend = FakeBackend::start(script).await;
+    let mesh = TestMesh::start(&MeshPlan::new(&[None, Some(backend.addr)])).await;
+    (backend, mesh)
+}
+
+/// Guards against a body over the limit that reaches a backend server, and one at the limit
+/// that does not.
+#[tokio::test]
+async fn body_oversized() {
+    let (backend, mesh) = two(size).await;
+    let answer = post(mesh.entry(0), "/book", &vec![b'a'; MB]).await.unwrap();
+    assert_eq!(answer.body, MB.to_string());
+    let answer = post(mesh.entry(0), "/book", &vec![b'a'; MB + 1]).await.unwrap();
+    assert_eq!(answer.status, 413);
+    assert_eq!(answer.failure(), ("refused-unrun", "body_too_large"));
+    assert_eq!(backend.runs(), 1);
+}
+
+/// Guards against a chunked body that escapes the limit because it tells no length.
+#[tokio::test]
+async fn body_oversized_chunked() {
+    // The door of the same node, since another node's door would see the length.
+    let backend = FakeBackend::start(size).await;
+    let mesh = TestMesh::start(&MeshPlan::new(&[Some(backend.addr)])).await;
+    let mut bytes =
+        b"POST /book HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n".to_vec();
+    for _ in 0..=16 {
+        bytes.extend_from_slice(b"10000\r\n");
+        bytes.extend_from_slice(&[b'a'; 0x10000]);
+        bytes.extend_from_slice(b"\r\n");
+    }
+    bytes.extend_from_slice(b"0\r\n\r\n");
+    let answer = String::from_utf8(send_raw(mesh.entry(0), &bytes).await).unwrap();
+    assert!(answer.is_empty() || answer.starts_with("HTTP/1.1 413 "), "{answer}");
+    assert_eq!(backend.runs(), 0);
+}
+
+/// Guards against a header over the limit, with and without the parser's own limit.
+#[tokio::test]
+async fn header_oversized() {
+    let (backend, mesh) = two(size).await;
+    let fits = "a".repeat(60 * 1024);
+    let answer =
+        send(mesh.entry(0), request("GET", "/read", &[("x-a", &fits)], b"")).await.unwrap();
+    assert_eq!(answer.status, 200);
+    let large = "a".repeat(65 * 1024);
+    let answer =
+        send(mesh.entry(0), request("GET", "/read", &[("x-a", &large)], b"")).await.unwrap();
+    assert_eq!(answer.status, 431);
+    assert_eq!(answer.failure(), ("refused-unrun", "header_too_large"));
+    let larger =
+        format!("GET /read HTTP/1.1\r\nHost: a\r\nX-A: {}\r\n\r\n", "a".repeat(300 * 1024));
+    let answer = String::from_utf8(send_raw(mesh.entry(0), larger.as_bytes()).await).unwrap();
+    assert!(answer.is_empty() || answer.starts_with("HTTP/1.1 431 "), "{answer}");
+    assert_eq!(backend.runs(), 1);
+}
+
+/// Guards against malformed HTTP that reaches a backend server or keeps a connection.
+#[tokio::test]
+async fn http_malformed() {
+    let (backend, mesh) = two(size).await;
+    let malformed: [&[u8]; 7] = [
+        b"nonsense\r\n\r\n",
+        b"GET /read HTTP/1.1\r\nHost a\r\n\r\n",
+        b"POST /book HTTP/1.1\r\nHost: a\r\nContent-Length: x\r\n\r\n",
+        b"POST /book HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+        b"POST /book HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+        b"GET /read HTTP/1.1\r\nHost: a\r\nAlmondsail-Deadline-Ms: soon\r\n\r\n",
+        b"CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n",
+    ];
+    for bytes in malformed {
+        let answer = String::from_utf8(send_raw(mesh.entry(0), bytes).await).unwrap();
+        let is_refused = answer.is_empty() || answer.starts_with("HTTP/1.1 4");
+        assert!(is_refused, "{} answered {answer}", String::from_utf8_lossy(bytes));
+    }
+    assert_eq!(backend.runs(), 0);
+}
+
+/// Guards against callers that hold memory and connections by sending slowly.
+#[tokio::test]
+async fn caller_slow() {
+    let backend = FakeBackend::start(size).await;
+    let plan = MeshPlan::new(&[Some(backend.addr)]);
+    let mesh = TestMesh::start_with(&plan, |settings| {
+        settings.header_time = Millis::new(100);
+        settings.body_time = Millis::new(100);
+    })
+    .await;
+    let started = std::time::Instant::now();
+    send_raw(mesh.entry(0), b"GET /read HTTP/1.1\r\nHo").await;
+    let answer =
+        send_raw(mesh.entry(0), b"POST /book HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nab")
+            .await;
+    assert!(answer.starts_with(b"HTTP/1.1 400 "));
+    assert!(started.elapsed() < Duration::from_secs(2));
+    assert_eq!(backend.runs(), 0);
+}
+
+/// Guards against bodies that take more memory than the node may hold.
+#[tokio::test]
+async fn body_memory() {
+    let backend = FakeBackend::start(size).await;
+    let plan = MeshPlan::new(&[Some(backend.addr)]);
+    let mesh = TestMesh::start_with(&plan, |settings| {
+        settings.body_memory = ByteCount::new(1_000);
+    })
+    .await;
+    let mut slow = tokio::net::TcpStream::connect(mesh.entry(0)).await.unwrap();
+    slow.write_all(b"POST /book HTTP/1.1\r\nHost: a\r\nContent-Length: 800\r\n\r\n").await.unwrap();
+    slow.write_all(&[b'a'; 700]).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let answer = post(mesh.entry(0), "/book", &[b'a'; 400]).await.unwrap();
+    assert_eq!(answer.failure(), ("refused-unrun", "body_memory"));
+    drop(slow);
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    assert_eq!(post(mesh.entry(0), "/book", &[b'a'; 400]).await.unwrap().status, 200);
+}
+
+/// Guards against more calls at the backend server than it has slots or connections.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn slots_never_exceeded() {
+    let backend = FakeBackend::start(|req| size(req).after(2)).await;
+    let addr = Some(backend.addr);
+    let plan = MeshPlan { slots: 3, connections: 2, ..MeshPlan::new(&[addr, None, None]) };
+    let mesh = TestMesh::start(&plan).await;
+    let calls: Vec<_> =
+        (0..60).map(|i| tokio::spawn(post(mesh.entry(i % 3), "/book", b"b"))).collect();
+    let mut refused = 0;
+    for call in calls {
+        let answer = call.await.unwrap().unwrap();
+        if answer.status != 200 {
+            assert_eq!(answer.failure().0, "refused-unrun");
+            refused += 1;
+        }
+    }
+    assert!(backend.seen.most_running.load(Ordering::SeqCst) <= 2);
+    assert!(backend.seen.connections.load(Ordering::SeqCst) <= 2);
+    assert_eq!(backend.runs() + refused, 60);
+    let counts = mesh.nodes[0].traffic.door_counts();
+    assert_eq!((counts.running, counts.queued, counts.ended), (0, 0, backend.runs() as u64));
+}
+
+/// Guards against a call that waits although it can't end before its deadline.
+#[tokio::test]
+async fn deadline_too_near() {
+    let (backend, mesh) = two(|req| size(req).after(100)).await;
+    get(mesh.entry(0), "/read").await.unwrap();
+    let busy: Vec<_> = (0..12).map(|_| tokio::spawn(get(mesh.entry(0), "/read"))).collect();
+    tokio::time::sleep(Duration::from_millis(30)).await;
+    let started = std::time::Instant::now();
+    let hurried = request("GET", "/read", &[("almondsail-deadline-ms", "80")], b"");
+    let answer = send(mesh.entry(0), hurried).await.unwrap();
+    assert_eq!(answer.failure(), ("refused-unrun", "deadline_too_near"));
+    assert!(started.elapsed() < Duration::from_millis(60));
+    for call in busy {
+        assert_eq!(call.await.unwrap().unwrap().status, 200);
+    }
+    assert_eq!(backend.runs(), 13);
+}
+
+/// Guards against new work for a backend server that is leaving.
+#[tokio::test]
+async fn backend_draining() {
+    let (backend, mut mesh) = two(size).await;
+    assert_eq!(post(mesh.entry(0), "/book", b"b").await.unwrap().status, 200);
+    let old = mesh.nodes[0].snapshot.load_full();
+    mesh.change_peer(1, |peer| {
+        peer.backend.as_mut().unwrap().state = BackendState::Draining;
+    });
+    // The entry node has not heard of it yet.
+    mesh.nodes[0].snapshot.store(old);
+    let answer = post(mesh.entry(0), "/book", b"b").await.unwrap();
+    assert_eq!(answer.failure(), ("refused-unrun", "leaving"));
+    assert_eq!(backend.runs(), 1);
+}
+
+/// Guards against a planned stop that interrupts a call, and against new work during one.
+#[tokio::test]
+async fn stop_graceful() {
+    let (backend, mut mesh) = two(|req| size(req).after(150)).await;
+    let calls: Vec<_> =
+        (0..6).map(|i| tokio::spawn(post(mesh.entry(i % 2), "/book", b"b"))).collect();
+    while backend.runs() < 6 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    for i in 0..2 {
+        mesh.change_peer(i, |peer| peer.status = PeerStatus::Leaving);
+    }
+    let answer = post(mesh.entry(0), "/book", b"b").await.unwrap();
+    assert_eq!(answer.failure(), ("refused-unrun", "leaving"));
+    assert_eq!(answer.headers["connection"], "close");
+    for node in &mesh.nodes {
+        node.stop.send(true).unwrap();
+    }
+    for call in calls {
+        assert_eq!(call.await.unwrap().unwrap().status, 200);
+    }
+    for task in mesh.nodes.iter_mut().flat_map(|node| node.tasks.drain(..)) {
+        tokio::time::timeout(Duration::from_secs(2), task).await.unwrap().unwrap();
+    }
+    assert_eq!(backend.runs(), 6);
+}
+
+/// Guards against calls and claims at the door from outside the installation.
+#[tokio::test]
+async fn door_unauthorized() {
+    let (backend, mesh) = two(size).await;
+    for token in [None, Some(""), Some("zz"), Some("0123"), Some(&"0".repeat(64)[..])] {
+        let mut headers = vec![("almondsail-message", "call")];
+        headers.extend(token.map(|token| ("almondsail-token", token)));
+        let answer =
+            send(mesh.nodes[1].door, request("POST", "/book", &headers, b"b")).await.unwrap();
+        assert_eq!(answer.status, 403);
+        assert_eq!(answer.failure(), ("refused-unrun", "peer_unauthorized"));
+    }
+    assert_eq!(backend.runs(), 0);
+}
+
+/// Guards against counts that miss calls, and labels that callers can choose.
+#[tokio::test]
+async fn counts_drained() {
+    let (_backend, mesh) = two(size).await;
+    let mut readers = [0, 1].map(|i| mesh.nodes[i].traffic.counts_reader());
+    for _ in 0..5 {
+        get(mesh.entry(0), "/read").await.unwrap();
+    }
+    for i in 0..4 {
+        get(mesh.entry(0), &format!("/nowhere/{i}")).await.unwrap();
+    }
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let entry = readers[0].drain();
+    let calls: Vec<u64> = entry.iter().map(|(_, counts)| counts.calls).collect();
+    assert_eq!(calls, [4, 5], "{entry:?}");
+    assert!(entry[0].0.route.is_none());
+    assert_eq!(entry[1].1.latency.iter().sum::<u64>(), 5);
+    let door = readers[1].drain();
+    assert_eq!(door.iter().map(|(_, counts)| counts.calls).collect::<Vec<_>>(), [5]);
+    assert!(readers[0].drain().is_empty());
+}
--- a/crates/node/tests/support/fake_backend.rs
+++ b/crates/node/tests/support/fake_backend.rs
@@ -84,6 +84,10 @@
     pub most_running: AtomicUsize,
     pub connections: AtomicUsize,
     pub bytes: AtomicUsize,
+    /// A connection is closed after this number of bytes was read from it.
+    pub cut: AtomicUsize,
+    /// The connections that the other side closed.
+    pub closed: AtomicUsize,
     pub requests: Mutex<Vec<FakeRequest>>,
 }
 
@@ -97,24 +101,17 @@
 impl FakeBackend {
     /// Starts a fake that answers by `script`.
     pub async fn start(script: impl Fn(&FakeRequest) -> FakeReply + Send + Sync + 'static) -> Self {
-        Self::start_cut(script, usize::MAX).await
-    }
-
-    /// As [`Self::start`], but closes each connection after reading `cut` bytes of it.
-    pub async fn start_cut(
-        script: impl Fn(&FakeRequest) -> FakeReply + Send + Sync + 'static,
-        cut: usize,
-    ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let addr = listener.local_addr().unwrap();
         let seen = Arc::new(Seen::default());
+        seen.cut.store(usize::MAX, Ordering::SeqCst);
         let script: Arc<Script> = Arc::new(script);
         let counts = Arc::clone(&seen);
         let task = tokio::spawn(async move {
             let mut connections = tokio::task::JoinSet::new();
             while let Ok((stream, _)) = listener.accept().await {
                 counts.connections.fetch_add(1, Ordering::SeqCst);
-                connections.spawn(serve(stream, Arc::clone(&script), Arc::clone(&counts), cut));
+                connections.spawn(serve(stream, Arc::clone(&script), Arc::clone(&counts)));
             }
         });
         Self { addr, seen, task }
@@ -137,10 +134,10 @@
     }
 }
 
-async fn serve(mut stream: TcpStream, script: Arc<Script>, seen: Arc<Seen>, cut: usize) {
+async fn serve(mut stream: TcpStream, script: Arc<Script>, seen: Arc<Seen>) {
     let mut buf = Vec::new();
     let mut read = 0;
-    while let Some(request) = read_request(&mut stream, &mut buf, &seen, &mut read, cut).await {
+    while let Some(request) = read_request(&mut stream, &mut buf, &seen, &mut read).await {
         let reply = script(&request);
         seen.requests.lock().unwrap().push(request);
         if reply.runs {
@@ -148,10 +145,12 @@
         }
         let running = seen.running.fetch_add(1, Ordering::SeqCst) + 1;
         seen.most_running.fetch_max(running, Ordering::SeqCst);
-        if !reply.delay.is_zero() {
-            tokio::time::sleep(reply.delay).await;
-        }
+        let is_open = still_open_after(&stream, reply.delay).await;
         seen.running.fetch_sub(1, Ordering::SeqCst);
+        if !is_open {
+            seen.closed.fetch_add(1, Ordering::SeqCst);
+            return;
+        }
         let written = stream.write_all(&reply.bytes).await;
         if written.is_err() || reply.close {
             let _ = stream.shutdown().await;
@@ -160,23 +159,37 @@
     }
 }
 
+/// Waits for `delay`; `false` at once if the other side closes the connection.
+async fn still_open_after(stream: &TcpStream, delay: Duration) -> bool {
+    let closed = async {
+        let mut byte = [0];
+        while !matches!(stream.peek(&mut byte).await, Ok(0) | Err(_)) {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    delay.is_zero() || tokio::time::timeout(delay, closed).await.is_err()
+}
+
 async fn read_request(
     stream: &mut TcpStream,
     buf: &mut Vec<u8>,
     seen: &Seen,
     read: &mut usize,
-    cut: usize,
 ) -> Option<FakeRequest> {
     loop {
         if let Some(request) = parse(buf) {
             return Some(request);
         }
         let mut chunk = [0; 16 * 1024];
-        let room = chunk.len().min(cut - *read);
+        let cut = seen.cut.load(Ordering::SeqCst);
+        let room = chunk.len().min(cut.saturating_sub(*read));
         if room == 0 {
             return None;
         }
-        let n = stream.read(&mut chunk[..room]).await.ok().filter(|&n| n > 0)?;
+        let Some(n) = stream.read(&mut chunk[..room]).await.ok().filter(|&n| n > 0) else {
+            seen.closed.fetch_add(1, Ordering::SeqCst);
+            return None;
+        };
         *read += n;
         seen.bytes.fetch_add(n, Ordering::SeqCst);
         buf.extend_from_slice(&chunk[..n]);
