--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,7 +20,9 @@
 pub mod ids;
 pub mod operators;
 pub mod peers;
+pub mod rollout;
 pub mod store;
+pub mod sync;
 pub mod traffic;
 pub mod units;
 
