Test operators' messages and answers, and tell a refused question from a refused change

Cause: the control state refuses a question for an outcome with the same value as a change, so that the tool would have said that the change was refused.

Conclusion: no path shows a refusal for a change that may have been accepted.

--- a/crates/cli/src/session.rs
+++ b/crates/cli/src/session.rs
@@ -117,7 +117,7 @@
                 self.console.show(&answer, answer_text);
                 Exit::Done
             }
-            other => self.failed(other),
+            other => self.failed(other, "no node answered"),
         }
     }
 
@@ -130,7 +130,7 @@
                 self.console.failures(&failures);
                 self.ended(Outcome::Unknown(request.write_id.to_string()))
             }
-            other => self.failed(other),
+            other => self.failed(other, "no node took the command; nothing was changed"),
         }
     }
 
@@ -141,7 +141,11 @@
         match self.runtime.block_on(asked) {
             Delivery::Answered(wire::Outcome { outcome: Some(outcome) }) => self.ended(outcome),
             Delivery::Answered(_) => self.ended(Outcome::Unknown(write_id.to_string())),
-            other => self.failed(other),
+            other => match self.failed(other, "no node answered") {
+                // What was refused is the question, not the change.
+                Exit::Refused => Exit::Unknown,
+                exit => exit,
+            },
         }
     }
 
@@ -169,7 +173,7 @@
     }
 
     /// Shows that no node carried out a request.
-    fn failed<T>(&self, delivery: Delivery<T>) -> Exit {
+    fn failed<T>(&self, delivery: Delivery<T>, message: &str) -> Exit {
         match delivery {
             Delivery::Refused(e) => {
                 self.console.error(&e);
@@ -177,7 +181,7 @@
             }
             Delivery::InDoubt(failures) | Delivery::NoNode(failures) => {
                 self.console.failures(&failures);
-                self.console.own_error("no_node", "no node answered; nothing was changed");
+                self.console.own_error("no_node", message);
                 Exit::NoNode
             }
             // Callers show answers themselves.
--- a/crates/node/src/operator_control.rs
+++ b/crates/node/src/operator_control.rs
@@ -52,8 +52,14 @@
     }
 
     /// How the write `id` ended.
+    ///
+    /// A refusal here refuses the question, not the change, so it is an error.
     pub async fn ask_outcome(&self, id: WriteId) -> Result<Outcome, OperatorError> {
-        self.ask(|reply| ControlRequest::AskOutcome(id, reply)).await
+        match self.ask(|reply| ControlRequest::AskOutcome(id, reply)).await? {
+            Outcome::Refused(RefusedChange::Stopping) => Err(OperatorError::Stopping),
+            Outcome::Refused(_) => Err(OperatorError::Busy),
+            outcome => Ok(outcome),
+        }
     }
 
     /// The answer to `query`.
--- a/crates/node/tests/operators_http.rs
+++ b/crates/node/tests/operators_http.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
+use almondsail_core::store::{Outcome, RefusedChange};
 use almondsail_node::control_request::ControlRequest;
 use operators_support::{FakeControl, Port, TOKEN};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -178,3 +179,20 @@
 async fn call_owned(addr: SocketAddr, body: String) {
     call(addr, "POST /v1/commands", TOKEN, &body).await;
 }
+
+/// Guards against taking the refusal of a question for the refusal of the change.
+#[tokio::test]
+async fn outcome_question_refused() {
+    let (port, errors, mut requests) = serve(8).await;
+    let path = format!("GET /v1/outcomes/{WRITE_ID}");
+    let answer = async {
+        let Some(ControlRequest::AskOutcome(_, reply)) = requests.recv().await else {
+            panic!("no question");
+        };
+        reply.send(Outcome::Refused(RefusedChange::Busy)).unwrap();
+    };
+    let ((status, body), ()) = tokio::join!(call(port.addr, &path, TOKEN, ""), answer);
+    assert_eq!(status, 503);
+    assert!(body.contains(r#""code":"busy""#), "{body}");
+    assert_eq!(errors.load(Ordering::Relaxed), 1);
+}
