--- a/crates/core/src/control/peer_message.rs
+++ b/crates/core/src/control/peer_message.rs
@@ -6,6 +6,7 @@
 use crate::control::SyncStatus;
 use crate::ids::{ConfigVersion, Digest, NodeId};
 use crate::peers::Peer;
+use crate::rollout::EvidenceReport;
 use crate::units::Millis;
 
 /// A message between nodes. Each request is answered by exactly one reply.
@@ -19,6 +20,9 @@
         peers: Vec<Peer>,
         /// The highest configuration version that the joining node is known to have had.
         floor: ConfigVersion,
+        /// Whether the answering node knows its own floor. One that does not was
+        /// started just now and can't tell what others remember.
+        is_settled: bool,
         /// What the answering node holds.
         status: SyncStatus,
     },
@@ -57,6 +61,8 @@
         /// Why, in one sentence.
         reason: Arc<str>,
     },
+    /// Request: what the sender's door counted, for the driver of its service's rollout.
+    Evidence(EvidenceReport),
     /// Reply: taken. States the configuration version that the answering node has now.
     Ack(ConfigVersion),
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod ids;
 pub mod operators;
 pub mod peers;
+pub mod report;
 pub mod rollout;
 pub mod store;
 pub mod sync;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod control_metrics;
 pub mod control_request;
 pub mod control_thread;
+mod counted_calls;
 mod counted_stream;
 mod door;
 mod door_request;
@@ -50,6 +51,7 @@
 pub mod store_client;
 mod traffic;
 mod traffic_settings;
+mod version_survey;
 
 pub use body::MAX_BODY;
 pub use callers::{MAX_HEADER, serve_callers};
