Serve members' reports to operators

Cause: a member's report must reach its board; the core makes it, and no interface gave it out. A test also showed that the router answers parameters that it can't decode with status 200.

Change: GET /v1/report and `almondsail report`, with the report's sentences and figures; a node without records answers `no_report`, which every node does until records are collected. Errors of the router itself have their status and are counted.

Conclusion: the path of a report is complete but for the collection of records.

--- a/crates/cli/src/cli.rs
+++ b/crates/cli/src/cli.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use almondsail_core::ids::{MemberName, WriteId};
+use almondsail_core::report::ReportQuery;
 use almondsail_core::units::UnixMillis;
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 
@@ -30,12 +31,7 @@
     /// Ask how a command ended.
     Outcome(WriteId),
     /// Ask for the report of a member.
-    Report {
-        /// The member.
-        member: MemberName,
-        /// The start of the time that it covers.
-        since: UnixMillis,
-    },
+    Report(ReportQuery),
     /// Print the grammar.
     Grammar,
 }
@@ -166,9 +162,10 @@
             Some(text) => Task::Run(text.to_owned()),
         },
         Some(("outcome", args)) => Task::Outcome(required(args, "write-id")),
-        Some(("report", args)) => {
-            Task::Report { member: required(args, "member"), since: required(args, "since") }
-        }
+        Some(("report", args)) => Task::Report(ReportQuery {
+            member: required(args, "member"),
+            since: required(args, "since"),
+        }),
         _ => Task::Grammar,
     }
 }
--- a/crates/cli/src/delivery.rs
+++ b/crates/cli/src/delivery.rs
@@ -106,7 +106,7 @@
 
 /// Whether another node may well carry out what this one refused.
 fn is_passing(code: &str) -> bool {
-    matches!(code, "busy" | "stopping" | "no_answer" | "store_unreachable")
+    matches!(code, "busy" | "stopping" | "no_answer" | "no_report" | "store_unreachable")
 }
 
 /// What came of asking one node.
--- a/crates/cli/src/output/answer_text.rs
+++ b/crates/cli/src/output/answer_text.rs
@@ -1,11 +1,10 @@
 //! The tables of an answer.
 
-use std::time::{Duration, UNIX_EPOCH};
-
 use almondsail_wire::operator::answer::Body;
 use almondsail_wire::operator::{Answer, ConfigAnswer, HistoryEntry, NodeRow, VersionRow};
 use almondsail_wire::{config, peer};
 
+use super::time_text::time_text;
 use crate::output::Table;
 
 /// The tables of an answer, with the version and the node that they come from.
@@ -116,7 +115,7 @@
             &r.phase,
             &percent(r.share_per_mille),
             &percent(r.non_idempotent_share_per_mille),
-            &time(r.deadline_unix_ms),
+            &time_text(r.deadline_unix_ms),
             &r.reason,
         ]);
     }
@@ -157,7 +156,7 @@
     let mut table = Table::new(&["VERSION", "ACCEPTED", "OPERATOR", "CHANGE"]);
     for entry in rows {
         let version = entry.version.to_string();
-        table.row([&version, &time(entry.at_unix_ms), &entry.operator, &entry.summary]);
+        table.row([&version, &time_text(entry.at_unix_ms), &entry.operator, &entry.summary]);
     }
     table
 }
@@ -174,12 +173,3 @@
 fn percent(per_mille: u32) -> String {
     format!("{}.{}%", per_mille / 10, per_mille % 10)
 }
-
-/// A wall-clock time in RFC 3339, or its number where that form ends (the year 9999).
-fn time(unix_ms: u64) -> String {
-    const LAST_MS: u64 = 253_402_300_799_999;
-    if unix_ms > LAST_MS {
-        return format!("unix:{unix_ms}ms");
-    }
-    humantime::format_rfc3339_millis(UNIX_EPOCH + Duration::from_millis(unix_ms)).to_string()
-}
--- /dev/null
+++ b/crates/cli/src/output/report_text.rs
@@ -0,0 +1,18 @@
+//! The text of a member's report.
+
+use almondsail_wire::operator::Report;
+
+use super::time_text::time_text;
+use crate::output::Table;
+
+/// The sentences and the figures of a member's report.
+pub fn report_text(report: &Report) -> String {
+    let (from, to) = (time_text(report.from_unix_ms), time_text(report.to_unix_ms));
+    let sentences: String =
+        report.sentences.iter().map(|sentence| format!("{sentence}\n")).collect();
+    let mut table = Table::new(&["FIGURE", "VALUE"]);
+    for figure in &report.figures {
+        table.row([&figure.name, &figure.value]);
+    }
+    format!("member {} from {from} to {to}\n\n{sentences}\n{table}", report.member)
+}
--- a/crates/cli/src/session.rs
+++ b/crates/cli/src/session.rs
@@ -5,6 +5,7 @@
 
 use almondsail_core::ids::{ConfigVersion, WriteId};
 use almondsail_core::operators::{CommandRequest, Query};
+use almondsail_core::report::ReportQuery;
 use almondsail_wire::operator as wire;
 use almondsail_wire::operator::outcome::Outcome;
 use bytes::Bytes;
@@ -20,7 +21,7 @@
 use crate::exit::Exit;
 use crate::language::{GRAMMAR, Statement};
 use crate::node_client::{NodeClient, NodeRequest};
-use crate::output::{Console, answer_text, outcome_text};
+use crate::output::{Console, answer_text, outcome_text, report_text};
 
 /// Reads the options, carries out the task and returns how it ended.
 pub fn main() -> Exit {
@@ -69,7 +70,7 @@
             Task::Run(text) => self.run_text(&text),
             Task::RunLines => self.run_lines(),
             Task::Outcome(write_id) => self.ask_outcome(write_id),
-            Task::Report { .. } => self.usage("nodes do not serve reports yet"),
+            Task::Report(query) => self.report(&query),
             Task::Grammar => Exit::Done,
         }
     }
@@ -149,6 +150,19 @@
         }
     }
 
+    fn report(&self, query: &ReportQuery) -> Exit {
+        let path = format!("/v1/report?member={}&since={}", query.member, query.since);
+        let request = NodeRequest { method: Method::GET, path, body: Bytes::new() };
+        let asked = delivery::ask::<wire::Report>(&self.client, &self.options.nodes, &request);
+        match self.runtime.block_on(asked) {
+            Delivery::Answered(report) => {
+                self.console.show(&report, report_text);
+                Exit::Done
+            }
+            other => self.failed(other, "no node answered"),
+        }
+    }
+
     /// Shows an outcome.
     fn ended(&mut self, outcome: Outcome) -> Exit {
         self.advance(&outcome);
--- a/crates/cli/tests/tool.rs
+++ b/crates/cli/tests/tool.rs
@@ -175,6 +175,23 @@
     assert_eq!(lines[2]["outcome"]["refused"]["code"], "invalid");
 }
 
+/// Guards against a report that hides what is missing from it.
+#[tokio::test]
+async fn report_table() {
+    let port = node().await;
+    let args = ["report", "--member", "depots", "--since", "2026-12-04T11:00:00Z"];
+    let (code, out, err) = tool(&[port.addr], &args, "").await;
+    assert_eq!((code, err.as_str()), (0, ""));
+    let lines = [
+        "member depots from 2026-12-04T11:00:00.000Z to 2026-12-04T11:01:00.000Z",
+        "1 of 1 records of the nodes are missing; their calls and costs are in no figure.",
+        "records missing                1/1",
+    ];
+    for line in lines {
+        assert!(out.lines().any(|l| l == line), "missing {line:?} in {out}");
+    }
+}
+
 /// Guards against an option without a description.
 #[test]
 fn help_describes_every_option() {
--- a/crates/core/src/report/mod.rs
+++ b/crates/core/src/report/mod.rs
@@ -12,6 +12,7 @@
 mod member_report;
 mod minute;
 mod report_input;
+mod report_query;
 mod rollout_record;
 
 pub use accounting::{Accounting, MAX_RECORDS};
@@ -23,4 +24,5 @@
 pub use member_report::MemberReport;
 pub use minute::Minute;
 pub use report_input::ReportInput;
+pub use report_query::ReportQuery;
 pub use rollout_record::{RolloutEnd, RolloutRecord};
--- a/crates/node/src/control_thread.rs
+++ b/crates/node/src/control_thread.rs
@@ -175,6 +175,8 @@
             ControlRequest::KeptContent(version, reply) => {
                 let _ = reply.send(self.kept_content(version));
             }
+            // This node keeps no records of the nodes' counts, so it has no report.
+            ControlRequest::Report(_, reply) => drop(reply.send(None)),
         }
     }
 
--- a/crates/node/src/operator_control.rs
+++ b/crates/node/src/operator_control.rs
@@ -5,6 +5,7 @@
 use almondsail_core::config::{Change, ConfigContent, ConfigError};
 use almondsail_core::ids::WriteId;
 use almondsail_core::operators::{Answer, Command, CommandRequest, Query};
+use almondsail_core::report::{MemberReport, ReportQuery};
 use almondsail_core::store::{Outcome, RefusedChange, Submission};
 use tokio::sync::{mpsc, oneshot};
 
@@ -67,6 +68,12 @@
         self.ask(|reply| ControlRequest::Query(query, reply)).await
     }
 
+    /// The report that `query` asks for.
+    pub async fn report(&self, query: ReportQuery) -> Result<MemberReport, OperatorError> {
+        let report = self.ask(|reply| ControlRequest::Report(query, reply)).await?;
+        report.ok_or(OperatorError::NoReport)
+    }
+
     async fn change(&self, command: Command) -> Result<Result<Change, ConfigError>, OperatorError> {
         let earlier: Option<ConfigContent> = match command.restored_version() {
             Some(version) => self.ask(|reply| ControlRequest::KeptContent(version, reply)).await?,
--- a/crates/node/src/operator_error.rs
+++ b/crates/node/src/operator_error.rs
@@ -16,6 +16,8 @@
     TokenUnknown,
     /// There is no such path.
     NoSuchPath,
+    /// The parameters in the path can't be read.
+    BadParameters,
     /// The path takes other methods.
     WrongMethod,
     /// The body is larger than allowed.
@@ -32,6 +34,8 @@
     Stopping,
     /// The control thread did not answer in time.
     NoAnswer,
+    /// The node has no counts to make a report from.
+    NoReport,
 }
 
 impl OperatorError {
@@ -42,8 +46,10 @@
             Self::NoSuchPath => StatusCode::NOT_FOUND,
             Self::WrongMethod => StatusCode::METHOD_NOT_ALLOWED,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::BodyIncomplete | Self::BadJson(_) | Self::BadField(_) => StatusCode::BAD_REQUEST,
-            Self::Busy | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
+            Self::BadParameters | Self::BodyIncomplete | Self::BadJson(_) | Self::BadField(_) => {
+                StatusCode::BAD_REQUEST
+            }
+            Self::Busy | Self::Stopping | Self::NoReport => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoAnswer => StatusCode::GATEWAY_TIMEOUT,
         }
     }
@@ -54,6 +60,7 @@
             Self::TokenMissing => "token_missing",
             Self::TokenUnknown => "token_unknown",
             Self::NoSuchPath => "no_such_path",
+            Self::BadParameters => "bad_parameters",
             Self::WrongMethod => "wrong_method",
             Self::BodyTooLarge => "body_too_large",
             Self::BodyIncomplete => "body_incomplete",
@@ -62,6 +69,7 @@
             Self::Busy => "busy",
             Self::Stopping => "stopping",
             Self::NoAnswer => "no_answer",
+            Self::NoReport => "no_report",
         }
     }
 }
@@ -74,6 +82,7 @@
             }
             Self::TokenUnknown => f.write_str("no operator has this token"),
             Self::NoSuchPath => f.write_str("there is no such path"),
+            Self::BadParameters => f.write_str("the parameters in the path can't be read"),
             Self::WrongMethod => f.write_str("this path takes another method"),
             Self::BodyTooLarge => f.write_str("the body is larger than 1 MB"),
             Self::BodyIncomplete => f.write_str("the body did not arrive in whole in time"),
@@ -82,6 +91,7 @@
             Self::Busy => f.write_str("this node has too many requests in hand; try again"),
             Self::Stopping => f.write_str("this node stops; ask another one"),
             Self::NoAnswer => f.write_str("this node did not answer in time; ask another one"),
+            Self::NoReport => f.write_str("this node has no counts to make a report from"),
         }
     }
 }
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -6,10 +6,12 @@
 
 use almondsail_core::ids::WriteId;
 use almondsail_core::operators::{CommandRequest, Query};
+use almondsail_core::report::ReportQuery;
 use almondsail_wire::{FieldError, operator as wire};
 use gotham::handler::{HandlerResult, IntoBody};
 use gotham::helpers::http::Body;
-use gotham::helpers::http::response::create_response;
+use gotham::helpers::http::response::{create_empty_response, create_response};
+use gotham::hyper::body::Body as _;
 use gotham::hyper::{Response, StatusCode};
 use gotham::middleware::state::StateMiddleware;
 use gotham::pipeline::{single_middleware, single_pipeline};
@@ -17,8 +19,8 @@
 use gotham::router::builder::{DefineSingleRoute, DrawRoutes, build_router};
 use gotham::router::response::StaticResponseExtender;
 use gotham::state::{FromState, State, StateData};
-use http::HeaderMap;
-use http::header::{AUTHORIZATION, WWW_AUTHENTICATE};
+use http::header::{AUTHORIZATION, CONTENT_TYPE, WWW_AUTHENTICATE};
+use http::{HeaderMap, HeaderValue};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -57,9 +59,11 @@
         Self(Arc::new(AssertUnwindSafe(Parts { auth, control, on_error })))
     }
 
-    /// The routes: `POST /v1/commands`, `POST /v1/queries` and `GET /v1/outcomes/WRITE_ID`.
+    /// The routes: `POST /v1/commands`, `POST /v1/queries`, `GET /v1/outcomes/WRITE_ID`
+    /// and `GET /v1/report?member=NAME&since=TIME`.
     pub fn router(self) -> Router {
         let no_such_path = self.extender(OperatorError::NoSuchPath);
+        let bad_parameters = self.extender(OperatorError::BadParameters);
         let wrong_method = self.extender(OperatorError::WrongMethod);
         let middleware = StateMiddleware::new(self);
         let (chain, pipelines) = single_pipeline(single_middleware(middleware));
@@ -70,17 +74,21 @@
                 .get("/v1/outcomes/:write_id")
                 .with_path_extractor::<OutcomePath>()
                 .to_async(outcome);
+            route.get("/v1/report").with_query_string_extractor::<ReportParams>().to_async(report);
             route.add_response_extender(StatusCode::NOT_FOUND, no_such_path);
+            route.add_response_extender(StatusCode::BAD_REQUEST, bad_parameters);
             route.add_response_extender(StatusCode::METHOD_NOT_ALLOWED, wrong_method);
         })
     }
 
-    /// Counts and describes `e` where the router itself answers.
+    /// Counts and describes `e` where the router itself answers, which it does without a body.
     fn extender(&self, e: OperatorError) -> impl Fn(&mut State, &mut Response<Body>) + use<> {
         let api = self.clone();
         move |_: &mut State, res: &mut Response<Body>| {
-            (api.0.on_error)(&e);
-            describe(res, &e);
+            if res.body().is_end_stream() {
+                (api.0.on_error)(&e);
+                describe(res, &e);
+            }
         }
     }
 
@@ -124,8 +132,37 @@
     type ResBody = Body;
 
     fn extend(_: &mut State, res: &mut Response<Body>) {
-        let problem = FieldError::new("write_id", "expected 32 lower-case hexadecimal digits");
-        describe(res, &problem.into());
+        *res.status_mut() = StatusCode::BAD_REQUEST;
+    }
+}
+
+/// The parameters of a question for a report.
+#[derive(Deserialize)]
+struct ReportParams {
+    #[serde(default)]
+    member: String,
+    #[serde(default)]
+    since: String,
+}
+
+impl StateData for ReportParams {}
+
+impl StaticResponseExtender for ReportParams {
+    type ResBody = Body;
+
+    fn extend(_: &mut State, res: &mut Response<Body>) {
+        *res.status_mut() = StatusCode::BAD_REQUEST;
+    }
+}
+
+impl TryFrom<ReportParams> for ReportQuery {
+    type Error = FieldError;
+
+    fn try_from(params: ReportParams) -> Result<Self, FieldError> {
+        Ok(Self {
+            member: params.member.parse().map_err(|e| FieldError::new("member", e))?,
+            since: params.since.parse().map_err(|e| FieldError::new("since", e))?,
+        })
     }
 }
 
@@ -167,6 +204,18 @@
     Ok(respond(state, &api, result))
 }
 
+async fn report(mut state: State) -> HandlerResult {
+    let Request { api, headers, .. } = Request::take(&mut state);
+    let params: ReportParams = state.take();
+    let run = async {
+        api.operator(&headers)?;
+        let report = api.0.control.report(params.try_into()?).await?;
+        Ok(wire::Report::from(&report))
+    };
+    let result = run.await;
+    Ok(respond(state, &api, result))
+}
+
 async fn read_json<T: DeserializeOwned>(body: Body) -> Result<T, OperatorError> {
     let read = Limited::new(body, MAX_BODY_BYTES).collect();
     let body = match tokio::time::timeout(BODY_TIMEOUT, read).await {
@@ -188,7 +237,7 @@
         }
         Err(e) => {
             (api.0.on_error)(&e);
-            let mut res = create_response(&state, e.status(), mime::APPLICATION_JSON, "");
+            let mut res = create_empty_response(&state, e.status());
             describe(&mut res, &e);
             res
         }
@@ -196,10 +245,13 @@
     (state, response)
 }
 
-/// Describes an error in the body of its answer.
+/// Makes `res` the answer that describes an error.
 fn describe(res: &mut Response<Body>, e: &OperatorError) {
+    *res.status_mut() = e.status();
+    let json_type = HeaderValue::from_static("application/json");
+    res.headers_mut().insert(CONTENT_TYPE, json_type);
     if e.status() == StatusCode::UNAUTHORIZED {
-        res.headers_mut().insert(WWW_AUTHENTICATE, http::HeaderValue::from_static("Bearer"));
+        res.headers_mut().insert(WWW_AUTHENTICATE, HeaderValue::from_static("Bearer"));
     }
     *res.body_mut() = json(&wire::Error::from(e)).into_body();
 }
--- a/crates/node/tests/operators_http.rs
+++ b/crates/node/tests/operators_http.rs
@@ -144,6 +144,9 @@
         ("POST /v1/queries", &large, 413, r#"{"code":"body_too_large""#, "larger than 1 MB"),
         ("GET /v1/outcomes/xyz", "", 400, r#"{"code":"bad_field""#, r#""field":"write_id""#),
         ("GET /v1/commands", "", 405, r#"{"code":"wrong_method""#, ""),
+        ("GET /v1/report?member=depots", "", 400, r#"{"code":"bad_field""#, r#""field":"since""#),
+        ("GET /v1/report?member=%ff&since=%fe", "", 400, r#"{"code":"bad_parameters""#, ""),
+        ("GET /v1/outcomes/%ff", "", 404, r#"{"code":"no_such_path""#, ""),
         ("GET /v1/nothing", "", 404, r#"{"code":"no_such_path""#, ""),
     ];
     let count = cases.len();
@@ -196,3 +199,20 @@
     assert!(body.contains(r#""code":"busy""#), "{body}");
     assert_eq!(errors.load(Ordering::Relaxed), 1);
 }
+
+/// Guards against a report that a node without counts makes up.
+#[tokio::test]
+async fn report_answered_or_refused() {
+    let (port, _, requests) = serve(8).await;
+    tokio::spawn(FakeControl::default().run(requests));
+    let report = |member: &str| format!("GET /v1/report?member={member}&since=unix:1ms");
+    let (status, body) = call(port.addr, &report("depots"), TOKEN, "").await;
+    assert_eq!(status, 200);
+    assert!(
+        body.starts_with(r#"{"member":"depots","from_unix_ms":0,"to_unix_ms":60000,"#),
+        "{body}"
+    );
+    let (status, body) = call(port.addr, &report("bo"), TOKEN, "").await;
+    assert_eq!(status, 503);
+    assert!(body.contains(r#""code":"no_report""#), "{body}");
+}
--- a/crates/node/tests/operators_support/mod.rs
+++ b/crates/node/tests/operators_support/mod.rs
@@ -1,5 +1,6 @@
 //! A node's operator port with a fake control thread.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -7,6 +8,7 @@
 use almondsail_core::ids::{ConfigVersion, Digest, NodeId, WriteId};
 use almondsail_core::operators::{NodeView, View};
 use almondsail_core::peers::{Peer, PeerStatus};
+use almondsail_core::report::{Accounting, MemberReport, Minute, ReportInput, ReportQuery};
 use almondsail_core::store::{Outcome, RefusedChange, Submission};
 use almondsail_core::units::UnixMillis;
 use almondsail_node::clock::Clock;
@@ -85,6 +87,9 @@
                 let cfg = self.config.as_ref().filter(|cfg| cfg.version == version);
                 let _ = reply.send(cfg.map(|cfg| cfg.content.clone()));
             }
+            ControlRequest::Report(query, reply) => {
+                let _ = reply.send((query.member.as_str() == "depots").then(|| report(&query)));
+            }
         }
     }
 
@@ -124,6 +129,21 @@
     }
 }
 
+/// The report of a member of whom nothing was recorded, of one minute.
+fn report(query: &ReportQuery) -> MemberReport {
+    let from = Minute::at(query.since);
+    let input = ReportInput {
+        members: &BTreeSet::from([query.member.clone()]),
+        nodes: &BTreeSet::from(["n1".parse().unwrap()]),
+        from,
+        to: Minute::new(from.get() + 1),
+        accounting: &Accounting::default(),
+        rollouts: &[],
+        changes: &[],
+    };
+    MemberReport::new(&query.member, input)
+}
+
 fn peer() -> Peer {
     let id: NodeId = "n1".parse().unwrap();
     Peer {
--- a/crates/wire/src/convert/mod.rs
+++ b/crates/wire/src/convert/mod.rs
@@ -9,6 +9,7 @@
 mod operator_answer;
 mod operator_command;
 mod operator_query;
+mod operator_report;
 mod peer;
 
 pub use codec::{decode_config, decode_message, encode_config, encode_message};
