--- a/crates/cli/src/session.rs
+++ b/crates/cli/src/session.rs
@@ -5,6 +5,7 @@
 
 use almondsail_core::ids::{ConfigVersion, WriteId};
 use almondsail_core::operators::{CommandRequest, Query};
+use almondsail_core::report::ReportQuery;
 use almondsail_wire::operator as wire;
 use almondsail_wire::operator::outcome::Outcome;
 use bytes::Bytes;
@@ -20,7 +21,7 @@
 use crate::exit::Exit;
 use crate::language::{GRAMMAR, Statement};
 use crate::node_client::{NodeClient, NodeRequest};
-use crate::output::{Console, answer_text, outcome_text};
+use crate::output::{Console, answer_text, outcome_text, report_text};
 
 /// Reads the options, carries out the task and returns how it ended.
 pub fn main() -> Exit {
@@ -69,7 +70,7 @@
             Task::Run(text) => self.run_text(&text),
             Task::RunLines => self.run_lines(),
             Task::Outcome(write_id) => self.ask_outcome(write_id),
-            Task::Report { .. } => self.usage("nodes do not serve reports yet"),
+            Task::Report(query) => self.report(&query),
             Task::Grammar => Exit::Done,
         }
     }
@@ -117,7 +118,7 @@
                 self.console.show(&answer, answer_text);
                 Exit::Done
             }
-            other => self.failed(other),
+            other => self.failed(other, "no node answered"),
         }
     }
 
@@ -130,7 +131,7 @@
                 self.console.failures(&failures);
                 self.ended(Outcome::Unknown(request.write_id.to_string()))
             }
-            other => self.failed(other),
+            other => self.failed(other, "no node took the command; nothing was changed"),
         }
     }
 
@@ -141,7 +142,24 @@
         match self.runtime.block_on(asked) {
             Delivery::Answered(wire::Outcome { outcome: Some(outcome) }) => self.ended(outcome),
             Delivery::Answered(_) => self.ended(Outcome::Unknown(write_id.to_string())),
-            other => self.failed(other),
+            other => match self.failed(other, "no node answered") {
+                // What was refused is the question, not the change.
+                Exit::Refused => Exit::Unknown,
+                exit => exit,
+            },
+        }
+    }
+
+    fn report(&self, query: &ReportQuery) -> Exit {
+        let path = format!("/v1/report?member={}&since={}", query.member, query.since);
+        let request = NodeRequest { method: Method::GET, path, body: Bytes::new() };
+        let asked = delivery::ask::<wire::Report>(&self.client, &self.options.nodes, &request);
+        match self.runtime.block_on(asked) {
+            Delivery::Answered(report) => {
+                self.console.show(&report, report_text);
+                Exit::Done
+            }
+            other => self.failed(other, "no node answered"),
         }
     }
 
@@ -169,7 +187,7 @@
     }
 
     /// Shows that no node carried out a request.
-    fn failed<T>(&self, delivery: Delivery<T>) -> Exit {
+    fn failed<T>(&self, delivery: Delivery<T>, message: &str) -> Exit {
         match delivery {
             Delivery::Refused(e) => {
                 self.console.error(&e);
@@ -177,7 +195,7 @@
             }
             Delivery::InDoubt(failures) | Delivery::NoNode(failures) => {
                 self.console.failures(&failures);
-                self.console.own_error("no_node", "no node answered; nothing was changed");
+                self.console.own_error("no_node", message);
                 Exit::NoNode
             }
             // Callers show answers themselves.
