--- a/crates/core/src/rollout/judge.rs
+++ b/crates/core/src/rollout/judge.rs
@@ -6,7 +6,7 @@
 use crate::ids::{RouteName, ServiceName, VersionName};
 use crate::rollout::host_latencies::HostLatencies;
 use crate::rollout::route_judge::{RouteCounts, RouteJudge};
-use crate::rollout::{Evidence, RouteFinding, Window};
+use crate::rollout::{Evidence, RouteFinding, Tally, Window};
 use crate::units::{Millis, PerMille, UnixMillis};
 
 /// The probability that a rollout of a version that is no worse is blamed by
@@ -21,6 +21,8 @@
 pub(crate) const SETTLE_TIME: Millis = Millis::new(6_000);
 /// The time that a step takes to be in force everywhere: 4 s, and [`MAX_CLOCK_SKEW`].
 pub(crate) const IN_FORCE_TIME: Millis = Millis::new(4_500);
+/// The share of refused calls from which a window shows an overload.
+const OVERLOAD_REFUSED: f64 = 0.01;
 /// The tests on each route: two symptoms, each before and after the end of the rollout.
 const TESTS_PER_ROUTE: f64 = 4.0;
 
@@ -108,15 +110,18 @@
         let is_in_step = window.start() >= rollout.changed + IN_FORCE_TIME;
         let counts = self.counts(evidence, window);
         let tolerated = self.hosts.tolerated_buckets();
+        let is_overloaded = is_overloaded(counts.values());
         for (route, judge) in &mut self.routes {
             let Some(counts) = counts.get(route) else { continue };
             if is_in_step {
                 judge.count_in_step(counts);
             }
-            if is_in_step && share_of(rollout, self.kinds[route]) == PerMille::WHOLE {
-                judge.take_alone(offset, counts, tolerated);
-            } else {
-                judge.take(offset, counts, tolerated);
+            let is_alone = is_in_step && share_of(rollout, self.kinds[route]) == PerMille::WHOLE;
+            match (is_alone, is_overloaded) {
+                (false, _) => judge.take(offset, counts, tolerated),
+                (true, false) => judge.take_alone(offset, counts, tolerated),
+                // Without calls of the old version, an overload can't be told from a bad version.
+                (true, true) => {}
             }
         }
         self.count_hosts(evidence, window);
@@ -153,6 +158,13 @@
     }
 }
 
+/// Whether the new version's doors refused so many calls that their load is too high.
+fn is_overloaded<'a>(counts: impl Iterator<Item = &'a RouteCounts>) -> bool {
+    let mut total = Tally::default();
+    counts.for_each(|counts| total.add(&counts.new));
+    total.refused_share() > OVERLOAD_REFUSED
+}
+
 /// The share of the new version among the calls of an idempotent, or a non-idempotent, route.
 pub(crate) const fn share_of(rollout: &Rollout, is_idempotent: bool) -> PerMille {
     if is_idempotent { rollout.share } else { rollout.non_idempotent_share }
--- a/crates/core/src/rollout/local_rule.rs
+++ b/crates/core/src/rollout/local_rule.rs
@@ -23,6 +23,8 @@
     /// The number of closed strata.
     strata: u64,
     failing: EProcess,
+    /// Whether the evidence once exceeded the limit.
+    is_blamed: bool,
 }
 
 /// The rule by which a node that sends calls to both versions stops the new one.
@@ -57,13 +59,16 @@
             Some(local) => local,
             None => self.routes.entry(route.clone()).or_default(),
         };
-        local.record(Window::at(now), is_new, has_failed);
-        local.failing.ln_value() >= self.limit_ln
+        if local.record(Window::at(now), is_new, has_failed) {
+            local.is_blamed |= local.failing.ln_value() >= self.limit_ln;
+        }
+        local.is_blamed
     }
 }
 
 impl LocalRoute {
-    fn record(&mut self, window: Window, is_new: bool, has_failed: bool) {
+    /// Counts a call and states whether it closed a stratum.
+    fn record(&mut self, window: Window, is_new: bool, has_failed: bool) -> bool {
         if window.since(self.first) >= STRATUM_WINDOWS {
             self.first = window;
             self.new = BadCalls::default();
@@ -72,9 +77,11 @@
         let version = if is_new { &mut self.new } else { &mut self.old };
         version.calls += 1;
         version.bad += u64::from(has_failed);
-        if self.new.calls >= STRATUM_CALLS && self.old.calls >= STRATUM_CALLS {
+        let is_full = self.new.calls >= STRATUM_CALLS && self.old.calls >= STRATUM_CALLS;
+        if is_full {
             self.close(window);
         }
+        is_full
     }
 
     fn close(&mut self, window: Window) {
--- a/crates/core/src/rollout/route_judge.rs
+++ b/crates/core/src/rollout/route_judge.rs
@@ -13,8 +13,6 @@
 const ENOUGH_CALLS: u64 = 100;
 /// The share of the old version's calls above which a latency is slow, at most.
 const SLOW_SHARE: f64 = 0.05;
-/// The share of refused calls from which a stratum shows an overload.
-const OVERLOAD_REFUSED: f64 = 0.01;
 /// The factor over the old version's last rate that is tolerated once it has no calls.
 ///
 /// Without calls of the old version in the same minutes, the rate of a good
@@ -98,9 +96,6 @@
     /// It is compared with the old version's rates before that.
     pub(crate) fn take_alone(&mut self, offset: u64, window: &RouteCounts, tolerated: usize) {
         let (new, fast_new) = (&window.new, &window.fast_new);
-        if new.refused_share() > OVERLOAD_REFUSED {
-            return;
-        }
         if let Some(rate) = tolerated_rate(self.old_total) {
             let (calls, failures) = (f64::from(new.calls), f64::from(new.failures));
             self.alone_failing.compare_with_rate(offset, calls, failures, rate);
