--- a/crates/core/benches/rollout_policies/scenario.rs
+++ b/crates/core/benches/rollout_policies/scenario.rs
@@ -45,6 +45,8 @@
 const EIGHT_MINUTES: u64 = 480;
 /// When the new version of [`Scenario::BadFromAnHour`] becomes bad, in seconds.
 const HOUR: u64 = 3_600;
+/// When the calls become fewer, in seconds; keeps the benchmark short.
+const QUIET_FROM: u64 = 1_800;
 /// The time of high load within the ramp, in seconds.
 const HIGH_LOAD: std::ops::Range<u64> = 300..900;
 /// The time of an overload after the ramp, in seconds.
@@ -95,6 +97,7 @@
             Self::BadFewCalls | Self::GoodFewCalls => 1,
             Self::BadOnOneOfTwenty => 40,
             Self::BadUnderLoad if HIGH_LOAD.contains(&second) => 200,
+            _ if second >= QUIET_FROM => 25,
             _ => 100,
         }
     }
