--- a/crates/core/src/control/store_access.rs
+++ b/crates/core/src/control/store_access.rs
@@ -138,19 +138,28 @@
         for (mut marks, origin) in stops.groups_by_service() {
             marks.retain(|mark| is_recordable(mark, config));
             if !marks.is_empty() && is_recorder(&marks[0], &origin, table, cx.now) {
-                self.record(marks, &origin, cx);
+                self.record(marks, &origin, config, cx);
                 return;
             }
         }
     }
 
-    fn record<R: Rng>(&mut self, marks: Vec<StopMark>, origin: &Origin, cx: &mut Cx<'_, R>) {
+    /// Submits `marks`, which `config` has not decided on. If their service
+    /// changed since, the marks are compared with the newer version first: an
+    /// operator may have cleared them.
+    fn record<R: Rng>(
+        &mut self,
+        marks: Vec<StopMark>,
+        origin: &Origin,
+        config: &Config,
+        cx: &mut Cx<'_, R>,
+    ) {
         let Ok(operator) = MESH_OPERATOR.parse::<OperatorName>() else { return };
         let submission = Submission {
             write_id: WriteId::new(cx.rng.random()),
             operator,
             member: None,
-            base: None,
+            base: Some(config.version),
             change: Change::AddStops { marks, reason: origin.reason.clone() },
             dry_run: false,
         };
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -94,6 +94,8 @@
     pub down: bool,
     /// Of 100 requests: answers lost after the effect, and effects after the answer was given up.
     pub lost: u32,
+    /// Of 100 writes: answers lost besides those.
+    pub lost_writes: u32,
     /// Of 100 reads: answered with an older value.
     pub stale: u32,
     watches: Vec<(Origin, u64)>,
@@ -415,7 +417,10 @@
         let count = self.store.values.len();
         let read =
             if self.chance(self.store.stale) { self.rng.random_range(0..=count) } else { count };
-        let (is_lost, is_late) = (self.chance(self.store.lost), self.chance(50));
+        let (mut is_lost, is_late) = (self.chance(self.store.lost), self.chance(50));
+        if matches!(request, StoreRequest::CompareAndSwap { .. }) {
+            is_lost |= self.chance(self.store.lost_writes);
+        }
         let reply = match request {
             StoreRequest::Read => self.store.value(read),
             StoreRequest::Watch(revision) if revision.get() == read as u64 => {
--- /dev/null
+++ b/crates/core/tests/control_isolation.rs
@@ -0,0 +1,55 @@
+//! What a node that is cut off or paused says of the others.
+
+mod common;
+
+use common::{Sim, checker};
+
+fn sim_of(nodes: u8, seed: u64) -> (Sim, usize) {
+    let nodes = 3 + usize::from(nodes) % 6;
+    let mut sim = Sim::new(nodes, seed);
+    sim.run(6_000);
+    (sim, seed as usize % nodes)
+}
+
+/// Guards against an observer that loses its network and declares the others dead.
+#[test]
+fn conclude_while_cut_off() {
+    fn property(nodes: u8, seed: u64, time: u16) {
+        let (mut sim, node) = sim_of(nodes, seed);
+        sim.cut_off([node].into());
+        sim.run(5_000 + u64::from(time) % 20_000);
+        sim.cut_off([].into());
+        sim.run(10_000);
+        assert_eq!(sim.nodes[node].deaths, [], "node {node}");
+    }
+    checker(40).quickcheck(property as fn(u8, u64, u16));
+}
+
+/// Guards against a paused process that concludes suspicions or pings that it
+/// could not follow.
+#[test]
+fn conclude_after_pause() {
+    fn property(nodes: u8, seed: u64, before: u16, time: u16) {
+        let (mut sim, node) = sim_of(nodes, seed);
+        // The others are suspected when the pause begins.
+        sim.cut_off([node].into());
+        sim.run(u64::from(before) % 4_000);
+        sim.cut_off([].into());
+        sim.pause(node, 3_000 + u64::from(time) % 20_000);
+        sim.run(40_000);
+        assert_eq!(sim.nodes[node].deaths, [], "node {node}");
+    }
+    checker(40).quickcheck(property as fn(u8, u64, u16, u16));
+}
+
+/// Guards against a dead node that is never declared dead, or late.
+#[test]
+fn conclude_dead_in_time() {
+    let mut sim = Sim::new(6, 3);
+    sim.run(6_000);
+    sim.stop(4);
+    sim.run(8_500);
+    for index in [0, 1, 2, 3, 5] {
+        assert!(sim.nodes[index].deaths.contains(&common::node_id(4)), "node {index}");
+    }
+}
--- /dev/null
+++ b/crates/core/tests/store_writer.rs
@@ -0,0 +1,134 @@
+//! Submissions to the store.
+
+mod common;
+
+use almondsail_core::config::{Change, ConfigError};
+use almondsail_core::control::{Event, RequestId};
+use almondsail_core::ids::ConfigVersion;
+use almondsail_core::store::{MAX_JOBS, Outcome, RefusedChange, Submission};
+use common::{Sim, create_service, create_version, name, submission};
+
+fn version(n: u64) -> ConfigVersion {
+    ConfigVersion::new(n)
+}
+
+/// One node and a store with the services bays and taller.
+fn sim_with_services() -> Sim {
+    let mut sim = Sim::new(1, 9);
+    sim.run(5_500);
+    assert_eq!(
+        outcome(&mut sim, submission(1, create_service("bays"))),
+        Outcome::Accepted(version(1))
+    );
+    outcome(&mut sim, submission(2, create_service("taller")));
+    sim
+}
+
+fn outcome(sim: &mut Sim, submission: Submission) -> Outcome {
+    let id = sim.submit(0, submission);
+    sim.run(6_000);
+    sim.nodes[0].outcomes.remove(&id).expect("an outcome within 6 s")
+}
+
+/// Guards against a change that is based on a state that another one changed,
+/// and against a refusal when only other services changed.
+#[test]
+fn submit_base_overtaken() {
+    let mut sim = sim_with_services();
+    outcome(&mut sim, submission(3, create_version("bays", "v1")));
+    let based = |id, service: &str| {
+        let change = create_version(service, "v2");
+        Submission { base: Some(version(2)), ..submission(id, change) }
+    };
+    match outcome(&mut sim, based(4, "bays")) {
+        Outcome::Refused(RefusedChange::Overtaken(winner)) => {
+            assert_eq!((winner.version, &*winner.summary), (version(3), "create version bays/v1"));
+        }
+        other => panic!("{other:?}"),
+    }
+    assert_eq!(outcome(&mut sim, based(5, "taller")), Outcome::Accepted(version(4)));
+}
+
+/// Guards against a member's operator who changes another member's service.
+#[test]
+fn submit_wrong_member() {
+    let mut sim = sim_with_services();
+    let foreign = |change| Submission { member: Some(name("wellboats")), ..submission(3, change) };
+    let wrong = Outcome::Refused(RefusedChange::Invalid(vec![ConfigError::WrongMember(
+        name("bays"),
+        name("depots"),
+    )]));
+    assert_eq!(outcome(&mut sim, foreign(create_version("bays", "v1"))), wrong);
+    let content = sim.store.values[0].content.clone();
+    let restore = Change::Restore { version: version(1), content: Box::new(content) };
+    assert_eq!(outcome(&mut sim, foreign(restore)), wrong);
+}
+
+/// Guards against a dry run that writes.
+#[test]
+fn submit_dry_run() {
+    let mut sim = sim_with_services();
+    let change = create_version("bays", "v1");
+    let lines = match outcome(&mut sim, Submission { dry_run: true, ..submission(3, change) }) {
+        Outcome::WouldAccept(lines) => lines,
+        other => panic!("{other:?}"),
+    };
+    assert!(lines.contains(&"version bays/v1: created".to_owned()), "{lines:?}");
+    assert_eq!(sim.newest(), version(2));
+}
+
+/// Guards against submissions without bound, and against a refusal that is not
+/// true or takes longer than 5 s while the store is down.
+#[test]
+fn submit_store_down() {
+    let mut sim = sim_with_services();
+    sim.store.down = true;
+    let ids: Vec<RequestId> = (0..=MAX_JOBS as u64)
+        .map(|n| sim.submit(0, submission(10 + n, create_service(&format!("s{n}")))))
+        .collect();
+    sim.run(5_200);
+    let outcomes: Vec<&Outcome> = ids.iter().map(|id| &sim.nodes[0].outcomes[id]).collect();
+    assert_eq!(*outcomes[MAX_JOBS], Outcome::Refused(RefusedChange::Busy));
+    let refused = Outcome::Refused(RefusedChange::StoreUnreachable);
+    assert!(outcomes[..MAX_JOBS].iter().all(|outcome| **outcome == refused), "{outcomes:?}");
+}
+
+/// Guards against a write whose lost answer is not found out by reading back.
+#[test]
+fn submit_answer_lost() {
+    let mut sim = sim_with_services();
+    sim.store.lost_writes = 100;
+    let change = submission(3, create_service("utileria"));
+    assert_eq!(outcome(&mut sim, change), Outcome::Accepted(version(3)));
+}
+
+/// Guards against a refusal although the write may still take effect.
+#[test]
+fn submit_answer_lost_then_down() {
+    let mut sim = sim_with_services();
+    sim.store.lost_writes = 100;
+    let change = submission(3, create_service("utileria"));
+    let write_id = change.write_id;
+    let unknown = sim.submit(0, change);
+    sim.run(20);
+    sim.store.down = true;
+    sim.run(6_000);
+    assert_eq!(sim.nodes[0].outcomes[&unknown], Outcome::Unknown(write_id));
+    sim.store.down = false;
+    let id = RequestId::new(u64::MAX);
+    sim.event(0, Event::AskOutcome { id, write_id });
+    sim.run(1_000);
+    let expected = match sim.store.contains(write_id) {
+        true => Outcome::Accepted(version(3)),
+        false => Outcome::NotFound(write_id, version(2)),
+    };
+    assert_eq!(sim.nodes[0].outcomes[&id], expected);
+}
+
+/// Guards against a submission that is made twice when its operator repeats it.
+#[test]
+fn submit_same_write_id() {
+    let mut sim = sim_with_services();
+    let again = submission(1, create_service("bays"));
+    assert_eq!(outcome(&mut sim, again), Outcome::Accepted(version(1)));
+}
