--- a/crates/core/src/control/joiner.rs
+++ b/crates/core/src/control/joiner.rs
@@ -11,8 +11,9 @@
 /// A node that is not joined makes this number of attempts before it starts alone.
 const ATTEMPTS_UNTIL_ALONE: u32 = 3;
 /// A node that finds no settled node starts after this time. Its former links
-/// ping it meanwhile, even when no seed runs or the seeds were restarted too.
-const TIME_UNTIL_ALONE: Millis = Millis::new(3_000);
+/// ping it meanwhile, even when no seed runs or the seeds were restarted too: in
+/// an installation of up to 16 nodes each of them does so within 4 s.
+const TIME_UNTIL_ALONE: Millis = Millis::new(5_000);
 
 /// Decides when the seeds are asked for admission.
 #[derive(Debug, Clone)]
--- a/crates/core/src/control/membership.rs
+++ b/crates/core/src/control/membership.rs
@@ -43,6 +43,8 @@
     /// The entries that changed during this event and are to be passed on.
     fresh: BTreeSet<NodeId>,
     next_compare: Instant,
+    /// Counts the probes, to take dead peers and unknown seeds in turn.
+    probes: usize,
 }
 
 impl Membership {
@@ -57,6 +59,7 @@
             indirect: BTreeMap::new(),
             fresh: BTreeSet::new(),
             next_compare: Instant::default(),
+            probes: 0,
         }
     }
 
@@ -102,7 +105,7 @@
     }
 
     /// Pings a link and probes a dead peer or an unknown seed.
-    pub(crate) fn ping<R: Rng>(&mut self, status: &SyncStatus, cx: &mut Cx<'_, R>) {
+    pub(crate) fn ping<R>(&mut self, status: &SyncStatus, cx: &mut Cx<'_, R>) {
         let links = self.links().outgoing.clone();
         if let Some(target) = self.detector.next_link(&links)
             && let Some(to) = self.addr(&target)
@@ -110,18 +113,21 @@
             let request = PendingRequest::Ping { target, began: cx.now };
             cx.send(to, PeerMessage::Ping(status.clone()), PING_TIMEOUT, request);
         }
-        if let Some(to) = self.choose_probe(cx.rng) {
+        if let Some(to) = self.choose_probe() {
             let request = PendingRequest::Probe { to };
             cx.send(to, PeerMessage::Ping(status.clone()), PING_TIMEOUT, request);
         }
     }
 
-    fn choose_probe(&self, rng: &mut impl Rng) -> Option<SocketAddr> {
+    /// The dead peer or the unknown seed whose turn it is.
+    fn choose_probe(&mut self) -> Option<SocketAddr> {
         let is_dead = |peer: &&Peer| peer.status == PeerStatus::Dead;
         let dead = self.table.iter().filter(is_dead).map(|peer| peer.peer_addr);
         let is_known = |seed: &&SocketAddr| self.table.live().any(|p| p.peer_addr == **seed);
         let seeds = self.seeds.iter().filter(|seed| !is_known(seed)).copied();
-        dead.chain(seeds).choose(rng)
+        let probed: Vec<SocketAddr> = dead.chain(seeds).collect();
+        self.probes = self.probes.wrapping_add(1);
+        probed.get(self.probes.checked_rem(probed.len())?).copied()
     }
 
     /// Lets time pass: concludes suspicions and drops what is too old.
--- a/crates/core/src/control/state.rs
+++ b/crates/core/src/control/state.rs
@@ -158,6 +158,7 @@
         self.update_backend(cx);
         self.members.join(cx);
         self.members.pass_time(cx);
+        self.store.update_role(&self.members.table, self.is_leaving, cx);
         if self.members.detector.begins_period(cx.now) {
             let status = self.sync_status();
             self.members.ping(&status, cx);
@@ -176,7 +177,7 @@
         self.spread.learn_floor(&mut self.members, cx);
         self.spread.pull(&self.members, cx);
         self.spread.publish(cx);
-        self.store.read(&self.members.table, self.is_leaving, cx);
+        self.store.read(cx);
         self.members.flush(cx);
         let status = self.sync_status();
         self.spread.flush(&mut self.members, &status, cx);
@@ -328,6 +329,7 @@
 
     fn take_status<R: Rng>(&mut self, status: &SyncStatus, cx: &mut Cx<'_, R>) {
         self.spread.versions.note(&status.node, status.config_version);
+        self.spread.floor.raise(status.config_version);
         self.members.take_status(status, self.members.table.digest(), cx);
         if status.stops_digest != self.stops.digest() {
             for (marks, origin) in self.stops.groups() {
--- a/crates/core/src/control/store_access.rs
+++ b/crates/core/src/control/store_access.rs
@@ -55,8 +55,13 @@
 }
 
 impl StoreAccess {
-    /// Takes the node's place among the readers and asks the store if it is time.
-    pub(crate) fn read<R: Rng>(&mut self, table: &PeerTable, is_leaving: bool, cx: &mut Cx<'_, R>) {
+    /// Takes the node's present place among the readers.
+    pub(crate) fn update_role<R: Rng>(
+        &mut self,
+        table: &PeerTable,
+        is_leaving: bool,
+        cx: &mut Cx<'_, R>,
+    ) {
         let role = reader_role(table, is_leaving);
         if self.reader.set_role(role, cx.now, cx.rng) {
             cx.report(match role {
@@ -64,6 +69,10 @@
                 ReaderRole::Ranked | ReaderRole::Alone => StateChange::ReaderStarted,
             });
         }
+    }
+
+    /// Asks the store if it is time.
+    pub(crate) fn read<R>(&mut self, cx: &mut Cx<'_, R>) {
         if let Some(request) = self.reader.poll(cx.now) {
             cx.out.ask_store(request, PendingRequest::StoreRead, cx.now);
         }
--- a/crates/core/src/sync/floor_gate.rs
+++ b/crates/core/src/sync/floor_gate.rs
@@ -54,6 +54,13 @@
         self.is_settled && version >= self.floor
     }
 
+    /// Takes a version that another node holds; a node that is not settled must have it too.
+    pub fn raise(&mut self, version: ConfigVersion) {
+        if !self.is_settled {
+            self.floor = self.floor.max(version);
+        }
+    }
+
     /// Takes the answer of `node`: this node must have `version`. The answer of
     /// a node that is not settled itself is no proof that there was none.
     pub fn answer(&mut self, node: &NodeId, version: ConfigVersion, is_settled: bool) {
