--- a/crates/node/tests/support/fake_backend.rs
+++ b/crates/node/tests/support/fake_backend.rs
@@ -88,9 +88,20 @@
     pub cut: AtomicUsize,
     /// The connections that the other side closed.
     pub closed: AtomicUsize,
+    /// The first requests.
     pub requests: Mutex<Vec<FakeRequest>>,
 }
 
+impl Seen {
+    fn remember(&self, request: FakeRequest) {
+        const MAX_REMEMBERED: usize = 10_000;
+        let mut requests = self.requests.lock().unwrap();
+        if requests.len() < MAX_REMEMBERED {
+            requests.push(request);
+        }
+    }
+}
+
 /// A backend server on a loopback port.
 pub struct FakeBackend {
     pub addr: SocketAddr,
@@ -139,7 +150,7 @@
     let mut read = 0;
     while let Some(request) = read_request(&mut stream, &mut buf, &seen, &mut read).await {
         let reply = script(&request);
-        seen.requests.lock().unwrap().push(request);
+        seen.remember(request);
         if reply.runs {
             seen.runs.fetch_add(1, Ordering::SeqCst);
         }
