Let brakes pass whatever changed, and shorten empty answers

Cause: in a run against three nodes, `hold` after `show rollouts` was refused, because a step of the rollout had come between; empty tables showed headers only.

Change: in a session, `hold`, `rollback` and `stop` are not based on the version shown last. Empty tables read `none`, and `show config` leaves them out.

Conclusion: an operator can stop a rollout at any time.

--- a/crates/cli/src/cli.rs
+++ b/crates/cli/src/cli.rs
@@ -19,7 +19,7 @@
   1  refused; nothing was changed
   2  wrong options or wrong command text; nothing was sent
   3  unknown whether the change was accepted; `almondsail outcome WRITE_ID` finds out
-  4  no node could be reached; nothing was sent";
+  4  no node answered; nothing was changed";
 
 /// What the tool is asked to do.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/cli/src/exit.rs
+++ b/crates/cli/src/exit.rs
@@ -13,7 +13,7 @@
     Usage,
     /// It is not known whether the change was or will be accepted.
     Unknown,
-    /// No node could be reached; nothing was sent.
+    /// No node answered; nothing was changed.
     NoNode,
 }
 
--- a/crates/cli/src/output/answer_text.rs
+++ b/crates/cli/src/output/answer_text.rs
@@ -29,9 +29,9 @@
     }
 }
 
+/// The tables that have rows.
 fn config_text(cfg: &ConfigAnswer) -> String {
-    let empty = config::Content::default();
-    let content = cfg.content.as_ref().unwrap_or(&empty);
+    let Some(content) = &cfg.content else { return String::new() };
     let tables = [
         services(&content.services),
         routes(&content.routes),
@@ -39,7 +39,8 @@
         rollouts(&content.rollouts),
         stops(&content.stops),
     ];
-    let text: String = tables.iter().map(|table| format!("{table}\n")).collect();
+    let filled = tables.iter().filter(|table| !table.is_empty());
+    let text: String = filled.map(|table| format!("{table}\n")).collect();
     format!("{text}digest {}\nwrite id {}\n", cfg.digest, cfg.write_id)
 }
 
--- a/crates/cli/src/output/table.rs
+++ b/crates/cli/src/output/table.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-/// A table with aligned columns, two spaces apart.
+/// A table with aligned columns, two spaces apart; the word `none` if it has no rows.
 ///
 /// ```
 /// use almondsail_cli::output::Table;
@@ -30,6 +30,11 @@
         self.rows.push(row);
     }
 
+    /// Whether the table has no rows.
+    pub fn is_empty(&self) -> bool {
+        self.rows.len() == 1
+    }
+
     fn widths(&self) -> Vec<usize> {
         let columns = 0..self.rows[0].len();
         let width =
@@ -45,6 +50,9 @@
 
 impl fmt::Display for Table {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.is_empty() {
+            return writeln!(f, "none");
+        }
         let widths = self.widths();
         for row in &self.rows {
             let cells = row.iter().zip(&widths);
--- a/crates/cli/src/session.rs
+++ b/crates/cli/src/session.rs
@@ -46,8 +46,8 @@
     client: NodeClient,
     console: Console,
     runtime: Runtime,
-    /// The version that the operator last saw; commands are based on it.
-    /// `None` until an answer was shown: such commands apply to the newest version.
+    /// The version that the operator last saw; commands but brakes are based on
+    /// it. `None` until an answer was shown: such commands apply to the newest version.
     shown: Option<ConfigVersion>,
 }
 
@@ -105,7 +105,7 @@
             Ok(write_id) => write_id,
             Err(e) => return self.usage(&format!("{e:#}")),
         };
-        let base = base.or(self.shown);
+        let base = base.or(self.shown.filter(|_| !command.is_brake()));
         self.command(&CommandRequest { write_id, command, base, dry_run })
     }
 
--- a/crates/cli/tests/tool.rs
+++ b/crates/cli/tests/tool.rs
@@ -6,8 +6,10 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::Stdio;
-use std::sync::LazyLock;
+use std::sync::{Arc, LazyLock, Mutex};
 
+use almondsail_core::ids::ConfigVersion;
+use almondsail_node::control_request::ControlRequest;
 use operators_support::{FakeControl, Port, TOKEN, serve};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
@@ -160,6 +162,29 @@
     assert!(err.contains("service bays exists already"), "{err}");
 }
 
+/// Guards against a command of a session that overwrites what the operator has
+/// not seen, and against a brake that is refused because a rollout went on.
+#[tokio::test]
+async fn run_lines_bases() {
+    let (port, mut requests) = serve(8, Box::new(|_| ())).await;
+    let bases = Arc::new(Mutex::new(Vec::new()));
+    let seen = bases.clone();
+    tokio::spawn(async move {
+        let mut control = FakeControl::default();
+        while let Some(request) = requests.recv().await {
+            if let ControlRequest::Submit(submission, _) = &request {
+                seen.lock().unwrap().push(submission.base.map(ConfigVersion::get));
+            }
+            control.answer(request);
+        }
+    });
+    let script = "create service bays member depots\nshow services\ncreate version bays/v1\n\
+        create version bays/v2\ncreate version bays/v3 at version 1\nrollback bays\n";
+    let (code, out, _) = tool(&[port.addr], &["run", "-"], script).await;
+    assert_eq!(code, 1, "{out}");
+    assert_eq!(*bases.lock().unwrap(), [None, Some(1), Some(2), Some(1), None]);
+}
+
 /// Guards against JSON output that a program can't read line by line.
 #[tokio::test]
 async fn json_lines() {
--- a/crates/core/src/operators/command.rs
+++ b/crates/core/src/operators/command.rs
@@ -75,6 +75,14 @@
         }
     }
 
+    /// Whether the command only keeps traffic where it is or takes it from a version.
+    ///
+    /// Such a command is right whatever changed since the operator last looked,
+    /// and the steps of a rollout, which are changes too, must not get in its way.
+    pub const fn is_brake(&self) -> bool {
+        matches!(self, Self::Hold(_) | Self::RollBack { .. } | Self::Stop { .. })
+    }
+
     /// The change that this command asks for at the time `now`.
     ///
     /// `earlier` is the content of [`restored_version`](Self::restored_version)
--- a/crates/core/tests/operators.rs
+++ b/crates/core/tests/operators.rs
@@ -194,3 +194,17 @@
     let change = Change::Restore { version: earlier, content: Box::new(content.clone()) };
     assert_eq!(command.into_change(NOW, Some(content)), Ok(change));
 }
+
+/// Guards against a brake that waits for the operator to look again.
+#[test]
+fn is_brake_commands() {
+    let mark = StopMark { service: name("bays"), version: name("v2"), route: None };
+    let brakes = [
+        Command::Hold(name("bays")),
+        Command::RollBack { service: name("bays"), reason: None },
+        Command::Stop { mark, reason: None },
+    ];
+    assert!(brakes.iter().all(Command::is_brake));
+    assert!(!Command::Resume(name("bays")).is_brake());
+    assert!(!Command::ClearStop(version("bays", "v2")).is_brake());
+}
