--- a/crates/core/src/control/event.rs
+++ b/crates/core/src/control/event.rs
@@ -4,7 +4,9 @@
 
 use crate::config::StopMark;
 use crate::control::{PeerFailure, PeerMessage, RequestId};
+use crate::ids::WriteId;
 use crate::peers::AnnouncedBackend;
+use crate::rollout::CountedCalls;
 use crate::store::{StoreReply, Submission};
 
 /// An event that the control state takes.
@@ -44,6 +46,15 @@
         /// The change.
         submission: Submission,
     },
+    /// An operator asks how the change with this write id ended.
+    AskOutcome {
+        /// Matches the outcome.
+        id: RequestId,
+        /// The change's write id.
+        write_id: WriteId,
+    },
+    /// The calls that this node counted since the last such event.
+    CallsCounted(Vec<CountedCalls>),
     /// This node saw that a version must be stopped.
     VersionFailed {
         /// The marks to set.
--- a/crates/core/src/control/peer_message.rs
+++ b/crates/core/src/control/peer_message.rs
@@ -6,6 +6,7 @@
 use crate::control::SyncStatus;
 use crate::ids::{ConfigVersion, Digest, NodeId};
 use crate::peers::Peer;
+use crate::rollout::EvidenceReport;
 use crate::units::Millis;
 
 /// A message between nodes. Each request is answered by exactly one reply.
@@ -19,6 +20,9 @@
         peers: Vec<Peer>,
         /// The highest configuration version that the joining node is known to have had.
         floor: ConfigVersion,
+        /// Whether the answering node knows its own floor. One that does not was
+        /// started just now and can't tell what others remember.
+        is_settled: bool,
         /// What the answering node holds.
         status: SyncStatus,
     },
@@ -34,7 +38,8 @@
     PeerUpdates(Vec<Peer>),
     /// Request: the digests of the sender's table, one a bucket.
     TableBuckets(Vec<u64>),
-    /// Reply to `TableBuckets`: the entries of the buckets that differ.
+    /// Reply to `TableBuckets`: the entries of the buckets that differ. Reply to
+    /// `PeerUpdates`: the entries that override those sent, if there are any.
     TableEntries(Vec<Peer>),
     /// Request: a new version, as a difference to the one before.
     ConfigPush(Delta),
@@ -50,9 +55,14 @@
     StopMarks {
         /// The marks.
         marks: Vec<StopMark>,
+        /// The configuration version in force where they were set; a later
+        /// operator's command that clears them takes precedence.
+        since: ConfigVersion,
         /// Why, in one sentence.
         reason: Arc<str>,
     },
+    /// Request: what the sender's door counted, for the driver of its service's rollout.
+    Evidence(EvidenceReport),
     /// Reply: taken. States the configuration version that the answering node has now.
     Ack(ConfigVersion),
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,10 +18,12 @@
 pub mod config;
 pub mod control;
 pub mod ids;
+pub mod operators;
 pub mod peers;
 pub mod report;
 pub mod rollout;
 pub mod store;
+pub mod sync;
 pub mod traffic;
 pub mod units;
 
