Repair the end of empty answers, stale loads and planned stops

Cause: a removed guard let no test fail, which showed that the watchers of an answer without a body were never told of its end: its call was missing in the counts, in the latency of its endpoint and in the record for repeats. Reading the code for such gaps showed more: an endpoint that was slow or refused once got no calls for good; an endpoint that was never called looked fastest, also in a farther data centre; a backend server that fails fast looked fast; each shed call cost a connection; counters of old versions stayed for good.

Change: a watcher that comes after the end is told at once. Latency and refusals lose weight with age, and unknown latency is taken as the usual one. Answers with status 500 or above count as failures of their endpoint. The short bodies of refusals are read. Counters without a user are dropped when they are drained. After the order to stop, connections are taken for another 0.5 s and refused with Connection: close. HTTP/1.0 is refused, because a truncated answer can't be told from a whole one there.

--- a/crates/core/src/traffic/balancer.rs
+++ b/crates/core/src/traffic/balancer.rs
@@ -41,7 +41,7 @@
     /// How much worse a nearer endpoint may be before a farther one is chosen. At 1.5, a
     /// call leaves the data centre when its endpoints are busy in more than half of their slots.
     const NEAR_PREFERENCE: f64 = 1.5;
-    /// The latency assumed until a call has ended.
+    /// The latency assumed until a call has ended at any candidate.
     const UNKNOWN_LATENCY: Micros = Micros::new(1_000);
 
     /// The index of the chosen candidate. Those in `tried` are left out, and so
@@ -54,6 +54,7 @@
         rng: &mut impl Rng,
     ) -> Option<usize> {
         let set_aside = set_aside(now, candidates);
+        let usual = usual_latency(now, candidates);
         let mut best: Option<(f64, usize)> = None;
         for (distance, preference) in
             [1.0, Self::NEAR_PREFERENCE, Self::NEAR_PREFERENCE.powi(2)].into_iter().enumerate()
@@ -65,7 +66,7 @@
                     && !set_aside.contains(i)
             };
             let tier: Vec<usize> = (0..candidates.len()).filter(is_allowed).collect();
-            let chosen = better_of_two(now, candidates, &tier, rng);
+            let chosen = better_of_two(&tier, |i| cost(now, candidates[i], usual), rng);
             let weighted = chosen.map(|(cost, i)| (cost * preference, i));
             best = match (best, weighted) {
                 (Some(near), Some(far)) if far.0 < near.0 => Some(far),
@@ -99,13 +100,24 @@
     marked.into_iter().map(|(_, i)| i).collect()
 }
 
+/// The mean of the known latencies, weighted by how fresh they are. It stands for those that
+/// are unknown or old, so that an endpoint that was never called is not taken for the fastest one.
+fn usual_latency(now: Instant, candidates: &[Candidate<'_>]) -> f64 {
+    let known = candidates.iter().filter_map(|candidate| {
+        let latency = candidate.load.latency()?.get() as f64;
+        Some((latency, candidate.load.latency_weight(now)))
+    });
+    let (sum, weights) =
+        known.fold((0.0, 0.0), |(sum, weights), (l, w)| (sum + l * w, weights + w));
+    if weights > 0.0 { sum / weights } else { Balancer::UNKNOWN_LATENCY.get() as f64 }
+}
+
 fn better_of_two(
-    now: Instant,
-    candidates: &[Candidate<'_>],
     tier: &[usize],
+    cost: impl Fn(usize) -> f64,
     rng: &mut impl Rng,
 ) -> Option<(f64, usize)> {
-    let priced = |i: usize| (cost(now, candidates[i]), i);
+    let priced = |i: usize| (cost(i), i);
     match tier.len() {
         0 => None,
         1 => Some(priced(tier[0])),
@@ -118,14 +130,13 @@
     }
 }
 
-/// The expected time to an answer, in microseconds: the smoothed latency, raised
-/// by the share of busy slots and by recent refusals.
-fn cost(now: Instant, candidate: Candidate<'_>) -> f64 {
+/// The expected time to an answer, in microseconds: the expected latency, raised by
+/// the share of busy slots and by recent refusals.
+fn cost(now: Instant, candidate: Candidate<'_>, usual: f64) -> f64 {
     let Candidate { endpoint, load } = candidate;
-    let latency = load.latency().unwrap_or(Balancer::UNKNOWN_LATENCY).get() as f64;
     let slots = f64::from(endpoint.slots.max(1)) * warmth(now, candidate);
     let busy = (load.estimated_in_flight(now) + 1.0) / slots;
-    latency * (1.0 + busy) * (1.0 + f64::from(load.refusals()))
+    load.expected_latency(now, usual) * (1.0 + busy) * (1.0 + load.recent_refusals(now))
 }
 
 /// The share of its slots that an endpoint can use: it grows during the warm-up.
--- a/crates/core/src/traffic/endpoint_load.rs
+++ b/crates/core/src/traffic/endpoint_load.rs
@@ -16,8 +16,12 @@
     reported_at: AtomicU64,
     /// The smoothed latency in microseconds; zero until a call has ended.
     latency: AtomicU64,
+    /// When `latency` was last updated, in microseconds.
+    latency_at: AtomicU64,
     /// Recent refusals, halved by each call that is not refused.
     refusals: AtomicU32,
+    /// When the last refusal came, in microseconds.
+    refused_at: AtomicU64,
     /// The failures since the last success.
     failures: AtomicU32,
     /// How often the endpoint was set aside since the last success.
@@ -45,7 +49,9 @@
             reported: AtomicU32::new(0),
             reported_at: AtomicU64::new(0),
             latency: AtomicU64::new(0),
+            latency_at: AtomicU64::new(0),
             refusals: AtomicU32::new(0),
+            refused_at: AtomicU64::new(0),
             failures: AtomicU32::new(0),
             times_set_aside: AtomicU32::new(0),
             set_aside_until: AtomicU64::new(0),
@@ -70,11 +76,12 @@
     }
 
     /// Notes an answer that took `latency`.
-    pub fn succeeded(&self, latency: Micros) {
+    pub fn succeeded(&self, now: Instant, latency: Micros) {
         let smooth = |old: u64| {
             Some(if old == 0 { latency.get() } else { old - old / 8 + latency.get() / 8 })
         };
         let _ = self.latency.fetch_update(Ordering::Relaxed, Ordering::Relaxed, smooth);
+        self.latency_at.store(now.get(), Ordering::Relaxed);
         self.failures.store(0, Ordering::Relaxed);
         self.times_set_aside.store(0, Ordering::Relaxed);
         let halve = |n: u32| (n > 0).then_some(n / 2);
@@ -82,7 +89,8 @@
     }
 
     /// Notes that the door refused a call.
-    pub fn refused(&self) {
+    pub fn refused(&self, now: Instant) {
+        self.refused_at.store(now.get(), Ordering::Relaxed);
         let count = |n: u32| (n < Self::MAX_REFUSALS).then_some(n + 1);
         let _ = self.refusals.fetch_update(Ordering::Relaxed, Ordering::Relaxed, count);
     }
@@ -121,9 +129,32 @@
         (latency > 0).then_some(Micros::new(latency))
     }
 
-    /// The recent refusals.
-    pub fn refusals(&self) -> u32 {
-        self.refusals.load(Ordering::Relaxed)
+    /// How much the smoothed latency counts, from 1 when fresh to 0 when old or unknown.
+    pub fn latency_weight(&self, now: Instant) -> f64 {
+        /// The age at which the smoothed latency counts half, in microseconds.
+        const HALF_LIFE: f64 = 5_000_000.0;
+        /// A smaller weight is none, or the difference would still decide between idle endpoints.
+        const LEAST: f64 = 0.01;
+        if self.latency().is_none() {
+            return 0.0;
+        }
+        let weight = 0.5_f64.powf(age(now, &self.latency_at) / HALF_LIFE);
+        if weight < LEAST { 0.0 } else { weight }
+    }
+
+    /// The latency to expect, in microseconds: the smoothed one, which gives way to `usual`
+    /// as it ages. An endpoint that was slow once gets calls again in this way.
+    pub fn expected_latency(&self, now: Instant, usual: f64) -> f64 {
+        let latency = self.latency().map_or(usual, |latency| latency.get() as f64);
+        usual + (latency - usual) * self.latency_weight(now)
+    }
+
+    /// The recent refusals, which lose weight as they age.
+    pub fn recent_refusals(&self, now: Instant) -> f64 {
+        /// The age at which refusals count no more, in microseconds.
+        const LIFE: f64 = 2_000_000.0;
+        let weight = (1.0 - age(now, &self.refused_at) / LIFE).max(0.0);
+        f64::from(self.refusals.load(Ordering::Relaxed)) * weight
     }
 
     /// The calls in flight at the door, as far as known: the calls of this node, or
@@ -132,8 +163,8 @@
         const REPORT_LIFE: f64 = 1_000_000.0;
         let own = f64::from(self.in_flight());
         let at = self.reported_at.load(Ordering::Relaxed);
-        let age = Instant::since(now, Instant::new(at)).get() as f64;
-        let weight = if at == 0 { 0.0 } else { (1.0 - age / REPORT_LIFE).max(0.0) };
+        let weight =
+            if at == 0 { 0.0 } else { (1.0 - age(now, &self.reported_at) / REPORT_LIFE).max(0.0) };
         own.max(f64::from(self.reported.load(Ordering::Relaxed)) * weight)
     }
 
@@ -153,3 +184,8 @@
         self.failures.store(0, Ordering::Relaxed);
     }
 }
+
+/// The time since `at` in microseconds.
+fn age(now: Instant, at: &AtomicU64) -> f64 {
+    now.since(Instant::new(at.load(Ordering::Relaxed))).get() as f64
+}
--- a/crates/core/tests/traffic_balancer.rs
+++ b/crates/core/tests/traffic_balancer.rs
@@ -116,7 +116,7 @@
 fn choose_slow_endpoint() {
     let list = near(4);
     for (i, (_, load)) in list.iter().enumerate() {
-        load.succeeded(Micros::new(if i == 0 { 40_000 } else { 10_000 }));
+        load.succeeded(WARM, Micros::new(if i == 0 { 40_000 } else { 10_000 }));
     }
     let shares = shares(&list, WARM, 100, true);
     assert!(shares[0] * 2 < shares[1], "{shares:?}");
@@ -157,3 +157,34 @@
     let spread = shares(&list, WARM, 60, true);
     assert!(spread[2] > spread[3] && spread[3] > 0, "{spread:?}");
 }
+
+/// Guards against an endpoint that gets no calls for good because it was slow or refused once.
+#[test]
+fn choose_recovered() {
+    let list = near(3);
+    for (i, (_, load)) in list.iter().enumerate() {
+        load.succeeded(WARM, Micros::new(if i == 0 { 5_000_000 } else { 10_000 }));
+    }
+    assert_eq!(shares(&list, WARM, 100, false)[0], 0);
+    let later = WARM + Millis::new(120_000);
+    assert!(shares(&list, later, 100, false)[0] > 10);
+    for (_, load) in &list[1..] {
+        load.succeeded(later, Micros::new(10_000));
+    }
+    assert!(shares(&list, later, 100, false)[0] > 10);
+    let list = near(3);
+    list[0].1.refused(WARM);
+    assert_eq!(shares(&list, WARM, 100, false)[0], 0);
+    assert!(shares(&list, WARM + Millis::new(2_000), 100, false)[0] > 10);
+}
+
+/// Guards against farther endpoints that look faster because they were never called.
+#[test]
+fn choose_near_when_far_unknown() {
+    let mut list = near(2);
+    for (_, load) in &list {
+        load.succeeded(WARM, Micros::new(50_000));
+    }
+    list.push((endpoint(2, "dc-2", "r-1"), EndpointLoad::new(Instant::new(0))));
+    assert_eq!(shares(&list, WARM, 100, false)[2], 0);
+}
--- a/crates/node/src/answer_body.rs
+++ b/crates/node/src/answer_body.rs
@@ -9,6 +9,7 @@
 use almondsail_core::RefusalReason;
 use bytes::Bytes;
 use http::{Response, StatusCode};
+use http_body_util::BodyExt as _;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use tokio::time::Sleep;
 
@@ -30,9 +31,9 @@
     status: StatusCode,
     /// Bytes that were read but not passed on.
     first: Option<Bytes>,
-    /// Told once of the end.
+    /// Told once of the end; empty after it.
     watchers: Vec<AnswerWatcher>,
-    ended: bool,
+    ended: Option<AnswerEnd>,
 }
 
 #[derive(Debug)]
@@ -73,12 +74,16 @@
     }
 
     const fn new(status: StatusCode, source: Source) -> Self {
-        Self { source, status, first: None, watchers: Vec::new(), ended: false }
+        Self { source, status, first: None, watchers: Vec::new(), ended: None }
     }
 
-    /// Adds a watcher of the body's end.
+    /// Adds a watcher of the body's end, which is told at once if the body has ended: an
+    /// empty body ends when it is prefetched.
     pub(crate) fn watch(&mut self, watcher: AnswerWatcher) {
-        self.watchers.push(watcher);
+        match self.ended {
+            Some(end) => watcher.ended(self.status, end),
+            None => self.watchers.push(watcher),
+        }
     }
 
     /// Reads what has already come, so that an error which shows at once is reported
@@ -97,6 +102,19 @@
         Ok(())
     }
 
+    /// Reads a short body to its end, so that its connection can be used again. A body
+    /// that is not short is dropped, which closes the connection.
+    pub(crate) async fn discard(mut self) {
+        const MAX_DISCARDED: usize = 16 * 1024;
+        let mut read = 0;
+        while let Some(Ok(frame)) = self.frame().await {
+            read += frame.data_ref().map_or(0, Bytes::len);
+            if read > MAX_DISCARDED {
+                return;
+            }
+        }
+    }
+
     fn poll_source(&mut self, cx: &mut Context<'_>) -> Poll<Result<Option<Bytes>, StreamError>> {
         match &mut self.source {
             Source::Recorded(bytes) => {
@@ -107,7 +125,7 @@
     }
 
     fn end(&mut self, end: AnswerEnd) {
-        self.ended = true;
+        self.ended = Some(end);
         for watcher in self.watchers.drain(..) {
             watcher.ended(self.status, end);
         }
@@ -203,7 +221,7 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
-        if self.ended {
+        if self.ended.is_some() {
             return Poll::Ready(None);
         }
         let result = match self.first.take() {
@@ -233,7 +251,7 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        self.ended || self.is_complete()
+        self.ended.is_some() || self.is_complete()
     }
 
     fn size_hint(&self) -> SizeHint {
@@ -259,7 +277,7 @@
 
 impl Drop for AnswerBody {
     fn drop(&mut self) {
-        if !self.ended {
+        if self.ended.is_none() {
             self.end(AnswerEnd::Dropped);
         }
     }
--- a/crates/node/src/answer_watcher.rs
+++ b/crates/node/src/answer_watcher.rs
@@ -54,7 +54,7 @@
             (Self::Slot(slot), AnswerEnd::Complete) => slot.end(SlotEnd::Ran),
             (Self::Slot(slot), AnswerEnd::TimedOut) => slot.end(SlotEnd::Ran),
             (Self::Slot(slot), AnswerEnd::Broken | AnswerEnd::Dropped) => slot.end(SlotEnd::Other),
-            (Self::Load(in_flight), end) => in_flight.ended(end),
+            (Self::Load(in_flight), end) => in_flight.ended(status, end),
             (Self::Count(timer), end) => timer.ended(status, end),
             (Self::Record(recorder), AnswerEnd::Complete) => recorder.complete(),
             (Self::Record(_), _) => {}
@@ -88,13 +88,15 @@
 
     /// Notes that the door refused the call.
     pub(crate) fn refused(&self) {
-        self.load.refused();
+        self.load.refused(self.clock.now());
     }
 
-    fn ended(&self, end: AnswerEnd) {
+    fn ended(&self, status: StatusCode, end: AnswerEnd) {
         let now = self.clock.now();
         match end {
-            AnswerEnd::Complete => self.load.succeeded(now.since(self.started)),
+            // A backend server that fails fast must not look like a fast one.
+            AnswerEnd::Complete if status.is_server_error() => self.load.failed(now),
+            AnswerEnd::Complete => self.load.succeeded(now, now.since(self.started)),
             AnswerEnd::Broken | AnswerEnd::TimedOut => self.load.failed(now),
             AnswerEnd::Dropped => {}
         }
--- a/crates/node/src/call_counters.rs
+++ b/crates/node/src/call_counters.rs
@@ -275,18 +275,29 @@
         Self { counters, last: BTreeMap::new() }
     }
 
+    /// The number of cells.
+    pub fn cells(&self) -> usize {
+        self.counters.lock().len()
+    }
+
     /// The counts since the last call, without the cells that have not changed.
+    ///
+    /// A cell that no configuration in force and no call uses any more is dropped.
     pub fn drain(&mut self) -> Vec<(CountKey, CallCounts)> {
-        let cells: Vec<(CountKey, CallCounts)> =
-            self.counters.lock().iter().map(|(key, cell)| (key.clone(), cell.read())).collect();
         let mut changed = Vec::new();
-        for (key, counts) in cells {
+        self.counters.lock().retain(|key, cell| {
+            let is_used = Arc::strong_count(cell) > 1;
+            let counts = cell.read();
             let last = self.last.entry(key.clone()).or_insert(CallCounts::ZERO);
             if counts != *last {
-                changed.push((key, counts.since(last)));
+                changed.push((key.clone(), counts.since(last)));
                 *last = counts;
             }
-        }
+            if !is_used {
+                self.last.remove(key);
+            }
+            is_used
+        });
         changed
     }
 }
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -11,7 +11,7 @@
 use gotham::handler::{Handler, HandlerFuture, NewHandler};
 use gotham::helpers::http::Body;
 use gotham::state::{FromState as _, State};
-use http::{HeaderMap, Method, Response, Uri};
+use http::{HeaderMap, Method, Response, Uri, Version};
 use http_body_util::{BodyExt as _, Full};
 use rand::Rng as _;
 
@@ -74,6 +74,7 @@
 struct CallerRequest {
     method: Method,
     uri: Uri,
+    version: Version,
     headers: HeaderMap,
     body: Body,
 }
@@ -83,6 +84,7 @@
         Self {
             method: Method::take_from(state),
             uri: Uri::take_from(state),
+            version: Version::take_from(state),
             headers: HeaderMap::take_from(state),
             body: Body::take_from(state),
         }
@@ -137,13 +139,15 @@
     if snapshot.leaving {
         return Err((RefusalReason::Leaving, None));
     }
-    let CallerRequest { method, uri, mut headers, body } = request;
+    let CallerRequest { method, uri, version, mut headers, body } = request;
     let header_size = names::size(&headers) + uri.to_string().len();
     if header_size > MAX_HEADER {
         return Err((RefusalReason::HeaderTooLarge, None));
     }
-    // A tunnel is no exchange of one request and one answer.
-    let target = origin_form(&uri).filter(|_| method != Method::CONNECT);
+    // A tunnel is no exchange of one request and one answer, and a caller with HTTP/1.0
+    // can't tell a truncated answer of unknown length from a whole one.
+    let is_exchange = method != Method::CONNECT && version == Version::HTTP_11;
+    let target = origin_form(&uri).filter(|_| is_exchange);
     let target = target.ok_or((RefusalReason::BadRequest, None))?;
     let route = snapshot.route(uri.path()).ok_or((RefusalReason::UnknownRoute, None))?;
     let refuse = |reason| (reason, Some(route.name.clone()));
--- a/crates/node/src/door.rs
+++ b/crates/node/src/door.rs
@@ -140,7 +140,7 @@
 
 /// Sends `call` to the backend server.
 async fn exchange(inner: &Arc<Inner>, call: &DoorCall, slot: Slot) -> Result<Answer, Failure> {
-    let request = || call.to_backend_request(inner.clock.now());
+    let request = || call.to_backend_request(call.deadline.left(inner.clock.now()));
     let until = inner.clock.timer(call.deadline.at());
     match inner.backend_pool.send(request, until).await {
         Ok((response, exchange)) => answer(inner, call, response, exchange, slot).await,
@@ -162,16 +162,18 @@
     slot: Slot,
 ) -> Result<Answer, Failure> {
     let (mut parts, incoming) = response.into_parts();
-    if is_shed(&parts) {
-        return Err(Failure::unrun(RefusalReason::BackendShed));
-    }
-    if !tells_its_end(&parts.headers, &incoming) {
+    let is_shed = is_shed(&parts);
+    if !tells_its_end(&parts.headers, &incoming) && !is_shed {
         return Err(Failure::may_have_run(RefusalReason::BadAnswer));
     }
     names::remove_own(&mut parts.headers);
     let timeout = Box::pin(tokio::time::sleep_until(inner.clock.timer(call.deadline.at())));
     let pool = Arc::clone(&inner.backend_pool);
     let mut body = AnswerBody::stream(parts.status, incoming, exchange, pool, timeout);
+    if is_shed {
+        body.discard().await;
+        return Err(Failure::unrun(RefusalReason::BackendShed));
+    }
     body.watch(AnswerWatcher::Slot(slot));
     body.prefetch().await.map_err(Failure::may_have_run)?;
     Ok(Response::from_parts(parts, body))
--- a/crates/node/src/door_request.rs
+++ b/crates/node/src/door_request.rs
@@ -3,7 +3,7 @@
 use almondsail_core::config::Priority;
 use almondsail_core::ids::{CallKey, ConfigVersion, RouteName, ServiceName, VersionName};
 use almondsail_core::traffic::{CallId, Deadline};
-use almondsail_core::units::{Instant, Millis};
+use almondsail_core::units::{Instant, Micros, Millis};
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Uri};
 use http_body_util::Full;
@@ -79,9 +79,9 @@
 }
 
 impl DoorCall {
-    /// The request for another node's door at `now`.
-    pub(crate) fn to_request(&self, token: &PeerToken, now: Instant) -> Request<Full<Bytes>> {
-        let mut request = self.bare_request(now);
+    /// The request for another node's door, which has `left` to answer it.
+    pub(crate) fn to_request(&self, token: &PeerToken, left: Micros) -> Request<Full<Bytes>> {
+        let mut request = self.to_backend_request(left);
         let headers = request.headers_mut();
         headers.insert(names::TOKEN, token.header());
         let message = if self.replay { DoorRequest::Replay } else { DoorRequest::Call };
@@ -95,20 +95,15 @@
         request
     }
 
-    /// The request for the backend server at `now`.
-    pub(crate) fn to_backend_request(&self, now: Instant) -> Request<Full<Bytes>> {
-        self.bare_request(now)
-    }
-
-    fn bare_request(&self, now: Instant) -> Request<Full<Bytes>> {
+    /// The request for the backend server, which has `left` to answer it.
+    pub(crate) fn to_backend_request(&self, left: Micros) -> Request<Full<Bytes>> {
         const MICROS_PER_MILLI: u64 = 1_000;
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() = self.headers.clone();
         let headers = request.headers_mut();
-        let left = self.deadline.left(now).get() / MICROS_PER_MILLI;
-        names::set(headers, names::DEADLINE_MS, left);
+        names::set(headers, names::DEADLINE_MS, left.get() / MICROS_PER_MILLI);
         names::set(headers, names::ATTEMPT, self.attempt);
         names::set(headers, names::VERSION, self.config_version);
         if let Some(key) = &self.key {
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -158,8 +158,7 @@
     let until = inner.clock.timer(call.deadline.at());
     let request = || {
         let now = inner.clock.now();
-        let call = DoorCall { deadline: call.deadline.for_next_hop(now), ..call.clone() };
-        call.to_request(&inner.token, now)
+        call.to_request(&inner.token, call.deadline.for_next_hop(now).left(now))
     };
     let sent = target.pool.send(request, until).await;
     let (response, exchange) = sent.map_err(|error| failure(&error))?;
@@ -174,7 +173,7 @@
     let pool = Arc::clone(&target.pool);
     let mut body = AnswerBody::stream(parts.status, incoming, exchange, pool, timeout);
     if let Some(failure) = failure {
-        drain(body).await;
+        body.discard().await;
         return Err(failure);
     }
     names::remove_own(&mut parts.headers);
@@ -182,12 +181,6 @@
     Ok(Response::from_parts(parts, body))
 }
 
-/// Reads the short text of a refusal, so that its connection can be used again.
-async fn drain(body: AnswerBody) {
-    use http_body_util::BodyExt as _;
-    let _ = body.collect().await;
-}
-
 const fn failure(error: &ExchangeError) -> Failure {
     match error {
         ExchangeError::NotSent => Failure::not_sent(RefusalReason::ConnectFailed),
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -32,22 +32,24 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Serves connections on `listener` with `answer` until `stop` becomes true, then
-/// waits for the requests in flight.
+/// goes on for the time to leave and waits for the requests in flight.
 pub(crate) async fn serve<H, F, E>(
     listener: TcpListener,
     inner: &Arc<Inner>,
-    mut stop: watch::Receiver<bool>,
+    stop: watch::Receiver<bool>,
     answer: H,
 ) where
     H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + 'static,
     F: Future<Output = Result<Response<Body>, E>> + Send + 'static,
     E: Into<Box<dyn std::error::Error + Send + Sync>> + 'static,
 {
+    let leave_time = duration(inner.settings.leave_time);
+    let mut stop_later = std::pin::pin!(stop_after(stop.clone(), leave_time));
     let mut connections = JoinSet::new();
     let mut tidy = tokio::time::interval(TIDY_EVERY);
     loop {
         tokio::select! {
-            _ = wait_for(&mut stop) => break,
+            () = &mut stop_later => break,
             accepted = listener.accept(), if connections.len() < MAX_CONNECTIONS => {
                 let Ok((stream, peer)) = accepted else {
                     tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -67,17 +69,19 @@
     let _ = tokio::time::timeout(duration(inner.settings.stop_time), all_ended).await;
 }
 
-async fn wait_for(stop: &mut watch::Receiver<bool>) {
+/// Waits until `stop` becomes true, and for `leave_time` after it.
+async fn stop_after(mut stop: watch::Receiver<bool>, leave_time: Duration) {
     // A dropped sender means that nobody can ask to stop any more.
     if stop.wait_for(|stop| *stop).await.is_err() {
         std::future::pending::<()>().await;
     }
+    tokio::time::sleep(leave_time).await;
 }
 
 async fn connection<S, F, E>(
     stream: TcpStream,
     inner: Arc<Inner>,
-    mut stop: watch::Receiver<bool>,
+    stop: watch::Receiver<bool>,
     service: S,
 ) where
     S: Fn(Request<Incoming>) -> F,
@@ -98,7 +102,7 @@
         std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service_fn(service)));
     tokio::select! {
         _ = conn.as_mut() => return,
-        () = wait_for(&mut stop) => {}
+        () = stop_after(stop, duration(inner.settings.leave_time)) => {}
     }
     conn.as_mut().graceful_shutdown();
     // An error concerns this connection alone; its calls were counted where they failed.
--- a/crates/node/src/traffic_settings.rs
+++ b/crates/node/src/traffic_settings.rs
@@ -24,6 +24,9 @@
     pub idle_per_door: usize,
     /// The bytes of bodies that the node may hold.
     pub body_memory: ByteCount,
+    /// How long connections are still accepted after the order to stop. Callers that send in
+    /// this time are refused with `Connection: close`; later, idle connections are closed.
+    pub leave_time: Millis,
     /// How long calls in flight may take to end on a planned stop.
     pub stop_time: Millis,
 }
@@ -40,6 +43,7 @@
             idle_time: Millis::new(15_000),
             idle_per_door: 64,
             body_memory: almondsail_core::traffic::BodyBudget::NODE_LIMIT,
+            leave_time: Millis::new(500),
             stop_time: Millis::new(30_000),
         }
     }
--- a/crates/node/tests/calls_forward.rs
+++ b/crates/node/tests/calls_forward.rs
@@ -111,8 +111,12 @@
 async fn forward_shed_then_elsewhere() {
     let busy = FakeBackend::start(|_| FakeReply::shed()).await;
     let mesh = TestMesh::start(&MeshPlan::new(&[Some(busy.addr)])).await;
-    let answer = post(mesh.entry(0), "/book", b"b").await.unwrap();
-    assert_eq!(answer.failure(), ("refused-unrun", "backend_shed"));
+    for _ in 0..5 {
+        let answer = post(mesh.entry(0), "/book", b"b").await.unwrap();
+        assert_eq!(answer.failure(), ("refused-unrun", "backend_shed"));
+    }
+    // A refusal does not cost a connection.
+    assert_eq!(busy.seen.connections.load(std::sync::atomic::Ordering::SeqCst), 1);
     let free = echo().await;
     let mesh = TestMesh::start(&MeshPlan::new(&[None, Some(busy.addr), Some(free.addr)])).await;
     for i in 1..=6 {
@@ -122,3 +126,39 @@
     }
     assert_eq!(busy.runs(), 0);
 }
+
+/// Guards against answers without a body that wait for one, or lose their length.
+#[tokio::test]
+async fn forward_answers_without_body() {
+    let backend = FakeBackend::start(|req| {
+        let no_content = b"HTTP/1.1 204 No Content\r\n\r\n";
+        let head_only = b"HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n";
+        FakeReply::raw(if req.head.starts_with("HEAD") { head_only } else { no_content })
+    })
+    .await;
+    let mesh = TestMesh::start(&MeshPlan::new(&[None, Some(backend.addr)])).await;
+    for _ in 0..3 {
+        assert_eq!(get(mesh.entry(0), "/read").await.unwrap().status, 204);
+        let answer = send(mesh.entry(0), request("HEAD", "/read", &[], b"")).await.unwrap();
+        assert_eq!(answer.status, 200);
+        assert_eq!(answer.headers["content-length"], "7");
+    }
+    assert_eq!(backend.seen.connections.load(std::sync::atomic::Ordering::SeqCst), 1);
+}
+
+/// Guards against a backend server that fails fast and draws calls because it looks fast.
+#[tokio::test]
+async fn forward_failing_fast() {
+    let failing = FakeBackend::start(|_| {
+        FakeReply::raw(&support::fake_backend::answer_bytes("500 Oops", "", b"oops"))
+    })
+    .await;
+    let slower = FakeBackend::start(|_| FakeReply::ok(b"").after(20)).await;
+    let plan = MeshPlan::new(&[None, Some(failing.addr), Some(slower.addr)]);
+    let mesh = TestMesh::start(&plan).await;
+    for _ in 0..40 {
+        get(mesh.entry(0), "/read").await.unwrap();
+    }
+    eprintln!("RUNS {} {}", failing.runs(), slower.runs());
+    assert!((1..=20).contains(&failing.runs()), "{}", failing.runs());
+}
--- a/crates/node/tests/calls_keys.rs
+++ b/crates/node/tests/calls_keys.rs
@@ -56,6 +56,16 @@
     }
 }
 
+/// Guards against an answer without a body that is not recorded.
+#[tokio::test]
+async fn repeat_of_empty_answer() {
+    let (backends, mesh) = three(|_| FakeReply::ok(b"")).await;
+    for _ in 0..3 {
+        assert_eq!(send_key(&mesh, 0, "key", "1", b"bay").await.status, 200);
+    }
+    assert_eq!(runs(&backends), 1);
+}
+
 /// Guards against a recorded answer that is given to another request with the same key.
 #[tokio::test]
 async fn repeat_with_other_body() {
--- a/crates/node/tests/calls_limits.rs
+++ b/crates/node/tests/calls_limits.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -9,7 +10,7 @@
 use almondsail_core::units::{ByteCount, Millis};
 use support::caller::{get, post, request, send, send_raw};
 use support::fake_backend::{FakeBackend, FakeReply, FakeRequest};
-use support::mesh::{MeshPlan, TestMesh};
+use support::mesh::{MeshPlan, TestMesh, snapshot};
 use tokio::io::AsyncWriteExt as _;
 
 const MB: usize = 1024 * 1024;
@@ -80,18 +81,20 @@
 #[tokio::test]
 async fn http_malformed() {
     let (backend, mesh) = two(size).await;
-    let malformed: [&[u8]; 7] = [
+    let malformed: [&[u8]; 8] = [
         b"nonsense\r\n\r\n",
         b"GET /read HTTP/1.1\r\nHost a\r\n\r\n",
         b"POST /book HTTP/1.1\r\nHost: a\r\nContent-Length: x\r\n\r\n",
         b"POST /book HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
         b"POST /book HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
         b"GET /read HTTP/1.1\r\nHost: a\r\nAlmondsail-Deadline-Ms: soon\r\n\r\n",
+        b"GET /read HTTP/1.0\r\nHost: a\r\n\r\n",
         b"CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n",
     ];
     for bytes in malformed {
         let answer = String::from_utf8(send_raw(mesh.entry(0), bytes).await).unwrap();
-        let is_refused = answer.is_empty() || answer.starts_with("HTTP/1.1 4");
+        let is_refused =
+            answer.is_empty() || ["HTTP/1.1 4", "HTTP/1.0 4"].iter().any(|s| answer.starts_with(s));
         assert!(is_refused, "{} answered {answer}", String::from_utf8_lossy(bytes));
     }
     assert_eq!(backend.runs(), 0);
@@ -213,6 +216,10 @@
     for node in &mesh.nodes {
         node.stop.send(true).unwrap();
     }
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    // The caller has not heard of the stop yet.
+    let answer = post(mesh.entry(0), "/book", b"b").await.unwrap();
+    assert_eq!(answer.failure(), ("refused-unrun", "leaving"));
     for call in calls {
         assert_eq!(call.await.unwrap().unwrap().status, 200);
     }
@@ -240,10 +247,12 @@
 /// Guards against counts that miss calls, and labels that callers can choose.
 #[tokio::test]
 async fn counts_drained() {
-    let (_backend, mesh) = two(size).await;
+    // Answers with and without a body.
+    let (_backend, mesh) =
+        two(|req| if req.path() == "/read/2" { FakeReply::ok(b"") } else { size(req) }).await;
     let mut readers = [0, 1].map(|i| mesh.nodes[i].traffic.counts_reader());
-    for _ in 0..5 {
-        get(mesh.entry(0), "/read").await.unwrap();
+    for i in 0..5 {
+        get(mesh.entry(0), &format!("/read/{i}")).await.unwrap();
     }
     for i in 0..4 {
         get(mesh.entry(0), &format!("/nowhere/{i}")).await.unwrap();
@@ -258,3 +267,18 @@
     assert_eq!(door.iter().map(|(_, counts)| counts.calls).collect::<Vec<_>>(), [5]);
     assert!(readers[0].drain().is_empty());
 }
+
+/// Guards against counters that pile up with every version and route that ever was.
+#[tokio::test]
+async fn counts_dropped() {
+    let (_backend, mesh) = two(size).await;
+    let mut reader = mesh.nodes[0].traffic.counts_reader();
+    get(mesh.entry(0), "/read").await.unwrap();
+    let node = &mesh.nodes[0];
+    node.snapshot.store(Arc::new(snapshot(&node.peer, None, &[])));
+    let answer = get(mesh.entry(0), "/read").await.unwrap();
+    assert_eq!(answer.failure(), ("refused-unrun", "no_config"));
+    assert_eq!(reader.drain().len(), 2);
+    get(mesh.entry(0), "/read").await.unwrap();
+    assert_eq!(reader.cells(), 1);
+}
