Refuse waiting calls of a backend server that has gone

Cause: calls that waited for a backend server whose announcement ended kept waiting until their deadline. A call that arrived without time left was reported as may-have-run when the entry node gave up before the door's refusal came back. A path with a dot segment matched one route and could be resolved to another one by the backend server, so that a non-idempotent call would be repeated as an idempotent one.

Change: the door refuses waiting calls when its limits become zero; the entry node refuses calls without time and paths with dot segments. The export of the counters and callers that leave while they wait have a test.

Conclusion: calls are refused unrun as soon as that is certain.

--- a/crates/core/src/traffic/door.rs
+++ b/crates/core/src/traffic/door.rs
@@ -127,6 +127,7 @@
     }
 
     /// Changes the limits. Running calls beyond a smaller limit end in their own time.
+    /// Without slots or connections, the calls that wait are refused.
     pub fn set_limits(&mut self, now: Instant, limits: DoorLimits) -> Vec<Wakeup> {
         self.limits = limits;
         self.start_waiting(now)
@@ -214,17 +215,21 @@
 
     fn start_waiting(&mut self, now: Instant) -> Vec<Wakeup> {
         let mut wakeups = Vec::new();
-        while self.has_free_slot()
+        while (self.has_free_slot() || self.limits.running() == 0)
             && let Some((priority, waiting)) = self.pop()
         {
             self.counts.queued -= 1;
-            let in_time = self.ends_in_time(now, priority, waiting.deadline, 0);
-            if in_time {
-                self.counts.running += 1;
+            let refused = if self.limits.running() == 0 {
+                Some(RefusalReason::BackendDown)
+            } else if self.ends_in_time(now, priority, waiting.deadline, 0) {
+                None
             } else {
-                self.counts.refused += 1;
+                Some(RefusalReason::DeadlineTooNear)
+            };
+            match refused {
+                None => self.counts.running += 1,
+                Some(_) => self.counts.refused += 1,
             }
-            let refused = (!in_time).then_some(RefusalReason::DeadlineTooNear);
             wakeups.push(Wakeup { ticket: waiting.ticket, refused });
         }
         wakeups
--- a/crates/core/tests/traffic_door.rs
+++ b/crates/core/tests/traffic_door.rs
@@ -138,6 +138,7 @@
         let sum = counts.refused + counts.cancelled + counts.queued + counts.running + counts.ended;
         assert_eq!(counts.arrived, sum);
         // A smaller limit does not stop calls that run, but no further ones start.
+        assert!(self.limits.running() > 0 || self.waiting.is_empty());
         let limit = usize::from(self.limits.slots.min(self.limits.connections));
         assert!(self.running.len() <= limit.max(running_before));
     }
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -147,13 +147,17 @@
     // A tunnel is no exchange of one request and one answer, and a caller with HTTP/1.0
     // can't tell a truncated answer of unknown length from a whole one.
     let is_exchange = method != Method::CONNECT && version == Version::HTTP_11;
-    let target = origin_form(&uri).filter(|_| is_exchange);
+    let target = origin_form(&uri).filter(|uri| is_exchange && !has_dot_segment(uri.path()));
     let target = target.ok_or((RefusalReason::BadRequest, None))?;
     let route = snapshot.route(uri.path()).ok_or((RefusalReason::UnknownRoute, None))?;
     let refuse = |reason| (reason, Some(route.name.clone()));
     let split = snapshot.split(&route.name).ok_or(refuse(RefusalReason::NoBackend))?;
     let marks = CallerMarks::parse(&headers).map_err(|_| refuse(RefusalReason::BadRequest))?;
     let deadline = Deadline::new(now, marks.deadline, route.deadline);
+    // Sent on, the call could be given up before the door's refusal comes back.
+    if deadline.has_passed(now) {
+        return Err(refuse(RefusalReason::DeadlineTooNear));
+    }
     clean(&mut headers);
     let body = read_body(inner, body, deadline).await.map_err(refuse)?;
     let call = DoorCall {
@@ -183,9 +187,11 @@
 ) -> Result<HeldBody, RefusalReason> {
     let slowest = tokio::time::Instant::now() + duration(inner.settings.body_time);
     let until = inner.clock.timer(deadline.at()).min(slowest);
-    tokio::time::timeout_at(until, HeldBody::read(body, &inner.bodies))
-        .await
-        .unwrap_or(Err(RefusalReason::BadRequest))
+    match tokio::time::timeout_at(until, HeldBody::read(body, &inner.bodies)).await {
+        Ok(result) => result,
+        Err(_) if deadline.has_passed(inner.clock.now()) => Err(RefusalReason::DeadlineTooNear),
+        Err(_) => Err(RefusalReason::BadRequest),
+    }
 }
 
 /// What a caller states about a call in its headers.
@@ -209,3 +215,15 @@
 fn origin_form(uri: &Uri) -> Option<Uri> {
     uri.path_and_query().map(|path| Uri::from(path.clone()))
 }
+
+/// Whether `path` has a segment `.` or `..`, also percent-encoded.
+///
+/// A backend server may resolve such a path to one of another route, for which the
+/// decisions on retries and priority would be wrong.
+fn has_dot_segment(path: &str) -> bool {
+    let is_dots = |segment: &str| {
+        let decoded = segment.to_ascii_lowercase().replace("%2e", ".");
+        decoded == "." || decoded == ".."
+    };
+    path.split('/').any(is_dots)
+}
--- a/crates/node/tests/calls_limits.rs
+++ b/crates/node/tests/calls_limits.rs
@@ -81,7 +81,7 @@
 #[tokio::test]
 async fn http_malformed() {
     let (backend, mesh) = two(size).await;
-    let malformed: [&[u8]; 8] = [
+    let malformed: [&[u8]; 10] = [
         b"nonsense\r\n\r\n",
         b"GET /read HTTP/1.1\r\nHost a\r\n\r\n",
         b"POST /book HTTP/1.1\r\nHost: a\r\nContent-Length: x\r\n\r\n",
@@ -89,6 +89,8 @@
         b"POST /book HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
         b"GET /read HTTP/1.1\r\nHost: a\r\nAlmondsail-Deadline-Ms: soon\r\n\r\n",
         b"GET /read HTTP/1.0\r\nHost: a\r\n\r\n",
+        b"GET /read/../book HTTP/1.1\r\nHost: a\r\n\r\n",
+        b"GET /read/%2E%2e/book HTTP/1.1\r\nHost: a\r\n\r\n",
         b"CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n",
     ];
     for bytes in malformed {
@@ -182,6 +184,61 @@
     assert_eq!(backend.runs(), 13);
 }
 
+/// Guards against a call that arrives without time and is run.
+#[tokio::test]
+async fn deadline_zero() {
+    let (backend, mesh) = two(size).await;
+    let late = request("POST", "/book", &[("almondsail-deadline-ms", "0")], b"b");
+    let answer = send(mesh.entry(0), late).await.unwrap();
+    assert_eq!(answer.failure(), ("refused-unrun", "deadline_too_near"));
+    assert_eq!(backend.runs(), 0);
+}
+
+/// Guards against calls that wait for a backend server that has gone.
+#[tokio::test]
+async fn backend_gone_while_waiting() {
+    let (backend, mut mesh) = two(|req| size(req).after(600)).await;
+    let calls: Vec<_> = (0..20).map(|_| tokio::spawn(post(mesh.entry(0), "/book", b"b"))).collect();
+    while backend.runs() < 12 || mesh.nodes[1].traffic.door_counts().queued < 8 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    mesh.change_peer(1, |peer| peer.backend = None);
+    get(mesh.entry(1), "/read").await.unwrap();
+    let counts = mesh.nodes[1].traffic.door_counts();
+    assert_eq!((counts.running, counts.queued, counts.refused), (12, 0, 8));
+    let mut refused = 0;
+    for call in calls {
+        let answer = call.await.unwrap().unwrap();
+        if answer.status != 200 {
+            assert_eq!(answer.failure(), ("refused-unrun", "backend_down"));
+            refused += 1;
+        }
+    }
+    assert_eq!((refused, backend.runs()), (8, 12));
+}
+
+/// Guards against callers that leave while they wait and keep their place or a slot.
+#[tokio::test]
+async fn caller_disconnects_while_waiting() {
+    let backend = FakeBackend::start(|req| size(req).after(150)).await;
+    let plan = MeshPlan { slots: 1, ..MeshPlan::new(&[None, Some(backend.addr)]) };
+    let mesh = TestMesh::start(&plan).await;
+    let first = tokio::spawn(post(mesh.entry(0), "/book", b"b"));
+    while backend.runs() == 0 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let waiting = tokio::spawn(post(mesh.entry(0), "/book", b"b"));
+    while mesh.nodes[1].traffic.door_counts().queued == 0 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    waiting.abort();
+    assert_eq!(first.await.unwrap().unwrap().status, 200);
+    let counts = mesh.nodes[1].traffic.door_counts();
+    assert_eq!((counts.queued, counts.running, counts.cancelled), (0, 0, 1));
+    assert_eq!(post(mesh.entry(0), "/book", b"b").await.unwrap().status, 200);
+    assert_eq!(backend.runs(), 2);
+}
+
 /// Guards against new work for a backend server that is leaving.
 #[tokio::test]
 async fn backend_draining() {
@@ -282,3 +339,31 @@
     get(mesh.entry(0), "/read").await.unwrap();
     assert_eq!(reader.cells(), 1);
 }
+
+/// Guards against counters that are counted but not exported.
+#[tokio::test]
+async fn counts_exported() {
+    use opentelemetry::metrics::MeterProvider as _;
+    let registry = prometheus::Registry::new();
+    let exporter =
+        opentelemetry_prometheus::exporter().with_registry(registry.clone()).build().unwrap();
+    let provider = opentelemetry_sdk::metrics::SdkMeterProvider::builder();
+    let provider = provider.with_reader(exporter).build();
+    let backend = FakeBackend::start(size).await;
+    let plan = MeshPlan::new(&[Some(backend.addr)]);
+    let mesh = TestMesh::start_metered(&plan, Some(provider.meter("test"))).await;
+    get(mesh.entry(0), "/read").await.unwrap();
+    get(mesh.entry(0), "/nowhere").await.unwrap();
+    let families = registry.gather();
+    let count = |name: &str, label: &str| -> f64 {
+        let metrics = families.iter().filter(|f| f.name().starts_with(name));
+        metrics
+            .flat_map(|family| family.get_metric())
+            .filter(|metric| metric.get_label().iter().any(|l| l.value() == label))
+            .map(|metric| metric.get_counter().get_value())
+            .sum()
+    };
+    assert_eq!(count("almondsail_calls", "entry"), 2.0);
+    assert_eq!(count("almondsail_calls", "door"), 1.0);
+    assert_eq!(count("almondsail_call_failures", "unknown_route"), 1.0);
+}
--- a/crates/node/tests/support/mesh.rs
+++ b/crates/node/tests/support/mesh.rs
@@ -11,6 +11,7 @@
 use almondsail_core::units::Millis;
 use almondsail_node::{Traffic, TrafficBuilder, TrafficSettings, serve_callers, serve_door};
 use arc_swap::ArcSwap;
+use opentelemetry::metrics::Meter;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
@@ -109,6 +110,19 @@
 
     /// As [`Self::start`], with changed settings.
     pub async fn start_with(plan: &MeshPlan, change: impl Fn(&mut TrafficSettings)) -> Self {
+        Self::start_all(plan, change, None).await
+    }
+
+    /// As [`Self::start`], with counters exported through `meter`.
+    pub async fn start_metered(plan: &MeshPlan, meter: Option<Meter>) -> Self {
+        Self::start_all(plan, |_| {}, meter).await
+    }
+
+    async fn start_all(
+        plan: &MeshPlan,
+        change: impl Fn(&mut TrafficSettings),
+        meter: Option<Meter>,
+    ) -> Self {
         let config = Arc::new(config(plan.deadline));
         let mut listeners = Vec::new();
         let mut peers = Vec::new();
@@ -123,7 +137,14 @@
             let mut settings = TrafficSettings::new(plan.backends[i].unwrap_or(unused));
             change(&mut settings);
             let snapshot = snapshot(&peers[i], Some(&config), &peers);
-            nodes.push(TestNode::start(peers[i].clone(), snapshot, settings, door, callers));
+            let snapshot = Arc::new(ArcSwap::from_pointee(snapshot));
+            let builder = TrafficBuilder::new(Arc::clone(&snapshot), settings);
+            let builder = match &meter {
+                Some(meter) => builder.meter(meter.clone()),
+                None => builder,
+            };
+            let traffic = builder.installation_key(KEY).build().unwrap();
+            nodes.push(TestNode::start(peers[i].clone(), snapshot, traffic, door, callers));
         }
         Self { nodes, config }
     }
@@ -152,16 +173,11 @@
 impl TestNode {
     fn start(
         peer: Peer,
-        snapshot: Snapshot,
-        settings: TrafficSettings,
+        snapshot: Arc<ArcSwap<Snapshot>>,
+        traffic: Traffic,
         door: TcpListener,
         callers: TcpListener,
     ) -> Self {
-        let snapshot = Arc::new(ArcSwap::from_pointee(snapshot));
-        let traffic = TrafficBuilder::new(Arc::clone(&snapshot), settings)
-            .installation_key(KEY)
-            .build()
-            .unwrap();
         let (stop, stopped) = watch::channel(false);
         let (callers_addr, door_addr) = (callers.local_addr().unwrap(), door.local_addr().unwrap());
         let tasks = vec![
