Say that a configuration is not in force, and survive a closed output

Cause: a node that may not use its configuration yet was shown as having none, and a closed output ended `almondsail grammar` with a panic. Change: the sentence of the last line; the grammar is written like every other output.

--- a/crates/cli/src/output/answer_text.rs
+++ b/crates/cli/src/output/answer_text.rs
@@ -24,7 +24,7 @@
 
 fn source(answer: &Answer) -> String {
     match answer.version {
-        0 => format!("node {} has no configuration", answer.node),
+        0 => format!("node {} has no configuration in force", answer.node),
         version => format!("configuration version {version} on node {}", answer.node),
     }
 }
--- a/crates/cli/src/output/console.rs
+++ b/crates/cli/src/output/console.rs
@@ -29,6 +29,11 @@
         }
     }
 
+    /// Writes text in either form.
+    pub fn text(&self, text: &str) {
+        write(text);
+    }
+
     /// Writes an error.
     pub fn error(&self, e: &wire::Error) {
         match self.format {
--- a/crates/cli/src/session.rs
+++ b/crates/cli/src/session.rs
@@ -26,11 +26,11 @@
 /// Reads the options, carries out the task and returns how it ended.
 pub fn main() -> Exit {
     let (task, options) = cli::parse();
+    let console = Console::new(options.format);
     if task == Task::Grammar {
-        print!("{GRAMMAR}");
+        console.text(GRAMMAR);
         return Exit::Done;
     }
-    let console = Console::new(options.format);
     match Session::start(options) {
         Ok(mut session) => session.run(task),
         Err(e) => {
