--- a/crates/core/src/control/store_access.rs
+++ b/crates/core/src/control/store_access.rs
@@ -8,7 +8,7 @@
 use crate::control::pending_request::PendingRequest;
 use crate::control::stop_marks::{Origin, StopMarks};
 use crate::control::{Action, StateChange};
-use crate::ids::WriteId;
+use crate::ids::{ConfigVersion, WriteId};
 use crate::peers::PeerTable;
 use crate::store::{
     JobId, Outcome, READERS_PER_DATA_CENTRE, ReadResult, ReaderRole, StoreReader, StoreWriter,
@@ -58,8 +58,13 @@
 }
 
 impl StoreAccess {
-    /// Takes the node's place among the readers and asks the store if it is time.
-    pub(crate) fn read<R: Rng>(&mut self, table: &PeerTable, is_leaving: bool, cx: &mut Cx<'_, R>) {
+    /// Takes the node's present place among the readers.
+    pub(crate) fn update_role<R: Rng>(
+        &mut self,
+        table: &PeerTable,
+        is_leaving: bool,
+        cx: &mut Cx<'_, R>,
+    ) {
         let role = reader_role(table, is_leaving);
         if self.reader.set_role(role, cx.now, cx.rng) {
             cx.report(match role {
@@ -67,6 +72,10 @@
                 ReaderRole::Ranked | ReaderRole::Alone => StateChange::ReaderStarted,
             });
         }
+    }
+
+    /// Asks the store if it is time.
+    pub(crate) fn read<R>(&mut self, cx: &mut Cx<'_, R>) {
         if let Some(request) = self.reader.poll(cx.now) {
             cx.out.ask_store(request, PendingRequest::StoreRead, cx.now);
         }
@@ -142,7 +151,7 @@
         for (mut marks, origin) in stops.groups_by_service() {
             marks.retain(|mark| is_recordable(mark, config));
             if !marks.is_empty() && is_recorder(&marks[0], &origin, table, cx.now) {
-                self.record(marks, &origin, cx);
+                self.record(marks, &origin, config, cx);
                 return;
             }
         }
@@ -150,14 +159,25 @@
 
     /// Submits the step of a rollout that this node drives; returns whether the writer took it.
     pub(crate) fn submit_step<R: Rng>(&mut self, change: Change, cx: &mut Cx<'_, R>) -> bool {
-        let Some(submission) = mesh_submission(change, cx.rng) else { return false };
+        let Some(submission) = mesh_submission(change, None, cx.rng) else { return false };
         self.steps += 1;
         self.writer.submit(JobId::RolloutStep(self.steps), submission, cx.now)
     }
 
-    fn record<R: Rng>(&mut self, marks: Vec<StopMark>, origin: &Origin, cx: &mut Cx<'_, R>) {
+    /// Submits `marks`, which `config` has not decided on. If their service
+    /// changed since, the marks are compared with the newer version first: an
+    /// operator may have cleared them.
+    fn record<R: Rng>(
+        &mut self,
+        marks: Vec<StopMark>,
+        origin: &Origin,
+        config: &Config,
+        cx: &mut Cx<'_, R>,
+    ) {
         let change = Change::AddStops { marks, reason: origin.reason.clone() };
-        let Some(submission) = mesh_submission(change, cx.rng) else { return };
+        let Some(submission) = mesh_submission(change, Some(config.version), cx.rng) else {
+            return;
+        };
         self.recordings += 1;
         if self.writer.submit(JobId::StopMarks(self.recordings), submission, cx.now) {
             self.recording = Some(self.recordings);
@@ -166,12 +186,16 @@
 }
 
 /// A change that nodes submit of their own accord.
-fn mesh_submission(change: Change, rng: &mut impl Rng) -> Option<Submission> {
+fn mesh_submission(
+    change: Change,
+    base: Option<ConfigVersion>,
+    rng: &mut impl Rng,
+) -> Option<Submission> {
     Some(Submission {
         write_id: WriteId::new(rng.random()),
         operator: MESH_OPERATOR.parse().ok()?,
         member: None,
-        base: None,
+        base,
         change,
         dry_run: false,
     })
