Add the operators' manual

Cause: operators need the grammar, an example of each command, and what to do when nodes or the store do not answer.

Change: docs/operators.md. A test parses its examples and compares its grammar with the tool's.

--- a/crates/cli/tests/language.rs
+++ b/crates/cli/tests/language.rs
@@ -1,6 +1,6 @@
 //! Tests of the command language.
 
-use almondsail_cli::language::Statement;
+use almondsail_cli::language::{GRAMMAR, Statement};
 use almondsail_core::config::{Priority, Reason, Route, ServerVersion, StopMark};
 use almondsail_core::ids::{ConfigVersion, ServiceName};
 use almondsail_core::operators::{Command, Moment, Query};
@@ -203,3 +203,18 @@
     };
     assert_eq!(read, service);
 }
+
+/// Guards against a manual whose examples are no longer statements of the language.
+#[test]
+fn manual_examples() {
+    let manual = include_str!("../../../docs/operators.md");
+    let mut count = 0;
+    for block in manual.split("```").filter(|block| block.contains(" run '")) {
+        let text = block.split(" run '").nth(1).unwrap().split('\'').next().unwrap();
+        let is_mistake = block.ends_with("$ echo $?\n2\n");
+        assert_eq!(text.parse::<Statement>().is_err(), is_mistake, "for {text:?}");
+        count += 1;
+    }
+    assert!(count > 40, "only {count} examples");
+    assert!(manual.contains(GRAMMAR), "the manual has another grammar");
+}
