--- /dev/null
+++ b/crates/testkit/examples/demo.rs
@@ -0,0 +1,128 @@
+//! Shows the mesh at work: eight nodes in two data centres, real calls, then
+//! the loss of a node and a change during it.
+
+use std::process::ExitCode;
+
+use almondsail_core::units::ByteCount;
+use almondsail_testkit::mesh::{Mesh, ProcessUsage};
+use almondsail_testkit::traffic::{Audit, CallEnd, CallRequest, Caller, Load, LoadOptions, Tally};
+use eyre::{Result, bail, ensure};
+
+const SERVICES: [&str; 4] = ["bays", "traslados", "taller", "utileria"];
+/// Resident memory that an idle node may use at most.
+const MEMORY_LIMIT: ByteCount = ByteCount::new(32 * 1024 * 1024);
+/// Calls that are shown one by one for each service.
+const SHOWN_CALLS: u64 = 2;
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    match show().await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("\nThe demo failed: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Runs the demo; every process ends when this returns.
+async fn show() -> Result<()> {
+    let mut mesh = start().await?;
+    show_memory(&mut mesh)?;
+    configure(&mesh).await?;
+    show_calls(&mesh).await?;
+    println!(
+        "\n== What the nodes know of each other\n{}",
+        mesh.operator(5)?.run("show nodes").await?
+    );
+    show_loss(&mut mesh).await?;
+    println!("\nThe demo ended without a fault.");
+    Ok(())
+}
+
+/// Starts four backend servers beside half of the nodes; the others only forward.
+async fn start() -> Result<Mesh> {
+    println!("== Start: a store, 8 nodes in 2 data centres, 4 backend servers");
+    let mesh = Mesh::builder().nodes(8).backends(4).services(&SERVICES).start().await?;
+    for (index, node) in mesh.nodes().iter().enumerate() {
+        let beside = if node.backend.is_some() { &node.service } else { "no backend server" };
+        println!("{:12} callers {}  {beside}", node.name, mesh.address(index, "callers")?);
+    }
+    Ok(mesh)
+}
+
+fn show_memory(mesh: &mut Mesh) -> Result<()> {
+    println!("\n== Resident memory of each idle node (limit {} KB)", MEMORY_LIMIT.get() / 1_024);
+    for node in mesh.nodes().to_vec() {
+        let memory = ProcessUsage::of(mesh.harness().pid(node.node)?)?.memory;
+        println!("{:12} {:6} KB", node.name, memory.get() / 1_024);
+        ensure!(memory <= MEMORY_LIMIT, "{} uses {memory}", node.name);
+    }
+    Ok(())
+}
+
+async fn configure(mesh: &Mesh) -> Result<()> {
+    println!("\n== An operator creates services, versions and routes");
+    let operator = mesh.operator(0)?;
+    for command in SERVICES.iter().flat_map(|service| Mesh::commands(service)) {
+        println!("$ almondsail run \"{command}\"");
+        print!("{}", operator.run(&command).await?);
+    }
+    for service in SERVICES {
+        mesh.wait_until_served(&format!("/{service}/item")).await?;
+    }
+    println!("Every node routes calls to every service.");
+    Ok(())
+}
+
+async fn show_calls(mesh: &Mesh) -> Result<()> {
+    println!("\n== Calls through nodes that are not beside the service");
+    let entries = mesh.entries();
+    let mut tally = Tally::default();
+    for (index, service) in SERVICES.iter().enumerate() {
+        let turn = index + SERVICES.len();
+        let caller = Caller::new(entries.clone());
+        for n in 0..SHOWN_CALLS {
+            let request = match n {
+                0 => CallRequest::lookup(service, n),
+                _ => CallRequest::booking(service, "demo", n),
+            };
+            let (end, sent) = caller.call(turn, &request).await;
+            tally.count(&request, &end, sent);
+            let CallEnd::Answered(echo) = end else { bail!("{request:?} ended as {end:?}") };
+            let (method, target) = (request.method.as_str(), &request.target);
+            let entry = &mesh.nodes()[turn % entries.len()].name;
+            println!(
+                "{method:4} {target:22} through {entry:12} -> {} {}",
+                echo.service, echo.version
+            );
+        }
+    }
+    check(mesh, &tally)
+}
+
+/// Kills a node without a backend server under load and changes the configuration.
+async fn show_loss(mesh: &mut Mesh) -> Result<()> {
+    let last = mesh.nodes().len() - 1;
+    println!("== {} is killed under load; a route is created meanwhile", mesh.nodes()[last].name);
+    let survivors = mesh.entries()[..last].to_vec();
+    let load = Load::start(&Caller::new(survivors), &LoadOptions::light(&SERVICES));
+    mesh.kill_node(last)?;
+    let command = "create route extra service bays prefix /extra idempotent \
+                   priority interactive deadline 5000ms";
+    print!("{}", mesh.operator(1)?.run(command).await?);
+    mesh.wait_until_served("/extra/item").await?;
+    mesh.start_node(last).await?;
+    mesh.wait_until_served("/extra/item").await?;
+    println!("The route is in force everywhere, also on the node that was started again.");
+    check(mesh, &load.stop().await?)
+}
+
+fn check(mesh: &Mesh, tally: &Tally) -> Result<()> {
+    println!("{tally}");
+    let audit = Audit::of(tally, &mesh.executions()?);
+    ensure!(tally.lost() == 0, "calls were lost");
+    ensure!(audit.is_clean(), "calls ran twice or not at all: {audit:?}");
+    println!("No call was lost and none ran twice.");
+    Ok(())
+}
--- a/crates/testkit/src/backend/options.rs
+++ b/crates/testkit/src/backend/options.rs
@@ -28,7 +28,7 @@
     pub connections: usize,
     /// How long calls run by path prefix.
     pub service_times: Vec<ServiceTime>,
-    /// How long it stays in the state `starting`.
+    /// How long it stays in the state `starting` and runs calls slowly.
     pub cold_start: Duration,
     /// The local address of the node beside it.
     pub node: Option<SocketAddr>,
--- a/crates/testkit/src/backend/server.rs
+++ b/crates/testkit/src/backend/server.rs
@@ -27,7 +27,7 @@
 
 /// How often it announces itself.
 const ANNOUNCE_EVERY: Duration = Duration::from_secs(1);
-/// By what calls take longer in the state `starting`.
+/// By what calls take longer during the cold start.
 const COLD_FACTOR: u32 = 10;
 /// How long no call must run before a draining process ends. The node may
 /// still send calls that it had accepted before the process left.
@@ -61,6 +61,9 @@
     faults: Faults,
     faults_set: Instant,
     node: Option<SocketAddr>,
+    /// Whether a node took an announcement with the state `starting`. A node
+    /// that saw an earlier process leave takes only such a one as a new process.
+    is_introduced: bool,
     reports: Reports,
     rng: SmallRng,
 }
@@ -117,6 +120,7 @@
             faults: Faults::default(),
             faults_set: Instant::now(),
             node: options.node,
+            is_introduced: false,
             reports: Reports::default(),
             rng: SmallRng::seed_from_u64(u64::from(std::process::id())),
         };
@@ -136,13 +140,17 @@
     fn state(&self) -> BackendState {
         if *self.draining.borrow() {
             BackendState::Draining
-        } else if self.started.elapsed() < self.options.cold_start {
+        } else if self.is_cold() || !self.lock().is_introduced {
             BackendState::Starting
         } else {
             BackendState::Ready
         }
     }
 
+    fn is_cold(&self) -> bool {
+        self.started.elapsed() < self.options.cold_start
+    }
+
     /// Announces this process to the node beside it for ever.
     async fn announce(&self) {
         let mut interval = tokio::time::interval(ANNOUNCE_EVERY);
@@ -151,12 +159,18 @@
             let Some(node) = self.lock().node else { continue };
             let client = HttpClient::new(node).with_ceiling(ANNOUNCE_EVERY);
             // The next announcement takes the place of one that failed.
-            if let Ok(body) = serde_json::to_vec(&self.announcement()) {
-                let _sent = client.put("/v1/backend", body).await;
+            if self.announce_once(&client).await.is_ok() && !self.lock().is_introduced {
+                self.lock().is_introduced = true;
+                interval.reset_immediately();
             }
         }
     }
 
+    async fn announce_once(&self, client: &HttpClient) -> Result<()> {
+        let body = serde_json::to_vec(&self.announcement())?;
+        client.put("/v1/backend", body).await?.success()
+    }
+
     fn announcement(&self) -> Announcement {
         let actual = (self.state(), self.slots.load());
         let mut state = self.lock();
@@ -248,7 +262,7 @@
 
     fn plan(&self, call: &Call) -> Plan {
         let time = ServiceTime::of(&self.options.service_times, &call.path).unwrap_or_default();
-        let factor = if self.state() == BackendState::Starting { COLD_FACTOR } else { 1 };
+        let factor = if self.is_cold() { COLD_FACTOR } else { 1 };
         let load = self.slots.load();
         let mut state = self.lock();
         let State { faults, faults_set, rng, .. } = &mut *state;
--- a/crates/testkit/src/http/server.rs
+++ b/crates/testkit/src/http/server.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
 
 use eyre::{Result, eyre};
 use http::{Request, Response};
@@ -13,10 +14,13 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use super::{ReplyBody, ServerOptions};
 
+/// How long a server that stops waits for the first request of a connection.
+const FIRST_REQUEST: Duration = Duration::from_millis(200);
+
 /// What a handler does with a request.
 #[derive(Debug)]
 pub enum Handled {
@@ -45,21 +49,16 @@
     }
 
     /// Serves until `stop` turns true, then ends the calls in flight and returns.
-    pub async fn serve<H, F>(self, handler: H, mut stop: watch::Receiver<bool>)
+    pub async fn serve<H, F>(self, handler: H, stop: watch::Receiver<bool>)
     where
         H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = Handled> + Send + 'static,
     {
         let open = Arc::new(AtomicUsize::new(0));
         let (alive, mut all_ended) = tokio::sync::mpsc::channel::<Infallible>(1);
-        loop {
-            let accepted = tokio::select! {
-                accepted = self.listener.accept() => accepted,
-                _ = stop.wait_for(|stopped| *stopped) => break,
-            };
-            let Ok((stream, _)) = accepted else { continue };
+        let start = |stream: TcpStream| {
             if open.load(Ordering::Relaxed) >= self.options.max_connections {
-                continue;
+                return;
             }
             open.fetch_add(1, Ordering::Relaxed);
             let (handler, stop) = (handler.clone(), stop.clone());
@@ -69,19 +68,44 @@
                 open.fetch_sub(1, Ordering::Relaxed);
                 drop(alive);
             });
+        };
+        loop {
+            let mut stop = stop.clone();
+            tokio::select! {
+                accepted = self.listener.accept() => {
+                    let Ok((stream, _)) = accepted else { continue };
+                    start(stream);
+                }
+                _ = stop.wait_for(|stopped| *stopped) => break,
+            }
         }
-        drop((alive, self.listener));
+        waiting_connections(self.listener).into_iter().for_each(start);
+        drop(alive);
         let _ended = all_ended.recv().await;
     }
 }
 
+/// Closes the listener and gives the connections that waited to be accepted.
+/// Closing alone would reset them.
+fn waiting_connections(listener: TcpListener) -> Vec<TcpStream> {
+    let mut streams = Vec::new();
+    let Ok(listener) = listener.into_std() else { return streams };
+    while let Ok((stream, _)) = listener.accept() {
+        let is_ready = stream.set_nonblocking(true).is_ok();
+        streams.extend(is_ready.then(|| TcpStream::from_std(stream).ok()).flatten());
+    }
+    streams
+}
+
 async fn serve_connection<H, F>(stream: TcpStream, handler: H, mut stop: watch::Receiver<bool>)
 where
     H: Fn(Request<Incoming>) -> F,
     F: Future<Output = Handled>,
 {
     let _unsupported = stream.set_nodelay(true);
+    let requested = Notify::new();
     let service = service_fn(|req| {
+        requested.notify_one();
         let handled = handler(req);
         async move {
             match handled.await {
@@ -97,6 +121,13 @@
         _ended = connection.as_mut() => return,
         _ = stop.wait_for(|stopped| *stopped) => {}
     }
+    // A graceful shutdown closes a connection without a request at once, although
+    // the first one may be on its way; its client could not tell what became of it.
+    tokio::select! {
+        _ended = connection.as_mut() => return,
+        () = requested.notified() => {}
+        () = tokio::time::sleep(FIRST_REQUEST) => {}
+    }
     connection.as_mut().graceful_shutdown();
     let _ended = connection.await;
 }
--- a/crates/testkit/src/mesh/mesh_builder.rs
+++ b/crates/testkit/src/mesh/mesh_builder.rs
@@ -17,7 +17,8 @@
     nodes: usize,
     services: Vec<String>,
     backend_options: Vec<(String, String)>,
-    has_backends: bool,
+    /// The first nodes have one, the others expect theirs at a closed port.
+    backends: Option<usize>,
 }
 
 impl Default for MeshBuilder {
@@ -27,7 +28,7 @@
             nodes: 4,
             services: vec!["bays".to_owned()],
             backend_options: Vec::new(),
-            has_backends: true,
+            backends: None,
         }
     }
 }
@@ -55,9 +56,10 @@
         self
     }
 
-    /// Starts no backend servers; the nodes expect them at a closed port.
-    pub fn without_backends(self) -> Self {
-        Self { has_backends: false, ..self }
+    /// Only the first nodes get a backend server; the others expect one at a
+    /// closed port. Without this, every node has one.
+    pub fn backends(self, backends: usize) -> Self {
+        Self { backends: Some(backends), ..self }
     }
 
     /// Starts the processes and waits until each has told its addresses.
@@ -65,6 +67,7 @@
         let mut harness = Harness::new()?;
         let listen = harness.any_port().to_string();
         harness.write_file(NodeSettings::KEY_FILE, "key-of-the-testkit-0123456789abcdef")?;
+        harness.write_file(NodeSettings::TOKEN_FILE, NodeSettings::TOKEN)?;
         let store =
             harness.start(Launch::new(Binary::Store, "store").with("listen", &listen)).await?;
         let mut parts = MeshParts { harness, store, nodes: Vec::new() };
@@ -75,13 +78,20 @@
         Ok(Mesh::new(parts))
     }
 
-    /// The service of the node at `index`.
-    fn service(&self, index: usize) -> &str {
-        &self.services[index * self.services.len() / self.nodes]
+    /// The number of backend servers.
+    fn backend_count(&self) -> usize {
+        self.backends.unwrap_or(self.nodes).min(self.nodes)
+    }
+
+    /// The service of the node at `index`, if it has a backend server.
+    fn service(&self, index: usize) -> Option<&str> {
+        let count = self.backend_count();
+        (index < count).then(|| &*self.services[index * self.services.len() / count])
     }
 
     async fn start_pair(&self, parts: &mut MeshParts, index: usize) -> Result<MeshNode> {
-        let name = format!("{}-{index}", self.service(index));
+        let service = self.service(index).unwrap_or("spare");
+        let name = format!("{service}-{index}");
         let backend = self.start_backend(parts, index).await?;
         let backend_address = match backend {
             Some(id) => parts.harness.address(id, "address")?,
@@ -103,7 +113,7 @@
         }
         Ok(MeshNode {
             name,
-            service: self.service(index).to_owned(),
+            service: service.to_owned(),
             node,
             backend,
             settings: settings.listen(bound),
@@ -115,12 +125,10 @@
         parts: &mut MeshParts,
         index: usize,
     ) -> Result<Option<ProcessId>> {
-        if !self.has_backends {
-            return Ok(None);
-        }
+        let Some(service) = self.service(index) else { return Ok(None) };
         let launch = Launch::new(Binary::Backend, format!("backend-{index}"))
             .with("listen", parts.harness.any_port().to_string())
-            .with("service", self.service(index))
+            .with("service", service)
             .with("version", Mesh::VERSION)
             .with("log", Mesh::log_name(index));
         let add = |launch: Launch, (name, value): &(String, String)| launch.with(name, value);
--- a/crates/testkit/src/mesh/mesh_type.rs
+++ b/crates/testkit/src/mesh/mesh_type.rs
@@ -2,9 +2,11 @@
 
 use std::net::SocketAddr;
 
+use almondsail_core::config::Change;
 use eyre::{Result, WrapErr, ensure, eyre};
 
-use super::{MeshBuilder, MeshNode, Metrics, Operator};
+use super::changes;
+use super::{MeshBuilder, MeshNode, Metrics, NodeSettings, Operator, ProcessUsage, StoreEditor};
 use crate::backend::{Execution, Faults};
 use crate::harness::{Harness, ProcessId, wait_until};
 use crate::http::HttpClient;
@@ -41,6 +43,9 @@
     /// The version of the backend servers that a builder starts.
     pub const VERSION: &'static str = "v1";
 
+    /// The gauge of the configuration version in force on a node.
+    pub const VERSION_GAUGE: &'static str = "almondsail_config_version";
+
     /// The size and options of a mesh to start.
     pub fn builder() -> MeshBuilder {
         MeshBuilder::default()
@@ -87,7 +92,8 @@
 
     /// An operator who talks to the node at `index`.
     pub fn operator(&self, index: usize) -> Result<Operator> {
-        Ok(Operator::new(self.address(index, "operators")?))
+        let token_file = self.parts.harness.folder().join(NodeSettings::TOKEN_FILE);
+        Ok(Operator::new(self.address(index, "operators")?, token_file))
     }
 
     /// The address of the node at `index` for the purpose `name`.
@@ -108,6 +114,16 @@
         Metrics::parse(&String::from_utf8_lossy(&reply.body))
     }
 
+    /// What the process of the node at `index` uses of the machine.
+    pub fn usage(&self, index: usize) -> Result<ProcessUsage> {
+        ProcessUsage::of(self.parts.harness.pid(self.node(index)?.node)?)
+    }
+
+    /// The configuration version in force on the node at `index`; zero for none.
+    pub async fn version(&self, index: usize) -> Result<u64> {
+        Ok(self.metrics(index).await?.sum(Self::VERSION_GAUGE) as u64)
+    }
+
     /// Sets the faults of the backend server at `index`.
     pub async fn set_faults(&self, index: usize, faults: &Faults) -> Result<()> {
         let control = self.client(self.backend(index)?, "control")?;
@@ -156,6 +172,20 @@
         ]
     }
 
+    /// The same as [`configure`](Self::configure), written to the store as another
+    /// node would, without the tool and the operators' interface.
+    pub async fn configure_in_store(&self, services: &[&str]) -> Result<()> {
+        for service in services {
+            self.change_in_store(&changes::service(service, Self::VERSION)?).await?;
+        }
+        Ok(())
+    }
+
+    /// Writes changes to the store as another node would and gives the new version.
+    pub async fn change_in_store(&self, changes: &[Change]) -> Result<u64> {
+        StoreEditor::new(self.store()?).apply(changes).await
+    }
+
     /// Waits until `call` succeeds through every node that runs.
     pub async fn wait_until_served(&self, target: &str) -> Result<()> {
         for entry in self.entries() {
@@ -170,6 +200,22 @@
         Ok(())
     }
 
+    /// Waits until the backend server at `index` takes calls again: an execution
+    /// appears in the log of its new process.
+    pub async fn wait_until_own_backend(&self, index: usize) -> Result<()> {
+        let node = self.node(index)?;
+        let control = self.client(self.backend(index)?, "control")?;
+        let entry = HttpClient::new(self.address(index, "callers")?);
+        let target = format!("/{}/item", node.service);
+        wait_until(&format!("the backend server {index}"), || async {
+            entry.get(&target).await?.success()?;
+            let executions: Vec<Execution> = control.get("/control/executions").await?.json()?;
+            ensure!(!executions.is_empty(), "it got no call");
+            Ok(())
+        })
+        .await
+    }
+
     /// Kills the node at `index`, as a crash would.
     pub fn kill_node(&mut self, index: usize) -> Result<()> {
         let id = self.node(index)?.node;
--- a/crates/testkit/src/mesh/mod.rs
+++ b/crates/testkit/src/mesh/mod.rs
@@ -1,12 +1,15 @@
 //! A whole mesh of processes: store, nodes and backend servers.
 
+pub mod changes;
+
 mod mesh_builder;
 mod mesh_node;
 mod mesh_type;
 mod metrics;
 mod node_settings;
 mod operator;
-mod resident_memory;
+mod process_usage;
+mod store_editor;
 
 pub use mesh_builder::MeshBuilder;
 pub use mesh_node::MeshNode;
@@ -14,4 +17,5 @@
 pub use metrics::Metrics;
 pub use node_settings::{Listen, NodeSettings};
 pub use operator::Operator;
-pub use resident_memory::resident_memory;
+pub use process_usage::ProcessUsage;
+pub use store_editor::StoreEditor;
--- a/crates/testkit/src/mesh/node_settings.rs
+++ b/crates/testkit/src/mesh/node_settings.rs
@@ -57,6 +57,8 @@
 impl NodeSettings {
     /// The name of the file that holds the installation's key.
     pub const KEY_FILE: &'static str = "key";
+    /// The name of the file that holds the operator's token.
+    pub const TOKEN_FILE: &'static str = "token";
     /// The name of the operator that every node knows.
     pub const OPERATOR: &'static str = "ana";
     /// The operator's token.
--- a/crates/testkit/src/traffic/request.rs
+++ b/crates/testkit/src/traffic/request.rs
@@ -33,7 +33,7 @@
             method: Method::POST,
             target: format!("/{service}/book/{n}"),
             body: Bytes::from(format!("booking {n} of {caller}")),
-            key: Some(format!("{caller}-{n}")),
+            key: Some(format!("{caller}-{service}-{n}")),
         }
     }
 }
--- a/crates/testkit/tests/caller.rs
+++ b/crates/testkit/tests/caller.rs
@@ -46,7 +46,7 @@
     let backend = Backend::start().await?;
     let (tally, executions) = backend.tally(&CallRequest::booking("bays", "c", 1)).await?;
     assert_eq!((tally.calls, tally.answered, tally.lost()), (1, 1, 0));
-    assert_eq!(tally.answered_keys, ["c-1"]);
+    assert_eq!(tally.answered_keys, ["c-bays-1"]);
     assert!(Audit::of(&tally, &executions).is_clean());
     Ok(())
 }
@@ -58,7 +58,7 @@
     backend.set_fault(Fault::RunTwice).await?;
     let (tally, executions) = backend.tally(&CallRequest::booking("bays", "c", 1)).await?;
     let audit = Audit::of(&tally, &executions);
-    assert_eq!(audit.doubled.into_iter().collect::<Vec<_>>(), ["c-1"]);
+    assert_eq!(audit.doubled.into_iter().collect::<Vec<_>>(), ["c-bays-1"]);
     Ok(())
 }
 
--- /dev/null
+++ b/crates/testkit/tests/mesh_faults.rs
@@ -0,0 +1,183 @@
+//! A mesh of processes under faults.
+
+use almondsail_core::config::Change;
+use almondsail_testkit::harness::wait_until;
+use almondsail_testkit::http::HttpClient;
+use almondsail_testkit::mesh::{Mesh, changes};
+use almondsail_testkit::store::StoreMode;
+use almondsail_testkit::traffic::{Audit, CallEnd, CallRequest, Caller, Load, LoadOptions};
+use eyre::{Result, ensure};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+const SERVICES: [&str; 2] = ["bays", "traslados"];
+const CONFIG_KEY: &str = "almondsail/config";
+
+/// Two data centres, four nodes, two backend servers of each service.
+async fn start() -> Result<Mesh> {
+    let mesh = Mesh::builder().services(&SERVICES).start().await?;
+    mesh.configure_in_store(&SERVICES).await?;
+    for service in SERVICES {
+        mesh.wait_until_served(&format!("/{service}/item")).await?;
+    }
+    Ok(mesh)
+}
+
+fn route_command(name: &str) -> String {
+    format!(
+        "create route {name} service bays prefix /{name} idempotent \
+         priority interactive deadline 5000ms"
+    )
+}
+
+/// Creates a route to `/extra`.
+fn extra_route() -> Result<Change> {
+    changes::route("extra", "bays", "/extra", true)
+}
+
+fn check_answered(end: CallEnd) -> Result<()> {
+    ensure!(matches!(end, CallEnd::Answered(_)), "{end:?}");
+    Ok(())
+}
+
+// Guards against calls that run twice or get a wrong answer while a node dies,
+// and against a mesh that keeps sending calls to it.
+#[tokio::test]
+async fn kill_node_under_load() -> Result<()> {
+    let mut mesh = start().await?;
+    let survivors: Vec<_> = mesh.entries().into_iter().skip(1).collect();
+    let caller = Caller::new(survivors);
+    let load = Load::start(&caller, &LoadOptions::light(&SERVICES));
+    mesh.kill_node(0)?;
+    // A run of answers to new calls, each through another node than the last.
+    let answered = std::cell::Cell::new(0_u64);
+    wait_until("calls after the loss", || async {
+        answered.set(answered.get() + 1);
+        let n = answered.get();
+        for service in SERVICES {
+            let request = CallRequest::booking(service, "after", n);
+            check_answered(caller.call(n as usize, &request).await.0)?;
+        }
+        ensure!(n >= 20, "only {n} rounds");
+        Ok(())
+    })
+    .await?;
+    let tally = load.stop().await?;
+    let audit = Audit::of(&tally, &mesh.executions()?);
+    assert!(audit.is_clean(), "{audit:?}");
+    assert_eq!(tally.wrong, 0, "{tally}");
+    for kind in tally.unanswered.keys() {
+        assert!(kind.starts_with("may-have-run"), "{tally}");
+    }
+    Ok(())
+}
+
+// Guards against a frozen node that stops the others, or that never catches up.
+#[tokio::test]
+async fn freeze_node_then_change() -> Result<()> {
+    let mut mesh = start().await?;
+    let frozen = mesh.nodes()[1].node;
+    mesh.harness().freeze(frozen)?;
+    mesh.change_in_store(&[extra_route()?]).await?;
+    let others: Vec<_> = mesh.entries().into_iter().enumerate().filter(|(n, _)| *n != 1).collect();
+    for (_, entry) in others {
+        wait_until("the change", || async {
+            HttpClient::new(entry).get("/extra/item").await?.success()
+        })
+        .await?;
+    }
+    mesh.harness().thaw(frozen)?;
+    mesh.wait_until_served("/extra/item").await
+}
+
+// Guards against calls that need the store, commands that pretend to be
+// accepted during its outage, and a new node that can't start from its peers.
+#[tokio::test]
+async fn store_outage() -> Result<()> {
+    let mut mesh = start().await?;
+    mesh.set_store_mode(StoreMode { down: true, ..StoreMode::default() }).await?;
+    assert!(!mesh.operator(0)?.output(&route_command("extra")).await?.status.success());
+    mesh.kill_node(2)?;
+    mesh.start_node(2).await?;
+    for service in SERVICES {
+        mesh.wait_until_served(&format!("/{service}/item")).await?;
+    }
+    mesh.set_store_mode(StoreMode::default()).await?;
+    mesh.operator(0)?.run(&route_command("extra")).await?;
+    mesh.wait_until_served("/extra/item").await
+}
+
+// Guards against a write that took effect and is reported as refused, or is
+// made twice.
+#[tokio::test]
+async fn store_answer_lost() -> Result<()> {
+    let mesh = start().await?;
+    let revision = || async {
+        let reply = mesh.store()?.get(&format!("/v1/kv/{CONFIG_KEY}")).await?;
+        Ok::<u64, eyre::Report>(reply.header("x-revision").unwrap_or("").parse()?)
+    };
+    let before = revision().await?;
+    mesh.set_store_mode(StoreMode { lose_answers: 1, ..StoreMode::default() }).await?;
+    mesh.operator(1)?.run(&route_command("extra")).await?;
+    assert_eq!(revision().await?, before + 1);
+    mesh.wait_until_served("/extra/item").await
+}
+
+// Guards against a corrupt value that takes the place of the configuration in
+// force or ends a node.
+#[tokio::test]
+async fn store_corrupt_value() -> Result<()> {
+    let mut mesh = start().await?;
+    let store = mesh.store()?;
+    let sound = store.get(&format!("/v1/kv/{CONFIG_KEY}")).await?.body;
+    store.put(&format!("/control/value/{CONFIG_KEY}"), vec![0xff; 512]).await?.success()?;
+    assert!(!mesh.operator(0)?.output(&route_command("extra")).await?.status.success());
+    mesh.harness().check_running()?;
+    for service in SERVICES {
+        mesh.wait_until_served(&format!("/{service}/item")).await?;
+    }
+    store.put(&format!("/control/value/{CONFIG_KEY}"), sound).await?.success()?;
+    mesh.operator(0)?.run(&route_command("extra")).await?;
+    mesh.wait_until_served("/extra/item").await
+}
+
+// Guards against bytes on the peer port that end a node or hold it up.
+#[tokio::test]
+async fn peer_port_garbage() -> Result<()> {
+    let mut mesh = start().await?;
+    let peers = mesh.address(0, "peers")?;
+    let length_of_4_gb = [0xff, 0xff, 0xff, 0xff, 0, 1, 2, 3];
+    let samples: [&[u8]; 4] = [b"GET / HTTP/1.1\r\n\r\n", &length_of_4_gb, &[0; 4_096], b"\n"];
+    for sample in samples {
+        let mut stream = TcpStream::connect(peers).await?;
+        stream.write_all(sample).await?;
+        stream.shutdown().await?;
+        // The node closes the connection; a reset is as good as an end.
+        let _closed = stream.read_to_end(&mut Vec::new()).await;
+    }
+    mesh.harness().check_running()?;
+    mesh.change_in_store(&[extra_route()?]).await?;
+    mesh.wait_until_served("/extra/item").await
+}
+
+// Guards against a planned stop that interrupts a call: every node and every
+// backend server is restarted under load, and no call may be lost or doubled.
+#[tokio::test]
+async fn rolling_restart_under_load() -> Result<()> {
+    let mut mesh = start().await?;
+    let caller = Caller::new(mesh.entries());
+    let load = Load::start(&caller, &LoadOptions::light(&SERVICES));
+    for index in 0..mesh.nodes().len() {
+        mesh.stop_node(index).await?;
+        mesh.start_node(index).await?;
+        mesh.wait_until_served("/bays/item").await?;
+        mesh.wait_until_served("/traslados/item").await?;
+        mesh.restart_backend(index).await?;
+        mesh.wait_until_own_backend(index).await?;
+    }
+    let tally = load.stop().await?;
+    assert_eq!(tally.lost(), 0, "{tally}");
+    let audit = Audit::of(&tally, &mesh.executions()?);
+    assert!(audit.is_clean(), "{audit:?}");
+    Ok(())
+}
--- /dev/null
+++ b/crates/testkit/tests/mesh_path.rs
@@ -0,0 +1,44 @@
+//! The whole path through a mesh of processes.
+
+use almondsail_testkit::mesh::Mesh;
+use almondsail_testkit::traffic::{Audit, CallEnd, CallRequest, Caller, Tally};
+use eyre::Result;
+
+const SERVICES: [&str; 2] = ["bays", "traslados"];
+
+// Guards against a break anywhere between an operator's commands and an
+// executed call in two data centres.
+#[tokio::test]
+async fn path_two_data_centres() -> Result<()> {
+    let mesh = Mesh::builder().services(&SERVICES).start().await?;
+    mesh.configure(&SERVICES).await?;
+    for service in SERVICES {
+        mesh.wait_until_served(&format!("/{service}/item")).await?;
+    }
+
+    // Every node forwards calls of the service that is not beside it.
+    let mut tally = Tally::default();
+    for (index, entry) in mesh.entries().into_iter().enumerate() {
+        let caller = Caller::new(vec![entry]);
+        let other = SERVICES.iter().find(|name| **name != mesh.nodes()[index].service);
+        let other = other.expect("a service that is not beside the node");
+        let requests = [
+            CallRequest::lookup(other, 1),
+            CallRequest::booking(other, &format!("caller-{index}"), 2),
+        ];
+        for request in requests {
+            let (end, sent) = caller.call(0, &request).await;
+            tally.count(&request, &end, sent);
+            let CallEnd::Answered(echo) = end else { panic!("{end:?} through {index}") };
+            assert_eq!((&*echo.service, &*echo.version), (*other, Mesh::VERSION));
+        }
+    }
+    assert_eq!(tally.lost(), 0, "{tally}");
+    assert!(Audit::of(&tally, &mesh.executions()?).is_clean());
+
+    let nodes = mesh.operator(2)?.run("show nodes").await?;
+    for node in mesh.nodes() {
+        assert!(nodes.contains(&node.name), "{} is missing in\n{nodes}", node.name);
+    }
+    Ok(())
+}
--- a/crates/testkit/tests/standin_backend.rs
+++ b/crates/testkit/tests/standin_backend.rs
@@ -182,7 +182,9 @@
     let first = next_request(&node).await?;
     assert!(first.starts_with("PUT /v1/backend "), "{first}");
     assert!(first.contains(r#""service":"bays","version":"v1","slots":12,"connections":130"#));
-    assert!(first.contains(r#""state":"ready","load":0"#), "{first}");
+    assert!(first.contains(r#""state":"starting","load":0"#), "{first}");
+    let second = next_request(&node).await?;
+    assert!(second.contains(r#""state":"ready","load":0"#), "{second}");
 
     backend.control.put("/control/drain", "").await?.success()?;
     while !next_request(&node).await?.starts_with("POST /v1/backend/leave ") {}
