Compare calls of one moment as a whole and bound reports to drivers

Cause: nodes hand over the calls of a second in groups by outcome, and LocalRule could end a stratum between two groups: at equal shares, a version that fails half of its calls went unnoticed because failures of the old one were compared with the new one's good calls. A full report of a door could hold 16,384 cells, more than a frame of 1.2 MB. Change: a stratum of LocalRule ends only when the time has moved on. A report holds the newest 2,048 cells at most, and an ordinary report two windows instead of three, which still covers a lost one. Conclusion: callers of LocalRule may count in any order within a moment.

--- a/crates/core/src/rollout/door_evidence.rs
+++ b/crates/core/src/rollout/door_evidence.rs
@@ -11,7 +11,10 @@
 /// The time between two reports of a door.
 pub const REPORT_INTERVAL: Millis = Millis::new(5_000);
 /// Number of windows in an ordinary report: a lost report is made good by the next ones.
-const REPORT_WINDOWS: u64 = 3;
+const REPORT_WINDOWS: u64 = 2;
+/// Number of cells in a report at most, the newest ones: 600 KB with the longest names,
+/// half of what a frame between nodes may hold.
+const MAX_REPORT_CELLS: usize = 2_048;
 /// Number of cells that a door keeps at most; the oldest windows go first.
 const MAX_DOOR_CELLS: usize = 16_384;
 /// Number of failures since the last report from which a failure pattern can be seen.
@@ -86,7 +89,7 @@
         self.report_from(first, now)
     }
 
-    /// The report of everything kept, for a driver that is new to this door.
+    /// The report of everything kept that fits in one, for a driver that is new to this door.
     pub fn full_report(&mut self, now: UnixMillis) -> EvidenceReport {
         self.report_from(Window::default(), now)
     }
@@ -96,8 +99,8 @@
         self.calls_since_report = 0;
         self.failures_since_report = 0;
         self.sequence += 1;
-        let is_recent = |label: &CellLabel| label.window >= first;
-        let cells = self.cells.iter().filter(|(label, _)| is_recent(label));
+        let newest = self.cells.iter().rev().take(MAX_REPORT_CELLS);
+        let cells = newest.take_while(|(label, _)| label.window >= first);
         EvidenceReport {
             service: self.service.clone(),
             node: self.node.clone(),
--- a/crates/core/src/rollout/local_rule.rs
+++ b/crates/core/src/rollout/local_rule.rs
@@ -3,21 +3,24 @@
 use std::collections::BTreeMap;
 
 use crate::ids::RouteName;
-use crate::rollout::{BadCalls, Comparison, EProcess, Window};
-use crate::units::UnixMillis;
+use crate::rollout::{BadCalls, Comparison, EProcess};
+use crate::units::{Millis, UnixMillis};
 
 /// The probability that any node stops a version that is no worse during a
 /// rollout, over all nodes, routes and looks together.
 pub const LOCAL_FALSE_ALARM_RATE: f64 = 0.001;
 /// Number of calls that each version must have in a stratum before it is closed.
 const STRATUM_CALLS: u64 = 4;
-/// Number of windows after which an open stratum is dropped: its calls are too far apart in time.
-const STRATUM_WINDOWS: u64 = 6;
+/// The time after which an open stratum is dropped: its calls are too far apart.
+const STRATUM_TIME: Millis = Millis::new(60_000);
 
 /// One route as the node sees it.
 #[derive(Debug, Clone, Default)]
 struct LocalRoute {
-    first: Window,
+    /// When the open stratum began.
+    first: UnixMillis,
+    /// When a call was last counted.
+    last: UnixMillis,
     new: BadCalls,
     old: BadCalls,
     /// The number of closed strata.
@@ -31,7 +34,8 @@
 ///
 /// The node compares the calls that it sent itself, on the same route in the
 /// same seconds, so an overload or a fault that hits both versions stops
-/// neither. It does not judge latency.
+/// neither. It does not judge latency. Calls that are counted at the same time
+/// belong to one stratum, so the order in which they are counted has no effect.
 #[derive(Debug, Clone)]
 pub struct LocalRule {
     /// The logarithm of the evidence from which the version is stopped.
@@ -59,36 +63,38 @@
             Some(local) => local,
             None => self.routes.entry(route.clone()).or_default(),
         };
-        if local.record(Window::at(now), is_new, has_failed) {
+        if local.end_stratum(now) {
             local.is_blamed |= local.failing.ln_value() >= self.limit_ln;
         }
+        local.count(is_new, has_failed);
         local.is_blamed
     }
 }
 
 impl LocalRoute {
-    /// Counts a call and states whether it closed a stratum.
-    fn record(&mut self, window: Window, is_new: bool, has_failed: bool) -> bool {
-        if window.since(self.first) >= STRATUM_WINDOWS {
-            self.first = window;
-            self.new = BadCalls::default();
-            self.old = BadCalls::default();
-        }
-        let version = if is_new { &mut self.new } else { &mut self.old };
-        version.calls += 1;
-        version.bad += u64::from(has_failed);
+    /// Ends the open stratum if a call at `now` no longer belongs to it, and
+    /// states whether it had enough calls to be compared.
+    fn end_stratum(&mut self, now: UnixMillis) -> bool {
+        let is_same_time = now == self.last;
+        self.last = now;
         let is_full = self.new.calls >= STRATUM_CALLS && self.old.calls >= STRATUM_CALLS;
+        let is_over = is_full || now.since(self.first) >= STRATUM_TIME;
+        if is_same_time || !is_over {
+            return false;
+        }
         if is_full {
-            self.close(window);
+            self.failing.compare(self.strata, Comparison::of(self.new, self.old));
+            self.strata += 1;
         }
+        self.first = now;
+        self.new = BadCalls::default();
+        self.old = BadCalls::default();
         is_full
     }
 
-    fn close(&mut self, window: Window) {
-        self.failing.compare(self.strata, Comparison::of(self.new, self.old));
-        self.strata += 1;
-        self.first = window;
-        self.new = BadCalls::default();
-        self.old = BadCalls::default();
+    fn count(&mut self, is_new: bool, has_failed: bool) {
+        let version = if is_new { &mut self.new } else { &mut self.old };
+        version.calls += 1;
+        version.bad += u64::from(has_failed);
     }
 }
--- a/crates/core/tests/rollout_evidence.rs
+++ b/crates/core/tests/rollout_evidence.rs
@@ -179,3 +179,19 @@
         assert!(text.parse::<HostSpeed>().is_err(), "{text}");
     }
 }
+
+/// Guards against a report to a new driver that is larger than a frame between nodes.
+#[test]
+fn full_report_is_bounded() {
+    let mut door =
+        DoorEvidence::new(name("bays"), name("door-1"), Incarnation::new(1), HostSpeed::REFERENCE);
+    for window in 0..300 {
+        for index in 0..20 {
+            let (now, outcome) = (after(window * 10_000), CallOutcome::Answered);
+            door.record(now, &route(index), &name("v1"), outcome, Micros::new(10));
+        }
+    }
+    let report = door.full_report(after(3_000_000));
+    assert_eq!(report.cells.len(), 2_048);
+    assert!(report.cells.iter().any(|(label, _)| label.window == Window::at(after(2_990_000))));
+}
--- a/crates/core/tests/rollout_local.rs
+++ b/crates/core/tests/rollout_local.rs
@@ -46,3 +46,24 @@
 fn record_without_old_calls() {
     assert_eq!(calls_until_stop(1, 1_000, 1.0, (0.0, 1.0)), None);
 }
+
+/// Guards against failures that are lost or weighed wrongly when the calls of a second are
+/// counted in groups by outcome.
+#[test]
+fn record_calls_grouped_by_outcome() {
+    let stops_within_a_minute = |new_failures: usize| {
+        let mut rule = LocalRule::new(30, 20);
+        (0..60).any(|second| {
+            let groups = [(false, true, 5), (false, false, 45)];
+            let groups = groups
+                .into_iter()
+                .chain([(true, false, 50 - new_failures), (true, true, new_failures)]);
+            groups.into_iter().any(|(is_new, has_failed, calls)| {
+                let now = after(second * 1_000);
+                (0..calls).any(|_| rule.record(now, &route(0), is_new, has_failed))
+            })
+        })
+    };
+    assert!(stops_within_a_minute(25));
+    assert!(!stops_within_a_minute(5));
+}
