Give the figures of the test that blames a version

Cause: the reason of a rollback after the rollout named the calls from before its end, in which nothing was wrong, and the ramp's bound on exposed calls used the count of the symptom that stood out most. Change: each test keeps its own counts, and a finding names those of the strongest test of the blamed symptom; judged calls are a field of their own. Conclusion: none of the limits changes.

--- a/crates/core/src/rollout/driver.rs
+++ b/crates/core/src/rollout/driver.rs
@@ -93,7 +93,7 @@
         let ramp = Ramp {
             rollout,
             findings,
-            judged_calls: findings.iter().map(|finding| finding.new.calls).sum(),
+            judged_calls: findings.iter().map(|finding| finding.judged_calls).sum(),
             calls_per_minute: calls_per_minute(rollout, evidence, findings, now),
         };
         let decision = ramp.decide(now);
--- a/crates/core/src/rollout/e_process.rs
+++ b/crates/core/src/rollout/e_process.rs
@@ -1,6 +1,6 @@
 //! A sequential test that stays valid however often it is looked at.
 
-use crate::rollout::Comparison;
+use crate::rollout::{BadCalls, Comparison};
 
 /// How many times as often as the old version the new one may go bad without blame.
 ///
@@ -57,7 +57,8 @@
     }
 
     /// Takes a stratum in which only the new version had calls, against a tolerated rate.
-    pub fn compare_with_rate(&mut self, offset: u64, calls: f64, bad: f64, tolerated: f64) {
+    pub fn compare_with_rate(&mut self, offset: u64, seen: BadCalls, tolerated: f64) {
+        let (calls, bad) = (seen.calls as f64, seen.bad as f64);
         // (1 + p(f - 1))^n is at most exp(n p (f - 1)), so this is an e-value for any p tolerated.
         self.take(offset, FACTORS, |factor| bad * factor.ln() - calls * tolerated * (factor - 1.0));
     }
--- a/crates/core/src/rollout/route_finding.rs
+++ b/crates/core/src/rollout/route_finding.rs
@@ -14,6 +14,8 @@
     pub verdict: RouteVerdict,
     /// Whether there is some evidence against the new version, yet too little to blame it.
     pub is_doubtful: bool,
+    /// The calls of the new version compared with the old one since the rollout began.
+    pub judged_calls: u64,
     /// The calls of the new version judged since the last step.
     pub step_calls: u64,
     /// The calls of the old version seen since the last step.
--- a/crates/core/src/rollout/route_judge.rs
+++ b/crates/core/src/rollout/route_judge.rs
@@ -50,6 +50,21 @@
     counts: RouteCounts,
 }
 
+/// The state of one test of a route.
+struct Test {
+    symptom: Symptom,
+    /// The logarithm of the evidence.
+    ln_value: f64,
+    new: BadCalls,
+    old: BadCalls,
+}
+
+impl Test {
+    fn new(symptom: Symptom, process: &EProcess, new: BadCalls, old: BadCalls) -> Self {
+        Self { symptom, ln_value: process.ln_value(), new, old }
+    }
+}
+
 /// The comparison of two versions on one route.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct RouteJudge {
@@ -60,11 +75,15 @@
     alone_slow: EProcess,
     /// The old version's latencies in closed strata.
     old_latency: LatencyCounts,
-    /// Both versions' calls in the windows in which both were to have calls.
+    /// Both versions' calls and failures in closed strata.
     new_total: BadCalls,
     old_total: BadCalls,
+    /// Both versions' calls and slow calls in closed strata; the new one's on its fastest hosts.
     new_slow: BadCalls,
     old_slow: BadCalls,
+    /// The new version's calls, failures and slow calls in windows without the old one.
+    alone_total: BadCalls,
+    alone_slow_total: BadCalls,
     step_calls: u64,
     old_step_calls: u64,
     /// The first symptom whose evidence exceeded the limit. Stays once set.
@@ -97,14 +116,14 @@
     pub(crate) fn take_alone(&mut self, offset: u64, window: &RouteCounts, tolerated: usize) {
         let (new, fast_new) = (&window.new, &window.fast_new);
         if let Some(rate) = tolerated_rate(self.old_total) {
-            let (calls, failures) = (f64::from(new.calls), f64::from(new.failures));
-            self.alone_failing.compare_with_rate(offset, calls, failures, rate);
+            let seen = add(&mut self.alone_total, new.calls, new.failures.into());
+            self.alone_failing.compare_with_rate(offset, seen, rate);
         }
         let Some(bucket) = self.slow_bucket() else { return };
         if let Some(rate) = tolerated_rate(self.old_slow) {
             let slow = fast_new.latency.above(bucket + tolerated + ALONE_TOLERATED_BUCKETS);
-            let calls = f64::from(fast_new.calls);
-            self.alone_slow.compare_with_rate(offset, calls, slow as f64, rate);
+            let seen = add(&mut self.alone_slow_total, fast_new.calls, slow);
+            self.alone_slow.compare_with_rate(offset, seen, rate);
         }
     }
 
@@ -116,15 +135,20 @@
 
     /// Blames the new version if the evidence exceeds the logarithm `limit_ln`.
     pub(crate) fn decide(&mut self, limit_ln: f64) {
-        let is_over = |process: &EProcess| process.ln_value() >= limit_ln;
-        let symptom = if is_over(&self.failing) || is_over(&self.alone_failing) {
-            Some(Symptom::Failing)
-        } else if is_over(&self.slow) || is_over(&self.alone_slow) {
-            Some(Symptom::Slow)
-        } else {
-            None
-        };
-        self.blamed = self.blamed.or(symptom);
+        let tests = self.tests();
+        let over = tests.iter().find(|test| test.ln_value >= limit_ln);
+        self.blamed = self.blamed.or(over.map(|test| test.symptom));
+    }
+
+    /// Every test. Failures go first, as they are the plainer reason.
+    fn tests(&self) -> [Test; 4] {
+        use Symptom::{Failing, Slow};
+        [
+            Test::new(Failing, &self.failing, self.new_total, self.old_total),
+            Test::new(Failing, &self.alone_failing, self.alone_total, self.old_total),
+            Test::new(Slow, &self.slow, self.new_slow, self.old_slow),
+            Test::new(Slow, &self.alone_slow, self.alone_slow_total, self.old_slow),
+        ]
     }
 
     /// What is found on `route`, this judge's route; doubtful from the evidence `doubt_ln` on.
@@ -134,24 +158,24 @@
         is_idempotent: bool,
         doubt_ln: f64,
     ) -> RouteFinding {
-        let processes = [&self.failing, &self.slow, &self.alone_failing, &self.alone_slow];
-        let is_doubtful = processes.iter().any(|process| process.ln_value() >= doubt_ln);
+        let is_doubtful = self.tests().iter().any(|test| test.ln_value >= doubt_ln);
         let verdict = match self.blamed {
             Some(symptom) => RouteVerdict::Worse(symptom),
             None if is_doubtful || self.step_calls < ENOUGH_CALLS => RouteVerdict::NotEnough,
             None => RouteVerdict::NoWorse,
         };
-        let is_slow = match self.blamed {
-            Some(symptom) => symptom == Symptom::Slow,
-            None => self.slow.ln_value() > self.failing.ln_value(),
-        };
+        let has_symptom = |test: &&Test| self.blamed.is_none_or(|blamed| blamed == test.symptom);
+        let tests = self.tests();
+        let strongest =
+            tests.iter().filter(has_symptom).max_by(|a, b| a.ln_value.total_cmp(&b.ln_value));
         let (new, old) =
-            if is_slow { (self.new_slow, self.old_slow) } else { (self.new_total, self.old_total) };
+            strongest.map_or((self.new_total, self.old_total), |test| (test.new, test.old));
         RouteFinding {
             route: route.clone(),
             is_idempotent,
             verdict,
             is_doubtful,
+            judged_calls: self.new_total.calls,
             step_calls: self.step_calls,
             old_step_calls: self.old_step_calls,
             new,
--- a/crates/core/tests/rollout_driver.rs
+++ b/crates/core/tests/rollout_driver.rs
@@ -234,6 +234,10 @@
         trial.pass(200, |_| GOOD, |_| FAILING);
     }
     assert_eq!(trial.phase(), RolloutPhase::RolledBack);
+    let reason = &trial.rollout().reason;
+    // The figures are those of the time without the old version, in which a few calls failed.
+    let figures: Vec<u64> = reason.split(' ').filter_map(|word| word.parse().ok()).collect();
+    assert!(figures.len() == 4 && figures[0] >= 30 && figures[0] < figures[1], "{reason}");
 }
 
 /// Guards against blame for an overload that comes when the old version has no calls.
@@ -258,6 +262,7 @@
         is_idempotent: true,
         verdict: RouteVerdict::NoWorse,
         is_doubtful: false,
+        judged_calls: 200,
         step_calls: 200,
         old_step_calls: 20_000,
         new: BadCalls { calls: 200, bad: 0 },
