Ask former links that others hold dead for the version floor

A second story showed that a node welcomed before its first attempt to join did not wait at all.

Change: the reply to a join includes the dead former links, which are asked twice (0.5 s); the wait counts from the start of the node.

--- a/crates/core/src/control/dissemination.rs
+++ b/crates/core/src/control/dissemination.rs
@@ -1,5 +1,7 @@
 //! How configurations reach this node, traffic and other nodes.
 
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use rand::Rng;
@@ -10,10 +12,15 @@
 use crate::control::pending_request::PendingRequest;
 use crate::control::{PeerMessage, StateChange, SyncStatus};
 use crate::ids::{ConfigVersion, NodeId};
-use crate::peers::{PING_TIMEOUT, PeerStatus};
+use crate::peers::{PING_TIMEOUT, Peer, PeerStatus};
 use crate::sync::{ConfigSync, FloorGate, Offer, PeerVersions, Puller};
 use crate::units::Millis;
 
+/// A link is asked for the version floor this often at most: a silent one delays the start by 2 s.
+const MAX_ASKS: u8 = 8;
+/// A link that others hold dead is asked this often at most: it delays the start by 0.5 s.
+const MAX_ASKS_OF_DEAD: u8 = 2;
+
 /// How configurations reach this node, traffic and other nodes.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Dissemination {
@@ -22,6 +29,9 @@
     pub(crate) floor: FloorGate,
     /// The configuration that traffic uses. Its version only rises.
     pub(crate) published: Option<Arc<Config>>,
+    /// The nodes that may have been links of this node before it was started,
+    /// and that others hold dead.
+    former: BTreeMap<NodeId, SocketAddr>,
     puller: Puller,
     /// Whether the last delta did not fit, so that a snapshot is asked for.
     wants_snapshot: bool,
@@ -143,18 +153,29 @@
         }
     }
 
+    /// Takes note of the dead nodes in the reply to a join.
+    pub(crate) fn note_former(&mut self, peers: &[Peer]) {
+        let dead = peers.iter().filter(|peer| peer.status == PeerStatus::Dead);
+        self.former.extend(dead.map(|peer| (peer.id.clone(), peer.peer_addr)));
+    }
+
     /// Asks links for the version floor, and settles it when all have answered.
     pub(crate) fn learn_floor<R>(&mut self, members: &mut Membership, cx: &mut Cx<'_, R>) {
         const ASK_TIMEOUT: Millis = Millis::new(250);
         if self.floor.is_settled() {
             return;
         }
-        let links = members.links().both();
-        for link in self.floor.due(&links, cx.now) {
+        let mut links = members.links().both();
+        for link in self.floor.due(&links, MAX_ASKS, cx.now) {
             if let Some(to) = members.addr(&link) {
                 members.join_peer(to, ASK_TIMEOUT, cx);
             }
         }
+        let former: Vec<NodeId> = self.former.keys().cloned().collect();
+        for link in self.floor.due(&former, MAX_ASKS_OF_DEAD, cx.now) {
+            members.join_peer(self.former[&link], ASK_TIMEOUT, cx);
+        }
+        links.extend(former);
         let waited = members.joiner.has_waited(members.seeds.len(), cx.now);
         self.floor.settle(&links, waited);
     }
@@ -176,7 +197,7 @@
 }
 
 /// Sends a heartbeat out of turn, which shows the version that this node holds.
-fn announce<R>(to: std::net::SocketAddr, status: &SyncStatus, cx: &mut Cx<'_, R>) {
+fn announce<R>(to: SocketAddr, status: &SyncStatus, cx: &mut Cx<'_, R>) {
     let request = PendingRequest::Probe { to };
     cx.send(to, PeerMessage::Ping(status.clone()), PING_TIMEOUT, request);
 }
--- a/crates/core/src/control/joiner.rs
+++ b/crates/core/src/control/joiner.rs
@@ -21,23 +21,20 @@
     is_joined: bool,
     /// Number of attempts begun.
     attempts: u32,
-    /// When the first attempt began.
-    began: Instant,
+    /// When this node was started.
+    started: Instant,
     /// Number of seeds that have not answered the present attempt.
     waiting: usize,
     next: Instant,
     backoff: Backoff,
 }
 
-impl Default for Joiner {
-    fn default() -> Self {
+impl Joiner {
+    pub(crate) const fn new(now: Instant) -> Self {
         let backoff = Backoff::new(FIRST_WAIT, LONGEST_WAIT);
-        let (began, next) = (Instant::default(), Instant::default());
-        Self { is_joined: false, attempts: 0, began, waiting: 0, next, backoff }
+        Self { is_joined: false, attempts: 0, started: now, waiting: 0, next: now, backoff }
     }
-}
 
-impl Joiner {
     pub(crate) const fn is_joined(&self) -> bool {
         self.is_joined
     }
@@ -46,9 +43,6 @@
     pub(crate) fn begins_attempt(&mut self, seeds: usize, now: Instant) -> bool {
         let begins = !self.is_joined && seeds > 0 && self.waiting == 0 && now >= self.next;
         if begins {
-            if self.attempts == 0 {
-                self.began = now;
-            }
             self.waiting = seeds;
             self.attempts += 1;
         }
@@ -58,7 +52,7 @@
     /// Whether the node has waited long enough for somebody who knows its version floor.
     pub(crate) fn has_waited(&self, seeds: usize, now: Instant) -> bool {
         let has_tried = self.is_joined || self.attempts >= ATTEMPTS_UNTIL_ALONE;
-        let is_time = now.since(self.began) >= Micros::from(TIME_UNTIL_ALONE);
+        let is_time = now.since(self.started) >= Micros::from(TIME_UNTIL_ALONE);
         seeds == 0 || has_tried && is_time
     }
 
--- a/crates/core/src/control/membership.rs
+++ b/crates/core/src/control/membership.rs
@@ -52,7 +52,7 @@
         Self {
             table: PeerTable::new(own, now),
             detector: FailureDetector::default(),
-            joiner: Joiner::default(),
+            joiner: Joiner::new(now),
             seeds,
             links: Links::default(),
             links_at: 0,
@@ -146,7 +146,7 @@
     }
 
     /// The reply to the request of `peer` to be admitted: this node, the links
-    /// of `peer`, whom it asks for its version floor, and some others.
+    /// of `peer`, live or not, whom it asks for its version floor, and some others.
     pub(crate) fn admit<R: Rng>(&mut self, peer: Peer, cx: &mut Cx<'_, R>) -> Vec<Peer> {
         let id = peer.id.clone();
         self.merge(peer.clone(), cx);
@@ -156,6 +156,7 @@
         let missing = SAMPLE.saturating_sub(wanted.len());
         let others: Vec<NodeId> = others.map(|p| p.id.clone()).choose_multiple(cx.rng, missing);
         wanted.extend(others);
+        wanted.extend(self.table.dead_links_of(&id));
         let mut sample: Vec<Peer> =
             wanted.iter().filter_map(|id| self.table.get(id)).cloned().collect();
         // A node whose clock went back learns which incarnation to exceed.
--- a/crates/core/src/control/state.rs
+++ b/crates/core/src/control/state.rs
@@ -320,6 +320,7 @@
     }
 
     fn take_welcome<R: Rng>(&mut self, peers: Vec<Peer>, status: &SyncStatus, cx: &mut Cx<'_, R>) {
+        self.spread.note_former(&peers);
         self.members.take_entries(peers, Some(&status.node), cx);
         if self.members.joiner.succeed() {
             cx.report(StateChange::Joined);
--- a/crates/core/src/peers/peer_table.rs
+++ b/crates/core/src/peers/peer_table.rs
@@ -209,7 +209,19 @@
 
     /// The links of `id`, which counts as live for this.
     pub fn links_of(&self, id: &NodeId) -> Links {
-        let is_on_ring = |entry: &&Entry| entry.peer.status.takes_calls() || entry.peer.id == *id;
+        self.links_among(id, |entry| entry.peer.status.takes_calls())
+    }
+
+    /// The dead nodes that were links of `id`. Some of them may live: nodes on
+    /// both sides of a partition hold each other dead.
+    pub fn dead_links_of(&self, id: &NodeId) -> Vec<NodeId> {
+        let mut links = self.links_among(id, |_| true).both();
+        links.retain(|link| self.get(link).is_some_and(|peer| peer.status == PeerStatus::Dead));
+        links
+    }
+
+    fn links_among(&self, id: &NodeId, is_member: impl Fn(&Entry) -> bool) -> Links {
+        let is_on_ring = |entry: &&Entry| is_member(entry) || entry.peer.id == *id;
         let mut ring: Vec<(u64, &NodeId)> =
             self.entries.values().filter(is_on_ring).map(|e| (e.position, &e.peer.id)).collect();
         ring.sort_unstable();
--- a/crates/core/src/sync/floor_gate.rs
+++ b/crates/core/src/sync/floor_gate.rs
@@ -7,8 +7,6 @@
 
 /// A link that does not answer is asked again after this time.
 const ASK_PERIOD: Millis = Millis::new(250);
-/// A link is asked this often at most: a dead one delays the start by 2 s.
-const MAX_ASKS: u8 = 8;
 
 /// Holds a started node back from traffic until it knows the version that it must have.
 ///
@@ -29,12 +27,14 @@
 struct Ask {
     answered: bool,
     count: u8,
+    /// Whether the node was asked often enough and had time to answer.
+    is_given_up: bool,
     next: Instant,
 }
 
 impl Ask {
     const fn is_over(&self) -> bool {
-        self.answered || self.count > MAX_ASKS
+        self.answered || self.is_given_up
     }
 }
 
@@ -69,19 +69,24 @@
         self.asks.entry(node.clone()).or_default().answered = true;
     }
 
-    /// The links that are to be asked now.
-    pub fn due(&mut self, links: &[NodeId], now: Instant) -> Vec<NodeId> {
+    /// The links that are to be asked now; each is asked `max_asks` times at most.
+    pub fn due(&mut self, links: &[NodeId], max_asks: u8, now: Instant) -> Vec<NodeId> {
         if self.is_settled {
             return Vec::new();
         }
         let mut due = Vec::new();
         for link in links {
             let ask = self.asks.entry(link.clone()).or_default();
-            if !ask.is_over() && now >= ask.next {
-                ask.count += 1;
-                ask.next = now + ASK_PERIOD;
-                due.push(link.clone());
+            if ask.is_over() || now < ask.next {
+                continue;
             }
+            if ask.count >= max_asks {
+                ask.is_given_up = true;
+                continue;
+            }
+            ask.count += 1;
+            ask.next = now + ASK_PERIOD;
+            due.push(link.clone());
         }
         due
     }
