--- /dev/null
+++ b/crates/core/src/traffic/admission.rs
@@ -0,0 +1,15 @@
+//! The decision on a call at the door.
+
+use crate::RefusalReason;
+use crate::traffic::Ticket;
+
+/// The decision on a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Admission {
+    /// The call runs now and holds a slot until [`Door::end`].
+    Run,
+    /// The call waits until a [`Wakeup`] names its ticket.
+    Wait(Ticket),
+    /// The call is refused before it ran.
+    Refused(RefusalReason),
+}
--- a/crates/core/src/traffic/balancer.rs
+++ b/crates/core/src/traffic/balancer.rs
@@ -4,7 +4,7 @@
 
 use crate::ids::{DataCentre, NodeId, Region};
 use crate::peers::BackendState;
-use crate::traffic::{Endpoint, EndpointLoad};
+use crate::traffic::{Candidate, Endpoint};
 use crate::units::{Instant, Micros, Millis, PerMille};
 
 /// Chooses the endpoint for a call: the better of two drawn at random, near ones first.
@@ -16,15 +16,6 @@
     pub region: Region,
 }
 
-/// An endpoint with its observed load.
-#[derive(Debug, Clone, Copy)]
-pub struct Candidate<'a> {
-    /// The endpoint.
-    pub endpoint: &'a Endpoint,
-    /// Its load.
-    pub load: &'a EndpointLoad,
-}
-
 impl Balancer {
     /// The largest share of the candidates that is set aside at once.
     ///
--- a/crates/core/src/traffic/door.rs
+++ b/crates/core/src/traffic/door.rs
@@ -4,7 +4,7 @@
 
 use crate::RefusalReason;
 use crate::config::Priority;
-use crate::traffic::{Deadline, DoorCounts, DoorLimits, LoadReport};
+use crate::traffic::{Admission, Deadline, DoorCounts, DoorLimits, LoadReport, Ticket, Wakeup};
 use crate::units::{Instant, Micros};
 
 /// Decides which calls the backend server beside this node runs, and when.
@@ -26,30 +26,6 @@
 
 const PRIORITIES: usize = Priority::ALL.len();
 
-/// A waiting call's place in the queue. Never used twice.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Ticket(u64);
-
-/// The decision on a call.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Admission {
-    /// The call runs now and holds a slot until [`Door::end`].
-    Run,
-    /// The call waits until a [`Wakeup`] names its ticket.
-    Wait(Ticket),
-    /// The call is refused before it ran.
-    Refused(RefusalReason),
-}
-
-/// The decision on a call that waited.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Wakeup {
-    /// The call.
-    pub ticket: Ticket,
-    /// Why the call is refused; `None` if it runs now.
-    pub refused: Option<RefusalReason>,
-}
-
 #[derive(Debug, Clone, Copy)]
 struct Waiting {
     ticket: Ticket,
@@ -202,7 +178,7 @@
             self.counts.queued -= 1;
             self.counts.refused += 1;
         }
-        let ticket = Ticket(self.next_ticket);
+        let ticket = Ticket::new(self.next_ticket);
         self.next_ticket += 1;
         self.queues[index(priority)].push_back(Waiting { ticket, deadline });
         self.counts.queued += 1;
--- a/crates/core/src/traffic/recorded_answers.rs
+++ b/crates/core/src/traffic/recorded_answers.rs
@@ -3,7 +3,7 @@
 use std::collections::{HashMap, VecDeque};
 
 use crate::ids::CallKey;
-use crate::traffic::CallKeys;
+use crate::traffic::{CallKeys, Replay};
 use crate::units::{ByteCount, Instant, Micros};
 
 /// The answers to calls with an idempotency key that ran at this door.
@@ -18,15 +18,6 @@
     total: u64,
 }
 
-/// What a door knows about a repeated call.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Replay<A> {
-    /// The first call's answer.
-    Answer(A),
-    /// The first call still runs, broke off, or had an answer that was not kept.
-    InDoubt,
-}
-
 impl<A: Clone> RecordedAnswers<A> {
     /// The largest answer that is recorded.
     pub const MAX_ANSWER: ByteCount = ByteCount::new(16 * 1024);
--- a/crates/core/src/traffic/retry_policy.rs
+++ b/crates/core/src/traffic/retry_policy.rs
@@ -1,34 +1,8 @@
 //! Whether a failed call is sent again.
 
-use crate::traffic::RetryBudget;
+use crate::traffic::{FailedAttempt, RetryBudget, RetryDecision};
 use crate::units::{Instant, Micros};
-use crate::{RefusalReason, RetryReason, Verdict};
-
-/// An attempt of a call that failed.
-#[derive(Debug, Clone, Copy)]
-pub struct FailedAttempt {
-    /// What is known about the execution.
-    pub verdict: Verdict,
-    /// Why the attempt failed.
-    pub reason: RefusalReason,
-    /// Whether the call may run more than once without harm.
-    pub idempotent: bool,
-    /// The number of attempts so far, this one included.
-    pub attempts: u8,
-    /// The time left.
-    pub left: Micros,
-}
-
-/// What to do after a failed attempt.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum RetryDecision {
-    /// Send the call to another endpoint.
-    Retry(RetryReason),
-    /// Report the failure to the caller as it is.
-    Report,
-    /// Report that the budget for retries is used up; the verdict stays.
-    BudgetUsedUp,
-}
+use crate::{RefusalReason, RetryReason};
 
 /// Decides on retries.
 #[derive(Debug, Clone, Copy, Default)]
--- a/crates/node/src/answer_body.rs
+++ b/crates/node/src/answer_body.rs
@@ -1,6 +1,5 @@
 //! The body of an answer on its way to the caller.
 
-use std::future::Future as _;
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -13,8 +12,9 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use tokio::time::Sleep;
 
+use crate::answer_stream::{AnswerStream, StreamError};
 use crate::answer_watcher::{AnswerEnd, AnswerWatcher};
-use crate::exchange::{AfterAnswer, Exchange};
+use crate::exchange::Exchange;
 use crate::exchange_pool::ExchangePool;
 
 /// An answer of a backend server.
@@ -40,18 +40,7 @@
 enum Source {
     /// A recorded answer; `None` after it was read.
     Recorded(Option<Bytes>),
-    Stream(Box<Stream>),
-}
-
-#[derive(Debug)]
-struct Stream {
-    incoming: Incoming,
-    /// `None` after the end.
-    exchange: Option<Exchange>,
-    pool: Arc<ExchangePool>,
-    timeout: Pin<Box<Sleep>>,
-    /// The bytes that must still come, if the answer tells its length.
-    remaining: Option<u64>,
+    Stream(Box<AnswerStream>),
 }
 
 impl AnswerBody {
@@ -63,8 +52,7 @@
         pool: Arc<ExchangePool>,
         timeout: Pin<Box<Sleep>>,
     ) -> Self {
-        let remaining = incoming.size_hint().exact();
-        let stream = Stream { incoming, exchange: Some(exchange), pool, timeout, remaining };
+        let stream = AnswerStream::new(incoming, exchange, pool, timeout);
         Self::new(status, Source::Stream(Box::new(stream)))
     }
 
@@ -132,87 +120,6 @@
     }
 }
 
-impl Stream {
-    fn poll_frame(&mut self, cx: &mut Context<'_>) -> Poll<Result<Option<Bytes>, StreamError>> {
-        loop {
-            let Some(data) = ready!(self.poll_data(cx))? else {
-                if self.remaining.is_some_and(|n| n > 0) {
-                    return Poll::Ready(Err(StreamError::Broken));
-                }
-                self.finish(cx)?;
-                return Poll::Ready(Ok(None));
-            };
-            if let Some(remaining) = &mut self.remaining {
-                *remaining = remaining.saturating_sub(data.len() as u64);
-                if *remaining == 0 {
-                    self.finish(cx)?;
-                }
-            }
-            if !data.is_empty() {
-                return Poll::Ready(Ok(Some(data)));
-            }
-        }
-    }
-
-    fn poll_data(&mut self, cx: &mut Context<'_>) -> Poll<Result<Option<Bytes>, StreamError>> {
-        let mut frame = Pin::new(&mut self.incoming).poll_frame(cx);
-        if frame.is_pending() {
-            if let Some(exchange) = &mut self.exchange {
-                exchange.drive(cx);
-            }
-            frame = Pin::new(&mut self.incoming).poll_frame(cx);
-        }
-        match frame {
-            Poll::Ready(None) => Poll::Ready(Ok(None)),
-            // Trailers are not passed on; they count as an empty piece.
-            Poll::Ready(Some(Ok(frame))) => {
-                Poll::Ready(Ok(Some(frame.into_data().unwrap_or_default())))
-            }
-            Poll::Ready(Some(Err(_))) => Poll::Ready(Err(StreamError::Broken)),
-            Poll::Pending => {
-                ready!(self.timeout.as_mut().poll(cx));
-                Poll::Ready(Err(StreamError::TimedOut))
-            }
-        }
-    }
-
-    /// Returns the connection to the pool, or closes it if it can't be used again.
-    fn finish(&mut self, cx: &mut Context<'_>) -> Result<(), StreamError> {
-        let Some(mut exchange) = self.exchange.take() else { return Ok(()) };
-        match exchange.after_answer(cx) {
-            AfterAnswer::Reusable => self.pool.put(exchange),
-            AfterAnswer::Closed => {}
-            AfterAnswer::Surplus => return Err(StreamError::Surplus),
-        }
-        Ok(())
-    }
-}
-
-#[derive(Debug, Clone, Copy)]
-enum StreamError {
-    Broken,
-    /// The next hop sent more than the answer.
-    Surplus,
-    TimedOut,
-}
-
-impl StreamError {
-    const fn answer_end(self) -> AnswerEnd {
-        match self {
-            Self::Broken | Self::Surplus => AnswerEnd::Broken,
-            Self::TimedOut => AnswerEnd::TimedOut,
-        }
-    }
-
-    const fn reason(self) -> RefusalReason {
-        match self {
-            Self::Broken => RefusalReason::BrokenExchange,
-            Self::Surplus => RefusalReason::BadAnswer,
-            Self::TimedOut => RefusalReason::DeadlinePassed,
-        }
-    }
-}
-
 impl Body for AnswerBody {
     type Data = Bytes;
     type Error = io::Error;
@@ -257,7 +164,7 @@
     fn size_hint(&self) -> SizeHint {
         let rest = match &self.source {
             Source::Recorded(bytes) => Some(bytes.as_ref().map_or(0, Bytes::len) as u64),
-            Source::Stream(stream) => stream.remaining,
+            Source::Stream(stream) => stream.remaining(),
         };
         let first = self.first.as_ref().map_or(0, Bytes::len) as u64;
         rest.map_or_else(SizeHint::default, |rest| SizeHint::with_exact(first + rest))
@@ -269,7 +176,7 @@
     fn is_complete(&self) -> bool {
         let is_read = match &self.source {
             Source::Recorded(bytes) => bytes.is_none(),
-            Source::Stream(stream) => stream.remaining == Some(0) && stream.exchange.is_none(),
+            Source::Stream(stream) => stream.is_complete(),
         };
         is_read && self.first.is_none()
     }
--- /dev/null
+++ b/crates/node/src/answer_stream.rs
@@ -0,0 +1,136 @@
+//! The answer of the next hop as it arrives.
+
+use std::future::Future as _;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+
+use almondsail_core::RefusalReason;
+use bytes::Bytes;
+use hyper::body::{Body as _, Incoming};
+use tokio::time::Sleep;
+
+use crate::answer_watcher::AnswerEnd;
+use crate::exchange::{AfterAnswer, Exchange};
+use crate::exchange_pool::ExchangePool;
+
+/// The body of an answer as it arrives over an exchange.
+#[derive(Debug)]
+pub(crate) struct AnswerStream {
+    incoming: Incoming,
+    /// `None` after the end.
+    exchange: Option<Exchange>,
+    pool: Arc<ExchangePool>,
+    timeout: Pin<Box<Sleep>>,
+    /// The bytes that must still come, if the answer tells its length.
+    remaining: Option<u64>,
+}
+
+impl AnswerStream {
+    /// The body `incoming` of the answer that came over `exchange`. It must end by `timeout`.
+    pub(crate) fn new(
+        incoming: Incoming,
+        exchange: Exchange,
+        pool: Arc<ExchangePool>,
+        timeout: Pin<Box<Sleep>>,
+    ) -> Self {
+        let remaining = incoming.size_hint().exact();
+        Self { incoming, exchange: Some(exchange), pool, timeout, remaining }
+    }
+
+    /// The bytes that must still come, if the answer tells its length.
+    pub(crate) const fn remaining(&self) -> Option<u64> {
+        self.remaining
+    }
+
+    /// Whether every byte of an answer of known length was read.
+    pub(crate) fn is_complete(&self) -> bool {
+        self.remaining == Some(0) && self.exchange.is_none()
+    }
+
+    /// The next bytes; `None` at the end of a whole answer.
+    pub(crate) fn poll_frame(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Result<Option<Bytes>, StreamError>> {
+        loop {
+            let Some(data) = ready!(self.poll_data(cx))? else {
+                if self.remaining.is_some_and(|n| n > 0) {
+                    return Poll::Ready(Err(StreamError::Broken));
+                }
+                self.finish(cx)?;
+                return Poll::Ready(Ok(None));
+            };
+            if let Some(remaining) = &mut self.remaining {
+                *remaining = remaining.saturating_sub(data.len() as u64);
+                if *remaining == 0 {
+                    self.finish(cx)?;
+                }
+            }
+            if !data.is_empty() {
+                return Poll::Ready(Ok(Some(data)));
+            }
+        }
+    }
+
+    fn poll_data(&mut self, cx: &mut Context<'_>) -> Poll<Result<Option<Bytes>, StreamError>> {
+        let mut frame = Pin::new(&mut self.incoming).poll_frame(cx);
+        if frame.is_pending() {
+            if let Some(exchange) = &mut self.exchange {
+                exchange.drive(cx);
+            }
+            frame = Pin::new(&mut self.incoming).poll_frame(cx);
+        }
+        match frame {
+            Poll::Ready(None) => Poll::Ready(Ok(None)),
+            // Trailers are not passed on; they count as an empty piece.
+            Poll::Ready(Some(Ok(frame))) => {
+                Poll::Ready(Ok(Some(frame.into_data().unwrap_or_default())))
+            }
+            Poll::Ready(Some(Err(_))) => Poll::Ready(Err(StreamError::Broken)),
+            Poll::Pending => {
+                ready!(self.timeout.as_mut().poll(cx));
+                Poll::Ready(Err(StreamError::TimedOut))
+            }
+        }
+    }
+
+    /// Returns the connection to the pool, or closes it if it can't be used again.
+    fn finish(&mut self, cx: &mut Context<'_>) -> Result<(), StreamError> {
+        let Some(mut exchange) = self.exchange.take() else { return Ok(()) };
+        match exchange.after_answer(cx) {
+            AfterAnswer::Reusable => self.pool.put(exchange),
+            AfterAnswer::Closed => {}
+            AfterAnswer::Surplus => return Err(StreamError::Surplus),
+        }
+        Ok(())
+    }
+}
+
+/// Why an answer is not whole.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum StreamError {
+    Broken,
+    /// The next hop sent more than the answer.
+    Surplus,
+    TimedOut,
+}
+
+impl StreamError {
+    /// The end that watchers are told.
+    pub(crate) const fn answer_end(self) -> AnswerEnd {
+        match self {
+            Self::Broken | Self::Surplus => AnswerEnd::Broken,
+            Self::TimedOut => AnswerEnd::TimedOut,
+        }
+    }
+
+    /// The reason that a caller is told.
+    pub(crate) const fn reason(self) -> RefusalReason {
+        match self {
+            Self::Broken => RefusalReason::BrokenExchange,
+            Self::Surplus => RefusalReason::BadAnswer,
+            Self::TimedOut => RefusalReason::DeadlinePassed,
+        }
+    }
+}
--- a/crates/node/src/answer_watcher.rs
+++ b/crates/node/src/answer_watcher.rs
@@ -1,16 +1,11 @@
 //! What happens when an answer ends.
 
-use std::sync::Arc;
-
-use almondsail_core::RefusalReason;
-use almondsail_core::traffic::EndpointLoad;
-use almondsail_core::units::Instant;
 use bytes::Bytes;
 use http::StatusCode;
 
 use crate::answer_recorder::AnswerRecorder;
-use crate::call_counters::CallCell;
-use crate::clock::Clock;
+use crate::call_timer::CallTimer;
+use crate::in_flight::InFlight;
 use crate::slot::{Slot, SlotEnd};
 
 /// How the body of an answer ended.
@@ -61,76 +56,3 @@
         }
     }
 }
-
-/// A call in flight to an endpoint; counted until it is dropped.
-#[derive(Debug)]
-pub(crate) struct InFlight {
-    load: Arc<EndpointLoad>,
-    clock: Clock,
-    started: Instant,
-}
-
-impl InFlight {
-    pub(crate) fn start(load: Arc<EndpointLoad>, clock: Clock) -> Self {
-        load.start();
-        Self { load, clock, started: clock.now() }
-    }
-
-    /// Notes that the endpoint's node could not be reached.
-    pub(crate) fn unreachable(&self) {
-        self.load.unreachable(self.clock.now());
-    }
-
-    /// Notes that the exchange failed.
-    pub(crate) fn failed(&self) {
-        self.load.failed(self.clock.now());
-    }
-
-    /// Notes that the door refused the call.
-    pub(crate) fn refused(&self) {
-        self.load.refused(self.clock.now());
-    }
-
-    fn ended(&self, status: StatusCode, end: AnswerEnd) {
-        let now = self.clock.now();
-        match end {
-            // A backend server that fails fast must not look like a fast one.
-            AnswerEnd::Complete if status.is_server_error() => self.load.failed(now),
-            AnswerEnd::Complete => self.load.succeeded(now, now.since(self.started)),
-            AnswerEnd::Broken | AnswerEnd::TimedOut => self.load.failed(now),
-            AnswerEnd::Dropped => {}
-        }
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.load.end();
-    }
-}
-
-/// Counts the end of a call in one cell.
-#[derive(Debug)]
-pub(crate) struct CallTimer {
-    cell: Arc<CallCell>,
-    clock: Clock,
-    started: Instant,
-}
-
-impl CallTimer {
-    pub(crate) const fn new(cell: Arc<CallCell>, clock: Clock, started: Instant) -> Self {
-        Self { cell, clock, started }
-    }
-
-    fn ended(&self, status: StatusCode, end: AnswerEnd) {
-        match end {
-            AnswerEnd::Complete => {
-                let latency = self.clock.now().since(self.started);
-                self.cell.answered(latency, status.is_server_error());
-            }
-            AnswerEnd::Broken => self.cell.failed(RefusalReason::BrokenExchange),
-            AnswerEnd::TimedOut => self.cell.failed(RefusalReason::DeadlinePassed),
-            AnswerEnd::Dropped => self.cell.cancelled(),
-        }
-    }
-}
--- /dev/null
+++ b/crates/node/src/call_counters/call_cell.rs
@@ -0,0 +1,82 @@
+//! The counters of one cell.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use almondsail_core::units::Micros;
+use almondsail_core::{RefusalReason, RetryReason};
+
+use super::{CallCounts, LATENCY_BUCKETS, latency_bound};
+
+/// The counters of one cell. They only grow.
+#[derive(Debug)]
+pub(crate) struct CallCell {
+    calls: AtomicU64,
+    server_errors: AtomicU64,
+    cancelled: AtomicU64,
+    failures: [AtomicU64; RefusalReason::ALL.len()],
+    retries: [AtomicU64; RetryReason::ALL.len()],
+    latency: [AtomicU64; LATENCY_BUCKETS],
+}
+
+impl CallCell {
+    pub(crate) fn new() -> Self {
+        let zero = |_| AtomicU64::new(0);
+        Self {
+            calls: AtomicU64::new(0),
+            server_errors: AtomicU64::new(0),
+            cancelled: AtomicU64::new(0),
+            failures: std::array::from_fn(zero),
+            retries: std::array::from_fn(zero),
+            latency: std::array::from_fn(zero),
+        }
+    }
+
+    /// Counts a complete answer.
+    pub(crate) fn answered(&self, latency: Micros, is_server_error: bool) {
+        add(&self.calls);
+        if is_server_error {
+            add(&self.server_errors);
+            return;
+        }
+        let is_above = |i: &usize| latency_bound(*i).is_some_and(|bound| bound < latency);
+        let bucket = (0..LATENCY_BUCKETS).find(|i| !is_above(i)).unwrap_or(LATENCY_BUCKETS - 1);
+        add(&self.latency[bucket]);
+    }
+
+    /// Counts a failed call.
+    pub(crate) fn failed(&self, reason: RefusalReason) {
+        add(&self.calls);
+        add(&self.failures[reason as usize]);
+    }
+
+    /// Counts a call that the caller gave up.
+    pub(crate) fn cancelled(&self) {
+        add(&self.calls);
+        add(&self.cancelled);
+    }
+
+    /// Counts a retry.
+    pub(crate) fn retried(&self, reason: RetryReason) {
+        add(&self.retries[reason as usize]);
+    }
+
+    /// The counts so far.
+    pub(crate) fn read(&self) -> CallCounts {
+        CallCounts {
+            calls: get(&self.calls),
+            server_errors: get(&self.server_errors),
+            cancelled: get(&self.cancelled),
+            failures: std::array::from_fn(|i| get(&self.failures[i])),
+            retries: std::array::from_fn(|i| get(&self.retries[i])),
+            latency: std::array::from_fn(|i| get(&self.latency[i])),
+        }
+    }
+}
+
+fn add(counter: &AtomicU64) {
+    counter.fetch_add(1, Ordering::Relaxed);
+}
+
+fn get(counter: &AtomicU64) -> u64 {
+    counter.load(Ordering::Relaxed)
+}
--- /dev/null
+++ b/crates/node/src/call_counters/counted_at.rs
@@ -0,0 +1,20 @@
+//! Where calls are counted.
+
+/// Where calls were counted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum CountedAt {
+    /// At the node that the caller chose.
+    Entry,
+    /// At the door of the backend server.
+    Door,
+}
+
+impl CountedAt {
+    /// The text in labels.
+    pub(crate) const fn as_str(self) -> &'static str {
+        match self {
+            Self::Entry => "entry",
+            Self::Door => "door",
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/call_counters/reader.rs
@@ -0,0 +1,46 @@
+//! The control thread's view of the counters.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use super::{CallCounters, CallCounts, CountKey};
+
+/// Reads the counts for the control thread.
+#[derive(Debug)]
+pub struct CallCountsReader {
+    counters: CallCounters,
+    /// The state of each cell at the last call of [`Self::drain`].
+    last: BTreeMap<CountKey, CallCounts>,
+}
+
+impl CallCountsReader {
+    pub(crate) fn new(counters: CallCounters) -> Self {
+        Self { counters, last: BTreeMap::new() }
+    }
+
+    /// The number of cells.
+    pub fn cells(&self) -> usize {
+        self.counters.lock().len()
+    }
+
+    /// The counts since the last call, without the cells that have not changed.
+    ///
+    /// A cell that no configuration in force and no call uses any more is dropped.
+    pub fn drain(&mut self) -> Vec<(CountKey, CallCounts)> {
+        let mut changed = Vec::new();
+        self.counters.lock().retain(|key, cell| {
+            let is_used = Arc::strong_count(cell) > 1;
+            let counts = cell.read();
+            let last = self.last.entry(key.clone()).or_insert(CallCounts::ZERO);
+            if counts != *last {
+                changed.push((key.clone(), counts.since(last)));
+                *last = counts;
+            }
+            if !is_used {
+                self.last.remove(key);
+            }
+            is_used
+        });
+        changed
+    }
+}
--- /dev/null
+++ b/crates/node/src/call_counters/registry.rs
@@ -0,0 +1,87 @@
+//! Every cell of counters of the node.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use almondsail_core::{RefusalReason, RetryReason};
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{AsyncInstrument, Meter};
+
+use super::{CallCell, CallCounts, CountKey};
+
+/// The label of calls that match no route.
+const UNKNOWN: &str = "unknown";
+
+/// Every cell of the node. Locked only to add, drain and export cells, never by a call.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct CallCounters {
+    cells: Arc<Mutex<BTreeMap<CountKey, Arc<CallCell>>>>,
+}
+
+impl CallCounters {
+    /// The cell for `key`, created if there is none.
+    pub(crate) fn cell(&self, key: CountKey) -> Arc<CallCell> {
+        Arc::clone(self.lock().entry(key).or_insert_with(|| Arc::new(CallCell::new())))
+    }
+
+    /// Exports the counters through `meter`.
+    pub(crate) fn export(&self, meter: &Meter) {
+        self.export_counter(meter, "almondsail_calls", |counts, add| add("", counts.calls));
+        self.export_counter(meter, "almondsail_server_errors", |counts, add| {
+            add("", counts.server_errors);
+        });
+        self.export_counter(meter, "almondsail_call_failures", |counts, add| {
+            for (reason, n) in RefusalReason::ALL.iter().zip(counts.failures) {
+                add(reason.as_str(), n);
+            }
+        });
+        self.export_counter(meter, "almondsail_call_retries", |counts, add| {
+            for (reason, n) in RetryReason::ALL.iter().zip(counts.retries) {
+                add(reason.as_str(), n);
+            }
+        });
+    }
+
+    fn export_counter(
+        &self,
+        meter: &Meter,
+        name: &'static str,
+        values: impl Fn(&CallCounts, &mut dyn FnMut(&'static str, u64)) + Send + Sync + 'static,
+    ) {
+        let counters = self.clone();
+        let observe = move |observer: &dyn AsyncInstrument<u64>| {
+            for (key, cell) in counters.lock().iter() {
+                let mut add = |reason: &'static str, n: u64| {
+                    if n > 0 {
+                        observer.observe(n, &labels(key, reason));
+                    }
+                };
+                values(&cell.read(), &mut add);
+            }
+        };
+        let _ = meter.u64_observable_counter(name).with_callback(observe).build();
+    }
+
+    pub(super) fn lock(&self) -> MutexGuard<'_, BTreeMap<CountKey, Arc<CallCell>>> {
+        self.cells.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn labels(key: &CountKey, reason: &'static str) -> Vec<KeyValue> {
+    let (service, route) = match &key.route {
+        Some((service, route)) => (service.to_string(), route.to_string()),
+        None => (UNKNOWN.to_owned(), UNKNOWN.to_owned()),
+    };
+    let mut labels = vec![
+        KeyValue::new("at", key.at.as_str()),
+        KeyValue::new("service", service),
+        KeyValue::new("route", route),
+    ];
+    if let Some(version) = &key.version {
+        labels.push(KeyValue::new("version", version.to_string()));
+    }
+    if !reason.is_empty() {
+        labels.push(KeyValue::new("reason", reason));
+    }
+    labels
+}
--- /dev/null
+++ b/crates/node/src/call_handler.rs
@@ -0,0 +1,86 @@
+//! Answers the requests of callers.
+
+use std::panic::{RefUnwindSafe, UnwindSafe};
+use std::pin::Pin;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use gotham::handler::{Handler, HandlerFuture, NewHandler};
+use gotham::helpers::http::Body;
+use gotham::state::State;
+use http::Response;
+use http_body_util::{BodyExt as _, Full};
+
+use crate::answer_body::Answer;
+use crate::call_headers as names;
+use crate::call_table::CallTable;
+use crate::caller_request::CallerRequest;
+use crate::failure::Failure;
+use crate::forward::forward;
+use crate::traffic::Inner;
+
+/// The one handler, which takes every path.
+#[derive(Debug, Clone)]
+pub(crate) struct CallHandler {
+    inner: Arc<Inner>,
+}
+
+impl CallHandler {
+    pub(crate) const fn new(inner: Arc<Inner>) -> Self {
+        Self { inner }
+    }
+}
+
+// The traffic's locks recover from a panic of their holder, and its atomics are always valid.
+impl UnwindSafe for CallHandler {}
+impl RefUnwindSafe for CallHandler {}
+
+impl NewHandler for CallHandler {
+    type Instance = Self;
+
+    fn new_handler(&self) -> gotham::anyhow::Result<Self> {
+        Ok(self.clone())
+    }
+}
+
+impl Handler for CallHandler {
+    fn handle(self, mut state: State) -> Pin<Box<HandlerFuture>> {
+        Box::pin(async move {
+            let request = CallerRequest::take(&mut state);
+            let response = answer(&self.inner, request).await;
+            Ok((state, response))
+        })
+    }
+}
+
+async fn answer(inner: &Arc<Inner>, request: CallerRequest) -> Response<Body> {
+    let table = inner.table();
+    let mut response = match call(inner, &table, request).await {
+        Ok(answer) => answer.map(|body| body.boxed_unsync()),
+        Err(failure) => failure.to_response().map(full),
+    };
+    names::set(response.headers_mut(), names::VERSION, table.config_version());
+    response
+}
+
+/// A body of `bytes`.
+pub(crate) fn full(bytes: Bytes) -> Body {
+    Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
+}
+
+async fn call(
+    inner: &Arc<Inner>,
+    table: &CallTable,
+    request: CallerRequest,
+) -> Result<Answer, Failure> {
+    let started = inner.clock.now();
+    let (call, _held) = match request.prepare(inner, table, started).await {
+        Ok(prepared) => prepared,
+        Err((reason, route)) => {
+            let cells = route.and_then(|route| table.routes.get(&route));
+            cells.map_or(&table.unknown, |cells| &cells.entry).failed(reason);
+            return Err(Failure::unrun(reason));
+        }
+    };
+    forward(inner, table, call, started).await
+}
--- /dev/null
+++ b/crates/node/src/caller_request.rs
@@ -0,0 +1,130 @@
+//! Requests of callers.
+
+use almondsail_core::RefusalReason;
+use almondsail_core::ids::RouteName;
+use almondsail_core::traffic::{CallId, Deadline};
+use almondsail_core::units::Instant;
+use gotham::helpers::http::Body;
+use gotham::state::{FromState as _, State};
+use http::{HeaderMap, Method, Uri, Version};
+use rand::Rng as _;
+
+use crate::body::HeldBody;
+use crate::call_headers as names;
+use crate::call_table::CallTable;
+use crate::caller_marks::CallerMarks;
+use crate::callers::MAX_HEADER;
+use crate::clock::duration;
+use crate::door_request::{DoorCall, clean};
+use crate::traffic::Inner;
+
+/// A request as a caller sent it.
+pub(crate) struct CallerRequest {
+    method: Method,
+    uri: Uri,
+    version: Version,
+    headers: HeaderMap,
+    body: Body,
+}
+
+impl CallerRequest {
+    /// Takes the request out of gotham's state.
+    pub(crate) fn take(state: &mut State) -> Self {
+        Self {
+            method: Method::take_from(state),
+            uri: Uri::take_from(state),
+            version: Version::take_from(state),
+            headers: HeaderMap::take_from(state),
+            body: Body::take_from(state),
+        }
+    }
+
+    /// The call for the chosen version, and its body, whose memory is held until it is dropped.
+    pub(crate) async fn prepare(
+        self,
+        inner: &Inner,
+        table: &CallTable,
+        now: Instant,
+    ) -> Result<(DoorCall, HeldBody), Unroutable> {
+        let snapshot = &table.snapshot;
+        if snapshot.config.is_none() {
+            return Err((RefusalReason::NoConfig, None));
+        }
+        if snapshot.leaving {
+            return Err((RefusalReason::Leaving, None));
+        }
+        let CallerRequest { method, uri, version, mut headers, body } = self;
+        let header_size = names::size(&headers) + uri.to_string().len();
+        if header_size > MAX_HEADER {
+            return Err((RefusalReason::HeaderTooLarge, None));
+        }
+        // A tunnel is no exchange of one request and one answer, and a caller with HTTP/1.0
+        // can't tell a truncated answer of unknown length from a whole one.
+        let is_exchange = method != Method::CONNECT && version == Version::HTTP_11;
+        let target = origin_form(&uri).filter(|uri| is_exchange && !has_dot_segment(uri.path()));
+        let target = target.ok_or((RefusalReason::BadRequest, None))?;
+        let route = snapshot.route(uri.path()).ok_or((RefusalReason::UnknownRoute, None))?;
+        let refuse = |reason| (reason, Some(route.name.clone()));
+        let split = snapshot.split(&route.name).ok_or(refuse(RefusalReason::NoBackend))?;
+        let marks = CallerMarks::parse(&headers).map_err(|_| refuse(RefusalReason::BadRequest))?;
+        let deadline = Deadline::new(now, marks.deadline, route.deadline);
+        // Sent on, the call could be given up before the door's refusal comes back.
+        if deadline.has_passed(now) {
+            return Err(refuse(RefusalReason::DeadlineTooNear));
+        }
+        clean(&mut headers);
+        let body = read_body(inner, body, deadline).await.map_err(refuse)?;
+        let call = DoorCall {
+            id: CallId::new(rand::rng().random()),
+            service: route.service.clone(),
+            route: route.name.clone(),
+            target: split.choose(rand::rng().random_range(0..1_000)).clone(),
+            priority: route.priority,
+            idempotent: route.idempotent,
+            key: marks.key,
+            attempt: marks.attempt,
+            replay: false,
+            deadline,
+            config_version: table.config_version(),
+            method,
+            uri: target,
+            headers,
+            body: body.bytes().clone(),
+        };
+        Ok((call, body))
+    }
+}
+
+/// Why a request can't be routed, and its route as far as known.
+pub(crate) type Unroutable = (RefusalReason, Option<RouteName>);
+
+async fn read_body(
+    inner: &Inner,
+    body: Body,
+    deadline: Deadline,
+) -> Result<HeldBody, RefusalReason> {
+    let slowest = tokio::time::Instant::now() + duration(inner.settings.body_time);
+    let until = inner.clock.timer(deadline.at()).min(slowest);
+    match tokio::time::timeout_at(until, HeldBody::read(body, &inner.bodies)).await {
+        Ok(result) => result,
+        Err(_) if deadline.has_passed(inner.clock.now()) => Err(RefusalReason::DeadlineTooNear),
+        Err(_) => Err(RefusalReason::BadRequest),
+    }
+}
+
+/// The path and query of `uri`.
+fn origin_form(uri: &Uri) -> Option<Uri> {
+    uri.path_and_query().map(|path| Uri::from(path.clone()))
+}
+
+/// Whether `path` has a segment `.` or `..`, also percent-encoded.
+///
+/// A backend server may resolve such a path to one of another route, for which the
+/// decisions on retries and priority would be wrong.
+fn has_dot_segment(path: &str) -> bool {
+    let is_dots = |segment: &str| {
+        let decoded = segment.to_ascii_lowercase().replace("%2e", ".");
+        decoded == "." || decoded == ".."
+    };
+    path.split('/').any(is_dots)
+}
--- a/crates/node/src/claims.rs
+++ b/crates/node/src/claims.rs
@@ -1,29 +1,18 @@
-//! Claims of idempotency keys at their registrars.
+//! The keys that this node registers, and its recorded answers.
 
-use std::collections::BTreeSet;
-use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::sync::{Mutex, PoisonError};
 
-use almondsail_core::RefusalReason;
-use almondsail_core::ids::{CallKey, NodeId, ServiceName};
-use almondsail_core::traffic::{
-    CallId, CallKeys, ClaimAnswer, RecordedAnswers, Replay, registrars,
-};
-use almondsail_core::units::{ByteCount, Micros};
+use almondsail_core::ids::CallKey;
+use almondsail_core::traffic::{CallKeys, ClaimAnswer, RecordedAnswers, Replay};
+use almondsail_core::units::ByteCount;
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, Response, StatusCode};
-use http_body_util::Full;
+use http::{HeaderMap, Response, StatusCode};
 
 use crate::answer_recorder::RecordedAnswer;
 use crate::call_headers as names;
-use crate::call_table::CallTable;
+use crate::claim::Claim;
 use crate::clock::Clock;
-use crate::door_request::{DoorCall, DoorRequest, required};
-use crate::failure::Failure;
-use crate::traffic::Inner;
-
-/// How long a registrar may take to answer.
-const CLAIM_TIME: Duration = Duration::from_millis(500);
+use crate::door_request::DoorRequest;
 
 /// The keys that this node registers, and the answers that its door recorded.
 #[derive(Debug)]
@@ -33,24 +22,6 @@
     answers: Mutex<RecordedAnswers<RecordedAnswer>>,
 }
 
-/// The claim of a key by a call that is about to run.
-#[derive(Debug, Clone)]
-pub(crate) struct Claim {
-    service: ServiceName,
-    key: CallKey,
-    call: CallId,
-    /// The node whose door runs the call.
-    holder: NodeId,
-}
-
-/// The claim of a call at its registrars. Released on drop unless [`Self::keep`] was called.
-pub(crate) struct HeldClaim {
-    inner: Arc<Inner>,
-    claim: Claim,
-    registrars: Vec<NodeId>,
-    is_kept: bool,
-}
-
 impl Claims {
     pub(crate) fn new(clock: Clock) -> Self {
         Self {
@@ -72,13 +43,15 @@
         answers.replay(self.clock.now(), key)
     }
 
-    fn claim(&self, claim: &Claim) -> ClaimAnswer {
+    /// Claims a key that this node registers.
+    pub(crate) fn claim(&self, claim: &Claim) -> ClaimAnswer {
         let mut keys = self.keys.lock().unwrap_or_else(PoisonError::into_inner);
         let now = self.clock.now();
         keys.claim(now, &claim.service, &claim.key, claim.call, &claim.holder)
     }
 
-    fn release(&self, claim: &Claim) {
+    /// Releases a key that this node registers.
+    pub(crate) fn release(&self, claim: &Claim) {
         let mut keys = self.keys.lock().unwrap_or_else(PoisonError::into_inner);
         keys.release(&claim.service, &claim.key, claim.call, &claim.holder);
     }
@@ -107,170 +80,3 @@
         response
     }
 }
-
-impl Claim {
-    fn from_headers(headers: &HeaderMap) -> Result<Self, names::BadHeader> {
-        Ok(Self {
-            service: required(headers, &names::SERVICE)?,
-            key: required(headers, &names::IDEMPOTENCY_KEY)?,
-            call: required(headers, &names::CALL)?,
-            holder: required(headers, &names::HOLDER)?,
-        })
-    }
-
-    fn to_request(&self, inner: &Inner, message: DoorRequest) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(Bytes::new()));
-        *request.method_mut() = Method::POST;
-        let headers = request.headers_mut();
-        headers.insert(names::TOKEN, inner.token.header());
-        names::set(headers, http::header::HOST, &self.holder);
-        names::set(headers, names::MESSAGE, message);
-        names::set(headers, names::SERVICE, &self.service);
-        names::set(headers, names::IDEMPOTENCY_KEY, &self.key);
-        names::set(headers, names::CALL, self.call);
-        names::set(headers, names::HOLDER, &self.holder);
-        request
-    }
-}
-
-impl HeldClaim {
-    /// Claims the key of `call` at both of its registrars.
-    ///
-    /// The claim is granted if at least one registrar answers and none holds the key
-    /// for another call. A call that its caller marked as a repeat is run only if it is
-    /// certain that the registrars would know the first one: both answer, they have run
-    /// for as long as a key is kept, and the set of doors has not changed in that time.
-    pub(crate) async fn take(
-        inner: &Arc<Inner>,
-        table: &CallTable,
-        call: &DoorCall,
-        key: &CallKey,
-    ) -> Result<Self, Failure> {
-        let holder = table.snapshot.node.clone();
-        let claim =
-            Claim { service: call.service.clone(), key: key.clone(), call: call.id, holder };
-        let no_nodes = BTreeSet::new();
-        let service = table.services.get(&call.service);
-        let nodes = service.map_or(&no_nodes, |service| &service.nodes);
-        let (first, second) = registrars(key, nodes.iter());
-        let chosen: Vec<NodeId> = [first, second].into_iter().flatten().cloned().collect();
-        let held = Self { inner: Arc::clone(inner), claim, registrars: chosen, is_kept: false };
-        let ask = |node: Option<&NodeId>| {
-            let node = node.cloned();
-            let claim = &held.claim;
-            async move {
-                match node {
-                    Some(node) => Some(ask(inner, table, claim, &node).await),
-                    None => None,
-                }
-            }
-        };
-        let (first, second) = futures::join!(ask(first), ask(second));
-        let answers: Vec<Option<ClaimAnswer>> = [first, second].into_iter().flatten().collect();
-        let age = service.map_or(Micros::default(), |s| inner.clock.now().since(s.nodes_changed));
-        let is_stable = age > Micros::from(CallKeys::RETENTION);
-        decide(&answers, call.attempt > 1, is_stable).map(|()| held)
-    }
-
-    /// Keeps the claim: the call may have run from now on.
-    pub(crate) fn keep(&mut self) {
-        self.is_kept = true;
-    }
-
-    /// Releases the claim of a call that was certainly not run.
-    pub(crate) fn release(mut self) {
-        self.is_kept = false;
-    }
-}
-
-impl Drop for HeldClaim {
-    fn drop(&mut self) {
-        if self.is_kept {
-            return;
-        }
-        let (inner, claim) = (Arc::clone(&self.inner), self.claim.clone());
-        let registrars = std::mem::take(&mut self.registrars);
-        let Ok(runtime) = tokio::runtime::Handle::try_current() else { return };
-        runtime.spawn(async move {
-            let table = inner.table();
-            for node in registrars {
-                if node == table.snapshot.node {
-                    inner.claims.release(&claim);
-                } else {
-                    // A claim that can't be released expires; until then repeats are in doubt.
-                    let _ = exchange(&inner, &table, &claim, &node, DoorRequest::Release).await;
-                }
-            }
-        });
-    }
-}
-
-/// Whether a call may run after its registrars answered; `None` stands for no answer.
-fn decide(
-    answers: &[Option<ClaimAnswer>],
-    is_repeat: bool,
-    is_stable: bool,
-) -> Result<(), Failure> {
-    let holder = answers.iter().flatten().find_map(|answer| match answer {
-        ClaimAnswer::Held { holder } => Some(holder.clone()),
-        _ => None,
-    });
-    if holder.is_some() {
-        let failure = Failure::may_have_run(RefusalReason::RepeatInDoubt);
-        return Err(Failure { holder, ..failure });
-    }
-    let is_granted =
-        |answer: &&Option<ClaimAnswer>| matches!(answer, Some(ClaimAnswer::Granted { .. }));
-    if !answers.iter().any(|answer| is_granted(&answer)) {
-        return Err(Failure::unrun(RefusalReason::KeyRegistrarUnreachable));
-    }
-    let is_sure =
-        |answer: &Option<ClaimAnswer>| matches!(answer, Some(ClaimAnswer::Granted { sure: true }));
-    if is_repeat && !(is_stable && answers.iter().all(is_sure)) {
-        return Err(Failure::may_have_run(RefusalReason::RepeatInDoubt));
-    }
-    Ok(())
-}
-
-async fn ask(
-    inner: &Arc<Inner>,
-    table: &CallTable,
-    claim: &Claim,
-    node: &NodeId,
-) -> Option<ClaimAnswer> {
-    if *node == table.snapshot.node {
-        return Some(inner.claims.claim(claim));
-    }
-    let headers = exchange(inner, table, claim, node, DoorRequest::Claim).await?;
-    let text = headers.get(names::CLAIM)?.to_str().ok()?;
-    match text {
-        "sure" => Some(ClaimAnswer::Granted { sure: true }),
-        "granted" => Some(ClaimAnswer::Granted { sure: false }),
-        "held" => {
-            let holder = required(&headers, &names::HOLDER).ok()?;
-            Some(ClaimAnswer::Held { holder })
-        }
-        "full" => Some(ClaimAnswer::Full),
-        _ => None,
-    }
-}
-
-/// Sends a message about `claim` to `node` and returns the headers of its answer.
-async fn exchange(
-    inner: &Inner,
-    table: &CallTable,
-    claim: &Claim,
-    node: &NodeId,
-    message: DoorRequest,
-) -> Option<HeaderMap> {
-    let pool = &table.target(&claim.service, node)?.pool;
-    let until = tokio::time::Instant::now() + CLAIM_TIME;
-    let (response, mut exchange) =
-        pool.send(|| claim.to_request(inner, message), until).await.ok()?;
-    let (parts, body) = response.into_parts();
-    drop(body);
-    if exchange.is_reusable() {
-        pool.put(exchange);
-    }
-    (parts.status == StatusCode::OK).then_some(parts.headers)
-}
--- a/crates/node/src/door.rs
+++ b/crates/node/src/door.rs
@@ -12,14 +12,15 @@
 
 use crate::answer_body::{Answer, AnswerBody};
 use crate::answer_recorder::{AnswerRecorder, RecordedAnswer};
-use crate::answer_watcher::{AnswerWatcher, CallTimer};
+use crate::answer_watcher::AnswerWatcher;
 use crate::call_counters::CancelCount;
 use crate::call_headers as names;
 use crate::call_table::CallTable;
-use crate::claims::HeldClaim;
+use crate::call_timer::CallTimer;
 use crate::door_request::DoorCall;
 use crate::exchange::{Exchange, ExchangeError};
 use crate::failure::Failure;
+use crate::held_claim::HeldClaim;
 use crate::slot::{Slot, SlotEnd};
 use crate::traffic::Inner;
 
--- a/crates/node/src/door_server.rs
+++ b/crates/node/src/door_server.rs
@@ -9,8 +9,8 @@
 use hyper::body::Incoming;
 
 use crate::body::HeldBody;
+use crate::call_handler::full;
 use crate::call_headers as names;
-use crate::callers::full;
 use crate::clock::duration;
 use crate::door;
 use crate::door_request::{DoorCall, DoorRequest, required};
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -11,14 +11,16 @@
 use http::{HeaderMap, Response};
 
 use crate::answer_body::{Answer, AnswerBody};
-use crate::answer_watcher::{AnswerWatcher, CallTimer, InFlight};
+use crate::answer_watcher::AnswerWatcher;
 use crate::call_counters::CancelCount;
 use crate::call_headers as names;
 use crate::call_table::{CallTable, Target, VersionCells};
+use crate::call_timer::CallTimer;
 use crate::door;
 use crate::door_request::DoorCall;
 use crate::exchange::ExchangeError;
 use crate::failure::Failure;
+use crate::in_flight::InFlight;
 use crate::traffic::Inner;
 
 /// Sends `call` to an endpoint, and to others as long as the retry policy allows it.
--- /dev/null
+++ b/crates/node/src/in_flight.rs
@@ -0,0 +1,58 @@
+//! The load that a call puts on its endpoint.
+
+use std::sync::Arc;
+
+use almondsail_core::traffic::EndpointLoad;
+use almondsail_core::units::Instant;
+use http::StatusCode;
+
+use crate::answer_watcher::AnswerEnd;
+use crate::clock::Clock;
+
+/// A call in flight to an endpoint; counted until it is dropped.
+#[derive(Debug)]
+pub(crate) struct InFlight {
+    load: Arc<EndpointLoad>,
+    clock: Clock,
+    started: Instant,
+}
+
+impl InFlight {
+    pub(crate) fn start(load: Arc<EndpointLoad>, clock: Clock) -> Self {
+        load.start();
+        Self { load, clock, started: clock.now() }
+    }
+
+    /// Notes that the endpoint's node could not be reached.
+    pub(crate) fn unreachable(&self) {
+        self.load.unreachable(self.clock.now());
+    }
+
+    /// Notes that the exchange failed.
+    pub(crate) fn failed(&self) {
+        self.load.failed(self.clock.now());
+    }
+
+    /// Notes that the door refused the call.
+    pub(crate) fn refused(&self) {
+        self.load.refused(self.clock.now());
+    }
+
+    /// Notes the end of the answer.
+    pub(crate) fn ended(&self, status: StatusCode, end: AnswerEnd) {
+        let now = self.clock.now();
+        match end {
+            // A backend server that fails fast must not look like a fast one.
+            AnswerEnd::Complete if status.is_server_error() => self.load.failed(now),
+            AnswerEnd::Complete => self.load.succeeded(now, now.since(self.started)),
+            AnswerEnd::Broken | AnswerEnd::TimedOut => self.load.failed(now),
+            AnswerEnd::Dropped => {}
+        }
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.load.end();
+    }
+}
--- /dev/null
+++ b/crates/node/src/slots.rs
@@ -0,0 +1,126 @@
+//! The slots of the backend server.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use almondsail_core::RefusalReason;
+use almondsail_core::config::Priority;
+use almondsail_core::traffic::{
+    Admission, Deadline, Door, DoorCounts, DoorLimits, LoadReport, Ticket, Wakeup,
+};
+use almondsail_core::units::Instant;
+use tokio::sync::oneshot;
+
+use crate::clock::Clock;
+use crate::slot::{Slot, SlotEnd};
+use crate::slot_wait::SlotWait;
+
+/// The slots of the backend server, shared by the calls that run and wait.
+///
+/// The mutex is held for single decisions and never while a call waits.
+#[derive(Debug)]
+pub(crate) struct Slots {
+    clock: Clock,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    door: Door,
+    /// The calls that wait; the same tickets as in the door's queue.
+    waiters: HashMap<Ticket, oneshot::Sender<Option<RefusalReason>>>,
+}
+
+impl Slots {
+    pub(crate) fn new(clock: Clock) -> Self {
+        let door = Door::new(DoorLimits { slots: 0, connections: 0 });
+        Self { clock, state: Mutex::new(State { door, waiters: HashMap::new() }) }
+    }
+
+    /// Waits for a slot until `deadline`.
+    pub(crate) async fn take(
+        self: &Arc<Self>,
+        priority: Priority,
+        deadline: Deadline,
+    ) -> Result<Slot, RefusalReason> {
+        let admission = {
+            let mut state = self.lock();
+            let (admission, displaced) = state.door.admit(self.clock.now(), priority, deadline);
+            state.wake(displaced);
+            match admission {
+                Admission::Run => None,
+                Admission::Refused(reason) => return Err(reason),
+                Admission::Wait(ticket) => {
+                    let (tx, rx) = oneshot::channel();
+                    state.waiters.insert(ticket, tx);
+                    Some((ticket, rx))
+                }
+            }
+        };
+        if let Some((ticket, rx)) = admission {
+            let mut waiting = SlotWait { slots: self, priority, ticket, rx: Some(rx) };
+            waiting.wait(self.clock.timer(deadline.at())).await?;
+        }
+        let started = self.clock.now();
+        Ok(Slot::new(Arc::clone(self), priority, started))
+    }
+
+    /// Changes the limits.
+    pub(crate) fn set_limits(&self, limits: DoorLimits) {
+        let mut state = self.lock();
+        let wakeups = state.door.set_limits(self.clock.now(), limits);
+        state.wake(wakeups);
+    }
+
+    /// The load for callers' nodes.
+    pub(crate) fn load(&self) -> LoadReport {
+        self.lock().door.load()
+    }
+
+    /// The counts.
+    pub(crate) fn counts(&self) -> DoorCounts {
+        self.lock().door.counts()
+    }
+
+    /// Takes back the place of a call in the queue, or the slot if it was granted meanwhile.
+    pub(crate) fn give_up(
+        &self,
+        ticket: Ticket,
+        priority: Priority,
+        decision: &mut oneshot::Receiver<Option<RefusalReason>>,
+    ) {
+        let mut state = self.lock();
+        state.waiters.remove(&ticket);
+        if state.door.cancel(ticket) {
+            return;
+        }
+        if let Ok(None) = decision.try_recv() {
+            let wakeups = state.door.end(self.clock.now(), priority, None);
+            state.wake(wakeups);
+        }
+    }
+
+    /// Frees the slot of a call that has ended.
+    pub(crate) fn free(&self, priority: Priority, started: Instant, end: SlotEnd) {
+        let now = self.clock.now();
+        let took = (end == SlotEnd::Ran).then(|| now.since(started));
+        let mut state = self.lock();
+        let wakeups = state.door.end(now, priority, took);
+        state.wake(wakeups);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn wake(&mut self, wakeups: impl IntoIterator<Item = Wakeup>) {
+        for wakeup in wakeups {
+            if let Some(waiter) = self.waiters.remove(&wakeup.ticket) {
+                // The receiver lives until its ticket is cancelled under the same lock.
+                let _ = waiter.send(wakeup.refused);
+            }
+        }
+    }
+}
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -13,7 +13,7 @@
 use crate::door;
 use crate::exchange_pool::{ExchangePool, PoolLimits};
 use crate::peer_token::PeerToken;
-use crate::slot::Slots;
+use crate::slots::Slots;
 use crate::traffic_settings::TrafficSettings;
 
 /// The traffic side of a node: its state between calls.
@@ -41,91 +41,38 @@
     building: Mutex<()>,
 }
 
-/// Builds a [`Traffic`].
-#[derive(Debug)]
-pub struct TrafficBuilder {
-    snapshot: Arc<ArcSwap<Snapshot>>,
-    settings: TrafficSettings,
-    installation_key: Vec<u8>,
-    meter: Option<Meter>,
-}
-
-/// Why traffic could not be set up.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum TrafficError {
-    /// The installation's key is too short.
-    ShortKey,
-}
-
-impl std::fmt::Display for TrafficError {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        match self {
-            Self::ShortKey => {
-                write!(f, "the installation key has less than {MIN_KEY_BYTES} bytes")
-            }
-        }
-    }
-}
-
-impl std::error::Error for TrafficError {}
-
-/// Number of bytes that the installation's key must have at least.
-const MIN_KEY_BYTES: usize = 16;
-
-impl TrafficBuilder {
-    /// Traffic that follows `snapshot`.
-    pub fn new(snapshot: Arc<ArcSwap<Snapshot>>, settings: TrafficSettings) -> Self {
-        Self { snapshot, settings, installation_key: Vec::new(), meter: None }
-    }
-
-    /// Sets the installation's key.
-    #[must_use]
-    pub fn installation_key(mut self, key: &[u8]) -> Self {
-        self.installation_key = key.to_vec();
-        self
-    }
-
-    /// Exports the counters through `meter`.
-    #[must_use]
-    pub fn meter(mut self, meter: Meter) -> Self {
-        self.meter = Some(meter);
-        self
-    }
-
-    /// The traffic.
-    pub fn build(self) -> Result<Traffic, TrafficError> {
-        if self.installation_key.len() < MIN_KEY_BYTES {
-            return Err(TrafficError::ShortKey);
-        }
-        let token =
-            PeerToken::derive(&self.installation_key).map_err(|_| TrafficError::ShortKey)?;
+impl Traffic {
+    /// Traffic that follows `snapshot`. Its counters are exported through `meter`.
+    pub(crate) fn new(
+        snapshot: Arc<ArcSwap<Snapshot>>,
+        settings: TrafficSettings,
+        token: PeerToken,
+        meter: Option<&Meter>,
+    ) -> Self {
         let clock = Clock::start();
         let counters = CallCounters::default();
-        if let Some(meter) = &self.meter {
+        if let Some(meter) = meter {
             counters.export(meter);
         }
-        let limits = PoolLimits { idle: usize::MAX, ..pool_limits(&self.settings) };
-        let backend_pool = Arc::new(ExchangePool::new(self.settings.backend_addr, limits));
-        Ok(Traffic {
-            inner: Arc::new(Inner {
-                clock,
-                token,
-                slots: Arc::new(Slots::new(clock)),
-                claims: Arc::new(Claims::new(clock)),
-                retries: RetryBudget::new(clock.now()),
-                bodies: Arc::new(BodyBudget::new(self.settings.body_memory)),
-                backend_pool,
-                counters,
-                settings: self.settings,
-                snapshot: self.snapshot,
-                table: ArcSwapOption::empty(),
-                building: Mutex::new(()),
-            }),
-        })
+        let limits = PoolLimits { idle: usize::MAX, ..pool_limits(&settings) };
+        let backend_pool = Arc::new(ExchangePool::new(settings.backend_addr, limits));
+        let inner = Inner {
+            clock,
+            token,
+            slots: Arc::new(Slots::new(clock)),
+            claims: Arc::new(Claims::new(clock)),
+            retries: RetryBudget::new(clock.now()),
+            bodies: Arc::new(BodyBudget::new(settings.body_memory)),
+            backend_pool,
+            counters,
+            settings,
+            snapshot,
+            table: ArcSwapOption::empty(),
+            building: Mutex::new(()),
+        };
+        Self { inner: Arc::new(inner) }
     }
-}
 
-impl Traffic {
     /// A reader of the counts of calls. One reader sees each call once.
     pub fn counts_reader(&self) -> CallCountsReader {
         CallCountsReader::new(self.inner.counters.clone())
