Give each type of the operators' side a file of its own

Cause: several files held more than one type, against the house style. Change: the tool's task, options, exchange and delivery, the core's answer body and node view, and the node's JSON bodies and parameters are files of their own. A refusal that led to the next node is named as one. Conclusion: no change of behaviour but that one text.

--- a/crates/cli/src/cli.rs
+++ b/crates/cli/src/cli.rs
@@ -10,7 +10,9 @@
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 
 use crate::language::parse_time;
+use crate::options::Options;
 use crate::output::Format;
+use crate::task::Task;
 
 /// Text after the options in `--help`.
 const AFTER_HELP: &str = "\
@@ -21,34 +23,6 @@
   3  unknown whether the change was accepted; `almondsail outcome WRITE_ID` finds out
   4  no node answered; nothing was changed";
 
-/// What the tool is asked to do.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Task {
-    /// Run one statement.
-    Run(String),
-    /// Run a statement from each line of the standard input.
-    RunLines,
-    /// Ask how a command ended.
-    Outcome(WriteId),
-    /// Ask for the report of a member.
-    Report(ReportQuery),
-    /// Print the grammar.
-    Grammar,
-}
-
-/// How nodes are asked and results are written.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Options {
-    /// The nodes to ask, in this order.
-    pub nodes: Vec<SocketAddr>,
-    /// The file that holds the operator's token.
-    pub token_file: Option<PathBuf>,
-    /// The form of the output.
-    pub format: Format,
-    /// How long one node may take to answer; more than zero.
-    pub timeout: Duration,
-}
-
 /// Reads the options. Prints the help or the mistake and exits if there is nothing to do.
 pub fn parse() -> (Task, Options) {
     let matches = command().get_matches();
--- /dev/null
+++ b/crates/cli/src/delivery/failure.rs
@@ -0,0 +1,12 @@
+//! A node that did not help.
+
+use std::net::SocketAddr;
+
+/// A node that did not help, and why.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Failure {
+    /// The node.
+    pub node: SocketAddr,
+    /// Why, as a part of a sentence.
+    pub problem: String,
+}
--- a/crates/cli/src/delivery.rs
+++ b/crates/cli/src/delivery/turns.rs
@@ -1,9 +1,4 @@
-//! Which node is asked, and what its answer means.
-//!
-//! A question is asked again at the next node after any failure. A command is
-//! sent again only with the same write id: every writer first looks for the id
-//! in the configuration's history, and answers with the version that carries it
-//! instead of writing again.
+//! The nodes in turn.
 
 use std::net::SocketAddr;
 
@@ -11,29 +6,9 @@
 use almondsail_wire::operator::outcome::Outcome;
 use serde::de::DeserializeOwned;
 
-use crate::node_client::{ExchangeError, NodeAnswer, NodeClient, NodeRequest};
-
-/// What came of asking the nodes.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Delivery<T> {
-    /// A node answered.
-    Answered(T),
-    /// A node refused to carry out the request; nothing was changed.
-    Refused(wire::Error),
-    /// A command was sent, and no node said how it ended.
-    InDoubt(Vec<Failure>),
-    /// No node got the request.
-    NoNode(Vec<Failure>),
-}
-
-/// A node that did not help, and why.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Failure {
-    /// The node.
-    pub node: SocketAddr,
-    /// Why, as a part of a sentence.
-    pub problem: String,
-}
+use super::attempt::{Attempt, attempt};
+use crate::delivery::{Delivery, Failure};
+use crate::exchange::{NodeClient, NodeRequest};
 
 /// Asks the nodes in turn, until one answers.
 pub async fn ask<T: DeserializeOwned>(
@@ -47,7 +22,7 @@
         match attempt(client, node, request).await {
             Attempt::Answered(answer) => return Delivery::Answered(answer),
             Attempt::Refused(e) if is_passing(&e.code) => {
-                failures.push(Failure { node, problem: e.message.clone() });
+                failures.push(Failure { node, problem: refused(&e.message) });
                 refusal = Some(e);
             }
             Attempt::Refused(e) => return Delivery::Refused(e),
@@ -75,14 +50,16 @@
         let problem = match attempt::<wire::Outcome>(client, node, request).await {
             Attempt::Answered(wire::Outcome { outcome: Some(outcome) }) => match outcome {
                 Outcome::Refused(e) if is_passing(&e.code) || is_in_doubt => {
-                    refusal = Some(Delivery::Answered(Outcome::Refused(e.clone())));
-                    e.message
+                    let problem = refused(&e.message);
+                    refusal = Some(Delivery::Answered(Outcome::Refused(e)));
+                    problem
                 }
                 outcome => return Delivery::Answered(outcome),
             },
             Attempt::Refused(e) if is_passing(&e.code) || is_in_doubt => {
-                refusal = Some(Delivery::Refused(e.clone()));
-                e.message
+                let problem = refused(&e.message);
+                refusal = Some(Delivery::Refused(e));
+                problem
             }
             Attempt::Refused(e) => return Delivery::Refused(e),
             Attempt::NotSent(problem) => problem,
@@ -109,35 +86,6 @@
     matches!(code, "busy" | "stopping" | "no_answer" | "no_report" | "store_unreachable")
 }
 
-/// What came of asking one node.
-enum Attempt<T> {
-    Answered(T),
-    Refused(wire::Error),
-    NotSent(String),
-    Lost(String),
-}
-
-async fn attempt<T: DeserializeOwned>(
-    client: &NodeClient,
-    node: SocketAddr,
-    request: &NodeRequest,
-) -> Attempt<T> {
-    match client.exchange(node, request).await {
-        Ok(answer) => read(&answer),
-        Err(e @ ExchangeError::NotSent(_)) => Attempt::NotSent(e.to_string()),
-        Err(e @ ExchangeError::Lost(_)) => Attempt::Lost(e.to_string()),
-    }
-}
-
-fn read<T: DeserializeOwned>(answer: &NodeAnswer) -> Attempt<T> {
-    if answer.status.is_success() {
-        return match serde_json::from_slice(&answer.body) {
-            Ok(value) => Attempt::Answered(value),
-            Err(e) => Attempt::Lost(format!("gave an answer of another form: {e}")),
-        };
-    }
-    match serde_json::from_slice::<wire::Error>(&answer.body) {
-        Ok(e) if !e.code.is_empty() => Attempt::Refused(e),
-        _ => Attempt::Lost(format!("answered with status {}", answer.status)),
-    }
+fn refused(message: &str) -> String {
+    format!("refused: {message}")
 }
--- /dev/null
+++ b/crates/cli/src/exchange/node_answer.rs
@@ -0,0 +1,13 @@
+//! The answer of a node.
+
+use bytes::Bytes;
+use http::StatusCode;
+
+/// The answer of a node.
+#[derive(Debug, Clone)]
+pub struct NodeAnswer {
+    /// The status.
+    pub status: StatusCode,
+    /// The JSON text.
+    pub body: Bytes,
+}
--- a/crates/cli/src/node_client.rs
+++ b/crates/cli/src/exchange/node_client.rs
@@ -1,60 +1,21 @@
-//! One exchange of messages with a node.
+//! Exchanges messages with nodes.
 
-use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::Request;
 use http::header::{AUTHORIZATION, CONTENT_TYPE, HOST};
-use http::{Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
+use crate::exchange::{ExchangeError, NodeAnswer, NodeRequest};
+
 /// Number of bytes of an answer at most: room for a configuration of 1 MB in JSON.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 
-/// A request to a node.
-#[derive(Debug, Clone)]
-pub struct NodeRequest {
-    /// The method.
-    pub method: Method,
-    /// The path with its query.
-    pub path: String,
-    /// The JSON text; empty for none.
-    pub body: Bytes,
-}
-
-/// The answer of a node.
-#[derive(Debug, Clone)]
-pub struct NodeAnswer {
-    /// The status.
-    pub status: StatusCode,
-    /// The JSON text.
-    pub body: Bytes,
-}
-
-/// Why a node did not answer.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum ExchangeError {
-    /// There was no connection, so the node did not get the request.
-    NotSent(String),
-    /// The request was sent, in part or in whole, and the answer is missing.
-    Lost(String),
-}
-
-impl fmt::Display for ExchangeError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::NotSent(problem) => write!(f, "can't be reached: {problem}"),
-            Self::Lost(problem) => write!(f, "gave no complete answer: {problem}"),
-        }
-    }
-}
-
-impl std::error::Error for ExchangeError {}
-
 /// Asks nodes with an operator's token.
 #[derive(Debug, Clone)]
 pub struct NodeClient {
--- a/crates/cli/src/session.rs
+++ b/crates/cli/src/session.rs
@@ -16,12 +16,14 @@
 use serde::Serialize;
 use tokio::runtime::Runtime;
 
-use crate::cli::{self, Options, Task};
+use crate::cli;
 use crate::delivery::{self, Delivery};
+use crate::exchange::{NodeClient, NodeRequest};
 use crate::exit::Exit;
 use crate::language::{GRAMMAR, Statement};
-use crate::node_client::{NodeClient, NodeRequest};
+use crate::options::Options;
 use crate::output::{Console, answer_text, outcome_text, report_text};
+use crate::task::Task;
 
 /// Reads the options, carries out the task and returns how it ended.
 pub fn main() -> Exit {
--- a/crates/core/src/operators/view.rs
+++ b/crates/core/src/operators/view.rs
@@ -5,7 +5,7 @@
 
 use crate::config::{Config, HistoryEntry, Rollout, RolloutPhase, ServerVersion, StopMark};
 use crate::ids::{ConfigVersion, NodeId, ServiceName};
-use crate::operators::{Answer, AnswerBody, NodeRow, Query, VersionRole, VersionRow};
+use crate::operators::{Answer, AnswerBody, NodeRow, NodeView, Query, VersionRole, VersionRow};
 use crate::peers::{BackendState, Peer};
 
 /// What a node knows when it answers an operator.
@@ -21,15 +21,6 @@
     pub nodes: &'a [NodeView<'a>],
 }
 
-/// What is known of one node.
-#[derive(Debug, Clone, Copy)]
-pub struct NodeView<'a> {
-    /// The node's entry.
-    pub peer: &'a Peer,
-    /// The version in force there, as last heard.
-    pub applied: Option<ConfigVersion>,
-}
-
 impl View<'_> {
     /// The answer to `query`.
     pub fn answer(&self, query: &Query) -> Answer {
--- /dev/null
+++ b/crates/node/src/operator_report_params.rs
@@ -0,0 +1,39 @@
+//! The parameters of a question for a report.
+
+use almondsail_core::report::ReportQuery;
+use almondsail_wire::FieldError;
+use gotham::helpers::http::Body;
+use gotham::hyper::{Response, StatusCode};
+use gotham::router::response::StaticResponseExtender;
+use gotham::state::{State, StateData};
+use serde::Deserialize;
+
+/// The parameters of a question for a report.
+#[derive(Deserialize)]
+pub(crate) struct ReportParams {
+    #[serde(default)]
+    member: String,
+    #[serde(default)]
+    since: String,
+}
+
+impl StateData for ReportParams {}
+
+impl StaticResponseExtender for ReportParams {
+    type ResBody = Body;
+
+    fn extend(_: &mut State, res: &mut Response<Body>) {
+        *res.status_mut() = StatusCode::BAD_REQUEST;
+    }
+}
+
+impl TryFrom<ReportParams> for ReportQuery {
+    type Error = FieldError;
+
+    fn try_from(params: ReportParams) -> Result<Self, FieldError> {
+        Ok(Self {
+            member: params.member.parse().map_err(|e| FieldError::new("member", e))?,
+            since: params.since.parse().map_err(|e| FieldError::new("since", e))?,
+        })
+    }
+}
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -2,13 +2,11 @@
 
 use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
-use std::time::Duration;
 
 use almondsail_core::ids::WriteId;
 use almondsail_core::operators::{CommandRequest, Query};
-use almondsail_core::report::ReportQuery;
 use almondsail_wire::{FieldError, operator as wire};
-use gotham::handler::{HandlerResult, IntoBody};
+use gotham::handler::HandlerResult;
 use gotham::helpers::http::Body;
 use gotham::helpers::http::response::{create_empty_response, create_response};
 use gotham::hyper::body::Body as _;
@@ -17,24 +15,19 @@
 use gotham::pipeline::{single_middleware, single_pipeline};
 use gotham::router::Router;
 use gotham::router::builder::{DefineSingleRoute, DrawRoutes, build_router};
-use gotham::router::response::StaticResponseExtender;
 use gotham::state::{FromState, State, StateData};
-use http::header::{AUTHORIZATION, CONTENT_TYPE, WWW_AUTHENTICATE};
-use http::{HeaderMap, HeaderValue};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use serde::de::DeserializeOwned;
-use serde::{Deserialize, Serialize};
+use http::HeaderMap;
+use http::header::AUTHORIZATION;
+use serde::Serialize;
 
 use crate::operator_auth::OperatorAuth;
 use crate::operator_control::OperatorControl;
 use crate::operator_error::OperatorError;
+use crate::operator_json::{describe, json, read_json};
+use crate::operator_outcome_path::OutcomePath;
+use crate::operator_report_params::ReportParams;
 use crate::settings::OperatorToken;
 
-/// Number of bytes of a request's body at most.
-pub const MAX_BODY_BYTES: usize = 1_000_000;
-/// A body that has not arrived after this time is refused.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-
 /// HTTP for operators.
 ///
 /// A handler that panics leaves its parts intact: all can be used from many
@@ -120,52 +113,6 @@
     }
 }
 
-/// The path of a question for an outcome.
-#[derive(Deserialize)]
-struct OutcomePath {
-    write_id: String,
-}
-
-impl StateData for OutcomePath {}
-
-impl StaticResponseExtender for OutcomePath {
-    type ResBody = Body;
-
-    fn extend(_: &mut State, res: &mut Response<Body>) {
-        *res.status_mut() = StatusCode::BAD_REQUEST;
-    }
-}
-
-/// The parameters of a question for a report.
-#[derive(Deserialize)]
-struct ReportParams {
-    #[serde(default)]
-    member: String,
-    #[serde(default)]
-    since: String,
-}
-
-impl StateData for ReportParams {}
-
-impl StaticResponseExtender for ReportParams {
-    type ResBody = Body;
-
-    fn extend(_: &mut State, res: &mut Response<Body>) {
-        *res.status_mut() = StatusCode::BAD_REQUEST;
-    }
-}
-
-impl TryFrom<ReportParams> for ReportQuery {
-    type Error = FieldError;
-
-    fn try_from(params: ReportParams) -> Result<Self, FieldError> {
-        Ok(Self {
-            member: params.member.parse().map_err(|e| FieldError::new("member", e))?,
-            since: params.since.parse().map_err(|e| FieldError::new("since", e))?,
-        })
-    }
-}
-
 async fn command(mut state: State) -> HandlerResult {
     let Request { api, headers, body } = Request::take(&mut state);
     let run = async {
@@ -216,16 +163,6 @@
     Ok(respond(state, &api, result))
 }
 
-async fn read_json<T: DeserializeOwned>(body: Body) -> Result<T, OperatorError> {
-    let read = Limited::new(body, MAX_BODY_BYTES).collect();
-    let body = match tokio::time::timeout(BODY_TIMEOUT, read).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => return Err(OperatorError::BodyTooLarge),
-        Ok(Err(_)) | Err(_) => return Err(OperatorError::BodyIncomplete),
-    };
-    serde_json::from_slice(&body).map_err(|e| OperatorError::BadJson(e.to_string()))
-}
-
 fn respond<T: Serialize>(
     state: State,
     api: &OperatorApi,
@@ -244,19 +181,3 @@
     };
     (state, response)
 }
-
-/// Makes `res` the answer that describes an error.
-fn describe(res: &mut Response<Body>, e: &OperatorError) {
-    *res.status_mut() = e.status();
-    let json_type = HeaderValue::from_static("application/json");
-    res.headers_mut().insert(CONTENT_TYPE, json_type);
-    if e.status() == StatusCode::UNAUTHORIZED {
-        res.headers_mut().insert(WWW_AUTHENTICATE, HeaderValue::from_static("Bearer"));
-    }
-    *res.body_mut() = json(&wire::Error::from(e)).into_body();
-}
-
-/// The JSON text of a generated type, which has text keys only and so can be written.
-fn json<T: Serialize>(value: &T) -> String {
-    serde_json::to_string(value).unwrap_or_default()
-}
