--- a/crates/wire/src/convert/codec.rs
+++ b/crates/wire/src/convert/codec.rs
@@ -2,10 +2,11 @@
 
 use almondsail_core::config::Config;
 use almondsail_core::control::PeerMessage;
+use almondsail_core::ids::Digest;
 use almondsail_core::report::HourValue;
 use prost::Message;
 
-use crate::{DecodeError, MAX_CONFIG_BYTES, MAX_FRAME_BYTES, config, peer, report};
+use crate::{DecodeError, FieldError, MAX_CONFIG_BYTES, MAX_FRAME_BYTES, config, peer, report};
 
 /// Encodes a configuration, as it is kept in the store.
 pub fn encode_config(cfg: &Config) -> Vec<u8> {
@@ -20,12 +21,18 @@
 
 /// Encodes the sums of an hour, as they are kept in the store.
 pub fn encode_hour(value: &HourValue) -> Vec<u8> {
-    report::Hour::from(value).encode_to_vec()
+    let mut hour = report::Hour::from(value);
+    hour.digest = Digest::of(&hour.encode_to_vec()).as_bytes().to_vec();
+    hour.encode_to_vec()
 }
 
-/// Decodes the sums of an hour.
+/// Decodes the sums of an hour and compares their digest.
 pub fn decode_hour(bytes: &[u8]) -> Result<HourValue, DecodeError> {
-    let hour: report::Hour = decode(bytes, MAX_CONFIG_BYTES)?;
+    let mut hour: report::Hour = decode(bytes, MAX_CONFIG_BYTES)?;
+    let digest = std::mem::take(&mut hour.digest);
+    if digest != Digest::of(&hour.encode_to_vec()).as_bytes() {
+        return Err(FieldError::new("digest", "differs from that of the sums").into());
+    }
     Ok(hour.try_into()?)
 }
 
--- a/crates/wire/src/convert/report.rs
+++ b/crates/wire/src/convert/report.rs
@@ -194,6 +194,7 @@
             minutes: value.sums.minutes.iter().map(minute).collect(),
             sums: Some((&value.sums.sums).into()),
             writes: value.writes.iter().map(|id| id.as_bytes().to_vec()).collect(),
+            digest: Vec::new(),
         }
     }
 }
