Test calls with random faults, and doors that freeze or die

Cause: the failure tests met one fault at a time.

Change: 360 calls of six callers for each of two seeds, half of the calls with a key and repeated at other nodes, while answers break off, calls are shed, a backend server drains and a node dies. A call through a frozen door and one through a dying door have a test of their own.

--- a/crates/node/tests/calls_exchange.rs
+++ b/crates/node/tests/calls_exchange.rs
@@ -271,3 +271,24 @@
     let counts = mesh.nodes[1].traffic.door_counts();
     assert_eq!((counts.running, counts.ended), (0, 1));
 }
+
+/// Guards against a wrong verdict when the door's node stops answering, and when it dies
+/// during a call.
+#[tokio::test]
+async fn door_frozen_or_dying() {
+    let backend = FakeBackend::start(|req| echo_reply(req).after(500)).await;
+    let mut mesh = TestMesh::start(&MeshPlan::new(&[None, Some(backend.addr)])).await;
+    let call = tokio::spawn(post(mesh.entry(0), "/book", b"b"));
+    while backend.runs() == 0 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    mesh.nodes[1].kill();
+    let answer = call.await.unwrap().unwrap();
+    assert_eq!(answer.failure(), ("may-have-run", "broken_exchange"));
+    let frozen = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    mesh.change_peer(1, |peer| peer.door_addr = frozen.local_addr().unwrap());
+    let hurried = request("POST", "/book", &[("almondsail-deadline-ms", "100")], b"b");
+    let answer = send(mesh.entry(0), hurried).await.unwrap();
+    assert_eq!(answer.status, 504);
+    assert_eq!(answer.failure(), ("may-have-run", "deadline_passed"));
+}
--- /dev/null
+++ b/crates/node/tests/calls_random.rs
@@ -0,0 +1,138 @@
+//! Many calls with random faults: what callers are told against what ran.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use almondsail_core::peers::{BackendState, PeerStatus};
+use rand::rngs::SmallRng;
+use rand::{Rng as _, SeedableRng as _};
+use support::caller::{CallerAnswer, request, send};
+use support::fake_backend::{FakeBackend, FakeReply, FakeRequest, answer_bytes};
+use support::mesh::{MeshPlan, TestMesh};
+
+const CALLERS: usize = 6;
+const CALLS: usize = 60;
+
+/// The fault of a call, which its body names, so that each attempt meets the same one.
+fn fault(body: &[u8]) -> u8 {
+    body.last().copied().unwrap_or(0)
+}
+
+fn script(req: &FakeRequest) -> FakeReply {
+    let whole = FakeReply::ok(&[b"ran ", &req.body[..]].concat());
+    match fault(&req.body) {
+        b'0' => FakeReply::shed(),
+        b'1' => FakeReply::raw(b"").closing(),
+        b'2' => FakeReply::raw(&whole.bytes[..whole.bytes.len() - 3]).closing(),
+        b'3' => whole.after(250),
+        b'4' => FakeReply::raw(&[&whole.bytes[..], b"surplus"].concat()),
+        b'5' => FakeReply::raw(&answer_bytes("500 Oops", "", b"failed")),
+        n => whole.after(u64::from(n % 4)),
+    }
+}
+
+/// What a caller was told about one call.
+struct Told {
+    body: String,
+    answers: Vec<Option<CallerAnswer>>,
+}
+
+async fn caller(i: usize, entries: Vec<std::net::SocketAddr>, seed: u64) -> Vec<Told> {
+    let mut rng = SmallRng::seed_from_u64(seed + i as u64);
+    let mut told = Vec::new();
+    for j in 0..CALLS {
+        let body = format!("{i}-{j}-{}", rng.random_range(0..10));
+        let key = format!("key-{i}-{j}");
+        let mut headers = vec![("almondsail-deadline-ms", "200")];
+        let repeats = if rng.random_bool(0.5) {
+            headers.push(("idempotency-key", &key));
+            2
+        } else {
+            0
+        };
+        let mut answers = Vec::new();
+        for _ in 0..=repeats {
+            let entry = entries[rng.random_range(0..entries.len())];
+            answers.push(send(entry, request("POST", "/book", &headers, body.as_bytes())).await);
+        }
+        told.push(Told { body, answers });
+    }
+    told
+}
+
+/// How often each body ran.
+fn runs(backends: &[FakeBackend]) -> BTreeMap<String, usize> {
+    let mut runs = BTreeMap::new();
+    for backend in backends {
+        for request in backend.seen.requests.lock().unwrap().iter() {
+            if fault(&request.body) != b'0' {
+                let body = String::from_utf8(request.body.clone()).unwrap();
+                *runs.entry(body).or_insert(0) += 1;
+            }
+        }
+    }
+    runs
+}
+
+fn check(told: &Told, runs: usize) {
+    assert!(runs <= 1, "{} ran {runs} times", told.body);
+    let mut is_unrun = true;
+    for answer in told.answers.iter().flatten() {
+        match answer.failure() {
+            ("", "") if answer.status == 500 => assert_eq!(&answer.body[..], b"failed"),
+            ("", "") => assert_eq!(answer.body, format!("ran {}", told.body)),
+            ("may-have-run", _) => {}
+            ("not-sent" | "refused-unrun", _) => continue,
+            other => panic!("{other:?}"),
+        }
+        is_unrun = false;
+    }
+    let is_certain = told.answers.iter().all(Option::is_some) && is_unrun;
+    assert!(!is_certain || runs == 0, "{} ran, but was reported as unrun", told.body);
+}
+
+/// Guards against a second run, a wrong verdict and another call's answer while answers break
+/// off, calls are shed, a backend server drains and a node dies.
+async fn check_random(seed: u64) {
+    let mut backends = Vec::new();
+    for _ in 0..3 {
+        backends.push(FakeBackend::start(script).await);
+    }
+    let addrs: Vec<_> = backends.iter().map(|b| Some(b.addr)).chain([None]).collect();
+    let plan = MeshPlan { slots: 3, ..MeshPlan::new(&addrs) };
+    let mut mesh = TestMesh::start(&plan).await;
+    let entries = vec![mesh.entry(0), mesh.entry(1), mesh.entry(3)];
+    let callers: Vec<_> =
+        (0..CALLERS).map(|i| tokio::spawn(caller(i, entries.clone(), seed))).collect();
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    for state in [BackendState::Draining, BackendState::Ready] {
+        mesh.change_peer(1, |peer| peer.backend.as_mut().unwrap().state = state);
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+    mesh.nodes[2].kill();
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    mesh.change_peer(2, |peer| peer.status = PeerStatus::Dead);
+    let mut told = Vec::new();
+    for caller in callers {
+        told.extend(caller.await.unwrap());
+    }
+    let runs = runs(&backends);
+    for told in &told {
+        check(told, runs.get(&told.body).copied().unwrap_or(0));
+    }
+    let is_whole = |answer: &Option<CallerAnswer>| answer.as_ref().is_some_and(|a| a.status == 200);
+    let whole = told.iter().filter(|told| told.answers.iter().any(is_whole)).count();
+    assert!(whole > CALLERS * CALLS / 4, "only {whole} calls were answered");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn random_faults_first_seed() {
+    check_random(1).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn random_faults_second_seed() {
+    check_random(1_000).await;
+}
