Decide on claims of idempotency keys in the core

Cause: the rule by which registrars' answers let a call run stood in the node, between the messages.

Change: ClaimDecision in the core; the node asks the registrars and acts on it. The rule is the same.

Conclusion: the decision can be tested and used without messages.

--- a/crates/core/tests/traffic_keys.rs
+++ b/crates/core/tests/traffic_keys.rs
@@ -4,7 +4,7 @@
 
 use almondsail_core::ids::{CallKey, NodeId, ServiceName};
 use almondsail_core::traffic::{
-    CallId, CallKeys, ClaimAnswer, RecordedAnswers, Replay, registrars,
+    CallId, CallKeys, ClaimAnswer, ClaimDecision, RecordedAnswers, Replay, registrars,
 };
 use almondsail_core::units::{ByteCount, Instant, Millis};
 use quickcheck::{TestResult, quickcheck};
@@ -92,6 +92,32 @@
     }
 }
 
+/// Guards against a call that runs while another holds its key or without a grant, and against
+/// a marked repeat that runs although the first call may be unknown.
+#[test]
+fn decide_any_answers() {
+    let answers = [
+        None,
+        Some(ClaimAnswer::Full),
+        Some(ClaimAnswer::Granted { sure: false }),
+        Some(ClaimAnswer::Granted { sure: true }),
+        Some(ClaimAnswer::Held { holder: node(1) }),
+    ];
+    for (i, j) in (0..5).flat_map(|i| (0..5).map(move |j| (i, j))) {
+        for (is_repeat, is_stable) in [(false, false), (false, true), (true, false), (true, true)] {
+            let pair = [answers[i].clone(), answers[j].clone()];
+            let expected = match (i.max(j), i.min(j)) {
+                (4, _) => ClaimDecision::Held { holder: node(1) },
+                (0 | 1, _) => ClaimDecision::Unreachable,
+                (3, 3) if is_stable => ClaimDecision::Run,
+                _ if is_repeat => ClaimDecision::InDoubt,
+                _ => ClaimDecision::Run,
+            };
+            assert_eq!(ClaimDecision::new(&pair, is_repeat, is_stable), expected, "{pair:?}");
+        }
+    }
+}
+
 /// Guards against a full registrar that drops a key before its time.
 #[test]
 fn claim_full() {
--- a/crates/node/src/held_claim.rs
+++ b/crates/node/src/held_claim.rs
@@ -6,7 +6,7 @@
 
 use almondsail_core::RefusalReason;
 use almondsail_core::ids::{CallKey, NodeId};
-use almondsail_core::traffic::{CallKeys, ClaimAnswer, registrars};
+use almondsail_core::traffic::{CallKeys, ClaimAnswer, ClaimDecision, registrars};
 use almondsail_core::units::Micros;
 use http::{HeaderMap, StatusCode};
 
@@ -29,12 +29,7 @@
 }
 
 impl HeldClaim {
-    /// Claims the key of `call` at both of its registrars.
-    ///
-    /// The claim is granted if at least one registrar answers and none holds the key
-    /// for another call. A call that its caller marked as a repeat is run only if it is
-    /// certain that the registrars would know the first one: both answer, they have run
-    /// for as long as a key is kept, and the set of doors has not changed in that time.
+    /// Claims the key of `call` at both of its registrars; see [`ClaimDecision::new`].
     pub(crate) async fn take(
         inner: &Arc<Inner>,
         table: &CallTable,
@@ -64,7 +59,17 @@
         let answers: Vec<Option<ClaimAnswer>> = [first, second].into_iter().flatten().collect();
         let age = service.map_or(Micros::default(), |s| inner.clock.now().since(s.nodes_changed));
         let is_stable = age > Micros::from(CallKeys::RETENTION);
-        decide(&answers, call.attempt > 1, is_stable).map(|()| held)
+        match ClaimDecision::new(&answers, call.attempt > 1, is_stable) {
+            ClaimDecision::Run => Ok(held),
+            ClaimDecision::Held { holder } => Err(Failure {
+                holder: Some(holder),
+                ..Failure::may_have_run(RefusalReason::RepeatInDoubt)
+            }),
+            ClaimDecision::InDoubt => Err(Failure::may_have_run(RefusalReason::RepeatInDoubt)),
+            ClaimDecision::Unreachable => {
+                Err(Failure::unrun(RefusalReason::KeyRegistrarUnreachable))
+            }
+        }
     }
 
     /// Keeps the claim: the call may have run from now on.
@@ -100,33 +105,6 @@
     }
 }
 
-/// Whether a call may run after its registrars answered; `None` stands for no answer.
-fn decide(
-    answers: &[Option<ClaimAnswer>],
-    is_repeat: bool,
-    is_stable: bool,
-) -> Result<(), Failure> {
-    let holder = answers.iter().flatten().find_map(|answer| match answer {
-        ClaimAnswer::Held { holder } => Some(holder.clone()),
-        _ => None,
-    });
-    if holder.is_some() {
-        let failure = Failure::may_have_run(RefusalReason::RepeatInDoubt);
-        return Err(Failure { holder, ..failure });
-    }
-    let is_granted =
-        |answer: &&Option<ClaimAnswer>| matches!(answer, Some(ClaimAnswer::Granted { .. }));
-    if !answers.iter().any(|answer| is_granted(&answer)) {
-        return Err(Failure::unrun(RefusalReason::KeyRegistrarUnreachable));
-    }
-    let is_sure =
-        |answer: &Option<ClaimAnswer>| matches!(answer, Some(ClaimAnswer::Granted { sure: true }));
-    if is_repeat && !(is_stable && answers.iter().all(is_sure)) {
-        return Err(Failure::may_have_run(RefusalReason::RepeatInDoubt));
-    }
-    Ok(())
-}
-
 async fn ask(
     inner: &Arc<Inner>,
     table: &CallTable,
