Accept the waiting connections before a node's listeners close

At a planned stop, closing a listener resets the connections that the system had completed but the node had not accepted; their callers can't tell whether the call ran.

Change: the node's servers take those connections over before the listener closes and serve them like the others.

--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -39,7 +39,7 @@
     stop: watch::Receiver<bool>,
     answer: H,
 ) where
-    H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + 'static,
+    H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Result<Response<Body>, E>> + Send + 'static,
     E: Into<Box<dyn std::error::Error + Send + Sync>> + 'static,
 {
@@ -47,28 +47,47 @@
     let mut stop_later = std::pin::pin!(stop_after(stop.clone(), leave_time));
     let mut connections = JoinSet::new();
     let mut tidy = tokio::time::interval(TIDY_EVERY);
+    let connect = |(stream, peer)| {
+        let answer = answer.clone();
+        let service = move |request| answer(request, peer);
+        connection(stream, Arc::clone(inner), stop.clone(), service)
+    };
     loop {
         tokio::select! {
             () = &mut stop_later => break,
             accepted = listener.accept(), if connections.len() < MAX_CONNECTIONS => {
-                let Ok((stream, peer)) = accepted else {
+                let Ok(accepted) = accepted else {
                     tokio::time::sleep(ACCEPT_PAUSE).await;
                     continue;
                 };
-                let answer = answer.clone();
-                let service = move |request| answer(request, peer);
-                connections.spawn(connection(stream, Arc::clone(inner), stop.clone(), service));
+                connections.spawn(connect(accepted));
             }
             _ = connections.join_next(), if !connections.is_empty() => {}
             _ = tidy.tick() => inner.tidy(),
         }
     }
-    drop(listener);
+    for accepted in close(listener, MAX_CONNECTIONS - connections.len()) {
+        connections.spawn(connect(accepted));
+    }
     let all_ended = async { while connections.join_next().await.is_some() {} };
     // Connections that are left after this time are closed when the set is dropped.
     let _ = tokio::time::timeout(duration(inner.settings.stop_time), all_ended).await;
 }
 
+/// Closes the listener and gives the connections, at most `limit`, that waited to be accepted.
+///
+/// Closing alone would reset them, and their callers could not tell whether
+/// their calls ran.
+fn close(listener: TcpListener, limit: usize) -> Vec<(TcpStream, SocketAddr)> {
+    let Ok(listener) = listener.into_std() else { return Vec::new() };
+    let accept = || {
+        let (stream, peer) = listener.accept()?;
+        stream.set_nonblocking(true)?;
+        Ok::<_, std::io::Error>((TcpStream::from_std(stream)?, peer))
+    };
+    std::iter::from_fn(|| accept().ok()).take(limit).collect()
+}
+
 /// Waits until `stop` becomes true, and for `leave_time` after it.
 async fn stop_after(mut stop: watch::Receiver<bool>, leave_time: Duration) {
     // A dropped sender means that nobody can ask to stop any more.
