Measure the return of frozen nodes and test the stand-ins' faults

Cause: the convergence measurement left out how soon a frozen node catches up, counted the store's calls over less than one watch, and the delayed, load dependent and misleading faults had no test. A demo that was ended by SIGTERM left its processes behind.

Change: the measurement shows the time from the end of a freeze and watches the idle mesh for 30 s. The demo ends its processes on a signal.

--- a/crates/testkit/examples/convergence.rs
+++ b/crates/testkit/examples/convergence.rs
@@ -9,15 +9,16 @@
 
 use std::time::{Duration, Instant};
 
-use almondsail_testkit::harness::{ProcessId, wait_until};
+use almondsail_testkit::harness::wait_until;
 use almondsail_testkit::http::HttpClient;
 use almondsail_testkit::mesh::{Mesh, Metrics, ProcessUsage, changes};
-use eyre::{Result, WrapErr, ensure};
+use eyre::{Result, WrapErr, ensure, eyre};
 use hdrhistogram::Histogram;
 use tokio::task::JoinSet;
 
-/// How long the mesh is left alone while its cost is measured.
-const IDLE: Duration = Duration::from_secs(10);
+/// How long the mesh is left alone while its cost is measured: as long as a
+/// watch on the store waits, so that each reader begins one.
+const IDLE: Duration = Duration::from_secs(30);
 /// Changes made in each state of the mesh.
 const CHANGES: usize = 8;
 /// How long to wait between two questions to a node.
@@ -47,6 +48,8 @@
     nodes: usize,
     quiet: Histogram<u64>,
     disturbed: Histogram<u64>,
+    /// From the end of the freeze until the last frozen node had the newest version.
+    thawed: Duration,
     bytes_per_second: Histogram<u64>,
     cpu_per_mille: Histogram<u64>,
     memory_kb: Histogram<u64>,
@@ -55,18 +58,19 @@
 
 impl Row {
     const HEADING: &str = "\
-nodes | accepted to in force on the last node, ms | control B/s  | CPU per mille | memory KB    | store
-      | quiet: median, max  | a tenth lost: same  | median, max  | median, max   | median, max  | calls/s";
+nodes | accepted to in force on the last node, ms | after a   | control B/s  | CPU per mille | memory KB    | store
+      | quiet: median, max  | a tenth lost: same  | freeze ms | median, max  | median, max   | median, max  | calls/s";
 
     fn print(&self) {
         let pair = |values: &Histogram<u64>| {
             format!("{:5} {:6}", values.value_at_quantile(0.5), values.max())
         };
         println!(
-            "{:5} | {:>19} | {:>19} | {} | {:>13} | {} | {:7.2}",
+            "{:5} | {:>19} | {:>19} | {:9} | {} | {:>13} | {} | {:7.2}",
             self.nodes,
             pair(&self.quiet),
             pair(&self.disturbed),
+            self.thawed.as_millis(),
             pair(&self.bytes_per_second),
             pair(&self.cpu_per_mille),
             pair(&self.memory_kb),
@@ -88,9 +92,11 @@
     .await?;
     let mut row = measure_idle(&mesh, nodes).await?;
     row.quiet = measure_changes(&mesh, &all, "quiet").await?;
-    let lost = disturb(&mut mesh, nodes)?;
-    let left: Vec<usize> = all.into_iter().filter(|index| !lost.contains(index)).collect();
+    let (killed, frozen) = disturb(&mut mesh, nodes)?;
+    let is_left = |index: &usize| !killed.contains(index) && !frozen.contains(index);
+    let left: Vec<usize> = all.into_iter().filter(is_left).collect();
     row.disturbed = measure_changes(&mesh, &left, "disturbed").await?;
+    row.thawed = measure_thaw(&mut mesh, left[0], &frozen).await?;
     Ok(row)
 }
 
@@ -100,6 +106,7 @@
         nodes,
         quiet: histogram()?,
         disturbed: histogram()?,
+        thawed: Duration::ZERO,
         bytes_per_second: histogram()?,
         cpu_per_mille: histogram()?,
         memory_kb: histogram()?,
@@ -131,8 +138,8 @@
 }
 
 /// Kills one twentieth of the nodes and freezes as many, each at least one, and
-/// gives their indexes.
-fn disturb(mesh: &mut Mesh, nodes: usize) -> Result<Vec<usize>> {
+/// gives the indexes of the killed and of the frozen ones.
+fn disturb(mesh: &mut Mesh, nodes: usize) -> Result<(Vec<usize>, Vec<usize>)> {
     let number = (nodes / 20).max(1);
     let killed: Vec<usize> = (1..=number).collect();
     let frozen: Vec<usize> = (nodes - number..nodes).collect();
@@ -140,10 +147,20 @@
         mesh.kill_node(index)?;
     }
     for &index in &frozen {
-        let process: ProcessId = mesh.nodes()[index].node;
+        let process = mesh.nodes()[index].node;
         mesh.harness().freeze(process)?;
     }
-    Ok([killed, frozen].concat())
+    Ok((killed, frozen))
+}
+
+/// Lets the frozen nodes go on and waits until each has the version of `other`.
+async fn measure_thaw(mesh: &mut Mesh, other: usize, frozen: &[usize]) -> Result<Duration> {
+    let version = mesh.version(other).await?;
+    for &index in frozen {
+        let process = mesh.nodes()[index].node;
+        mesh.harness().thaw(process)?;
+    }
+    wait_for_version(mesh, frozen, version, Instant::now()).await
 }
 
 /// Milliseconds from each change's acceptance until it is in force on `nodes`.
@@ -153,29 +170,39 @@
         let route = format!("{name}-{number}");
         let change = changes::route(&route, "bays", &format!("/{route}"), true)?;
         let version = mesh.change_in_store(&[change]).await?;
-        let accepted = Instant::now();
-        let mut waits = JoinSet::new();
-        for &index in nodes {
-            let node = HttpClient::new(mesh.address(index, "local")?);
-            waits.spawn(async move {
-                while accepted.elapsed() < GIVE_UP {
-                    if read_version(&node).await? >= version {
-                        return Ok(accepted.elapsed());
-                    }
-                    tokio::time::sleep(POLL).await;
-                }
-                Err(eyre::eyre!("node {index} is not at {version} after {GIVE_UP:?}"))
-            });
-        }
-        let mut last = Duration::ZERO;
-        while let Some(time) = waits.join_next().await {
-            last = last.max(time??);
-        }
+        let last = wait_for_version(mesh, nodes, version, Instant::now()).await?;
         times.record(last.as_millis() as u64)?;
     }
     Ok(times)
 }
 
+/// The time from `since` until `version` is in force on the last of `nodes`.
+async fn wait_for_version(
+    mesh: &Mesh,
+    nodes: &[usize],
+    version: u64,
+    since: Instant,
+) -> Result<Duration> {
+    let mut waits = JoinSet::new();
+    for &index in nodes {
+        let node = HttpClient::new(mesh.address(index, "local")?);
+        waits.spawn(async move {
+            while since.elapsed() < GIVE_UP {
+                if read_version(&node).await? >= version {
+                    return Ok(since.elapsed());
+                }
+                tokio::time::sleep(POLL).await;
+            }
+            Err(eyre!("node {index} is not at {version} after {GIVE_UP:?}"))
+        });
+    }
+    let mut last = Duration::ZERO;
+    while let Some(time) = waits.join_next().await {
+        last = last.max(time??);
+    }
+    Ok(last)
+}
+
 async fn read_version(node: &HttpClient) -> Result<u64> {
     let reply = node.get("/metrics").await?;
     Ok(Metrics::parse(&String::from_utf8_lossy(&reply.body))?.sum(Mesh::VERSION_GAUGE) as u64)
--- a/crates/testkit/examples/demo.rs
+++ b/crates/testkit/examples/demo.rs
@@ -5,8 +5,9 @@
 
 use almondsail_core::units::ByteCount;
 use almondsail_testkit::mesh::{Mesh, ProcessUsage};
+use almondsail_testkit::stop_signal;
 use almondsail_testkit::traffic::{Audit, CallEnd, CallRequest, Caller, Load, LoadOptions, Tally};
-use eyre::{Result, bail, ensure};
+use eyre::{Result, bail, ensure, eyre};
 
 const SERVICES: [&str; 4] = ["bays", "traslados", "taller", "utileria"];
 /// Resident memory that an idle node may use at most.
@@ -16,7 +17,12 @@
 
 #[tokio::main]
 async fn main() -> ExitCode {
-    match show().await {
+    // Dropping `show` ends its processes, also after a signal.
+    let shown = tokio::select! {
+        shown = show() => shown,
+        stopped = stop_signal() => stopped.and_then(|()| Err(eyre!("stopped by a signal"))),
+    };
+    match shown {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("\nThe demo failed: {error:#}");
--- a/crates/testkit/tests/standin_backend.rs
+++ b/crates/testkit/tests/standin_backend.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use almondsail_testkit::backend::{Echo, Execution, ExecutionEnd, Fault, FaultRule, Faults};
+use almondsail_testkit::backend::{
+    Echo, Execution, ExecutionEnd, Fault, FaultRule, Faults, ReportFault,
+};
 use almondsail_testkit::harness::{Binary, Harness, Launch, ProcessId, wait_until};
 use almondsail_testkit::http::{HttpClient, Reply};
 use bytes::Bytes;
@@ -192,6 +194,36 @@
     Ok(())
 }
 
+// Guards against reported states and loads that stay true when a test asks for
+// misleading ones.
+#[tokio::test]
+async fn fault_misleading_report() -> Result<()> {
+    let node = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
+    let address = node.local_addr()?.to_string();
+    let backend = Backend::start(&[("node", &address)]).await?;
+    let faults = Faults {
+        report: ReportFault { state: Some("draining".to_owned()), load: Some(7), lag_ms: 0 },
+        ..Faults::default()
+    };
+    backend.control.put("/control/faults", serde_json::to_vec(&faults)?).await?.success()?;
+    while !next_request(&node).await?.contains(r#""state":"draining","load":7"#) {}
+    Ok(())
+}
+
+// Guards against a cold start that is not announced, or never ends.
+#[tokio::test]
+async fn announce_cold_start() -> Result<()> {
+    let node = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
+    let address = node.local_addr()?.to_string();
+    let _backend = Backend::start(&[("node", &address), ("cold-start", "1500ms")]).await?;
+    for _ in 0..2 {
+        let early = next_request(&node).await?;
+        assert!(early.contains(r#""state":"starting""#), "{early}");
+    }
+    while !next_request(&node).await?.contains(r#""state":"ready""#) {}
+    Ok(())
+}
+
 /// Reads a request up to the end of its body and answers it.
 async fn next_request(listener: &tokio::net::TcpListener) -> Result<String> {
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
