--- /dev/null
+++ b/crates/core/tests/report_ledger.rs
@@ -0,0 +1,143 @@
+//! Tests of what a node counts in a minute.
+
+mod rollout_common;
+
+use std::sync::Arc;
+
+use almondsail_core::RefusalReason;
+use almondsail_core::config::{Config, ConfigContent, HistoryEntry, RolloutPhase, ServerVersion};
+use almondsail_core::ids::{ConfigVersion, WriteId};
+use almondsail_core::report::{
+    AccountingRecord, CallCounts, CallEnd, Cost, EndedCalls, Ledger, Minute, RolloutEnd,
+};
+use almondsail_core::rollout::{CallOutcome, CountedAt, CountedCalls};
+use almondsail_core::units::{Micros, Millis, UnixMillis};
+use rollout_common::{START, after, content, name};
+
+/// The time from the start of a rollout to its deadline.
+const SPAN: u64 = 600_000;
+
+fn ledger() -> Ledger {
+    Ledger::new(name("n1"), START)
+}
+
+/// The record of the minute that begins at `START`.
+fn close(ledger: &mut Ledger) -> AccountingRecord {
+    ledger.close(after(60_000)).expect("the minute has ended")
+}
+
+/// A configuration whose last three versions were accepted at these times.
+fn config(version: u64, content: &ConfigContent, accepted: [UnixMillis; 3]) -> Arc<Config> {
+    let entry = |(i, at): (u64, UnixMillis)| HistoryEntry {
+        version: ConfigVersion::new(version - 2 + i),
+        write_id: WriteId::new([i as u8; WriteId::BYTES]),
+        at,
+        service: Some(name("bays")),
+        operator: name("ana"),
+        summary: "a change".into(),
+    };
+    let history = (0..).zip(accepted).map(entry).collect();
+    let write_id = WriteId::new([1; WriteId::BYTES]);
+    let content = content.clone();
+    Arc::new(Config { version: ConfigVersion::new(version), write_id, content, history })
+}
+
+/// Guards against calls of another version, refused ones or ones seen at the
+/// entry among those that the new version of a rollout got.
+#[test]
+fn count_door_new_version_only() {
+    let content = content(1, 1, SPAN);
+    let calls = |at, version: &str, outcome| CountedCalls {
+        at,
+        service: name("bays"),
+        route: name("r00"),
+        version: name(version),
+        outcome,
+        latency: Micros::default(),
+        calls: 5,
+    };
+    let mut ledger = ledger();
+    let counted = [
+        calls(CountedAt::Door, "v2", CallOutcome::Answered),
+        calls(CountedAt::Door, "v2", CallOutcome::Failed),
+        calls(CountedAt::Door, "v2", CallOutcome::Refused),
+        calls(CountedAt::Door, "v1", CallOutcome::Answered),
+        calls(CountedAt::Entry, "v2", CallOutcome::Answered),
+    ];
+    ledger.count_door(&counted, &content, START);
+    let touched = close(&mut ledger).sums.touched;
+    let version = ServerVersion { service: name("bays"), version: name("v2") };
+    assert_eq!(touched, [(version, 10)].into());
+}
+
+/// Guards against a change that is counted twice, left out because a node skipped
+/// its version, or counted by a process that started after it.
+#[test]
+fn apply_each_change_once() {
+    let content = content(1, 1, SPAN);
+    let early = UnixMillis::new(START.get() - 1);
+    let mut ledger = ledger();
+    let first = config(3, &content, [early, after(100), after(200)]);
+    ledger.apply(&first, after(1_000));
+    ledger.apply(&first, after(5_000));
+    ledger.apply(&config(5, &content, [after(200), after(300), after(400)]), after(2_000));
+    let sums = close(&mut ledger).sums;
+    let times: Vec<(u64, u64, u64)> =
+        sums.changes.iter().map(|(v, c)| (v.get(), c.nodes, c.longest.get())).collect();
+    assert_eq!(times, [(2, 1, 900), (3, 1, 800), (4, 1, 1_700), (5, 1, 1_600)]);
+    assert!(sums.changes.values().all(|change| change.member == Some(name("depots"))));
+}
+
+/// Guards against the end of a rollout that is told more than once, or never.
+#[test]
+fn apply_rollout_end_once() {
+    let open = content(1, 1, SPAN);
+    let mut ended = open.clone();
+    let rollout = ended.rollouts.get_mut("bays").expect("there is a rollout");
+    (rollout.phase, rollout.changed) = (RolloutPhase::RolledBack, after(900));
+    let mut ledger = ledger();
+    let accepted = [START; 3];
+    ledger.apply(&config(3, &open, accepted), after(500));
+    ledger.apply(&config(4, &ended, accepted), after(1_000));
+    let records: Vec<_> = close(&mut ledger).sums.rollouts.into_values().collect();
+    assert_eq!(records.len(), 1);
+    assert_eq!((records[0].started, records[0].ended), (START, after(900)));
+    assert_eq!(records[0].end, RolloutEnd::RolledBack { touched: None });
+    ledger.apply(&config(5, &ended, accepted), after(61_000));
+    let next = ledger.close(after(120_000)).expect("the minute has ended");
+    assert!(next.sums.rollouts.is_empty(), "{next:?}");
+}
+
+/// Guards against counts that appear in two minutes or in none, against a minute
+/// that is recorded twice when the clock is set back, and against a partial one
+/// that passes as whole.
+#[test]
+fn close_each_minute_once() {
+    let mut ledger = Ledger::new(name("n1"), after(1));
+    let content = content(1, 1, SPAN);
+    let calls = |calls| EndedCalls {
+        service: name("bays"),
+        route: name("r00"),
+        end: CallEnd::Failed(RefusalReason::DeadlinePassed),
+        calls,
+    };
+    let cost = |cpu| Cost { cpu: Micros::new(cpu), ..Cost::default() };
+    ledger.count(&[calls(2)], &content);
+    ledger.read_cost(cost(50));
+    assert_eq!(ledger.close(after(59_999)), None);
+    let first = close(&mut ledger);
+    ledger.count(&[calls(3)], &content);
+    ledger.read_cost(cost(70));
+    assert_eq!(ledger.close(after(30_000)), None);
+    assert_eq!(ledger.close(after(60_000)), None);
+    let second = ledger.close(after(120_000)).expect("the minute has ended");
+    for (record, minutes, is_whole, late, cpu) in
+        [(&first, 0, false, 2, 50), (&second, 1, true, 3, 20)]
+    {
+        let counts = CallCounts { late, ..CallCounts::default() };
+        let minute = Minute::at(START + Millis::new(minutes * 60_000));
+        assert_eq!((record.minute, record.is_whole), (minute, is_whole));
+        assert_eq!(record.sums.members, [(name("depots"), counts)].into());
+        assert_eq!(record.sums.cost, cost(cpu));
+    }
+}
