--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -5,6 +5,7 @@
 
 use almondsail_core::ids::WriteId;
 use almondsail_core::operators::{CommandRequest, Query};
+use almondsail_core::report::ReportQuery;
 use almondsail_wire::{FieldError, operator as wire};
 use gotham::handler::HandlerResult;
 use gotham::helpers::http::Body;
