Put an operator's stop in force without the store

Cause: a stop or rollback that an operator submits was refused while the store could not be reached, so a version that hurts callers went on taking calls. Change: the node that takes the command sets the marks at once, if the configuration in force and the operator's member admit them, and nodes record them when the store answers again; the operator is told that the stop is in force but not yet recorded. The check of a configuration refuses a stop mark whose route belongs to another service.

--- a/crates/cli/src/output/outcome_text.rs
+++ b/crates/cli/src/output/outcome_text.rs
@@ -16,6 +16,11 @@
             format!("refused because of these mistakes:\n{}", list(&refused.mistakes))
         }
         Outcome::Refused(refused) => format!("refused because {}\n", refused.message),
+        Outcome::StoppedUnrecorded(_) => {
+            "stopped on every node that can be reached; the store can't be reached, \
+             nodes record the stop when it answers again\n"
+                .to_owned()
+        }
         Outcome::Unknown(write_id) => {
             format!(
                 "unknown whether it was accepted; find out with: almondsail outcome {write_id}\n"
--- a/crates/cli/src/session.rs
+++ b/crates/cli/src/session.rs
@@ -169,7 +169,9 @@
     fn ended(&mut self, outcome: Outcome) -> Exit {
         self.advance(&outcome);
         let exit = match &outcome {
-            Outcome::Accepted(_) | Outcome::WouldAccept(_) => Exit::Done,
+            Outcome::Accepted(_) | Outcome::WouldAccept(_) | Outcome::StoppedUnrecorded(_) => {
+                Exit::Done
+            }
             Outcome::Refused(_) => Exit::Refused,
             Outcome::Unknown(_) | Outcome::NotFound(_) => Exit::Unknown,
         };
--- a/crates/core/src/config/change.rs
+++ b/crates/core/src/config/change.rs
@@ -101,6 +101,18 @@
         }
     }
 
+    /// The marks that this change sets in `content`; none if it stops no version.
+    pub fn stops(&self, content: &ConfigContent) -> Vec<StopMark> {
+        match self {
+            Self::AddStops { marks, .. } => marks.clone(),
+            Self::RollBack { service, .. } => {
+                let rollout = content.rollouts.get(service);
+                rollout.map(rollout_stop).into_iter().collect()
+            }
+            _ => Vec::new(),
+        }
+    }
+
     /// The content that this change makes of `content` at the time `now`, or every reason against it.
     pub fn apply(
         &self,
@@ -360,11 +372,16 @@
         .get(service)
         .filter(|rollout| rollout.phase != RolloutPhase::RolledBack)
         .ok_or_else(|| ConfigError::NoOpenRollout(service.clone()))?;
-    let mark = StopMark { service: service.clone(), version: rollout.to.clone(), route: None };
+    let mark = rollout_stop(rollout);
     add_stops(content, &[mark], reason, now);
     Ok(())
 }
 
+/// The mark that stops the new version of `rollout` on every route.
+fn rollout_stop(rollout: &Rollout) -> StopMark {
+    StopMark { service: rollout.service.clone(), version: rollout.to.clone(), route: None }
+}
+
 /// Adds `marks` and rolls back the rollouts to the versions that they stop.
 fn add_stops(content: &mut ConfigContent, marks: &[StopMark], reason: &Arc<str>, now: UnixMillis) {
     for mark in marks {
--- a/crates/core/src/config/check.rs
+++ b/crates/core/src/config/check.rs
@@ -40,7 +40,7 @@
     for stop in &content.stops {
         require_version(content, &stop.service, &stop.version, &mut errors);
         if let Some(route) = &stop.route
-            && !content.routes.contains_key(route)
+            && content.routes.get(route).is_none_or(|r| r.service != stop.service)
         {
             errors.push(ConfigError::UnknownRoute(route.clone()));
         }
--- a/crates/core/src/control/state.rs
+++ b/crates/core/src/control/state.rs
@@ -22,6 +22,7 @@
 use crate::ids::{ConfigVersion, DataCentre, NodeId, ServiceName, WriteId};
 use crate::peers::{AnnouncedBackend, Peer, PeerStatus};
 use crate::rollout::{CountedCalls, DriverDecision};
+use crate::store::scope::check_member;
 use crate::store::{JobId, Outcome, RefusedChange, StoreReply, Submission};
 use crate::sync::{Offer, PeerVersion};
 use crate::traffic::{Snapshot, SnapshotInput};
@@ -434,7 +435,10 @@
         if self.is_leaving {
             let outcome = Outcome::Refused(RefusedChange::Stopping);
             cx.out.push(Action::Submitted { id, outcome });
-        } else if self.store.writer.submit(JobId::Submitter(id), submission, cx.now) {
+            return;
+        }
+        let is_stopped = self.stop_at_once(&submission, cx);
+        if self.store.submit(id, submission, is_stopped, cx.now) {
             let steps = self.store.writer.poll(cx.now);
             self.take_writer_steps(steps, cx);
         } else {
@@ -443,6 +447,23 @@
         }
     }
 
+    /// Sets the marks of a submitted stop before the store has it, so that a stop
+    /// also works without the store. Returns whether there were any.
+    fn stop_at_once<R>(&mut self, submission: &Submission, cx: &mut Cx<'_, R>) -> bool {
+        let Some(config) = self.spread.sync.config().cloned() else { return false };
+        let change = &submission.change;
+        let marks = change.stops(&config.content);
+        let is_allowed = !submission.dry_run
+            && check_member(submission, &config.content).is_ok()
+            && change.apply(&config.content, cx.wall).is_ok();
+        if marks.is_empty() || !is_allowed {
+            return false;
+        }
+        let origin = Origin::new(config.version, &change.to_string(), cx.now);
+        self.add_stops(marks, &origin, cx);
+        true
+    }
+
     fn ask_outcome<R: Rng>(&mut self, id: RequestId, write_id: WriteId, cx: &mut Cx<'_, R>) {
         if self.store.writer.ask(JobId::Submitter(id), write_id, cx.now) {
             let steps = self.store.writer.poll(cx.now);
--- a/crates/core/src/control/store_access.rs
+++ b/crates/core/src/control/store_access.rs
@@ -1,5 +1,7 @@
 //! How this node uses the store.
 
+use std::collections::BTreeSet;
+
 use rand::Rng;
 
 use crate::config::{Change, Config, ServerVersion, StopMark};
@@ -7,12 +9,12 @@
 use crate::control::cx::Cx;
 use crate::control::pending_request::PendingRequest;
 use crate::control::stop_marks::{Origin, StopMarks};
-use crate::control::{Action, StateChange};
+use crate::control::{Action, RequestId, StateChange};
 use crate::ids::{ConfigVersion, WriteId};
 use crate::peers::PeerTable;
 use crate::store::{
-    JobId, Outcome, READERS_PER_DATA_CENTRE, ReadResult, ReaderRole, StoreReader, StoreWriter,
-    Submission, WriterStep,
+    JobId, Outcome, READERS_PER_DATA_CENTRE, ReadResult, ReaderRole, RefusedChange, StoreReader,
+    StoreWriter, Submission, WriterStep,
 };
 use crate::units::{Instant, Micros, Millis};
 
@@ -33,6 +35,8 @@
     pub(crate) reader: StoreReader,
     pub(crate) writer: StoreWriter,
     pub(crate) is_lost: bool,
+    /// The submissions in hand that ask for a stop that is in force already.
+    stopped: BTreeSet<RequestId>,
     /// The submission of stop marks under way; there is one at most.
     recording: Option<u64>,
     recordings: u64,
@@ -48,6 +52,7 @@
             reader: StoreReader::default(),
             writer: StoreWriter::default(),
             is_lost: false,
+            stopped: BTreeSet::new(),
             recording: None,
             recordings: 0,
             steps: 0,
@@ -123,7 +128,16 @@
 
     fn finish<R: Rng>(&mut self, job: JobId, outcome: Outcome, cx: &mut Cx<'_, R>) {
         match job {
-            JobId::Submitter(id) => cx.out.push(Action::Submitted { id, outcome }),
+            JobId::Submitter(id) => {
+                let is_stopped = self.stopped.remove(&id);
+                let unreachable = Outcome::Refused(RefusedChange::StoreUnreachable);
+                let outcome = if is_stopped && outcome == unreachable {
+                    Outcome::StoppedUnrecorded
+                } else {
+                    outcome
+                };
+                cx.out.push(Action::Submitted { id, outcome });
+            }
             JobId::StopMarks(number) if self.recording == Some(number) => {
                 self.recording = None;
                 match outcome {
@@ -157,6 +171,22 @@
         }
     }
 
+    /// Takes an operator's submission in hand; returns whether the writer took it.
+    /// `is_stopped` tells that the stop that it asks for is in force already.
+    pub(crate) fn submit(
+        &mut self,
+        id: RequestId,
+        submission: Submission,
+        is_stopped: bool,
+        now: Instant,
+    ) -> bool {
+        let is_taken = self.writer.submit(JobId::Submitter(id), submission, now);
+        if is_taken && is_stopped {
+            self.stopped.insert(id);
+        }
+        is_taken
+    }
+
     /// Submits the step of a rollout that this node drives; returns whether the writer took it.
     pub(crate) fn submit_step<R: Rng>(&mut self, change: Change, cx: &mut Cx<'_, R>) -> bool {
         let Some(submission) = mesh_submission(change, None, cx.rng) else { return false };
--- a/crates/core/src/store/mod.rs
+++ b/crates/core/src/store/mod.rs
@@ -4,7 +4,7 @@
 mod job_id;
 mod outcome;
 mod refused_change;
-mod scope;
+pub(crate) mod scope;
 mod store_error;
 mod store_job;
 mod store_reader;
--- a/crates/core/src/store/outcome.rs
+++ b/crates/core/src/store/outcome.rs
@@ -12,6 +12,9 @@
     WouldAccept(Vec<String>),
     /// Refused; nothing was written.
     Refused(RefusedChange),
+    /// The store can't be reached, but the stop is in force on every node that can be;
+    /// nodes record it when the store answers again.
+    StoppedUnrecorded,
     /// The store's answer was lost and could not be found out; ask for this write id later.
     Unknown(WriteId),
     /// Reply to a question for an outcome: neither the configuration of this
--- a/crates/wire/src/convert/operator_answer.rs
+++ b/crates/wire/src/convert/operator_answer.rs
@@ -95,6 +95,7 @@
                 WireOutcome::WouldAccept(wire::WouldAccept { changes: changes.clone() })
             }
             Outcome::Refused(refusal) => WireOutcome::Refused(refusal.into()),
+            Outcome::StoppedUnrecorded => WireOutcome::StoppedUnrecorded(true),
             Outcome::Unknown(write_id) => WireOutcome::Unknown(write_id.to_string()),
             Outcome::NotFound(write_id, version) => WireOutcome::NotFound(wire::NotFound {
                 write_id: write_id.to_string(),
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,7 +1,7 @@
 //! Messages of almondsail at its borders, and their conversions.
 //!
 //! The types in [`config`], [`local`], [`operator`], [`peer`] and [`report`] are generated
-//! from the files in `proto` and committed; `cargo run -p almondsail-testkit
+//! from the files in `proto` and committed; `cargo run -p almondsail-codegen
 //! --example generate_wire` makes them anew. Conversions to the core's types
 //! check every value and name the field of a bad one.
 
