--- a/crates/core/src/control/action.rs
+++ b/crates/core/src/control/action.rs
@@ -34,7 +34,7 @@
         /// The request.
         request: StoreRequest,
     },
-    /// Tell the submitter how its change ended.
+    /// Tell the submitter, or who asked for the outcome, how the change ended.
     Submitted {
         /// The submission.
         id: RequestId,
--- a/crates/core/src/control/membership.rs
+++ b/crates/core/src/control/membership.rs
@@ -10,7 +10,7 @@
 use crate::control::joiner::Joiner;
 use crate::control::pending_request::PendingRequest;
 use crate::control::{PeerMessage, RequestId, StateChange, SyncStatus};
-use crate::ids::NodeId;
+use crate::ids::{Incarnation, NodeId};
 use crate::peers::{FailureDetector, Links, Merge, PING_TIMEOUT, Peer, PeerStatus, PeerTable};
 use crate::units::{Instant, Millis};
 
@@ -354,7 +354,7 @@
     fn note_merged<R>(
         &mut self,
         id: NodeId,
-        before: Option<(PeerStatus, crate::ids::Incarnation, bool)>,
+        before: Option<(PeerStatus, Incarnation, bool)>,
         cx: &mut Cx<'_, R>,
     ) {
         let Some(peer) = self.table.get(&id) else { return };
--- a/crates/core/src/control/state.rs
+++ b/crates/core/src/control/state.rs
@@ -11,7 +11,8 @@
 use crate::control::membership::{EXCHANGE_TIMEOUT, Membership};
 use crate::control::outbox::Outbox;
 use crate::control::pending_request::PendingRequest;
-use crate::control::stop_marks::{Origin, StopMarks};
+use crate::control::stop_marks::StopMarks;
+use crate::control::stop_origin::StopOrigin;
 use crate::control::store_access::StoreAccess;
 use crate::control::{
     Action, ControlSettings, ControlStatus, Event, PeerFailure, PeerMessage, RequestId,
@@ -19,7 +20,7 @@
 };
 use crate::ids::{DataCentre, NodeId, WriteId};
 use crate::peers::{AnnouncedBackend, Peer, PeerStatus};
-use crate::store::{JobId, Outcome, RefusedChange, StoreReply, Submission};
+use crate::store::{JobId, Outcome, RefusedChange, StoreError, StoreReply, Submission, WriterStep};
 use crate::sync::{Offer, PeerVersion};
 use crate::traffic::{Snapshot, SnapshotInput};
 use crate::units::{Instant, Millis, UnixMillis};
@@ -143,7 +144,7 @@
             Event::Submit { id, submission } => self.submit(id, submission, cx),
             Event::AskOutcome { id, write_id } => self.ask_outcome(id, write_id, cx),
             Event::VersionFailed { marks, reason } => {
-                let origin = Origin::new(self.spread.sync.version(), &reason, cx.now);
+                let origin = StopOrigin::new(self.spread.sync.version(), &reason, cx.now);
                 self.add_stops(marks, &origin, cx);
             }
             Event::StopRequested => self.leave(cx),
@@ -218,7 +219,7 @@
                 reply
             }
             PeerMessage::StopMarks { marks, since, reason } => {
-                self.add_stops(marks, &Origin::new(since, &reason, cx.now), cx);
+                self.add_stops(marks, &StopOrigin::new(since, &reason, cx.now), cx);
                 self.ack()
             }
             // A reply that comes as a request changes nothing.
@@ -295,7 +296,7 @@
             }
             PendingRequest::Pull { .. } => self.spread.fail_pull(Millis::new(0), cx),
             PendingRequest::StoreRead | PendingRequest::StoreWrite(_) => {
-                let lost = StoreReply::Failed(crate::store::StoreError::Unknown);
+                let lost = StoreReply::Failed(StoreError::Unknown);
                 self.take_store_reply(request, lost, cx);
             }
             PendingRequest::JoinPeer
@@ -383,11 +384,7 @@
         }
     }
 
-    fn take_writer_steps<R: Rng>(
-        &mut self,
-        steps: Vec<crate::store::WriterStep>,
-        cx: &mut Cx<'_, R>,
-    ) {
+    fn take_writer_steps<R: Rng>(&mut self, steps: Vec<WriterStep>, cx: &mut Cx<'_, R>) {
         for config in self.store.take_steps(steps, cx) {
             // The writer may have read an older value than a peer has sent since.
             if config.version > self.spread.sync.version() {
@@ -420,7 +417,7 @@
         }
     }
 
-    fn add_stops<R>(&mut self, marks: Vec<StopMark>, origin: &Origin, cx: &mut Cx<'_, R>) {
+    fn add_stops<R>(&mut self, marks: Vec<StopMark>, origin: &StopOrigin, cx: &mut Cx<'_, R>) {
         let config = self.spread.sync.config().map(|cfg| &**cfg);
         let new = self.stops.add(marks, origin, config);
         if new.is_empty() {
@@ -436,7 +433,7 @@
         &self,
         to: &NodeId,
         marks: Vec<StopMark>,
-        origin: &Origin,
+        origin: &StopOrigin,
         cx: &mut Cx<'_, R>,
     ) {
         if let Some(addr) = self.members.addr(to) {
--- a/crates/core/src/control/stop_marks.rs
+++ b/crates/core/src/control/stop_marks.rs
@@ -1,41 +1,15 @@
 //! The stop marks that no configuration holds yet.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::Arc;
 
 use crate::config::{Change, Config, ServerVersion, StopMark};
+use crate::control::stop_origin::StopOrigin;
 use crate::ids::{ConfigVersion, ServiceName};
 use crate::peers::hash::hash_text;
-use crate::units::Instant;
 
 /// Number of marks at most; a configuration holds no more either.
 const MAX_MARKS: usize = 1_024;
 
-/// Number of bytes of a reason at most; less than a configuration allows.
-const MAX_REASON_BYTES: usize = 256;
-
-/// Why and when a mark was set.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct Origin {
-    /// The configuration version in force where it was set.
-    pub(crate) since: ConfigVersion,
-    /// Why, in one sentence.
-    pub(crate) reason: Arc<str>,
-    /// When this node learnt of it.
-    pub(crate) noted: Instant,
-}
-
-impl Origin {
-    /// The origin of marks set by `reason`, which is cut to what a configuration may hold.
-    pub(crate) fn new(since: ConfigVersion, reason: &str, noted: Instant) -> Self {
-        let mut reason: String = reason.chars().filter(|c| !c.is_control()).collect();
-        while reason.len() > MAX_REASON_BYTES {
-            reason.pop();
-        }
-        Self { since, reason: reason.into(), noted }
-    }
-}
-
 /// The stop marks that were set and that no configuration holds yet.
 ///
 /// The configuration takes over each mark. An operator's command that clears a
@@ -44,7 +18,7 @@
 pub(crate) struct StopMarks {
     marks: BTreeSet<StopMark>,
     /// Has the same keys as `marks`.
-    origins: BTreeMap<StopMark, Origin>,
+    origins: BTreeMap<StopMark, StopOrigin>,
     /// The XOR of the hashes of the marks.
     digest: u64,
 }
@@ -62,7 +36,7 @@
     pub(crate) fn add(
         &mut self,
         marks: Vec<StopMark>,
-        origin: &Origin,
+        origin: &StopOrigin,
         config: Option<&Config>,
     ) -> Vec<StopMark> {
         let mut new = Vec::new();
@@ -80,7 +54,7 @@
     /// Drops the marks that `config` decided on. Returns whether there were any.
     pub(crate) fn settle(&mut self, config: &Config) -> bool {
         let is_settled =
-            |(mark, origin): &(&StopMark, &Origin)| is_decided(mark, origin.since, config);
+            |(mark, origin): &(&StopMark, &StopOrigin)| is_decided(mark, origin.since, config);
         let settled: Vec<StopMark> =
             self.origins.iter().filter(is_settled).map(|(mark, _)| mark.clone()).collect();
         for mark in &settled {
@@ -92,20 +66,20 @@
     }
 
     /// The marks in groups of the same origin.
-    pub(crate) fn groups(&self) -> Vec<(Vec<StopMark>, Origin)> {
+    pub(crate) fn groups(&self) -> Vec<(Vec<StopMark>, StopOrigin)> {
         self.group_by(|_| None)
     }
 
     /// The marks in groups of the same origin and service.
-    pub(crate) fn groups_by_service(&self) -> Vec<(Vec<StopMark>, Origin)> {
+    pub(crate) fn groups_by_service(&self) -> Vec<(Vec<StopMark>, StopOrigin)> {
         self.group_by(|mark| Some(mark.service.clone()))
     }
 
     fn group_by(
         &self,
         key: impl Fn(&StopMark) -> Option<ServiceName>,
-    ) -> Vec<(Vec<StopMark>, Origin)> {
-        let mut groups: BTreeMap<_, (Vec<StopMark>, Origin)> = BTreeMap::new();
+    ) -> Vec<(Vec<StopMark>, StopOrigin)> {
+        let mut groups: BTreeMap<_, (Vec<StopMark>, StopOrigin)> = BTreeMap::new();
         for (mark, origin) in &self.origins {
             let key = (key(mark), origin.since, origin.reason.clone());
             let group = groups.entry(key).or_insert_with(|| (Vec::new(), origin.clone()));
--- a/crates/core/src/control/store_access.rs
+++ b/crates/core/src/control/store_access.rs
@@ -1,12 +1,15 @@
 //! How this node uses the store.
 
+use std::sync::Arc;
+
 use rand::Rng;
 
 use crate::config::{Change, Config, ServerVersion, StopMark};
 use crate::control::Backoff;
 use crate::control::cx::Cx;
 use crate::control::pending_request::PendingRequest;
-use crate::control::stop_marks::{Origin, StopMarks};
+use crate::control::stop_marks::StopMarks;
+use crate::control::stop_origin::StopOrigin;
 use crate::control::{Action, StateChange};
 use crate::ids::{OperatorName, WriteId};
 use crate::peers::PeerTable;
@@ -83,7 +86,7 @@
         &mut self,
         result: ReadResult,
         cx: &mut Cx<'_, R>,
-    ) -> Option<std::sync::Arc<Config>> {
+    ) -> Option<Arc<Config>> {
         let is_lost = matches!(result, ReadResult::Failed);
         if std::mem::replace(&mut self.is_lost, is_lost) != is_lost {
             cx.report(if is_lost { StateChange::StoreLost } else { StateChange::StoreRegained });
@@ -102,7 +105,7 @@
         &mut self,
         steps: Vec<WriterStep>,
         cx: &mut Cx<'_, R>,
-    ) -> Vec<std::sync::Arc<Config>> {
+    ) -> Vec<Arc<Config>> {
         let mut seen = Vec::new();
         for step in steps {
             match step {
@@ -159,7 +162,7 @@
     fn record<R: Rng>(
         &mut self,
         marks: Vec<StopMark>,
-        origin: &Origin,
+        origin: &StopOrigin,
         config: &Config,
         cx: &mut Cx<'_, R>,
     ) {
@@ -199,7 +202,7 @@
 }
 
 /// Whether it falls to this node to record `mark`.
-fn is_recorder(mark: &StopMark, origin: &Origin, table: &PeerTable, now: Instant) -> bool {
+fn is_recorder(mark: &StopMark, origin: &StopOrigin, table: &PeerTable, now: Instant) -> bool {
     let ranked = table.rank(&format!("stops/{}", mark.service), None, MAX_RECORDERS);
     let place = ranked.iter().position(|id| **id == table.own().id);
     place.is_some_and(|place| {
--- a/crates/core/src/peers/peer_table.rs
+++ b/crates/core/src/peers/peer_table.rs
@@ -5,7 +5,7 @@
 use crate::ids::{DataCentre, Incarnation, NodeId};
 use crate::peers::hash::{hash_text, mix};
 use crate::peers::rendezvous::rank_positions;
-use crate::peers::{AnnouncedBackend, Links, Peer, PeerStatus};
+use crate::peers::{AnnouncedBackend, Links, Merge, Peer, PeerStatus};
 use crate::units::{Instant, Micros, Millis};
 
 /// Number of buckets in which differences between two tables are looked for.
@@ -18,17 +18,6 @@
 /// Number of entries at most; twice the largest installation that is planned for.
 const MAX_ENTRIES: usize = 8_192;
 
-/// What became of an entry that was merged.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Merge {
-    /// The table knew as much already.
-    Unchanged,
-    /// The entry is new or overrode the one held.
-    Changed,
-    /// The entry said something false of this node, which raised its incarnation.
-    Refuted,
-}
-
 /// The nodes of the installation as this node knows them, itself included.
 #[derive(Debug, Clone)]
 pub struct PeerTable {
--- a/crates/core/src/store/mod.rs
+++ b/crates/core/src/store/mod.rs
@@ -3,6 +3,8 @@
 mod edit_text;
 mod job_id;
 mod outcome;
+mod read_result;
+mod reader_role;
 mod refused_change;
 mod scope;
 mod store_error;
@@ -12,13 +14,17 @@
 mod store_request;
 mod store_writer;
 mod submission;
+mod writer_step;
 
 pub use job_id::JobId;
 pub use outcome::Outcome;
+pub use read_result::ReadResult;
+pub use reader_role::ReaderRole;
 pub use refused_change::RefusedChange;
 pub use store_error::StoreError;
-pub use store_reader::{READERS_PER_DATA_CENTRE, ReadResult, ReaderRole, StoreReader};
+pub use store_reader::{READERS_PER_DATA_CENTRE, StoreReader};
 pub use store_reply::{Revision, StoreReply, StoredConfig};
 pub use store_request::StoreRequest;
-pub use store_writer::{JOB_TIME, MAX_JOBS, StoreWriter, WriterStep};
+pub use store_writer::{JOB_TIME, MAX_JOBS, StoreWriter};
 pub use submission::Submission;
+pub use writer_step::WriterStep;
--- a/crates/core/src/store/store_reader.rs
+++ b/crates/core/src/store/store_reader.rs
@@ -1,13 +1,12 @@
 //! The reader of the store.
 
-use std::sync::Arc;
-
 use rand::Rng;
 
-use crate::config::Config;
 use crate::control::Backoff;
 use crate::ids::ConfigVersion;
-use crate::store::{Revision, StoreError, StoreReply, StoreRequest, StoredConfig};
+use crate::store::{
+    ReadResult, ReaderRole, Revision, StoreError, StoreReply, StoreRequest, StoredConfig,
+};
 use crate::units::{Instant, Millis};
 
 /// Number of nodes that watch the store in each data centre.
@@ -19,32 +18,6 @@
 /// together then stay under the store's 2,000 reads per second.
 const LONE_WAIT: Millis = Millis::new(1_000);
 
-/// Why a node may read the store.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ReaderRole {
-    /// It may not.
-    None,
-    /// It ranks among the first of its data centre.
-    Ranked,
-    /// It knows nobody.
-    Alone,
-}
-
-/// What a reply of the store brought.
-#[derive(Debug, Clone)]
-pub enum ReadResult {
-    /// Nothing new.
-    Nothing,
-    /// A configuration to put in force.
-    Config(Arc<Config>),
-    /// An answer older than what this node holds.
-    Stale(ConfigVersion),
-    /// The value can't be read as a configuration.
-    Corrupt,
-    /// The store did not answer.
-    Failed,
-}
-
 /// Decides when this node reads and watches the store.
 #[derive(Debug, Clone)]
 pub struct StoreReader {
--- a/crates/core/src/store/store_writer.rs
+++ b/crates/core/src/store/store_writer.rs
@@ -1,15 +1,13 @@
 //! The writer of the store.
 
 use std::collections::VecDeque;
-use std::sync::Arc;
 
 use rand::Rng;
 
-use crate::config::Config;
 use crate::control::Backoff;
 use crate::ids::{ConfigVersion, WriteId};
 use crate::store::store_job::{JobStep, StoreJob, Task};
-use crate::store::{JobId, Outcome, StoreReply, StoreRequest, Submission};
+use crate::store::{JobId, StoreReply, Submission, WriterStep};
 use crate::units::{Instant, Micros, Millis, UnixMillis};
 
 /// Number of submissions and questions in hand at most.
@@ -20,15 +18,6 @@
 const FIRST_WAIT: Millis = Millis::new(50);
 const LONGEST_WAIT: Millis = Millis::new(800);
 
-/// What the writer asks for.
-#[derive(Debug, Clone)]
-pub enum WriterStep {
-    /// Send a request to the store and hand its reply to the job.
-    Request(JobId, StoreRequest),
-    /// Tell the submitter the outcome. The store was seen to hold the configuration.
-    Done(JobId, Outcome, Option<Arc<Config>>),
-}
-
 /// Takes submitted changes to the store, one at a time.
 ///
 /// One at a time, because two writes of one node would only race each other.
--- a/crates/core/src/sync/mod.rs
+++ b/crates/core/src/sync/mod.rs
@@ -3,11 +3,13 @@
 mod config_sync;
 mod floor_gate;
 mod offer;
+mod peer_version;
 mod peer_versions;
 mod puller;
 
 pub use config_sync::{ConfigSync, SNAPSHOTS_PER_SECOND};
 pub use floor_gate::FloorGate;
 pub use offer::Offer;
-pub use peer_versions::{PeerVersion, PeerVersions};
+pub use peer_version::PeerVersion;
+pub use peer_versions::PeerVersions;
 pub use puller::Puller;
--- a/crates/core/src/sync/peer_versions.rs
+++ b/crates/core/src/sync/peer_versions.rs
@@ -3,15 +3,7 @@
 use std::collections::BTreeMap;
 
 use crate::ids::{ConfigVersion, NodeId};
-
-/// The configuration versions that a node reported.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct PeerVersion {
-    /// What it reported last; zero after it joined anew.
-    pub held: ConfigVersion,
-    /// The highest that it ever reported, also before it was restarted.
-    pub highest: ConfigVersion,
-}
+use crate::sync::PeerVersion;
 
 /// The configuration versions that other nodes reported.
 #[derive(Debug, Clone, Default)]
