--- /dev/null
+++ b/crates/cli/src/exchange/node_client.rs
@@ -0,0 +1,88 @@
+//! Exchanges messages with nodes.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::header::{AUTHORIZATION, CONTENT_TYPE, HOST};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+use crate::exchange::{ExchangeError, NodeAnswer, NodeRequest};
+
+/// Number of bytes of an answer at most: room for a configuration of 1 MB in JSON.
+const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+
+/// Asks nodes with an operator's token.
+#[derive(Debug, Clone)]
+pub struct NodeClient {
+    token: String,
+    timeout: Duration,
+}
+
+impl NodeClient {
+    /// Asks with `token`; one exchange takes at most `timeout`.
+    pub const fn new(token: String, timeout: Duration) -> Self {
+        Self { token, timeout }
+    }
+
+    /// Sends a request to `node` on a new connection and waits for the answer.
+    pub async fn exchange(
+        &self,
+        node: SocketAddr,
+        request: &NodeRequest,
+    ) -> Result<NodeAnswer, ExchangeError> {
+        let late = || format!("no answer within {}", humantime::format_duration(self.timeout));
+        let deadline = tokio::time::Instant::now() + self.timeout;
+        let stream = match tokio::time::timeout_at(deadline, TcpStream::connect(node)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(e)) => return Err(ExchangeError::NotSent(e.to_string())),
+            Err(_) => return Err(ExchangeError::NotSent(late())),
+        };
+        let request =
+            self.http_request(node, request).map_err(|e| ExchangeError::NotSent(e.to_string()))?;
+        match tokio::time::timeout_at(deadline, send(stream, request)).await {
+            Ok(Ok(answer)) => Ok(answer),
+            Ok(Err(problem)) => Err(ExchangeError::Lost(problem)),
+            Err(_) => Err(ExchangeError::Lost(late())),
+        }
+    }
+
+    fn http_request(
+        &self,
+        node: SocketAddr,
+        request: &NodeRequest,
+    ) -> http::Result<Request<Full<Bytes>>> {
+        Request::builder()
+            .method(request.method.clone())
+            .uri(&request.path)
+            .header(HOST, node.to_string())
+            .header(AUTHORIZATION, format!("Bearer {}", self.token))
+            .header(CONTENT_TYPE, "application/json")
+            .body(Full::new(request.body.clone()))
+    }
+}
+
+async fn send(stream: TcpStream, request: Request<Full<Bytes>>) -> Result<NodeAnswer, String> {
+    let (mut sender, connection) =
+        http1::handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
+    let exchange = async {
+        let response = sender.send_request(request).await.map_err(|e| e.to_string())?;
+        let status = response.status();
+        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect().await;
+        let body = body.map_err(|e| e.to_string())?.to_bytes();
+        Ok(NodeAnswer { status, body })
+    };
+    // The connection only moves bytes; a fault of it reaches the exchange as an error.
+    let drive = async {
+        let _ = connection.await;
+        std::future::pending().await
+    };
+    tokio::select! {
+        answer = exchange => answer,
+        never = drive => never,
+    }
+}
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -1,5 +1,6 @@
 //! The control state of a node: the events that it takes and the actions that it returns.
 
+mod accounting_control;
 mod action;
 mod backoff;
 mod control_settings;
@@ -17,6 +18,7 @@
 mod peer_message;
 mod pending_request;
 mod request_id;
+mod rollout_control;
 mod state;
 mod state_change;
 mod stop_marks;
@@ -34,6 +36,7 @@
 pub use peer_failure::PeerFailure;
 pub use peer_message::PeerMessage;
 pub use request_id::RequestId;
+pub(crate) use rollout_control::is_active;
 pub use state::Control;
 pub use state_change::StateChange;
 pub use sync_status::SyncStatus;
--- a/crates/core/src/control/state.rs
+++ b/crates/core/src/control/state.rs
@@ -4,13 +4,15 @@
 
 use rand::Rng;
 
-use crate::config::{Config, StopMark};
+use crate::config::{Change, Config, StopMark};
+use crate::control::accounting_control::AccountingControl;
 use crate::control::cx::Cx;
 use crate::control::dissemination::Dissemination;
 use crate::control::local_backend::LocalBackend;
 use crate::control::membership::{EXCHANGE_TIMEOUT, Membership};
 use crate::control::outbox::Outbox;
 use crate::control::pending_request::PendingRequest;
+use crate::control::rollout_control::{RolloutControl, is_active};
 use crate::control::stop_marks::StopMarks;
 use crate::control::stop_origin::StopOrigin;
 use crate::control::store_access::StoreAccess;
@@ -18,8 +20,9 @@
     Action, ControlSettings, ControlStatus, Event, PeerFailure, PeerMessage, RequestId,
     StateChange, SyncStatus,
 };
-use crate::ids::{DataCentre, NodeId, WriteId};
+use crate::ids::{ConfigVersion, DataCentre, NodeId, ServiceName, WriteId};
 use crate::peers::{AnnouncedBackend, Peer, PeerStatus};
+use crate::rollout::{CountedCalls, DriverDecision};
 use crate::store::{JobId, Outcome, RefusedChange, StoreError, StoreReply, Submission, WriterStep};
 use crate::sync::{Offer, PeerVersion};
 use crate::traffic::{Snapshot, SnapshotInput};
@@ -33,6 +36,8 @@
     store: StoreAccess,
     stops: StopMarks,
     backend: LocalBackend,
+    rollouts: RolloutControl,
+    accounting: AccountingControl,
     is_leaving: bool,
     outbox: Outbox,
 }
@@ -41,12 +46,15 @@
     /// The state of a node that starts at the time `wall`.
     pub fn new(settings: ControlSettings, now: Instant, wall: UnixMillis) -> Self {
         let own = settings.entry(wall);
+        let accounting = AccountingControl::new(&own, wall);
         Self {
             members: Membership::new(own, settings.seeds, now),
             spread: Dissemination::default(),
             store: StoreAccess::default(),
             stops: StopMarks::default(),
             backend: LocalBackend::default(),
+            rollouts: RolloutControl::default(),
+            accounting,
             is_leaving: false,
             outbox: Outbox::default(),
         }
@@ -143,6 +151,13 @@
             }
             Event::Submit { id, submission } => self.submit(id, submission, cx),
             Event::AskOutcome { id, write_id } => self.ask_outcome(id, write_id, cx),
+            Event::CallsCounted(counted) => self.count_calls(&counted, cx),
+            Event::CallsEnded(ended) => {
+                if let Some(config) = &self.spread.published {
+                    self.accounting.ledger.count(&ended, &config.content);
+                }
+            }
+            Event::CostRead(total) => self.accounting.ledger.read_cost(total),
             Event::VersionFailed { marks, reason } => {
                 let origin = StopOrigin::new(self.spread.sync.version(), &reason, cx.now);
                 self.add_stops(marks, &origin, cx);
@@ -169,6 +184,8 @@
         }
         let config = self.spread.sync.config();
         self.store.record_stops(&self.stops, config.map(|cfg| &**cfg), &self.members.table, cx);
+        self.drive_rollouts(cx);
+        self.accounting.pass_time(&self.members, cx);
         let steps = self.store.writer.poll(cx.now);
         self.take_writer_steps(steps, cx);
     }
@@ -178,6 +195,7 @@
         self.spread.learn_floor(&mut self.members, cx);
         self.spread.pull(&self.members, cx);
         self.spread.publish(cx);
+        self.accounting.note_config(self.spread.published.as_ref(), cx);
         self.store.read(cx);
         self.members.flush(cx);
         let status = self.sync_status();
@@ -222,6 +240,16 @@
                 self.add_stops(marks, &StopOrigin::new(since, &reason, cx.now), cx);
                 self.ack()
             }
+            PeerMessage::Evidence(report) => {
+                if let Some(config) = self.spread.sync.config() {
+                    self.rollouts.take_evidence(&report, &config.content, cx.wall);
+                }
+                self.ack()
+            }
+            PeerMessage::Accounting(record) => {
+                self.accounting.take(&record, &self.members.table, cx);
+                self.ack()
+            }
             // A reply that comes as a request changes nothing.
             PeerMessage::Welcome { .. }
             | PeerMessage::Pong(_)
@@ -295,7 +323,9 @@
                 cx.out.reply(asked, PeerMessage::NoAnswer(target));
             }
             PendingRequest::Pull { .. } => self.spread.fail_pull(Millis::new(0), cx),
-            PendingRequest::StoreRead | PendingRequest::StoreWrite(_) => {
+            PendingRequest::StoreRead
+            | PendingRequest::StoreHour
+            | PendingRequest::StoreWrite(_) => {
                 let lost = StoreReply::Failed(StoreError::Unknown);
                 self.take_store_reply(request, lost, cx);
             }
@@ -304,6 +334,8 @@
             | PendingRequest::Buckets { .. }
             | PendingRequest::Updates { .. }
             | PendingRequest::Push { .. }
+            | PendingRequest::Evidence
+            | PendingRequest::Accounting
             | PendingRequest::Stops { .. } => {}
         }
     }
@@ -375,6 +407,7 @@
                     self.settle_stops(cx);
                 }
             }
+            PendingRequest::StoreHour => self.accounting.take_store_reply(reply, cx),
             PendingRequest::StoreWrite(job) => {
                 let times = (cx.now, cx.wall);
                 let steps = self.store.writer.reply(job, reply, held, times, cx.rng);
@@ -417,6 +450,78 @@
         }
     }
 
+    /// Takes the calls that this node counted, and stops a version that it saw fail.
+    fn count_calls<R>(&mut self, counted: &[CountedCalls], cx: &mut Cx<'_, R>) {
+        let Some(config) = self.spread.sync.config().cloned() else { return };
+        self.accounting.ledger.count_door(counted, &config.content, cx.wall);
+        let table = &self.members.table;
+        let (own, nodes) = (table.own(), table.live().count());
+        let stops = self.rollouts.count(counted, &config.content, own, nodes, cx.wall);
+        for stop in stops {
+            let origin = StopOrigin::new(config.version, &stop.reason, cx.now);
+            self.add_stops(vec![stop.mark], &origin, cx);
+        }
+    }
+
+    /// Reports evidence to the drivers of rollouts and drives those that fall to this node.
+    fn drive_rollouts<R: Rng>(&mut self, cx: &mut Cx<'_, R>) {
+        if self.is_leaving || !self.rollouts.begins_look(cx.now) {
+            return;
+        }
+        let Some(config) = self.spread.published.clone() else { return };
+        self.rollouts.forget(&config.content, cx.wall);
+        for (service, rollout) in &config.content.rollouts {
+            if is_active(rollout, cx.wall) {
+                self.drive_rollout(service, &config, cx);
+            }
+        }
+    }
+
+    fn drive_rollout<R: Rng>(
+        &mut self,
+        service: &ServiceName,
+        config: &Config,
+        cx: &mut Cx<'_, R>,
+    ) {
+        let ranked = self.members.table.rank(&format!("rollout/{service}"), None, 1);
+        let Some(driver) = ranked.first().map(|id| (*id).clone()) else { return };
+        let is_own = driver == self.members.table.own().id;
+        if let Some(report) = self.rollouts.due_report(service, &driver, cx.wall) {
+            if is_own {
+                self.rollouts.take_evidence(&report, &config.content, cx.wall);
+            } else if let Some(to) = self.members.addr(&driver) {
+                let message = PeerMessage::Evidence(report);
+                cx.send(to, message, EXCHANGE_TIMEOUT, PendingRequest::Evidence);
+            }
+        }
+        if is_own {
+            let decision = self.rollouts.decide(service, &config.content, cx.now, cx.wall);
+            self.carry_out(decision, config.version, cx);
+        }
+    }
+
+    fn carry_out<R: Rng>(
+        &mut self,
+        decision: DriverDecision,
+        decided_on: ConfigVersion,
+        cx: &mut Cx<'_, R>,
+    ) {
+        for change in decision.changes {
+            match change {
+                // Peers hear of a stop at once; the record in the store follows.
+                Change::AddStops { marks, reason } => {
+                    self.add_stops(marks, &StopOrigin::new(decided_on, &reason, cx.now), cx);
+                }
+                step => {
+                    self.store.submit_step(step, cx);
+                }
+            }
+        }
+        for notice in decision.notices {
+            cx.report(StateChange::RolloutNotice(notice));
+        }
+    }
+
     fn add_stops<R>(&mut self, marks: Vec<StopMark>, origin: &StopOrigin, cx: &mut Cx<'_, R>) {
         let config = self.spread.sync.config().map(|cfg| &**cfg);
         let new = self.stops.add(marks, origin, config);
@@ -488,7 +593,8 @@
         PeerMessage::Ack(self.spread.sync.version())
     }
 
-    fn sync_status(&self) -> SyncStatus {
+    /// What this node holds, as it tells other nodes.
+    pub fn sync_status(&self) -> SyncStatus {
         let own = self.members.table.own();
         SyncStatus {
             node: own.id.clone(),
--- a/crates/core/src/store/mod.rs
+++ b/crates/core/src/store/mod.rs
@@ -23,7 +23,7 @@
 pub use refused_change::RefusedChange;
 pub use store_error::StoreError;
 pub use store_reader::{READERS_PER_DATA_CENTRE, StoreReader};
-pub use store_reply::{Revision, StoreReply, StoredConfig};
+pub use store_reply::{Revision, StoreReply, StoredConfig, StoredHour};
 pub use store_request::StoreRequest;
 pub use store_writer::{JOB_TIME, MAX_JOBS, StoreWriter};
 pub use submission::Submission;
--- /dev/null
+++ b/crates/node/src/answer_body.rs
@@ -0,0 +1,191 @@
+//! The body of an answer on its way to the caller.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+
+use almondsail_core::RefusalReason;
+use bytes::Bytes;
+use http::{Response, StatusCode};
+use http_body_util::BodyExt as _;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use tokio::time::Sleep;
+
+use crate::answer_stream::{AnswerStream, StreamError};
+use crate::answer_watcher::{AnswerEnd, AnswerWatcher};
+use crate::exchange::Exchange;
+use crate::exchange_pool::ExchangePool;
+
+/// An answer of a backend server.
+pub(crate) type Answer = Response<AnswerBody>;
+
+/// Streams the body of an answer and returns its connection to the pool at the end.
+///
+/// The last bytes are passed on only when it is known that the answer ended with
+/// them. Every other end is an error, on which the caller's connection is closed.
+/// Dropping the body before its end closes the connection to the next hop.
+#[derive(Debug)]
+pub(crate) struct AnswerBody {
+    source: Source,
+    status: StatusCode,
+    /// Bytes that were read but not passed on.
+    first: Option<Bytes>,
+    /// Told once of the end; empty after it.
+    watchers: Vec<AnswerWatcher>,
+    ended: Option<AnswerEnd>,
+}
+
+#[derive(Debug)]
+enum Source {
+    /// A recorded answer; `None` after it was read.
+    Recorded(Option<Bytes>),
+    Stream(Box<AnswerStream>),
+}
+
+impl AnswerBody {
+    /// The body `incoming` of the answer that came over `exchange`.
+    pub(crate) fn stream(
+        status: StatusCode,
+        incoming: Incoming,
+        exchange: Exchange,
+        pool: Arc<ExchangePool>,
+        timeout: Pin<Box<Sleep>>,
+    ) -> Self {
+        let stream = AnswerStream::new(incoming, exchange, pool, timeout);
+        Self::new(status, Source::Stream(Box::new(stream)))
+    }
+
+    /// The body of a recorded answer.
+    pub(crate) fn recorded(status: StatusCode, bytes: Bytes) -> Self {
+        Self::new(status, Source::Recorded(Some(bytes)))
+    }
+
+    const fn new(status: StatusCode, source: Source) -> Self {
+        Self { source, status, first: None, watchers: Vec::new(), ended: None }
+    }
+
+    /// Adds a watcher of the body's end, which is told at once if the body has ended: an
+    /// empty body ends when it is prefetched.
+    pub(crate) fn watch(&mut self, watcher: AnswerWatcher) {
+        match self.ended {
+            Some(end) => watcher.ended(self.status, end),
+            None => self.watchers.push(watcher),
+        }
+    }
+
+    /// Reads what has already come, so that an error which shows at once is reported
+    /// with its reason instead of by a closed connection.
+    pub(crate) async fn prefetch(&mut self) -> Result<(), RefusalReason> {
+        let poll = std::future::poll_fn(|cx| Poll::Ready(self.poll_source(cx))).await;
+        match poll {
+            Poll::Pending => {}
+            Poll::Ready(Ok(Some(data))) => self.first = Some(data),
+            Poll::Ready(Ok(None)) => self.end(AnswerEnd::Complete),
+            Poll::Ready(Err(error)) => {
+                self.end(error.answer_end());
+                return Err(error.reason());
+            }
+        }
+        Ok(())
+    }
+
+    /// Reads a short body to its end, so that its connection can be used again. A body
+    /// that is not short is dropped, which closes the connection.
+    pub(crate) async fn discard(mut self) {
+        const MAX_DISCARDED: usize = 16 * 1024;
+        let mut read = 0;
+        while let Some(Ok(frame)) = self.frame().await {
+            read += frame.data_ref().map_or(0, Bytes::len);
+            if read > MAX_DISCARDED {
+                return;
+            }
+        }
+    }
+
+    fn poll_source(&mut self, cx: &mut Context<'_>) -> Poll<Result<Option<Bytes>, StreamError>> {
+        match &mut self.source {
+            Source::Recorded(bytes) => {
+                Poll::Ready(Ok(bytes.take().filter(|bytes| !bytes.is_empty())))
+            }
+            Source::Stream(stream) => stream.poll_frame(cx),
+        }
+    }
+
+    fn end(&mut self, end: AnswerEnd) {
+        self.ended = Some(end);
+        for watcher in self.watchers.drain(..) {
+            watcher.ended(self.status, end);
+        }
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        if self.ended.is_some() {
+            return Poll::Ready(None);
+        }
+        let result = match self.first.take() {
+            Some(data) => Ok(Some(data)),
+            None => ready!(self.poll_source(cx)),
+        };
+        match result {
+            Ok(Some(data)) => {
+                for watcher in &mut self.watchers {
+                    watcher.passed(&data);
+                }
+                // hyper does not poll again after the last byte of a known length.
+                if self.is_complete() {
+                    self.end(AnswerEnd::Complete);
+                }
+                Poll::Ready(Some(Ok(Frame::data(data))))
+            }
+            Ok(None) => {
+                self.end(AnswerEnd::Complete);
+                Poll::Ready(None)
+            }
+            Err(error) => {
+                self.end(error.answer_end());
+                Poll::Ready(Some(Err(io::Error::other(error.reason().as_str()))))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.ended.is_some() || self.is_complete()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let rest = match &self.source {
+            Source::Recorded(bytes) => Some(bytes.as_ref().map_or(0, Bytes::len) as u64),
+            Source::Stream(stream) => stream.remaining(),
+        };
+        let first = self.first.as_ref().map_or(0, Bytes::len) as u64;
+        rest.map_or_else(SizeHint::default, |rest| SizeHint::with_exact(first + rest))
+    }
+}
+
+impl AnswerBody {
+    /// Whether every byte of an answer of known length was passed on.
+    fn is_complete(&self) -> bool {
+        let is_read = match &self.source {
+            Source::Recorded(bytes) => bytes.is_none(),
+            Source::Stream(stream) => stream.is_complete(),
+        };
+        is_read && self.first.is_none()
+    }
+}
+
+impl Drop for AnswerBody {
+    fn drop(&mut self) {
+        if self.ended.is_none() {
+            self.end(AnswerEnd::Dropped);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/answer_watcher.rs
@@ -0,0 +1,58 @@
+//! What happens when an answer ends.
+
+use bytes::Bytes;
+use http::StatusCode;
+
+use crate::answer_recorder::AnswerRecorder;
+use crate::call_timer::CallTimer;
+use crate::in_flight::InFlight;
+use crate::slot::{Slot, SlotEnd};
+
+/// How the body of an answer ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum AnswerEnd {
+    /// Every byte was passed on.
+    Complete,
+    /// The exchange broke or the answer is malformed.
+    Broken,
+    /// The deadline passed.
+    TimedOut,
+    /// The caller gave up.
+    Dropped,
+}
+
+/// A part of the node that is told how an answer ended.
+#[derive(Debug)]
+pub(crate) enum AnswerWatcher {
+    /// The slot that the call holds at this node's door.
+    Slot(Slot),
+    /// The call's share of the load of its endpoint.
+    Load(InFlight),
+    /// The counters.
+    Count(CallTimer),
+    /// The record for repeats of the call.
+    Record(AnswerRecorder),
+}
+
+impl AnswerWatcher {
+    /// Notes bytes that were passed on.
+    pub(crate) fn passed(&mut self, data: &Bytes) {
+        match self {
+            Self::Record(recorder) => recorder.passed(data),
+            Self::Slot(_) | Self::Load(_) | Self::Count(_) => {}
+        }
+    }
+
+    /// Notes the end.
+    pub(crate) fn ended(self, status: StatusCode, end: AnswerEnd) {
+        match (self, end) {
+            (Self::Slot(slot), AnswerEnd::Complete) => slot.end(SlotEnd::Ran),
+            (Self::Slot(slot), AnswerEnd::TimedOut) => slot.end(SlotEnd::Ran),
+            (Self::Slot(slot), AnswerEnd::Broken | AnswerEnd::Dropped) => slot.end(SlotEnd::Other),
+            (Self::Load(in_flight), end) => in_flight.ended(status, end),
+            (Self::Count(timer), end) => timer.ended(status, end),
+            (Self::Record(recorder), AnswerEnd::Complete) => recorder.complete(),
+            (Self::Record(_), _) => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/claims.rs
@@ -0,0 +1,82 @@
+//! The keys that this node registers, and its recorded answers.
+
+use std::sync::{Mutex, PoisonError};
+
+use almondsail_core::ids::CallKey;
+use almondsail_core::traffic::{CallKeys, ClaimAnswer, RecordedAnswers, Replay};
+use almondsail_core::units::ByteCount;
+use bytes::Bytes;
+use http::{HeaderMap, Response, StatusCode};
+
+use crate::answer_recorder::RecordedAnswer;
+use crate::call_headers as names;
+use crate::claim::Claim;
+use crate::clock::Clock;
+use crate::door_request::DoorRequest;
+
+/// The keys that this node registers, and the answers that its door recorded.
+#[derive(Debug)]
+pub(crate) struct Claims {
+    clock: Clock,
+    keys: Mutex<CallKeys>,
+    answers: Mutex<RecordedAnswers<RecordedAnswer>>,
+}
+
+impl Claims {
+    pub(crate) fn new(clock: Clock) -> Self {
+        Self {
+            clock,
+            keys: Mutex::new(CallKeys::new(clock.now())),
+            answers: Mutex::new(RecordedAnswers::new()),
+        }
+    }
+
+    /// Records the complete answer of the call with `key`.
+    pub(crate) fn record(&self, key: CallKey, size: ByteCount, answer: RecordedAnswer) {
+        let mut answers = self.answers.lock().unwrap_or_else(PoisonError::into_inner);
+        answers.record(self.clock.now(), key, size, answer);
+    }
+
+    /// The recorded answer of the call with `key`.
+    pub(crate) fn replay(&self, key: &CallKey) -> Replay<RecordedAnswer> {
+        let mut answers = self.answers.lock().unwrap_or_else(PoisonError::into_inner);
+        answers.replay(self.clock.now(), key)
+    }
+
+    /// Claims a key that this node registers.
+    pub(crate) fn claim(&self, claim: &Claim) -> ClaimAnswer {
+        let mut keys = self.keys.lock().unwrap_or_else(PoisonError::into_inner);
+        let now = self.clock.now();
+        keys.claim(now, &claim.service, &claim.key, claim.call, &claim.holder)
+    }
+
+    /// Releases a key that this node registers.
+    pub(crate) fn release(&self, claim: &Claim) {
+        let mut keys = self.keys.lock().unwrap_or_else(PoisonError::into_inner);
+        keys.release(&claim.service, &claim.key, claim.call, &claim.holder);
+    }
+
+    /// Answers the claim or release of another node.
+    pub(crate) fn answer(&self, request: DoorRequest, headers: &HeaderMap) -> Response<Bytes> {
+        let mut response = Response::new(Bytes::new());
+        let Ok(claim) = Claim::from_headers(headers) else {
+            *response.status_mut() = StatusCode::BAD_REQUEST;
+            return response;
+        };
+        if request == DoorRequest::Release {
+            self.release(&claim);
+            return response;
+        }
+        let (text, holder) = match self.claim(&claim) {
+            ClaimAnswer::Granted { sure: true } => ("sure", None),
+            ClaimAnswer::Granted { sure: false } => ("granted", None),
+            ClaimAnswer::Held { holder } => ("held", Some(holder)),
+            ClaimAnswer::Full => ("full", None),
+        };
+        names::set(response.headers_mut(), names::CLAIM, text);
+        if let Some(holder) = holder {
+            names::set(response.headers_mut(), names::HOLDER, holder);
+        }
+        response
+    }
+}
--- /dev/null
+++ b/crates/wire/src/convert/mod.rs
@@ -0,0 +1,18 @@
+//! Conversions between the generated types and the core's types.
+
+mod codec;
+mod config;
+mod delta;
+mod evidence;
+mod fields;
+mod message;
+mod operator_answer;
+mod operator_command;
+mod operator_query;
+mod operator_report;
+mod peer;
+mod report;
+
+pub use codec::{
+    decode_config, decode_hour, decode_message, encode_config, encode_hour, encode_message,
+};
