Make two tests of limits independent of the machine's speed

Cause: deadline_too_near bounded the time of a refusal at 60 ms, and body_memory assumed that a node had read a caller's bytes after 50 ms. Both can fail on a busy machine without a fault.

Change: the first checks by the door's counts that the call was refused and did not wait; the second tries again until the bytes count, 100 times at most.

Without the check of the deadline, and without the budget of bodies, the tests fail.

Conclusion: the tests are as strict as before and need no quiet machine.

--- a/crates/node/tests/calls_limits.rs
+++ b/crates/node/tests/calls_limits.rs
@@ -134,9 +134,15 @@
     let mut slow = tokio::net::TcpStream::connect(mesh.entry(0)).await.unwrap();
     slow.write_all(b"POST /book HTTP/1.1\r\nHost: a\r\nContent-Length: 800\r\n\r\n").await.unwrap();
     slow.write_all(&[b'a'; 700]).await.unwrap();
-    tokio::time::sleep(Duration::from_millis(50)).await;
-    let answer = post(mesh.entry(0), "/book", &[b'a'; 400]).await.unwrap();
-    assert_eq!(answer.failure(), ("refused-unrun", "body_memory"));
+    // The node may not have read the slow caller's bytes yet.
+    for i in 0.. {
+        let answer = post(mesh.entry(0), "/book", &[b'a'; 400]).await.unwrap();
+        if answer.failure() == ("refused-unrun", "body_memory") {
+            break;
+        }
+        assert!(i < 100, "the bytes of the slow caller do not count");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
     drop(slow);
     tokio::time::sleep(Duration::from_millis(50)).await;
     assert_eq!(post(mesh.entry(0), "/book", &[b'a'; 400]).await.unwrap().status, 200);
@@ -169,15 +175,18 @@
 /// Guards against a call that waits although it can't end before its deadline.
 #[tokio::test]
 async fn deadline_too_near() {
-    let (backend, mesh) = two(|req| size(req).after(100)).await;
+    let (backend, mesh) = two(|req| size(req).after(400)).await;
     get(mesh.entry(0), "/read").await.unwrap();
     let busy: Vec<_> = (0..12).map(|_| tokio::spawn(get(mesh.entry(0), "/read"))).collect();
-    tokio::time::sleep(Duration::from_millis(30)).await;
-    let started = std::time::Instant::now();
-    let hurried = request("GET", "/read", &[("almondsail-deadline-ms", "80")], b"");
+    while backend.runs() < 13 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let hurried = request("GET", "/read", &[("almondsail-deadline-ms", "350")], b"");
     let answer = send(mesh.entry(0), hurried).await.unwrap();
     assert_eq!(answer.failure(), ("refused-unrun", "deadline_too_near"));
-    assert!(started.elapsed() < Duration::from_millis(60));
+    // Refused at once: a call that waited until its deadline counts as cancelled.
+    let counts = mesh.nodes[1].traffic.door_counts();
+    assert_eq!((counts.running, counts.refused, counts.cancelled), (12, 1, 0));
     for call in busy {
         assert_eq!(call.await.unwrap().unwrap().status, 200);
     }
