Decide the handover of claims of a leaving registrar

Cause: a restart of both registrars of a key, one after the other, forgot the key within its 10 min, and an unmarked repeat ran again. Change: CallKeys numbers its claims and gives them out in batches, takes claims over with their call, holder and remaining time, and keeps a claim that it holds already. handover() chooses the two nodes that rank first without the leaving one. A registrar that finds no room for a claim is not sure of unknown keys for 10 min.

--- a/crates/core/src/traffic/call_keys.rs
+++ b/crates/core/src/traffic/call_keys.rs
@@ -1,9 +1,9 @@
 //! The idempotency keys that a registrar holds.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use crate::ids::{CallKey, NodeId, ServiceName};
-use crate::traffic::{CallId, ClaimAnswer};
+use crate::traffic::{CallId, ClaimAnswer, HandedClaim};
 use crate::units::{Instant, Micros, Millis};
 
 /// The claims of idempotency keys at one registrar.
@@ -11,19 +11,25 @@
 /// A key belongs to the first call that claims it, until it is released or expires.
 #[derive(Debug)]
 pub struct CallKeys {
-    started: Instant,
+    /// Since when no claim of this registrar was lost: its start, or the last time that it
+    /// could not take a claim over.
+    complete_since: Instant,
     /// At most [`Self::MAX_KEYS`] claims.
     claims: HashMap<(ServiceName, CallKey), Claim>,
-    /// The claims in the order of `at`. An entry whose claim was released or taken over has
-    /// no effect. At most twice [`Self::MAX_KEYS`] entries.
-    order: VecDeque<(Instant, ServiceName, CallKey)>,
+    /// The times at which claims expire, with their numbers; one entry for each claim.
+    expiry: BTreeSet<(Instant, u64)>,
+    /// The keys by the number of their claim; one entry for each claim.
+    numbered: BTreeMap<u64, (ServiceName, CallKey)>,
+    /// The number of the next claim. Numbers are not used twice.
+    next: u64,
 }
 
 #[derive(Debug)]
 struct Claim {
     call: CallId,
     holder: NodeId,
-    at: Instant,
+    expires: Instant,
+    number: u64,
 }
 
 impl CallKeys {
@@ -35,7 +41,13 @@
 
     /// A registrar that started at `now` and holds no key.
     pub fn new(now: Instant) -> Self {
-        Self { started: now, claims: HashMap::new(), order: VecDeque::new() }
+        Self {
+            complete_since: now,
+            claims: HashMap::new(),
+            expiry: BTreeSet::new(),
+            numbered: BTreeMap::new(),
+            next: 0,
+        }
     }
 
     /// Claims `key` for `call`, which `holder` is about to run.
@@ -62,11 +74,10 @@
             }
             None => {}
         }
-        if self.claims.len() >= Self::MAX_KEYS || self.order.len() >= 2 * Self::MAX_KEYS {
+        if self.claims.len() >= Self::MAX_KEYS {
             return ClaimAnswer::Full;
         }
-        self.order.push_back((now, id.0.clone(), id.1.clone()));
-        self.claims.insert(id, Claim { call, holder: holder.clone(), at: now });
+        self.insert(id, call, holder.clone(), now + Self::RETENTION);
         ClaimAnswer::Granted { sure: self.is_sure(now) }
     }
 
@@ -74,8 +85,49 @@
     pub fn release(&mut self, service: &ServiceName, key: &CallKey, call: CallId, holder: &NodeId) {
         let id = (service.clone(), key.clone());
         if self.claims.get(&id).is_some_and(|c| c.call == call && c.holder == *holder) {
-            self.claims.remove(&id);
+            self.remove(&id);
+        }
+    }
+
+    /// At most `limit` claims with a number from `number` on, and the number to go on from.
+    pub fn claims_from(
+        &mut self,
+        now: Instant,
+        number: u64,
+        limit: usize,
+    ) -> (Vec<HandedClaim>, u64) {
+        self.expire(now);
+        let mut next = number;
+        let mut handed = Vec::new();
+        for (number, id) in self.numbered.range(number..).take(limit) {
+            next = number + 1;
+            handed.extend(self.claims.get(id).map(|claim| HandedClaim {
+                service: id.0.clone(),
+                key: id.1.clone(),
+                call: claim.call,
+                holder: claim.holder.clone(),
+                left: claim.expires.since(now),
+            }));
+        }
+        (handed, next)
+    }
+
+    /// Takes a claim over from a leaving registrar. A claim already held for the key stays.
+    ///
+    /// A claim that finds no room is lost, so this registrar is not sure of unknown keys
+    /// until the claim would have expired.
+    pub fn take_over(&mut self, now: Instant, handed: HandedClaim) {
+        self.expire(now);
+        let id = (handed.service, handed.key);
+        if self.claims.contains_key(&id) {
+            return;
+        }
+        if self.claims.len() >= Self::MAX_KEYS {
+            self.complete_since = now;
+            return;
         }
+        let left = handed.left.min(Micros::from(Self::RETENTION));
+        self.insert(id, handed.call, handed.holder, now + left);
     }
 
     /// The number of keys held.
@@ -89,16 +141,36 @@
     }
 
     fn is_sure(&self, now: Instant) -> bool {
-        now.since(self.started) > Micros::from(Self::RETENTION)
+        now.since(self.complete_since) > Micros::from(Self::RETENTION)
+    }
+
+    fn insert(
+        &mut self,
+        id: (ServiceName, CallKey),
+        call: CallId,
+        holder: NodeId,
+        expires: Instant,
+    ) {
+        let number = self.next;
+        self.next += 1;
+        self.expiry.insert((expires, number));
+        self.numbered.insert(number, id.clone());
+        self.claims.insert(id, Claim { call, holder, expires, number });
+    }
+
+    fn remove(&mut self, id: &(ServiceName, CallKey)) {
+        if let Some(claim) = self.claims.remove(id) {
+            self.expiry.remove(&(claim.expires, claim.number));
+            self.numbered.remove(&claim.number);
+        }
     }
 
     fn expire(&mut self, now: Instant) {
-        while let Some((at, _, _)) = self.order.front()
-            && now.since(*at) > Micros::from(Self::RETENTION)
+        while let Some((expires, number)) = self.expiry.first().copied()
+            && now > expires
         {
-            let Some((at, service, key)) = self.order.pop_front() else { break };
-            let id = (service, key);
-            if self.claims.get(&id).is_some_and(|claim| claim.at == at) {
+            self.expiry.remove(&(expires, number));
+            if let Some(id) = self.numbered.remove(&number) {
                 self.claims.remove(&id);
             }
         }
--- /dev/null
+++ b/crates/core/src/traffic/handover.rs
@@ -0,0 +1,26 @@
+//! The choice of the registrars that take over the claims of a leaving one.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::ids::{NodeId, ServiceName};
+use crate::traffic::{HandedClaim, registrars};
+
+/// The claims that the leaving registrar `own` hands to each node.
+///
+/// `doors` gives the nodes with a door for a service. A claim goes to both nodes that rank
+/// first for its key without `own`; one of them may have restarted and not know the key.
+pub fn handover<'a>(
+    own: &NodeId,
+    claims: &[HandedClaim],
+    doors: impl Fn(&ServiceName) -> Option<&'a BTreeSet<NodeId>>,
+) -> BTreeMap<NodeId, Vec<HandedClaim>> {
+    let mut parts: BTreeMap<NodeId, Vec<HandedClaim>> = BTreeMap::new();
+    for claim in claims {
+        let others = doors(&claim.service).into_iter().flatten().filter(|node| *node != own);
+        let (first, second) = registrars(&claim.key, others);
+        for node in [first, second].into_iter().flatten() {
+            parts.entry(node.clone()).or_default().push(claim.clone());
+        }
+    }
+    parts
+}
--- a/crates/core/tests/traffic_keys.rs
+++ b/crates/core/tests/traffic_keys.rs
@@ -1,10 +1,11 @@
 //! Idempotency keys: claims, registrars and recorded answers.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use almondsail_core::ids::{CallKey, NodeId, ServiceName};
 use almondsail_core::traffic::{
-    CallId, CallKeys, ClaimAnswer, ClaimDecision, RecordedAnswers, Replay, registrars,
+    CallId, CallKeys, ClaimAnswer, ClaimDecision, HandedClaim, RecordedAnswers, Replay, handover,
+    registrars,
 };
 use almondsail_core::units::{ByteCount, Instant, Millis};
 use quickcheck::{TestResult, quickcheck};
@@ -92,6 +93,140 @@
     }
 }
 
+/// Nodes that restart one after the other.
+struct Restarts {
+    now: Instant,
+    nodes: BTreeMap<NodeId, CallKeys>,
+    /// The node that leaves, and the number from which its claims are still to be handed over.
+    leaving: Option<(NodeId, u64)>,
+}
+
+impl Restarts {
+    /// The number of claims in a batch, small so that a handover takes several.
+    const BATCH: usize = 2;
+
+    fn new(n: u8) -> Self {
+        let now = Instant::new(0);
+        let nodes = (0..n).map(|i| (node(i), CallKeys::new(now))).collect();
+        Self { now, nodes, leaving: None }
+    }
+
+    /// The doors as a node sees them that has, or has not, heard of the leaving one.
+    fn doors(&self, has_heard: bool) -> BTreeSet<NodeId> {
+        let leaving = self.leaving.as_ref().filter(|_| has_heard).map(|(node, _)| node);
+        self.nodes.keys().filter(|node| Some(*node) != leaving).cloned().collect()
+    }
+
+    fn claim(&mut self, k: u8, call: u128, has_heard: bool) -> ClaimDecision {
+        let doors = self.doors(has_heard);
+        let (first, second) = registrars(&key(k), doors.iter());
+        let mut answers = Vec::new();
+        for registrar in [first, second].into_iter().flatten() {
+            let keys = self.nodes.get_mut(registrar).expect("a node");
+            let id = CallId::new(call);
+            answers.push(Some(keys.claim(self.now, &service(), &key(k), id, &node(0))));
+        }
+        ClaimDecision::new(&answers, false, false)
+    }
+
+    /// Hands one batch over; `false` if nothing was left.
+    fn hand_over(&mut self) -> bool {
+        let Some((own, number)) = self.leaving.clone() else { return false };
+        let doors = self.doors(true);
+        let keys = self.nodes.get_mut(&own).expect("a node");
+        let (claims, next) = keys.claims_from(self.now, number, Self::BATCH);
+        for (to, part) in handover(&own, &claims, |_| Some(&doors)) {
+            let keys = self.nodes.get_mut(&to).expect("a node");
+            part.into_iter().for_each(|claim| keys.take_over(self.now, claim));
+        }
+        self.leaving = Some((own, next));
+        !claims.is_empty()
+    }
+
+    /// The leaving node hands the rest over and starts again without a key.
+    fn restart(&mut self) {
+        while self.hand_over() {}
+        if let Some((own, _)) = self.leaving.take() {
+            self.nodes.insert(own, CallKeys::new(self.now));
+        }
+    }
+}
+
+quickcheck! {
+    /// Guards against a key that is forgotten when its registrars restart one after the other.
+    fn handover_any_restarts(n: u8, ops: Vec<(u8, u8, bool, u8)>) -> bool {
+        let mut mesh = Restarts::new(3 + n % 4);
+        let mut granted: BTreeMap<u8, Instant> = BTreeMap::new();
+        for (call, (op, k, has_heard, pass_s)) in ops.into_iter().cycle().take(400).enumerate() {
+            mesh.now = mesh.now + Millis::new(u64::from(pass_s % 40) * 1_000);
+            let k = k % 8;
+            match op % 6 {
+                0 if mesh.leaving.is_none() => {
+                    mesh.leaving = Some((node(k % (3 + n % 4)), 0));
+                }
+                0 => mesh.restart(),
+                1 => {
+                    mesh.hand_over();
+                }
+                _ if mesh.claim(k, call as u128, has_heard) == ClaimDecision::Run => {
+                    let before = granted.insert(k, mesh.now);
+                    let is_kept = |at| mesh.now.since(at) <= CallKeys::RETENTION.into();
+                    assert!(!before.is_some_and(is_kept), "key {k} was granted to two calls");
+                }
+                _ => {}
+            }
+        }
+        true
+    }
+
+    /// Guards against a claim taken over that expires early or late, replaces an earlier one,
+    /// or makes a registrar sure of keys that it can't know.
+    fn take_over_time_left(left_s: u16, is_held: bool) -> bool {
+        let left = Millis::new(u64::from(left_s % 601) * 1_000);
+        let mut keys = CallKeys::new(Instant::new(0));
+        let (old, new, late) = (CallId::new(1), CallId::new(2), CallId::new(3));
+        if is_held {
+            keys.claim(Instant::new(0), &service(), &key(0), old, &node(1));
+        }
+        let handed = HandedClaim {
+            service: service(),
+            key: key(0),
+            call: new,
+            holder: node(2),
+            left: left.into(),
+        };
+        keys.take_over(Instant::new(0), handed);
+        let (holder, end) = if is_held { (1, CallKeys::RETENTION) } else { (2, left) };
+        let end = Instant::new(0) + end;
+        let at_end = keys.claim(end, &service(), &key(0), late, &node(3));
+        let after = Instant::new(end.get() + 1);
+        let sure = after.since(Instant::new(0)) > CallKeys::RETENTION.into();
+        at_end == ClaimAnswer::Held { holder: node(holder) }
+            && keys.claim(after, &service(), &key(0), late, &node(3))
+                == ClaimAnswer::Granted { sure }
+    }
+}
+
+/// Guards against a registrar that is sure of unknown keys after it lost a claim.
+#[test]
+fn take_over_full() {
+    let start = Instant::new(0);
+    let mut keys = CallKeys::new(start);
+    for n in 0..CallKeys::MAX_KEYS {
+        keys.claim(start, &service(), &key(n), CallId::new(1), &node(0));
+    }
+    let (key, call) = (key(CallKeys::MAX_KEYS), CallId::new(2));
+    let left = CallKeys::RETENTION.into();
+    let handed = HandedClaim { service: service(), key: key.clone(), call, holder: node(0), left };
+    let lost = Instant::new(1_000);
+    keys.take_over(lost, handed);
+    let end = lost + CallKeys::RETENTION;
+    let answer = keys.claim(end, &service(), &key, call, &node(0));
+    assert_eq!(answer, ClaimAnswer::Granted { sure: false });
+    let answer = keys.claim(Instant::new(end.get() + 1), &service(), &key, call, &node(0));
+    assert_eq!(answer, ClaimAnswer::Granted { sure: true });
+}
+
 /// Guards against a call that runs while another holds its key or without a grant, and against
 /// a marked repeat that runs although the first call may be unknown.
 #[test]
