Freeze nodes in the convergence measurement until they are declared dead

Cause: the measurement thawed frozen nodes after less than a second, before the others had declared them dead, so it showed only the delivery of waiting bytes.

Change: nodes stay frozen for 7 s after the changes.

--- a/crates/testkit/examples/convergence.rs
+++ b/crates/testkit/examples/convergence.rs
@@ -21,6 +21,9 @@
 const IDLE: Duration = Duration::from_secs(30);
 /// Changes made in each state of the mesh.
 const CHANGES: usize = 8;
+/// How long nodes stay frozen after the changes: longer than the 5 s after
+/// which the others declare them dead.
+const FREEZE: Duration = Duration::from_secs(7);
 /// How long to wait between two questions to a node.
 const POLL: Duration = Duration::from_millis(5);
 /// How long a change may take until the measurement gives up.
@@ -96,6 +99,7 @@
     let is_left = |index: &usize| !killed.contains(index) && !frozen.contains(index);
     let left: Vec<usize> = all.into_iter().filter(is_left).collect();
     row.disturbed = measure_changes(&mesh, &left, "disturbed").await?;
+    tokio::time::sleep(FREEZE).await;
     row.thawed = measure_thaw(&mut mesh, left[0], &frozen).await?;
     Ok(row)
 }
