--- a/crates/core/src/control/accounting_control.rs
+++ b/crates/core/src/control/accounting_control.rs
@@ -1,6 +1,5 @@
 //! What this node counts and collects for the members' reports.
 
-use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use rand::Rng;
@@ -60,15 +59,21 @@
             self.send(record, members, cx);
         }
         let table = &members.table;
-        let is_collector = collector(table) == Some(&table.own().id);
-        self.collector.pass_time(cx.wall, is_collector, || alive(table));
+        let is_collector = || collector(table) == Some(&table.own().id);
+        let roster = || alive(table).map(|peer| peer.id.clone()).collect();
+        self.collector.pass_time(cx.wall, is_collector, roster);
         let request = self.collector.poll(cx.now, cx.rng);
         ask(request, cx);
     }
 
+    /// Writes what was collected at once: this process is about to end.
+    pub(crate) const fn leave(&mut self) {
+        self.collector.flush();
+    }
+
     /// Takes the record of a node of this data centre.
     pub(crate) fn take<R>(&mut self, record: &AccountingRecord, table: &PeerTable, cx: &Cx<'_, R>) {
-        self.collector.take(record, alive(table).len() as u64, cx.wall);
+        self.collector.take(record, alive(table).count() as u64, cx.wall);
     }
 
     /// Takes the reply to a request of the collector.
@@ -100,13 +105,13 @@
 
 /// The nodes of this node's data centre that are to send records. A suspected
 /// one is among them: it may only be slow.
-fn alive(table: &PeerTable) -> BTreeSet<NodeId> {
+fn alive(table: &PeerTable) -> impl Iterator<Item = &Peer> {
     let own = table.own();
-    let is_alive = |peer: &&Peer| {
+    let is_alive = move |peer: &&Peer| {
         peer.data_centre == own.data_centre
             && matches!(peer.status, PeerStatus::Alive | PeerStatus::Suspected)
     };
-    table.iter().filter(is_alive).map(|peer| peer.id.clone()).collect()
+    table.iter().filter(is_alive)
 }
 
 fn ask<R>(request: Option<StoreRequest>, cx: &mut Cx<'_, R>) {
--- a/crates/core/src/control/state.rs
+++ b/crates/core/src/control/state.rs
@@ -583,6 +583,7 @@
             return;
         }
         self.is_leaving = true;
+        self.accounting.leave();
         self.members.table.set_leaving(cx.now);
         self.members.pass_on_own();
         cx.report(StateChange::PeerStatusChanged(
--- a/crates/core/src/report/collector.rs
+++ b/crates/core/src/report/collector.rs
@@ -82,11 +82,12 @@
     }
 
     /// Notes the time. `alive` gives the data centre's nodes that are alive;
-    /// `is_collector` says whether records are to be sent to this node.
+    /// `is_collector` says whether records are to be sent to this node. Each is
+    /// asked once a minute.
     pub fn pass_time(
         &mut self,
         wall: UnixMillis,
-        is_collector: bool,
+        is_collector: impl FnOnce() -> bool,
         alive: impl FnOnce() -> BTreeSet<NodeId>,
     ) {
         let minute = Minute::at(wall);
@@ -100,12 +101,17 @@
         if minute > self.closed && wall >= minute.start() + WRITE_AFTER {
             self.closed = minute;
             self.is_due = true;
-            if is_collector {
+            if is_collector() {
                 self.expect(Minute::new(minute.get() - 1));
             }
         }
     }
 
+    /// Makes what is collected ready to be written at once, before the process ends.
+    pub const fn flush(&mut self) {
+        self.is_due = true;
+    }
+
     /// The next request to the store if it is time for one.
     pub fn poll(&mut self, now: Instant, rng: &mut impl Rng) -> Option<StoreRequest> {
         if self.is_asking || now < self.next_attempt {
--- a/crates/core/src/report/member_report.rs
+++ b/crates/core/src/report/member_report.rs
@@ -208,7 +208,8 @@
             all.rollouts.entry(record.key()).or_insert(record);
         }
     }
-    let is_wanted = |r: &RolloutRecord| r.member == *member && r.ended >= input.period.start();
+    let period = input.period.start()..input.period.to.start();
+    let is_wanted = |r: &RolloutRecord| r.member == *member && period.contains(&r.ended);
     all.rollouts.into_values().filter(is_wanted).map(|r| with_touched(r, input)).collect()
 }
 
--- a/crates/core/tests/report_collector.rs
+++ b/crates/core/tests/report_collector.rs
@@ -99,7 +99,7 @@
     fn collect(&mut self, minute: Minute, place: usize) {
         let start = minute.start();
         for (i, collector) in self.collectors.iter_mut().enumerate() {
-            collector.pass_time(start, i == place, roster);
+            collector.pass_time(start, || i == place, roster);
         }
         for node in 0..NODES {
             let record = record(node, Minute::new(minute.get() - 1));
@@ -109,7 +109,7 @@
             }
         }
         for (i, collector) in self.collectors.iter_mut().enumerate() {
-            collector.pass_time(start + WRITE_AFTER, i == place, roster);
+            collector.pass_time(start + WRITE_AFTER, || i == place, roster);
         }
     }
 
@@ -226,6 +226,18 @@
     }
 }
 
+/// Guards against a planned stop of the collector that loses what it has.
+#[test]
+fn handle_stop_writes_at_once() {
+    let mut sim = Sim::new(4, 1);
+    // The records of the first minute have come, and are not due for 5 s.
+    sim.run(45_000);
+    assert!(sim.store.hours.is_empty());
+    (0..4).for_each(|index| sim.event(index, Event::StopRequested));
+    sim.run(1_000);
+    assert_eq!(sim.store.hours.len(), 2, "both data centres have written");
+}
+
 /// Guards against more than a read and a write for each data centre and minute.
 #[test]
 fn poll_two_calls_a_minute() {
@@ -238,7 +250,7 @@
         if second > 60 && second % 60 == 2 {
             collector.take(&record(0, Minute::new(Minute::at(wall).get() - 1)), 1, wall);
         }
-        collector.pass_time(wall, true, roster);
+        collector.pass_time(wall, || true, roster);
         let mut request = collector.poll(now, &mut rng);
         while let Some(asked) = request {
             calls += 1;
--- a/crates/core/tests/report_member.rs
+++ b/crates/core/tests/report_member.rs
@@ -82,11 +82,11 @@
     let mut collector = Collector::new(name("dc"), FROM.start());
     for minute in FROM.get()..=TO.get() {
         let start = Minute::new(minute).start();
-        collector.pass_time(start, true, nodes);
+        collector.pass_time(start, || true, nodes);
         for record in records.clone().into_iter().filter(|r| r.minute.get() + 1 == minute) {
             collector.take(record, 3, start + Millis::new(1_000));
         }
-        collector.pass_time(start + WRITE_AFTER, true, nodes);
+        collector.pass_time(start + WRITE_AFTER, || true, nodes);
     }
     written(&mut collector)
 }
@@ -196,14 +196,14 @@
 fn expect_restarted_node() {
     let mut collector = Collector::new(name("dc"), FROM.start());
     let next = Minute::new(FROM.get() + 1).start();
-    collector.pass_time(FROM.start(), true, || [name("a"), name("b")].into());
+    collector.pass_time(FROM.start(), || true, || [name("a"), name("b")].into());
     let partial =
         AccountingRecord { node: name("b"), minute: FROM, is_whole: false, sums: Sums::default() };
-    collector.pass_time(next, true, || [name("c")].into());
+    collector.pass_time(next, || true, || [name("c")].into());
     assert!(collector.take(&partial, 3, next));
     let whole = AccountingRecord { node: name("a"), is_whole: true, ..partial };
     assert!(collector.take(&whole, 3, next));
-    collector.pass_time(next + WRITE_AFTER, true, BTreeSet::new);
+    collector.pass_time(next + WRITE_AFTER, || true, BTreeSet::new);
     let minutes = written(&mut collector).minutes;
     assert_eq!((minutes[&FROM].expected, minutes[&FROM].received), (3, 1));
 }
@@ -220,6 +220,8 @@
         rollout(start(2), RolloutEnd::Late),
         rollout(start(3), rolled_back),
         rollout(UnixMillis::new(FROM.start().get() - 1), rolled_back),
+        // It ended after the period.
+        RolloutRecord { ended: TO.start(), ..rollout(start(4), RolloutEnd::Late) },
     ] {
         sums.sums.add_rollout(&record);
     }
