--- a/crates/core/tests/control_isolation.rs
+++ b/crates/core/tests/control_isolation.rs
@@ -72,3 +72,15 @@
         }
     }
 }
+
+/// Guards against two groups that formed apart and never learn of each other.
+#[test]
+fn probe_unknown_seed() {
+    let mut sim = Sim::new(4, 1);
+    sim.cut_off([0, 2].into());
+    sim.run(10_000);
+    assert!((0..4).all(|index| sim.control(index).peers().count() == 2));
+    sim.cut_off([].into());
+    sim.run(4_000);
+    assert!((0..4).all(|index| sim.control(index).peers().count() == 4));
+}
