Test records that come again late and minutes of two collectors

Cause: no test would have failed without the age limit of records, or with the expectations of two collectors added up.

Change: one test for each. Without the guard each failed (take_old_record, add_two_collectors); both guards are restored.

Conclusion: the collector's rules on duplicates are each held by a test.

--- a/crates/core/tests/report_member.rs
+++ b/crates/core/tests/report_member.rs
@@ -9,8 +9,8 @@
 use almondsail_core::ids::{ConfigVersion, DataCentre, MemberName};
 use almondsail_core::report::{
     AccountingRecord, CallCounts, ChangeSums, Collector, Cost, Hour, HourKey, HourSums,
-    MemberReport, Minute, ReportInput, ReportPeriod, RolloutEnd, RolloutRecord, StoredHours, Sums,
-    WRITE_AFTER,
+    MemberReport, Minute, NodeMinutes, ReportInput, ReportPeriod, RolloutEnd, RolloutRecord,
+    StoredHours, Sums, WRITE_AFTER,
 };
 use almondsail_core::store::{Revision, StoreReply, StoreRequest, StoredHour};
 use almondsail_core::units::{ByteCount, Instant, Micros, Millis, UnixMillis};
@@ -208,6 +208,29 @@
     assert_eq!((minutes[&FROM].expected, minutes[&FROM].received), (3, 1));
 }
 
+/// Guards against a record that comes again after its minute was forgotten.
+#[test]
+fn take_old_record() {
+    let mut collector = Collector::new(name("dc"), FROM.start());
+    let record =
+        AccountingRecord { node: name("a"), minute: FROM, is_whole: true, sums: Sums::default() };
+    assert!(collector.take(&record, 1, FROM.start()));
+    collector.pass_time(TO.start(), || true, BTreeSet::new);
+    assert!(!collector.take(&record, 1, TO.start()));
+}
+
+/// Guards against nodes that two collectors of the same minute expect twice.
+#[test]
+fn add_two_collectors() {
+    let sums = |expected, received| HourSums {
+        minutes: [(FROM, NodeMinutes { expected, received })].into(),
+        sums: Sums::default(),
+    };
+    let mut both = sums(3, 1);
+    both.add(&sums(4, 3));
+    assert_eq!(both, sums(4, 4));
+}
+
 /// Guards against unknown times and unknown calls that read like measured ones.
 #[test]
 fn sentences_name_what_is_missing() {
