Test rollouts through several Controls under faults

Nothing checked several nodes whose drivers die, freeze or lose the store while operators send commands. Change: tests/control_rollouts.rs runs four Controls on the simulated network and store. Four properties: shares rise by one step at a time and never during a hold; a stop mark ends the traffic of its version on every node within 4 s, with the store up or down, until an operator clears it; a good version is completed before its deadline though its driver dies; a version that fails in 30% of its calls is rolled back though its driver dies. Guards removed, each seen to fail its property and restored: the comparison of a step with the rollout it was decided on, and with the phase (steps_under_faults); sending marks to peers, and keeping marks past an unrelated configuration (stop_mark_ends_traffic); ranking only alive nodes for the driver (good_version_completes, failing_version_rolled_back). Removing the detection of a clearing command fails none of these properties, since the mark is in the configuration by then.

--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -251,6 +251,12 @@
         self.nodes[index].control.as_ref().expect("the node runs")
     }
 
+    /// Whether node `index` runs and is not paused.
+    pub fn is_running(&self, index: usize) -> bool {
+        let slot = &self.nodes[index];
+        slot.control.is_some() && slot.paused_until <= self.now
+    }
+
     pub fn published(&self, index: usize) -> ConfigVersion {
         self.control(index).status().published
     }
--- /dev/null
+++ b/crates/core/tests/control_rollouts.rs
@@ -0,0 +1,259 @@
+//! Properties of rollouts that several `Control`s drive under faults.
+
+mod common;
+mod rollout_mesh;
+
+use almondsail_core::config::{Change, Rollout, RolloutPhase, ServerVersion};
+use almondsail_core::control::Event;
+use almondsail_core::rollout::RampStep;
+use common::{checker, name, stop_mark};
+use quickcheck::{Arbitrary, Gen};
+use rollout_mesh::{NODES, RolloutMesh, SPAN};
+
+/// The longest time until a driver that died starts again, in milliseconds; most stay away
+/// until the test has ended.
+const MAX_DOWN: u64 = 300_000;
+
+/// A command of an operator.
+#[derive(Debug, Clone, Copy)]
+enum Command {
+    Hold,
+    Resume,
+    RollBack,
+}
+
+impl Command {
+    fn change(self) -> Change {
+        match self {
+            Self::Hold => Change::HoldRollout(name("bays")),
+            Self::Resume => Change::ResumeRollout(name("bays")),
+            Self::RollBack => {
+                Change::RollBack { service: name("bays"), reason: "by an operator".into() }
+            }
+        }
+    }
+}
+
+impl Arbitrary for Command {
+    fn arbitrary(g: &mut Gen) -> Self {
+        match u8::arbitrary(g) % 8 {
+            0 => Self::RollBack,
+            1..=3 => Self::Hold,
+            _ => Self::Resume,
+        }
+    }
+}
+
+/// One event of a story. Times are in milliseconds.
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    KillDriver(u64),
+    FreezeDriver(u64),
+    /// The driver loses its peers and the store for some seconds.
+    CutDriver(u64),
+    /// The driver freezes while the store does not answer the step that it submitted.
+    FreezeInSubmission(u64),
+    /// An operator's command is accepted while a step waits for the store.
+    RaceSubmission(Command),
+    Command(usize, Command),
+    Store {
+        down: bool,
+        lost: u32,
+    },
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let mut draw = |bound: u64| u64::arbitrary(g) % bound;
+        match draw(9) {
+            0 => Self::KillDriver(draw(20_000)),
+            1 => Self::FreezeDriver(draw(20_000)),
+            2 => Self::CutDriver(draw(20)),
+            3 | 4 => Self::FreezeInSubmission(draw(20_000)),
+            5 | 6 => Self::RaceSubmission(Command::arbitrary(g)),
+            7 => Self::Command(draw(NODES as u64) as usize, Command::arbitrary(g)),
+            _ => Self::Store { down: draw(3) == 0, lost: draw(60) as u32 },
+        }
+    }
+}
+
+#[derive(Debug, Clone)]
+struct Story {
+    seed: u64,
+    /// The calls of v2 that fail, of 100.
+    failing: u32,
+    /// Each with the seconds until the next one.
+    steps: Vec<(Step, u64)>,
+}
+
+impl Arbitrary for Story {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let steps: Vec<(Step, u64)> = Vec::arbitrary(g);
+        let steps = steps.into_iter().map(|(step, gap)| (step, gap % 20)).take(8).collect();
+        let failing = if u8::arbitrary(g) % 4 == 0 { 20 } else { 0 };
+        Self { seed: u64::arbitrary(g), failing, steps }
+    }
+}
+
+/// Numbers for a case; not shrunk, since each case takes long and smaller numbers say no more.
+#[derive(Debug, Clone, Copy)]
+struct Draws([u64; 4]);
+
+impl Arbitrary for Draws {
+    fn arbitrary(g: &mut Gen) -> Self {
+        Self(std::array::from_fn(|_| u64::arbitrary(g)))
+    }
+}
+
+fn take(mesh: &mut RolloutMesh, step: Step) {
+    let driver = mesh.driver();
+    match (step, driver) {
+        (Step::KillDriver(time), Some(driver)) => mesh.restart(driver, time),
+        (Step::FreezeDriver(time), Some(driver)) => mesh.sim.pause(driver, time),
+        (Step::CutDriver(time), Some(driver)) => {
+            mesh.sim.cut_off([driver].into());
+            mesh.run(time);
+            mesh.sim.cut_off([].into());
+        }
+        (Step::FreezeInSubmission(time), _) => {
+            mesh.sim.store.down = true;
+            mesh.run_until_submission();
+            if let Some(driver) = mesh.driver() {
+                mesh.sim.pause(driver, time);
+            }
+            mesh.sim.store.down = false;
+        }
+        (Step::RaceSubmission(command), _) => {
+            mesh.sim.store.down = true;
+            mesh.run_until_submission();
+            mesh.race(&command.change());
+            mesh.sim.store.down = false;
+            mesh.sim.wake_watches();
+        }
+        (Step::Command(node, command), _) => mesh.command(node, command.change()),
+        (Step::Store { down, lost }, _) => {
+            (mesh.sim.store.down, mesh.sim.store.lost) = (down, lost);
+        }
+        (_, None) => {}
+    }
+}
+
+/// The number of steps taken until these shares.
+fn stage(rollout: &Rollout) -> usize {
+    let shares = (rollout.share.get(), rollout.non_idempotent_share.get());
+    let is_here = |step: &RampStep| (step.share.get(), step.non_idempotent_share.get()) == shares;
+    let steps = RampStep::ALL.iter().position(is_here).map(|index| index + 1);
+    steps.or((shares == (0, 0)).then_some(0)).expect("the shares of a step")
+}
+
+fn check_transition(before: &Rollout, after: &Rollout) {
+    use RolloutPhase::{Completed, Held, Ramping, RolledBack};
+    let is_resumed = &*after.reason == "resumed by an operator";
+    let rise = stage(after) as i64 - stage(before) as i64;
+    let is_allowed = before == after
+        || match (before.phase, after.phase) {
+            (Ramping, Ramping) => rise == 1 || (rise == 0 && is_resumed),
+            (Ramping, Completed) => rise == 1 && stage(after) == RampStep::ALL.len(),
+            (Ramping | Held, Held) | (Held, Ramping) => rise == 0,
+            (Ramping | Held | Completed, RolledBack) => stage(after) == 0,
+            _ => false,
+        };
+    assert!(is_allowed, "{before:?} was followed by {after:?}");
+}
+
+/// Guards against a step that is taken twice, skipped, undone or taken during a hold when
+/// drivers die, freeze, lose the store or race operators.
+#[test]
+fn steps_under_faults() {
+    fn property(story: Story) {
+        let mut mesh = RolloutMesh::new(story.seed);
+        mesh.failing = story.failing;
+        for (step, gap) in &story.steps {
+            take(&mut mesh, *step);
+            mesh.run(*gap);
+        }
+        mesh.run(30);
+        let values = &mesh.sim.store.values;
+        let rollouts: Vec<_> =
+            values.iter().filter_map(|v| v.content.rollouts.get("bays")).collect();
+        rollouts.windows(2).for_each(|pair| check_transition(pair[0], pair[1]));
+    }
+    checker(30).quickcheck(property as fn(Story));
+}
+
+/// Whether the snapshot of a node sends calls to v2.
+fn takes_calls(mesh: &RolloutMesh, node: usize) -> bool {
+    let snapshot = mesh.sim.control(node).snapshot();
+    ["lookup", "book"].iter().any(|route| {
+        let split = snapshot.split(&name(route)).expect("a split");
+        split.stable.to_string() == "v2" || split.canary.is_some()
+    })
+}
+
+/// Guards against a stopped version that gets calls: through a node that learns of the mark late,
+/// because the store is down, after restarts, or before an operator clears the mark.
+#[test]
+fn stop_mark_ends_traffic() {
+    fn property(Draws([seed, at, node, is_down]): Draws) {
+        let node = (node % NODES as u64) as usize;
+        let mut mesh = RolloutMesh::new(seed);
+        mesh.run(at % (SPAN / 1_000 + 60));
+        mesh.sim.store.down = is_down % 2 == 0;
+        let marks = vec![stop_mark("bays", "v2")];
+        mesh.sim.event(node, Event::VersionFailed { marks, reason: "it failed".into() });
+        mesh.run(4);
+        assert!((0..NODES).all(|node| !takes_calls(&mesh, node)), "calls after 4 s");
+        for restarted in 0..NODES {
+            mesh.restart(restarted, 1_000);
+            mesh.run(10);
+            assert!((0..NODES).all(|node| !takes_calls(&mesh, node)), "calls after a restart");
+        }
+        mesh.sim.store.down = false;
+        mesh.sim.wake_watches();
+        mesh.run(30);
+        assert!((0..NODES).all(|node| !takes_calls(&mesh, node)), "calls with the store");
+        let stopped = ServerVersion { service: name("bays"), version: name("v2") };
+        mesh.command(node, Change::ClearStop(stopped));
+        mesh.run(4);
+        let has_stops = |node| !mesh.sim.control(node).snapshot().stops.is_empty();
+        assert!(!(0..NODES).any(has_stops), "a mark outlives the command that clears it");
+        assert_eq!(mesh.phase(), RolloutPhase::RolledBack);
+    }
+    checker(15).quickcheck(property as fn(Draws));
+}
+
+/// Guards against a rollout that is late, or loses its evidence, when its driver dies.
+#[test]
+fn good_version_completes() {
+    fn property(Draws([seed, dies_at, down, _]): Draws) {
+        let mut mesh = RolloutMesh::new(seed);
+        let dies_at = dies_at % (SPAN / 1_000);
+        mesh.counts_at_entries = true;
+        mesh.run(dies_at);
+        if let Some(driver) = mesh.driver() {
+            mesh.restart(driver, down % MAX_DOWN);
+        }
+        mesh.run(SPAN / 1_000 - dies_at);
+        assert_eq!(mesh.phase(), RolloutPhase::Completed, "{:?}", mesh.rollout());
+        assert!(mesh.rollout().changed <= mesh.rollout().deadline);
+    }
+    checker(12).quickcheck(property as fn(Draws));
+}
+
+/// Guards against a failing version that stays when its driver dies: the next driver must
+/// judge it on the doors' reports alone, since no entry counts calls here.
+#[test]
+fn failing_version_rolled_back() {
+    fn property(Draws([seed, fails_at, dies_after, down]): Draws) {
+        let mut mesh = RolloutMesh::new(seed);
+        mesh.run(fails_at % (SPAN / 1_000));
+        mesh.failing = 30;
+        mesh.run(dies_after % 30);
+        if let Some(driver) = mesh.driver() {
+            mesh.restart(driver, down % MAX_DOWN);
+        }
+        mesh.run(90);
+        assert_eq!(mesh.phase(), RolloutPhase::RolledBack, "{:?}", mesh.rollout());
+    }
+    checker(12).quickcheck(property as fn(Draws));
+}
--- /dev/null
+++ b/crates/core/tests/rollout_mesh/mod.rs
@@ -0,0 +1,184 @@
+//! Several `Control`s that move a service to a new version while calls are counted.
+
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+
+use almondsail_core::config::{Change, Priority, Rollout, RolloutPhase, Route};
+use almondsail_core::control::Event;
+use almondsail_core::ids::{RouteName, VersionName, WriteId};
+use almondsail_core::rollout::{CallOutcome, CountedAt, CountedCalls};
+use almondsail_core::units::{Micros, Millis};
+use rand::Rng;
+
+use crate::common::{Sim, create_service, create_version, name, submission};
+
+/// The nodes; the first half have doors of v1, the others of v2.
+pub const NODES: usize = 4;
+/// The time of the rollout.
+pub const SPAN: u64 = 240_000;
+/// The calls that each entry sends on each route in a second.
+const CALLS_PER_SECOND: u32 = 25;
+const SECOND: u64 = 1_000;
+/// The time in which a fleet that starts has joined and serves.
+const START_TIME: u64 = 6_500;
+/// More than the longest time between two steps.
+const STEP_WAIT_SECONDS: u64 = 60;
+
+/// Several `Control`s with a service that moves from v1 to v2.
+pub struct RolloutMesh {
+    pub sim: Sim,
+    /// The calls of v2 that fail, of 100.
+    pub failing: u32,
+    /// Whether entries count calls; otherwise only doors do.
+    pub counts_at_entries: bool,
+    /// When stopped nodes start again.
+    restarts: Vec<(u64, usize)>,
+    commands: u64,
+}
+
+type Counts = BTreeMap<(usize, CountedAt, RouteName, VersionName, CallOutcome), u32>;
+
+impl RolloutMesh {
+    /// A mesh whose rollout has just started.
+    pub fn new(seed: u64) -> Self {
+        let mut sim = Sim::new(NODES, seed);
+        let route = |route: &str, idempotent| {
+            Change::CreateRoute(Route {
+                name: name(route),
+                service: name("bays"),
+                prefix: name(&format!("/{route}")),
+                priority: Priority::Interactive,
+                idempotent,
+                deadline: Millis::new(5_000),
+            })
+        };
+        let changes = [
+            create_service("bays"),
+            create_version("bays", "v1"),
+            create_version("bays", "v2"),
+            route("lookup", true),
+            route("book", false),
+        ];
+        for (index, change) in changes.iter().enumerate() {
+            sim.store.race(change, WriteId::new([index as u8; 16]), sim.wall());
+        }
+        sim.run(START_TIME);
+        let deadline = sim.wall() + Millis::new(SPAN);
+        let mut mesh =
+            Self { sim, failing: 0, counts_at_entries: false, restarts: Vec::new(), commands: 0 };
+        mesh.race(&Change::StartRollout { service: name("bays"), to: name("v2"), deadline });
+        mesh
+    }
+
+    /// The rollout in the newest accepted configuration.
+    pub fn rollout(&self) -> &Rollout {
+        &self.sim.store.values.last().expect("a configuration").content.rollouts["bays"]
+    }
+
+    pub fn phase(&self) -> RolloutPhase {
+        self.rollout().phase
+    }
+
+    /// The driver as the first node that runs sees it.
+    pub fn driver(&self) -> Option<usize> {
+        let running = (0..NODES).find(|index| self.sim.is_running(*index))?;
+        let control = self.sim.control(running);
+        let ranked = control.rank("rollout/bays", None, 1);
+        ranked.first()?.to_string().strip_prefix('n')?.parse().ok()
+    }
+
+    /// Accepts `change` as the next configuration, ahead of any node's.
+    pub fn race(&mut self, change: &Change) {
+        self.commands += 1;
+        let write_id = WriteId::new([100 + self.commands as u8; 16]);
+        let wall = self.sim.wall();
+        self.sim.store.race(change, write_id, wall);
+        self.sim.wake_watches();
+    }
+
+    /// Submits an operator's command at a node.
+    pub fn command(&mut self, node: usize, change: Change) {
+        self.commands += 1;
+        if self.sim.is_running(node) {
+            self.sim.submit(node, submission(self.commands, change));
+        }
+    }
+
+    /// Stops a node and starts it again after `millis`.
+    pub fn restart(&mut self, node: usize, millis: u64) {
+        self.sim.stop(node);
+        self.restarts.retain(|(_, other)| *other != node);
+        self.restarts.push((self.sim.now + millis * 1_000, node));
+    }
+
+    /// Lets seconds pass in which calls arrive.
+    pub fn run(&mut self, seconds: u64) {
+        for _ in 0..seconds {
+            self.sim.run(SECOND);
+            let now = self.sim.now;
+            let (due, later) = self.restarts.iter().partition(|(at, _)| *at <= now);
+            self.restarts = later;
+            let due: Vec<(u64, usize)> = due;
+            due.into_iter().for_each(|(_, node)| self.sim.start(node));
+            self.count();
+        }
+    }
+
+    /// Runs until a node has a submission under way, for a bounded time.
+    pub fn run_until_submission(&mut self) {
+        for _ in 0..STEP_WAIT_SECONDS {
+            let is_submitting = |index| {
+                self.sim.is_running(index) && self.sim.control(index).status().submissions > 0
+            };
+            if (0..NODES).any(is_submitting) {
+                return;
+            }
+            self.run(1);
+        }
+    }
+
+    fn count(&mut self) {
+        let mut counts = Counts::new();
+        for entry in (0..NODES).filter(|index| self.sim.is_running(*index)).collect::<Vec<_>>() {
+            self.count_of_entry(entry, &mut counts);
+        }
+        let mut events: BTreeMap<usize, Vec<CountedCalls>> = BTreeMap::new();
+        for ((node, at, route, version, outcome), calls) in counts {
+            let latency = Micros::new(20_000);
+            let service = name("bays");
+            let counted = CountedCalls { at, service, route, version, outcome, latency, calls };
+            events.entry(node).or_default().push(counted);
+        }
+        for (node, counted) in events {
+            self.sim.event(node, Event::CallsCounted(counted));
+        }
+    }
+
+    fn count_of_entry(&mut self, entry: usize, counts: &mut Counts) {
+        let snapshot = self.sim.control(entry).snapshot();
+        for route in ["lookup", "book"].map(name::<RouteName>) {
+            let Some(split) = snapshot.split(&route) else { continue };
+            for _ in 0..CALLS_PER_SECOND {
+                let version = split.choose(self.sim.rng.random_range(0..1_000)).clone();
+                let is_new = version.to_string() == "v2";
+                let door = self.sim.rng.random_range(0..NODES / 2) + usize::from(is_new) * 2;
+                // The calls of a door that is gone are known to nobody.
+                if !self.sim.is_running(door) {
+                    continue;
+                }
+                let fails = is_new && self.sim.rng.random_range(0..100) < self.failing;
+                let outcome = if fails { CallOutcome::Failed } else { CallOutcome::Answered };
+                let mut add = |node, at| {
+                    *counts
+                        .entry((node, at, route.clone(), version.clone(), outcome))
+                        .or_default() += 1;
+                };
+                add(door, CountedAt::Door);
+                if self.counts_at_entries {
+                    add(entry, CountedAt::Entry);
+                }
+            }
+        }
+    }
+}
