Let only a further step wait for a step under way, and count calls in groups

Cause: after a step was submitted, the driver decided nothing until the step was in force or 6 s had passed, so a stop was as late. Calls were also recorded one by one, though nodes count them in groups once a second. Change: the driver decides at each look, and only a step is left out while one is under way. DoorEvidence, LocalRule, Tally and LatencyCounts record a number of calls. The test of grouped calls passes the size of each group instead of recording its calls one by one; its conditions are unchanged. Guards removed, each seen to fail and restored: with the whole decision skipped, stop_during_submission finds no mark 7.2 s after the end of the window; with one call counted for each group, stop_during_submission and record_calls_grouped_by_outcome fail. Conclusion: a stop no longer waits for a step that the store has not answered.

--- a/crates/core/benches/rollout_policies/run.rs
+++ b/crates/core/benches/rollout_policies/run.rs
@@ -193,7 +193,7 @@
             return;
         }
         let caller = self.rng.random_range(0..CALLERS);
-        if self.local[caller].record(now, &self.routes[route], is_new, has_failed) {
+        if self.local[caller].record(now, &self.routes[route], is_new, has_failed, 1) {
             self.stopped_at = Some(now + STOP_SPREAD);
             let rollout = rollout(&self.content);
             let change = stop(rollout, &rollout.to);
@@ -248,7 +248,7 @@
         let by_clock = UnixMillis::new(now.get().saturating_add_signed(self.clock_offset));
         let window = Window::at(by_clock).get();
         let latency = Micros::new((latency * self.slowness) as u64);
-        self.tallies[(window % 3) as usize][route].record(outcome, latency, self.speed);
+        self.tallies[(window % 3) as usize][route].record(outcome, latency, self.speed, 1);
     }
 }
 
--- a/crates/core/src/control/rollout_control.rs
+++ b/crates/core/src/control/rollout_control.rs
@@ -100,10 +100,9 @@
             self.door = Some(LocalDoor { service, evidence, driver: None });
         }
         if let Some(door) = &mut self.door {
-            for _ in 0..calls.calls {
-                let (route, version) = (&calls.route, &calls.version);
-                door.evidence.record(wall, route, version, calls.outcome, calls.latency);
-            }
+            let (route, version) = (&calls.route, &calls.version);
+            let (outcome, latency) = (calls.outcome, calls.latency);
+            door.evidence.record(wall, route, version, outcome, latency, calls.calls);
         }
     }
 
@@ -121,8 +120,7 @@
         }
         let rule = self.rule(rollout, content, nodes);
         let has_failed = calls.outcome == CallOutcome::Failed;
-        let must_stop = (0..calls.calls)
-            .fold(false, |stop, _| rule.record(wall, &calls.route, is_new, has_failed) | stop);
+        let must_stop = rule.record(wall, &calls.route, is_new, has_failed, calls.calls);
         must_stop.then(|| Stop {
             mark: StopMark {
                 service: calls.service.clone(),
@@ -189,12 +187,12 @@
         let is_in_hand = driven.submitted.as_ref().is_some_and(|(at, decided_on)| {
             rollout == Some(decided_on) && now.since(*at) < Micros::from(STEP_TIME)
         });
+        let mut decision = driven.driver.decide(content, &driven.evidence, wall);
+        let is_step = |change: &Change| matches!(change, Change::StepRollout { .. });
         if is_in_hand {
-            return DriverDecision::default();
-        }
-        let decision = driven.driver.decide(content, &driven.evidence, wall);
-        let has_step = |change: &Change| matches!(change, Change::StepRollout { .. });
-        if decision.changes.iter().any(has_step) {
+            // Only a further step waits: a stop must not be delayed by a step under way.
+            decision.changes.retain(|change| !is_step(change));
+        } else if decision.changes.iter().any(is_step) {
             driven.submitted = rollout.map(|rollout| (now, rollout.clone()));
         }
         decision
--- a/crates/core/src/rollout/door_evidence.rs
+++ b/crates/core/src/rollout/door_evidence.rs
@@ -56,7 +56,7 @@
         }
     }
 
-    /// Counts a call that ended at `now`.
+    /// Counts calls that ended alike at `now`.
     pub fn record(
         &mut self,
         now: UnixMillis,
@@ -64,13 +64,14 @@
         version: &VersionName,
         outcome: CallOutcome,
         latency: Micros,
+        calls: u32,
     ) {
         let window = Window::at(now);
         let label = CellLabel { window, route: route.clone(), version: version.clone() };
-        self.cells.entry(label).or_default().record(outcome, latency, self.speed);
-        self.calls_since_report = self.calls_since_report.saturating_add(1);
+        self.cells.entry(label).or_default().record(outcome, latency, self.speed, calls);
+        self.calls_since_report = self.calls_since_report.saturating_add(calls);
         if outcome == CallOutcome::Failed {
-            self.failures_since_report = self.failures_since_report.saturating_add(1);
+            self.failures_since_report = self.failures_since_report.saturating_add(calls);
         }
         self.drop_old();
     }
--- a/crates/core/src/rollout/latency_counts.rs
+++ b/crates/core/src/rollout/latency_counts.rs
@@ -33,18 +33,18 @@
         (0..Self::BUCKETS - 1).find(fits).unwrap_or(Self::BUCKETS - 1)
     }
 
-    /// Counts a call of `latency`.
-    pub fn record(&mut self, latency: Micros) {
-        self.record_in(Self::bucket(latency));
+    /// Counts calls of `latency`.
+    pub fn record(&mut self, latency: Micros, calls: u32) {
+        self.record_in(Self::bucket(latency), calls);
     }
 
-    /// Counts a call that ended by its deadline, in the last bucket.
-    pub fn record_timeout(&mut self) {
-        self.record_in(Self::BUCKETS - 1);
+    /// Counts calls that ended by their deadline, in the last bucket.
+    pub fn record_timeouts(&mut self, calls: u32) {
+        self.record_in(Self::BUCKETS - 1, calls);
     }
 
-    fn record_in(&mut self, bucket: usize) {
-        self.0[bucket] = self.0[bucket].saturating_add(1);
+    fn record_in(&mut self, bucket: usize, calls: u32) {
+        self.0[bucket] = self.0[bucket].saturating_add(calls);
     }
 
     /// Adds the counts of other calls.
--- a/crates/core/src/rollout/local_rule.rs
+++ b/crates/core/src/rollout/local_rule.rs
@@ -51,13 +51,14 @@
         Self { limit_ln: (tests / LOCAL_FALSE_ALARM_RATE).ln(), routes: BTreeMap::new() }
     }
 
-    /// Counts a call that ended at `now` and states whether the new version must be stopped.
+    /// Counts calls that ended alike at `now` and states whether the new version must be stopped.
     pub fn record(
         &mut self,
         now: UnixMillis,
         route: &RouteName,
         is_new: bool,
         has_failed: bool,
+        calls: u32,
     ) -> bool {
         let local = match self.routes.get_mut(route) {
             Some(local) => local,
@@ -66,7 +67,7 @@
         if local.end_stratum(now) {
             local.is_blamed |= local.failing.ln_value() >= self.limit_ln;
         }
-        local.count(is_new, has_failed);
+        local.count(is_new, has_failed, calls);
         local.is_blamed
     }
 }
@@ -92,9 +93,9 @@
         is_full
     }
 
-    fn count(&mut self, is_new: bool, has_failed: bool) {
+    fn count(&mut self, is_new: bool, has_failed: bool, calls: u32) {
         let version = if is_new { &mut self.new } else { &mut self.old };
-        version.calls += 1;
-        version.bad += u64::from(has_failed);
+        version.calls += u64::from(calls);
+        version.bad += if has_failed { u64::from(calls) } else { 0 };
     }
 }
--- a/crates/core/src/rollout/tally.rs
+++ b/crates/core/src/rollout/tally.rs
@@ -17,16 +17,16 @@
 }
 
 impl Tally {
-    /// Counts a call that ended as `outcome` after `latency` on a host of `speed`.
-    pub fn record(&mut self, outcome: CallOutcome, latency: Micros, speed: HostSpeed) {
+    /// Counts calls that ended as `outcome` after `latency` on a host of `speed`.
+    pub fn record(&mut self, outcome: CallOutcome, latency: Micros, speed: HostSpeed, calls: u32) {
         match outcome {
-            CallOutcome::Refused => self.refused = self.refused.saturating_add(1),
-            CallOutcome::Answered => self.latency.record(speed.scale(latency)),
-            CallOutcome::TimedOut => self.latency.record_timeout(),
-            CallOutcome::Failed => self.failures = self.failures.saturating_add(1),
+            CallOutcome::Refused => self.refused = self.refused.saturating_add(calls),
+            CallOutcome::Answered => self.latency.record(speed.scale(latency), calls),
+            CallOutcome::TimedOut => self.latency.record_timeouts(calls),
+            CallOutcome::Failed => self.failures = self.failures.saturating_add(calls),
         }
         if outcome != CallOutcome::Refused {
-            self.calls = self.calls.saturating_add(1);
+            self.calls = self.calls.saturating_add(calls);
         }
     }
 
--- a/crates/core/tests/control_rollouts.rs
+++ b/crates/core/tests/control_rollouts.rs
@@ -5,7 +5,8 @@
 
 use almondsail_core::config::{Change, Rollout, RolloutPhase, ServerVersion};
 use almondsail_core::control::Event;
-use almondsail_core::rollout::RampStep;
+use almondsail_core::rollout::{CallOutcome, CountedAt, CountedCalls, RampStep, Window};
+use almondsail_core::units::Micros;
 use common::{checker, name, stop_mark};
 use quickcheck::{Arbitrary, Gen};
 use rollout_mesh::{NODES, RolloutMesh, SPAN};
@@ -14,6 +15,10 @@
 /// until the test has ended.
 const MAX_DOWN: u64 = 300_000;
 
+/// The time from the end of a window until its judgement is in force at the driver: 6 s until
+/// it is judged, and one look at the rollouts a second later.
+const SETTLE_MILLIS: u64 = 7_200;
+
 /// A command of an operator.
 #[derive(Debug, Clone, Copy)]
 enum Command {
@@ -222,6 +227,35 @@
     checker(15).quickcheck(property as fn(Draws));
 }
 
+/// Guards against a stop that waits for a step under way: the store is down, so a step is
+/// submitted every 6 s, and the evidence comes in at any time between.
+#[test]
+fn stop_during_submission() {
+    for offset in 0..6 {
+        let mut mesh = RolloutMesh::new(offset);
+        mesh.sim.store.down = true;
+        mesh.sim.run(10_000 + offset * 1_000);
+        let driver = mesh.driver().expect("a driver");
+        let to_window = mesh.sim.wall().get() % Window::LENGTH.get();
+        mesh.sim.run(Window::LENGTH.get() - to_window);
+        let counted = |version: &str, outcome| CountedCalls {
+            at: CountedAt::Door,
+            service: name("bays"),
+            route: name("lookup"),
+            version: name(version),
+            outcome,
+            latency: Micros::new(20_000),
+            calls: 100,
+        };
+        let failed = [("v1", CallOutcome::Answered), ("v2", CallOutcome::Failed)];
+        let failed = failed.map(|(version, outcome)| counted(version, outcome));
+        mesh.sim.event(driver, Event::CallsCounted(failed.into()));
+        mesh.sim.run(Window::LENGTH.get() + SETTLE_MILLIS);
+        let stops = mesh.sim.control(driver).snapshot().stops;
+        assert!(!stops.is_empty(), "no mark, offset {offset} s");
+    }
+}
+
 /// Guards against a rollout that is late, or loses its evidence, when its driver dies.
 #[test]
 fn good_version_completes() {
--- a/crates/core/tests/rollout_evidence.rs
+++ b/crates/core/tests/rollout_evidence.rs
@@ -23,7 +23,7 @@
             now = now + Millis::new(u64::from(*wait) % 4_000);
             let outcome = if *has_failed { CallOutcome::Failed } else { CallOutcome::Answered };
             let latency = Micros::new(u64::from(*wait) * 100);
-            counted.record(now, &route(usize::from(*wait % 2)), &name("v1"), outcome, latency);
+            counted.record(now, &route(usize::from(*wait % 2)), &name("v1"), outcome, latency, 1);
             if counted.is_due(now) {
                 reports.push(counted.report(now));
             }
@@ -119,7 +119,7 @@
         DoorEvidence::new(name("bays"), name("door-1"), Incarnation::new(1), HostSpeed::REFERENCE);
     door.report(START);
     let mut record = |outcome| {
-        door.record(START, &route(0), &name("v2"), outcome, Micros::new(10));
+        door.record(START, &route(0), &name("v2"), outcome, Micros::new(10), 1);
         door.is_due(START)
     };
     assert!(!record(CallOutcome::Answered));
@@ -138,7 +138,7 @@
         DoorEvidence::new(name("bays"), name("door-1"), Incarnation::new(1), HostSpeed::REFERENCE);
     for at in [0, 60_000, 600_000] {
         let outcome = CallOutcome::Answered;
-        door.record(after(at), &route(0), &name("v1"), outcome, Micros::new(10));
+        door.record(after(at), &route(0), &name("v1"), outcome, Micros::new(10), 1);
     }
     assert_eq!(door.report(after(600_000)).cells.len(), 1);
     assert_eq!(door.full_report(after(600_000)).cells.len(), 3);
@@ -149,7 +149,7 @@
 fn record_timeout_and_refusal() {
     let mut tally = Tally::default();
     for outcome in [CallOutcome::TimedOut, CallOutcome::Refused] {
-        tally.record(outcome, Micros::new(10), HostSpeed::REFERENCE);
+        tally.record(outcome, Micros::new(10), HostSpeed::REFERENCE, 1);
     }
     assert_eq!((tally.calls, tally.failures, tally.refused), (1, 0, 1));
     assert_eq!(tally.latency.counts()[LatencyCounts::BUCKETS - 1], 1);
@@ -188,7 +188,7 @@
     for window in 0..300 {
         for index in 0..20 {
             let (now, outcome) = (after(window * 10_000), CallOutcome::Answered);
-            door.record(now, &route(index), &name("v1"), outcome, Micros::new(10));
+            door.record(now, &route(index), &name("v1"), outcome, Micros::new(10), 1);
         }
     }
     let report = door.full_report(after(3_000_000));
--- a/crates/core/tests/rollout_local.rs
+++ b/crates/core/tests/rollout_local.rs
@@ -15,7 +15,7 @@
         let is_new = rng.random_bool(share);
         let has_failed = rng.random_bool(if is_new { failing.1 } else { failing.0 });
         touched += u64::from(is_new);
-        if rule.record(after(call * 20), &route(0), is_new, has_failed) {
+        if rule.record(after(call * 20), &route(0), is_new, has_failed, 1) {
             return Some(touched);
         }
     }
@@ -60,7 +60,7 @@
                 .chain([(true, false, 50 - new_failures), (true, true, new_failures)]);
             groups.into_iter().any(|(is_new, has_failed, calls)| {
                 let now = after(second * 1_000);
-                (0..calls).any(|_| rule.record(now, &route(0), is_new, has_failed))
+                rule.record(now, &route(0), is_new, has_failed, calls as u32)
             })
         })
     };
