Report all evidence to a driver that restarted, and repeat a lost full report

Cause: a door compared the driver with the last one by node id. A driver that restarted before it was declared dead got no full report and judged without the past. A full report that was lost was never repeated. Change: the door compares the driver's incarnation too, and the next report is a full one again if a full one was not acknowledged. A refuted suspicion also raises the incarnation and so costs one full report a door. Guards removed, each seen to fail and restored: comparing ids only, and not repeating a lost full report (full_report_after_driver_restarts); the door's incarnation in its reports (report_after_door_restarts). Conclusion: a new driver gets the evidence of the past also when it changes twice, and a restarted door's counts are kept apart from its former ones.

--- a/crates/core/src/control/rollout_control.rs
+++ b/crates/core/src/control/rollout_control.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use crate::config::{Change, ConfigContent, Rollout, StopMark};
-use crate::ids::{NodeId, ServiceName};
+use crate::ids::{Incarnation, NodeId, ServiceName};
 use crate::peers::Peer;
 use crate::rollout::{
     AFTERCARE, CallOutcome, CountedAt, CountedCalls, DoorEvidence, Driver, DriverDecision,
@@ -34,8 +34,13 @@
 struct LocalDoor {
     service: ServiceName,
     evidence: DoorEvidence,
-    /// The driver that got the last report.
-    driver: Option<NodeId>,
+    /// The process of the driver that got the last report. A driver that starts again has
+    /// the same id and no evidence.
+    driver: Option<(NodeId, Incarnation)>,
+    /// Whether the next report must be a full one, because a full one was not acknowledged.
+    lacks_full_report: bool,
+    /// Whether the last report was a full one.
+    was_full: bool,
 }
 
 #[derive(Debug, Clone)]
@@ -97,7 +102,13 @@
                 own.incarnation,
                 HostSpeed::REFERENCE,
             );
-            self.door = Some(LocalDoor { service, evidence, driver: None });
+            self.door = Some(LocalDoor {
+                service,
+                evidence,
+                driver: None,
+                lacks_full_report: true,
+                was_full: false,
+            });
         }
         if let Some(door) = &mut self.door {
             let (route, version) = (&calls.route, &calls.version);
@@ -163,15 +174,28 @@
     pub(crate) fn due_report(
         &mut self,
         service: &ServiceName,
-        driver: &NodeId,
+        driver: &Peer,
         wall: UnixMillis,
     ) -> Option<EvidenceReport> {
         let door = self.door.as_mut().filter(|door| door.service == *service)?;
-        if door.driver.as_ref() != Some(driver) {
-            door.driver = Some(driver.clone());
-            return Some(door.evidence.full_report(wall));
+        let process = (driver.id.clone(), driver.incarnation);
+        let is_new = door.driver.as_ref() != Some(&process);
+        if !is_new && !door.evidence.is_due(wall) {
+            return None;
+        }
+        door.was_full = is_new || door.lacks_full_report;
+        door.lacks_full_report = false;
+        door.driver = Some(process);
+        let evidence = &mut door.evidence;
+        Some(if door.was_full { evidence.full_report(wall) } else { evidence.report(wall) })
+    }
+
+    /// Notes that the driver did not acknowledge the last report. An ordinary one is made
+    /// good by the next, a full one must be repeated.
+    pub(crate) fn report_failed(&mut self) {
+        if let Some(door) = &mut self.door {
+            door.lacks_full_report |= door.was_full;
         }
-        door.evidence.is_due(wall).then(|| door.evidence.report(wall))
     }
 
     /// What this node, as the driver for `service`, decides now.
--- a/crates/core/src/control/state.rs
+++ b/crates/core/src/control/state.rs
@@ -306,6 +306,7 @@
                 let status = self.sync_status();
                 self.spread.take_ack(&peer, version, held, (&self.members, &status), cx);
             }
+            (PendingRequest::Evidence, Ok(PeerMessage::Ack(_))) => {}
             (PendingRequest::Pull { peer }, Ok(reply)) => self.take_pulled(&peer, reply, cx),
             (request, _) => self.fail_request(request, cx),
         }
@@ -322,6 +323,7 @@
                 cx.out.reply(asked, PeerMessage::NoAnswer(target));
             }
             PendingRequest::Pull { .. } => self.spread.fail_pull(Millis::new(0), cx),
+            PendingRequest::Evidence => self.rollouts.report_failed(),
             PendingRequest::StoreRead
             | PendingRequest::StoreHour
             | PendingRequest::StoreWrite(_) => {
@@ -333,7 +335,6 @@
             | PendingRequest::Buckets { .. }
             | PendingRequest::Updates { .. }
             | PendingRequest::Push { .. }
-            | PendingRequest::Evidence
             | PendingRequest::Accounting
             | PendingRequest::Stops { .. } => {}
         }
@@ -487,12 +488,13 @@
         cx: &mut Cx<'_, R>,
     ) {
         let ranked = self.members.table.rank(&format!("rollout/{service}"), None, 1);
-        let Some(driver) = ranked.first().map(|id| (*id).clone()) else { return };
-        let is_own = driver == self.members.table.own().id;
+        let driver = ranked.first().and_then(|id| self.members.table.get(id)).cloned();
+        let Some(driver) = driver else { return };
+        let is_own = driver.id == self.members.table.own().id;
         if let Some(report) = self.rollouts.due_report(service, &driver, cx.wall) {
             if is_own {
                 self.rollouts.take_evidence(&report, &config.content, cx.wall);
-            } else if let Some(to) = self.members.addr(&driver) {
+            } else if let Some(to) = self.members.addr(&driver.id) {
                 let message = PeerMessage::Evidence(report);
                 cx.send(to, message, EXCHANGE_TIMEOUT, PendingRequest::Evidence);
             }
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -13,6 +13,7 @@
 use almondsail_core::ids::{ConfigVersion, NodeId, WriteId};
 use almondsail_core::peers::PeerStatus;
 use almondsail_core::report::{HourKey, HourValue};
+use almondsail_core::rollout::EvidenceReport;
 use almondsail_core::store::{
     Outcome, Revision, StoreError, StoreReply, StoreRequest, StoredConfig, StoredHour, Submission,
 };
@@ -218,6 +219,10 @@
     pub delay: u64,
     /// The nodes on the far side of a partition, without the store.
     pub far: BTreeSet<usize>,
+    /// The reports of doors that arrived, each with the node that got it.
+    pub reports: Vec<(usize, EvidenceReport)>,
+    /// Whether the reports of doors are lost.
+    pub loses_reports: bool,
     queue: BTreeMap<(u64, u64), Item>,
     serial: u64,
 }
@@ -234,6 +239,8 @@
             doubling: 0,
             delay: 2,
             far: BTreeSet::new(),
+            reports: Vec::new(),
+            loses_reports: false,
             queue: BTreeMap::new(),
             serial: 0,
         };
@@ -364,6 +371,12 @@
                     let reply = Err(PeerFailure::Unreachable);
                     return self.event_of(from, Event::PeerReply { id: from.2, reply });
                 }
+                if let PeerMessage::Evidence(report) = &message {
+                    if self.loses_reports {
+                        return;
+                    }
+                    self.reports.push((to, report.clone()));
+                }
                 self.serial += 1;
                 let id = RequestId::new(self.serial);
                 self.nodes[to].open.insert(id, from);
--- a/crates/core/tests/control_rollouts.rs
+++ b/crates/core/tests/control_rollouts.rs
@@ -3,6 +3,8 @@
 mod common;
 mod rollout_mesh;
 
+use std::collections::BTreeSet;
+
 use almondsail_core::config::{Change, Rollout, RolloutPhase, ServerVersion};
 use almondsail_core::control::Event;
 use almondsail_core::rollout::{CallOutcome, CountedAt, CountedCalls, RampStep, Window};
@@ -227,6 +229,19 @@
     checker(15).quickcheck(property as fn(Draws));
 }
 
+/// A hundred calls that ended alike at a door.
+fn counted_at_door(version: &str, outcome: CallOutcome) -> CountedCalls {
+    CountedCalls {
+        at: CountedAt::Door,
+        service: name("bays"),
+        route: name("lookup"),
+        version: name(version),
+        outcome,
+        latency: Micros::new(20_000),
+        calls: 100,
+    }
+}
+
 /// Guards against a stop that waits for a step under way: the store is down, so a step is
 /// submitted every 6 s, and the evidence comes in at any time between.
 #[test]
@@ -238,17 +253,8 @@
         let driver = mesh.driver().expect("a driver");
         let to_window = mesh.sim.wall().get() % Window::LENGTH.get();
         mesh.sim.run(Window::LENGTH.get() - to_window);
-        let counted = |version: &str, outcome| CountedCalls {
-            at: CountedAt::Door,
-            service: name("bays"),
-            route: name("lookup"),
-            version: name(version),
-            outcome,
-            latency: Micros::new(20_000),
-            calls: 100,
-        };
         let failed = [("v1", CallOutcome::Answered), ("v2", CallOutcome::Failed)];
-        let failed = failed.map(|(version, outcome)| counted(version, outcome));
+        let failed = failed.map(|(version, outcome)| counted_at_door(version, outcome));
         mesh.sim.event(driver, Event::CallsCounted(failed.into()));
         mesh.sim.run(Window::LENGTH.get() + SETTLE_MILLIS);
         let stops = mesh.sim.control(driver).snapshot().stops;
@@ -291,3 +297,51 @@
     }
     checker(12).quickcheck(property as fn(Draws));
 }
+
+/// Guards against a driver without the evidence of the past: after a restart under its own id
+/// that is too quick to be declared dead, after a second one, and after a full report was lost.
+#[test]
+fn full_report_after_driver_restarts() {
+    for (seed, loses_reports) in [(1, false), (2, false), (3, true), (4, true)] {
+        let mut mesh = RolloutMesh::new(seed);
+        let driver = mesh.driver().expect("a driver");
+        let door = (driver + 1) % NODES;
+        let answered = vec![counted_at_door("v1", CallOutcome::Answered)];
+        mesh.sim.event(door, Event::CallsCounted(answered));
+        mesh.sim.run(40_000);
+        for restart in 0..2 {
+            mesh.sim.reports.clear();
+            mesh.sim.stop(driver);
+            mesh.sim.run(500);
+            mesh.sim.start(driver);
+            mesh.sim.loses_reports = loses_reports;
+            mesh.sim.run(3_000);
+            mesh.sim.loses_reports = false;
+            mesh.sim.run(15_000);
+            mesh.sim.reports.retain(|(to, report)| *to == driver && !report.cells.is_empty());
+            let arrived = mesh.sim.reports.len();
+            assert!(arrived > 0, "seed {seed}: no full report after restart {restart}");
+        }
+    }
+}
+
+/// Guards against a door that restarts and whose new counts merge with the old ones or never
+/// reach the driver.
+#[test]
+fn report_after_door_restarts() {
+    let mut mesh = RolloutMesh::new(1);
+    let driver = mesh.driver().expect("a driver");
+    let door = (driver + 1) % NODES;
+    for _ in 0..2 {
+        let answered = vec![counted_at_door("v1", CallOutcome::Answered)];
+        mesh.sim.event(door, Event::CallsCounted(answered));
+        mesh.sim.run(2_000);
+        mesh.sim.stop(door);
+        mesh.sim.start(door);
+        mesh.sim.run(8_000);
+    }
+    let reports =
+        mesh.sim.reports.iter().filter(|(to, report)| *to == driver && !report.cells.is_empty());
+    let processes: BTreeSet<_> = reports.map(|(_, report)| report.incarnation).collect();
+    assert_eq!(processes.len(), 2);
+}
