--- /dev/null
+++ b/crates/core/tests/round_trip.rs
@@ -0,0 +1,115 @@
+//! The texts of ids and quantities.
+
+use std::fmt::{Debug, Display};
+use std::str::FromStr;
+
+use almondsail_core::config::{PathPrefix, Priority, RolloutPhase};
+use almondsail_core::control::RequestId;
+use almondsail_core::ids::{
+    CallKey, ConfigVersion, DataCentre, Digest, HostName, Incarnation, MemberName, NodeId,
+    OperatorName, Region, RouteName, ServiceName, VersionName, WriteId,
+};
+use almondsail_core::peers::{BackendState, PeerStatus};
+use almondsail_core::report::Minute;
+use almondsail_core::store::Revision;
+use almondsail_core::units::{
+    ByteCount, CallsPerSecond, Instant, Micros, Millis, PerMille, UnixMillis,
+};
+use almondsail_core::{RefusalReason, RetryReason, Verdict};
+use quickcheck::quickcheck;
+
+/// Whether `value` reads back as itself.
+fn returns<T>(value: T) -> bool
+where
+    T: Display + FromStr + PartialEq + Debug,
+    T::Err: Debug,
+{
+    value.to_string().parse::<T>().is_ok_and(|parsed| parsed == value)
+}
+
+/// Whether `text` is refused, or reads as a value that is written as `text` again.
+fn is_canonical<T: Display + FromStr>(text: &str) -> bool {
+    text.parse::<T>().map_or(true, |value| value.to_string() == text)
+}
+
+quickcheck! {
+    /// Guards against a number that is written in another form than it is read.
+    fn display_numbers(n: u64) -> bool {
+        returns(ConfigVersion::new(n))
+            && returns(Incarnation::new(n))
+            && returns(Revision::new(n))
+            && returns(RequestId::new(n))
+            && returns(ByteCount::new(n))
+            && returns(CallsPerSecond::new(n))
+            && returns(Millis::new(n))
+            && returns(Micros::new(n))
+            && returns(Instant::new(n))
+            && returns(UnixMillis::new(n))
+            && returns(Minute::new(n))
+            && PerMille::new((n % 1_001) as u16).is_some_and(returns)
+    }
+
+    /// Guards against an id whose hexadecimal text loses a digit.
+    fn display_bytes(seed: Vec<u8>) -> bool {
+        let digest = Digest::of(&seed);
+        let mut bytes = [0; WriteId::BYTES];
+        bytes.copy_from_slice(&digest.as_bytes()[..WriteId::BYTES]);
+        returns(digest) && returns(WriteId::new(bytes))
+    }
+
+    /// Guards against a name that is accepted in one form and written in another,
+    /// and against a panic on any text.
+    fn parse_any_text(text: String) -> bool {
+        is_canonical::<ServiceName>(&text)
+            && is_canonical::<NodeId>(&text)
+            && is_canonical::<CallKey>(&text)
+            && is_canonical::<PathPrefix>(&text)
+            && is_canonical::<Digest>(&text)
+            && is_canonical::<WriteId>(&text)
+            && is_canonical::<Verdict>(&text)
+    }
+}
+
+/// Guards against a name type that takes other texts than its kin.
+#[test]
+fn parse_names() {
+    fn check<T: Display + FromStr>() {
+        for text in ["a", "bays-1", "v2.0.1", &"x".repeat(64)] {
+            assert_eq!(text.parse::<T>().map(|name| name.to_string()).ok().as_deref(), Some(text));
+        }
+        for text in ["", "-a", "a-", "A", "a b", "a/b", "a\n", "\u{e9}", &"x".repeat(65)] {
+            assert!(text.parse::<T>().is_err(), "{text:?} was accepted");
+        }
+    }
+    check::<DataCentre>();
+    check::<HostName>();
+    check::<MemberName>();
+    check::<NodeId>();
+    check::<OperatorName>();
+    check::<Region>();
+    check::<RouteName>();
+    check::<ServiceName>();
+    check::<VersionName>();
+}
+
+/// Guards against two values of a closed set with the same text.
+#[test]
+fn display_closed_sets() {
+    assert!(Verdict::ALL.into_iter().all(returns));
+    assert!(RefusalReason::ALL.into_iter().all(returns));
+    assert!(RetryReason::ALL.into_iter().all(returns));
+    assert!(Priority::ALL.into_iter().all(returns));
+    assert!(RolloutPhase::ALL.into_iter().all(returns));
+    assert!(BackendState::ALL.into_iter().all(returns));
+    assert!(PeerStatus::ALL.into_iter().all(returns));
+}
+
+/// Guards against a share above the whole and against a share that loses its tenths.
+#[test]
+fn parse_share() {
+    assert_eq!("2.5%".parse(), Ok(PerMille::new(25).unwrap()));
+    assert_eq!("100%".parse(), Ok(PerMille::WHOLE));
+    for text in ["100.1%", "-1%", "1.25%", "%", "5", "1.%", ".5%"] {
+        assert!(text.parse::<PerMille>().is_err(), "{text:?} was accepted");
+    }
+}
