Measure the control cost of a node as fitted slopes

Cause: the capacity of the installation in two years rests on estimates of message sizes, and the core's benchmark keeps no figures. Change: the core's benchmark measures more events and the state of the driver and of a registrar; a benchmark of the node counts the bytes of each message as its own counter does; the convergence measurement shows readers of the store apart. All three write their fits to the file in ALMONDSAIL_SLOPES.

--- a/crates/core/benches/control.rs
+++ b/crates/core/benches/control.rs
@@ -1,6 +1,11 @@
 //! The cost of the control state by the number of peers: time for each event, and bytes of state.
 
+#[path = "slopes/mod.rs"]
+mod slopes;
+
 use std::alloc::{GlobalAlloc, Layout, System};
+use std::collections::BTreeMap;
+use std::hint::black_box;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -12,13 +17,17 @@
 use almondsail_core::control::{
     Action, Control, ControlSettings, Event, PeerMessage, RequestId, SyncStatus,
 };
-use almondsail_core::ids::{ConfigVersion, Incarnation, WriteId};
+use almondsail_core::ids::{CallKey, ConfigVersion, Incarnation, WriteId};
 use almondsail_core::peers::{AnnouncedBackend, BackendState, Peer, PeerStatus};
+use almondsail_core::rollout::{CellLabel, Evidence, EvidenceReport, Tally, Window};
 use almondsail_core::store::{Revision, StoreReply, StoreRequest, StoredConfig};
+use almondsail_core::traffic::{CallId, CallKeys};
 use almondsail_core::units::{Instant, Millis, UnixMillis};
-use criterion::{BatchSize, BenchmarkId, Criterion, criterion_group, criterion_main};
+use criterion::measurement::WallTime;
+use criterion::{BenchmarkGroup, BenchmarkId, Criterion, criterion_group, criterion_main};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use slopes::Slope;
 
 const PEERS: [usize; 4] = [100, 400, 1_400, 2_800];
 const SERVICES: usize = 46;
@@ -136,45 +145,189 @@
         incarnation: peer(1).incarnation,
         config_version: control.status().held,
         config_digest: control.config().map(|cfg| cfg.digest()),
-        table_digest: 1,
+        table_digest: control.sync_status().table_digest,
         stops_digest: 0,
     }
 }
 
+/// A control state that also holds version 2, in which a rollout of service 0 is open.
+fn with_rollout(control: &Control, rng: &mut SmallRng) -> Control {
+    let mut control = control.clone();
+    let before = config(1);
+    let start = Change::StartRollout {
+        service: name("service-0"),
+        to: name("v2"),
+        deadline: WALL + Millis::new(3_600_000),
+    };
+    let version = ServerVersion { service: name("service-0"), version: name("v2") };
+    let content = Change::CreateVersion(version).apply(&before.content, WALL).expect("valid");
+    let content = start.apply(&content, WALL).expect("valid");
+    let version = ConfigVersion::new(2);
+    let after = Config { version, write_id: WriteId::new([2; 16]), content, history: Vec::new() };
+    let push = request(PeerMessage::ConfigPush(Delta::between(&before, &after)));
+    control.handle(at(1_250_000), WALL, push, rng);
+    assert_eq!(control.status().held, version);
+    control
+}
+
+/// The report of a door in its sixth window with two versions and one route.
+fn evidence(sequence: u64) -> EvidenceReport {
+    let tally = Tally { calls: 1_000, ..Tally::default() };
+    let label = |window: u64, version: &str| CellLabel {
+        window: Window::new(Window::at(WALL).get() + window),
+        route: name("route-0"),
+        version: name(version),
+    };
+    let cells = (0..6).flat_map(|window| [label(window, "v1"), label(window, "v2")]);
+    EvidenceReport {
+        service: name("service-0"),
+        node: peer(SERVICES).id,
+        incarnation: peer(SERVICES).incarnation,
+        sequence,
+        cells: cells.map(|label| (label, tally)).collect(),
+    }
+}
+
+/// The entry of a known node with a changed backend server.
+fn updated_peer() -> Peer {
+    let entry = peer(7);
+    Peer { incarnation: entry.incarnation.next(), ..entry }
+}
+
+/// Measures `run` on copies of `state`, as criterion does. Gives the lowest mean time
+/// of a sample in microseconds, which depends least on the load of the machine.
+fn measure<R>(
+    group: &mut BenchmarkGroup<'_, WallTime>,
+    id: BenchmarkId,
+    state: &Control,
+    mut run: impl FnMut(&mut Control) -> R,
+) -> f64 {
+    let mut lowest = Duration::MAX;
+    group.bench_function(id, |b| {
+        b.iter_custom(|iterations| {
+            let mut sum = Duration::ZERO;
+            for _ in 0..iterations {
+                let mut copy = state.clone();
+                let began = std::time::Instant::now();
+                let result = black_box(run(&mut copy));
+                sum += began.elapsed();
+                drop(result);
+            }
+            lowest = lowest.min(sum / iterations as u32);
+            sum
+        });
+    });
+    lowest.as_nanos() as f64 / 1_000.0
+}
+
+/// The bytes that the value made by `make` holds on the heap.
+fn held_bytes<T>(make: impl FnOnce() -> T) -> (T, usize) {
+    let before = IN_USE.load(Ordering::Relaxed);
+    let value = make();
+    (value, IN_USE.load(Ordering::Relaxed) - before)
+}
+
+/// The events that are measured: a name, the time and the event.
+fn events(state: &Control) -> [(&'static str, u64, Event); 7] {
+    let status = status_of(state);
+    let differing = SyncStatus { table_digest: !status.table_digest, ..status.clone() };
+    let differing = request(PeerMessage::Ping(differing));
+    let ping = request(PeerMessage::Ping(status));
+    let push = request(PeerMessage::ConfigPush(Delta::between(&config(1), &config(2))));
+    let update = request(PeerMessage::PeerUpdates(vec![updated_peer()]));
+    let known = request(PeerMessage::PeerUpdates(vec![peer(7)]));
+    [
+        ("core.tick", 1_300_000, Event::Tick),
+        ("core.tick_with_ping", 2_200_000, Event::Tick),
+        ("core.ping", 1_300_000, ping),
+        ("core.ping_differing", 1_300_000, differing),
+        ("core.new_version", 1_300_000, push),
+        ("core.peer_update", 1_300_000, update),
+        ("core.known_update", 1_300_000, known),
+    ]
+}
+
+/// The bytes that a registrar holds by the number of idempotency keys.
+fn call_keys_state() -> Slope {
+    let mut slope = Slope::new("core.call_keys_state", "B", "keys");
+    for count in [1_000, 8_000, 32_000, CallKeys::MAX_KEYS] {
+        let claim_all = || {
+            let mut keys = CallKeys::new(at(0));
+            for index in 0..count {
+                let key: CallKey = name(&format!("key-of-a-caller-0123456789abcdef-{index:08}"));
+                let call = CallId::new(index as u128);
+                keys.claim(at(0), &name("service-0"), &key, call, &peer(7).id);
+            }
+            keys
+        };
+        let (keys, bytes) = held_bytes(claim_all);
+        assert_eq!(keys.len(), count);
+        slope.points.push((count as f64, bytes as f64));
+    }
+    slope
+}
+
+/// The bytes of the evidence that a driver holds by the number of cells.
+fn evidence_state() -> Slope {
+    /// The doors of one service; each has the cells of two windows and two versions.
+    const DOORS: usize = 30;
+    let mut slope = Slope::new("core.evidence_state", "B", "cells");
+    for windows in [20, 60, 180, 480] {
+        let merge_all = || {
+            let mut merged = Evidence::default();
+            for (window, door) in (0..windows).flat_map(|w| (0..DOORS).map(move |d| (w, d))) {
+                let mut report = evidence(window);
+                report.node = peer(door).id;
+                report.cells.truncate(2);
+                let label = Window::new(Window::at(WALL).get() + window);
+                report.cells.iter_mut().for_each(|(cell, _)| cell.window = label);
+                merged.merge(&report, label.start());
+            }
+            merged
+        };
+        let (merged, bytes) = held_bytes(merge_all);
+        slope.points.push((merged.len() as f64, bytes as f64));
+    }
+    slope
+}
+
 fn bench(c: &mut Criterion) {
     let mut rng = SmallRng::seed_from_u64(1);
+    let mut slopes: BTreeMap<&'static str, Slope> = BTreeMap::new();
+    let mut note = |name: &'static str, unit: &'static str, size: usize, value: f64| {
+        let slope = slopes.entry(name).or_insert_with(|| Slope::new(name, unit, "peers"));
+        slope.points.push((size as f64, value));
+    };
     let mut group = c.benchmark_group("control");
-    group.warm_up_time(Duration::from_millis(300)).measurement_time(Duration::from_secs(2));
+    group.warm_up_time(Duration::from_millis(300)).measurement_time(Duration::from_secs(1));
     group.sample_size(20);
     for peers in PEERS {
-        let before = IN_USE.load(Ordering::Relaxed);
-        let state = control(peers, &mut rng);
-        let bytes = IN_USE.load(Ordering::Relaxed) - before;
+        let (state, bytes) = held_bytes(|| control(peers, &mut rng));
         assert_eq!(state.peers().count(), peers);
         assert_eq!(state.config().map(|cfg| cfg.version), Some(ConfigVersion::new(1)));
-        println!("control/bytes/{peers}: {bytes} bytes, {} for each peer", bytes / peers);
-
-        let ping = request(PeerMessage::Ping(status_of(&state)));
-        let push = Delta::between(&config(1), &config(2));
-        let push = request(PeerMessage::ConfigPush(push));
-        let events = [
-            ("tick", 1_300_000, Event::Tick),
-            ("tick_with_ping", 2_200_000, Event::Tick),
-            ("ping", 1_300_000, ping),
-            ("new_version", 1_300_000, push),
-        ];
-        for (name, time, event) in events {
-            group.bench_function(BenchmarkId::new(name, peers), |b| {
-                let input = || (state.clone(), event.clone());
-                let take = |(mut state, event): (Control, Event)| {
-                    let actions = state.handle(at(time), WALL, event, &mut rng);
-                    (state, actions)
-                };
-                b.iter_batched(input, take, BatchSize::SmallInput);
-            });
+        note("core.state", "B", peers, bytes as f64);
+        let (snapshot, bytes) = held_bytes(|| state.snapshot());
+        drop(snapshot);
+        note("core.snapshot_state", "B", peers, bytes as f64);
+        for (name, time, event) in events(&state) {
+            let run = |copy: &mut Control| copy.handle(at(time), WALL, event.clone(), &mut rng);
+            let micros = measure(&mut group, BenchmarkId::new(name, peers), &state, run);
+            note(name, "us", peers, micros);
         }
+        let id = BenchmarkId::new("core.snapshot", peers);
+        let micros = measure(&mut group, id, &state, |copy| copy.snapshot());
+        note("core.snapshot", "us", peers, micros);
+
+        let driver = with_rollout(&state, &mut rng);
+        let report = request(PeerMessage::Evidence(evidence(1)));
+        let run = |copy: &mut Control| copy.handle(at(1_300_000), WALL, report.clone(), &mut rng);
+        let id = BenchmarkId::new("core.evidence", peers);
+        note("core.evidence", "us", peers, measure(&mut group, id, &driver, run));
     }
     group.finish();
+    let mut slopes: Vec<Slope> = slopes.into_values().collect();
+    slopes.extend([call_keys_state(), evidence_state()]);
+    slopes::write("almondsail-core control", &slopes);
 }
 
 criterion_group!(benches, bench);
--- /dev/null
+++ b/crates/node/benches/messages.rs
@@ -0,0 +1,234 @@
+//! The bytes of each message between nodes on the wire, with its reply.
+//!
+//! The messages go through the node's own client and server on loopback, so that the
+//! counts contain the frame, its tag and what tarpc adds, as the node's counter does.
+//! Headers of TCP and IP are not contained.
+
+#[path = "../../core/benches/slopes/mod.rs"]
+mod slopes;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use almondsail_core::config::{
+    Change, Config, ConfigContent, Delta, Priority, Route, ServerVersion,
+};
+use almondsail_core::control::{PeerMessage, SyncStatus};
+use almondsail_core::ids::{ConfigVersion, Digest, Incarnation, WriteId};
+use almondsail_core::peers::{AnnouncedBackend, BackendState, Peer, PeerStatus};
+use almondsail_core::report::{AccountingRecord, CallCounts, Minute, Sums};
+use almondsail_core::rollout::{CellLabel, EvidenceReport, LatencyCounts, Tally, Window};
+use almondsail_core::units::{Millis, UnixMillis};
+use almondsail_node::peer_link::{ByteCounts, ClientPool, FrameSeal, PeerServer};
+use almondsail_node::settings::InstallationKey;
+use slopes::Slope;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+
+const WALL: UnixMillis = UnixMillis::new(1_700_000_000_000);
+/// Each message is sent once to open the connection and once to be counted.
+const LIMIT: Duration = Duration::from_secs(10);
+
+fn main() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let slopes = runtime.expect("a runtime").block_on(measure_all());
+    slopes::write("almondsail-node messages", &slopes);
+}
+
+/// A client and a server of one node each, on loopback.
+struct Wire {
+    counts: ByteCounts,
+    pool: ClientPool,
+    server: SocketAddr,
+    /// The reply to each request.
+    replies: mpsc::UnboundedSender<PeerMessage>,
+}
+
+impl Wire {
+    async fn start() -> Self {
+        let key = InstallationKey::new(&[7; InstallationKey::MIN_BYTES]).expect("long enough");
+        let seal = FrameSeal::new(key);
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a port");
+        let server = listener.local_addr().expect("an address");
+        let (requests, mut incoming) = mpsc::channel(1);
+        let (replies, mut wanted) = mpsc::unbounded_channel();
+        let refused = opentelemetry::global::meter("messages").u64_counter("refused").build();
+        let service = PeerServer::new(seal.clone(), ByteCounts::default(), requests, refused);
+        tokio::spawn(service.listen(listener));
+        tokio::spawn(async move {
+            while let (Some(request), Some(reply)) = (incoming.recv().await, wanted.recv().await) {
+                let _ = request.reply.send(reply);
+            }
+        });
+        let counts = ByteCounts::default();
+        Self { pool: ClientPool::new(seal, counts.clone()), counts, server, replies }
+    }
+
+    /// The bytes of an exchange in both directions, on a connection in use.
+    async fn bytes(&self, request: PeerMessage, reply: PeerMessage) -> f64 {
+        let mut before = 0;
+        for _ in 0..2 {
+            before = self.counts.sent() + self.counts.received();
+            self.replies.send(reply.clone()).expect("the server runs");
+            let answer = self.pool.send(self.server, &request, LIMIT).await;
+            assert_eq!(answer.as_ref(), Ok(&reply));
+        }
+        (self.counts.sent() + self.counts.received() - before) as f64
+    }
+}
+
+async fn measure_all() -> Vec<Slope> {
+    let wire = Wire::start().await;
+    let ack = || PeerMessage::Ack(ConfigVersion::new(1_000));
+    let entries = |count: usize| (0..count).map(peer).collect::<Vec<_>>();
+    let mut slopes = Vec::new();
+    let mut slope = Slope::new("wire.ping", "B", "exchanges");
+    slope
+        .points
+        .push((1.0, wire.bytes(PeerMessage::Ping(status()), PeerMessage::Pong(status())).await));
+    slopes.push(slope);
+
+    let mut slope = Slope::new("wire.peer_updates", "B", "entries");
+    for count in [1, 2, 8, 32] {
+        let bytes = wire.bytes(PeerMessage::PeerUpdates(entries(count)), ack()).await;
+        slope.points.push((count as f64, bytes));
+    }
+    slopes.push(slope);
+
+    let mut slope = Slope::new("wire.buckets_and_entries", "B", "entries");
+    for count in [100, 400, 1_400, 2_800] {
+        let buckets = PeerMessage::TableBuckets(vec![u64::MAX; 64]);
+        let bytes = wire.bytes(buckets, PeerMessage::TableEntries(entries(count))).await;
+        slope.points.push((count as f64, bytes));
+    }
+    slopes.push(slope);
+
+    let mut slope = Slope::new("wire.welcome", "B", "entries");
+    for count in [1, 16, 32, 64] {
+        let (peers, floor) = (entries(count), ConfigVersion::new(1_000));
+        let reply = PeerMessage::Welcome { peers, floor, is_settled: true, status: status() };
+        slope.points.push((count as f64, wire.bytes(PeerMessage::Join(peer(1)), reply).await));
+    }
+    slopes.push(slope);
+
+    let mut slope = Slope::new("wire.config_push", "B", "changed routes");
+    for count in [1, 2, 4, 8] {
+        let delta = Delta::between(&config(46, 0), &config(46, count));
+        let bytes = wire.bytes(PeerMessage::ConfigPush(delta), ack()).await;
+        slope.points.push((count as f64, bytes));
+    }
+    slopes.push(slope);
+
+    let mut slope = Slope::new("wire.config_snapshot", "B", "services");
+    for count in [12, 46, 92, 184] {
+        let reply = PeerMessage::ConfigSnapshot(Arc::new(config(count, 0)));
+        let pull = PeerMessage::ConfigPull(Some(Digest::of(b"held")));
+        slope.points.push((count as f64, wire.bytes(pull, reply).await));
+    }
+    slopes.push(slope);
+
+    let mut slope = Slope::new("wire.evidence", "B", "cells");
+    for count in [2, 4, 8, 16] {
+        let bytes = wire.bytes(PeerMessage::Evidence(evidence(count)), ack()).await;
+        slope.points.push((count as f64, bytes));
+    }
+    slopes.push(slope);
+
+    let mut slope = Slope::new("wire.accounting", "B", "members");
+    for count in [1, 2, 4, 8] {
+        let record = Box::new(accounting(count));
+        slope.points.push((count as f64, wire.bytes(PeerMessage::Accounting(record), ack()).await));
+    }
+    slopes.push(slope);
+    slopes
+}
+
+fn name<T: std::str::FromStr>(text: &str) -> T {
+    text.parse().unwrap_or_else(|_| panic!("{text:?} is a name"))
+}
+
+fn status() -> SyncStatus {
+    SyncStatus {
+        node: peer(1).id,
+        incarnation: peer(1).incarnation,
+        config_version: ConfigVersion::new(1_000),
+        config_digest: Some(Digest::of(b"config")),
+        table_digest: u64::MAX / 3,
+        stops_digest: u64::MAX / 5,
+    }
+}
+
+fn peer(index: usize) -> Peer {
+    let addr = SocketAddr::from(([10, 1, (index >> 8) as u8, index as u8], 7_000));
+    Peer {
+        id: name(&format!("node-{index}")),
+        host: name(&format!("host-{}", index / 4)),
+        data_centre: name(&format!("dc{}", index % 7)),
+        region: name(&format!("r{}", index % 2)),
+        peer_addr: addr,
+        door_addr: addr,
+        incarnation: Incarnation::new(WALL.get()),
+        status: PeerStatus::Alive,
+        backend: Some(AnnouncedBackend {
+            service: name(&format!("service-{}", index % 46)),
+            version: name("v1"),
+            slots: 12,
+            connections: 130,
+            state: BackendState::Ready,
+        }),
+    }
+}
+
+/// A configuration with a route for each service, the first `changed` of them changed.
+fn config(services: usize, changed: usize) -> Config {
+    let mut content = ConfigContent::default();
+    for index in 0..services {
+        let service: almondsail_core::ids::ServiceName = name(&format!("service-{index}"));
+        let route = Route {
+            name: name(&format!("route-{index}")),
+            service: service.clone(),
+            prefix: name(&format!("/service-{index}")),
+            priority: Priority::Interactive,
+            idempotent: true,
+            deadline: Millis::new(if index < changed { 2_000 } else { 1_000 }),
+        };
+        let version = ServerVersion { service: service.clone(), version: name("v1") };
+        for change in [
+            Change::CreateService { name: service, member: name("depots") },
+            Change::CreateVersion(version),
+            Change::CreateRoute(route),
+        ] {
+            content = change.apply(&content, WALL).expect("the change is valid");
+        }
+    }
+    let version = ConfigVersion::new(1_000 + changed as u64);
+    Config { version, write_id: WriteId::new([1; 16]), content, history: Vec::new() }
+}
+
+/// A report with `cells` windows of one route and one version, each bucket counted.
+fn evidence(cells: usize) -> EvidenceReport {
+    let latency = LatencyCounts::new([100; LatencyCounts::BUCKETS]);
+    let tally = Tally { calls: 2_800, failures: 0, refused: 0, latency };
+    let label = |window: usize| CellLabel {
+        window: Window::new(Window::at(WALL).get() + window as u64),
+        route: name("route-0"),
+        version: name("v1"),
+    };
+    EvidenceReport {
+        service: name("service-0"),
+        node: peer(1).id,
+        incarnation: peer(1).incarnation,
+        sequence: 1_000,
+        cells: (0..cells).map(|window| (label(window), tally)).collect(),
+    }
+}
+
+fn accounting(members: usize) -> AccountingRecord {
+    let mut sums = Sums::default();
+    let counts = CallCounts { delivered: 6_857, late: 5, refused: 5, in_doubt: 1 };
+    for index in 0..members {
+        sums.members.insert(name(&format!("member-{index}")), counts);
+    }
+    AccountingRecord { node: peer(1).id, minute: Minute::at(WALL), is_whole: true, sums }
+}
--- a/crates/testkit/examples/convergence.rs
+++ b/crates/testkit/examples/convergence.rs
@@ -4,16 +4,27 @@
 //! A change counts as accepted when the store has answered the write. It is
 //! written as another node would, so the time contains the watch of a reader.
 //!
+//! The second table shows ordinary nodes and readers of the store apart. The medians
+//! go to the file that `ALMONDSAIL_SLOPES` names, if it is set.
+//!
 //! `cargo run --release --example convergence -- 8 32 64`; the node is built by
 //! `cargo build --release --workspace --bins --examples`.
 
+#[path = "../../core/benches/slopes/mod.rs"]
+mod slopes;
+
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
+use almondsail_core::ids::NodeId;
+use almondsail_core::peers::rank;
+use almondsail_core::store::READERS_PER_DATA_CENTRE;
 use almondsail_testkit::harness::{ProcessId, wait_until};
 use almondsail_testkit::http::HttpClient;
 use almondsail_testkit::mesh::{Mesh, Metrics, ProcessUsage, changes};
 use eyre::{Result, WrapErr, ensure};
 use hdrhistogram::Histogram;
+use slopes::Slope;
 use tokio::task::JoinSet;
 
 /// How long the mesh is left alone while its cost is measured.
@@ -26,6 +37,10 @@
 const GIVE_UP: Duration = Duration::from_secs(60);
 /// The counter of control bytes.
 const BYTES: &str = "almondsail_control_bytes_total";
+/// The data centres of the mesh.
+const DATA_CENTRES: usize = 4;
+/// The text by which the readers of the store rank first among the nodes of a data centre.
+const READER_KEY: &str = "reader";
 
 #[tokio::main]
 async fn main() -> Result<()> {
@@ -39,9 +54,88 @@
     }
     println!("{}", Row::HEADING);
     rows.iter().for_each(Row::print);
+    println!("{}", RoleCost::HEADING);
+    for row in &rows {
+        row.roles.iter().for_each(|(role, cost)| cost.print(row.nodes, *role));
+    }
+    slopes::write("almondsail-testkit convergence", &process_slopes(&rows));
     Ok(())
 }
 
+/// The medians of all nodes by the number of nodes.
+fn process_slopes(rows: &[Row]) -> Vec<Slope> {
+    let slope = |name, unit, value: fn(&Row) -> f64| Slope {
+        points: rows.iter().map(|row| (row.nodes as f64, value(row))).collect(),
+        ..Slope::new(name, unit, "nodes")
+    };
+    vec![
+        slope("process.control_bytes", "B/s", |row| median_of(&row.bytes_per_second)),
+        slope("process.cpu", "us/s", |row| median_of(&row.cpu_micros_per_second)),
+        slope("process.memory", "KB", |row| median_of(&row.memory_kb)),
+        slope("process.convergence", "ms", |row| row.quiet.max() as f64),
+    ]
+}
+
+/// What a node does beside its own traffic.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Role {
+    Ordinary,
+    StoreReader,
+}
+
+/// What the nodes of one role cost while nothing changes.
+struct RoleCost {
+    bytes_per_second: Histogram<u64>,
+    cpu_micros_per_second: Histogram<u64>,
+    memory_kb: Histogram<u64>,
+}
+
+impl RoleCost {
+    const HEADING: &str = "\
+nodes | role         | number | control B/s  | CPU us/s      | memory KB
+      |              |        | median, max  | median, max   | median, max";
+
+    fn new() -> Result<Self> {
+        Ok(Self {
+            bytes_per_second: histogram()?,
+            cpu_micros_per_second: histogram()?,
+            memory_kb: histogram()?,
+        })
+    }
+
+    fn print(&self, nodes: usize, role: Role) {
+        println!(
+            "{nodes:5} | {:12} | {:6} | {} | {} | {}",
+            format!("{role:?}"),
+            self.memory_kb.len(),
+            median_and_max(&self.bytes_per_second),
+            median_and_max(&self.cpu_micros_per_second),
+            median_and_max(&self.memory_kb),
+        );
+    }
+}
+
+/// The role of each node, by the rule of the nodes themselves.
+fn roles(mesh: &Mesh) -> Result<Vec<Role>> {
+    let ids: Vec<NodeId> =
+        mesh.nodes().iter().map(|node| node.name.parse()).collect::<Result<_, _>>()?;
+    let mut readers = BTreeSet::new();
+    for data_centre in 0..DATA_CENTRES {
+        let members = ids.iter().skip(data_centre).step_by(DATA_CENTRES);
+        readers.extend(rank(READER_KEY, members, READERS_PER_DATA_CENTRE));
+    }
+    let role = |id| if readers.contains(id) { Role::StoreReader } else { Role::Ordinary };
+    Ok(ids.iter().map(role).collect())
+}
+
+fn median_of(values: &Histogram<u64>) -> f64 {
+    values.value_at_quantile(0.5) as f64
+}
+
+fn median_and_max(values: &Histogram<u64>) -> String {
+    format!("{:5} {:6}", values.value_at_quantile(0.5), values.max())
+}
+
 /// What was measured with one number of nodes.
 struct Row {
     nodes: usize,
@@ -49,8 +143,10 @@
     disturbed: Histogram<u64>,
     bytes_per_second: Histogram<u64>,
     cpu_per_mille: Histogram<u64>,
+    cpu_micros_per_second: Histogram<u64>,
     memory_kb: Histogram<u64>,
     store_calls_per_second: f64,
+    roles: BTreeMap<Role, RoleCost>,
 }
 
 impl Row {
@@ -59,9 +155,7 @@
       | quiet: median, max  | a tenth lost: same  | median, max  | median, max   | median, max  | calls/s";
 
     fn print(&self) {
-        let pair = |values: &Histogram<u64>| {
-            format!("{:5} {:6}", values.value_at_quantile(0.5), values.max())
-        };
+        let pair = median_and_max;
         println!(
             "{:5} | {:>19} | {:>19} | {} | {:>13} | {} | {:7.2}",
             self.nodes,
@@ -76,7 +170,8 @@
 }
 
 async fn measure(nodes: usize) -> Result<Row> {
-    let mut mesh = Mesh::builder().nodes(nodes).backends(0).data_centres(4).start().await?;
+    let mut mesh =
+        Mesh::builder().nodes(nodes).backends(0).data_centres(DATA_CENTRES).start().await?;
     let all: Vec<usize> = (0..nodes).collect();
     let newest = mesh.change_in_store(&changes::service("bays", Mesh::VERSION)?).await?;
     wait_until("every node", || async {
@@ -102,9 +197,15 @@
         disturbed: histogram()?,
         bytes_per_second: histogram()?,
         cpu_per_mille: histogram()?,
+        cpu_micros_per_second: histogram()?,
         memory_kb: histogram()?,
         store_calls_per_second: 0.0,
+        roles: BTreeMap::from([
+            (Role::Ordinary, RoleCost::new()?),
+            (Role::StoreReader, RoleCost::new()?),
+        ]),
     };
+    let roles = roles(mesh)?;
     let before = sample(mesh, nodes).await?;
     let calls_before = mesh.store_counts().await?.total();
     let begun = Instant::now();
@@ -112,11 +213,20 @@
     let seconds = begun.elapsed().as_secs_f64();
     let calls = mesh.store_counts().await?.total() - calls_before;
     row.store_calls_per_second = calls as f64 / seconds;
-    for ((bytes, usage), (later_bytes, later)) in before.iter().zip(sample(mesh, nodes).await?) {
-        row.bytes_per_second.record(((later_bytes - bytes) / seconds) as u64)?;
-        let cpu = (later.cpu - usage.cpu).as_secs_f64();
-        row.cpu_per_mille.record((cpu / seconds * 1_000.0) as u64)?;
-        row.memory_kb.record(later.memory.get() / 1_024)?;
+    let samples = before.iter().zip(sample(mesh, nodes).await?);
+    for (role, ((bytes, usage), (later_bytes, later))) in roles.into_iter().zip(samples) {
+        let bytes = ((later_bytes - bytes) / seconds) as u64;
+        let cpu = (later.cpu - usage.cpu).as_secs_f64() / seconds;
+        let memory = later.memory.get() / 1_024;
+        row.bytes_per_second.record(bytes)?;
+        row.cpu_per_mille.record((cpu * 1e3) as u64)?;
+        row.cpu_micros_per_second.record((cpu * 1e6) as u64)?;
+        row.memory_kb.record(memory)?;
+        if let Some(cost) = row.roles.get_mut(&role) {
+            cost.bytes_per_second.record(bytes)?;
+            cost.cpu_micros_per_second.record((cpu * 1e6) as u64)?;
+            cost.memory_kb.record(memory)?;
+        }
     }
     Ok(row)
 }
