Count the history entry of a change in the measured message sizes

Cause: a pushed change carries one entry of the history and a configuration carries 64, which the benchmark of message sizes left out. Change: the configurations of the benchmark have a full history.

--- a/crates/node/benches/messages.rs
+++ b/crates/node/benches/messages.rs
@@ -12,7 +12,8 @@
 use std::time::Duration;
 
 use almondsail_core::config::{
-    Change, Config, ConfigContent, Delta, Priority, Route, ServerVersion,
+    Change, Config, ConfigContent, Delta, HistoryEntry, MAX_HISTORY_ENTRIES, Priority, Route,
+    ServerVersion,
 };
 use almondsail_core::control::{PeerMessage, SyncStatus};
 use almondsail_core::ids::{ConfigVersion, Digest, Incarnation, WriteId};
@@ -202,8 +203,25 @@
             content = change.apply(&content, WALL).expect("the change is valid");
         }
     }
-    let version = ConfigVersion::new(1_000 + changed as u64);
-    Config { version, write_id: WriteId::new([1; 16]), content, history: Vec::new() }
+    let version = 1_000 + u64::from(changed > 0);
+    let history = (version - MAX_HISTORY_ENTRIES as u64 + 1..=version).map(history_entry);
+    Config {
+        version: ConfigVersion::new(version),
+        write_id: WriteId::new([version as u8; 16]),
+        content,
+        history: history.collect(),
+    }
+}
+
+fn history_entry(version: u64) -> HistoryEntry {
+    HistoryEntry {
+        version: ConfigVersion::new(version),
+        write_id: WriteId::new([version as u8; 16]),
+        at: WALL,
+        service: Some(name("service-0")),
+        operator: name("ana"),
+        summary: "set the deadline of route route-0 to 2000 ms".into(),
+    }
 }
 
 /// A report with `cells` windows of one route and one version, each bucket counted.
--- /dev/null
+++ b/crates/testkit/tests/capacity/slopes.rs
@@ -0,0 +1,46 @@
+//! The file of measured slopes.
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+
+/// The line through the measured values of one quantity.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Slope {
+    pub bench: String,
+    pub unit: String,
+    pub size: String,
+    pub sizes: Vec<f64>,
+    pub values: Vec<f64>,
+    pub intercept: f64,
+    pub slope: f64,
+    pub largest_relative_deviation: f64,
+}
+
+impl Slope {
+    /// The value of the line at `size`.
+    pub fn at(&self, size: f64) -> f64 {
+        self.intercept + self.slope * size
+    }
+
+    /// Whether `size` lies between the measured ones.
+    pub fn covers(&self, size: f64) -> bool {
+        let is_between = |low: f64, high: f64| low <= size && size <= high;
+        is_between(self.smallest(), self.largest())
+    }
+
+    /// The smallest size that was measured.
+    pub fn smallest(&self) -> f64 {
+        self.sizes.iter().copied().fold(f64::INFINITY, f64::min)
+    }
+
+    /// The largest size that was measured.
+    pub fn largest(&self) -> f64 {
+        self.sizes.iter().copied().fold(f64::NEG_INFINITY, f64::max)
+    }
+}
+
+/// The slopes by name.
+pub fn read(text: &str) -> BTreeMap<String, Slope> {
+    serde_json::from_str(text).expect("the file holds slopes")
+}
