--- a/crates/testkit/examples/convergence.rs
+++ b/crates/testkit/examples/convergence.rs
@@ -71,7 +71,7 @@
     vec![
         slope("process.control_bytes", "B/s", |row| median_of(&row.bytes_per_second)),
         slope("process.cpu", "us/s", |row| median_of(&row.cpu_micros_per_second)),
-        slope("process.memory", "KB", |row| median_of(&row.memory_kb)),
+        slope("process.memory", "KiB", |row| median_of(&row.memory_kb)),
         slope("process.convergence", "ms", |row| row.quiet.max() as f64),
     ]
 }
@@ -92,7 +92,7 @@
 
 impl RoleCost {
     const HEADING: &str = "\
-nodes | role         | number | control B/s  | CPU us/s      | memory KB
+nodes | role         | number | control B/s  | CPU us/s      | memory KiB
       |              |        | median, max  | median, max   | median, max";
 
     fn new() -> Result<Self> {
@@ -151,7 +151,7 @@
 
 impl Row {
     const HEADING: &str = "\
-nodes | accepted to in force on the last node, ms | control B/s  | CPU per mille | memory KB    | store
+nodes | accepted to in force on the last node, ms | control B/s  | CPU per mille | memory KiB    | store
       | quiet: median, max  | a tenth lost: same  | median, max  | median, max   | median, max  | calls/s";
 
     fn print(&self) {
