--- a/crates/core/benches/control.rs
+++ b/crates/core/benches/control.rs
@@ -299,7 +299,7 @@
         slope.points.push((size as f64, value));
     };
     let mut group = c.benchmark_group("control");
-    group.warm_up_time(Duration::from_millis(300)).measurement_time(Duration::from_secs(1));
+    group.warm_up_time(Duration::from_millis(300)).measurement_time(Duration::from_millis(1_500));
     group.sample_size(20);
     for peers in PEERS {
         let (state, bytes) = held_bytes(|| control(peers, &mut rng));
--- a/crates/core/src/control/state.rs
+++ b/crates/core/src/control/state.rs
@@ -13,7 +13,8 @@
 use crate::control::outbox::Outbox;
 use crate::control::pending_request::PendingRequest;
 use crate::control::rollout_control::{RolloutControl, is_active};
-use crate::control::stop_marks::{Origin, StopMarks};
+use crate::control::stop_marks::StopMarks;
+use crate::control::stop_origin::StopOrigin;
 use crate::control::store_access::StoreAccess;
 use crate::control::{
     Action, ControlSettings, ControlStatus, Event, PeerFailure, PeerMessage, RequestId,
@@ -22,7 +23,8 @@
 use crate::ids::{ConfigVersion, DataCentre, NodeId, ServiceName, WriteId};
 use crate::peers::{AnnouncedBackend, Peer, PeerStatus};
 use crate::rollout::{CountedCalls, DriverDecision};
-use crate::store::{JobId, Outcome, RefusedChange, StoreReply, Submission};
+use crate::store::scope::check_member;
+use crate::store::{JobId, Outcome, RefusedChange, StoreError, StoreReply, Submission, WriterStep};
 use crate::sync::{Offer, PeerVersion};
 use crate::traffic::{Snapshot, SnapshotInput};
 use crate::units::{Instant, Millis, UnixMillis};
@@ -158,7 +160,7 @@
             }
             Event::CostRead(total) => self.accounting.ledger.read_cost(total),
             Event::VersionFailed { marks, reason } => {
-                let origin = Origin::new(self.spread.sync.version(), &reason, cx.now);
+                let origin = StopOrigin::new(self.spread.sync.version(), &reason, cx.now);
                 self.add_stops(marks, &origin, cx);
             }
             Event::StopRequested => self.leave(cx),
@@ -236,7 +238,7 @@
                 reply
             }
             PeerMessage::StopMarks { marks, since, reason } => {
-                self.add_stops(marks, &Origin::new(since, &reason, cx.now), cx);
+                self.add_stops(marks, &StopOrigin::new(since, &reason, cx.now), cx);
                 self.ack()
             }
             PeerMessage::Evidence(report) => {
@@ -306,6 +308,7 @@
                 let status = self.sync_status();
                 self.spread.take_ack(&peer, version, held, (&self.members, &status), cx);
             }
+            (PendingRequest::Evidence, Ok(PeerMessage::Ack(_))) => {}
             (PendingRequest::Pull { peer }, Ok(reply)) => self.take_pulled(&peer, reply, cx),
             (request, _) => self.fail_request(request, cx),
         }
@@ -322,10 +325,11 @@
                 cx.out.reply(asked, PeerMessage::NoAnswer(target));
             }
             PendingRequest::Pull { .. } => self.spread.fail_pull(Millis::new(0), cx),
+            PendingRequest::Evidence => self.rollouts.report_failed(),
             PendingRequest::StoreRead
             | PendingRequest::StoreHour
             | PendingRequest::StoreWrite(_) => {
-                let lost = StoreReply::Failed(crate::store::StoreError::Unknown);
+                let lost = StoreReply::Failed(StoreError::Unknown);
                 self.take_store_reply(request, lost, cx);
             }
             PendingRequest::JoinPeer
@@ -333,7 +337,6 @@
             | PendingRequest::Buckets { .. }
             | PendingRequest::Updates { .. }
             | PendingRequest::Push { .. }
-            | PendingRequest::Evidence
             | PendingRequest::Accounting
             | PendingRequest::Stops { .. } => {}
         }
@@ -416,11 +419,7 @@
         }
     }
 
-    fn take_writer_steps<R: Rng>(
-        &mut self,
-        steps: Vec<crate::store::WriterStep>,
-        cx: &mut Cx<'_, R>,
-    ) {
+    fn take_writer_steps<R: Rng>(&mut self, steps: Vec<WriterStep>, cx: &mut Cx<'_, R>) {
         for config in self.store.take_steps(steps, cx) {
             // The writer may have read an older value than a peer has sent since.
             if config.version > self.spread.sync.version() {
@@ -434,7 +433,10 @@
         if self.is_leaving {
             let outcome = Outcome::Refused(RefusedChange::Stopping);
             cx.out.push(Action::Submitted { id, outcome });
-        } else if self.store.writer.submit(JobId::Submitter(id), submission, cx.now) {
+            return;
+        }
+        let is_stopped = self.stop_at_once(&submission, cx);
+        if self.store.submit(id, submission, is_stopped, cx.now) {
             let steps = self.store.writer.poll(cx.now);
             self.take_writer_steps(steps, cx);
         } else {
@@ -443,6 +445,23 @@
         }
     }
 
+    /// Sets the marks of a submitted stop before the store has it, so that a stop
+    /// also works without the store. Returns whether there were any.
+    fn stop_at_once<R>(&mut self, submission: &Submission, cx: &mut Cx<'_, R>) -> bool {
+        let Some(config) = self.spread.sync.config().cloned() else { return false };
+        let change = &submission.change;
+        let marks = change.stops(&config.content);
+        let is_allowed = !submission.dry_run
+            && check_member(submission, &config.content).is_ok()
+            && change.apply(&config.content, cx.wall).is_ok();
+        if marks.is_empty() || !is_allowed {
+            return false;
+        }
+        let origin = StopOrigin::new(config.version, &change.to_string(), cx.now);
+        self.add_stops(marks, &origin, cx);
+        true
+    }
+
     fn ask_outcome<R: Rng>(&mut self, id: RequestId, write_id: WriteId, cx: &mut Cx<'_, R>) {
         if self.store.writer.ask(JobId::Submitter(id), write_id, cx.now) {
             let steps = self.store.writer.poll(cx.now);
@@ -461,7 +480,7 @@
         let (own, nodes) = (table.own(), table.live().count());
         let stops = self.rollouts.count(counted, &config.content, own, nodes, cx.wall);
         for stop in stops {
-            let origin = Origin::new(config.version, &stop.reason, cx.now);
+            let origin = StopOrigin::new(config.version, &stop.reason, cx.now);
             self.add_stops(vec![stop.mark], &origin, cx);
         }
     }
@@ -487,12 +506,13 @@
         cx: &mut Cx<'_, R>,
     ) {
         let ranked = self.members.table.rank(&format!("rollout/{service}"), None, 1);
-        let Some(driver) = ranked.first().map(|id| (*id).clone()) else { return };
-        let is_own = driver == self.members.table.own().id;
+        let driver = ranked.first().and_then(|id| self.members.table.get(id)).cloned();
+        let Some(driver) = driver else { return };
+        let is_own = driver.id == self.members.table.own().id;
         if let Some(report) = self.rollouts.due_report(service, &driver, cx.wall) {
             if is_own {
                 self.rollouts.take_evidence(&report, &config.content, cx.wall);
-            } else if let Some(to) = self.members.addr(&driver) {
+            } else if let Some(to) = self.members.addr(&driver.id) {
                 let message = PeerMessage::Evidence(report);
                 cx.send(to, message, EXCHANGE_TIMEOUT, PendingRequest::Evidence);
             }
@@ -513,7 +533,7 @@
             match change {
                 // Peers hear of a stop at once; the record in the store follows.
                 Change::AddStops { marks, reason } => {
-                    self.add_stops(marks, &Origin::new(decided_on, &reason, cx.now), cx);
+                    self.add_stops(marks, &StopOrigin::new(decided_on, &reason, cx.now), cx);
                 }
                 step => {
                     self.store.submit_step(step, cx);
@@ -525,7 +545,7 @@
         }
     }
 
-    fn add_stops<R>(&mut self, marks: Vec<StopMark>, origin: &Origin, cx: &mut Cx<'_, R>) {
+    fn add_stops<R>(&mut self, marks: Vec<StopMark>, origin: &StopOrigin, cx: &mut Cx<'_, R>) {
         let config = self.spread.sync.config().map(|cfg| &**cfg);
         let new = self.stops.add(marks, origin, config);
         if new.is_empty() {
@@ -541,7 +561,7 @@
         &self,
         to: &NodeId,
         marks: Vec<StopMark>,
-        origin: &Origin,
+        origin: &StopOrigin,
         cx: &mut Cx<'_, R>,
     ) {
         if let Some(addr) = self.members.addr(to) {
@@ -583,6 +603,7 @@
             return;
         }
         self.is_leaving = true;
+        self.accounting.leave();
         self.members.table.set_leaving(cx.now);
         self.members.pass_on_own();
         cx.report(StateChange::PeerStatusChanged(
--- a/crates/core/src/control/store_access.rs
+++ b/crates/core/src/control/store_access.rs
@@ -1,18 +1,22 @@
 //! How this node uses the store.
 
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
 use rand::Rng;
 
 use crate::config::{Change, Config, ServerVersion, StopMark};
 use crate::control::Backoff;
 use crate::control::cx::Cx;
 use crate::control::pending_request::PendingRequest;
-use crate::control::stop_marks::{Origin, StopMarks};
-use crate::control::{Action, StateChange};
+use crate::control::stop_marks::StopMarks;
+use crate::control::stop_origin::StopOrigin;
+use crate::control::{Action, RequestId, StateChange};
 use crate::ids::{ConfigVersion, WriteId};
 use crate::peers::PeerTable;
 use crate::store::{
-    JobId, Outcome, READERS_PER_DATA_CENTRE, ReadResult, ReaderRole, StoreReader, StoreWriter,
-    Submission, WriterStep,
+    JobId, Outcome, READERS_PER_DATA_CENTRE, ReadResult, ReaderRole, RefusedChange, StoreReader,
+    StoreWriter, Submission, WriterStep,
 };
 use crate::units::{Instant, Micros, Millis};
 
@@ -33,6 +37,8 @@
     pub(crate) reader: StoreReader,
     pub(crate) writer: StoreWriter,
     pub(crate) is_lost: bool,
+    /// The submissions in hand that ask for a stop that is in force already.
+    stopped: BTreeSet<RequestId>,
     /// The submission of stop marks under way; there is one at most.
     recording: Option<u64>,
     recordings: u64,
@@ -48,6 +54,7 @@
             reader: StoreReader::default(),
             writer: StoreWriter::default(),
             is_lost: false,
+            stopped: BTreeSet::new(),
             recording: None,
             recordings: 0,
             steps: 0,
@@ -86,7 +93,7 @@
         &mut self,
         result: ReadResult,
         cx: &mut Cx<'_, R>,
-    ) -> Option<std::sync::Arc<Config>> {
+    ) -> Option<Arc<Config>> {
         let is_lost = matches!(result, ReadResult::Failed);
         if std::mem::replace(&mut self.is_lost, is_lost) != is_lost {
             cx.report(if is_lost { StateChange::StoreLost } else { StateChange::StoreRegained });
@@ -105,7 +112,7 @@
         &mut self,
         steps: Vec<WriterStep>,
         cx: &mut Cx<'_, R>,
-    ) -> Vec<std::sync::Arc<Config>> {
+    ) -> Vec<Arc<Config>> {
         let mut seen = Vec::new();
         for step in steps {
             match step {
@@ -123,7 +130,16 @@
 
     fn finish<R: Rng>(&mut self, job: JobId, outcome: Outcome, cx: &mut Cx<'_, R>) {
         match job {
-            JobId::Submitter(id) => cx.out.push(Action::Submitted { id, outcome }),
+            JobId::Submitter(id) => {
+                let is_stopped = self.stopped.remove(&id);
+                let unreachable = Outcome::Refused(RefusedChange::StoreUnreachable);
+                let outcome = if is_stopped && outcome == unreachable {
+                    Outcome::StoppedUnrecorded
+                } else {
+                    outcome
+                };
+                cx.out.push(Action::Submitted { id, outcome });
+            }
             JobId::StopMarks(number) if self.recording == Some(number) => {
                 self.recording = None;
                 match outcome {
@@ -157,6 +173,22 @@
         }
     }
 
+    /// Takes an operator's submission in hand; returns whether the writer took it.
+    /// `is_stopped` tells that the stop that it asks for is in force already.
+    pub(crate) fn submit(
+        &mut self,
+        id: RequestId,
+        submission: Submission,
+        is_stopped: bool,
+        now: Instant,
+    ) -> bool {
+        let is_taken = self.writer.submit(JobId::Submitter(id), submission, now);
+        if is_taken && is_stopped {
+            self.stopped.insert(id);
+        }
+        is_taken
+    }
+
     /// Submits the step of a rollout that this node drives; returns whether the writer took it.
     pub(crate) fn submit_step<R: Rng>(&mut self, change: Change, cx: &mut Cx<'_, R>) -> bool {
         let Some(submission) = mesh_submission(change, None, cx.rng) else { return false };
@@ -170,7 +202,7 @@
     fn record<R: Rng>(
         &mut self,
         marks: Vec<StopMark>,
-        origin: &Origin,
+        origin: &StopOrigin,
         config: &Config,
         cx: &mut Cx<'_, R>,
     ) {
@@ -221,7 +253,7 @@
 }
 
 /// Whether it falls to this node to record `mark`.
-fn is_recorder(mark: &StopMark, origin: &Origin, table: &PeerTable, now: Instant) -> bool {
+fn is_recorder(mark: &StopMark, origin: &StopOrigin, table: &PeerTable, now: Instant) -> bool {
     let ranked = table.rank(&format!("stops/{}", mark.service), None, MAX_RECORDERS);
     let place = ranked.iter().position(|id| **id == table.own().id);
     place.is_some_and(|place| {
