--- a/crates/core/src/control/state.rs
+++ b/crates/core/src/control/state.rs
@@ -13,7 +13,8 @@
 use crate::control::outbox::Outbox;
 use crate::control::pending_request::PendingRequest;
 use crate::control::rollout_control::{RolloutControl, is_active};
-use crate::control::stop_marks::{Origin, StopMarks};
+use crate::control::stop_marks::StopMarks;
+use crate::control::stop_origin::StopOrigin;
 use crate::control::store_access::StoreAccess;
 use crate::control::{
     Action, ControlSettings, ControlStatus, Event, PeerFailure, PeerMessage, RequestId,
@@ -23,7 +24,7 @@
 use crate::peers::{AnnouncedBackend, Peer, PeerStatus};
 use crate::rollout::{CountedCalls, DriverDecision};
 use crate::store::scope::check_member;
-use crate::store::{JobId, Outcome, RefusedChange, StoreReply, Submission};
+use crate::store::{JobId, Outcome, RefusedChange, StoreError, StoreReply, Submission, WriterStep};
 use crate::sync::{Offer, PeerVersion};
 use crate::traffic::{Snapshot, SnapshotInput};
 use crate::units::{Instant, Millis, UnixMillis};
@@ -159,7 +160,7 @@
             }
             Event::CostRead(total) => self.accounting.ledger.read_cost(total),
             Event::VersionFailed { marks, reason } => {
-                let origin = Origin::new(self.spread.sync.version(), &reason, cx.now);
+                let origin = StopOrigin::new(self.spread.sync.version(), &reason, cx.now);
                 self.add_stops(marks, &origin, cx);
             }
             Event::StopRequested => self.leave(cx),
@@ -237,7 +238,7 @@
                 reply
             }
             PeerMessage::StopMarks { marks, since, reason } => {
-                self.add_stops(marks, &Origin::new(since, &reason, cx.now), cx);
+                self.add_stops(marks, &StopOrigin::new(since, &reason, cx.now), cx);
                 self.ack()
             }
             PeerMessage::Evidence(report) => {
@@ -328,7 +329,7 @@
             PendingRequest::StoreRead
             | PendingRequest::StoreHour
             | PendingRequest::StoreWrite(_) => {
-                let lost = StoreReply::Failed(crate::store::StoreError::Unknown);
+                let lost = StoreReply::Failed(StoreError::Unknown);
                 self.take_store_reply(request, lost, cx);
             }
             PendingRequest::JoinPeer
@@ -418,11 +419,7 @@
         }
     }
 
-    fn take_writer_steps<R: Rng>(
-        &mut self,
-        steps: Vec<crate::store::WriterStep>,
-        cx: &mut Cx<'_, R>,
-    ) {
+    fn take_writer_steps<R: Rng>(&mut self, steps: Vec<WriterStep>, cx: &mut Cx<'_, R>) {
         for config in self.store.take_steps(steps, cx) {
             // The writer may have read an older value than a peer has sent since.
             if config.version > self.spread.sync.version() {
@@ -460,7 +457,7 @@
         if marks.is_empty() || !is_allowed {
             return false;
         }
-        let origin = Origin::new(config.version, &change.to_string(), cx.now);
+        let origin = StopOrigin::new(config.version, &change.to_string(), cx.now);
         self.add_stops(marks, &origin, cx);
         true
     }
@@ -483,7 +480,7 @@
         let (own, nodes) = (table.own(), table.live().count());
         let stops = self.rollouts.count(counted, &config.content, own, nodes, cx.wall);
         for stop in stops {
-            let origin = Origin::new(config.version, &stop.reason, cx.now);
+            let origin = StopOrigin::new(config.version, &stop.reason, cx.now);
             self.add_stops(vec![stop.mark], &origin, cx);
         }
     }
@@ -536,7 +533,7 @@
             match change {
                 // Peers hear of a stop at once; the record in the store follows.
                 Change::AddStops { marks, reason } => {
-                    self.add_stops(marks, &Origin::new(decided_on, &reason, cx.now), cx);
+                    self.add_stops(marks, &StopOrigin::new(decided_on, &reason, cx.now), cx);
                 }
                 step => {
                     self.store.submit_step(step, cx);
@@ -548,7 +545,7 @@
         }
     }
 
-    fn add_stops<R>(&mut self, marks: Vec<StopMark>, origin: &Origin, cx: &mut Cx<'_, R>) {
+    fn add_stops<R>(&mut self, marks: Vec<StopMark>, origin: &StopOrigin, cx: &mut Cx<'_, R>) {
         let config = self.spread.sync.config().map(|cfg| &**cfg);
         let new = self.stops.add(marks, origin, config);
         if new.is_empty() {
@@ -564,7 +561,7 @@
         &self,
         to: &NodeId,
         marks: Vec<StopMark>,
-        origin: &Origin,
+        origin: &StopOrigin,
         cx: &mut Cx<'_, R>,
     ) {
         if let Some(addr) = self.members.addr(to) {
@@ -606,6 +603,7 @@
             return;
         }
         self.is_leaving = true;
+        self.accounting.leave();
         self.members.table.set_leaving(cx.now);
         self.members.pass_on_own();
         cx.report(StateChange::PeerStatusChanged(
--- a/crates/core/src/sync/mod.rs
+++ b/crates/core/src/sync/mod.rs
@@ -4,6 +4,7 @@
 mod floor_gate;
 mod kept_versions;
 mod offer;
+mod peer_version;
 mod peer_versions;
 mod puller;
 
@@ -11,5 +12,6 @@
 pub use floor_gate::FloorGate;
 pub use kept_versions::KeptVersions;
 pub use offer::Offer;
-pub use peer_versions::{PeerVersion, PeerVersions};
+pub use peer_version::PeerVersion;
+pub use peer_versions::PeerVersions;
 pub use puller::Puller;
--- a/crates/testkit/src/mesh/mesh_builder.rs
+++ b/crates/testkit/src/mesh/mesh_builder.rs
@@ -16,6 +16,8 @@
     data_centres: usize,
     nodes: usize,
     services: Vec<String>,
+    /// Taken in turn by the backend servers; not empty.
+    versions: Vec<String>,
     backend_options: Vec<(String, String)>,
     /// The first nodes have one, the others expect theirs at a closed port.
     backends: Option<usize>,
@@ -27,6 +29,7 @@
             data_centres: 2,
             nodes: 4,
             services: vec!["bays".to_owned()],
+            versions: vec![Mesh::VERSION.to_owned()],
             backend_options: Vec::new(),
             backends: None,
         }
@@ -50,6 +53,11 @@
         Self { services: services.iter().map(|name| (*name).to_owned()).collect(), ..self }
     }
 
+    /// The versions of the backend servers, in turn; there must be one.
+    pub fn versions(self, versions: &[&str]) -> Self {
+        Self { versions: versions.iter().map(|name| (*name).to_owned()).collect(), ..self }
+    }
+
     /// Starts every backend server with the option `--NAME VALUE`.
     pub fn backend_option(mut self, name: &str, value: &str) -> Self {
         self.backend_options.push((name.to_owned(), value.to_owned()));
@@ -129,7 +137,7 @@
         let launch = Launch::new(Binary::Backend, format!("backend-{index}"))
             .with("listen", parts.harness.any_port().to_string())
             .with("service", service)
-            .with("version", Mesh::VERSION)
+            .with("version", &self.versions[index % self.versions.len()])
             .with("log", Mesh::log_name(index));
         let add = |launch: Launch, (name, value): &(String, String)| launch.with(name, value);
         let launch = self.backend_options.iter().fold(launch, add);
