--- a/crates/testkit/src/mesh/mesh_type.rs
+++ b/crates/testkit/src/mesh/mesh_type.rs
@@ -130,6 +130,12 @@
         control.put("/control/faults", serde_json::to_vec(faults)?).await?.success()
     }
 
+    /// The executions of the backend server at `index` since its process started.
+    pub async fn executions_at(&self, index: usize) -> Result<Vec<Execution>> {
+        let control = self.client(self.backend(index)?, "control")?;
+        control.get("/control/executions").await?.json()
+    }
+
     /// Every execution of every backend server, also of processes that ended.
     pub fn executions(&self) -> Result<Vec<Execution>> {
         let mut executions = Vec::new();
--- /dev/null
+++ b/crates/testkit/tests/mesh_rollout.rs
@@ -0,0 +1,54 @@
+//! Rollouts in a mesh of processes.
+
+use almondsail_testkit::backend::{Fault, FaultRule, Faults};
+use almondsail_testkit::harness::wait_until;
+use almondsail_testkit::http::HttpClient;
+use almondsail_testkit::mesh::Mesh;
+use almondsail_testkit::traffic::{Caller, Load, LoadOptions};
+use eyre::{Result, ensure};
+
+/// The path of the idempotent route.
+const LOOKUP: &str = "/bays/item";
+/// Calls after the rollback; v2 had at least 1% of the calls before.
+const CALLS_AFTER: usize = 1_000;
+
+/// The executions at the backend servers of v2, which are those beside every other node.
+async fn executions_of_v2(mesh: &Mesh) -> Result<usize> {
+    let mut count = 0;
+    for index in (1..mesh.nodes().len()).step_by(2) {
+        count += mesh.executions_at(index).await?.len();
+    }
+    Ok(count)
+}
+
+// Guards against a bad version that stays in force, gets calls after its
+// rollback, or is rolled back without a reason for the operators.
+#[tokio::test]
+async fn bad_version_rolled_back() -> Result<()> {
+    let mesh = Mesh::builder().versions(&["v1", "v2"]).start().await?;
+    mesh.configure(&["bays"]).await?;
+    let operator = mesh.operator(0)?;
+    operator.run("create version bays/v2").await?;
+    mesh.wait_until_served(LOOKUP).await?;
+    let fails = FaultRule::new("/bays", Fault::Fail { per_mille: 1_000 });
+    for index in [1, 3] {
+        mesh.set_faults(index, &Faults::of_calls([fails.clone()])).await?;
+    }
+    let load = Load::start(&Caller::new(mesh.entries()), &LoadOptions::light(&["bays"]));
+    operator.run("move bays to v2 in 1m").await?;
+    wait_until("the rollback", || async {
+        let shown = operator.run("show rollouts bays").await?;
+        ensure!(shown.contains("rolled-back") && shown.contains("fails more often"), "{shown}");
+        Ok(())
+    })
+    .await?;
+    load.stop().await?;
+    let touched = executions_of_v2(&mesh).await?;
+    ensure!(touched > 0, "v2 got no call before the rollback");
+    let client = HttpClient::new(mesh.entries()[0]);
+    for _ in 0..CALLS_AFTER {
+        client.get(LOOKUP).await?.success()?;
+    }
+    assert_eq!(executions_of_v2(&mesh).await?, touched);
+    Ok(())
+}
