Hand the claims of a leaving node over to the next registrars

Cause: a rolling restart of both registrars of a key within 10 min let an unmarked repeat run a non-idempotent call twice.

--- a/crates/node/src/claims.rs
+++ b/crates/node/src/claims.rs
@@ -3,7 +3,7 @@
 use std::sync::{Mutex, PoisonError};
 
 use almondsail_core::ids::CallKey;
-use almondsail_core::traffic::{CallKeys, ClaimAnswer, RecordedAnswers, Replay};
+use almondsail_core::traffic::{CallKeys, ClaimAnswer, HandedClaim, RecordedAnswers, Replay};
 use almondsail_core::units::ByteCount;
 use bytes::Bytes;
 use http::{HeaderMap, Response, StatusCode};
@@ -56,6 +56,21 @@
         keys.release(&claim.service, &claim.key, claim.call, &claim.holder);
     }
 
+    /// At most `limit` claims from `number` on, and the number to go on from.
+    pub(crate) fn claims_from(&self, number: u64, limit: usize) -> (Vec<HandedClaim>, u64) {
+        let mut keys = self.keys.lock().unwrap_or_else(PoisonError::into_inner);
+        keys.claims_from(self.clock.now(), number, limit)
+    }
+
+    /// Takes the claims of a leaving node over.
+    pub(crate) fn take_over(&self, claims: Vec<HandedClaim>) {
+        let mut keys = self.keys.lock().unwrap_or_else(PoisonError::into_inner);
+        let now = self.clock.now();
+        for claim in claims {
+            keys.take_over(now, claim);
+        }
+    }
+
     /// Answers the claim or release of another node.
     pub(crate) fn answer(&self, request: DoorRequest, headers: &HeaderMap) -> Response<Bytes> {
         let mut response = Response::new(Bytes::new());
--- a/crates/node/src/door_request.rs
+++ b/crates/node/src/door_request.rs
@@ -48,6 +48,8 @@
     Claim,
     /// Release an idempotency key.
     Release,
+    /// Take the claims of a leaving node over.
+    Handover,
 }
 
 impl DoorRequest {
@@ -57,6 +59,7 @@
             Self::Replay => "replay",
             Self::Claim => "claim",
             Self::Release => "release",
+            Self::Handover => "handover",
         }
     }
 }
@@ -71,7 +74,7 @@
     type Err = BadHeader;
 
     fn from_str(s: &str) -> Result<Self, Self::Err> {
-        [Self::Call, Self::Replay, Self::Claim, Self::Release]
+        [Self::Call, Self::Replay, Self::Claim, Self::Release, Self::Handover]
             .into_iter()
             .find(|request| request.as_str() == s)
             .ok_or(BadHeader)
--- a/crates/node/src/door_server.rs
+++ b/crates/node/src/door_server.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use almondsail_core::RefusalReason;
+use bytes::Bytes;
 use gotham::helpers::http::Body;
 use http::{HeaderMap, Request, Response};
 use http_body_util::BodyExt as _;
@@ -11,25 +12,32 @@
 use crate::body::HeldBody;
 use crate::call_handler::full;
 use crate::call_headers as names;
+use crate::claim_handover::ClaimHandover;
 use crate::clock::duration;
 use crate::door;
 use crate::door_request::{DoorCall, DoorRequest, required};
 use crate::failure::Failure;
+use crate::handover_batch;
 use crate::traffic::{Inner, Traffic};
 
 /// Takes calls of other nodes on `listener` until `stop` becomes true, then waits for
-/// those in flight.
+/// those in flight. While the node is leaving, its claims are handed over.
 pub async fn serve_door(
     listener: tokio::net::TcpListener,
     traffic: Traffic,
     stop: tokio::sync::watch::Receiver<bool>,
 ) {
     let inner = Arc::clone(&traffic.inner);
-    crate::server::serve(listener, &traffic.inner, stop, move |request, _| {
+    let mut handover = ClaimHandover::new(Arc::clone(&inner));
+    let serve = crate::server::serve(listener, &traffic.inner, stop, move |request, _| {
         let inner = Arc::clone(&inner);
         async move { Ok::<_, std::convert::Infallible>(answer(&inner, request).await) }
-    })
-    .await;
+    });
+    tokio::select! {
+        () = serve => {}
+        () = handover.run() => {}
+    }
+    handover.finish().await;
 }
 
 async fn answer(inner: &Arc<Inner>, request: Request<Incoming>) -> Response<Body> {
@@ -60,6 +68,7 @@
             let headers: &HeaderMap = request.headers();
             Ok(inner.claims.answer(message, headers).map(full))
         }
+        DoorRequest::Handover => take_over(inner, request).await,
         DoorRequest::Call | DoorRequest::Replay => call(inner, request).await,
     }
 }
@@ -67,13 +76,29 @@
 async fn call(inner: &Arc<Inner>, request: Request<Incoming>) -> Result<Response<Body>, Failure> {
     let now = inner.clock.now();
     let (parts, body) = request.into_parts();
-    let read = HeldBody::read(body, &inner.bodies);
-    let held = tokio::time::timeout(duration(inner.settings.body_time), read)
-        .await
-        .unwrap_or(Err(RefusalReason::BadRequest))
-        .map_err(Failure::unrun)?;
+    let held = read(inner, body).await?;
     let call = DoorCall::from_request(parts, held.bytes().clone(), now)
         .map_err(|_| Failure::unrun(RefusalReason::BadRequest))?;
     let answer = door::run(inner, call).await?;
     Ok(answer.map(|body| body.boxed_unsync()))
 }
+
+/// Takes the claims of a leaving node over.
+async fn take_over(
+    inner: &Arc<Inner>,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Failure> {
+    let held = read(inner, request.into_body()).await?;
+    let claims = handover_batch::decode(held.bytes())
+        .map_err(|_| Failure::unrun(RefusalReason::BadRequest))?;
+    inner.claims.take_over(claims);
+    Ok(Response::new(full(Bytes::new())))
+}
+
+async fn read(inner: &Arc<Inner>, body: Incoming) -> Result<HeldBody, Failure> {
+    let read = HeldBody::read(body, &inner.bodies);
+    tokio::time::timeout(duration(inner.settings.body_time), read)
+        .await
+        .unwrap_or(Err(RefusalReason::BadRequest))
+        .map_err(Failure::unrun)
+}
--- /dev/null
+++ b/crates/node/src/handover_batch.rs
@@ -0,0 +1,58 @@
+//! The message by which a leaving node hands claims over.
+
+use almondsail_core::ids::{CallKey, NodeId, ServiceName};
+use almondsail_core::traffic::{CallId, HandedClaim};
+use almondsail_core::units::Micros;
+use bytes::Bytes;
+use http::{Method, Request};
+use http_body_util::Full;
+
+use crate::call_headers::{self as names, BadHeader};
+use crate::door_request::DoorRequest;
+use crate::peer_token::PeerToken;
+
+/// The largest number of claims in a batch. With keys of 128 bytes a batch takes about
+/// 100 KB, well below [`crate::MAX_BODY`].
+pub(crate) const MAX_BATCH: usize = 256;
+
+/// A claim as text: service, key, call, holder, and the microseconds left.
+type ClaimText = (String, String, String, String, u64);
+
+/// The JSON body that carries `claims`.
+pub(crate) fn encode(claims: &[HandedClaim]) -> Result<Bytes, serde_json::Error> {
+    let text = |claim: &HandedClaim| -> ClaimText {
+        let HandedClaim { service, key, call, holder, left } = claim;
+        let text = (service.to_string(), key.to_string(), call.to_string(), holder.to_string());
+        (text.0, text.1, text.2, text.3, left.get())
+    };
+    let texts: Vec<ClaimText> = claims.iter().map(text).collect();
+    Ok(serde_json::to_vec(&texts)?.into())
+}
+
+/// The claims in `body`; an error if one is malformed or there are too many.
+pub(crate) fn decode(body: &[u8]) -> Result<Vec<HandedClaim>, BadHeader> {
+    let texts: Vec<ClaimText> = serde_json::from_slice(body).map_err(|_| BadHeader)?;
+    if texts.len() > MAX_BATCH {
+        return Err(BadHeader);
+    }
+    texts.iter().map(parse).collect::<Option<_>>().ok_or(BadHeader)
+}
+
+fn parse((service, key, call, holder, left): &ClaimText) -> Option<HandedClaim> {
+    let service: ServiceName = service.parse().ok()?;
+    let key: CallKey = key.parse().ok()?;
+    let call: CallId = call.parse().ok()?;
+    let holder: NodeId = holder.parse().ok()?;
+    Some(HandedClaim { service, key, call, holder, left: Micros::new(*left) })
+}
+
+/// The request that carries `body` to node `to`.
+pub(crate) fn to_request(token: &PeerToken, to: &NodeId, body: Bytes) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(body));
+    *request.method_mut() = Method::POST;
+    let headers = request.headers_mut();
+    headers.insert(names::TOKEN, token.header());
+    names::set(headers, http::header::HOST, to);
+    names::set(headers, names::MESSAGE, DoorRequest::Handover);
+    request
+}
--- a/crates/node/tests/support/mesh.rs
+++ b/crates/node/tests/support/mesh.rs
@@ -26,6 +26,7 @@
     pub stop: watch::Sender<bool>,
     pub tasks: Vec<tokio::task::JoinHandle<()>>,
     pub peer: Peer,
+    pub settings: TrafficSettings,
 }
 
 /// Nodes that know each other.
@@ -138,13 +139,14 @@
             change(&mut settings);
             let snapshot = snapshot(&peers[i], Some(&config), &peers);
             let snapshot = Arc::new(ArcSwap::from_pointee(snapshot));
-            let builder = TrafficBuilder::new(Arc::clone(&snapshot), settings);
+            let builder = TrafficBuilder::new(Arc::clone(&snapshot), settings.clone());
             let builder = match &meter {
                 Some(meter) => builder.meter(meter.clone()),
                 None => builder,
             };
             let traffic = builder.installation_key(KEY).build().unwrap();
-            nodes.push(TestNode::start(peers[i].clone(), snapshot, traffic, door, callers));
+            let peer = peers[i].clone();
+            nodes.push(TestNode::start(peer, settings, snapshot, traffic, door, callers));
         }
         Self { nodes, config }
     }
@@ -154,6 +156,27 @@
         self.nodes[i].callers
     }
 
+    /// Ends the leaving node `i` as on a planned stop, and starts it again without state.
+    pub async fn restart(&mut self, i: usize) {
+        let node = &mut self.nodes[i];
+        node.stop.send_replace(true);
+        for task in std::mem::take(&mut node.tasks) {
+            task.await.unwrap();
+        }
+        let door = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let callers = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let mut peer = node.peer.clone();
+        peer.door_addr = door.local_addr().unwrap();
+        peer.status = PeerStatus::Alive;
+        peer.incarnation = Incarnation::new(node.peer.incarnation.get() + 1);
+        let snapshot = Arc::new(ArcSwap::from_pointee((**node.snapshot.load()).clone()));
+        let settings = node.settings.clone();
+        let builder = TrafficBuilder::new(Arc::clone(&snapshot), settings.clone());
+        let traffic = builder.installation_key(KEY).build().unwrap();
+        *node = TestNode::start(peer, settings, snapshot, traffic, door, callers);
+        self.change_peer(i, |_| {});
+    }
+
     /// Changes the entry of node `i` and tells every node.
     pub fn change_peer(&mut self, i: usize, change: impl Fn(&mut Peer)) {
         change(&mut self.nodes[i].peer);
@@ -173,6 +196,7 @@
 impl TestNode {
     fn start(
         peer: Peer,
+        settings: TrafficSettings,
         snapshot: Arc<ArcSwap<Snapshot>>,
         traffic: Traffic,
         door: TcpListener,
@@ -184,7 +208,8 @@
             tokio::spawn(serve_callers(callers, traffic.clone(), stopped.clone())),
             tokio::spawn(serve_door(door, traffic.clone(), stopped)),
         ];
-        Self { callers: callers_addr, door: door_addr, traffic, snapshot, stop, tasks, peer }
+        let (callers, door) = (callers_addr, door_addr);
+        Self { callers, door, traffic, snapshot, stop, tasks, peer, settings }
     }
 
     /// Ends the node at once, with every connection.
