--- a/crates/node/tests/calls_limits.rs
+++ b/crates/node/tests/calls_limits.rs
@@ -295,17 +295,19 @@
     assert_eq!(backend.runs(), 6);
 }
 
-/// Guards against calls and claims at the door from outside the installation.
+/// Guards against calls, claims and handovers at the door from outside the installation.
 #[tokio::test]
 async fn door_unauthorized() {
     let (backend, mesh) = two(size).await;
-    for token in [None, Some(""), Some("zz"), Some("0123"), Some(&"0".repeat(64)[..])] {
-        let mut headers = vec![("almondsail-message", "call")];
-        headers.extend(token.map(|token| ("almondsail-token", token)));
-        let answer =
-            send(mesh.nodes[1].door, request("POST", "/book", &headers, b"b")).await.unwrap();
-        assert_eq!(answer.status, 403);
-        assert_eq!(answer.failure(), ("refused-unrun", "peer_unauthorized"));
+    for message in ["call", "replay", "claim", "release", "handover"] {
+        for token in [None, Some(""), Some("zz"), Some("0123"), Some(&"0".repeat(64)[..])] {
+            let mut headers = vec![("almondsail-message", message)];
+            headers.extend(token.map(|token| ("almondsail-token", token)));
+            let answer =
+                send(mesh.nodes[1].door, request("POST", "/book", &headers, b"b")).await.unwrap();
+            assert_eq!(answer.status, 403);
+            assert_eq!(answer.failure(), ("refused-unrun", "peer_unauthorized"));
+        }
     }
     assert_eq!(backend.runs(), 0);
 }
