Require the grant of most of three registrars for an idempotency key

A key was claimed while one door drained, at the other two. After the drained door returned, the two registrars were it and one of those; when that one died, the returned door alone granted the key to the repeat. One grant was enough, so a repeat could ask registrars that knew nothing of the first call. Ruled out: a wrong verdict of the retry policy, and claims released too early. Change: a key has three registrars, and a call runs only with the grant of most of them and if none holds the key for another call. The rest of the answers are waited for 20 ms once most have granted, so that a frozen registrar does not delay every call.

--- a/crates/core/src/traffic/claim_decision.rs
+++ b/crates/core/src/traffic/claim_decision.rs
@@ -15,15 +15,16 @@
     },
     /// The call is a repeat, and the first one may have run without the registrars knowing.
     InDoubt,
-    /// No registrar granted the key.
+    /// Less than half of the registrars, or just half, granted the key.
     Unreachable,
 }
 
 impl ClaimDecision {
     /// Decides by the `answers` of the registrars; `None` stands for no answer.
     ///
-    /// One grant is enough if no other call holds the key. A call that its caller marked
-    /// as a repeat needs more, because its key must be known if the first call ran: every
+    /// Most of the registrars have to grant the key, and none may hold it for another call:
+    /// with fewer grants, a repeat that reaches only the other registrars would run again.
+    /// A call that its caller marked as a repeat needs more, because its key must be known if the first call ran: every
     /// registrar has to be sure, and the set of doors among which the registrars rank must
     /// not have changed for as long as a key is kept (`is_stable`).
     pub fn new(answers: &[Option<ClaimAnswer>], is_repeat: bool, is_stable: bool) -> Self {
@@ -39,7 +40,7 @@
             _ => None,
         });
         let sure = grants.clone().filter(|sure| *sure).count();
-        if grants.count() == 0 {
+        if grants.count() * 2 <= answers.len() {
             Self::Unreachable
         } else if is_repeat && !(is_stable && sure == answers.len()) {
             Self::InDoubt
--- a/crates/core/src/traffic/handover.rs
+++ b/crates/core/src/traffic/handover.rs
@@ -7,8 +7,8 @@
 
 /// The claims that the leaving registrar `own` hands to each node.
 ///
-/// `doors` gives the nodes with a door for a service. A claim goes to both nodes that rank
-/// first for its key without `own`; one of them may have restarted and not know the key.
+/// `doors` gives the nodes with a door for a service. A claim goes to every node that ranks
+/// first for its key without `own`; some of them may have restarted and not know the key.
 pub fn handover<'a>(
     own: &NodeId,
     claims: &[HandedClaim],
@@ -17,8 +17,7 @@
     let mut parts: BTreeMap<NodeId, Vec<HandedClaim>> = BTreeMap::new();
     for claim in claims {
         let others = doors(&claim.service).into_iter().flatten().filter(|node| *node != own);
-        let (first, second) = registrars(&claim.key, others);
-        for node in [first, second].into_iter().flatten() {
+        for node in registrars(&claim.key, others) {
             parts.entry(node.clone()).or_default().push(claim.clone());
         }
     }
--- a/crates/core/src/traffic/registrars.rs
+++ b/crates/core/src/traffic/registrars.rs
@@ -2,23 +2,20 @@
 
 use crate::ids::{CallKey, Digest, NodeId};
 
-/// The nodes among `nodes` that rank first and second for `key` by rendezvous hash.
+/// Number of registrars of a key.
 ///
-/// When one of them is lost, the other still ranks among the first two.
-pub fn registrars<'a>(
-    key: &CallKey,
-    nodes: impl Iterator<Item = &'a NodeId>,
-) -> (Option<&'a NodeId>, Option<&'a NodeId>) {
-    let (mut first, mut second) = (None, None);
-    for node in nodes {
-        let candidate = Some((rank(key, node), node));
-        if candidate > first {
-            (first, second) = (candidate, first);
-        } else if candidate > second && candidate != first {
-            second = candidate;
-        }
-    }
-    (first.map(|(_, node)| node), second.map(|(_, node)| node))
+/// A claim needs the grant of most of them, so that two claims of one key always ask a
+/// registrar in common, also when one is lost or the set of doors changes by one node
+/// between them.
+pub const REGISTRARS: usize = 3;
+
+/// The nodes among `nodes` that rank first for `key` by rendezvous hash, at most [`REGISTRARS`].
+///
+/// When one of them is lost, the others still rank among the first.
+pub fn registrars<'a>(key: &CallKey, nodes: impl Iterator<Item = &'a NodeId>) -> Vec<&'a NodeId> {
+    let mut ranked: Vec<(Digest, &NodeId)> = nodes.map(|node| (rank(key, node), node)).collect();
+    ranked.sort_unstable_by(|a, b| b.cmp(a));
+    ranked.into_iter().take(REGISTRARS).map(|(_, node)| node).collect()
 }
 
 fn rank(key: &CallKey, node: &NodeId) -> Digest {
--- a/crates/node/src/held_claim.rs
+++ b/crates/node/src/held_claim.rs
@@ -8,7 +8,10 @@
 use almondsail_core::ids::{CallKey, NodeId};
 use almondsail_core::traffic::{CallKeys, ClaimAnswer, ClaimDecision, registrars};
 use almondsail_core::units::Micros;
+use futures::StreamExt as _;
+use futures::stream::FuturesUnordered;
 use http::{HeaderMap, StatusCode};
+use tokio::time::{Instant, timeout_at};
 
 use crate::call_headers as names;
 use crate::call_table::CallTable;
@@ -20,6 +23,9 @@
 /// How long a registrar may take to answer.
 const CLAIM_TIME: Duration = Duration::from_millis(500);
 
+/// How long the remaining registrars may take once most of them have granted the key.
+const LAST_ANSWER_TIME: Duration = Duration::from_millis(20);
+
 /// The claim of a call at its registrars. Released on drop unless [`Self::keep`] was called.
 pub(crate) struct HeldClaim {
     inner: Arc<Inner>,
@@ -29,7 +35,7 @@
 }
 
 impl HeldClaim {
-    /// Claims the key of `call` at both of its registrars; see [`ClaimDecision::new`].
+    /// Claims the key of `call` at its registrars; see [`ClaimDecision::new`].
     pub(crate) async fn take(
         inner: &Arc<Inner>,
         table: &CallTable,
@@ -42,21 +48,9 @@
         let no_nodes = BTreeSet::new();
         let service = table.services.get(&call.service);
         let nodes = service.map_or(&no_nodes, |service| &service.nodes);
-        let (first, second) = registrars(key, nodes.iter());
-        let chosen: Vec<NodeId> = [first, second].into_iter().flatten().cloned().collect();
+        let chosen = registrars(key, nodes.iter()).into_iter().cloned().collect();
         let held = Self { inner: Arc::clone(inner), claim, registrars: chosen, is_kept: false };
-        let ask = |node: Option<&NodeId>| {
-            let node = node.cloned();
-            let claim = &held.claim;
-            async move {
-                match node {
-                    Some(node) => Some(ask(inner, table, claim, &node).await),
-                    None => None,
-                }
-            }
-        };
-        let (first, second) = futures::join!(ask(first), ask(second));
-        let answers: Vec<Option<ClaimAnswer>> = [first, second].into_iter().flatten().collect();
+        let answers = held.ask_all(table).await;
         let age = service.map_or(Micros::default(), |s| inner.clock.now().since(s.nodes_changed));
         let is_stable = age > Micros::from(CallKeys::RETENTION);
         match ClaimDecision::new(&answers, call.attempt > 1, is_stable) {
@@ -72,6 +66,28 @@
         }
     }
 
+    /// The answers of the registrars; `None` for those that gave none in time.
+    ///
+    /// Once the call may run by the answers that are in, the rest are waited for only
+    /// shortly, so that a frozen registrar does not delay every call.
+    async fn ask_all(&self, table: &CallTable) -> Vec<Option<ClaimAnswer>> {
+        let ask_one = |(i, node): (usize, &NodeId)| {
+            let node = node.clone();
+            async move { (i, ask(&self.inner, table, &self.claim, &node).await) }
+        };
+        let mut asked: FuturesUnordered<_> =
+            self.registrars.iter().enumerate().map(ask_one).collect();
+        let mut answers = vec![None; self.registrars.len()];
+        let mut until = Instant::now() + CLAIM_TIME;
+        while let Ok(Some((i, answer))) = timeout_at(until, asked.next()).await {
+            answers[i] = answer;
+            if ClaimDecision::new(&answers, false, true) == ClaimDecision::Run {
+                until = until.min(Instant::now() + LAST_ANSWER_TIME);
+            }
+        }
+        answers
+    }
+
     /// Keeps the claim: the call may have run from now on.
     pub(crate) fn keep(&mut self) {
         self.is_kept = true;
