Run property tests with a fixed seed

Change: a small crate with a checker and a macro that take the seed and the number of cases from ALMONDSAIL_SEED and ALMONDSAIL_CASES, with fixed defaults; a property still fails if fewer cases than asked for count.

--- a/crates/cli/tests/language.rs
+++ b/crates/cli/tests/language.rs
@@ -5,7 +5,8 @@
 use almondsail_core::ids::{ConfigVersion, ServiceName};
 use almondsail_core::operators::{Command, Moment, Query};
 use almondsail_core::units::{Millis, UnixMillis};
-use quickcheck::{Arbitrary, Gen, quickcheck};
+use almondsail_seeded::properties;
+use quickcheck::{Arbitrary, Gen};
 
 /// A statement of any variant, with names that are also words of the language.
 #[derive(Debug, Clone)]
@@ -102,7 +103,7 @@
     }
 }
 
-quickcheck! {
+properties! {
     /// Guards against a command that is sent as something else than what was shown.
     fn statement_round_trip(statement: AnyStatement) -> bool {
         statement.0.to_string().parse().as_ref() == Ok(&statement.0)
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -18,7 +18,7 @@
     Outcome, Revision, StoreError, StoreReply, StoreRequest, StoredConfig, StoredHour, Submission,
 };
 use almondsail_core::units::{Instant, UnixMillis};
-use quickcheck::{Gen, QuickCheck};
+use quickcheck::QuickCheck;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -28,14 +28,7 @@
 
 /// A quickcheck runner; `ALMONDSAIL_CASES` and `ALMONDSAIL_SEED` override the defaults.
 pub fn checker(cases: u64) -> QuickCheck {
-    let setting = |name, default| {
-        std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
-    };
-    let cases = setting("ALMONDSAIL_CASES", cases);
-    QuickCheck::new()
-        .rng(Gen::from_size_and_seed(12, setting("ALMONDSAIL_SEED", 7)))
-        .tests(cases)
-        .min_tests_passed(cases)
+    almondsail_seeded::checker(cases, 12)
 }
 
 pub fn name<T: std::str::FromStr>(text: &str) -> T {
--- a/crates/core/tests/round_trip.rs
+++ b/crates/core/tests/round_trip.rs
@@ -16,7 +16,7 @@
     ByteCount, CallsPerSecond, Instant, Micros, Millis, PerMille, UnixMillis,
 };
 use almondsail_core::{RefusalReason, RetryReason, Verdict};
-use quickcheck::quickcheck;
+use almondsail_seeded::properties;
 
 /// Whether `value` reads back as itself.
 fn returns<T>(value: T) -> bool
@@ -32,7 +32,7 @@
     text.parse::<T>().map_or(true, |value| value.to_string() == text)
 }
 
-quickcheck! {
+properties! {
     /// Guards against a number that is written in another form than it is read.
     fn display_numbers(n: u64) -> bool {
         returns(ConfigVersion::new(n))
--- a/crates/core/tests/traffic_balancer.rs
+++ b/crates/core/tests/traffic_balancer.rs
@@ -4,7 +4,7 @@
 use almondsail_core::peers::BackendState;
 use almondsail_core::traffic::{Balancer, Candidate, Endpoint, EndpointLoad, LoadReport};
 use almondsail_core::units::{Instant, Micros, Millis};
-use quickcheck::quickcheck;
+use almondsail_seeded::properties;
 use rand::SeedableRng as _;
 use rand::rngs::SmallRng;
 
@@ -53,7 +53,7 @@
     shares
 }
 
-quickcheck! {
+properties! {
     /// Guards against more endpoints set aside than the stated share, an endpoint that was
     /// tried already, and no choice although an endpoint is left.
     fn choose_any_failures(failed: Vec<bool>, tried: Vec<u8>, seed: u64) -> bool {
--- a/crates/core/tests/traffic_door.rs
+++ b/crates/core/tests/traffic_door.rs
@@ -6,7 +6,8 @@
 use almondsail_core::config::Priority;
 use almondsail_core::traffic::{Admission, Deadline, Door, DoorLimits, Ticket, Wakeup};
 use almondsail_core::units::{Instant, Micros, Millis};
-use quickcheck::{Arbitrary, Gen, quickcheck};
+use almondsail_seeded::properties;
+use quickcheck::{Arbitrary, Gen};
 
 #[derive(Debug, Clone, Copy)]
 enum Op {
@@ -144,7 +145,7 @@
     }
 }
 
-quickcheck! {
+properties! {
     /// Guards against more running calls than slots or connections, counts that drift, work
     /// at a closed door, and background calls that go first.
     fn door_any_sequence(slots: u8, connections: u8, ops: Vec<Op>) -> bool {
--- a/crates/core/tests/traffic_keys.rs
+++ b/crates/core/tests/traffic_keys.rs
@@ -8,7 +8,8 @@
     handover, registrars,
 };
 use almondsail_core::units::{ByteCount, Instant, Millis};
-use quickcheck::{TestResult, quickcheck};
+use almondsail_seeded::properties;
+use quickcheck::TestResult;
 
 fn key(n: impl std::fmt::Display) -> CallKey {
     format!("key-{n}").parse().expect("a key")
@@ -22,7 +23,7 @@
     "bays".parse().expect("a name")
 }
 
-quickcheck! {
+properties! {
     /// Guards against two calls that hold one key at the same time, and a release by a call
     /// that does not hold it.
     fn claim_any_sequence(ops: Vec<(bool, u8, u8, u8, u16)>) -> bool {
@@ -151,7 +152,7 @@
     }
 }
 
-quickcheck! {
+properties! {
     /// Guards against a key that is forgotten when its registrars restart one after the other.
     fn handover_any_restarts(n: u8, ops: Vec<(u8, u8, bool, u8)>) -> bool {
         let mut mesh = Restarts::new(3 + n % 4);
--- a/crates/core/tests/traffic_retry.rs
+++ b/crates/core/tests/traffic_retry.rs
@@ -6,9 +6,9 @@
 };
 use almondsail_core::units::{ByteCount, Instant, Micros, Millis};
 use almondsail_core::{RefusalReason, Verdict};
-use quickcheck::quickcheck;
+use almondsail_seeded::properties;
 
-quickcheck! {
+properties! {
     /// Guards against retries that multiply the load: more than a tenth of the calls and ten a second.
     fn budget_any_sequence(steps: Vec<(u8, u16)>) -> bool {
         let mut now = Instant::new(5);
--- a/crates/node/tests/peer_frames.rs
+++ b/crates/node/tests/peer_frames.rs
@@ -4,8 +4,8 @@
 use almondsail_core::ids::ConfigVersion;
 use almondsail_node::peer_link::{Direction, FrameSeal, OpenError};
 use almondsail_node::settings::InstallationKey;
+use almondsail_seeded::properties;
 use almondsail_wire::peer::SealedFrame;
-use quickcheck::quickcheck;
 
 fn seal(byte: u8) -> FrameSeal {
     FrameSeal::new(InstallationKey::new(&[byte; InstallationKey::MIN_BYTES]).unwrap())
@@ -50,7 +50,7 @@
     }
 }
 
-quickcheck! {
+properties! {
     /// Guards against a panic, or acceptance, on bytes from the network.
     fn open_any_bytes(body: Vec<u8>, tag: Vec<u8>) -> bool {
         seal(1).open(Direction::Request, &SealedFrame { body, tag }).is_err()
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -3,8 +3,8 @@
 use almondsail_core::config::{Change, Config, ConfigContent, HistoryEntry, ServerVersion};
 use almondsail_core::ids::{ConfigVersion, WriteId};
 use almondsail_core::units::UnixMillis;
+use almondsail_seeded::properties;
 use almondsail_wire::{decode_config, decode_message, encode_config};
-use quickcheck::quickcheck;
 
 fn sample() -> Config {
     let now = UnixMillis::new(1_000);
@@ -58,7 +58,7 @@
     }
 }
 
-quickcheck! {
+properties! {
     /// Guards against a panic on bytes from the network.
     fn decode_message_any_bytes(bytes: Vec<u8>) -> bool {
         let _ = decode_message(&bytes);
