Let any node register keys where a service has few doors

Change: the registrars of a key are the three nodes that rank first among the service's doors; where there are fewer, other nodes fill up. A marked repeat needs the filling nodes to be stable, too. Conclusion: the loss of one node stops no calls with a key as long as the installation has three nodes.

--- a/crates/core/src/traffic/registrars.rs
+++ b/crates/core/src/traffic/registrars.rs
@@ -9,10 +9,28 @@
 /// between them.
 pub const REGISTRARS: usize = 3;
 
-/// The nodes among `nodes` that rank first for `key` by rendezvous hash, at most [`REGISTRARS`].
+/// The nodes that rank first for `key` by rendezvous hash, at most [`REGISTRARS`].
 ///
-/// When one of them is lost, the others still rank among the first.
-pub fn registrars<'a>(key: &CallKey, nodes: impl Iterator<Item = &'a NodeId>) -> Vec<&'a NodeId> {
+/// The nodes with a door of the service, `doors`, go before all others: the set of a
+/// service's doors changes less often than that of all nodes. The others fill up where a
+/// service has few doors, so that the loss of one does not stop its calls with a key.
+pub fn registrars<'a>(
+    key: &CallKey,
+    doors: impl Iterator<Item = &'a NodeId>,
+    all: impl Iterator<Item = &'a NodeId>,
+) -> Vec<&'a NodeId> {
+    let mut chosen = first_ranked(key, doors);
+    if chosen.len() < REGISTRARS {
+        let missing = REGISTRARS - chosen.len();
+        let others = all.filter(|node| !chosen.contains(node));
+        let mut others = first_ranked(key, others);
+        others.truncate(missing);
+        chosen.append(&mut others);
+    }
+    chosen
+}
+
+fn first_ranked<'a>(key: &CallKey, nodes: impl Iterator<Item = &'a NodeId>) -> Vec<&'a NodeId> {
     let mut ranked: Vec<(Digest, &NodeId)> = nodes.map(|node| (rank(key, node), node)).collect();
     ranked.sort_unstable_by(|a, b| b.cmp(a));
     ranked.into_iter().take(REGISTRARS).map(|(_, node)| node).collect()
--- a/crates/core/src/traffic/snapshot.rs
+++ b/crates/core/src/traffic/snapshot.rs
@@ -1,6 +1,7 @@
 //! The state that traffic threads read.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use crate::config::{Config, ConfigContent, Rollout, RolloutPhase, Route, StopMark};
@@ -25,6 +26,8 @@
     splits: BTreeMap<RouteName, TrafficSplit>,
     /// The services and their endpoints. The service of each route is among them.
     services: BTreeMap<ServiceName, ServiceView>,
+    /// Every node that takes calls, with the address of its door.
+    pub doors: BTreeMap<NodeId, SocketAddr>,
     /// Every stop mark known, from the configuration and from peers.
     pub stops: BTreeSet<StopMark>,
     /// The backend server beside this node, while one is announced.
@@ -54,6 +57,7 @@
 impl Snapshot {
     /// The snapshot for `input` and every known node, this one included.
     pub fn build<'a>(input: SnapshotInput<'a>, peers: impl Iterator<Item = &'a Peer>) -> Self {
+        let peers: Vec<&Peer> = peers.filter(|peer| peer.status.takes_calls()).collect();
         let empty = ConfigContent::default();
         let content = input.config.map_or(&empty, |cfg| &cfg.content);
         let stops: BTreeSet<StopMark> = input.stops.union(&content.stops).cloned().collect();
@@ -64,7 +68,8 @@
             config: input.config.cloned(),
             routes: sorted_routes(content),
             splits: splits(content, &stops),
-            services: service_views(content, peers),
+            services: service_views(content, &peers),
+            doors: peers.iter().map(|peer| (peer.id.clone(), peer.door_addr)).collect(),
             stops,
             local_backend: input.own.backend.clone(),
             leaving: input.own.status == PeerStatus::Leaving,
@@ -137,13 +142,10 @@
     }
 }
 
-fn service_views<'a>(
-    content: &ConfigContent,
-    peers: impl Iterator<Item = &'a Peer>,
-) -> BTreeMap<ServiceName, ServiceView> {
+fn service_views(content: &ConfigContent, peers: &[&Peer]) -> BTreeMap<ServiceName, ServiceView> {
     let mut endpoints: BTreeMap<&ServiceName, BTreeMap<VersionName, Vec<Endpoint>>> =
         BTreeMap::new();
-    for peer in peers.filter(|peer| peer.status.takes_calls()) {
+    for peer in peers {
         let Some(backend) = &peer.backend else { continue };
         if backend.state == BackendState::Draining {
             continue;
--- a/crates/core/tests/traffic_keys.rs
+++ b/crates/core/tests/traffic_keys.rs
@@ -65,9 +65,10 @@
         if nodes.len() < REGISTRARS {
             return TestResult::discard();
         }
-        let before = registrars(&key(k), nodes.iter());
+        let before = registrars(&key(k), nodes.iter(), nodes.iter());
         let gone = before[lost % before.len()];
-        let after = registrars(&key(k), nodes.iter().filter(|node| *node != gone));
+        let left = nodes.iter().filter(|node| *node != gone);
+        let after = registrars(&key(k), left.clone(), left);
         let mut known = before.iter().filter(|node| **node != gone);
         let is_kept = known.all(|node| after.contains(node));
         let distinct: BTreeSet<_> = before.iter().collect();
@@ -121,7 +122,7 @@
     fn claim(&mut self, k: u8, call: u128, has_heard: bool) -> ClaimDecision {
         let doors = self.doors(has_heard);
         let mut answers = Vec::new();
-        for registrar in registrars(&key(k), doors.iter()) {
+        for registrar in registrars(&key(k), doors.iter(), doors.iter()) {
             let keys = self.nodes.get_mut(registrar).expect("a node");
             let id = CallId::new(call);
             answers.push(Some(keys.claim(self.now, &service(), &key(k), id, &node(0))));
@@ -135,7 +136,7 @@
         let doors = self.doors(true);
         let keys = self.nodes.get_mut(&own).expect("a node");
         let (claims, next) = keys.claims_from(self.now, number, Self::BATCH);
-        for (to, part) in handover(&own, &claims, |_| Some(&doors)) {
+        for (to, part) in handover(&own, &claims, |_| Some(&doors), doors.iter()) {
             let keys = self.nodes.get_mut(&to).expect("a node");
             part.into_iter().for_each(|claim| keys.take_over(self.now, claim));
         }
--- a/crates/node/src/call_table.rs
+++ b/crates/node/src/call_table.rs
@@ -1,12 +1,13 @@
 //! The snapshot with the state that outlives it.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
 use std::sync::Arc;
 
-use almondsail_core::ids::{ConfigVersion, NodeId, RouteName, ServiceName, VersionName};
+use almondsail_core::ids::{CallKey, ConfigVersion, NodeId, RouteName, ServiceName, VersionName};
 use almondsail_core::peers::BackendState;
-use almondsail_core::traffic::{Endpoint, EndpointLoad, Snapshot};
-use almondsail_core::units::Instant;
+use almondsail_core::traffic::{Endpoint, EndpointLoad, REGISTRARS, Snapshot, registrars};
+use almondsail_core::units::{Instant, Micros};
 
 use crate::call_counters::{CallCell, CallCounters, CountKey, CountedAt};
 use crate::exchange_pool::{ExchangePool, PoolLimits};
@@ -15,6 +16,10 @@
 #[derive(Debug)]
 pub(crate) struct CallTable {
     pub(crate) snapshot: Arc<Snapshot>,
+    /// The connections to the door of each node of the snapshot.
+    pub(crate) doors: HashMap<NodeId, Arc<ExchangePool>>,
+    /// When the set of nodes in `doors` last changed.
+    pub(crate) doors_changed: Instant,
     /// The services of the snapshot.
     pub(crate) services: HashMap<ServiceName, ServiceTable>,
     /// The routes of the snapshot.
@@ -66,17 +71,20 @@
         counters: &CallCounters,
     ) -> Self {
         let routes = route_cells(&snapshot, counters);
+        let doors = door_pools(&snapshot, old, limits);
+        let is_same = |old: &&Self| old.snapshot.doors.keys().eq(snapshot.doors.keys());
+        let doors_changed = old.filter(is_same).map_or(now, |old| old.doors_changed);
         let services: BTreeSet<&ServiceName> =
             snapshot.config.iter().flat_map(|cfg| cfg.content.services.keys()).collect();
         let services = services
             .into_iter()
             .map(|name| {
                 let old = old.and_then(|table| table.services.get(name));
-                (name.clone(), ServiceTable::build(&snapshot, name, old, now, limits))
+                (name.clone(), ServiceTable::build(&snapshot, name, old, now, &doors))
             })
             .collect();
         let unknown = counters.cell(CountKey { at: CountedAt::Entry, route: None, version: None });
-        Self { snapshot, services, routes, unknown }
+        Self { snapshot, doors, doors_changed, services, routes, unknown }
     }
 
     /// The version of the configuration in force.
@@ -90,6 +98,24 @@
         versions.values().flatten().find(|target| target.endpoint.node == *node)
     }
 
+    /// The registrars of `key` for calls of `service`.
+    pub(crate) fn registrars(&self, service: &ServiceName, key: &CallKey) -> Vec<NodeId> {
+        let doors = self.services.get(service).map(|service| &service.nodes);
+        let all = self.snapshot.doors.keys();
+        registrars(key, doors.into_iter().flatten(), all).into_iter().cloned().collect()
+    }
+
+    /// For how long the nodes among which registrars of `service` rank have been the same.
+    pub(crate) fn stable_time(&self, service: &ServiceName, now: Instant) -> Micros {
+        let Some(service) = self.services.get(service) else { return Micros::default() };
+        let doors_time = now.since(service.nodes_changed);
+        if service.nodes.len() < REGISTRARS {
+            doors_time.min(now.since(self.doors_changed))
+        } else {
+            doors_time
+        }
+    }
+
     /// The counters of `version` on `route`.
     pub(crate) fn cells(&self, route: &RouteName, version: &VersionName) -> Option<&VersionCells> {
         self.routes.get(route)?.versions.get(version)
@@ -102,12 +128,14 @@
         name: &ServiceName,
         old: Option<&Self>,
         now: Instant,
-        limits: PoolLimits,
+        doors: &HashMap<NodeId, Arc<ExchangePool>>,
     ) -> Self {
         let mut versions: BTreeMap<VersionName, Vec<Target>> = BTreeMap::new();
         let endpoints = snapshot.service(name).map(|view| &view.endpoints);
         for endpoint in endpoints.into_iter().flatten().flat_map(|(_, list)| list.iter()) {
-            let target = Target::build(endpoint, old, now, limits);
+            // Each endpoint's node takes calls, so its door is among all doors.
+            let Some(pool) = doors.get(&endpoint.node) else { continue };
+            let target = Target::build(endpoint, old, now, pool);
             versions.entry(endpoint.version.clone()).or_default().push(target);
         }
         let nodes: BTreeSet<NodeId> =
@@ -123,29 +151,41 @@
         endpoint: &Endpoint,
         old: Option<&ServiceTable>,
         now: Instant,
-        limits: PoolLimits,
+        pool: &Arc<ExchangePool>,
     ) -> Self {
         let old = old
             .and_then(|old| old.versions.get(&endpoint.version))
             .and_then(|list| list.iter().find(|target| target.endpoint.node == endpoint.node));
         let endpoint = endpoint.clone();
         let Some(old) = old else {
-            let pool = Arc::new(ExchangePool::new(endpoint.door_addr, limits));
-            return Self { endpoint, load: Arc::new(EndpointLoad::new(now)), pool };
+            let (load, pool) = (Arc::new(EndpointLoad::new(now)), Arc::clone(pool));
+            return Self { endpoint, load, pool };
         };
         if endpoint.state == BackendState::Starting && old.endpoint.state != BackendState::Starting
         {
             old.load.warm_from(now);
         }
-        let pool = if old.endpoint.door_addr == endpoint.door_addr {
-            Arc::clone(&old.pool)
-        } else {
-            Arc::new(ExchangePool::new(endpoint.door_addr, limits))
-        };
-        Self { endpoint, load: Arc::clone(&old.load), pool }
+        Self { endpoint, load: Arc::clone(&old.load), pool: Arc::clone(pool) }
     }
 }
 
+/// The connections to every door; those to doors that stay are kept.
+fn door_pools(
+    snapshot: &Snapshot,
+    old: Option<&CallTable>,
+    limits: PoolLimits,
+) -> HashMap<NodeId, Arc<ExchangePool>> {
+    let kept = |node: &NodeId, addr: &SocketAddr| {
+        let old = old.filter(|old| old.snapshot.doors.get(node) == Some(addr))?;
+        old.doors.get(node).cloned()
+    };
+    let new = |addr: &SocketAddr| Arc::new(ExchangePool::new(*addr, limits));
+    let pool = |(node, addr): (&NodeId, &SocketAddr)| {
+        (node.clone(), kept(node, addr).unwrap_or_else(|| new(addr)))
+    };
+    snapshot.doors.iter().map(pool).collect()
+}
+
 fn route_cells(snapshot: &Snapshot, counters: &CallCounters) -> HashMap<RouteName, RouteCells> {
     let Some(config) = &snapshot.config else { return HashMap::new() };
     let mut routes = HashMap::new();
--- a/crates/node/src/claim_handover.rs
+++ b/crates/node/src/claim_handover.rs
@@ -70,7 +70,8 @@
             return HandoverStep::All;
         }
         let doors = |service: &_| table.services.get(service).map(|service| &service.nodes);
-        let parts = handover(&table.snapshot.node, &claims, doors);
+        let all = table.snapshot.doors.keys();
+        let parts = handover(&table.snapshot.node, &claims, doors, all);
         let sent = parts.iter().map(|(to, part)| send(&self.inner, &table, to, part));
         let is_taken = futures::future::join_all(sent).await.into_iter().all(|taken| taken);
         self.tries += 1;
@@ -84,17 +85,17 @@
 
 /// Sends `claims` to node `to`; whether it took them.
 async fn send(inner: &Inner, table: &CallTable, to: &NodeId, claims: &[HandedClaim]) -> bool {
-    let target = claims.first().and_then(|claim| table.target(&claim.service, to));
-    let (Some(target), Ok(body)) = (target, handover_batch::encode(claims)) else { return false };
+    let (Some(pool), Ok(body)) = (table.doors.get(to), handover_batch::encode(claims)) else {
+        return false;
+    };
     let request = || handover_batch::to_request(&inner.token, to, body.clone());
-    let Ok((response, mut exchange)) = target.pool.send(request, Instant::now() + BATCH_TIME).await
-    else {
+    let Ok((response, mut exchange)) = pool.send(request, Instant::now() + BATCH_TIME).await else {
         return false;
     };
     let (parts, body) = response.into_parts();
     drop(body);
     if exchange.is_reusable() {
-        target.pool.put(exchange);
+        pool.put(exchange);
     }
     parts.status == StatusCode::OK
 }
--- a/crates/node/src/held_claim.rs
+++ b/crates/node/src/held_claim.rs
@@ -1,12 +1,11 @@
 //! The claim of a call at the registrars of its key.
 
-use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use almondsail_core::RefusalReason;
 use almondsail_core::ids::{CallKey, NodeId};
-use almondsail_core::traffic::{CallKeys, ClaimAnswer, ClaimDecision, registrars};
+use almondsail_core::traffic::{CallKeys, ClaimAnswer, ClaimDecision};
 use almondsail_core::units::Micros;
 use futures::StreamExt as _;
 use futures::stream::FuturesUnordered;
@@ -45,13 +44,10 @@
         let holder = table.snapshot.node.clone();
         let claim =
             Claim { service: call.service.clone(), key: key.clone(), call: call.id, holder };
-        let no_nodes = BTreeSet::new();
-        let service = table.services.get(&call.service);
-        let nodes = service.map_or(&no_nodes, |service| &service.nodes);
-        let chosen = registrars(key, nodes.iter()).into_iter().cloned().collect();
+        let chosen = table.registrars(&call.service, key);
         let held = Self { inner: Arc::clone(inner), claim, registrars: chosen, is_kept: false };
         let answers = held.ask_all(table).await;
-        let age = service.map_or(Micros::default(), |s| inner.clock.now().since(s.nodes_changed));
+        let age = table.stable_time(&call.service, inner.clock.now());
         let is_stable = age > Micros::from(CallKeys::RETENTION);
         match ClaimDecision::new(&answers, call.attempt > 1, is_stable) {
             ClaimDecision::Run => Ok(held),
@@ -152,7 +148,7 @@
     node: &NodeId,
     message: DoorRequest,
 ) -> Option<HeaderMap> {
-    let pool = &table.target(&claim.service, node)?.pool;
+    let pool = table.doors.get(node)?;
     let until = tokio::time::Instant::now() + CLAIM_TIME;
     let (response, mut exchange) =
         pool.send(|| claim.to_request(inner, message), until).await.ok()?;
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -102,8 +102,8 @@
     pub(crate) fn tidy(&self) {
         self.backend_pool.close_old();
         let table = self.table();
-        for target in table.services.values().flat_map(|s| s.versions.values()).flatten() {
-            target.pool.close_old();
+        for pool in table.doors.values() {
+            pool.close_old();
         }
     }
 
