Share the registry of counters without a lock

Change: the map of counters is replaced as a whole through arc-swap; a counter in use is never dropped. Conclusion: control and traffic share no lock.

--- a/crates/node/src/call_counters/reader.rs
+++ b/crates/node/src/call_counters/reader.rs
@@ -20,15 +20,17 @@
 
     /// The number of cells.
     pub fn cells(&self) -> usize {
-        self.counters.lock().len()
+        self.counters.cells().len()
     }
 
     /// The counts since the last call, without the cells that have not changed.
     ///
-    /// A cell that no configuration in force and no call uses any more is dropped.
+    /// A cell that no configuration in force and no call uses any more is dropped. If its
+    /// version comes back in the same moment, its calls are not counted until the next
+    /// snapshot is published.
     pub fn drain(&mut self) -> Vec<(CountKey, CallCounts)> {
-        let mut changed = Vec::new();
-        self.counters.lock().retain(|key, cell| {
+        let (mut changed, mut unused) = (Vec::new(), Vec::new());
+        for (key, cell) in self.counters.cells().iter() {
             let is_used = Arc::strong_count(cell) > 1;
             let counts = cell.read();
             let last = self.last.entry(key.clone()).or_insert(CallCounts::ZERO);
@@ -38,9 +40,10 @@
             }
             if !is_used {
                 self.last.remove(key);
+                unused.push(key.clone());
             }
-            is_used
-        });
+        }
+        self.counters.remove(&unused);
         changed
     }
 }
--- a/crates/node/src/call_counters/registry.rs
+++ b/crates/node/src/call_counters/registry.rs
@@ -1,9 +1,10 @@
 //! Every cell of counters of the node.
 
 use std::collections::BTreeMap;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 
 use almondsail_core::{RefusalReason, RetryReason};
+use arc_swap::ArcSwap;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{AsyncInstrument, Meter};
 
@@ -12,16 +13,51 @@
 /// The label of calls that match no route.
 const UNKNOWN: &str = "unknown";
 
-/// Every cell of the node. Locked only to add, drain and export cells, never by a call.
+/// The cells by what they count.
+pub(super) type Cells = BTreeMap<CountKey, Arc<CallCell>>;
+
+/// Every cell of the node.
+///
+/// The map is replaced as a whole when cells are added or dropped, so that traffic and
+/// control threads never wait for each other.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct CallCounters {
-    cells: Arc<Mutex<BTreeMap<CountKey, Arc<CallCell>>>>,
+    cells: Arc<ArcSwap<Cells>>,
 }
 
 impl CallCounters {
     /// The cell for `key`, created if there is none.
     pub(crate) fn cell(&self, key: CountKey) -> Arc<CallCell> {
-        Arc::clone(self.lock().entry(key).or_insert_with(|| Arc::new(CallCell::new())))
+        loop {
+            let known = self.cells.load().get(&key).cloned();
+            let cell = known.unwrap_or_else(|| Arc::new(CallCell::new()));
+            // From here the cell is in use, so a reader that drops unused ones keeps it.
+            if self.cells.load().get(&key).is_some_and(|held| Arc::ptr_eq(held, &cell)) {
+                return cell;
+            }
+            self.cells.rcu(|cells| {
+                let mut cells = Cells::clone(cells);
+                cells.entry(key.clone()).or_insert_with(|| Arc::clone(&cell));
+                cells
+            });
+        }
+    }
+
+    /// Every cell as of now.
+    pub(super) fn cells(&self) -> Arc<Cells> {
+        self.cells.load_full()
+    }
+
+    /// Drops the cells of `keys`.
+    pub(super) fn remove(&self, keys: &[CountKey]) {
+        if keys.is_empty() {
+            return;
+        }
+        self.cells.rcu(|cells| {
+            let mut cells = Cells::clone(cells);
+            keys.iter().for_each(|key| drop(cells.remove(key)));
+            cells
+        });
     }
 
     /// Exports the counters through `meter`.
@@ -50,7 +86,7 @@
     ) {
         let counters = self.clone();
         let observe = move |observer: &dyn AsyncInstrument<u64>| {
-            for (key, cell) in counters.lock().iter() {
+            for (key, cell) in counters.cells().iter() {
                 let mut add = |reason: &'static str, n: u64| {
                     if n > 0 {
                         observer.observe(n, &labels(key, reason));
@@ -61,10 +97,6 @@
         };
         let _ = meter.u64_observable_counter(name).with_callback(observe).build();
     }
-
-    pub(super) fn lock(&self) -> MutexGuard<'_, BTreeMap<CountKey, Arc<CallCell>>> {
-        self.cells.lock().unwrap_or_else(PoisonError::into_inner)
-    }
 }
 
 fn labels(key: &CountKey, reason: &'static str) -> Vec<KeyValue> {
