Group the node's modules by the path of calls, control and operators

Cause: sixty files stood side by side in one folder, three kinds mixed. Change: folders calls, control and operators; no code changed but paths. Conclusion: a newcomer sees what belongs to a call.

--- a/crates/cli/tests/tool.rs
+++ b/crates/cli/tests/tool.rs
@@ -9,7 +9,7 @@
 use std::sync::{Arc, LazyLock, Mutex};
 
 use almondsail_core::ids::ConfigVersion;
-use almondsail_node::control_request::ControlRequest;
+use almondsail_node::control::control_request::ControlRequest;
 use operators_support::{FakeControl, Port, TOKEN, serve};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
--- a/crates/node/src/answer_body.rs
+++ b/crates/node/src/calls/answer_body.rs
@@ -12,10 +12,10 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use tokio::time::Sleep;
 
-use crate::answer_stream::{AnswerStream, StreamError};
-use crate::answer_watcher::{AnswerEnd, AnswerWatcher};
-use crate::exchange::Exchange;
-use crate::exchange_pool::ExchangePool;
+use crate::calls::answer_stream::{AnswerStream, StreamError};
+use crate::calls::answer_watcher::{AnswerEnd, AnswerWatcher};
+use crate::calls::exchange::Exchange;
+use crate::calls::exchange_pool::ExchangePool;
 
 /// An answer of a backend server.
 pub(crate) type Answer = Response<AnswerBody>;
--- a/crates/node/src/answer_recorder.rs
+++ b/crates/node/src/calls/answer_recorder.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
 
-use crate::claims::Claims;
+use crate::calls::claims::Claims;
 
 /// An answer that was given to a call with an idempotency key.
 #[derive(Debug, Clone)]
@@ -49,7 +49,7 @@
 
     pub(crate) fn complete(self) {
         let Some(body) = self.body else { return };
-        let size = body.len() + crate::call_headers::size(&self.answer.headers);
+        let size = body.len() + crate::calls::call_headers::size(&self.answer.headers);
         let answer = RecordedAnswer { body: body.into(), ..self.answer };
         self.claims.record(self.key, ByteCount::new(size as u64), answer);
     }
--- a/crates/node/src/answer_stream.rs
+++ b/crates/node/src/calls/answer_stream.rs
@@ -10,9 +10,9 @@
 use hyper::body::{Body as _, Incoming};
 use tokio::time::Sleep;
 
-use crate::answer_watcher::AnswerEnd;
-use crate::exchange::{AfterAnswer, Exchange};
-use crate::exchange_pool::ExchangePool;
+use crate::calls::answer_watcher::AnswerEnd;
+use crate::calls::exchange::{AfterAnswer, Exchange};
+use crate::calls::exchange_pool::ExchangePool;
 
 /// The body of an answer as it arrives over an exchange.
 #[derive(Debug)]
--- a/crates/node/src/answer_watcher.rs
+++ b/crates/node/src/calls/answer_watcher.rs
@@ -3,10 +3,10 @@
 use bytes::Bytes;
 use http::StatusCode;
 
-use crate::answer_recorder::AnswerRecorder;
-use crate::call_timer::CallTimer;
-use crate::in_flight::InFlight;
-use crate::slot::{Slot, SlotEnd};
+use crate::calls::answer_recorder::AnswerRecorder;
+use crate::calls::call_timer::CallTimer;
+use crate::calls::in_flight::InFlight;
+use crate::calls::slot::{Slot, SlotEnd};
 
 /// How the body of an answer ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/node/src/call_handler.rs
+++ b/crates/node/src/calls/call_handler.rs
@@ -11,13 +11,13 @@
 use http::Response;
 use http_body_util::{BodyExt as _, Full};
 
-use crate::answer_body::Answer;
-use crate::call_headers as names;
-use crate::call_table::CallTable;
-use crate::caller_request::CallerRequest;
-use crate::failure::Failure;
-use crate::forward::forward;
-use crate::traffic::Inner;
+use crate::calls::answer_body::Answer;
+use crate::calls::call_headers as names;
+use crate::calls::call_table::CallTable;
+use crate::calls::caller_request::CallerRequest;
+use crate::calls::failure::Failure;
+use crate::calls::forward::forward;
+use crate::calls::traffic::Inner;
 
 /// The one handler, which takes every path.
 #[derive(Debug, Clone)]
--- a/crates/node/src/call_table.rs
+++ b/crates/node/src/calls/call_table.rs
@@ -9,8 +9,8 @@
 use almondsail_core::traffic::{Endpoint, EndpointLoad, REGISTRARS, Snapshot, registrars};
 use almondsail_core::units::{Instant, Micros};
 
-use crate::call_counters::{CallCell, CallCounters, CountKey, CountedAt};
-use crate::exchange_pool::{ExchangePool, PoolLimits};
+use crate::calls::call_counters::{CallCell, CallCounters, CountKey, CountedAt};
+use crate::calls::exchange_pool::{ExchangePool, PoolLimits};
 
 /// What a call reads: a snapshot, and the loads, connections and counters for it.
 #[derive(Debug)]
--- a/crates/node/src/call_timer.rs
+++ b/crates/node/src/calls/call_timer.rs
@@ -6,8 +6,8 @@
 use almondsail_core::units::Instant;
 use http::StatusCode;
 
-use crate::answer_watcher::AnswerEnd;
-use crate::call_counters::CallCell;
+use crate::calls::answer_watcher::AnswerEnd;
+use crate::calls::call_counters::CallCell;
 use crate::clock::Clock;
 
 /// Counts the end of a call in one cell.
--- a/crates/node/src/caller_marks.rs
+++ b/crates/node/src/calls/caller_marks.rs
@@ -4,7 +4,7 @@
 use almondsail_core::units::Millis;
 use http::HeaderMap;
 
-use crate::call_headers as names;
+use crate::calls::call_headers as names;
 
 /// What a caller states about a call in its headers.
 pub(crate) struct CallerMarks {
--- a/crates/node/src/caller_request.rs
+++ b/crates/node/src/calls/caller_request.rs
@@ -9,14 +9,14 @@
 use http::{HeaderMap, Method, Uri, Version};
 use rand::Rng as _;
 
-use crate::body::HeldBody;
-use crate::call_headers as names;
-use crate::call_table::CallTable;
-use crate::caller_marks::CallerMarks;
-use crate::callers::MAX_HEADER;
+use crate::calls::body::HeldBody;
+use crate::calls::call_headers as names;
+use crate::calls::call_table::CallTable;
+use crate::calls::caller_marks::CallerMarks;
+use crate::calls::callers::MAX_HEADER;
+use crate::calls::door_request::{DoorCall, clean};
+use crate::calls::traffic::Inner;
 use crate::clock::duration;
-use crate::door_request::{DoorCall, clean};
-use crate::traffic::Inner;
 
 /// A request as a caller sent it.
 pub(crate) struct CallerRequest {
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/calls/callers.rs
@@ -8,9 +8,9 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
-use crate::call_handler::CallHandler;
-use crate::server::serve;
-use crate::traffic::Traffic;
+use crate::calls::call_handler::CallHandler;
+use crate::calls::server::serve;
+use crate::calls::traffic::Traffic;
 
 /// Number of bytes that a request's header may have.
 pub const MAX_HEADER: usize = 64 * 1024;
--- a/crates/node/src/claim.rs
+++ b/crates/node/src/calls/claim.rs
@@ -6,9 +6,9 @@
 use http::{HeaderMap, Method, Request};
 use http_body_util::Full;
 
-use crate::call_headers as names;
-use crate::door_request::{DoorRequest, required};
-use crate::traffic::Inner;
+use crate::calls::call_headers as names;
+use crate::calls::door_request::{DoorRequest, required};
+use crate::calls::traffic::Inner;
 
 /// The claim of a key by a call that is about to run.
 #[derive(Debug, Clone)]
--- a/crates/node/src/claim_handover.rs
+++ b/crates/node/src/calls/claim_handover.rs
@@ -8,10 +8,10 @@
 use http::StatusCode;
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
 
-use crate::call_table::CallTable;
-use crate::handover_batch::{self, MAX_BATCH};
-use crate::handover_step::HandoverStep;
-use crate::traffic::Inner;
+use crate::calls::call_table::CallTable;
+use crate::calls::handover_batch::{self, MAX_BATCH};
+use crate::calls::handover_step::HandoverStep;
+use crate::calls::traffic::Inner;
 
 /// How often a leaving node looks for claims to hand over.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
--- a/crates/node/src/claims.rs
+++ b/crates/node/src/calls/claims.rs
@@ -8,11 +8,11 @@
 use bytes::Bytes;
 use http::{HeaderMap, Response, StatusCode};
 
-use crate::answer_recorder::RecordedAnswer;
-use crate::call_headers as names;
-use crate::claim::Claim;
+use crate::calls::answer_recorder::RecordedAnswer;
+use crate::calls::call_headers as names;
+use crate::calls::claim::Claim;
+use crate::calls::door_request::DoorRequest;
 use crate::clock::Clock;
-use crate::door_request::DoorRequest;
 
 /// The keys that this node registers, and the answers that its door recorded.
 #[derive(Debug)]
--- a/crates/node/src/door.rs
+++ b/crates/node/src/calls/door.rs
@@ -10,19 +10,19 @@
 use http::{HeaderMap, Response};
 use hyper::body::{Body as _, Incoming};
 
-use crate::answer_body::{Answer, AnswerBody};
-use crate::answer_recorder::{AnswerRecorder, RecordedAnswer};
-use crate::answer_watcher::AnswerWatcher;
-use crate::call_counters::CancelCount;
-use crate::call_headers as names;
-use crate::call_table::CallTable;
-use crate::call_timer::CallTimer;
-use crate::door_request::DoorCall;
-use crate::exchange::{Exchange, ExchangeError};
-use crate::failure::Failure;
-use crate::held_claim::HeldClaim;
-use crate::slot::{Slot, SlotEnd};
-use crate::traffic::Inner;
+use crate::calls::answer_body::{Answer, AnswerBody};
+use crate::calls::answer_recorder::{AnswerRecorder, RecordedAnswer};
+use crate::calls::answer_watcher::AnswerWatcher;
+use crate::calls::call_counters::CancelCount;
+use crate::calls::call_headers as names;
+use crate::calls::call_table::CallTable;
+use crate::calls::call_timer::CallTimer;
+use crate::calls::door_request::DoorCall;
+use crate::calls::exchange::{Exchange, ExchangeError};
+use crate::calls::failure::Failure;
+use crate::calls::held_claim::HeldClaim;
+use crate::calls::slot::{Slot, SlotEnd};
+use crate::calls::traffic::Inner;
 
 /// Runs `call`, or gives the recorded answer if the call asks only for that.
 pub(crate) async fn run(inner: &Arc<Inner>, call: DoorCall) -> Result<Answer, Failure> {
--- a/crates/node/src/door_request.rs
+++ b/crates/node/src/calls/door_request.rs
@@ -8,8 +8,8 @@
 use http::{HeaderMap, Method, Request, Uri};
 use http_body_util::Full;
 
-use crate::call_headers::{self as names, BadHeader};
-use crate::peer_token::PeerToken;
+use crate::calls::call_headers::{self as names, BadHeader};
+use crate::calls::peer_token::PeerToken;
 
 /// A call that an entry node sends to a door.
 #[derive(Debug, Clone)]
--- a/crates/node/src/door_server.rs
+++ b/crates/node/src/calls/door_server.rs
@@ -9,16 +9,16 @@
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
 
-use crate::body::HeldBody;
-use crate::call_handler::full;
-use crate::call_headers as names;
-use crate::claim_handover::ClaimHandover;
+use crate::calls::body::HeldBody;
+use crate::calls::call_handler::full;
+use crate::calls::call_headers as names;
+use crate::calls::claim_handover::ClaimHandover;
+use crate::calls::door;
+use crate::calls::door_request::{DoorCall, DoorRequest, required};
+use crate::calls::failure::Failure;
+use crate::calls::handover_batch;
+use crate::calls::traffic::{Inner, Traffic};
 use crate::clock::duration;
-use crate::door;
-use crate::door_request::{DoorCall, DoorRequest, required};
-use crate::failure::Failure;
-use crate::handover_batch;
-use crate::traffic::{Inner, Traffic};
 
 /// Takes calls of other nodes on `listener` until `stop` becomes true, then waits for
 /// those in flight. While the node is leaving, its claims are handed over.
@@ -29,7 +29,7 @@
 ) {
     let inner = Arc::clone(&traffic.inner);
     let mut handover = ClaimHandover::new(Arc::clone(&inner));
-    let serve = crate::server::serve(listener, &traffic.inner, stop, move |request, _| {
+    let serve = crate::calls::server::serve(listener, &traffic.inner, stop, move |request, _| {
         let inner = Arc::clone(&inner);
         async move { Ok::<_, std::convert::Infallible>(answer(&inner, request).await) }
     });
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/calls/exchange.rs
@@ -19,7 +19,7 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
-use crate::counted_stream::CountedStream;
+use crate::calls::counted_stream::CountedStream;
 
 /// The largest header of an answer.
 const MAX_ANSWER_HEADER: usize = 64 * 1024;
--- a/crates/node/src/exchange_pool.rs
+++ b/crates/node/src/calls/exchange_pool.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
-use crate::exchange::{Exchange, ExchangeError};
+use crate::calls::exchange::{Exchange, ExchangeError};
 
 /// The idle connections to one address, most recently used last.
 #[derive(Debug)]
--- a/crates/node/src/failure.rs
+++ b/crates/node/src/calls/failure.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::{HeaderValue, Response, StatusCode, header};
 
-use crate::call_headers;
+use crate::calls::call_headers;
 
 /// Why a call has no answer of a backend server, and whether it may have run.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/calls/forward.rs
@@ -10,18 +10,18 @@
 use almondsail_core::{RefusalReason, Verdict};
 use http::{HeaderMap, Response};
 
-use crate::answer_body::{Answer, AnswerBody};
-use crate::answer_watcher::AnswerWatcher;
-use crate::call_counters::CancelCount;
-use crate::call_headers as names;
-use crate::call_table::{CallTable, Target, VersionCells};
-use crate::call_timer::CallTimer;
-use crate::door;
-use crate::door_request::DoorCall;
-use crate::exchange::ExchangeError;
-use crate::failure::Failure;
-use crate::in_flight::InFlight;
-use crate::traffic::Inner;
+use crate::calls::answer_body::{Answer, AnswerBody};
+use crate::calls::answer_watcher::AnswerWatcher;
+use crate::calls::call_counters::CancelCount;
+use crate::calls::call_headers as names;
+use crate::calls::call_table::{CallTable, Target, VersionCells};
+use crate::calls::call_timer::CallTimer;
+use crate::calls::door;
+use crate::calls::door_request::DoorCall;
+use crate::calls::exchange::ExchangeError;
+use crate::calls::failure::Failure;
+use crate::calls::in_flight::InFlight;
+use crate::calls::traffic::Inner;
 
 /// Sends `call` to an endpoint, and to others as long as the retry policy allows it.
 pub(crate) async fn forward(
--- a/crates/node/src/handover_batch.rs
+++ b/crates/node/src/calls/handover_batch.rs
@@ -7,9 +7,9 @@
 use http::{Method, Request};
 use http_body_util::Full;
 
-use crate::call_headers::{self as names, BadHeader};
-use crate::door_request::DoorRequest;
-use crate::peer_token::PeerToken;
+use crate::calls::call_headers::{self as names, BadHeader};
+use crate::calls::door_request::DoorRequest;
+use crate::calls::peer_token::PeerToken;
 
 /// The largest number of claims in a batch. With keys of 128 bytes a batch takes about
 /// 100 KB, well below [`crate::MAX_BODY`].
--- a/crates/node/src/held_claim.rs
+++ b/crates/node/src/calls/held_claim.rs
@@ -12,12 +12,12 @@
 use http::{HeaderMap, StatusCode};
 use tokio::time::{Instant, timeout_at};
 
-use crate::call_headers as names;
-use crate::call_table::CallTable;
-use crate::claim::Claim;
-use crate::door_request::{DoorCall, DoorRequest, required};
-use crate::failure::Failure;
-use crate::traffic::Inner;
+use crate::calls::call_headers as names;
+use crate::calls::call_table::CallTable;
+use crate::calls::claim::Claim;
+use crate::calls::door_request::{DoorCall, DoorRequest, required};
+use crate::calls::failure::Failure;
+use crate::calls::traffic::Inner;
 
 /// How long a registrar may take to answer.
 const CLAIM_TIME: Duration = Duration::from_millis(500);
--- /dev/null
+++ b/crates/node/src/calls/mod.rs
@@ -0,0 +1,52 @@
+//! The path of a call: from the caller to the entry node, on to a door, and to the backend server.
+//!
+//! [`serve_callers`] takes calls and `forward` sends each to the door of an endpoint;
+//! [`serve_door`] takes them there and `door` runs them at the backend server. `exchange` and
+//! `exchange_pool` hold the connections in between, `claims` and `held_claim` the idempotency keys.
+
+mod answer_body;
+mod answer_recorder;
+mod answer_stream;
+mod answer_watcher;
+mod body;
+pub mod call_counters;
+mod call_handler;
+pub mod call_headers;
+mod call_table;
+mod call_timer;
+mod caller_marks;
+mod caller_request;
+mod callers;
+mod claim;
+mod claim_handover;
+mod claims;
+mod counted_stream;
+mod door;
+mod door_request;
+mod door_server;
+mod exchange;
+mod exchange_pool;
+mod failure;
+mod forward;
+mod handover_batch;
+mod handover_step;
+mod held_claim;
+mod in_flight;
+mod peer_token;
+mod server;
+mod slot;
+mod slot_wait;
+mod slots;
+mod stall_limit;
+mod traffic;
+mod traffic_builder;
+mod traffic_error;
+mod traffic_settings;
+
+pub use body::MAX_BODY;
+pub use callers::{MAX_HEADER, serve_callers};
+pub use door_server::serve_door;
+pub use traffic::Traffic;
+pub use traffic_builder::TrafficBuilder;
+pub use traffic_error::TrafficError;
+pub use traffic_settings::TrafficSettings;
--- a/crates/node/src/server.rs
+++ b/crates/node/src/calls/server.rs
@@ -15,10 +15,10 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
-use crate::callers::MAX_HEADER;
+use crate::calls::callers::MAX_HEADER;
+use crate::calls::stall_limit::StallLimit;
+use crate::calls::traffic::Inner;
 use crate::clock::duration;
-use crate::stall_limit::StallLimit;
-use crate::traffic::Inner;
 
 /// The largest number of connections that a server holds; further ones wait to be accepted.
 const MAX_CONNECTIONS: usize = 8_192;
--- a/crates/node/src/slot.rs
+++ b/crates/node/src/calls/slot.rs
@@ -5,7 +5,7 @@
 use almondsail_core::config::Priority;
 use almondsail_core::units::Instant;
 
-use crate::slots::Slots;
+use crate::calls::slots::Slots;
 
 /// A slot that a running call holds. It is free again after [`Slot::end`] or a drop.
 #[derive(Debug)]
--- a/crates/node/src/slot_wait.rs
+++ b/crates/node/src/calls/slot_wait.rs
@@ -7,7 +7,7 @@
 use almondsail_core::traffic::Ticket;
 use tokio::sync::oneshot;
 
-use crate::slots::Slots;
+use crate::calls::slots::Slots;
 
 /// A call that waits for a slot. Gives its place up, or the slot back, on drop.
 pub(crate) struct SlotWait<'a> {
--- a/crates/node/src/slots.rs
+++ b/crates/node/src/calls/slots.rs
@@ -11,9 +11,9 @@
 use almondsail_core::units::Instant;
 use tokio::sync::oneshot;
 
+use crate::calls::slot::{Slot, SlotEnd};
+use crate::calls::slot_wait::SlotWait;
 use crate::clock::Clock;
-use crate::slot::{Slot, SlotEnd};
-use crate::slot_wait::SlotWait;
 
 /// The slots of the backend server, shared by the calls that run and wait.
 ///
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/calls/traffic.rs
@@ -6,15 +6,15 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use opentelemetry::metrics::Meter;
 
-use crate::call_counters::{CallCounters, CallCountsReader};
-use crate::call_table::CallTable;
-use crate::claims::Claims;
+use crate::calls::call_counters::{CallCounters, CallCountsReader};
+use crate::calls::call_table::CallTable;
+use crate::calls::claims::Claims;
+use crate::calls::door;
+use crate::calls::exchange_pool::{ExchangePool, PoolLimits};
+use crate::calls::peer_token::PeerToken;
+use crate::calls::slots::Slots;
+use crate::calls::traffic_settings::TrafficSettings;
 use crate::clock::{Clock, duration};
-use crate::door;
-use crate::exchange_pool::{ExchangePool, PoolLimits};
-use crate::peer_token::PeerToken;
-use crate::slots::Slots;
-use crate::traffic_settings::TrafficSettings;
 
 /// The traffic side of a node: its state between calls.
 #[derive(Debug, Clone)]
--- a/crates/node/src/traffic_builder.rs
+++ b/crates/node/src/calls/traffic_builder.rs
@@ -6,10 +6,10 @@
 use arc_swap::ArcSwap;
 use opentelemetry::metrics::Meter;
 
-use crate::peer_token::PeerToken;
-use crate::traffic::Traffic;
-use crate::traffic_error::{MIN_KEY_BYTES, TrafficError};
-use crate::traffic_settings::TrafficSettings;
+use crate::calls::peer_token::PeerToken;
+use crate::calls::traffic::Traffic;
+use crate::calls::traffic_error::{MIN_KEY_BYTES, TrafficError};
+use crate::calls::traffic_settings::TrafficSettings;
 
 /// Builds a [`Traffic`].
 #[derive(Debug)]
--- a/crates/node/src/control_request.rs
+++ b/crates/node/src/control/control_request.rs
@@ -7,7 +7,7 @@
 use almondsail_core::store::{Outcome, Submission};
 use tokio::sync::oneshot;
 
-use crate::operator_error::OperatorError;
+use crate::operators::operator_error::OperatorError;
 
 /// A request of an operator to the control thread, with the place for its answer.
 ///
--- a/crates/node/src/control_thread.rs
+++ b/crates/node/src/control/control_thread.rs
@@ -20,19 +20,19 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::MissedTickBehavior;
 
-use crate::call_counters::CallCountsReader;
+use crate::calls::call_counters::CallCountsReader;
 use crate::clock::Clock;
-use crate::control_input::ControlInput;
-use crate::control_request::ControlRequest;
-use crate::cost_meter::CostMeter;
-use crate::counted_calls;
-use crate::ended_calls;
-use crate::operator_error::OperatorError;
+use crate::control::control_input::ControlInput;
+use crate::control::control_request::ControlRequest;
+use crate::control::cost_meter::CostMeter;
+use crate::control::counted_calls;
+use crate::control::ended_calls;
+use crate::control::report_reader;
+use crate::control::state_log::StateLog;
+use crate::control::version_survey;
+use crate::operators::operator_error::OperatorError;
 use crate::peer_link::{ClientPool, IncomingRequest};
-use crate::report_reader;
-use crate::state_log::StateLog;
 use crate::store_client::StoreClient;
-use crate::version_survey;
 
 /// Longest time between two events of the control state.
 const TICK: Duration = Duration::from_millis(100);
--- a/crates/node/src/counted_calls.rs
+++ b/crates/node/src/control/counted_calls.rs
@@ -4,7 +4,9 @@
 use almondsail_core::rollout::{CallOutcome, CountedAt as CoreCountedAt, CountedCalls};
 use almondsail_core::units::Micros;
 
-use crate::call_counters::{CallCounts, CountKey, CountedAt, LATENCY_BUCKETS, latency_bound};
+use crate::calls::call_counters::{
+    CallCounts, CountKey, CountedAt, LATENCY_BUCKETS, latency_bound,
+};
 
 /// The calls behind `counts`, without those that were sent to no version.
 pub(crate) fn from_counts(counts: Vec<(CountKey, CallCounts)>) -> Vec<CountedCalls> {
--- a/crates/node/src/ended_calls.rs
+++ b/crates/node/src/control/ended_calls.rs
@@ -3,7 +3,7 @@
 use almondsail_core::RefusalReason;
 use almondsail_core::report::{CallEnd, EndedCalls};
 
-use crate::call_counters::{CallCounts, CountKey, CountedAt};
+use crate::calls::call_counters::{CallCounts, CountKey, CountedAt};
 
 /// The calls behind `counts` that entered the mesh here on a known route.
 pub(crate) fn from_counts(counts: &[(CountKey, CallCounts)]) -> Vec<EndedCalls> {
--- /dev/null
+++ b/crates/node/src/control/mod.rs
@@ -0,0 +1,12 @@
+//! The control thread and what it works with.
+
+pub mod control_input;
+pub mod control_metrics;
+pub mod control_request;
+pub mod control_thread;
+pub mod cost_meter;
+mod counted_calls;
+mod ended_calls;
+mod report_reader;
+pub mod state_log;
+mod version_survey;
--- a/crates/node/src/report_reader.rs
+++ b/crates/node/src/control/report_reader.rs
@@ -7,7 +7,7 @@
 use futures::{Stream, StreamExt, stream};
 use tokio::time::{Instant, MissedTickBehavior, interval, timeout_at};
 
-use crate::cost_meter::CostMeter;
+use crate::control::cost_meter::CostMeter;
 use crate::store_client::StoreClient;
 
 /// Time between two reads: 200 reads/s, a tenth of what the store handles.
--- a/crates/node/src/local_api.rs
+++ b/crates/node/src/local_api.rs
@@ -18,7 +18,7 @@
 use http_body_util::{BodyExt, Limited};
 use tokio::sync::mpsc;
 
-use crate::control_input::ControlInput;
+use crate::control::control_input::ControlInput;
 use crate::metrics::Metrics;
 
 /// Number of bytes of an announcement at most.
--- /dev/null
+++ b/crates/node/src/operators/mod.rs
@@ -0,0 +1,11 @@
+//! HTTP for operators.
+
+mod operator_api;
+pub mod operator_auth;
+pub mod operator_control;
+pub mod operator_error;
+mod operator_json;
+mod operator_outcome_path;
+mod operator_report_params;
+
+pub use operator_api::{ErrorHook, OperatorApi};
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators/operator_api.rs
@@ -21,12 +21,12 @@
 use http::header::AUTHORIZATION;
 use serde::Serialize;
 
-use crate::operator_auth::OperatorAuth;
-use crate::operator_control::OperatorControl;
-use crate::operator_error::OperatorError;
-use crate::operator_json::{describe, json, read_json};
-use crate::operator_outcome_path::OutcomePath;
-use crate::operator_report_params::ReportParams;
+use crate::operators::operator_auth::OperatorAuth;
+use crate::operators::operator_control::OperatorControl;
+use crate::operators::operator_error::OperatorError;
+use crate::operators::operator_json::{describe, json, read_json};
+use crate::operators::operator_outcome_path::OutcomePath;
+use crate::operators::operator_report_params::ReportParams;
 use crate::settings::OperatorToken;
 
 /// HTTP for operators.
--- a/crates/node/src/operator_control.rs
+++ b/crates/node/src/operators/operator_control.rs
@@ -10,8 +10,8 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::clock::Clock;
-use crate::control_request::ControlRequest;
-use crate::operator_error::OperatorError;
+use crate::control::control_request::ControlRequest;
+use crate::operators::operator_error::OperatorError;
 use crate::settings::OperatorToken;
 
 /// How long an operator waits for the control thread. It is longer than a write
--- a/crates/node/src/operator_json.rs
+++ b/crates/node/src/operators/operator_json.rs
@@ -12,7 +12,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::operator_error::OperatorError;
+use crate::operators::operator_error::OperatorError;
 
 /// Number of bytes of a request's body at most.
 const MAX_BODY_BYTES: usize = 1_000_000;
--- a/crates/node/tests/operators_http.rs
+++ b/crates/node/tests/operators_http.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use almondsail_core::store::{Outcome, RefusedChange};
-use almondsail_node::control_request::ControlRequest;
+use almondsail_node::control::control_request::ControlRequest;
 use operators_support::{FakeControl, Port, TOKEN};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
--- a/crates/node/tests/operators_support/mod.rs
+++ b/crates/node/tests/operators_support/mod.rs
@@ -14,11 +14,11 @@
 use almondsail_core::store::{Outcome, RefusedChange, Submission};
 use almondsail_core::units::UnixMillis;
 use almondsail_node::clock::Clock;
-use almondsail_node::control_request::ControlRequest;
+use almondsail_node::control::control_request::ControlRequest;
 use almondsail_node::http_server;
-use almondsail_node::operator_auth::OperatorAuth;
-use almondsail_node::operator_control::OperatorControl;
-use almondsail_node::operator_error::OperatorError;
+use almondsail_node::operators::operator_auth::OperatorAuth;
+use almondsail_node::operators::operator_control::OperatorControl;
+use almondsail_node::operators::operator_error::OperatorError;
 use almondsail_node::operators::{ErrorHook, OperatorApi};
 use almondsail_node::settings::OperatorToken;
 use tokio::net::TcpListener;
