--- /dev/null
+++ b/crates/core/src/control/stop_events.rs
@@ -0,0 +1,52 @@
+//! Stop marks: setting, passing on and dropping them.
+
+use crate::config::StopMark;
+use crate::control::PeerMessage;
+use crate::control::cx::Cx;
+use crate::control::membership::EXCHANGE_TIMEOUT;
+use crate::control::pending_request::PendingRequest;
+use crate::control::state::Control;
+use crate::control::stop_origin::StopOrigin;
+use crate::ids::NodeId;
+
+impl Control {
+    pub(super) fn add_stops<R>(
+        &mut self,
+        marks: Vec<StopMark>,
+        origin: &StopOrigin,
+        cx: &mut Cx<'_, R>,
+    ) {
+        let config = self.spread.sync.config().map(|cfg| &**cfg);
+        let new = self.stops.add(marks, origin, config);
+        if new.is_empty() {
+            return;
+        }
+        cx.out.publish();
+        for link in self.members.links().outgoing.clone() {
+            self.send_stops(&link, new.clone(), origin, cx);
+        }
+    }
+
+    pub(super) fn send_stops<R>(
+        &self,
+        to: &NodeId,
+        marks: Vec<StopMark>,
+        origin: &StopOrigin,
+        cx: &mut Cx<'_, R>,
+    ) {
+        if let Some(addr) = self.members.addr(to) {
+            let (since, reason) = (origin.since, origin.reason.clone());
+            let message = PeerMessage::StopMarks { marks, since, reason };
+            cx.send(addr, message, EXCHANGE_TIMEOUT, PendingRequest::Stops { peer: to.clone() });
+        }
+    }
+
+    /// Drops the stop marks that the configuration in force has taken over or cleared.
+    pub(super) fn settle_stops<R>(&mut self, cx: &mut Cx<'_, R>) {
+        if let Some(config) = self.spread.sync.config()
+            && self.stops.settle(config)
+        {
+            cx.out.publish();
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/control/store_events.rs
@@ -0,0 +1,102 @@
+//! Replies of the store and changes that are submitted to it.
+
+use rand::Rng;
+
+use crate::control::cx::Cx;
+use crate::control::pending_request::PendingRequest;
+use crate::control::state::Control;
+use crate::control::stop_origin::StopOrigin;
+use crate::control::{Action, RequestId};
+use crate::ids::WriteId;
+use crate::store::scope::check_member;
+use crate::store::{JobId, Outcome, RefusedChange, StoreReply, Submission, WriterStep};
+
+impl Control {
+    pub(super) fn take_store_reply<R: Rng>(
+        &mut self,
+        request: PendingRequest,
+        reply: StoreReply,
+        cx: &mut Cx<'_, R>,
+    ) {
+        let held = self.spread.sync.version();
+        match request {
+            PendingRequest::StoreRead => {
+                let result = self.store.reader.reply(reply, held, cx.now, cx.rng);
+                if let Some(config) = self.store.note_read(result, cx) {
+                    self.spread.offer(config, cx);
+                    self.settle_stops(cx);
+                }
+            }
+            PendingRequest::StoreHour => self.accounting.take_store_reply(reply, cx),
+            PendingRequest::StoreWrite(job) => {
+                let times = (cx.now, cx.wall);
+                let steps = self.store.writer.reply(job, reply, held, times, cx.rng);
+                self.take_writer_steps(steps, cx);
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn take_writer_steps<R: Rng>(&mut self, steps: Vec<WriterStep>, cx: &mut Cx<'_, R>) {
+        for config in self.store.take_steps(steps, cx) {
+            // The writer may have read an older value than a peer has sent since.
+            if config.version > self.spread.sync.version() {
+                self.spread.offer(config, cx);
+            }
+        }
+        self.settle_stops(cx);
+    }
+
+    pub(super) fn submit<R: Rng>(
+        &mut self,
+        id: RequestId,
+        submission: Submission,
+        cx: &mut Cx<'_, R>,
+    ) {
+        if self.is_leaving {
+            let outcome = Outcome::Refused(RefusedChange::Stopping);
+            cx.out.push(Action::Submitted { id, outcome });
+            return;
+        }
+        let is_stopped = self.stop_at_once(&submission, cx);
+        if self.store.submit(id, submission, is_stopped, cx.now) {
+            let steps = self.store.writer.poll(cx.now);
+            self.take_writer_steps(steps, cx);
+        } else {
+            let outcome = Outcome::Refused(RefusedChange::Busy);
+            cx.out.push(Action::Submitted { id, outcome });
+        }
+    }
+
+    /// Sets the marks of a submitted stop before the store has it, so that a stop
+    /// also works without the store. Returns whether there were any.
+    pub(super) fn stop_at_once<R>(&mut self, submission: &Submission, cx: &mut Cx<'_, R>) -> bool {
+        let Some(config) = self.spread.sync.config().cloned() else { return false };
+        let change = &submission.change;
+        let marks = change.stops(&config.content);
+        let is_allowed = !submission.dry_run
+            && check_member(submission, &config.content).is_ok()
+            && change.apply(&config.content, cx.wall).is_ok();
+        if marks.is_empty() || !is_allowed {
+            return false;
+        }
+        let origin = StopOrigin::new(config.version, &change.to_string(), cx.now);
+        self.add_stops(marks, &origin, cx);
+        true
+    }
+
+    pub(super) fn ask_outcome<R: Rng>(
+        &mut self,
+        id: RequestId,
+        write_id: WriteId,
+        cx: &mut Cx<'_, R>,
+    ) {
+        if self.store.writer.ask(JobId::Submitter(id), write_id, cx.now) {
+            let steps = self.store.writer.poll(cx.now);
+            self.take_writer_steps(steps, cx);
+        } else {
+            let outcome = Outcome::Refused(RefusedChange::Busy);
+            cx.out.push(Action::Submitted { id, outcome });
+        }
+    }
+}
