Test and show a good move whose nodes die and a bad one

Cause: no process test killed the driver of a rollout, and the demo showed no move. Change: good_version_completes_nodes_killed kills every node once during a rollout, so also its driver, and checks that the eight steps were each accepted once and no call was wrong or doubled. The demo moves a service to a version that fails, then to the same version repaired. Conclusion: a rollout survives the loss of its driver between processes.

--- a/crates/testkit/examples/demo.rs
+++ b/crates/testkit/examples/demo.rs
@@ -1,10 +1,12 @@
 //! Shows the mesh at work: eight nodes in two data centres, real calls, then
-//! the loss of a node and a change during it.
+//! the loss of a node and a change during it, then a bad and a good move.
 
 use std::process::ExitCode;
 
 use almondsail_core::units::ByteCount;
-use almondsail_testkit::mesh::{Mesh, ProcessUsage};
+use almondsail_testkit::backend::{Fault, FaultRule, Faults};
+use almondsail_testkit::harness::wait_until;
+use almondsail_testkit::mesh::{Mesh, Operator, ProcessUsage};
 use almondsail_testkit::stop_signal;
 use almondsail_testkit::traffic::{Audit, CallEnd, CallRequest, Caller, Load, LoadOptions, Tally};
 use eyre::{Result, bail, ensure, eyre};
@@ -42,6 +44,8 @@
         mesh.operator(5)?.run("show nodes").await?
     );
     show_loss(&mut mesh).await?;
+    drop(mesh);
+    show_moves().await?;
     println!("\nThe demo ended without a fault.");
     Ok(())
 }
@@ -124,6 +128,47 @@
     check(mesh, &load.stop().await?)
 }
 
+/// Moves a service to a version that fails, and then to the same version repaired.
+async fn show_moves() -> Result<()> {
+    println!("\n== A service with backend servers of two versions; v2 fails every call");
+    let mesh = Mesh::builder().versions(&["v1", "v2"]).start().await?;
+    mesh.configure(&["bays"]).await?;
+    let operator = mesh.operator(0)?;
+    operator.run("create version bays/v2").await?;
+    mesh.wait_until_served("/bays/item").await?;
+    let fails = FaultRule::new("/bays", Fault::Fail { per_mille: 1_000 });
+    for index in (1..mesh.nodes().len()).step_by(2) {
+        mesh.set_faults(index, &Faults::of_calls([fails.clone()])).await?;
+    }
+    let load = Load::start(&Caller::new(mesh.entries()), &LoadOptions::light(&["bays"]));
+    show_move(&operator, "move bays to v2 in 1m", "rolled-back").await?;
+
+    println!("== v2 is repaired; an operator clears the stop and moves again");
+    for index in (1..mesh.nodes().len()).step_by(2) {
+        mesh.set_faults(index, &Faults::default()).await?;
+    }
+    println!("$ almondsail run \"clear stop bays/v2\"");
+    print!("{}", operator.run("clear stop bays/v2").await?);
+    show_move(&operator, "move bays to v2 in 20s", "completed").await?;
+    load.stop().await?;
+    println!("{}", operator.run("show history bays").await?);
+    Ok(())
+}
+
+/// Sends a move and waits until its rollout is in the phase `end`.
+async fn show_move(operator: &Operator, command: &str, end: &str) -> Result<()> {
+    println!("$ almondsail run \"{command}\"");
+    print!("{}", operator.run(command).await?);
+    wait_until(end, || async {
+        let shown = operator.run("show rollouts bays").await?;
+        ensure!(shown.contains(end), "{shown}");
+        Ok(())
+    })
+    .await?;
+    println!("{}", operator.run("show rollouts bays").await?);
+    Ok(())
+}
+
 fn check(mesh: &Mesh, tally: &Tally) -> Result<()> {
     println!("{tally}");
     let audit = Audit::of(tally, &mesh.executions()?);
--- a/crates/testkit/tests/mesh_rollout.rs
+++ b/crates/testkit/tests/mesh_rollout.rs
@@ -4,7 +4,7 @@
 use almondsail_testkit::harness::wait_until;
 use almondsail_testkit::http::HttpClient;
 use almondsail_testkit::mesh::Mesh;
-use almondsail_testkit::traffic::{Caller, Load, LoadOptions};
+use almondsail_testkit::traffic::{Audit, Caller, Load, LoadOptions};
 use eyre::{Result, ensure};
 
 /// The path of the idempotent route.
@@ -12,6 +12,9 @@
 /// Calls after the rollback; v2 had at least 1% of the calls before.
 const CALLS_AFTER: usize = 1_000;
 
+/// Steps of a rollout that nothing cuts short.
+const STEPS: usize = 8;
+
 /// The executions at the backend servers of v2, which are those beside every other node.
 async fn executions_of_v2(mesh: &Mesh) -> Result<usize> {
     let mut count = 0;
@@ -21,6 +24,38 @@
     Ok(count)
 }
 
+// Guards against a rollout that stops, or is undone, when the node that drives it dies.
+// Each node is killed once, because any of them may drive.
+#[tokio::test]
+async fn good_version_completes_nodes_killed() -> Result<()> {
+    let mut mesh = Mesh::builder().versions(&["v1", "v2"]).start().await?;
+    mesh.configure(&["bays"]).await?;
+    mesh.operator(0)?.run("create version bays/v2").await?;
+    mesh.wait_until_served(LOOKUP).await?;
+    let load = Load::start(&Caller::new(mesh.entries()), &LoadOptions::light(&["bays"]));
+    mesh.operator(0)?.run("move bays to v2 in 30s").await?;
+    for index in 0..mesh.nodes().len() {
+        mesh.kill_node(index)?;
+        mesh.start_node(index).await?;
+        mesh.wait_until_served(LOOKUP).await?;
+    }
+    let operator = mesh.operator(0)?;
+    wait_until("the end of the rollout", || async {
+        let shown = operator.run("show rollouts bays").await?;
+        ensure!(shown.contains("completed"), "{shown}");
+        Ok(())
+    })
+    .await?;
+    let tally = load.stop().await?;
+    let audit = Audit::of(&tally, &mesh.executions()?);
+    assert!(audit.is_clean(), "{audit:?}");
+    assert_eq!(tally.wrong, 0, "{tally}");
+    let history = operator.run("show history bays").await?;
+    let steps = history.lines().filter(|line| line.contains("move bays to v2: share")).count();
+    assert_eq!(steps, STEPS, "{history}");
+    Ok(())
+}
+
 // Guards against a bad version that stays in force, gets calls after its
 // rollback, or is rolled back without a reason for the operators.
 #[tokio::test]
