--- a/crates/core/src/config/delta.rs
+++ b/crates/core/src/config/delta.rs
@@ -1,38 +1,10 @@
 //! The difference between two configurations.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::fmt;
 
-use crate::config::{
-    Config, ConfigContent, HistoryEntry, MAX_HISTORY_ENTRIES, Rollout, Route, ServerVersion,
-    Service, StopMark,
-};
-use crate::ids::{ConfigVersion, Digest, RouteName, ServiceName, WriteId};
-
-/// One entry that differs between two configurations.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Edit {
-    /// Adds or replaces a service.
-    PutService(Service),
-    /// Removes a service.
-    RemoveService(ServiceName),
-    /// Adds or replaces a route.
-    PutRoute(Route),
-    /// Removes a route.
-    RemoveRoute(RouteName),
-    /// Adds a version.
-    PutVersion(ServerVersion),
-    /// Removes a version.
-    RemoveVersion(ServerVersion),
-    /// Adds or replaces a rollout.
-    PutRollout(Rollout),
-    /// Removes a rollout.
-    RemoveRollout(ServiceName),
-    /// Adds a stop mark.
-    PutStop(StopMark),
-    /// Removes a stop mark.
-    RemoveStop(StopMark),
-}
+use crate::config::{Config, ConfigContent, HistoryEntry, MAX_HISTORY_ENTRIES};
+use crate::config::{DeltaError, Edit};
+use crate::ids::{ConfigVersion, Digest, WriteId};
 
 /// The difference between two configurations, with the digests of both.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -51,26 +23,6 @@
     pub history: Vec<HistoryEntry>,
 }
 
-/// Why a delta does not apply.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum DeltaError {
-    /// The configuration is not the delta's base.
-    WrongBase,
-    /// The result has not the digest that the delta states.
-    WrongResult,
-}
-
-impl fmt::Display for DeltaError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Self::WrongBase => "the delta is for another base",
-            Self::WrongResult => "the delta's result has another digest than stated",
-        })
-    }
-}
-
-impl std::error::Error for DeltaError {}
-
 impl Delta {
     /// The difference that leads from `base` to `result`.
     pub fn between(base: &Config, result: &Config) -> Self {
@@ -106,43 +58,6 @@
     }
 }
 
-impl Edit {
-    fn apply(&self, content: &mut ConfigContent) {
-        match self {
-            Self::PutService(service) => {
-                content.services.insert(service.name.clone(), service.clone());
-            }
-            Self::RemoveService(name) => {
-                content.services.remove(name);
-            }
-            Self::PutRoute(route) => {
-                content.routes.insert(route.name.clone(), route.clone());
-            }
-            Self::RemoveRoute(name) => {
-                content.routes.remove(name);
-            }
-            Self::PutVersion(version) => {
-                content.versions.insert(version.clone());
-            }
-            Self::RemoveVersion(version) => {
-                content.versions.remove(version);
-            }
-            Self::PutRollout(rollout) => {
-                content.rollouts.insert(rollout.service.clone(), rollout.clone());
-            }
-            Self::RemoveRollout(service) => {
-                content.rollouts.remove(service);
-            }
-            Self::PutStop(stop) => {
-                content.stops.insert(stop.clone());
-            }
-            Self::RemoveStop(stop) => {
-                content.stops.remove(stop);
-            }
-        }
-    }
-}
-
 fn diff_contents(base: &ConfigContent, result: &ConfigContent, edits: &mut Vec<Edit>) {
     diff_maps(&base.services, &result.services, Edit::PutService, Edit::RemoveService, edits);
     diff_maps(&base.routes, &result.routes, Edit::PutRoute, Edit::RemoveRoute, edits);
--- a/crates/core/src/traffic/snapshot.rs
+++ b/crates/core/src/traffic/snapshot.rs
@@ -8,6 +8,7 @@
 use crate::ids::{DataCentre, NodeId, Region, RouteName, ServiceName, VersionName};
 use crate::peers::{AnnouncedBackend, BackendState, Peer, PeerStatus};
 use crate::traffic::{Endpoint, TrafficSplit};
+use crate::traffic::{ServiceView, SnapshotInput};
 
 /// The state that a call reads, fixed from the call's first decision to its last.
 #[derive(Debug, Clone)]
@@ -36,24 +37,6 @@
     pub leaving: bool,
 }
 
-/// A service as traffic sees it.
-#[derive(Debug, Clone, Default)]
-pub struct ServiceView {
-    /// The backend servers that take calls, by version.
-    pub endpoints: BTreeMap<VersionName, Arc<[Endpoint]>>,
-}
-
-/// What a snapshot is built from.
-#[derive(Debug, Clone, Copy)]
-pub struct SnapshotInput<'a> {
-    /// This node's own entry.
-    pub own: &'a Peer,
-    /// The configuration in force, if the node may serve.
-    pub config: Option<&'a Arc<Config>>,
-    /// The stop marks heard from peers.
-    pub stops: &'a BTreeSet<StopMark>,
-}
-
 impl Snapshot {
     /// The snapshot for `input` and every known node, this one included.
     pub fn build<'a>(input: SnapshotInput<'a>, peers: impl Iterator<Item = &'a Peer>) -> Self {
--- a/crates/node/src/peer_link/frame_seal.rs
+++ b/crates/node/src/peer_link/frame_seal.rs
@@ -1,52 +1,13 @@
 //! Authentication of messages between nodes.
 
-use std::fmt;
-
 use almondsail_core::control::PeerMessage;
 use almondsail_wire::peer::SealedFrame;
-use almondsail_wire::{DecodeError, decode_message, encode_message};
+use almondsail_wire::{decode_message, encode_message};
 use hmac::Mac;
 
+use crate::peer_link::{Direction, OpenError};
 use crate::settings::InstallationKey;
 
-/// Whether a frame is a request or a reply, so that one can't pass for the other.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Direction {
-    /// From the node that asks.
-    Request,
-    /// From the node that answers.
-    Reply,
-}
-
-impl Direction {
-    const fn purpose(self) -> &'static str {
-        match self {
-            Self::Request => "peer-request",
-            Self::Reply => "peer-reply",
-        }
-    }
-}
-
-/// Why a frame is not accepted.
-#[derive(Debug)]
-pub enum OpenError {
-    /// The tag does not match: the sender has another key, or the frame was changed.
-    Unauthenticated,
-    /// The body is not a message.
-    Malformed(DecodeError),
-}
-
-impl fmt::Display for OpenError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Unauthenticated => f.write_str("the frame's tag does not match"),
-            Self::Malformed(e) => e.fmt(f),
-        }
-    }
-}
-
-impl std::error::Error for OpenError {}
-
 /// Seals messages with the installation's key and opens sealed ones.
 ///
 /// A repeated frame is accepted. That does no harm, since each message states
--- a/crates/node/src/peer_link/mod.rs
+++ b/crates/node/src/peer_link/mod.rs
@@ -3,12 +3,18 @@
 mod byte_counts;
 mod client_pool;
 mod counted_stream;
+mod direction;
 mod frame_seal;
+mod incoming_request;
+mod open_error;
 mod peer_service;
 mod server;
 
 pub use byte_counts::ByteCounts;
 pub use client_pool::ClientPool;
-pub use frame_seal::{Direction, FrameSeal, OpenError};
+pub use direction::Direction;
+pub use frame_seal::FrameSeal;
+pub use incoming_request::IncomingRequest;
+pub use open_error::OpenError;
 pub use peer_service::{PeerService, PeerServiceClient};
-pub use server::{IncomingRequest, PeerServer};
+pub use server::PeerServer;
--- a/crates/node/src/peer_link/server.rs
+++ b/crates/node/src/peer_link/server.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 
-use almondsail_core::control::PeerMessage;
 use almondsail_wire::MAX_FRAME_BYTES;
 use almondsail_wire::peer::SealedFrame;
 use futures::StreamExt;
@@ -17,15 +16,7 @@
 
 use super::counted_stream::CountedStream;
 use super::{ByteCounts, Direction, FrameSeal, OpenError, PeerService};
-
-/// A request of another node and the way to answer it.
-#[derive(Debug)]
-pub struct IncomingRequest {
-    /// The request.
-    pub message: PeerMessage,
-    /// Takes the reply.
-    pub reply: oneshot::Sender<PeerMessage>,
-}
+use crate::peer_link::IncomingRequest;
 
 /// Takes requests of other nodes and hands them to the control thread.
 #[derive(Debug, Clone)]
--- a/crates/node/src/settings/mod.rs
+++ b/crates/node/src/settings/mod.rs
@@ -7,10 +7,12 @@
 mod mistake;
 mod node_settings;
 mod operator_token;
+mod settings_error;
 
 pub use identity::Identity;
 pub use installation_key::InstallationKey;
 pub use listen::Listen;
 pub use mistake::Mistake;
-pub use node_settings::{NodeSettings, SettingsError};
+pub use node_settings::NodeSettings;
 pub use operator_token::OperatorToken;
+pub use settings_error::SettingsError;
--- a/crates/node/src/settings/node_settings.rs
+++ b/crates/node/src/settings/node_settings.rs
@@ -1,14 +1,14 @@
 //! The settings of a node.
 
-use std::fmt;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 
 use almondsail_core::units::Millis;
 use serde_json::Value;
 
 use super::fields::Fields;
-use super::{Identity, InstallationKey, Listen, Mistake, OperatorToken};
+use super::{Identity, InstallationKey, Listen, OperatorToken};
+use crate::settings::SettingsError;
 
 /// The settings of a node.
 #[derive(Debug, Clone)]
@@ -33,32 +33,6 @@
     pub traffic_threads: usize,
 }
 
-/// Why a settings file can't be used.
-#[derive(Debug)]
-pub enum SettingsError {
-    /// The file can't be read.
-    Read(PathBuf, std::io::Error),
-    /// The file is not JSON with comments.
-    Syntax(String),
-    /// Values are missing or not allowed.
-    Mistakes(Vec<Mistake>),
-}
-
-impl fmt::Display for SettingsError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Read(path, e) => write!(f, "{}: {e}", path.display()),
-            Self::Syntax(problem) => write!(f, "not JSON with comments: {problem}"),
-            Self::Mistakes(mistakes) => {
-                let texts: Vec<String> = mistakes.iter().map(ToString::to_string).collect();
-                f.write_str(&texts.join("\n"))
-            }
-        }
-    }
-}
-
-impl std::error::Error for SettingsError {}
-
 impl NodeSettings {
     const DEFAULT_STORE_TIMEOUT_MS: u64 = 1_000;
     const DEFAULT_TRAFFIC_THREADS: u64 = 2;
--- /dev/null
+++ b/crates/node/src/settings/settings_error.rs
@@ -0,0 +1,32 @@
+//! Why a settings file can't be used.
+
+use std::fmt;
+use std::path::PathBuf;
+
+use super::Mistake;
+
+/// Why a settings file can't be used.
+#[derive(Debug)]
+pub enum SettingsError {
+    /// The file can't be read.
+    Read(PathBuf, std::io::Error),
+    /// The file is not JSON with comments.
+    Syntax(String),
+    /// Values are missing or not allowed.
+    Mistakes(Vec<Mistake>),
+}
+
+impl fmt::Display for SettingsError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Read(path, e) => write!(f, "{}: {e}", path.display()),
+            Self::Syntax(problem) => write!(f, "not JSON with comments: {problem}"),
+            Self::Mistakes(mistakes) => {
+                let texts: Vec<String> = mistakes.iter().map(ToString::to_string).collect();
+                f.write_str(&texts.join("\n"))
+            }
+        }
+    }
+}
+
+impl std::error::Error for SettingsError {}
