Look for claims to hand over no more often than the control thread ticks

Cause: a node looked every 50 ms whether it was leaving, faster than the stated tick of 100 ms. Change: every 100 ms.

--- a/crates/node/src/calls/claim_handover.rs
+++ b/crates/node/src/calls/claim_handover.rs
@@ -13,8 +13,8 @@
 use crate::calls::handover_step::HandoverStep;
 use crate::calls::traffic::Inner;
 
-/// How often a leaving node looks for claims to hand over.
-const LOOK_EVERY: Duration = Duration::from_millis(50);
+/// How often a node looks for claims to hand over: no more often than the control thread ticks.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
 /// How long a registrar may take to answer a batch.
 const BATCH_TIME: Duration = Duration::from_millis(500);
 /// How often a batch is sent to registrars that don't take it, before the next one follows.
