Share one counted stream, one text check and one input of the control thread

Cause: a read of the whole change found three things written twice or more elaborately than needed, and a decision in the wrong crate. Change: calls and links between nodes use one CountedStream with ByteCounts; the wire crate calls the core's check of free texts instead of a copy with its own limit; the control thread takes events directly instead of an enum of one variant; what a failure says about a version is decided by the core's CallOutcome. Behaviour and tests are unchanged but for two import paths. Conclusion: no limit and no decision stands twice in these places.

--- a/crates/core/src/config/check.rs
+++ b/crates/core/src/config/check.rs
@@ -21,7 +21,7 @@
 /// The longest deadline of a route.
 const MAX_ROUTE_DEADLINE: Millis = Millis::new(600_000);
 /// Number of bytes of a free text at most.
-pub(crate) const MAX_TEXT_BYTES: usize = 512;
+pub const MAX_TEXT_BYTES: usize = 512;
 
 /// Every mistake in `content`; it is valid if there is none.
 pub fn check(content: &ConfigContent) -> Result<(), Vec<ConfigError>> {
@@ -49,7 +49,7 @@
 }
 
 /// Whether `text` may stand in a configuration.
-pub(crate) fn is_plain_text(text: &str) -> bool {
+pub fn is_plain_text(text: &str) -> bool {
     text.len() <= MAX_TEXT_BYTES && !text.chars().any(char::is_control)
 }
 
--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -21,7 +21,7 @@
 
 pub use accepted::Config;
 pub use change::Change;
-pub use check::check;
+pub use check::{MAX_TEXT_BYTES, check, is_plain_text};
 pub use config_error::ConfigError;
 pub use content::ConfigContent;
 pub use delta::Delta;
--- a/crates/core/src/rollout/call_outcome.rs
+++ b/crates/core/src/rollout/call_outcome.rs
@@ -1,5 +1,7 @@
 //! How a call ended at the door.
 
+use crate::RefusalReason;
+
 /// How a call ended at the door.
 ///
 /// The outcomes that depend on the load and the speed of the host are kept
@@ -15,3 +17,31 @@
     /// The door or the backend server refused the call unrun.
     Refused,
 }
+
+impl CallOutcome {
+    /// What a failure for `reason` says about the version; `None` if it says nothing.
+    pub const fn of_failure(reason: RefusalReason) -> Option<Self> {
+        match reason {
+            RefusalReason::BrokenExchange | RefusalReason::BadAnswer => Some(Self::Failed),
+            RefusalReason::DeadlinePassed => Some(Self::TimedOut),
+            RefusalReason::BackendShed
+            | RefusalReason::BackendDown
+            | RefusalReason::QueueFull
+            | RefusalReason::DeadlineTooNear => Some(Self::Refused),
+            RefusalReason::NoConfig
+            | RefusalReason::UnknownRoute
+            | RefusalReason::BadRequest
+            | RefusalReason::HeaderTooLarge
+            | RefusalReason::BodyTooLarge
+            | RefusalReason::BodyMemory
+            | RefusalReason::KeyRegistrarUnreachable
+            | RefusalReason::RepeatInDoubt
+            | RefusalReason::NoBackend
+            | RefusalReason::Leaving
+            | RefusalReason::StoppedVersion
+            | RefusalReason::ConnectFailed
+            | RefusalReason::RetryBudget
+            | RefusalReason::PeerUnauthorized => None,
+        }
+    }
+}
--- a/crates/node/src/peer_link/byte_counts.rs
+++ b/crates/node/src/byte_counts.rs
@@ -1,9 +1,9 @@
-//! Counts of control bytes.
+//! Counts of bytes sent and received.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-/// Bytes of control messages to and from other nodes.
+/// Bytes sent and received on one connection or on several.
 #[derive(Debug, Clone, Default)]
 pub struct ByteCounts {
     sent: Arc<AtomicU64>,
@@ -21,11 +21,11 @@
         self.received.load(Ordering::Relaxed)
     }
 
-    pub(super) fn add_sent(&self, bytes: usize) {
+    pub(crate) fn add_sent(&self, bytes: usize) {
         self.sent.fetch_add(bytes as u64, Ordering::Relaxed);
     }
 
-    pub(super) fn add_received(&self, bytes: usize) {
+    pub(crate) fn add_received(&self, bytes: usize) {
         self.received.fetch_add(bytes as u64, Ordering::Relaxed);
     }
 }
--- a/crates/node/src/calls/exchange.rs
+++ b/crates/node/src/calls/exchange.rs
@@ -5,8 +5,6 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
@@ -19,7 +17,8 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
-use crate::calls::counted_stream::CountedStream;
+use crate::byte_counts::ByteCounts;
+use crate::counted_stream::CountedStream;
 
 /// The largest header of an answer.
 const MAX_ANSWER_HEADER: usize = 64 * 1024;
@@ -33,7 +32,7 @@
     sender: SendRequest<Full<Bytes>>,
     conn: ConnState,
     /// The bytes written to the socket.
-    written: Arc<AtomicU64>,
+    written: ByteCounts,
     /// When the connection was last used.
     pub(crate) used: Instant,
 }
@@ -76,7 +75,8 @@
     pub(crate) async fn connect(addr: SocketAddr, timeout: Duration) -> io::Result<Self> {
         let stream = tokio::time::timeout(timeout, TcpStream::connect(addr)).await??;
         stream.set_nodelay(true)?;
-        let (stream, written) = CountedStream::new(stream);
+        let written = ByteCounts::default();
+        let stream = CountedStream::new(stream, written.clone());
         let mut builder = Builder::new();
         builder.max_header_size(MAX_ANSWER_HEADER);
         let (sender, conn) =
@@ -90,10 +90,10 @@
         req: Request<Full<Bytes>>,
         until: Instant,
     ) -> Result<Response<Incoming>, ExchangeError> {
-        let before = self.written.load(Ordering::Relaxed);
+        let before = self.written.sent();
         let result = tokio::time::timeout_at(until, self.send_untimed(req)).await;
         match result.unwrap_or(Err(ExchangeError::TimedOut)) {
-            Err(_) if self.written.load(Ordering::Relaxed) == before => Err(ExchangeError::NotSent),
+            Err(_) if self.written.sent() == before => Err(ExchangeError::NotSent),
             result => result,
         }
     }
--- a/crates/node/src/calls/mod.rs
+++ b/crates/node/src/calls/mod.rs
@@ -20,7 +20,6 @@
 mod claim;
 mod claim_handover;
 mod claims;
-mod counted_stream;
 mod door;
 mod door_request;
 mod door_server;
--- a/crates/node/src/control/control_metrics.rs
+++ b/crates/node/src/control/control_metrics.rs
@@ -7,7 +7,7 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Meter};
 
-use crate::peer_link::ByteCounts;
+use crate::byte_counts::ByteCounts;
 
 /// Exports the version in force and the bytes exchanged with other nodes.
 pub fn export(meter: &Meter, snapshot: &Arc<ArcSwap<Snapshot>>, bytes: &ByteCounts) {
--- a/crates/node/src/control/control_thread.rs
+++ b/crates/node/src/control/control_thread.rs
@@ -22,7 +22,6 @@
 
 use crate::calls::call_counters::CallCountsReader;
 use crate::clock::Clock;
-use crate::control::control_input::ControlInput;
 use crate::control::control_request::ControlRequest;
 use crate::control::cost_meter::CostMeter;
 use crate::control::counted_calls;
@@ -91,7 +90,7 @@
 /// Where a control thread takes its inputs from.
 pub struct ControlInputs {
     /// Events of this node; the thread ends when every sender is gone.
-    pub inputs: mpsc::Receiver<ControlInput>,
+    pub inputs: mpsc::Receiver<Event>,
     /// Requests of other nodes.
     pub peers: mpsc::Receiver<IncomingRequest>,
     /// Requests of operators.
@@ -122,7 +121,7 @@
         loop {
             tokio::select! {
                 input = inputs.inputs.recv() => match input {
-                    Some(ControlInput::Event(event)) => thread.handle(event),
+                    Some(event) => thread.handle(event),
                     None => return,
                 },
                 Some(request) = inputs.peers.recv() => thread.take_peer_request(request),
--- a/crates/node/src/control/cost_meter.rs
+++ b/crates/node/src/control/cost_meter.rs
@@ -6,7 +6,7 @@
 use almondsail_core::report::Cost;
 use almondsail_core::units::{ByteCount, Micros};
 
-use crate::peer_link::ByteCounts;
+use crate::byte_counts::ByteCounts;
 
 /// Where Linux tells the processor time of this process.
 const STAT_FILE: &str = "/proc/self/stat";
--- a/crates/node/src/control/counted_calls.rs
+++ b/crates/node/src/control/counted_calls.rs
@@ -36,7 +36,7 @@
     let answered =
         (0..LATENCY_BUCKETS).map(|i| (CallOutcome::Answered, upper_bound(i), counts.latency[i]));
     let failed = RefusalReason::ALL.iter().zip(counts.failures).filter_map(|(reason, calls)| {
-        outcome(*reason).map(|outcome| (outcome, Micros::new(0), calls))
+        CallOutcome::of_failure(*reason).map(|outcome| (outcome, Micros::new(0), calls))
     });
     let errors = (CallOutcome::Failed, Micros::new(0), counts.server_errors);
     let all = answered.chain(failed).chain([errors]).filter(|(_, _, calls)| *calls > 0);
@@ -55,29 +55,3 @@
         Micros::new(last.get() * 2)
     })
 }
-
-/// What a failure says about the version; `None` if it says nothing.
-fn outcome(reason: RefusalReason) -> Option<CallOutcome> {
-    match reason {
-        RefusalReason::BrokenExchange | RefusalReason::BadAnswer => Some(CallOutcome::Failed),
-        RefusalReason::DeadlinePassed => Some(CallOutcome::TimedOut),
-        RefusalReason::BackendShed
-        | RefusalReason::BackendDown
-        | RefusalReason::QueueFull
-        | RefusalReason::DeadlineTooNear => Some(CallOutcome::Refused),
-        RefusalReason::NoConfig
-        | RefusalReason::UnknownRoute
-        | RefusalReason::BadRequest
-        | RefusalReason::HeaderTooLarge
-        | RefusalReason::BodyTooLarge
-        | RefusalReason::BodyMemory
-        | RefusalReason::KeyRegistrarUnreachable
-        | RefusalReason::RepeatInDoubt
-        | RefusalReason::NoBackend
-        | RefusalReason::Leaving
-        | RefusalReason::StoppedVersion
-        | RefusalReason::ConnectFailed
-        | RefusalReason::RetryBudget
-        | RefusalReason::PeerUnauthorized => None,
-    }
-}
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -1,6 +1,5 @@
 //! The control thread and what it works with.
 
-pub mod control_input;
 pub mod control_metrics;
 pub mod control_request;
 pub mod control_thread;
--- a/crates/node/src/calls/counted_stream.rs
+++ b/crates/node/src/counted_stream.rs
@@ -1,31 +1,30 @@
-//! A TCP stream that counts what is written to it.
+//! A TCP stream whose bytes are counted.
 
 use std::io::{self, IoSlice};
 use std::pin::Pin;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::task::{Context, Poll};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-/// A TCP stream that counts the bytes that the system has taken from it.
+use crate::byte_counts::ByteCounts;
+
+/// A TCP stream that counts the bytes that the system has given to it and taken from it.
 #[derive(Debug)]
 pub(crate) struct CountedStream {
     stream: TcpStream,
-    written: Arc<AtomicU64>,
+    counts: ByteCounts,
 }
 
 impl CountedStream {
-    /// The stream and its counter of written bytes.
-    pub(crate) fn new(stream: TcpStream) -> (Self, Arc<AtomicU64>) {
-        let written = Arc::new(AtomicU64::new(0));
-        (Self { stream, written: Arc::clone(&written) }, written)
+    /// Counts the bytes of `stream` in `counts`.
+    pub(crate) const fn new(stream: TcpStream, counts: ByteCounts) -> Self {
+        Self { stream, counts }
     }
 
     fn count(&self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        if let Poll::Ready(Ok(n)) = &result {
-            self.written.fetch_add(*n as u64, Ordering::Relaxed);
+        if let Poll::Ready(Ok(bytes)) = result {
+            self.counts.add_sent(bytes);
         }
         result
     }
@@ -37,7 +36,10 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let before = buf.filled().len();
+        let result = Pin::new(&mut self.stream).poll_read(cx, buf);
+        self.counts.add_received(buf.filled().len() - before);
+        result
     }
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,10 +8,12 @@
 #![deny(missing_docs, unsafe_code, rust_2018_idioms, unreachable_pub)]
 #![deny(clippy::all)]
 
+pub mod byte_counts;
 pub mod calls;
 pub mod cli;
 pub mod clock;
 pub mod control;
+mod counted_stream;
 pub mod http_server;
 pub mod local_api;
 pub mod log;
--- a/crates/node/src/local_api.rs
+++ b/crates/node/src/local_api.rs
@@ -18,7 +18,6 @@
 use http_body_util::{BodyExt, Limited};
 use tokio::sync::mpsc;
 
-use crate::control::control_input::ControlInput;
 use crate::metrics::Metrics;
 
 /// Number of bytes of an announcement at most.
@@ -33,7 +32,7 @@
 
 #[derive(Debug)]
 struct Parts {
-    control: mpsc::Sender<ControlInput>,
+    control: mpsc::Sender<Event>,
     metrics: Metrics,
 }
 
@@ -41,7 +40,7 @@
 
 impl LocalApi {
     /// Hands announcements to `control` and shows the counters of `metrics`.
-    pub fn new(control: mpsc::Sender<ControlInput>, metrics: Metrics) -> Self {
+    pub fn new(control: mpsc::Sender<Event>, metrics: Metrics) -> Self {
         Self(Arc::new(AssertUnwindSafe(Parts { control, metrics })))
     }
 
@@ -59,7 +58,7 @@
 
     /// Hands an event to the control thread and says how that went.
     async fn send(&self, event: Event) -> (StatusCode, String) {
-        match self.0.control.send(ControlInput::Event(event)).await {
+        match self.0.control.send(event).await {
             Ok(()) => (StatusCode::OK, "ok\n".to_owned()),
             Err(_) => (StatusCode::SERVICE_UNAVAILABLE, "the node stops\n".to_owned()),
         }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -18,8 +18,8 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::LocalSet;
 
+use crate::byte_counts::ByteCounts;
 use crate::clock::Clock;
-use crate::control::control_input::ControlInput;
 use crate::control::control_metrics;
 use crate::control::control_request::ControlRequest;
 use crate::control::control_thread::{ControlInputs, ControlParts, ControlThread};
@@ -33,7 +33,7 @@
 use crate::operators::operator_auth::OperatorAuth;
 use crate::operators::operator_control::OperatorControl;
 use crate::operators::operator_error::OperatorError;
-use crate::peer_link::{ByteCounts, ClientPool, FrameSeal, PeerServer};
+use crate::peer_link::{ClientPool, FrameSeal, PeerServer};
 use crate::settings::NodeSettings;
 use crate::store_client::{CallCounts, HttpStore};
 use crate::{Traffic, TrafficBuilder, TrafficSettings, serve_callers, serve_door};
@@ -234,7 +234,7 @@
 /// The servers on the traffic runtime.
 struct Servers {
     traffic: Traffic,
-    inputs: mpsc::Sender<ControlInput>,
+    inputs: mpsc::Sender<Event>,
     metrics: Metrics,
     operators: OperatorApi,
     log: Logger,
@@ -271,7 +271,7 @@
 
         wait_for_signal().await?;
         info!(self.log, "stopping");
-        self.inputs.send(ControlInput::Event(Event::StopRequested)).await?;
+        self.inputs.send(Event::StopRequested).await?;
         tokio::time::sleep(LEAVE_TIME).await;
         stop.send_replace(true);
         callers.await?;
--- a/crates/node/src/peer_link/client_pool.rs
+++ b/crates/node/src/peer_link/client_pool.rs
@@ -13,8 +13,9 @@
 use tokio::time::timeout;
 use tokio_util::codec::LengthDelimitedCodec;
 
-use super::counted_stream::CountedStream;
-use super::{ByteCounts, Direction, FrameSeal, PeerServiceClient};
+use super::{Direction, FrameSeal, PeerServiceClient};
+use crate::byte_counts::ByteCounts;
+use crate::counted_stream::CountedStream;
 
 /// Persistent connections to other nodes, one to each address.
 ///
--- a/crates/node/src/peer_link/mod.rs
+++ b/crates/node/src/peer_link/mod.rs
@@ -1,8 +1,6 @@
 //! Messages to and from other nodes, over tarpc.
 
-mod byte_counts;
 mod client_pool;
-mod counted_stream;
 mod direction;
 mod frame_seal;
 mod incoming_request;
@@ -10,7 +8,6 @@
 mod peer_service;
 mod server;
 
-pub use byte_counts::ByteCounts;
 pub use client_pool::ClientPool;
 pub use direction::Direction;
 pub use frame_seal::FrameSeal;
--- a/crates/node/src/peer_link/server.rs
+++ b/crates/node/src/peer_link/server.rs
@@ -14,8 +14,9 @@
 use tokio::sync::{Semaphore, mpsc, oneshot};
 use tokio_util::codec::LengthDelimitedCodec;
 
-use super::counted_stream::CountedStream;
-use super::{ByteCounts, Direction, FrameSeal, OpenError, PeerService};
+use super::{Direction, FrameSeal, OpenError, PeerService};
+use crate::byte_counts::ByteCounts;
+use crate::counted_stream::CountedStream;
 use crate::peer_link::IncomingRequest;
 
 /// Takes requests of other nodes and hands them to the control thread.
--- a/crates/node/tests/report_thread.rs
+++ b/crates/node/tests/report_thread.rs
@@ -14,6 +14,7 @@
     Revision, StoreError, StoreReply, StoreRequest, StoredConfig, StoredHour,
 };
 use almondsail_core::units::{Millis, UnixMillis};
+use almondsail_node::byte_counts::ByteCounts;
 use almondsail_node::clock::Clock;
 use almondsail_node::control::control_request::ControlRequest;
 use almondsail_node::control::control_thread::{ControlInputs, ControlParts, ControlThread};
@@ -21,7 +22,7 @@
 use almondsail_node::control::state_log::StateLog;
 use almondsail_node::metrics::Metrics;
 use almondsail_node::operators::operator_error::OperatorError;
-use almondsail_node::peer_link::{ByteCounts, ClientPool, FrameSeal};
+use almondsail_node::peer_link::{ClientPool, FrameSeal};
 use almondsail_node::settings::InstallationKey;
 use almondsail_node::store_client::StoreClient;
 use almondsail_node::{TrafficBuilder, TrafficSettings};
--- a/crates/wire/src/convert/fields.rs
+++ b/crates/wire/src/convert/fields.rs
@@ -4,6 +4,7 @@
 use std::str::FromStr;
 use std::sync::Arc;
 
+use almondsail_core::config::{MAX_TEXT_BYTES, is_plain_text};
 use almondsail_core::ids::{Digest, WriteId};
 use almondsail_core::units::PerMille;
 
@@ -94,8 +95,7 @@
 
 /// A free text without control characters.
 pub(super) fn plain_text(field: &str, text: String) -> Result<Arc<str>, FieldError> {
-    const MAX_TEXT_BYTES: usize = 512;
-    if text.len() > MAX_TEXT_BYTES || text.chars().any(char::is_control) {
+    if !is_plain_text(&text) {
         let problem = format_args!("expected at most {MAX_TEXT_BYTES} bytes without line breaks");
         return Err(FieldError::new(field, problem));
     }
