--- a/crates/codegen/src/lib.rs
+++ b/crates/codegen/src/lib.rs
@@ -11,8 +11,8 @@
 use std::path::Path;
 
 /// Files that hold messages, each compiled into the module of its package.
-const PROTO_FILES: [&str; 5] =
-    ["config.proto", "local.proto", "operator.proto", "peer.proto", "report.proto"];
+const PROTO_FILES: [&str; 6] =
+    ["config.proto", "fleet.proto", "local.proto", "operator.proto", "peer.proto", "report.proto"];
 
 /// Compiles the files in the folder `proto` to Rust files in the folder `out`.
 pub fn generate(proto: &Path, out: &Path) -> Result<(), Box<dyn Error>> {
--- /dev/null
+++ b/crates/core/src/fleet/config_problem.rs
@@ -0,0 +1,49 @@
+//! Why a configuration is refused.
+
+use std::fmt;
+use std::sync::Arc;
+
+use crate::ids::{RouteName, ServiceName};
+
+/// Why a configuration is refused as a whole.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ConfigProblem {
+    /// The text can't be read.
+    Unreadable(Arc<str>),
+    /// A route has a prefix that does not begin and end with a slash.
+    BadPrefix(RouteName),
+    /// A route has no destination with a weight above zero.
+    NoDestination(RouteName),
+    /// A route leads to a service that the configuration does not define.
+    UnknownService(RouteName, ServiceName),
+    /// A route allows no attempt.
+    NoAttempts(RouteName),
+    /// A route has no time-out.
+    NoTimeout(RouteName),
+    /// Two routes have the same host and prefix.
+    DuplicateRoute(RouteName, RouteName),
+}
+
+impl fmt::Display for ConfigProblem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unreadable(problem) => write!(f, "unreadable: {problem}"),
+            Self::BadPrefix(route) => {
+                write!(f, "route {route}: the prefix must begin and end with a slash")
+            }
+            Self::NoDestination(route) => {
+                write!(f, "route {route}: no destination with a weight above zero")
+            }
+            Self::UnknownService(route, service) => {
+                write!(f, "route {route}: service {service} is not defined")
+            }
+            Self::NoAttempts(route) => write!(f, "route {route}: no attempt is allowed"),
+            Self::NoTimeout(route) => write!(f, "route {route}: the time-out is zero"),
+            Self::DuplicateRoute(first, second) => {
+                write!(f, "routes {first} and {second} have the same host and prefix")
+            }
+        }
+    }
+}
+
+impl std::error::Error for ConfigProblem {}
--- /dev/null
+++ b/crates/core/src/fleet/door_load.rs
@@ -0,0 +1,105 @@
+//! What a node knows at first hand of another node's door.
+
+use crate::units::{Instant, Micros, Millis};
+
+/// What a node knows at first hand of the door of another node.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct DoorLoad {
+    /// Calls that ran or waited at the door when it last answered.
+    reported: u32,
+    /// When that was.
+    reported_at: Instant,
+    /// Calls sent there since.
+    sent_since: u32,
+    /// Calls of this node that are there now.
+    in_flight: u32,
+    /// The mean time of a call there.
+    mean: Option<Micros>,
+    /// The share of failures, newest weighted most.
+    failures: f64,
+    /// When the last failure came.
+    failed_at: Option<Instant>,
+    /// No call goes there before.
+    avoid_until: Instant,
+}
+
+impl DoorLoad {
+    /// A report older than this says nothing of the present load.
+    const REPORT_LIFE: Millis = Millis::new(1_000);
+    /// The weight of the newest call in the share of failures.
+    const WEIGHT: f64 = 0.15;
+    /// The time in which the share of failures halves without calls, so that a door that is
+    /// passed over is tried again.
+    const HALF_LIFE: Millis = Millis::new(2_000);
+    /// How long a door that can't be reached is passed over.
+    const AVOID_UNREACHABLE: Millis = Millis::new(500);
+    /// How long a door that refuses is passed over, unless nothing else is left.
+    const AVOID_REFUSING: Millis = Millis::new(100);
+
+    /// A call is sent.
+    pub fn sent(&mut self) {
+        self.in_flight += 1;
+        self.sent_since += 1;
+    }
+
+    /// A call has ended, however.
+    pub fn ended(&mut self) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+    }
+
+    /// The door reported its load.
+    pub fn report(&mut self, now: Instant, load: u32, mean: Option<Micros>) {
+        self.reported = load;
+        self.reported_at = now;
+        self.sent_since = 0;
+        self.mean = mean.or(self.mean);
+    }
+
+    /// A call was answered.
+    pub fn answered(&mut self) {
+        self.failures -= Self::WEIGHT * self.failures;
+    }
+
+    /// A call failed after it arrived.
+    pub fn failed(&mut self, now: Instant) {
+        self.failures = self.failures_at(now);
+        self.failures += Self::WEIGHT * (1.0 - self.failures);
+        self.failed_at = Some(now);
+    }
+
+    /// The door could not be reached.
+    pub fn unreachable(&mut self, now: Instant) {
+        self.failed(now);
+        self.avoid_until = now + Self::AVOID_UNREACHABLE;
+    }
+
+    /// The door refused a call unrun.
+    pub fn refused(&mut self, now: Instant) {
+        self.avoid_until = self.avoid_until.max(now + Self::AVOID_REFUSING);
+    }
+
+    /// Whether the door is passed over at `now`.
+    pub fn is_avoided(&self, now: Instant) -> bool {
+        now < self.avoid_until
+    }
+
+    /// The calls that are likely to run or wait at the door.
+    pub fn estimate(&self, now: Instant) -> u32 {
+        let is_fresh = now.since(self.reported_at) < Self::REPORT_LIFE.into();
+        let reported = if is_fresh { self.reported + self.sent_since } else { 0 };
+        reported.max(self.in_flight)
+    }
+
+    /// The mean time of a call there; `None` if it is not known.
+    pub const fn mean(&self) -> Option<Micros> {
+        self.mean
+    }
+
+    /// The share of failures at `now`, from 0 to 1.
+    pub fn failures_at(&self, now: Instant) -> f64 {
+        let Some(failed_at) = self.failed_at else { return self.failures };
+        let halvings =
+            now.since(failed_at).get() as f64 / Micros::from(Self::HALF_LIFE).get() as f64;
+        self.failures * (-halvings).exp2()
+    }
+}
--- /dev/null
+++ b/crates/core/src/fleet/fleet_view.rs
@@ -0,0 +1,30 @@
+//! What calls see of a node's beliefs.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use crate::fleet::{BackendStatus, MeshConfig, ServiceDoors};
+use crate::ids::{DataCentre, NodeId, ServiceName};
+
+/// What calls see of a node's beliefs at one moment. Each call reads one view.
+#[derive(Debug, Clone)]
+pub struct FleetView {
+    /// This node.
+    pub node: NodeId,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// The configuration in force.
+    pub config: Option<Arc<MeshConfig>>,
+    /// The doors of each service that has any.
+    pub services: HashMap<ServiceName, ServiceDoors>,
+    /// The backend server beside this node.
+    pub backend: Option<BackendStatus>,
+    /// The largest number of connections to it.
+    pub connections: u32,
+    /// Whether this node stops.
+    pub is_leaving: bool,
+    /// The number of nodes that share the retry budget, this one included.
+    pub nodes: u32,
+    /// Whether the evidence of this node's door is wanted: a rollout of its service runs.
+    pub wants_evidence: bool,
+}
--- /dev/null
+++ b/crates/core/src/fleet/heartbeat.rs
@@ -0,0 +1,23 @@
+//! What nodes tell each other.
+
+use crate::fleet::{BackendStatus, NodeEntry, RolloutReport};
+use crate::ids::{ConfigVersion, Incarnation};
+
+/// What a node tells all others, regularly and after each change.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Heartbeat {
+    /// The node and its addresses.
+    pub entry: NodeEntry,
+    /// Its start.
+    pub incarnation: Incarnation,
+    /// Rises with each heartbeat of one start.
+    pub sequence: u64,
+    /// The version of the configuration in force; zero if there is none.
+    pub config_version: ConfigVersion,
+    /// Whether it stops.
+    pub is_leaving: bool,
+    /// The backend server beside it.
+    pub backend: Option<BackendStatus>,
+    /// The rollouts that it knows.
+    pub rollouts: Vec<RolloutReport>,
+}
--- /dev/null
+++ b/crates/core/src/fleet/lease.rs
@@ -0,0 +1,36 @@
+//! The id of a lease in the store.
+
+use std::fmt;
+use std::str::FromStr;
+
+use crate::ids::ParseIdError;
+
+/// A lease in the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct LeaseId(u64);
+
+impl LeaseId {
+    /// The id for the number `n`.
+    pub const fn new(n: u64) -> Self {
+        Self(n)
+    }
+
+    /// The number.
+    pub const fn get(self) -> u64 {
+        self.0
+    }
+}
+
+impl fmt::Display for LeaseId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for LeaseId {
+    type Err = ParseIdError;
+
+    fn from_str(s: &str) -> Result<Self, Self::Err> {
+        s.parse().map(Self).map_err(|_| ParseIdError::new("lease", s, "a whole number"))
+    }
+}
--- /dev/null
+++ b/crates/core/src/fleet/mesh_config.rs
@@ -0,0 +1,71 @@
+//! A configuration.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+use crate::fleet::{CallerLimits, MeshRoute, ServiceSettings};
+use crate::ids::{ConfigVersion, ServiceName};
+
+/// A checked configuration: every service that a route leads to is defined.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MeshConfig {
+    /// The version; a higher one replaces a lower one.
+    pub version: ConfigVersion,
+    /// The limits of callers.
+    pub limits: CallerLimits,
+    /// The services.
+    pub services: BTreeMap<ServiceName, ServiceSettings>,
+    /// The routes by host and prefix.
+    pub(super) hosts: HashMap<Arc<str>, HashMap<Arc<str>, Arc<MeshRoute>>>,
+}
+
+impl MeshConfig {
+    /// The route of `host` with the longest prefix that begins `path`.
+    ///
+    /// ```
+    /// use almondsail_core::fleet::{Destination, MeshConfigBuilder, MeshRoute, ServiceSettings};
+    /// use almondsail_core::ids::ConfigVersion;
+    /// use almondsail_core::units::Millis;
+    ///
+    /// let route = MeshRoute {
+    ///     name: "r1".parse()?,
+    ///     host: "a.example".into(),
+    ///     prefix: "/x/".into(),
+    ///     idempotent: true,
+    ///     timeout: Millis::new(500),
+    ///     target_latency: Millis::new(200),
+    ///     priority: 1,
+    ///     max_attempts: 2,
+    ///     destinations: vec![Destination { service: "bays".parse()?, weight: 1 }],
+    /// };
+    /// let config = MeshConfigBuilder::new(ConfigVersion::new(1))
+    ///     .service("bays".parse()?, ServiceSettings { connections: 130 })
+    ///     .route(route)
+    ///     .build()?;
+    /// assert!(config.route("A.example:80", "/x/y?z=/q/").is_some());
+    /// assert!(config.route("a.example", "/other/").is_none());
+    /// # Ok::<(), Box<dyn std::error::Error>>(())
+    /// ```
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<MeshRoute>> {
+        let prefixes = self.hosts.get(&*host_name(host))?;
+        let mut rest = path.split('?').next().unwrap_or_default();
+        while let Some(end) = rest.rfind('/') {
+            if let Some(route) = prefixes.get(&rest[..=end]) {
+                return Some(route);
+            }
+            rest = &rest[..end];
+        }
+        None
+    }
+
+    /// Every route, in no order.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<MeshRoute>> {
+        self.hosts.values().flat_map(HashMap::values)
+    }
+}
+
+/// `host` in lower case and without its port.
+pub(super) fn host_name(host: &str) -> Arc<str> {
+    let name = host.split(':').next().unwrap_or_default();
+    name.to_ascii_lowercase().into()
+}
--- /dev/null
+++ b/crates/core/src/fleet/mesh_config_builder.rs
@@ -0,0 +1,87 @@
+//! Builds a configuration and checks it as a whole.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+use super::mesh_config::host_name;
+use crate::fleet::{CallerLimits, ConfigProblem, MeshConfig, MeshRoute, ServiceSettings};
+use crate::ids::{ConfigVersion, ServiceName};
+
+/// Builds a [`MeshConfig`].
+#[derive(Debug)]
+pub struct MeshConfigBuilder {
+    version: ConfigVersion,
+    limits: CallerLimits,
+    services: BTreeMap<ServiceName, ServiceSettings>,
+    routes: Vec<MeshRoute>,
+}
+
+impl MeshConfigBuilder {
+    /// A configuration without routes and with the default limits.
+    pub fn new(version: ConfigVersion) -> Self {
+        let limits = CallerLimits::default();
+        Self { version, limits, services: BTreeMap::new(), routes: Vec::new() }
+    }
+
+    /// Sets the limits of callers.
+    #[must_use]
+    pub const fn limits(mut self, limits: CallerLimits) -> Self {
+        self.limits = limits;
+        self
+    }
+
+    /// Adds a service.
+    #[must_use]
+    pub fn service(mut self, name: ServiceName, settings: ServiceSettings) -> Self {
+        self.services.insert(name, settings);
+        self
+    }
+
+    /// Adds a route.
+    #[must_use]
+    pub fn route(mut self, route: MeshRoute) -> Self {
+        self.routes.push(route);
+        self
+    }
+
+    /// Checks the whole and builds it.
+    pub fn build(self) -> Result<MeshConfig, ConfigProblem> {
+        let Self { version, limits, services, routes } = self;
+        let mut hosts: HashMap<Arc<str>, HashMap<Arc<str>, Arc<MeshRoute>>> = HashMap::new();
+        for mut route in routes {
+            check(&route, &services)?;
+            route.host = host_name(&route.host);
+            let prefixes = hosts.entry(route.host.clone()).or_default();
+            if let Some(other) = prefixes.get(&route.prefix) {
+                return Err(ConfigProblem::DuplicateRoute(other.name.clone(), route.name));
+            }
+            prefixes.insert(route.prefix.clone(), Arc::new(route));
+        }
+        Ok(MeshConfig { version, limits, services, hosts })
+    }
+}
+
+fn check(
+    route: &MeshRoute,
+    services: &BTreeMap<ServiceName, ServiceSettings>,
+) -> Result<(), ConfigProblem> {
+    let name = || route.name.clone();
+    if !route.prefix.starts_with('/') || !route.prefix.ends_with('/') {
+        return Err(ConfigProblem::BadPrefix(name()));
+    }
+    if route.max_attempts == 0 {
+        return Err(ConfigProblem::NoAttempts(name()));
+    }
+    if route.timeout.get() == 0 {
+        return Err(ConfigProblem::NoTimeout(name()));
+    }
+    if route.weight() == 0 {
+        return Err(ConfigProblem::NoDestination(name()));
+    }
+    for destination in &route.destinations {
+        if !services.contains_key(&destination.service) {
+            return Err(ConfigProblem::UnknownService(name(), destination.service.clone()));
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/core/src/fleet/peer_directory.rs
@@ -0,0 +1,131 @@
+//! The other nodes.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use crate::fleet::{Heartbeat, NodeEntry};
+use crate::ids::{Incarnation, NodeId};
+use crate::units::{Instant, Millis};
+
+/// The other nodes, as they tell of themselves.
+#[derive(Debug, Default)]
+pub struct PeerDirectory {
+    peers: BTreeMap<NodeId, Peer>,
+}
+
+/// Another node.
+#[derive(Debug)]
+pub struct Peer {
+    /// Its addresses.
+    pub entry: NodeEntry,
+    /// The newest heartbeat.
+    pub heartbeat: Option<Heartbeat>,
+    /// When it was last heard, or found in the store.
+    heard: Instant,
+    /// Whether it has its entry in the store.
+    is_listed: bool,
+}
+
+impl PeerDirectory {
+    /// A node that was not heard for this long is passed over while others are heard. Four
+    /// heartbeats, so that single lost datagrams don't matter.
+    pub const SILENCE: Millis = Millis::new(1_300);
+    /// A node that is neither heard nor listed for this long is forgotten. Longer than an
+    /// outage of the store, after which only its peers know a restarted node.
+    pub const MEMORY: Millis = Millis::new(120_000);
+
+    /// Takes the entry of a node from the store.
+    pub fn listed(&mut self, now: Instant, entry: NodeEntry) {
+        self.remove_predecessors(&entry);
+        let peer = self.peers.entry(entry.node.clone()).or_insert_with(|| Peer {
+            entry: entry.clone(),
+            heartbeat: None,
+            heard: now,
+            is_listed: true,
+        });
+        peer.entry = entry;
+        peer.is_listed = true;
+    }
+
+    /// Takes the end of a node's entry in the store. The node may live on.
+    pub fn unlisted(&mut self, node: &NodeId) {
+        if let Some(peer) = self.peers.get_mut(node) {
+            peer.is_listed = false;
+        }
+    }
+
+    /// Takes a heartbeat. `None` if it is outdated, else whether it tells something new.
+    pub fn heard(&mut self, now: Instant, heartbeat: Heartbeat) -> Option<bool> {
+        if let Some(peer) = self.peers.get(&heartbeat.entry.node)
+            && peer.is_newer_than(now, &heartbeat)
+        {
+            return None;
+        }
+        self.remove_predecessors(&heartbeat.entry);
+        let node = heartbeat.entry.node.clone();
+        let old = self.peers.remove(&node);
+        let was_silent = old.as_ref().is_none_or(|peer| peer.is_silent(now));
+        let is_listed = old.as_ref().is_some_and(|peer| peer.is_listed);
+        let is_new = was_silent
+            || old.and_then(|peer| peer.heartbeat).is_none_or(|old| !tells_same(&old, &heartbeat));
+        let entry = heartbeat.entry.clone();
+        let peer = Peer { entry, heartbeat: Some(heartbeat), heard: now, is_listed };
+        self.peers.insert(node, peer);
+        Some(is_new)
+    }
+
+    /// Forgets nodes that are long gone.
+    pub fn tick(&mut self, now: Instant) {
+        self.peers.retain(|_, peer| now.since(peer.heard) < Self::MEMORY.into());
+    }
+
+    /// The nodes.
+    pub fn iter(&self) -> impl Iterator<Item = &Peer> {
+        self.peers.values()
+    }
+
+    /// The nodes that were heard lately.
+    pub fn alive(&self, now: Instant) -> impl Iterator<Item = &Peer> {
+        self.iter().filter(move |peer| !peer.is_silent(now))
+    }
+
+    /// Where the nodes take heartbeats.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.iter().map(|peer| peer.entry.heartbeats).collect()
+    }
+
+    /// Removes nodes whose address now belongs to `entry`'s node.
+    fn remove_predecessors(&mut self, entry: &NodeEntry) {
+        self.peers.retain(|node, peer| *node == entry.node || peer.entry.door != entry.door);
+    }
+}
+
+impl Peer {
+    /// Whether it was not heard lately.
+    pub fn is_silent(&self, now: Instant) -> bool {
+        self.heartbeat.is_none() || now.since(self.heard) > PeerDirectory::SILENCE.into()
+    }
+
+    /// The start that it last told of.
+    pub fn incarnation(&self) -> Option<Incarnation> {
+        self.heartbeat.as_ref().map(|heartbeat| heartbeat.incarnation)
+    }
+
+    /// Whether what is known is newer than `other`. A start with a lower number is
+    /// believed once the one before is silent, because the time of day may jump back.
+    fn is_newer_than(&self, now: Instant, other: &Heartbeat) -> bool {
+        let Some(known) = &self.heartbeat else { return false };
+        match known.incarnation.cmp(&other.incarnation) {
+            std::cmp::Ordering::Equal => known.sequence >= other.sequence,
+            std::cmp::Ordering::Less => false,
+            std::cmp::Ordering::Greater => !self.is_silent(now),
+        }
+    }
+}
+
+fn tells_same(old: &Heartbeat, new: &Heartbeat) -> bool {
+    old.entry == new.entry
+        && old.incarnation == new.incarnation
+        && old.is_leaving == new.is_leaving
+        && old.backend == new.backend
+}
--- /dev/null
+++ b/crates/core/src/fleet/retry_share.rs
@@ -0,0 +1,89 @@
+//! A node's share of the fleet's retry budget.
+
+use std::collections::HashMap;
+
+use crate::ids::ServiceName;
+use crate::units::{Instant, Micros, PerMille};
+
+/// A node's share of the fleet's retry budget: second arrivals at the backend servers of a
+/// service in a window, in relation to the calls of the service, over all nodes.
+///
+/// Each node may repeat a part of its own first arrivals, and holds a part of the fleet's
+/// fixed allowance. The sum over all nodes stays below the budget in every window: a
+/// bucket of `allowance / nodes` that earns `ratio` for each call gives no more than
+/// `allowance + ratio * calls`. A node that restarts begins with an empty bucket, so that
+/// restarts in series bring no new allowance.
+#[derive(Debug)]
+pub struct RetryShare {
+    ratio: f64,
+    allowance: f64,
+    window: Micros,
+    nodes: u32,
+    buckets: HashMap<ServiceName, Bucket>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Bucket {
+    tokens: f64,
+    at: Instant,
+}
+
+impl RetryShare {
+    /// The part of the budget that is used; the rest covers calls made by repeated runs and
+    /// nodes that are not known yet.
+    const USED: f64 = 0.6;
+
+    /// The share in a budget of `ratio` of the calls and `allowance` in each `window`.
+    pub fn new(ratio: PerMille, allowance: u32, window: Micros) -> Self {
+        Self {
+            ratio: Self::USED * f64::from(ratio.get()) / 1_000.0,
+            allowance: Self::USED * f64::from(allowance),
+            window,
+            nodes: 1,
+            buckets: HashMap::new(),
+        }
+    }
+
+    /// Sets the number of nodes that share the budget.
+    pub fn set_nodes(&mut self, nodes: u32) {
+        self.nodes = nodes.max(1);
+    }
+
+    /// Counts the first arrival of a call of `service`.
+    pub fn first_arrival(&mut self, now: Instant, service: &ServiceName) {
+        let (ratio, most) = (self.ratio, self.most());
+        if let Some(bucket) = self.refill(now, service) {
+            bucket.tokens = (bucket.tokens + ratio).min(most);
+        }
+    }
+
+    /// Takes a repeat of a call of `service`, if one is left.
+    pub fn try_take(&mut self, now: Instant, service: &ServiceName) -> bool {
+        let Some(bucket) = self.refill(now, service) else { return false };
+        if bucket.tokens < 1.0 {
+            return false;
+        }
+        bucket.tokens -= 1.0;
+        true
+    }
+
+    /// The largest number of tokens: the node's part of the allowance, and at least one.
+    fn most(&self) -> f64 {
+        (self.allowance / f64::from(self.nodes) / 2.0).max(1.0)
+    }
+
+    /// Adds what the node's part of the allowance brings over time.
+    fn refill(&mut self, now: Instant, service: &ServiceName) -> Option<&mut Bucket> {
+        let most = self.most();
+        let each_micro =
+            self.allowance / f64::from(self.nodes) / 2.0 / self.window.get().max(1) as f64;
+        if !self.buckets.contains_key(service) {
+            self.buckets.insert(service.clone(), Bucket { tokens: 0.0, at: now });
+        }
+        let bucket = self.buckets.get_mut(service)?;
+        let gained = now.since(bucket.at).get() as f64 * each_micro;
+        bucket.at = now;
+        bucket.tokens = (bucket.tokens + gained).min(most);
+        Some(bucket)
+    }
+}
--- /dev/null
+++ b/crates/core/src/fleet/rollout.rs
@@ -0,0 +1,228 @@
+//! A rollout as one node knows it.
+
+use crate::fleet::{
+    RolloutClock, RolloutOrder, RolloutOutcome, RolloutPlan, RolloutProgress, RolloutReport,
+    RolloutStep, RouteKey, TrafficShift, VersionEvidence, VersionRule,
+};
+use crate::store::Revision;
+use crate::units::{Instant, Micros, Millis, UnixMillis};
+
+/// A rollout as one node knows it.
+#[derive(Debug)]
+pub struct Rollout {
+    /// The order.
+    pub order: RolloutOrder,
+    clock: RolloutClock,
+    /// Whether the new version was found bad. Never taken back.
+    is_stopped: bool,
+    outcome: Option<RolloutOutcome>,
+    /// The revision of the progress in the store; `None` if there is none.
+    progress: Option<Revision>,
+    /// The progress in the store is of this order.
+    is_recorded: bool,
+    /// What this node's own door saw.
+    evidence: VersionEvidence,
+    /// Since when a record is due.
+    due_since: Option<Instant>,
+    /// The record under way.
+    writing: Option<RolloutOutcome>,
+    /// No record is written before.
+    write_after: Instant,
+}
+
+impl Rollout {
+    /// A rollout that begins at `now`.
+    pub fn new(order: RolloutOrder, now: Instant) -> Self {
+        Self {
+            order,
+            clock: RolloutClock::start(now),
+            is_stopped: false,
+            outcome: None,
+            progress: None,
+            is_recorded: false,
+            evidence: VersionEvidence::default(),
+            due_since: None,
+            writing: None,
+            write_after: now,
+        }
+    }
+
+    /// Replaces an earlier order of the service. Keeps what is known of the store.
+    pub fn replace(&mut self, order: RolloutOrder, now: Instant) {
+        let progress = self.progress;
+        *self = Self { progress, ..Self::new(order, now) };
+    }
+
+    /// Takes what the store remembers.
+    pub fn recorded(
+        &mut self,
+        progress: &RolloutProgress,
+        revision: Revision,
+        now: Instant,
+        wall: UnixMillis,
+    ) {
+        self.progress = Some(revision);
+        self.is_recorded = progress.order == self.order.revision;
+        if !self.is_recorded {
+            return;
+        }
+        let elapsed = wall.since(progress.started).min(self.order.duration);
+        self.clock.at_least(now, elapsed.into());
+        self.outcome = progress.outcome.or(self.outcome);
+        self.is_stopped |= progress.outcome == Some(RolloutOutcome::RolledBack);
+    }
+
+    /// Takes what another node tells. Whether something changed for calls.
+    pub fn heard(&mut self, report: &RolloutReport, now: Instant) -> bool {
+        if report.order != self.order.revision {
+            return false;
+        }
+        let before = (self.is_stopped, self.outcome);
+        self.clock.at_least(now, report.elapsed.into());
+        self.is_stopped |= report.is_stopped;
+        self.outcome = self.outcome.or(report.outcome);
+        before != (self.is_stopped, self.outcome)
+    }
+
+    /// Stops the new version.
+    pub fn stop(&mut self) {
+        self.is_stopped = true;
+    }
+
+    /// Whether the new version was found bad.
+    pub const fn is_stopped(&self) -> bool {
+        self.is_stopped
+    }
+
+    /// How it ended, if it has.
+    pub const fn outcome(&self) -> Option<RolloutOutcome> {
+        self.outcome
+    }
+
+    /// The revision of the progress in the store.
+    pub const fn progress(&self) -> Option<Revision> {
+        self.progress
+    }
+
+    /// Whether the store knows of this order.
+    pub const fn is_recorded(&self) -> bool {
+        self.is_recorded
+    }
+
+    /// Whether its end is open.
+    pub const fn is_running(&self) -> bool {
+        self.outcome.is_none()
+    }
+
+    /// The time since the order.
+    pub fn elapsed(&self, now: Instant) -> Micros {
+        self.clock.elapsed(now)
+    }
+
+    /// The step that is due.
+    pub fn step(&self, now: Instant) -> RolloutStep {
+        RolloutPlan::new(self.order.duration).step(self.elapsed(now))
+    }
+
+    /// Which versions may take calls.
+    pub fn rule(&self) -> VersionRule {
+        let target = self.order.target.clone();
+        match self.outcome {
+            Some(RolloutOutcome::RolledBack) => VersionRule::Except(target),
+            Some(RolloutOutcome::Completed) => VersionRule::Only(target),
+            None if self.is_stopped => VersionRule::Except(target),
+            None => VersionRule::Shift(TrafficShift {
+                target,
+                order: self.order.revision,
+                clock: self.clock,
+                plan: RolloutPlan::new(self.order.duration),
+            }),
+        }
+    }
+
+    /// Counts an answer of this node's backend server.
+    pub fn answered(&mut self, route: RouteKey, took: Micros) {
+        self.evidence.routes.entry(route).or_default().answered(took);
+    }
+
+    /// Counts a failure of this node's backend server.
+    pub fn failed(&mut self, route: RouteKey) {
+        self.evidence.routes.entry(route).or_default().failed();
+    }
+
+    /// What this node's own door saw.
+    pub const fn evidence(&self) -> &VersionEvidence {
+        &self.evidence
+    }
+
+    /// What other nodes are told.
+    pub fn report(&self, now: Instant) -> RolloutReport {
+        let evidence = self.is_running() && !self.evidence.routes.is_empty();
+        RolloutReport {
+            service: self.order.service.clone(),
+            target: self.order.target.clone(),
+            order: self.order.revision,
+            duration: self.order.duration,
+            elapsed: Millis::new(self.elapsed(now).get() / 1_000),
+            is_stopped: self.is_stopped,
+            outcome: self.outcome,
+            evidence: evidence.then(|| self.evidence.clone()),
+        }
+    }
+
+    /// The progress for the store, with `outcome`.
+    pub fn to_progress(
+        &mut self,
+        now: Instant,
+        wall: UnixMillis,
+        outcome: Option<RolloutOutcome>,
+    ) -> RolloutProgress {
+        self.writing = outcome;
+        let elapsed = self.elapsed(now).get() / 1_000;
+        RolloutProgress {
+            service: self.order.service.clone(),
+            target: self.order.target.clone(),
+            order: self.order.revision,
+            duration: self.order.duration,
+            started: UnixMillis::new(wall.get().saturating_sub(elapsed)),
+            outcome,
+        }
+    }
+
+    /// The time until the deadline.
+    pub fn left(&self, now: Instant) -> Micros {
+        let duration = Micros::from(self.order.duration).get();
+        Micros::new(duration.saturating_sub(self.elapsed(now).get()))
+    }
+
+    /// How long a record has been due, with the one that is due at `now`.
+    pub(super) fn due_for(&mut self, now: Instant) -> Micros {
+        now.since(*self.due_since.get_or_insert(now))
+    }
+
+    /// No record is due.
+    pub(super) const fn nothing_due(&mut self) {
+        self.due_since = None;
+    }
+
+    /// Whether a record may be written: not shortly after one that failed.
+    pub(super) fn may_write(&self, now: Instant) -> bool {
+        now >= self.write_after
+    }
+
+    /// The record under way took effect. Returns the outcome that it told.
+    pub(super) fn written(&mut self, revision: Revision) -> Option<RolloutOutcome> {
+        self.progress = Some(revision);
+        self.is_recorded = true;
+        self.due_since = None;
+        let outcome = self.writing.take();
+        self.outcome = self.outcome.or(outcome);
+        outcome
+    }
+
+    /// The record under way failed, or its answer was lost.
+    pub(super) fn write_failed(&mut self, now: Instant) {
+        const PAUSE: Millis = Millis::new(250);
+        self.write_after = now + PAUSE;
+    }
+}
--- /dev/null
+++ b/crates/core/src/fleet/rollout_events.rs
@@ -0,0 +1,172 @@
+//! What the control state does about rollouts.
+
+use super::fleet_control::{FleetControl, Purpose};
+use crate::fleet::{
+    FleetNews, Rollout, RolloutOrder, RolloutOutcome, RolloutReport, RolloutStep, StoreFailure,
+    StoreReply, StoreRequest, StoreWrite, VersionEvidence, VersionJudge,
+};
+use crate::ids::{NodeId, ServiceName, VersionName};
+use crate::units::{Instant, Micros, Millis, UnixMillis};
+
+impl FleetControl {
+    /// How long a node waits for each node before it in the order of ids, before it records
+    /// a step itself. Covers a lost answer of the store.
+    const TAKEOVER: Millis = Millis::new(400);
+    /// Without a backend server of the new version, the rollout is taken back this long
+    /// before its deadline.
+    const NO_SERVER: Millis = Millis::new(800);
+
+    /// Takes what another node tells of a rollout.
+    pub(super) fn heard_rollout(&mut self, now: Instant, report: &RolloutReport) {
+        let is_known = |rollout: &Rollout| rollout.order.revision >= report.order;
+        if !self.rollouts.get(&report.service).is_some_and(is_known) {
+            let order = RolloutOrder {
+                service: report.service.clone(),
+                target: report.target.clone(),
+                duration: report.duration,
+                revision: report.order,
+            };
+            self.ordered(now, order);
+        }
+        if let Some(rollout) = self.rollouts.get_mut(&report.service)
+            && rollout.heard(report, now)
+        {
+            self.changed();
+        }
+    }
+
+    /// The rollout of the service of the backend server beside this node.
+    pub(super) fn own_rollout(&mut self, count: impl FnOnce(&mut Rollout)) {
+        let service = self.registration.backend().map(|backend| &backend.service);
+        if let Some(rollout) = service.and_then(|service| self.rollouts.get_mut(service)) {
+            count(rollout);
+        }
+    }
+
+    /// Judges the running rollouts and records what is due.
+    pub(super) fn drive_rollouts(&mut self, now: Instant, wall: UnixMillis) {
+        let running = self.rollouts.iter().filter(|(_, rollout)| rollout.is_running());
+        let running: Vec<ServiceName> = running.map(|(service, _)| service.clone()).collect();
+        for service in running {
+            self.judge(now, &service);
+            self.record(now, wall, &service);
+        }
+    }
+
+    fn judge(&mut self, now: Instant, service: &ServiceName) {
+        let Some(rollout) = self.rollouts.get(service).filter(|r| !r.is_stopped()) else { return };
+        let target = rollout.order.target.clone();
+        let (new, old) = self.evidence(now, service, &target);
+        if !VersionJudge::is_bad(&new, &old) {
+            return;
+        }
+        if let Some(rollout) = self.rollouts.get_mut(service) {
+            rollout.stop();
+        }
+        self.report(FleetNews::RolloutStopped {
+            service: service.clone(),
+            target,
+            calls: new.calls(),
+            failures: new.failures(),
+        });
+        self.changed();
+    }
+
+    /// What all doors saw of the new version and of the others.
+    fn evidence(
+        &self,
+        now: Instant,
+        service: &ServiceName,
+        target: &VersionName,
+    ) -> (VersionEvidence, VersionEvidence) {
+        let (mut new, mut old) = Default::default();
+        let Some(rollout) = self.rollouts.get(service) else { return (new, old) };
+        let mut add = |version: &VersionName, evidence: &VersionEvidence| {
+            if version == target { new.add(evidence) } else { old.add(evidence) }
+        };
+        if let Some(backend) = self.registration.backend().filter(|b| b.service == *service) {
+            add(&backend.version, rollout.evidence());
+        }
+        for known in self.backends(now) {
+            let report = self.peer_report(&known.entry.node, rollout);
+            if let Some(evidence) = report.and_then(|report| report.evidence.as_ref()) {
+                add(&known.status.version, evidence);
+            }
+        }
+        (new, old)
+    }
+
+    fn peer_report(&self, node: &NodeId, rollout: &Rollout) -> Option<&RolloutReport> {
+        let peer = self.peers.iter().find(|peer| peer.entry.node == *node)?;
+        let reports = &peer.heartbeat.as_ref()?.rollouts;
+        reports.iter().find(|report| {
+            report.service == rollout.order.service && report.order == rollout.order.revision
+        })
+    }
+
+    /// Writes the next record of a rollout if it is due and this node's turn.
+    fn record(&mut self, now: Instant, wall: UnixMillis, service: &ServiceName) {
+        let Some(outcome) = self.due_record(now, service) else {
+            if let Some(rollout) = self.rollouts.get_mut(service) {
+                rollout.nothing_due();
+            }
+            return;
+        };
+        let own = &self.identity.entry.node;
+        let rank = self.peers.alive(now).filter(|peer| peer.entry.node < *own).count();
+        let turn = Micros::from(Self::TAKEOVER).get() * rank.min(5) as u64;
+        let purpose = Purpose::Rollout(service.clone());
+        let is_pending = self.is_pending(&purpose);
+        let Some(rollout) = self.rollouts.get_mut(service) else { return };
+        if rollout.due_for(now) < Micros::new(turn) || is_pending || !rollout.may_write(now) {
+            return;
+        }
+        let progress = rollout.to_progress(now, wall, outcome);
+        let write = StoreWrite::Progress(progress, rollout.progress());
+        self.request(purpose, StoreRequest::Write(write));
+    }
+
+    /// The record that is due: the beginning (`Some(None)`) or an outcome.
+    fn due_record(&self, now: Instant, service: &ServiceName) -> Option<Option<RolloutOutcome>> {
+        let rollout = self.rollouts.get(service)?;
+        if rollout.is_stopped() {
+            return Some(Some(RolloutOutcome::RolledBack));
+        }
+        if rollout.step(now) == RolloutStep::Complete {
+            let is_new = |known: &super::fleet_control::KnownBackend<'_>| {
+                known.status.service == *service
+                    && known.status.version == rollout.order.target
+                    && known.status.takes_calls()
+                    && !known.is_silent
+            };
+            if self.backends(now).iter().any(is_new) {
+                return Some(Some(RolloutOutcome::Completed));
+            }
+            if rollout.left(now) <= Self::NO_SERVER.into() {
+                return Some(Some(RolloutOutcome::RolledBack));
+            }
+        }
+        (!rollout.is_recorded()).then_some(None)
+    }
+
+    /// Takes the reply to a record.
+    pub(super) fn rollout_written(
+        &mut self,
+        now: Instant,
+        service: &ServiceName,
+        reply: Result<StoreReply, StoreFailure>,
+    ) {
+        let Some(rollout) = self.rollouts.get_mut(service) else { return };
+        match reply {
+            Ok(StoreReply::Written(revision)) => {
+                if let Some(outcome) = rollout.written(revision) {
+                    let target = rollout.order.target.clone();
+                    self.report(FleetNews::RolloutEnded(service.clone(), target, outcome));
+                }
+                self.changed();
+            }
+            // After a conflict or a lost answer the feed tells what the store holds.
+            _ => rollout.write_failed(now),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/fleet/store_events.rs
@@ -0,0 +1,124 @@
+//! What the control state does with replies of the store.
+
+use rand::Rng;
+
+use super::fleet_control::{FleetControl, Purpose};
+use crate::fleet::{
+    FleetNews, ItemChange, KeySpace, RolloutOrder, RolloutProgress, StoreFailure, StoreItem,
+    StoreKey, StoreReply, StoredValue,
+};
+use crate::store::Revision;
+use crate::units::{Instant, UnixMillis};
+
+impl FleetControl {
+    pub(super) fn store_reply(
+        &mut self,
+        now: Instant,
+        wall: UnixMillis,
+        id: u64,
+        reply: Result<StoreReply, StoreFailure>,
+        rng: &mut impl Rng,
+    ) {
+        let Some(purpose) = self.pending.remove(&id) else { return };
+        match purpose {
+            Purpose::Feed(space) => {
+                self.note_store(space, reply.as_ref().err().copied());
+                let step = self.feed(space).reply(now, reply, rng);
+                for change in step.changes {
+                    self.store_change(now, wall, change);
+                }
+            }
+            Purpose::Lease => self.lease.reply(now, &reply),
+            Purpose::Rollout(service) => self.rollout_written(now, &service, reply),
+        }
+    }
+
+    /// Notes whether the store answers, by the feed of the operator's keys.
+    fn note_store(&mut self, space: KeySpace, failure: Option<StoreFailure>) {
+        let is_reached = matches!(failure, None | Some(StoreFailure::HistoryLost));
+        if space == KeySpace::Operator && is_reached != self.is_store_reached {
+            self.is_store_reached = is_reached;
+            self.report(FleetNews::Store { is_reached, failure });
+        }
+    }
+
+    fn store_change(&mut self, now: Instant, wall: UnixMillis, change: ItemChange) {
+        match change {
+            ItemChange::Put(StoreItem { key, revision, value }) => {
+                self.store_put(now, wall, &key, revision, value);
+            }
+            ItemChange::Removed(StoreKey::Node(node), _) => {
+                if node == self.identity.entry.node {
+                    self.lease.entry_lost(now);
+                } else {
+                    self.peers.unlisted(&node);
+                }
+            }
+            ItemChange::Removed(..) => {}
+        }
+    }
+
+    fn store_put(
+        &mut self,
+        now: Instant,
+        wall: UnixMillis,
+        key: &StoreKey,
+        revision: Revision,
+        value: StoredValue,
+    ) {
+        match value {
+            StoredValue::Config(Ok(text)) => self.take_config(text, "store"),
+            StoredValue::Config(Err(problem)) => {
+                self.report(FleetNews::ConfigRefused(problem.to_string()));
+            }
+            StoredValue::Order(order) => self.ordered(now, order),
+            StoredValue::Progress(progress) => self.progressed(now, wall, &progress, revision),
+            StoredValue::Node(entry) => {
+                if entry.node != self.identity.entry.node {
+                    self.peers.listed(now, entry);
+                    self.is_news = true;
+                }
+            }
+            StoredValue::Unreadable(problem) => {
+                self.report(FleetNews::ItemUnreadable(format!("{key:?}: {problem}")));
+            }
+        }
+    }
+
+    pub(super) fn ordered(&mut self, now: Instant, order: RolloutOrder) {
+        let service = order.service.clone();
+        let news = FleetNews::RolloutOrdered(service.clone(), order.target.clone());
+        match self.rollouts.get_mut(&service) {
+            Some(known) if known.order.revision >= order.revision => return,
+            Some(known) => known.replace(order, now),
+            None => {
+                self.rollouts.insert(service, crate::fleet::Rollout::new(order, now));
+            }
+        }
+        self.report(news);
+        self.changed();
+    }
+
+    fn progressed(
+        &mut self,
+        now: Instant,
+        wall: UnixMillis,
+        progress: &RolloutProgress,
+        revision: Revision,
+    ) {
+        // The order may not have come yet: what is written of it tells enough.
+        let order = RolloutOrder {
+            service: progress.service.clone(),
+            target: progress.target.clone(),
+            duration: progress.duration,
+            revision: progress.order,
+        };
+        if !self.rollouts.contains_key(&progress.service) {
+            self.ordered(now, order);
+        }
+        if let Some(rollout) = self.rollouts.get_mut(&progress.service) {
+            rollout.recorded(progress, revision, now, wall);
+            self.changed();
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/fleet/store_feed.rs
@@ -0,0 +1,183 @@
+//! Follows a part of the store.
+
+use std::collections::BTreeMap;
+
+use rand::Rng;
+
+use crate::fleet::{
+    ItemChange, KeySpace, StoreFailure, StoreItem, StoreKey, StoreReply, StoreRequest,
+};
+use crate::store::Revision;
+use crate::units::{Instant, Micros, Millis};
+
+/// Follows a part of the store: lists it once, then waits for changes.
+///
+/// At most one request is under way. After a lost history it lists again and tells what
+/// has changed or gone in between.
+#[derive(Debug)]
+pub struct StoreFeed {
+    space: KeySpace,
+    state: State,
+    /// The items and their revisions, as far as told.
+    known: BTreeMap<StoreKey, Revision>,
+    /// No request is sent before.
+    pause_until: Instant,
+    failures: u32,
+    is_listed: bool,
+}
+
+#[derive(Debug)]
+enum State {
+    Listing { after: Option<StoreKey>, as_of: Option<Revision>, listed: Vec<StoreItem> },
+    Watching(Revision),
+}
+
+/// What a reply to a feed brings.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct FeedStep {
+    /// The changes, in order.
+    pub changes: Vec<ItemChange>,
+    /// Whether the space is now known as a whole.
+    pub is_listed: bool,
+}
+
+impl StoreFeed {
+    /// Pause after a watch that brought changes, so that changes which follow closely
+    /// come with one call.
+    pub const GATHER: Millis = Millis::new(150);
+    /// Longest pause after a failure. Below two seconds, in which lapsed entries must be back.
+    const LONGEST_PAUSE: Millis = Millis::new(800);
+    const FIRST_PAUSE: Millis = Millis::new(50);
+
+    /// Follows `space` from its beginning.
+    pub const fn new(space: KeySpace) -> Self {
+        Self {
+            space,
+            state: State::Listing { after: None, as_of: None, listed: Vec::new() },
+            known: BTreeMap::new(),
+            pause_until: Instant::new(0),
+            failures: 0,
+            is_listed: false,
+        }
+    }
+
+    /// The next request, if it is due at `now`.
+    pub fn request(&self, now: Instant) -> Option<StoreRequest> {
+        if now < self.pause_until {
+            return None;
+        }
+        Some(match &self.state {
+            State::Listing { after, .. } => StoreRequest::List(self.space, after.clone()),
+            State::Watching(revision) => StoreRequest::Watch(self.space, *revision),
+        })
+    }
+
+    /// Whether the space was known as a whole at least once.
+    pub const fn is_listed(&self) -> bool {
+        self.is_listed
+    }
+
+    /// Whether the last request failed.
+    pub const fn is_failing(&self) -> bool {
+        self.failures > 0
+    }
+
+    /// Takes the reply to the last request.
+    pub fn reply(
+        &mut self,
+        now: Instant,
+        reply: Result<StoreReply, StoreFailure>,
+        rng: &mut impl Rng,
+    ) -> FeedStep {
+        match (reply, &mut self.state) {
+            (Ok(StoreReply::Items { items, next, as_of }), State::Listing { .. }) => {
+                self.failures = 0;
+                self.page(items, next, as_of)
+            }
+            (Ok(StoreReply::Changes(changes, as_of)), State::Watching(revision)) => {
+                self.failures = 0;
+                *revision = (*revision).max(as_of);
+                if !changes.is_empty() {
+                    self.pause_until = now + Self::GATHER;
+                }
+                let changes = changes.into_iter().filter(|change| self.note(change)).collect();
+                FeedStep { changes, is_listed: true }
+            }
+            (Err(StoreFailure::HistoryLost), _) => {
+                self.restart();
+                self.pause(now, rng);
+                FeedStep::default()
+            }
+            _ => {
+                self.pause(now, rng);
+                FeedStep::default()
+            }
+        }
+    }
+
+    fn page(
+        &mut self,
+        items: Vec<StoreItem>,
+        next: Option<StoreKey>,
+        first_as_of: Revision,
+    ) -> FeedStep {
+        let State::Listing { after, as_of, listed } = &mut self.state else {
+            return FeedStep::default();
+        };
+        listed.extend(items);
+        // Changes during the listing are repeated by a watch from the first page on.
+        let as_of = *as_of.get_or_insert(first_as_of);
+        if next.is_some() {
+            *after = next;
+            return FeedStep::default();
+        }
+        let listed = std::mem::take(listed);
+        self.state = State::Watching(as_of);
+        self.is_listed = true;
+        FeedStep { changes: self.compare(listed, as_of), is_listed: true }
+    }
+
+    /// The changes between what was known and `listed`.
+    fn compare(&mut self, listed: Vec<StoreItem>, as_of: Revision) -> Vec<ItemChange> {
+        let is_listed = |key: &StoreKey| listed.iter().any(|item| item.key == *key);
+        let gone: Vec<StoreKey> =
+            self.known.keys().filter(|key| !is_listed(key)).cloned().collect();
+        let gone = gone.into_iter().map(|key| ItemChange::Removed(key, as_of));
+        let put = listed.into_iter().map(ItemChange::Put);
+        let changes: Vec<ItemChange> = gone.chain(put).collect();
+        changes.into_iter().filter(|change| self.note(change)).collect()
+    }
+
+    /// Notes a change. Whether it is new.
+    fn note(&mut self, change: &ItemChange) -> bool {
+        let (key, revision) = match change {
+            ItemChange::Put(item) => (&item.key, item.revision),
+            ItemChange::Removed(key, revision) => (key, *revision),
+        };
+        if self.known.get(key).is_some_and(|known| *known >= revision) {
+            return false;
+        }
+        match change {
+            ItemChange::Put(_) => {
+                self.known.insert(key.clone(), revision);
+                true
+            }
+            ItemChange::Removed(..) => self.known.remove(key).is_some(),
+        }
+    }
+
+    fn restart(&mut self) {
+        self.state = State::Listing { after: None, as_of: None, listed: Vec::new() };
+    }
+
+    /// Pauses with full jitter, longer with each failure in a row.
+    fn pause(&mut self, now: Instant, rng: &mut impl Rng) {
+        if let State::Listing { .. } = self.state {
+            self.restart();
+        }
+        let longest = Self::FIRST_PAUSE.get() << self.failures.min(5);
+        let longest = Micros::from(Millis::new(longest).min(Self::LONGEST_PAUSE)).get();
+        self.failures += 1;
+        self.pause_until = now + Micros::new(rng.random_range(longest / 4..=longest));
+    }
+}
--- a/crates/core/src/ids/mod.rs
+++ b/crates/core/src/ids/mod.rs
@@ -3,6 +3,7 @@
 #[macro_use]
 mod name;
 
+mod backend_id;
 mod call_key;
 mod config_version;
 mod data_centre;
@@ -20,6 +21,7 @@
 mod version_name;
 mod write_id;
 
+pub use backend_id::BackendId;
 pub use call_key::CallKey;
 pub use config_version::ConfigVersion;
 pub use data_centre::DataCentre;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,6 +17,7 @@
 
 pub mod config;
 pub mod control;
+pub mod fleet;
 pub mod ids;
 pub mod operators;
 pub mod peers;
--- a/crates/node/src/calls/call_headers.rs
+++ b/crates/node/src/calls/call_headers.rs
@@ -62,6 +62,16 @@
 
 /// Removes the headers that concern one connection only, and those of this mesh.
 pub(crate) fn remove_own(headers: &mut HeaderMap) {
+    remove_connection_headers(headers);
+    let is_own = |name: &&HeaderName| name.as_str().starts_with(PREFIX);
+    let own: Vec<HeaderName> = headers.keys().filter(is_own).cloned().collect();
+    for name in own {
+        headers.remove(name);
+    }
+}
+
+/// Removes the headers that concern one connection only.
+pub(crate) fn remove_connection_headers(headers: &mut HeaderMap) {
     for name in named_by_connection(headers) {
         headers.remove(name);
     }
@@ -71,11 +81,6 @@
     for name in HOP_BY_HOP_NAMES {
         headers.remove(name);
     }
-    let is_own = |name: &&HeaderName| name.as_str().starts_with(PREFIX);
-    let own: Vec<HeaderName> = headers.keys().filter(is_own).cloned().collect();
-    for name in own {
-        headers.remove(name);
-    }
 }
 
 /// The headers that the `Connection` header names.
--- a/crates/node/src/calls/exchange.rs
+++ b/crates/node/src/calls/exchange.rs
@@ -19,6 +19,7 @@
 
 use crate::byte_counts::ByteCounts;
 use crate::counted_stream::CountedStream;
+use crate::socket;
 
 /// The largest header of an answer.
 const MAX_ANSWER_HEADER: usize = 64 * 1024;
@@ -74,7 +75,7 @@
     /// Connects to `addr` within `timeout`.
     pub(crate) async fn connect(addr: SocketAddr, timeout: Duration) -> io::Result<Self> {
         let stream = tokio::time::timeout(timeout, TcpStream::connect(addr)).await??;
-        stream.set_nodelay(true)?;
+        socket::prepare(&stream)?;
         let written = ByteCounts::default();
         let stream = CountedStream::new(stream, written.clone());
         let mut builder = Builder::new();
--- a/crates/node/src/calls/mod.rs
+++ b/crates/node/src/calls/mod.rs
@@ -4,7 +4,7 @@
 //! [`serve_door`] takes them there and `door` runs them at the backend server. `exchange` and
 //! `exchange_pool` hold the connections in between, `claims` and `held_claim` the idempotency keys.
 
-mod answer_body;
+pub(crate) mod answer_body;
 mod answer_recorder;
 mod answer_stream;
 mod answer_watcher;
@@ -23,8 +23,8 @@
 mod door;
 mod door_request;
 mod door_server;
-mod exchange;
-mod exchange_pool;
+pub(crate) mod exchange;
+pub(crate) mod exchange_pool;
 mod failure;
 mod forward;
 mod handover_batch;
--- /dev/null
+++ b/crates/node/src/fleet/call_metrics.rs
@@ -0,0 +1,67 @@
+//! Counters and histograms of calls.
+
+use almondsail_core::RetryReason;
+use almondsail_core::units::Micros;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, Meter};
+
+use crate::fleet::caller_handler::CallerResult;
+
+/// The bounds of the histogram's buckets, in seconds.
+const BOUNDS: [f64; 12] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0];
+
+/// Counters and histograms of callers' requests.
+#[derive(Debug, Clone)]
+pub(crate) struct CallMetrics {
+    answers: Counter<u64>,
+    failures: Counter<u64>,
+    retries: Counter<u64>,
+    times: Histogram<f64>,
+}
+
+impl CallMetrics {
+    pub(crate) fn new(meter: &Meter) -> Self {
+        Self {
+            answers: meter
+                .u64_counter("fleet_answers")
+                .with_description("Callers' requests that a backend server answered, by class")
+                .build(),
+            failures: meter
+                .u64_counter("fleet_failures")
+                .with_description("Callers' requests without an answer, by verdict and reason")
+                .build(),
+            retries: meter
+                .u64_counter("fleet_retries")
+                .with_description("Calls that were sent to another door, by reason")
+                .build(),
+            times: meter
+                .f64_histogram("fleet_call_seconds")
+                .with_description("Time until a caller's request was answered, by outcome")
+                .with_boundaries(BOUNDS.to_vec())
+                .build(),
+        }
+    }
+
+    /// A caller's request ended after `took`.
+    pub(crate) fn answered(&self, result: &CallerResult, took: Micros) {
+        let outcome = match &result.answer {
+            Ok(response) => {
+                let class = if response.status().is_server_error() { "failed" } else { "served" };
+                self.answers.add(1, &[KeyValue::new("class", class)]);
+                class
+            }
+            Err(failure) => {
+                let verdict = KeyValue::new("verdict", failure.verdict.as_str());
+                let reason = KeyValue::new("reason", failure.reason.as_str());
+                self.failures.add(1, &[verdict, reason]);
+                failure.verdict.as_str()
+            }
+        };
+        self.times.record(took.get() as f64 / 1e6, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// A call was sent to another door.
+    pub(crate) fn retried(&self, reason: RetryReason) {
+        self.retries.add(1, &[KeyValue::new("reason", reason.as_str())]);
+    }
+}
--- /dev/null
+++ b/crates/node/src/fleet/caller_handler.rs
@@ -0,0 +1,255 @@
+//! Answers requests of callers.
+
+use std::sync::Arc;
+
+use almondsail_core::fleet::{Attempts, MeshRoute, NextTry, RemoteDoor};
+use almondsail_core::ids::ServiceName;
+use almondsail_core::units::{Instant, Micros};
+use almondsail_core::{RefusalReason, Verdict};
+use almondsail_platform::calls as names;
+use bytes::Bytes;
+use http::header::{self, HeaderMap, HeaderValue};
+use http::{Request, Response, StatusCode};
+use rand::Rng as _;
+
+use crate::calls::call_headers as own_names;
+use crate::fleet::door_call::DoorCall;
+use crate::fleet::door_failure::DoorFailure;
+use crate::fleet::traffic::FleetTraffic;
+use crate::fleet::{door, door_client};
+
+/// How soon a caller may come again when no door is known.
+const NO_DOOR: Micros = Micros::new(300_000);
+/// The part of a deadline that is kept back from the door, so that its verdict arrives
+/// before the caller's time ends.
+const MARGIN: Micros = Micros::new(8_000);
+
+/// Answers a request of a caller.
+pub(crate) async fn answer(traffic: Arc<FleetTraffic>, request: Request<Bytes>) -> Response<Bytes> {
+    let id = names::attempt_id(request.headers()).cloned();
+    let started = traffic.clock.now();
+    let result = route(&traffic, started, request).await;
+    let took = traffic.clock.now().since(started);
+    traffic.metrics.answered(&result, took);
+    traffic.log.caller(id.as_ref(), took, &result);
+    match result.answer {
+        Ok(response) => response,
+        Err(failure) => refusal(&failure, id.as_ref()),
+    }
+}
+
+/// How a caller's request ended.
+#[derive(Debug)]
+pub(crate) struct CallerResult {
+    /// The answer of a backend server, or why there is none.
+    pub(crate) answer: Result<Response<Bytes>, DoorFailure>,
+    /// The route, if there is one.
+    pub(crate) route: Option<Arc<MeshRoute>>,
+    /// The service.
+    pub(crate) service: Option<ServiceName>,
+    /// The doors that were tried, the last one last.
+    pub(crate) doors: Vec<RemoteDoor>,
+    /// The version of the configuration by which the request was routed.
+    pub(crate) config_version: u64,
+}
+
+async fn route(
+    traffic: &Arc<FleetTraffic>,
+    started: Instant,
+    request: Request<Bytes>,
+) -> CallerResult {
+    let view = traffic.view.load_full();
+    let mut result = CallerResult {
+        answer: Err(DoorFailure::unrun(RefusalReason::NoConfig, NO_DOOR)),
+        route: None,
+        service: None,
+        doors: Vec::new(),
+        config_version: view.config.as_ref().map_or(0, |cfg| cfg.version.get()),
+    };
+    let Some(config) = &view.config else { return result };
+    let host = request.headers().get(header::HOST).and_then(|host| host.to_str().ok());
+    let Some(route) = config.route(host.unwrap_or_default(), request.uri().path()) else {
+        result.answer = Err(DoorFailure::unrun(RefusalReason::UnknownRoute, Micros::new(0)));
+        return result;
+    };
+    let draw = rand::rng().random_range(0..route.weight());
+    result.route = Some(Arc::clone(route));
+    result.service = Some(route.destination(draw).clone());
+    let mut call = prepare(traffic, started, route, route.destination(draw), request);
+    result.answer = send(traffic, route, &mut call, &mut result.doors).await;
+    result
+}
+
+fn prepare(
+    traffic: &FleetTraffic,
+    started: Instant,
+    route: &MeshRoute,
+    service: &ServiceName,
+    request: Request<Bytes>,
+) -> DoorCall {
+    let (parts, body) = request.into_parts();
+    let mut headers = parts.headers;
+    let asked = names::deadline(&headers);
+    let limit = asked.map_or(route.timeout, |asked| asked.min(route.timeout));
+    own_names::remove_connection_headers(&mut headers);
+    DoorCall {
+        service: service.clone(),
+        backend: "none".parse().expect("a valid name"),
+        route: route.name.clone(),
+        priority: route.priority,
+        deadline: started + limit,
+        target: started + route.target_latency,
+        target_latency: route.target_latency,
+        caller: traffic.service.clone(),
+        method: parts.method,
+        uri: parts.uri,
+        headers,
+        body,
+    }
+}
+
+/// Sends a call to one door after the other until it has an answer or has failed.
+async fn send(
+    traffic: &Arc<FleetTraffic>,
+    route: &MeshRoute,
+    call: &mut DoorCall,
+    doors: &mut Vec<RemoteDoor>,
+) -> Result<Response<Bytes>, DoorFailure> {
+    let mut attempts = Attempts::new(route.idempotent, route.max_attempts);
+    let mut last: Option<Result<Response<Bytes>, DoorFailure>> = None;
+    loop {
+        let Some(door) = choose(traffic, route, call, &attempts) else {
+            let none = DoorFailure::unrun(RefusalReason::NoBackend, NO_DOOR);
+            return last.unwrap_or(Err(none)).map_err(|failure| settle(failure, &attempts));
+        };
+        call.backend = door.backend.clone();
+        attempts.tried.push(door.node.clone());
+        let result = attempt(traffic, &door, call).await;
+        doors.push(door);
+        let failed = match &result {
+            Ok(response) if !response.status().is_server_error() || !route.idempotent => {
+                if attempts.is_first_arrival() {
+                    traffic.budget().first_arrival(traffic.clock.now(), &call.service);
+                }
+                return result;
+            }
+            Ok(_) => DoorFailure::may_have_run(RefusalReason::BadAnswer),
+            Err(failure) => *failure,
+        };
+        let now = traffic.clock.now();
+        if failed.has_arrived && attempts.is_first_arrival() {
+            traffic.budget().first_arrival(now, &call.service);
+        }
+        let is_over = call.deadline <= now + MARGIN;
+        let next = attempts.after(now, failed.as_try(), &call.service, &mut traffic.budget());
+        match next {
+            NextTry::Again(reason) if !is_over => traffic.metrics.retried(reason),
+            _ => return result.map_err(|failure| settle(failure, &attempts)),
+        }
+        last = Some(result);
+    }
+}
+
+/// The failure of the call after the failure of its last try.
+fn settle(last: DoorFailure, attempts: &Attempts) -> DoorFailure {
+    DoorFailure { verdict: attempts.verdict(last.verdict), ..last }
+}
+
+fn choose(
+    traffic: &FleetTraffic,
+    route: &MeshRoute,
+    call: &DoorCall,
+    attempts: &Attempts,
+) -> Option<RemoteDoor> {
+    let now = traffic.clock.now();
+    let view = traffic.view.load();
+    let doors = view.services.get(&call.service)?;
+    let mut placement = traffic.placement();
+    let is_first = attempts.tried.is_empty();
+    let to_new = match is_first {
+        true => placement.sends_to_new(now, &call.service, doors),
+        false => doors.is_full_shift(now),
+    };
+    placement.choose(now, route, doors, to_new, &attempts.tried, &mut rand::rng()).cloned()
+}
+
+async fn attempt(
+    traffic: &Arc<FleetTraffic>,
+    target: &RemoteDoor,
+    call: &DoorCall,
+) -> Result<Response<Bytes>, DoorFailure> {
+    let sent = Sent::new(traffic, target);
+    let result = if target.node == traffic.view.load().node {
+        let started = traffic.clock.now();
+        let result = door::run(traffic, call).await;
+        let (calls, mean) = traffic.queue.load();
+        traffic.placement().load(&target.node).report(traffic.clock.now(), calls, mean);
+        traffic.log.door(call, traffic.clock.now().since(started), &result);
+        result
+    } else {
+        door_client::send(traffic, &target.node, target.address, call).await
+    };
+    drop(sent);
+    let now = traffic.clock.now();
+    let mut placement = traffic.placement();
+    let load = placement.load(&target.node);
+    match &result {
+        Ok(response) if response.status().is_server_error() => load.failed(now),
+        Ok(_) => load.answered(),
+        Err(failure) => match failure.verdict {
+            Verdict::NotSent => load.unreachable(now),
+            Verdict::RefusedUnrun => load.refused(now),
+            Verdict::MayHaveRun => load.failed(now),
+        },
+    }
+    result
+}
+
+/// A call that is at a door; it has ended when this is dropped.
+struct Sent<'a> {
+    traffic: &'a FleetTraffic,
+    door: &'a RemoteDoor,
+}
+
+impl<'a> Sent<'a> {
+    fn new(traffic: &'a FleetTraffic, door: &'a RemoteDoor) -> Self {
+        traffic.placement().load(&door.node).sent();
+        Self { traffic, door }
+    }
+}
+
+impl Drop for Sent<'_> {
+    fn drop(&mut self) {
+        self.traffic.placement().load(&self.door.node).ended();
+    }
+}
+
+/// The answer to a request without an answer of a backend server.
+fn refusal(failure: &DoorFailure, id: Option<&HeaderValue>) -> Response<Bytes> {
+    let mut response = Response::new(Bytes::new());
+    *response.status_mut() = status(failure);
+    let headers: &mut HeaderMap = response.headers_mut();
+    if response_is_promise(failure) {
+        let seconds = failure.retry_after.get() as f64 / 1e6 * rand::rng().random_range(0.8..1.2);
+        own_names::set(headers, header::RETRY_AFTER, format_args!("{:.3}", seconds.max(0.05)));
+    }
+    own_names::set_failure(headers, failure.verdict, failure.reason);
+    if let Some(id) = id {
+        names::mark_answer(headers, id);
+    }
+    response
+}
+
+const fn response_is_promise(failure: &DoorFailure) -> bool {
+    !matches!(failure.verdict, Verdict::MayHaveRun)
+}
+
+/// The status of a failure: 503 promises that the request has not run and never will.
+const fn status(failure: &DoorFailure) -> StatusCode {
+    match (failure.verdict, failure.reason) {
+        (_, RefusalReason::UnknownRoute) => StatusCode::NOT_FOUND,
+        (Verdict::NotSent | Verdict::RefusedUnrun, _) => StatusCode::SERVICE_UNAVAILABLE,
+        (Verdict::MayHaveRun, RefusalReason::DeadlinePassed) => StatusCode::GATEWAY_TIMEOUT,
+        (Verdict::MayHaveRun, _) => StatusCode::BAD_GATEWAY,
+    }
+}
--- /dev/null
+++ b/crates/node/src/fleet/door.rs
@@ -0,0 +1,117 @@
+//! Runs calls at the backend server beside this node.
+
+use std::sync::Arc;
+
+use almondsail_core::RefusalReason;
+use almondsail_core::fleet::{FleetEvent, FleetView, RouteKey};
+use almondsail_core::units::Micros;
+use almondsail_platform::calls::{self as names, AnswerKind};
+use bytes::Bytes;
+use http::Response;
+
+use crate::calls::exchange::ExchangeError;
+use crate::fleet::door_call::DoorCall;
+use crate::fleet::door_failure::DoorFailure;
+use crate::fleet::queue_slot::QueueSlot;
+use crate::fleet::traffic::FleetTraffic;
+use crate::fleet::whole_answer;
+
+/// How soon a call may come again after a refusal that tells nothing of the load.
+const SOON: Micros = Micros::new(200_000);
+
+/// Runs `call` at the backend server beside this node.
+///
+/// Only this node reaches the server, so what it knows decides: which server has the
+/// address, whether it takes calls, and how many run.
+pub(crate) async fn run(
+    traffic: &Arc<FleetTraffic>,
+    call: &DoorCall,
+) -> Result<Response<Bytes>, DoorFailure> {
+    check(&traffic.view.load(), call)?;
+    let slot = traffic.queue.take(call.need()).await?;
+    // The server may have left while the call waited.
+    check(&traffic.view.load(), call)?;
+    let result = exchange(traffic, call, slot).await;
+    if traffic.view.load().wants_evidence {
+        record(traffic, call, &result);
+    }
+    result.map(|(response, _)| response)
+}
+
+fn check(view: &FleetView, call: &DoorCall) -> Result<(), DoorFailure> {
+    let refuse = |reason| Err(DoorFailure::unrun(reason, SOON));
+    if view.is_leaving {
+        return refuse(RefusalReason::Leaving);
+    }
+    let Some(backend) = &view.backend else { return refuse(RefusalReason::BackendDown) };
+    if backend.id != call.backend || backend.service != call.service {
+        return refuse(RefusalReason::BackendDown);
+    }
+    if !backend.takes_calls() {
+        return refuse(RefusalReason::Leaving);
+    }
+    Ok(())
+}
+
+async fn exchange(
+    traffic: &Arc<FleetTraffic>,
+    call: &DoorCall,
+    slot: QueueSlot,
+) -> Result<(Response<Bytes>, Micros), DoorFailure> {
+    let clock = traffic.clock;
+    let until = clock.timer(call.deadline);
+    let sent = traffic.backend_pool.send(|| call.to_backend(clock.now()), until).await;
+    let (response, exchange) = match sent {
+        Ok(sent) => sent,
+        Err(error) => return Err(failure(&error)),
+    };
+    let kind = names::answer_kind(response.status(), response.headers(), call.id());
+    let answer = whole_answer::read(response, exchange, &traffic.backend_pool, until).await;
+    match (kind, answer) {
+        (AnswerKind::Refused, _) => Err(DoorFailure::shed(traffic.queue_time())),
+        (AnswerKind::OtherServer, _) => {
+            let failure = DoorFailure::unrun(RefusalReason::BackendDown, SOON);
+            Err(DoorFailure { has_arrived: true, ..failure })
+        }
+        (AnswerKind::Ran, Ok(response)) => {
+            let took = clock.now().since(slot.started());
+            slot.ran();
+            Ok((response, took))
+        }
+        (AnswerKind::Ran, Err(_)) => Err(DoorFailure::may_have_run(RefusalReason::BrokenExchange)),
+        (AnswerKind::Foreign, _) => Err(DoorFailure::may_have_run(RefusalReason::BadAnswer)),
+    }
+}
+
+const fn failure(error: &ExchangeError) -> DoorFailure {
+    match error {
+        ExchangeError::NotSent => DoorFailure::not_sent(RefusalReason::BackendDown),
+        ExchangeError::Broken => DoorFailure::may_have_run(RefusalReason::BrokenExchange),
+        ExchangeError::BadAnswer => DoorFailure::may_have_run(RefusalReason::BadAnswer),
+        ExchangeError::TimedOut => DoorFailure::may_have_run(RefusalReason::DeadlinePassed),
+    }
+}
+
+/// Hands what the call showed of the server's version to the control state.
+fn record(
+    traffic: &FleetTraffic,
+    call: &DoorCall,
+    result: &Result<(Response<Bytes>, Micros), DoorFailure>,
+) {
+    let route = RouteKey::of(&call.route);
+    match result {
+        Ok((response, took)) if !response.status().is_server_error() => {
+            traffic.evidence(FleetEvent::Answered(route, *took));
+        }
+        Ok(_) => traffic.evidence(FleetEvent::Failed(route)),
+        Err(failure) if failure.has_arrived => traffic.evidence(FleetEvent::Failed(route)),
+        Err(_) => {}
+    }
+}
+
+impl FleetTraffic {
+    /// How long a call that is refused now would have to wait.
+    fn queue_time(&self) -> Micros {
+        self.queue.load().1.unwrap_or(SOON)
+    }
+}
--- /dev/null
+++ b/crates/node/src/fleet/door_client.rs
@@ -0,0 +1,85 @@
+//! Sends calls to the doors of other nodes.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::str::FromStr;
+use std::sync::Arc;
+
+use almondsail_core::RefusalReason;
+use almondsail_core::ids::NodeId;
+use almondsail_core::units::Micros;
+use bytes::Bytes;
+use http::Response;
+use http::header::{HeaderMap, HeaderName};
+
+use crate::calls::exchange::ExchangeError;
+use crate::fleet::door_call::DoorCall;
+use crate::fleet::door_failure::{DoorFailure, FAILURE};
+use crate::fleet::traffic::FleetTraffic;
+use crate::fleet::whole_answer;
+
+/// The header in which a door reports its load.
+pub(crate) const LOAD: HeaderName = HeaderName::from_static("almondsail-door-load");
+
+/// The load that a door reports.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct ReportedLoad {
+    /// The calls that run or wait.
+    pub(crate) calls: u32,
+    /// Their mean time, if it is known.
+    pub(crate) mean: Option<Micros>,
+}
+
+impl fmt::Display for ReportedLoad {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {}", self.calls, self.mean.map_or(0, Micros::get))
+    }
+}
+
+impl FromStr for ReportedLoad {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(s: &str) -> Result<Self, Self::Err> {
+        let (calls, mean) = s.split_once(' ').unwrap_or((s, "0"));
+        let mean: u64 = mean.parse()?;
+        Ok(Self { calls: calls.parse()?, mean: (mean > 0).then(|| Micros::new(mean)) })
+    }
+}
+
+/// Sends `call` to the door of `node` at `address`.
+pub(crate) async fn send(
+    traffic: &Arc<FleetTraffic>,
+    node: &NodeId,
+    address: SocketAddr,
+    call: &DoorCall,
+) -> Result<Response<Bytes>, DoorFailure> {
+    let clock = traffic.clock;
+    let pool = traffic.door_pool(address);
+    let until = clock.timer(call.deadline);
+    let (response, exchange) =
+        pool.send(|| call.to_door(clock.now()), until).await.map_err(|error| failure(&error))?;
+    let mut response = whole_answer::read(response, exchange, &pool, until)
+        .await
+        .map_err(|_| DoorFailure::may_have_run(RefusalReason::BrokenExchange))?;
+    if let Some(load) = take::<ReportedLoad>(response.headers_mut(), &LOAD) {
+        traffic.placement().load(node).report(clock.now(), load.calls, load.mean);
+    }
+    if response.headers().contains_key(FAILURE) {
+        let bad = DoorFailure::may_have_run(RefusalReason::BadAnswer);
+        return Err(take(response.headers_mut(), &FAILURE).unwrap_or(bad));
+    }
+    Ok(response)
+}
+
+fn take<T: FromStr>(headers: &mut HeaderMap, name: &HeaderName) -> Option<T> {
+    headers.remove(name)?.to_str().ok()?.parse().ok()
+}
+
+const fn failure(error: &ExchangeError) -> DoorFailure {
+    match error {
+        ExchangeError::NotSent => DoorFailure::not_sent(RefusalReason::ConnectFailed),
+        ExchangeError::Broken => DoorFailure::may_have_run(RefusalReason::BrokenExchange),
+        ExchangeError::BadAnswer => DoorFailure::may_have_run(RefusalReason::BadAnswer),
+        ExchangeError::TimedOut => DoorFailure::may_have_run(RefusalReason::DeadlinePassed),
+    }
+}
--- /dev/null
+++ b/crates/node/src/fleet/door_failure.rs
@@ -0,0 +1,88 @@
+//! A call that has no answer of a backend server.
+
+use std::fmt;
+use std::str::FromStr;
+
+use almondsail_core::fleet::FailedTry;
+use almondsail_core::units::Micros;
+use almondsail_core::{RefusalReason, Verdict};
+use http::header::HeaderName;
+
+/// The header in which a door reports a failure to an entry node.
+pub(crate) const FAILURE: HeaderName = HeaderName::from_static("almondsail-failure");
+
+/// A call that has no answer of a backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct DoorFailure {
+    /// Whether it may have run.
+    pub(crate) verdict: Verdict,
+    /// Why it failed.
+    pub(crate) reason: RefusalReason,
+    /// Whether it arrived at a backend server.
+    pub(crate) has_arrived: bool,
+    /// After how long it may come again, if it did not run.
+    pub(crate) retry_after: Micros,
+}
+
+impl DoorFailure {
+    /// Refused before it reached a backend server.
+    pub(crate) const fn unrun(reason: RefusalReason, retry_after: Micros) -> Self {
+        Self { verdict: Verdict::RefusedUnrun, reason, has_arrived: false, retry_after }
+    }
+
+    /// Not sent: no connection could be opened.
+    pub(crate) const fn not_sent(reason: RefusalReason) -> Self {
+        Self { verdict: Verdict::NotSent, reason, has_arrived: false, retry_after: Micros::new(0) }
+    }
+
+    /// Refused by the backend server.
+    pub(crate) const fn shed(retry_after: Micros) -> Self {
+        Self {
+            verdict: Verdict::RefusedUnrun,
+            reason: RefusalReason::BackendShed,
+            has_arrived: true,
+            retry_after,
+        }
+    }
+
+    /// Sent, and without a whole answer.
+    pub(crate) const fn may_have_run(reason: RefusalReason) -> Self {
+        Self {
+            verdict: Verdict::MayHaveRun,
+            reason,
+            has_arrived: true,
+            retry_after: Micros::new(0),
+        }
+    }
+
+    /// The failure as a try of a call.
+    pub(crate) const fn as_try(&self) -> FailedTry {
+        FailedTry { verdict: self.verdict, has_arrived: self.has_arrived }
+    }
+}
+
+impl fmt::Display for DoorFailure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { verdict, reason, has_arrived, retry_after } = self;
+        write!(f, "{verdict} {reason} {has_arrived} {}", retry_after.get())
+    }
+}
+
+/// The header is malformed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct BadFailure;
+
+impl FromStr for DoorFailure {
+    type Err = BadFailure;
+
+    fn from_str(s: &str) -> Result<Self, BadFailure> {
+        let mut parts = s.split(' ');
+        let mut next = || parts.next().ok_or(BadFailure);
+        Ok(Self {
+            verdict: next()?.parse().map_err(|_| BadFailure)?,
+            reason: next()?.parse().map_err(|_| BadFailure)?,
+            has_arrived: next()?.parse().map_err(|_| BadFailure)?,
+            retry_after: Micros::new(next()?.parse().map_err(|_| BadFailure)?),
+        })
+    }
+}
--- /dev/null
+++ b/crates/node/src/fleet/door_handler.rs
@@ -0,0 +1,73 @@
+//! Answers requests of other nodes.
+
+use std::sync::Arc;
+
+use almondsail_core::RefusalReason;
+use almondsail_core::units::Micros;
+use arc_swap::ArcSwapOption;
+use bytes::Bytes;
+use http::header::HeaderValue;
+use http::{Request, Response, StatusCode};
+
+use crate::calls::call_headers as own_names;
+use crate::fleet::door;
+use crate::fleet::door_call::DoorCall;
+use crate::fleet::door_client::{LOAD, ReportedLoad};
+use crate::fleet::door_failure::{DoorFailure, FAILURE};
+use crate::fleet::hop::{HOP, Hop};
+use crate::fleet::traffic::FleetTraffic;
+
+/// The path at which other nodes read this node's configuration.
+pub(crate) const CONFIG_PATH: &str = "/fleet/config";
+
+/// The text of the configuration in force.
+pub(crate) type SharedText = Arc<ArcSwapOption<Bytes>>;
+
+/// Answers a request of another node.
+pub(crate) async fn answer(
+    traffic: Arc<FleetTraffic>,
+    text: SharedText,
+    request: Request<Bytes>,
+) -> Response<Bytes> {
+    let Some(hop) = request.headers().get(HOP).cloned() else {
+        return config(&text, &request);
+    };
+    let result = match hop.to_str().ok().and_then(|hop| hop.parse::<Hop>().ok()) {
+        Some(hop) => call(&traffic, hop, request).await,
+        None => Err(DoorFailure::unrun(RefusalReason::BadRequest, Micros::new(0))),
+    };
+    let mut response = result.unwrap_or_else(|failure| {
+        let mut response = status(StatusCode::SERVICE_UNAVAILABLE);
+        own_names::set(response.headers_mut(), FAILURE, failure);
+        response
+    });
+    let (calls, mean) = traffic.queue.load();
+    own_names::set(response.headers_mut(), LOAD, ReportedLoad { calls, mean });
+    response
+}
+
+async fn call(
+    traffic: &Arc<FleetTraffic>,
+    hop: Hop,
+    request: Request<Bytes>,
+) -> Result<Response<Bytes>, DoorFailure> {
+    let started = traffic.clock.now();
+    let call = DoorCall::from_hop(hop, started, request);
+    let result = door::run(traffic, &call).await;
+    traffic.log.door(&call, traffic.clock.now().since(started), &result);
+    result
+}
+
+fn config(text: &SharedText, request: &Request<Bytes>) -> Response<Bytes> {
+    match text.load().as_deref() {
+        Some(text) if request.uri().path() == CONFIG_PATH => Response::new(text.clone()),
+        _ => status(StatusCode::NOT_FOUND),
+    }
+}
+
+fn status(status: StatusCode) -> Response<Bytes> {
+    let mut response = Response::new(Bytes::new());
+    *response.status_mut() = status;
+    response.headers_mut().insert(http::header::CONTENT_LENGTH, HeaderValue::from_static("0"));
+    response
+}
--- /dev/null
+++ b/crates/node/src/fleet/fleet_settings.rs
@@ -0,0 +1,130 @@
+//! The settings of a node of a fleet.
+
+use std::net::SocketAddr;
+
+use almondsail_core::ids::{DataCentre, NodeId, ServiceName};
+use almondsail_core::units::{Millis, PerMille};
+
+use crate::settings::{Fields, Mistake, SettingsError, section};
+
+/// The settings of a node of a fleet.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FleetSettings {
+    /// The node's id, unique in the fleet.
+    pub id: NodeId,
+    /// The data centre of its host.
+    pub data_centre: DataCentre,
+    /// Where it listens.
+    pub listen: FleetListen,
+    /// Where the store answers.
+    pub store: SocketAddr,
+    /// How long a request to the store may take.
+    pub store_timeout: Millis,
+    /// Where the backend server beside the node takes calls.
+    pub backend: SocketAddr,
+    /// The service of that backend server.
+    pub service: ServiceName,
+    /// The time from the order to stop to the end of the process.
+    pub grace: Millis,
+    /// The part of a service's calls that may arrive at a second backend server.
+    pub retry_ratio: PerMille,
+    /// Second arrivals of a service beyond that part, over all nodes in a window.
+    pub retry_allowance: u32,
+    /// The window of the retry budget.
+    pub retry_window: Millis,
+}
+
+/// The addresses on which a node of a fleet listens.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FleetListen {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For calls and heartbeats of other nodes.
+    pub nodes: SocketAddr,
+    /// For the platform's check whether the node takes calls.
+    pub ready: SocketAddr,
+    /// For announcements of the backend server.
+    pub announcements: SocketAddr,
+    /// For whoever reads the metrics.
+    pub metrics: SocketAddr,
+}
+
+impl FleetSettings {
+    const DEFAULT_STORE_TIMEOUT_MS: u64 = 900;
+    const DEFAULT_GRACE_S: f64 = 6.0;
+    const DEFAULT_RETRY_RATIO: f64 = 0.2;
+    const DEFAULT_RETRY_ALLOWANCE: f64 = 60.0;
+    const DEFAULT_RETRY_WINDOW_S: f64 = 10.0;
+
+    /// Checks the text of a settings file.
+    pub fn parse(text: &str) -> Result<Self, SettingsError> {
+        let value = json5::from_str(text).map_err(|e| SettingsError::Syntax(e.to_string()))?;
+        let mut mistakes: Vec<Mistake> = Vec::new();
+        let mut fields = Fields::new("", value, &mut mistakes);
+        let settings = section(fields.object("fleet"), Self::read_fields);
+        fields.finish();
+        match settings {
+            Some(settings) if mistakes.is_empty() => Ok(settings),
+            _ => Err(SettingsError::Mistakes(mistakes)),
+        }
+    }
+
+    /// Whether a settings file is one of a node of a fleet.
+    pub fn is_in(text: &str) -> bool {
+        json5::from_str::<serde_json::Value>(text).is_ok_and(|value| value.get("fleet").is_some())
+    }
+
+    fn read_fields(fields: &mut Fields<'_>) -> Option<Self> {
+        // Every field is read before any is required, so that all mistakes are noted.
+        let id = fields.text("id");
+        let data_centre = fields.text("data_centre");
+        let listen = section(fields.object("listen"), FleetListen::read);
+        let store = fields.text("store");
+        let store_timeout =
+            fields.number_or("store_timeout_ms", Self::DEFAULT_STORE_TIMEOUT_MS, 10..=60_000);
+        let backend = fields.text("backend");
+        let service = fields.text("service");
+        let grace = fields.decimal_or("grace_s", Self::DEFAULT_GRACE_S, 0.5..=600.0);
+        let ratio = fields.decimal_or("retry_ratio", Self::DEFAULT_RETRY_RATIO, 0.0..=1.0);
+        let allowance =
+            fields.decimal_or("retry_allowance", Self::DEFAULT_RETRY_ALLOWANCE, 0.0..=1e6);
+        let window = fields.decimal_or("retry_window_s", Self::DEFAULT_RETRY_WINDOW_S, 1.0..=600.0);
+        Some(Self {
+            id: id?,
+            data_centre: data_centre?,
+            listen: listen?,
+            store: store?,
+            store_timeout: Millis::new(store_timeout?),
+            backend: backend?,
+            service: service?,
+            grace: seconds(grace?),
+            retry_ratio: PerMille::new((ratio? * 1_000.0) as u16)?,
+            retry_allowance: allowance? as u32,
+            retry_window: seconds(window?),
+        })
+    }
+}
+
+impl FleetListen {
+    fn read(fields: &mut Fields<'_>) -> Option<Self> {
+        let callers = fields.text("callers");
+        let nodes = fields.text("nodes");
+        let ready = fields.text("ready");
+        let announcements = fields.text("announcements");
+        let metrics = fields.text("metrics");
+        if nodes.is_some_and(|addr: SocketAddr| addr.ip().is_unspecified()) {
+            fields.note("nodes", "expected an address at which other nodes reach this one");
+        }
+        Some(Self {
+            callers: callers?,
+            nodes: nodes?,
+            ready: ready?,
+            announcements: announcements?,
+            metrics: metrics?,
+        })
+    }
+}
+
+fn seconds(n: f64) -> Millis {
+    Millis::new((n * 1_000.0) as u64)
+}
--- /dev/null
+++ b/crates/node/src/fleet/heartbeat_link.rs
@@ -0,0 +1,59 @@
+//! Heartbeats between nodes, as datagrams.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use almondsail_core::fleet::{FleetEvent, Heartbeat};
+use almondsail_wire::{decode_heartbeat, encode_heartbeat};
+use slog::{Logger, debug};
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+
+/// The largest heartbeat that is received.
+const MAX_DATAGRAM: usize = 16 * 1024;
+
+/// Sends and receives heartbeats. A lost datagram is repaired by the next heartbeat.
+#[derive(Debug, Clone)]
+pub(crate) struct HeartbeatLink {
+    socket: Arc<UdpSocket>,
+    log: Logger,
+}
+
+impl HeartbeatLink {
+    pub(crate) fn new(socket: UdpSocket, log: Logger) -> Self {
+        Self { socket: Arc::new(socket), log }
+    }
+
+    /// Sends `heartbeat` to each address without waiting.
+    pub(crate) fn send(&self, heartbeat: &Heartbeat, to: &[SocketAddr]) {
+        let bytes = encode_heartbeat(heartbeat);
+        for addr in to {
+            if let Err(e) = self.socket.try_send_to(&bytes, *addr) {
+                debug!(self.log, "heartbeat not sent"; "to" => %addr, "error" => %e);
+            }
+        }
+    }
+
+    /// Hands received heartbeats to the control state until it ends.
+    pub(crate) async fn receive(self, events: mpsc::Sender<FleetEvent>) {
+        let mut buf = vec![0; MAX_DATAGRAM];
+        loop {
+            let (length, from) = match self.socket.recv_from(&mut buf).await {
+                Ok(received) => received,
+                Err(e) => {
+                    // A refused earlier datagram shows as an error of the next receive.
+                    debug!(self.log, "no heartbeat received"; "error" => %e);
+                    continue;
+                }
+            };
+            match decode_heartbeat(&buf[..length]) {
+                Ok(heartbeat) => {
+                    if events.send(FleetEvent::Heartbeat(heartbeat)).await.is_err() {
+                        return;
+                    }
+                }
+                Err(e) => debug!(self.log, "heartbeat unreadable"; "from" => %from, "error" => %e),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/fleet/http1/body_reader.rs
@@ -0,0 +1,147 @@
+//! Reads the body of a request.
+
+use bytes::{Buf as _, Bytes, BytesMut};
+use http::header::{self, HeaderMap};
+
+use crate::fleet::http1::request_error::RequestError;
+
+/// The longest line that begins a chunk.
+const MAX_CHUNK_LINE: usize = 256;
+/// The largest trailer, which is dropped.
+const MAX_TRAILER: usize = 8 * 1024;
+
+/// Reads the body of a request out of a buffer as it fills.
+#[derive(Debug)]
+pub(crate) struct BodyReader {
+    state: State,
+    body: BytesMut,
+    limit: usize,
+}
+
+#[derive(Debug, Clone, Copy)]
+enum State {
+    /// This many bytes are still to come.
+    Length(usize),
+    /// The line that begins a chunk is to come.
+    ChunkLine,
+    /// This many bytes of a chunk and the line end after it are to come.
+    Chunk(usize),
+    /// The trailer and the empty line after it are to come.
+    Trailer,
+}
+
+impl BodyReader {
+    /// A reader of the body that `headers` announce, of at most `limit` bytes.
+    pub(crate) fn new(headers: &HeaderMap, limit: usize) -> Result<Self, RequestError> {
+        let state = match (length(headers)?, is_chunked(headers)?) {
+            (Some(_), true) => return Err(RequestError::Malformed),
+            (_, true) => State::ChunkLine,
+            (length, false) => State::Length(length.unwrap_or(0)),
+        };
+        if let State::Length(length) = state
+            && length > limit
+        {
+            return Err(RequestError::BodyTooLarge);
+        }
+        Ok(Self { state, body: BytesMut::new(), limit })
+    }
+
+    /// Takes what `buf` holds of the body; the whole body once it is complete.
+    pub(crate) fn read(&mut self, buf: &mut BytesMut) -> Result<Option<Bytes>, RequestError> {
+        loop {
+            match self.state {
+                State::Length(left) => {
+                    let left = left - self.take(buf, left)?;
+                    self.state = State::Length(left);
+                    return Ok((left == 0).then(|| self.body.split().freeze()));
+                }
+                State::ChunkLine => match httparse::parse_chunk_size(buf) {
+                    Ok(httparse::Status::Complete((line, size))) => {
+                        buf.advance(line);
+                        self.begin_chunk(size)?;
+                    }
+                    Ok(httparse::Status::Partial) if buf.len() <= MAX_CHUNK_LINE => {
+                        return Ok(None);
+                    }
+                    _ => return Err(RequestError::Malformed),
+                },
+                State::Chunk(0) => {
+                    let Some(end) = buf.get(..2) else { return Ok(None) };
+                    if end != b"\r\n" {
+                        return Err(RequestError::Malformed);
+                    }
+                    buf.advance(2);
+                    self.state = State::ChunkLine;
+                }
+                State::Chunk(left) => {
+                    let taken = self.take(buf, left)?;
+                    if taken == 0 {
+                        return Ok(None);
+                    }
+                    self.state = State::Chunk(left - taken);
+                }
+                State::Trailer => return self.trailer(buf),
+            }
+        }
+    }
+
+    fn begin_chunk(&mut self, size: u64) -> Result<(), RequestError> {
+        let size = usize::try_from(size).map_err(|_| RequestError::BodyTooLarge)?;
+        if size > self.limit - self.body.len() {
+            return Err(RequestError::BodyTooLarge);
+        }
+        self.state = if size == 0 { State::Trailer } else { State::Chunk(size) };
+        Ok(())
+    }
+
+    fn trailer(&mut self, buf: &mut BytesMut) -> Result<Option<Bytes>, RequestError> {
+        let end = if buf.starts_with(b"\r\n") {
+            Some(2)
+        } else {
+            buf.windows(4).position(|window| window == b"\r\n\r\n").map(|at| at + 4)
+        };
+        match end {
+            Some(end) => {
+                buf.advance(end);
+                Ok(Some(self.body.split().freeze()))
+            }
+            None if buf.len() > MAX_TRAILER => Err(RequestError::HeadTooLarge),
+            None => Ok(None),
+        }
+    }
+
+    /// Moves up to `most` bytes into the body and returns their number.
+    fn take(&mut self, buf: &mut BytesMut, most: usize) -> Result<usize, RequestError> {
+        let n = buf.len().min(most);
+        if n > self.limit - self.body.len() {
+            return Err(RequestError::BodyTooLarge);
+        }
+        self.body.unsplit(buf.split_to(n));
+        Ok(n)
+    }
+}
+
+/// The announced length; an error if it is malformed or told in different ways.
+fn length(headers: &HeaderMap) -> Result<Option<usize>, RequestError> {
+    let mut length = None;
+    for value in headers.get_all(header::CONTENT_LENGTH) {
+        let is_digits = value.as_bytes().iter().all(u8::is_ascii_digit);
+        let parsed = value.to_str().ok().filter(|_| is_digits).and_then(|text| text.parse().ok());
+        let parsed: usize = parsed.ok_or(RequestError::Malformed)?;
+        if length.is_some_and(|length| length != parsed) {
+            return Err(RequestError::Malformed);
+        }
+        length = Some(parsed);
+    }
+    Ok(length)
+}
+
+/// Whether the body comes in chunks; an error for every other transfer encoding.
+fn is_chunked(headers: &HeaderMap) -> Result<bool, RequestError> {
+    let mut values = headers.get_all(header::TRANSFER_ENCODING).iter();
+    match (values.next(), values.next()) {
+        (None, _) => Ok(false),
+        (Some(value), None) if value.as_bytes().eq_ignore_ascii_case(b"chunked") => Ok(true),
+        _ => Err(RequestError::Malformed),
+    }
+}
--- /dev/null
+++ b/crates/node/src/fleet/http1/request_parser.rs
@@ -0,0 +1,110 @@
+//! Reads requests out of a buffer.
+
+use bytes::{Buf as _, Bytes, BytesMut};
+use http::header::{self, HeaderMap, HeaderName, HeaderValue};
+use http::{Method, Request, Uri, Version};
+
+use crate::fleet::http1::body_reader::BodyReader;
+use crate::fleet::http1::request_error::RequestError;
+
+/// The largest number of headers.
+const MAX_HEADERS: usize = 100;
+
+/// The limits of requests.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct RequestLimits {
+    /// The largest head in bytes.
+    pub(crate) head: usize,
+    /// The largest body in bytes.
+    pub(crate) body: usize,
+}
+
+/// Reads requests out of a buffer as it fills.
+#[derive(Debug, Default)]
+pub(crate) struct RequestParser {
+    /// A request whose body is still to come.
+    open: Option<(Request<()>, BodyReader)>,
+    /// The caller waits for word before it sends the body.
+    wants_continue: bool,
+}
+
+impl RequestParser {
+    /// The next request, if `buf` holds the rest of it.
+    pub(crate) fn next(
+        &mut self,
+        buf: &mut BytesMut,
+        limits: RequestLimits,
+    ) -> Result<Option<Request<Bytes>>, RequestError> {
+        if self.open.is_none() {
+            let Some(head) = parse_head(buf, limits.head)? else { return Ok(None) };
+            let body = BodyReader::new(head.headers(), limits.body)?;
+            let expect = head.headers().get(header::EXPECT);
+            self.wants_continue =
+                expect.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"100-continue"));
+            self.open = Some((head, body));
+        }
+        let Some((head, mut body)) = self.open.take() else { return Ok(None) };
+        match body.read(buf)? {
+            Some(body) => {
+                self.wants_continue = false;
+                Ok(Some(head.map(|()| body)))
+            }
+            None => {
+                self.open = Some((head, body));
+                Ok(None)
+            }
+        }
+    }
+
+    /// Whether a part of a request was read.
+    pub(crate) const fn is_open(&self) -> bool {
+        self.open.is_some()
+    }
+
+    /// Whether the caller waits for word before it sends the body. Told once.
+    pub(crate) fn take_wants_continue(&mut self) -> bool {
+        std::mem::take(&mut self.wants_continue)
+    }
+}
+
+fn parse_head(buf: &mut BytesMut, limit: usize) -> Result<Option<Request<()>>, RequestError> {
+    // Empty lines before a request are allowed (RFC 9112, section 2.2).
+    while buf.starts_with(b"\r\n") {
+        buf.advance(2);
+    }
+    if buf.is_empty() {
+        return Ok(None);
+    }
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut parsed = httparse::Request::new(&mut headers);
+    let end = match parsed.parse(buf) {
+        Ok(httparse::Status::Complete(end)) => end,
+        Ok(httparse::Status::Partial) if buf.len() <= limit => return Ok(None),
+        Ok(httparse::Status::Partial) | Err(httparse::Error::TooManyHeaders) => {
+            return Err(RequestError::HeadTooLarge);
+        }
+        Err(_) => return Err(RequestError::Malformed),
+    };
+    if end > limit {
+        return Err(RequestError::HeadTooLarge);
+    }
+    let request = to_request(&parsed).ok_or(RequestError::Malformed)?;
+    buf.advance(end);
+    Ok(Some(request))
+}
+
+fn to_request(parsed: &httparse::Request<'_, '_>) -> Option<Request<()>> {
+    let mut request = Request::new(());
+    *request.method_mut() = Method::from_bytes(parsed.method?.as_bytes()).ok()?;
+    *request.uri_mut() = parsed.path?.parse::<Uri>().ok()?;
+    *request.version_mut() = if parsed.version? == 0 { Version::HTTP_10 } else { Version::HTTP_11 };
+    let mut headers = HeaderMap::with_capacity(parsed.headers.len());
+    for header in parsed.headers.iter() {
+        let name = HeaderName::from_bytes(header.name.as_bytes()).ok()?;
+        headers.append(name, HeaderValue::from_bytes(header.value).ok()?);
+    }
+    // A tunnel is no exchange of one request and one answer.
+    let is_exchange = *request.method() != Method::CONNECT && request.uri().path().starts_with('/');
+    *request.headers_mut() = headers;
+    is_exchange.then_some(request)
+}
--- /dev/null
+++ b/crates/node/src/fleet/http_caller.rs
@@ -0,0 +1,74 @@
+//! Sends requests of the control state over HTTP.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::uri::{Authority, Scheme};
+use http::{Request, StatusCode, Uri};
+use http_body_util::{BodyExt as _, Full, Limited};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use tokio::time::timeout;
+
+use crate::socket;
+
+/// The largest answer that is read: a page of the store with its encoding.
+const MAX_ANSWER: usize = 4 * 1024 * 1024;
+/// How long an idle connection is kept.
+const IDLE_TIME: Duration = Duration::from_secs(20);
+
+/// Sends requests of the control state, with the same treatment of silent connections as
+/// for calls.
+#[derive(Debug, Clone)]
+pub(crate) struct HttpCaller {
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl HttpCaller {
+    /// A caller that opens connections within `connect_time`.
+    pub(crate) fn new(connect_time: Duration) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(connect_time));
+        connector.set_keepalive(Some(socket::KEEPALIVE_IDLE));
+        connector.set_keepalive_interval(Some(socket::KEEPALIVE_INTERVAL));
+        connector.set_keepalive_retries(Some(socket::KEEPALIVE_PROBES));
+        connector.set_tcp_user_timeout(Some(socket::USER_TIMEOUT));
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE_TIME)
+            // A write that is sent again would count as a second write.
+            .retry_canceled_requests(false)
+            .build(connector);
+        Self { client }
+    }
+
+    /// Sends `request` to `address`; `None` if no whole answer comes within `limit`.
+    pub(crate) async fn call(
+        &self,
+        address: SocketAddr,
+        request: Request<Bytes>,
+        limit: Duration,
+    ) -> Option<(StatusCode, Bytes)> {
+        timeout(limit, self.exchange(address, request)).await.ok().flatten()
+    }
+
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        request: Request<Bytes>,
+    ) -> Option<(StatusCode, Bytes)> {
+        let (mut parts, body) = request.into_parts();
+        let mut uri = parts.uri.into_parts();
+        uri.scheme = Some(Scheme::HTTP);
+        uri.authority = Authority::try_from(address.to_string()).ok();
+        parts.uri = Uri::from_parts(uri).ok()?;
+        let request = Request::from_parts(parts, Full::new(body));
+        let response = self.client.request(request).await.ok()?;
+        let status = response.status();
+        let body = Limited::new(response.into_body(), MAX_ANSWER).collect().await.ok()?;
+        Some((status, body.to_bytes()))
+    }
+}
--- /dev/null
+++ b/crates/node/src/fleet/local_api.rs
@@ -0,0 +1,132 @@
+//! HTTP for the backend server beside the node, the platform's check and the metrics.
+
+use std::panic::AssertUnwindSafe;
+use std::sync::Arc;
+
+use almondsail_core::fleet::{FleetEvent, FleetView};
+use almondsail_platform::{FormatError, announcement, calls};
+use arc_swap::ArcSwap;
+use gotham::handler::HandlerError;
+use gotham::helpers::http::Body;
+use gotham::helpers::http::response::create_response;
+use gotham::hyper::{Response, StatusCode};
+use gotham::middleware::state::StateMiddleware;
+use gotham::pipeline::{single_middleware, single_pipeline};
+use gotham::router::Router;
+use gotham::router::builder::{DefineSingleRoute, DrawRoutes, build_router};
+use gotham::state::{FromState, State, StateData};
+use http_body_util::{BodyExt as _, Limited};
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Counter;
+use slog::{Logger, info};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::fleet::control_loop::Notice;
+use crate::metrics::Metrics;
+
+/// Number of bytes of an announcement at most.
+const MAX_ANNOUNCEMENT_BYTES: usize = 16 * 1024;
+
+/// HTTP for the backend server beside the node, the platform's check and the metrics.
+///
+/// A handler that panics leaves its parts intact: they can be used from many threads at a
+/// time and hold no state between two of their operations.
+#[derive(Debug, Clone)]
+pub(crate) struct LocalApi(Arc<AssertUnwindSafe<Parts>>);
+
+#[derive(Debug)]
+pub(crate) struct Parts {
+    pub(crate) control: mpsc::Sender<Notice>,
+    pub(crate) view: Arc<ArcSwap<FleetView>>,
+    pub(crate) metrics: Metrics,
+    pub(crate) refused: Counter<u64>,
+    pub(crate) log: Logger,
+}
+
+impl StateData for LocalApi {}
+
+type Handled = Result<(State, Response<Body>), (State, HandlerError)>;
+
+impl LocalApi {
+    pub(crate) fn new(parts: Parts) -> Self {
+        Self(Arc::new(AssertUnwindSafe(parts)))
+    }
+
+    /// The routes of announcements, the platform's check and the metrics.
+    pub(crate) fn router(self) -> Router {
+        let middleware = StateMiddleware::new(self);
+        let (chain, pipelines) = single_pipeline(single_middleware(middleware));
+        build_router(chain, pipelines, |route| {
+            let instance = format!("{}/*", announcement::PATH);
+            route.put(&instance).to_async(announce);
+            route.delete(&instance).to_async(leave);
+            route.get(calls::READY_PATH).to(ready);
+            route.get("/metrics").to(metrics);
+        })
+    }
+
+    /// Hands an event to the control state and waits until calls see its effect.
+    async fn notify(&self, event: FleetEvent) -> StatusCode {
+        let (done, is_done) = oneshot::channel();
+        let is_sent = self.0.control.send(Notice { event, done }).await.is_ok();
+        if is_sent && is_done.await.is_ok() {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        }
+    }
+
+    /// Refuses what can't be read.
+    fn refuse(&self, id: &str, problem: &FormatError) -> StatusCode {
+        self.0.refused.add(1, &[KeyValue::new("what", "announcement")]);
+        info!(self.0.log, "announcement refused"; "server" => id, "problem" => %problem);
+        StatusCode::BAD_REQUEST
+    }
+}
+
+async fn announce(mut state: State) -> Handled {
+    let (api, id, body) = take(&mut state).await;
+    let status = match announcement::decode(&id, &body) {
+        Ok(announcement) => api.notify(FleetEvent::Announced(announcement)).await,
+        Err(problem) => api.refuse(&id, &problem),
+    };
+    let response = json(&state, status);
+    Ok((state, response))
+}
+
+async fn leave(mut state: State) -> Handled {
+    let (api, id, body) = take(&mut state).await;
+    let status = match announcement::decode_leave(&id, &body) {
+        Ok((id, born)) => api.notify(FleetEvent::Left(id, born)).await,
+        Err(problem) => api.refuse(&id, &problem),
+    };
+    let response = json(&state, status);
+    Ok((state, response))
+}
+
+fn ready(state: State) -> (State, Response<Body>) {
+    let view = LocalApi::borrow_from(&state).0.view.load_full();
+    let is_ready = view.config.is_some() && !view.is_leaving;
+    let status = if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+    let response = json(&state, status);
+    (state, response)
+}
+
+fn metrics(state: State) -> (State, Response<Body>) {
+    let text = LocalApi::borrow_from(&state).0.metrics.text();
+    let response = create_response(&state, StatusCode::OK, mime::TEXT_PLAIN_UTF_8, text);
+    (state, response)
+}
+
+/// The API, the id at the end of the path, and the body as far as it can be read.
+async fn take(state: &mut State) -> (LocalApi, String, Vec<u8>) {
+    let body: Body = state.take();
+    let id = http::Uri::borrow_from(state).path().rsplit('/').next().unwrap_or_default().to_owned();
+    let read = Limited::new(body, MAX_ANNOUNCEMENT_BYTES).collect().await;
+    let body = read.map(|body| body.to_bytes().to_vec()).unwrap_or_default();
+    (LocalApi::borrow_from(state).clone(), id, body)
+}
+
+fn json(state: &State, status: StatusCode) -> Response<Body> {
+    create_response(state, status, mime::APPLICATION_JSON, "{}")
+}
--- /dev/null
+++ b/crates/node/src/fleet/mod.rs
@@ -0,0 +1,37 @@
+//! A node of a fleet: its configuration and rollouts come from an outside store.
+//!
+//! Layers, each using only those below it:
+//!
+//! 1. `fleet_node` puts the parts together and stops them.
+//! 2. `control_loop` owns the control state; `local_api` takes announcements;
+//!    `caller_handler` and `door_handler` answer requests.
+//! 3. `door` runs calls at the backend server, `door_client` sends them to the doors of other
+//!    nodes, `slot_queue` makes them wait.
+//! 4. `http1` reads requests and writes answers; `store_caller` and `heartbeat_link` carry
+//!    the control state's messages.
+
+mod call_log;
+mod call_metrics;
+mod caller_handler;
+mod control_loop;
+mod door;
+mod door_call;
+mod door_client;
+mod door_failure;
+mod door_handler;
+mod fleet_node;
+mod fleet_settings;
+mod heartbeat_link;
+mod hop;
+mod http1;
+mod http_caller;
+mod local_api;
+mod queue_slot;
+mod slot_queue;
+mod stop_phase;
+mod store_caller;
+mod traffic;
+mod whole_answer;
+
+pub use fleet_node::run;
+pub use fleet_settings::FleetSettings;
--- /dev/null
+++ b/crates/node/src/fleet/queue_slot.rs
@@ -0,0 +1,40 @@
+//! A slot of the backend server.
+
+use std::sync::Arc;
+
+use almondsail_core::fleet::CallNeed;
+use almondsail_core::units::Instant;
+
+use crate::fleet::slot_queue::SlotQueue;
+
+/// A slot of the backend server, freed on drop.
+#[derive(Debug)]
+pub(crate) struct QueueSlot {
+    queue: Arc<SlotQueue>,
+    need: CallNeed,
+    started: Instant,
+    /// Whether the call ran to its end, so that its time is known.
+    has_run: bool,
+}
+
+impl QueueSlot {
+    pub(crate) const fn new(queue: Arc<SlotQueue>, need: CallNeed, started: Instant) -> Self {
+        Self { queue, need, started, has_run: false }
+    }
+
+    /// When the call got the slot.
+    pub(crate) const fn started(&self) -> Instant {
+        self.started
+    }
+
+    /// Frees the slot of a call that ran to its end.
+    pub(crate) fn ran(mut self) {
+        self.has_run = true;
+    }
+}
+
+impl Drop for QueueSlot {
+    fn drop(&mut self) {
+        self.queue.free(&self.need, self.started, self.has_run);
+    }
+}
--- /dev/null
+++ b/crates/node/src/fleet/slot_queue.rs
@@ -0,0 +1,140 @@
+//! Makes calls wait for the slots of the backend server.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use almondsail_core::RefusalReason;
+use almondsail_core::fleet::{Admission, CallNeed, CallQueue, QueueTicket, QueueWakeup};
+use almondsail_core::units::{Instant, Micros};
+use tokio::sync::oneshot;
+
+use crate::clock::Clock;
+use crate::fleet::door_failure::DoorFailure;
+use crate::fleet::queue_slot::QueueSlot;
+
+/// Makes calls wait for the slots of the backend server.
+///
+/// The mutex is held for single decisions and never while a call waits.
+#[derive(Debug)]
+pub(crate) struct SlotQueue {
+    clock: Clock,
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    queue: CallQueue,
+    /// The calls that wait; the same tickets as in the queue.
+    waiters: HashMap<QueueTicket, oneshot::Sender<Option<(RefusalReason, Micros)>>>,
+}
+
+impl SlotQueue {
+    pub(crate) fn new(clock: Clock) -> Self {
+        Self { clock, state: Mutex::new(State::default()) }
+    }
+
+    /// Waits for a slot.
+    pub(crate) async fn take(self: &Arc<Self>, need: CallNeed) -> Result<QueueSlot, DoorFailure> {
+        let waiting = {
+            let mut state = self.lock();
+            match state.queue.admit(self.clock.now(), need.clone()) {
+                Admission::Run => None,
+                Admission::Refused { reason, retry_after } => {
+                    return Err(DoorFailure::unrun(reason, retry_after));
+                }
+                Admission::Wait(ticket) => {
+                    let (tx, rx) = oneshot::channel();
+                    state.waiters.insert(ticket, tx);
+                    Some((ticket, rx))
+                }
+            }
+        };
+        if let Some((ticket, rx)) = waiting {
+            self.wait(&need, ticket, rx).await?;
+        }
+        Ok(QueueSlot::new(Arc::clone(self), need, self.clock.now()))
+    }
+
+    /// Sets the number of slots.
+    pub(crate) fn set_slots(&self, slots: u32) {
+        let mut state = self.lock();
+        let wakeups = state.queue.set_slots(self.clock.now(), slots);
+        state.wake(wakeups);
+    }
+
+    /// Refuses every call that waits.
+    pub(crate) fn refuse_all(&self, reason: RefusalReason) {
+        let mut state = self.lock();
+        let wakeups = state.queue.refuse_all(reason);
+        state.wake(wakeups);
+    }
+
+    /// The calls that run or wait, and their mean time.
+    pub(crate) fn load(&self) -> (u32, Option<Micros>) {
+        let state = self.lock();
+        (state.queue.running() + state.queue.waiting(), state.queue.mean_time())
+    }
+
+    /// Frees the slot of a call.
+    pub(crate) fn free(&self, need: &CallNeed, started: Instant, has_run: bool) {
+        let now = self.clock.now();
+        let took = has_run.then(|| now.since(started));
+        let mut state = self.lock();
+        let wakeups = state.queue.end(now, need, took);
+        state.wake(wakeups);
+    }
+
+    async fn wait(
+        self: &Arc<Self>,
+        need: &CallNeed,
+        ticket: QueueTicket,
+        rx: oneshot::Receiver<Option<(RefusalReason, Micros)>>,
+    ) -> Result<(), DoorFailure> {
+        let mut place = Place { queue: self, need, ticket, rx };
+        let until = self.clock.timer(need.deadline);
+        match tokio::time::timeout_at(until, &mut place.rx).await {
+            Ok(Ok(None)) => Ok(()),
+            Ok(Ok(Some((reason, retry_after)))) => Err(DoorFailure::unrun(reason, retry_after)),
+            Ok(Err(_)) => Err(DoorFailure::unrun(RefusalReason::Leaving, Micros::new(0))),
+            Err(_) => Err(DoorFailure::unrun(RefusalReason::DeadlineTooNear, Micros::new(0))),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// The place of a waiting call, given up on drop.
+struct Place<'a> {
+    queue: &'a Arc<SlotQueue>,
+    need: &'a CallNeed,
+    ticket: QueueTicket,
+    rx: oneshot::Receiver<Option<(RefusalReason, Micros)>>,
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        let mut state = self.queue.lock();
+        state.waiters.remove(&self.ticket);
+        if state.queue.cancel(self.ticket) {
+            return;
+        }
+        // A slot that was granted and not taken over goes to the next call.
+        if let Ok(None) = self.rx.try_recv() {
+            let wakeups = state.queue.end(self.queue.clock.now(), self.need, None);
+            state.wake(wakeups);
+        }
+    }
+}
+
+impl State {
+    fn wake(&mut self, wakeups: Vec<QueueWakeup>) {
+        for wakeup in wakeups {
+            if let Some(waiter) = self.waiters.remove(&wakeup.ticket) {
+                // The receiver lives until its place is given up under the same lock.
+                let _ = waiter.send(wakeup.refused);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/fleet/store_caller.rs
@@ -0,0 +1,38 @@
+//! Carries requests to the store.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use almondsail_core::fleet::{StoreFailure, StoreReply, StoreRequest};
+use almondsail_platform::store as codec;
+
+use crate::clock::duration;
+use crate::fleet::http_caller::HttpCaller;
+
+/// Carries requests to the store.
+#[derive(Debug, Clone)]
+pub(crate) struct StoreCaller {
+    address: SocketAddr,
+    timeout: Duration,
+    caller: HttpCaller,
+}
+
+impl StoreCaller {
+    /// A caller of the store at `address` that waits for `timeout` at most, and longer for
+    /// a watch.
+    pub(crate) const fn new(address: SocketAddr, timeout: Duration, caller: HttpCaller) -> Self {
+        Self { address, timeout, caller }
+    }
+
+    /// Sends `request` and reads the reply.
+    pub(crate) async fn call(&self, request: &StoreRequest) -> Result<StoreReply, StoreFailure> {
+        let limit = match request {
+            StoreRequest::Watch(..) => self.timeout + duration(codec::WATCH_TIME),
+            _ => self.timeout,
+        };
+        let sent = codec::encode(request).map_err(|_| StoreFailure::Unreadable)?;
+        let answer = self.caller.call(self.address, sent, limit).await;
+        let (status, body) = answer.ok_or(StoreFailure::Unanswered)?;
+        codec::decode(request, status, &body)
+    }
+}
--- /dev/null
+++ b/crates/node/src/fleet/traffic.rs
@@ -0,0 +1,137 @@
+//! What the calls of a node share.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use almondsail_core::fleet::{FleetEvent, FleetView, Placement, RetryShare};
+use almondsail_core::ids::ServiceName;
+use arc_swap::ArcSwap;
+use tokio::sync::mpsc;
+
+use crate::calls::exchange_pool::{ExchangePool, PoolLimits};
+use crate::clock::Clock;
+use crate::fleet::call_log::CallLog;
+use crate::fleet::call_metrics::CallMetrics;
+use crate::fleet::slot_queue::SlotQueue;
+
+/// Idle connections to one door of another node.
+const IDLE_PER_DOOR: usize = 8;
+/// How long a connection to another node stays idle.
+const DOOR_IDLE_TIME: Duration = Duration::from_secs(8);
+/// How long a connection to the backend server stays idle. Well below the ten seconds after
+/// which backend servers close theirs, so that no call crosses the close.
+const BACKEND_IDLE_TIME: Duration = Duration::from_secs(4);
+/// How long opening a connection to another node may take.
+const DOOR_CONNECT_TIME: Duration = Duration::from_millis(500);
+/// How long opening a connection to the backend server, on the same host, may take.
+const BACKEND_CONNECT_TIME: Duration = Duration::from_millis(400);
+
+/// What the calls of a node share.
+#[derive(Debug)]
+pub(crate) struct FleetTraffic {
+    pub(crate) clock: Clock,
+    /// The service of the backend server beside this node.
+    pub(crate) service: ServiceName,
+    pub(crate) queue: Arc<SlotQueue>,
+    pub(crate) backend_pool: Arc<ExchangePool>,
+    pub(crate) metrics: CallMetrics,
+    pub(crate) log: CallLog,
+    pub(crate) view: Arc<ArcSwap<FleetView>>,
+    /// Locked for single decisions of the traffic side, never across a wait.
+    placement: Mutex<Placement>,
+    budget: Mutex<RetryShare>,
+    doors: Mutex<HashMap<SocketAddr, Arc<ExchangePool>>>,
+    evidence: mpsc::Sender<FleetEvent>,
+}
+
+/// The parts of [`FleetTraffic`] that come from outside.
+pub(crate) struct TrafficParts {
+    pub(crate) clock: Clock,
+    pub(crate) service: ServiceName,
+    pub(crate) backend: SocketAddr,
+    pub(crate) view: Arc<ArcSwap<FleetView>>,
+    pub(crate) budget: RetryShare,
+    pub(crate) evidence: mpsc::Sender<FleetEvent>,
+    pub(crate) metrics: CallMetrics,
+    pub(crate) log: CallLog,
+}
+
+impl FleetTraffic {
+    pub(crate) fn new(parts: TrafficParts) -> Arc<Self> {
+        let limits = PoolLimits {
+            idle: usize::MAX,
+            idle_time: BACKEND_IDLE_TIME,
+            connect_time: BACKEND_CONNECT_TIME,
+        };
+        let data_centre = parts.view.load().data_centre.clone();
+        Arc::new(Self {
+            clock: parts.clock,
+            service: parts.service,
+            queue: Arc::new(SlotQueue::new(parts.clock)),
+            backend_pool: Arc::new(ExchangePool::new(parts.backend, limits)),
+            metrics: parts.metrics,
+            log: parts.log,
+            view: parts.view,
+            placement: Mutex::new(Placement::new(data_centre)),
+            budget: Mutex::new(parts.budget),
+            doors: Mutex::new(HashMap::new()),
+            evidence: parts.evidence,
+        })
+    }
+
+    /// The placement of calls.
+    pub(crate) fn placement(&self) -> MutexGuard<'_, Placement> {
+        self.placement.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// This node's share of the retry budget.
+    pub(crate) fn budget(&self) -> MutexGuard<'_, RetryShare> {
+        self.budget.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The connections to the door at `address`.
+    pub(crate) fn door_pool(&self, address: SocketAddr) -> Arc<ExchangePool> {
+        let limits = PoolLimits {
+            idle: IDLE_PER_DOOR,
+            idle_time: DOOR_IDLE_TIME,
+            connect_time: DOOR_CONNECT_TIME,
+        };
+        let mut doors = self.lock_doors();
+        let pool = doors.entry(address);
+        Arc::clone(pool.or_insert_with(|| Arc::new(ExchangePool::new(address, limits))))
+    }
+
+    /// Follows a new view.
+    pub(crate) fn follow(&self, view: &FleetView) {
+        let backend = view.backend.as_ref();
+        self.queue.set_slots(backend.map_or(0, |backend| backend.slots));
+        if !backend.is_some_and(|backend| backend.takes_calls()) || view.is_leaving {
+            self.queue.refuse_all(almondsail_core::RefusalReason::Leaving);
+        }
+        self.budget().set_nodes(view.nodes);
+        let is_known = |address: &SocketAddr| {
+            view.services.values().flat_map(|service| &service.doors).any(|d| d.address == *address)
+        };
+        self.lock_doors().retain(|address, _| is_known(address));
+    }
+
+    /// Closes connections that have been idle for too long.
+    pub(crate) fn tidy(&self) {
+        self.backend_pool.close_old();
+        for pool in self.lock_doors().values() {
+            pool.close_old();
+        }
+    }
+
+    /// Hands evidence of a rollout to the control state. Evidence is dropped rather than
+    /// waited for; the judge works with what comes.
+    pub(crate) fn evidence(&self, event: FleetEvent) {
+        let _ = self.evidence.try_send(event);
+    }
+
+    fn lock_doors(&self) -> MutexGuard<'_, HashMap<SocketAddr, Arc<ExchangePool>>> {
+        self.doors.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/node/src/fleet/whole_answer.rs
@@ -0,0 +1,33 @@
+//! Reads a whole answer.
+
+use bytes::Bytes;
+use http::Response;
+use http_body_util::{BodyExt as _, Limited};
+use hyper::body::Incoming;
+use std::sync::Arc;
+
+use crate::calls::answer_body::AnswerBody;
+use crate::calls::exchange::Exchange;
+use crate::calls::exchange_pool::ExchangePool;
+
+/// The largest answer that is read.
+const MAX_ANSWER: usize = 16 * 1024 * 1024;
+
+/// The answer did not come whole.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct BrokenAnswer;
+
+/// Reads the rest of `response`, which came over `exchange`, until `until`. The connection
+/// goes back to `pool` if it can carry another exchange.
+pub(crate) async fn read(
+    response: Response<Incoming>,
+    exchange: Exchange,
+    pool: &Arc<ExchangePool>,
+    until: tokio::time::Instant,
+) -> Result<Response<Bytes>, BrokenAnswer> {
+    let (parts, incoming) = response.into_parts();
+    let timeout = Box::pin(tokio::time::sleep_until(until));
+    let body = AnswerBody::stream(parts.status, incoming, exchange, Arc::clone(pool), timeout);
+    let body = Limited::new(body, MAX_ANSWER).collect().await.map_err(|_| BrokenAnswer)?;
+    Ok(Response::from_parts(parts, body.to_bytes()))
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod clock;
 pub mod control;
 mod counted_stream;
+pub mod fleet;
 pub mod http_server;
 pub mod local_api;
 pub mod log;
@@ -22,6 +23,7 @@
 pub mod operators;
 pub mod peer_link;
 pub mod settings;
+mod socket;
 pub mod store_client;
 
 pub use calls::{
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -3,16 +3,15 @@
 use std::process::ExitCode;
 
 use almondsail_node::cli::{self, Invocation};
-use almondsail_node::node;
-use almondsail_node::settings::NodeSettings;
+use almondsail_node::settings::SettingsFile;
 
 fn main() -> ExitCode {
     let result = match Invocation::from_matches(cli::command().get_matches()) {
-        Invocation::Check(file) => NodeSettings::read(&file)
+        Invocation::Check(file) => SettingsFile::read(&file)
             .map(|_| println!("{}: no mistakes", file.display()))
             .map_err(Into::into),
         Invocation::Run(file) => {
-            NodeSettings::read(&file).map_err(Into::into).and_then(|settings| node::run(&settings))
+            SettingsFile::read(&file).map_err(Into::into).and_then(|settings| settings.run())
         }
     };
     match result {
--- a/crates/node/src/settings/fields.rs
+++ b/crates/node/src/settings/fields.rs
@@ -11,7 +11,7 @@
 ///
 /// Mistakes go to a list, so that all of them are reported at once. Each
 /// method that misses a value returns `None` after it has noted why.
-pub(super) struct Fields<'a> {
+pub(crate) struct Fields<'a> {
     path: String,
     values: Map<String, Value>,
     mistakes: &'a mut Vec<Mistake>,
@@ -19,7 +19,7 @@
 
 impl<'a> Fields<'a> {
     /// The fields of `value`, which stands at `path`.
-    pub(super) fn new(path: &str, value: Value, mistakes: &'a mut Vec<Mistake>) -> Self {
+    pub(crate) fn new(path: &str, value: Value, mistakes: &'a mut Vec<Mistake>) -> Self {
         let values = match value {
             Value::Object(values) => values,
             other => {
@@ -32,19 +32,19 @@
     }
 
     /// Takes a required field that is an object.
-    pub(super) fn object(&mut self, name: &str) -> Option<Fields<'_>> {
+    pub(crate) fn object(&mut self, name: &str) -> Option<Fields<'_>> {
         let value = self.required(name)?;
         Some(Fields::new(&self.path_of(name), value, self.mistakes))
     }
 
     /// Takes a field that is an object and may be absent.
-    pub(super) fn optional_object(&mut self, name: &str) -> Option<Fields<'_>> {
+    pub(crate) fn optional_object(&mut self, name: &str) -> Option<Fields<'_>> {
         let value = self.values.remove(name)?;
         Some(Fields::new(&self.path_of(name), value, self.mistakes))
     }
 
     /// Takes a required field with a text of the form that `T` parses.
-    pub(super) fn text<T>(&mut self, name: &str) -> Option<T>
+    pub(crate) fn text<T>(&mut self, name: &str) -> Option<T>
     where
         T: FromStr,
         T::Err: fmt::Display,
@@ -54,7 +54,7 @@
     }
 
     /// Takes a field with a whole number in `range`, or the default if it is absent.
-    pub(super) fn number_or(
+    pub(crate) fn number_or(
         &mut self,
         name: &str,
         default: u64,
@@ -71,8 +71,26 @@
         number
     }
 
+    /// Takes a field with a number in `range`, or the default if it is absent.
+    pub(crate) fn decimal_or(
+        &mut self,
+        name: &str,
+        default: f64,
+        range: std::ops::RangeInclusive<f64>,
+    ) -> Option<f64> {
+        let Some(value) = self.values.remove(name) else {
+            return Some(default);
+        };
+        let number = value.as_f64().filter(|n| range.contains(n));
+        if number.is_none() {
+            let (from, to) = range.into_inner();
+            self.note(name, format!("expected a number from {from} to {to}, found {value}"));
+        }
+        number
+    }
+
     /// Takes a field with a list of texts; an absent field is an empty list.
-    pub(super) fn texts<T>(&mut self, name: &str) -> Vec<T>
+    pub(crate) fn texts<T>(&mut self, name: &str) -> Vec<T>
     where
         T: FromStr,
         T::Err: fmt::Display,
@@ -84,7 +102,7 @@
     }
 
     /// Takes a field with a list of objects and reads each of them.
-    pub(super) fn objects<T>(
+    pub(crate) fn objects<T>(
         &mut self,
         name: &str,
         read: impl Fn(&mut Fields<'_>) -> Option<T>,
@@ -102,13 +120,13 @@
     }
 
     /// Notes a mistake of the field `name`.
-    pub(super) fn note(&mut self, name: &str, problem: impl fmt::Display) {
+    pub(crate) fn note(&mut self, name: &str, problem: impl fmt::Display) {
         let path = self.path_of(name);
         self.mistakes.push(Mistake { path, problem: problem.to_string() });
     }
 
     /// Notes every field that was not taken as a mistake.
-    pub(super) fn finish(self) {
+    pub(crate) fn finish(self) {
         for name in self.values.keys() {
             let path = join(&self.path, name);
             self.mistakes.push(Mistake { path, problem: "unknown field".to_owned() });
--- a/crates/node/src/settings/mod.rs
+++ b/crates/node/src/settings/mod.rs
@@ -8,6 +8,7 @@
 mod node_settings;
 mod operator_token;
 mod settings_error;
+mod settings_file;
 
 pub use identity::Identity;
 pub use installation_key::InstallationKey;
@@ -16,3 +17,7 @@
 pub use node_settings::NodeSettings;
 pub use operator_token::OperatorToken;
 pub use settings_error::SettingsError;
+pub use settings_file::SettingsFile;
+
+pub(crate) use fields::Fields;
+pub(crate) use node_settings::section;
--- a/crates/node/src/settings/node_settings.rs
+++ b/crates/node/src/settings/node_settings.rs
@@ -88,7 +88,7 @@
 }
 
 /// Reads a section and notes its unknown fields.
-fn section<T>(
+pub(crate) fn section<T>(
     fields: Option<Fields<'_>>,
     read: impl FnOnce(&mut Fields<'_>) -> Option<T>,
 ) -> Option<T> {
--- a/crates/wire/src/convert/codec.rs
+++ b/crates/wire/src/convert/codec.rs
@@ -47,7 +47,7 @@
     Ok(message.try_into()?)
 }
 
-fn decode<M: Message + Default>(bytes: &[u8], limit: usize) -> Result<M, DecodeError> {
+pub(super) fn decode<M: Message + Default>(bytes: &[u8], limit: usize) -> Result<M, DecodeError> {
     if bytes.len() > limit {
         return Err(DecodeError::TooLarge { bytes: bytes.len(), limit });
     }
--- /dev/null
+++ b/crates/wire/src/convert/fleet.rs
@@ -0,0 +1,215 @@
+//! Conversions of what nodes of a fleet tell each other and keep in the store.
+
+use std::collections::BTreeMap;
+
+use almondsail_core::fleet::{
+    AnnouncedState, BackendStatus, Heartbeat, NodeEntry, RolloutProgress, RolloutReport,
+    RouteEvidence, RouteKey, VersionEvidence,
+};
+use almondsail_core::ids::{ConfigVersion, Incarnation};
+use almondsail_core::store::Revision;
+use almondsail_core::units::{Millis, UnixMillis};
+use prost::Message;
+
+use super::codec::decode;
+use super::fields::{each, optional_text, parse, parse_optional, required, to_wire};
+use crate::{DecodeError, FieldError, MAX_FRAME_BYTES, fleet as wire};
+
+/// Encodes a heartbeat.
+pub fn encode_heartbeat(heartbeat: &Heartbeat) -> Vec<u8> {
+    wire::Heartbeat::from(heartbeat).encode_to_vec()
+}
+
+/// Decodes a heartbeat.
+pub fn decode_heartbeat(bytes: &[u8]) -> Result<Heartbeat, DecodeError> {
+    let heartbeat: wire::Heartbeat = decode(bytes, MAX_FRAME_BYTES)?;
+    Ok(heartbeat.try_into()?)
+}
+
+/// Encodes the entry of a node, as it is kept in the store.
+pub fn encode_node_entry(entry: &NodeEntry) -> Vec<u8> {
+    wire::NodeEntry::from(entry).encode_to_vec()
+}
+
+/// Decodes the entry of a node.
+pub fn decode_node_entry(bytes: &[u8]) -> Result<NodeEntry, DecodeError> {
+    let entry: wire::NodeEntry = decode(bytes, MAX_FRAME_BYTES)?;
+    Ok(entry.try_into()?)
+}
+
+/// Encodes the progress of a rollout, as it is kept in the store.
+pub fn encode_progress(progress: &RolloutProgress) -> Vec<u8> {
+    wire::RolloutProgress::from(progress).encode_to_vec()
+}
+
+/// Decodes the progress of a rollout.
+pub fn decode_progress(bytes: &[u8]) -> Result<RolloutProgress, DecodeError> {
+    let progress: wire::RolloutProgress = decode(bytes, MAX_FRAME_BYTES)?;
+    Ok(progress.try_into()?)
+}
+
+impl From<&NodeEntry> for wire::NodeEntry {
+    fn from(entry: &NodeEntry) -> Self {
+        Self {
+            node: entry.node.to_string(),
+            door: entry.door.to_string(),
+            heartbeats: entry.heartbeats.to_string(),
+            data_centre: entry.data_centre.to_string(),
+        }
+    }
+}
+
+impl TryFrom<wire::NodeEntry> for NodeEntry {
+    type Error = FieldError;
+
+    fn try_from(w: wire::NodeEntry) -> Result<Self, FieldError> {
+        Ok(Self {
+            node: parse("node", &w.node)?,
+            door: parse("door", &w.door)?,
+            heartbeats: parse("heartbeats", &w.heartbeats)?,
+            data_centre: parse("data_centre", &w.data_centre)?,
+        })
+    }
+}
+
+impl From<&BackendStatus> for wire::Backend {
+    fn from(status: &BackendStatus) -> Self {
+        Self {
+            id: status.id.to_string(),
+            born: status.born.get(),
+            service: status.service.to_string(),
+            version: status.version.to_string(),
+            slots: status.slots,
+            is_draining: status.state == AnnouncedState::Draining,
+            is_cold: status.is_cold,
+        }
+    }
+}
+
+impl TryFrom<wire::Backend> for BackendStatus {
+    type Error = FieldError;
+
+    fn try_from(w: wire::Backend) -> Result<Self, FieldError> {
+        Ok(Self {
+            id: parse("id", &w.id)?,
+            born: UnixMillis::new(w.born),
+            service: parse("service", &w.service)?,
+            version: parse("version", &w.version)?,
+            slots: w.slots,
+            state: if w.is_draining { AnnouncedState::Draining } else { AnnouncedState::Ready },
+            is_cold: w.is_cold,
+        })
+    }
+}
+
+impl From<&RolloutReport> for wire::Rollout {
+    fn from(report: &RolloutReport) -> Self {
+        let evidence = report.evidence.iter().flat_map(|evidence| &evidence.routes);
+        Self {
+            service: report.service.to_string(),
+            target: report.target.to_string(),
+            order: report.order.get(),
+            duration_ms: report.duration.get(),
+            elapsed_ms: report.elapsed.get(),
+            is_stopped: report.is_stopped,
+            outcome: optional_text(report.outcome.as_ref()),
+            has_evidence: report.evidence.is_some(),
+            evidence: evidence.map(route_to_wire).collect(),
+        }
+    }
+}
+
+fn route_to_wire((route, evidence): (&RouteKey, &RouteEvidence)) -> wire::RouteEvidence {
+    let used = evidence.times.iter().rposition(|n| *n > 0).map_or(0, |last| last + 1);
+    wire::RouteEvidence {
+        route: route.get(),
+        failures: evidence.failures,
+        times: evidence.times[..used].to_vec(),
+    }
+}
+
+impl TryFrom<wire::Rollout> for RolloutReport {
+    type Error = FieldError;
+
+    fn try_from(w: wire::Rollout) -> Result<Self, FieldError> {
+        let routes: BTreeMap<RouteKey, RouteEvidence> =
+            w.evidence.iter().map(route_from_wire).collect();
+        Ok(Self {
+            service: parse("service", &w.service)?,
+            target: parse("target", &w.target)?,
+            order: Revision::new(w.order),
+            duration: Millis::new(w.duration_ms),
+            elapsed: Millis::new(w.elapsed_ms),
+            is_stopped: w.is_stopped,
+            outcome: parse_optional("outcome", &w.outcome)?,
+            evidence: w.has_evidence.then_some(VersionEvidence { routes }),
+        })
+    }
+}
+
+/// Buckets beyond those known here are left out.
+fn route_from_wire(w: &wire::RouteEvidence) -> (RouteKey, RouteEvidence) {
+    let mut evidence = RouteEvidence { failures: w.failures, ..RouteEvidence::default() };
+    for (bucket, n) in evidence.times.iter_mut().zip(&w.times) {
+        *bucket = *n;
+    }
+    (RouteKey::new(w.route), evidence)
+}
+
+impl From<&Heartbeat> for wire::Heartbeat {
+    fn from(heartbeat: &Heartbeat) -> Self {
+        Self {
+            entry: Some((&heartbeat.entry).into()),
+            incarnation: heartbeat.incarnation.get(),
+            sequence: heartbeat.sequence,
+            config_version: heartbeat.config_version.get(),
+            is_leaving: heartbeat.is_leaving,
+            backend: heartbeat.backend.as_ref().map(Into::into),
+            rollouts: to_wire(&heartbeat.rollouts),
+        }
+    }
+}
+
+impl TryFrom<wire::Heartbeat> for Heartbeat {
+    type Error = FieldError;
+
+    fn try_from(w: wire::Heartbeat) -> Result<Self, FieldError> {
+        Ok(Self {
+            entry: required("entry", w.entry)?.try_into()?,
+            incarnation: Incarnation::new(w.incarnation),
+            sequence: w.sequence,
+            config_version: ConfigVersion::new(w.config_version),
+            is_leaving: w.is_leaving,
+            backend: w.backend.map(TryInto::try_into).transpose()?,
+            rollouts: each("rollouts", w.rollouts)?,
+        })
+    }
+}
+
+impl From<&RolloutProgress> for wire::RolloutProgress {
+    fn from(progress: &RolloutProgress) -> Self {
+        Self {
+            service: progress.service.to_string(),
+            target: progress.target.to_string(),
+            order: progress.order.get(),
+            duration_ms: progress.duration.get(),
+            started: progress.started.get(),
+            outcome: optional_text(progress.outcome.as_ref()),
+        }
+    }
+}
+
+impl TryFrom<wire::RolloutProgress> for RolloutProgress {
+    type Error = FieldError;
+
+    fn try_from(w: wire::RolloutProgress) -> Result<Self, FieldError> {
+        Ok(Self {
+            service: parse("service", &w.service)?,
+            target: parse("target", &w.target)?,
+            order: Revision::new(w.order),
+            duration: Millis::new(w.duration_ms),
+            started: UnixMillis::new(w.started),
+            outcome: parse_optional("outcome", &w.outcome)?,
+        })
+    }
+}
--- a/crates/wire/src/convert/mod.rs
+++ b/crates/wire/src/convert/mod.rs
@@ -5,6 +5,7 @@
 mod delta;
 mod evidence;
 mod fields;
+mod fleet;
 mod message;
 mod operator_answer;
 mod operator_command;
@@ -16,3 +17,7 @@
 pub use codec::{
     decode_config, decode_hour, decode_message, encode_config, encode_hour, encode_message,
 };
+pub use fleet::{
+    decode_heartbeat, decode_node_entry, decode_progress, encode_heartbeat, encode_node_entry,
+    encode_progress,
+};
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,6 +1,6 @@
 //! Messages of almondsail at its borders, and their conversions.
 //!
-//! The types in [`config`], [`local`], [`operator`], [`peer`] and [`report`] are generated
+//! The types in [`config`], [`fleet`], [`local`], [`operator`], [`peer`] and [`report`] are generated
 //! from the files in `proto` and committed; `cargo run -p almondsail-codegen
 //! --example generate_wire` makes them anew. Conversions to the core's types
 //! check every value and name the field of a bad one.
@@ -15,11 +15,14 @@
 mod limits;
 
 pub use convert::{
-    decode_config, decode_hour, decode_message, encode_config, encode_hour, encode_message,
+    decode_config, decode_heartbeat, decode_hour, decode_message, decode_node_entry,
+    decode_progress, encode_config, encode_heartbeat, encode_hour, encode_message,
+    encode_node_entry, encode_progress,
 };
 pub use decode_error::DecodeError;
 pub use field_error::FieldError;
 pub use generated::config::v1 as config;
+pub use generated::fleet::v1 as fleet;
 pub use generated::local::v1 as local;
 pub use generated::operator::v1 as operator;
 pub use generated::peer::v1 as peer;
