Choose doors by the expected loss of a call

Ruled out: a fixed penalty for crossing: it moved large answers as readily as small ones. Change: heartbeats to other data centres each second instead of each 0.3 s (news still go at once); a door reports how long the answered call ran, and a call goes where the sum of lateness, loss, failures and bytes is least.

--- a/crates/core/src/fleet/door_load.rs
+++ b/crates/core/src/fleet/door_load.rs
@@ -1,9 +1,11 @@
 //! What a node knows at first hand of another node's door.
 
+use crate::fleet::ServiceTimes;
+use crate::ids::RouteName;
 use crate::units::{Instant, Micros, Millis};
 
 /// What a node knows at first hand of the door of another node.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Default)]
 pub struct DoorLoad {
     /// Calls that ran or waited at the door when it last answered.
     reported: u32,
@@ -15,6 +17,8 @@
     in_flight: u32,
     /// The mean time of a call there.
     mean: Option<Micros>,
+    /// How long calls of each route run there.
+    times: ServiceTimes,
     /// The share of failures, newest weighted most.
     failures: f64,
     /// When the last failure came.
@@ -55,6 +59,16 @@
         self.mean = mean.or(self.mean);
     }
 
+    /// A call of `route` was answered and had run for `took`.
+    pub fn ran(&mut self, route: &RouteName, took: Micros) {
+        self.times.learn(route, took);
+    }
+
+    /// How long a call of `route` runs there; `None` if no call was answered yet.
+    pub fn expected(&self, route: &RouteName) -> Option<Micros> {
+        self.times.known(route)
+    }
+
     /// A call was answered.
     pub fn answered(&mut self) {
         self.failures -= Self::WEIGHT * self.failures;
--- a/crates/core/src/fleet/fleet_control.rs
+++ b/crates/core/src/fleet/fleet_control.rs
@@ -36,6 +36,7 @@
     pub(super) actions: Vec<FleetAction>,
     sequence: u64,
     next_heartbeat: Instant,
+    next_far_heartbeat: Instant,
     is_leaving: bool,
     /// Calls see something new.
     pub(super) is_changed: bool,
@@ -58,11 +59,10 @@
 }
 
 impl FleetControl {
-    /// Time between two heartbeats of a node in a small fleet.
+    /// Time between two heartbeats to nodes of the same data centre.
     const HEARTBEAT: Millis = Millis::new(300);
-    /// Time between two heartbeats to the same node, for each node of the fleet. Bounds the
-    /// heartbeats of a node to about 60 a second, however large the fleet is.
-    const HEARTBEAT_EACH: Millis = Millis::new(16);
+    /// The same to nodes of other data centres, where bytes are dear. News go at once.
+    const FAR_HEARTBEAT: Millis = Millis::new(1_000);
     /// How long another node may have a newer configuration before it is asked for it. The
     /// store tells most changes earlier.
     const BEHIND: Millis = Millis::new(350);
@@ -75,10 +75,10 @@
     pub fn new(identity: FleetIdentity, now: Instant) -> Self {
         let lease = LeaseKeeper::new(identity.entry.clone());
         Self {
+            peers: PeerDirectory::new(identity.entry.data_centre.clone()),
             identity,
             config: None,
             registration: Registration::default(),
-            peers: PeerDirectory::default(),
             rollouts: BTreeMap::new(),
             lease,
             operator_feed: StoreFeed::new(KeySpace::Operator),
@@ -89,6 +89,7 @@
             actions: Vec::new(),
             sequence: 0,
             next_heartbeat: now,
+            next_far_heartbeat: now,
             is_leaving: false,
             is_changed: false,
             is_news: false,
@@ -330,13 +331,15 @@
 
     fn send_heartbeat(&mut self, now: Instant, rng: &mut impl Rng) {
         let is_news = std::mem::take(&mut self.is_news);
-        if !is_news && now < self.next_heartbeat {
-            return;
+        let mut to: Vec<SocketAddr> = Vec::new();
+        if is_news || now >= self.next_heartbeat {
+            self.next_heartbeat = next_time(now, Self::HEARTBEAT, rng);
+            to.extend(self.peers.addresses(true));
+        }
+        if is_news || now >= self.next_far_heartbeat {
+            self.next_far_heartbeat = next_time(now, Self::FAR_HEARTBEAT, rng);
+            to.extend(self.peers.addresses(false));
         }
-        let to: Vec<SocketAddr> = self.peers.addresses();
-        let period = Self::HEARTBEAT.get().max(Self::HEARTBEAT_EACH.get() * to.len() as u64);
-        let period = Micros::from(Millis::new(period)).get();
-        self.next_heartbeat = now + Micros::new(rng.random_range(period * 9 / 10..=period));
         if !to.is_empty() {
             let heartbeat = Box::new(self.heartbeat(now));
             self.actions.push(FleetAction::Heartbeat(heartbeat, to));
@@ -416,6 +419,12 @@
     }
 }
 
+/// The time after `now` and `period`, up to a tenth earlier, so that nodes don't beat together.
+fn next_time(now: Instant, period: Millis, rng: &mut impl Rng) -> Instant {
+    let period = Micros::from(period).get();
+    now + Micros::new(rng.random_range(period * 9 / 10..=period))
+}
+
 /// A backend server with the node beside it.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct KnownBackend<'a> {
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -81,7 +81,7 @@
 pub use mesh_route::MeshRoute;
 pub use node_entry::NodeEntry;
 pub use peer_directory::PeerDirectory;
-pub use placement::Placement;
+pub use placement::{PlacedCall, Placement};
 pub use registration::{BeatOutcome, Registration};
 pub use retry_share::RetryShare;
 pub use rollout::Rollout;
--- a/crates/core/src/fleet/peer_directory.rs
+++ b/crates/core/src/fleet/peer_directory.rs
@@ -4,12 +4,13 @@
 use std::net::SocketAddr;
 
 use crate::fleet::{Heartbeat, NodeEntry};
-use crate::ids::{Incarnation, NodeId};
+use crate::ids::{DataCentre, Incarnation, NodeId};
 use crate::units::{Instant, Millis};
 
 /// The other nodes, as they tell of themselves.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct PeerDirectory {
+    data_centre: DataCentre,
     peers: BTreeMap<NodeId, Peer>,
 }
 
@@ -18,6 +19,8 @@
 pub struct Peer {
     /// Its addresses.
     pub entry: NodeEntry,
+    /// Whether it is in the same data centre as this node.
+    pub is_near: bool,
     /// The newest heartbeat.
     pub heartbeat: Option<Heartbeat>,
     /// When it was last heard, or found in the store.
@@ -27,18 +30,27 @@
 }
 
 impl PeerDirectory {
-    /// A node that was not heard for this long is passed over while others are heard. Four
-    /// heartbeats, so that single lost datagrams don't matter.
+    /// A node of the same data centre that was not heard for this long is passed over while
+    /// others are heard. Four heartbeats, so that single lost datagrams don't matter.
     pub const SILENCE: Millis = Millis::new(1_300);
+    /// The same for a node of another data centre: three heartbeats.
+    pub const FAR_SILENCE: Millis = Millis::new(3_300);
     /// A node that is neither heard nor listed for this long is forgotten. Longer than an
     /// outage of the store, after which only its peers know a restarted node.
     pub const MEMORY: Millis = Millis::new(120_000);
 
+    /// The directory of a node in `data_centre`, without other nodes.
+    pub const fn new(data_centre: DataCentre) -> Self {
+        Self { data_centre, peers: BTreeMap::new() }
+    }
+
     /// Takes the entry of a node from the store.
     pub fn listed(&mut self, now: Instant, entry: NodeEntry) {
         self.remove_predecessors(&entry);
+        let is_near = entry.data_centre == self.data_centre;
         let peer = self.peers.entry(entry.node.clone()).or_insert_with(|| Peer {
             entry: entry.clone(),
+            is_near,
             heartbeat: None,
             heard: now,
             is_listed: true,
@@ -69,7 +81,8 @@
         let is_new = was_silent
             || old.and_then(|peer| peer.heartbeat).is_none_or(|old| !tells_same(&old, &heartbeat));
         let entry = heartbeat.entry.clone();
-        let peer = Peer { entry, heartbeat: Some(heartbeat), heard: now, is_listed };
+        let is_near = entry.data_centre == self.data_centre;
+        let peer = Peer { entry, is_near, heartbeat: Some(heartbeat), heard: now, is_listed };
         self.peers.insert(node, peer);
         Some(is_new)
     }
@@ -89,9 +102,9 @@
         self.iter().filter(move |peer| !peer.is_silent(now))
     }
 
-    /// Where the nodes take heartbeats.
-    pub fn addresses(&self) -> Vec<SocketAddr> {
-        self.iter().map(|peer| peer.entry.heartbeats).collect()
+    /// Where the nodes take heartbeats: those of the same data centre, or the others.
+    pub fn addresses(&self, is_near: bool) -> impl Iterator<Item = SocketAddr> {
+        self.iter().filter(move |peer| peer.is_near == is_near).map(|peer| peer.entry.heartbeats)
     }
 
     /// Removes nodes whose address now belongs to `entry`'s node.
@@ -103,7 +116,9 @@
 impl Peer {
     /// Whether it was not heard lately.
     pub fn is_silent(&self, now: Instant) -> bool {
-        self.heartbeat.is_none() || now.since(self.heard) > PeerDirectory::SILENCE.into()
+        let silence =
+            if self.is_near { PeerDirectory::SILENCE } else { PeerDirectory::FAR_SILENCE };
+        self.heartbeat.is_none() || now.since(self.heard) > silence.into()
     }
 
     /// The start that it last told of.
--- a/crates/core/src/fleet/placement.rs
+++ b/crates/core/src/fleet/placement.rs
@@ -5,20 +5,22 @@
 use rand::Rng;
 
 use crate::fleet::{DoorLoad, MeshRoute, RemoteDoor, ServiceDoors, VersionRule};
-use crate::ids::{DataCentre, NodeId, ServiceName};
+use crate::ids::{DataCentre, NodeId, RouteName, ServiceName};
 use crate::store::Revision;
-use crate::units::{Instant, Micros};
+use crate::units::{ByteCount, Instant, Micros};
 
 /// Chooses the door of each call by what this node saw of the doors.
 ///
 /// Answers the load pattern in which the servers of one service differ in speed and a data
-/// centre has more calls than its own server can run: a call stays in its own data centre until
-/// another door is likely to answer earlier by a fifth of the route's target latency.
+/// centre has more calls than its own server can run: a call goes where its expected loss
+/// is least, of lateness, failure and bytes between data centres.
 #[derive(Debug)]
 pub struct Placement {
     data_centre: DataCentre,
     loads: HashMap<NodeId, DoorLoad>,
     shifts: HashMap<ServiceName, ShiftCount>,
+    /// The kilobytes of a call of each route.
+    sizes: HashMap<RouteName, f64>,
 }
 
 /// The calls of a service since an order, and how many went to the new version.
@@ -30,18 +32,31 @@
 }
 
 impl Placement {
-    /// What a call to another data centre costs: this part of the target latency.
-    const CROSSING: f64 = 0.2;
-    /// What a failure costs, in target latencies: the caller may have to start over.
-    const FAILURE: f64 = 2.0;
+    /// What a kilobyte to another data centre costs, in parts of a call's worth.
+    const CROSSING_KILOBYTE: f64 = 0.035;
+    /// The bytes of a call beside its bodies: two heads and their packets.
+    const HEADS: f64 = 1_000.0;
+    /// What a late answer costs.
+    const LATE: f64 = 0.7;
+    /// What a call costs that has no answer before its deadline.
+    const LOST: f64 = 0.6;
+    /// What a failure costs.
+    const FAILURE: f64 = 1.0;
+    /// What the time itself costs, for each target latency. Decides between doors that are
+    /// all in time.
+    const TIME: f64 = 0.04;
+    /// The spread of the logarithm of a call's time around its estimate.
+    const SPREAD: f64 = 0.25;
     /// The first guess at the time of a call, as a part of the target latency.
-    const FIRST_GUESS: f64 = 0.3;
+    const FIRST_GUESS: f64 = 0.35;
     /// How much longer calls run at a server that has just started.
     const COLD: f64 = 2.0;
+    /// The weight of the newest call in the size of a route's calls.
+    const SIZE_WEIGHT: f64 = 0.1;
 
     /// Chooses for a node in `data_centre`.
     pub fn new(data_centre: DataCentre) -> Self {
-        Self { data_centre, loads: HashMap::new(), shifts: HashMap::new() }
+        Self { data_centre, loads: HashMap::new(), shifts: HashMap::new(), sizes: HashMap::new() }
     }
 
     /// What is known of the door of `node`.
@@ -52,6 +67,17 @@
         self.loads.get_mut(node).expect("the entry was inserted above")
     }
 
+    /// A call of `route` was answered; its bodies have `size` together.
+    pub fn sized(&mut self, route: &RouteName, size: ByteCount) {
+        let size = (size.get() as f64 + Self::HEADS) / 1_000.0;
+        match self.sizes.get_mut(route) {
+            Some(mean) => *mean += Self::SIZE_WEIGHT * (size - *mean),
+            None => {
+                self.sizes.insert(route.clone(), size);
+            }
+        }
+    }
+
     /// Whether the first try of a call goes to the new version of a rollout. Counts the call.
     pub fn sends_to_new(
         &mut self,
@@ -72,69 +98,104 @@
         to_new
     }
 
-    /// The door for a call of `route`, not one of `tried`. `to_new` as [`Self::sends_to_new`]
-    /// said; the other version is taken if the wanted one has no door.
+    /// The door for `call`. At a full shift the old version stands in for a new one without doors.
     pub fn choose<'a>(
         &self,
         now: Instant,
-        route: &MeshRoute,
+        call: &PlacedCall<'_>,
         doors: &'a ServiceDoors,
-        to_new: bool,
-        tried: &[NodeId],
         rng: &mut impl Rng,
     ) -> Option<&'a RemoteDoor> {
-        if to_new
+        if call.to_new
             && let Some(pulse) = pulse(now, doors)
             && let Some(door) = canary(doors, pulse)
-            && !tried.contains(&door.node)
+            && !call.tried.contains(&door.node)
         {
             return Some(door);
         }
-        let fits = |door: &&RemoteDoor| !tried.contains(&door.node);
         let allowed = |to_new: bool| {
-            let rule = &doors.rule;
-            doors.doors.iter().filter(fits).filter(move |door| rule.allows(&door.version, to_new))
+            let fits = move |door: &&RemoteDoor| {
+                !call.tried.contains(&door.node) && doors.rule.allows(&door.version, to_new)
+            };
+            doors.doors.iter().filter(fits)
         };
         let is_shift = matches!(doors.rule, VersionRule::Shift(_));
-        self.best(now, route, allowed(to_new), rng).or_else(|| {
-            // At a full shift the old version stands in for a new one without doors.
-            let is_full = is_shift && to_new;
-            is_full.then(|| self.best(now, route, allowed(false), rng)).flatten()
+        let wanted = self.best(now, call, allowed(call.to_new), rng);
+        wanted.or_else(|| {
+            let has_substitute = is_shift && call.to_new;
+            has_substitute.then(|| self.best(now, call, allowed(false), rng)).flatten()
         })
     }
 
     fn best<'a>(
         &self,
         now: Instant,
-        route: &MeshRoute,
+        call: &PlacedCall<'_>,
         doors: impl Iterator<Item = &'a RemoteDoor>,
         rng: &mut impl Rng,
     ) -> Option<&'a RemoteDoor> {
-        let cost = |door: &'a RemoteDoor, rng: &mut dyn rand::RngCore| {
-            let load = self.loads.get(&door.node).copied().unwrap_or_default();
+        let unknown = DoorLoad::default();
+        let cost = |door: &'a RemoteDoor| {
+            let load = self.loads.get(&door.node).unwrap_or(&unknown);
             let passed_over = load.is_avoided(now) || door.is_silent;
-            // A small draw spreads calls over doors of the same cost.
-            let cost = self.cost(now, route, door, &load) * rng.random_range(0.98..1.02);
-            (passed_over, cost)
+            (passed_over, self.loss(now, call, door, load))
         };
         doors
-            .map(|door| (cost(door, rng), door))
-            .min_by(|((a_over, a), _), ((b_over, b), _)| a_over.cmp(b_over).then(a.total_cmp(b)))
-            .map(|(_, door)| door)
+            // A small draw spreads calls over doors of the same cost.
+            .map(|door| (cost(door), rng.random_range(0.0..0.01), door))
+            .min_by(|((a_over, a), a_draw, _), ((b_over, b), b_draw, _)| {
+                a_over.cmp(b_over).then((a + a_draw).total_cmp(&(b + b_draw)))
+            })
+            .map(|(_, _, door)| door)
     }
 
-    /// The time until an answer of `door`, with what else a call there costs, in microseconds.
-    fn cost(&self, now: Instant, route: &MeshRoute, door: &RemoteDoor, load: &DoorLoad) -> f64 {
+    /// The expected loss of a call at `door`, in parts of the call's worth.
+    fn loss(&self, now: Instant, call: &PlacedCall<'_>, door: &RemoteDoor, load: &DoorLoad) -> f64 {
+        let route = call.route;
+        let estimate = Self::estimate(now, route, door, load);
         let target = Micros::from(route.target_latency).get() as f64;
-        let mean = load.mean().map_or(Self::FIRST_GUESS * target, |mean| mean.get() as f64);
-        let run = if door.is_cold { Self::COLD * mean } else { mean };
-        let slots = f64::from(door.slots.max(1));
-        let beyond = (f64::from(load.estimate(now)) + 1.0 - slots).max(0.0);
-        let wait = beyond * run / slots;
         let is_far = door.data_centre != self.data_centre;
-        let crossing = if is_far { Self::CROSSING * target } else { 0.0 };
-        run + wait + crossing + Self::FAILURE * target * load.failures_at(now)
+        let size = self.sizes.get(&route.name).copied().unwrap_or(Self::HEADS / 1_000.0);
+        let crossing = if is_far { Self::CROSSING_KILOBYTE * size } else { 0.0 };
+        Self::LATE * Self::beyond(estimate, call.target_left)
+            + Self::LOST * Self::beyond(estimate, call.left)
+            + Self::TIME * estimate / target.max(1.0)
+            + Self::FAILURE * load.failures_at(now)
+            + crossing
     }
+
+    /// How long until an answer of `door`, in microseconds.
+    fn estimate(now: Instant, route: &MeshRoute, door: &RemoteDoor, load: &DoorLoad) -> f64 {
+        let target = Micros::from(route.target_latency).get() as f64;
+        let guess = Self::FIRST_GUESS * target;
+        let run = load.expected(&route.name).map_or(guess, |run| run.get() as f64);
+        let run = if door.is_cold { Self::COLD * run } else { run };
+        let mean = load.mean().map_or(run, |mean| mean.get() as f64);
+        let slots = f64::from(door.slots.max(1));
+        let ahead = (f64::from(load.estimate(now)) + 1.0 - slots).max(0.0);
+        run + ahead * mean / slots
+    }
+
+    /// The probability that a call takes longer than `limit`.
+    fn beyond(estimate: f64, limit: Micros) -> f64 {
+        let ratio = estimate.max(1.0) / (limit.get() as f64).max(1.0);
+        1.0 / (1.0 + (-ratio.ln() / Self::SPREAD).exp())
+    }
+}
+
+/// A call for which a door is chosen.
+#[derive(Debug, Clone, Copy)]
+pub struct PlacedCall<'a> {
+    /// The route.
+    pub route: &'a MeshRoute,
+    /// The time until an answer is late.
+    pub target_left: Micros,
+    /// The time until the caller has no use for an answer.
+    pub left: Micros,
+    /// Whether it goes to the new version of a rollout, as [`Placement::sends_to_new`] said.
+    pub to_new: bool,
+    /// The nodes whose doors were tried.
+    pub tried: &'a [NodeId],
 }
 
 fn pulse(now: Instant, doors: &ServiceDoors) -> Option<u64> {
--- a/crates/core/src/fleet/service_times.rs
+++ b/crates/core/src/fleet/service_times.rs
@@ -40,6 +40,11 @@
         self.routes.get(route).copied().or(self.mean).map(|mean| Micros::new(mean as u64))
     }
 
+    /// How long a call of `route` runs; `None` before one of that route ended.
+    pub fn known(&self, route: &RouteName) -> Option<Micros> {
+        self.routes.get(route).map(|mean| Micros::new(*mean as u64))
+    }
+
     /// The mean over all calls; `None` before the first one ended.
     pub fn mean(&self) -> Option<Micros> {
         self.mean.map(|mean| Micros::new(mean as u64))
--- a/crates/node/src/fleet/call_log.rs
+++ b/crates/node/src/fleet/call_log.rs
@@ -58,7 +58,7 @@
 
     /// A caller's request ended after `took`.
     pub(crate) fn caller(&self, id: Option<&HeaderValue>, took: Micros, result: &CallerResult) {
-        if !self.budget(&result.answer).take(self.clock) {
+        if !self.budget(result.answer.is_ok()).take(self.clock) {
             return;
         }
         let doors: Vec<String> = result
@@ -74,7 +74,7 @@
             "config" => result.config_version,
             "doors" => doors.join(" "),
         ));
-        outcome(&log, "call", &result.answer);
+        outcome(&log, "call", result.answer.as_ref());
     }
 
     /// A call ended at this node's door after `took`.
@@ -82,9 +82,9 @@
         &self,
         call: &DoorCall,
         took: Micros,
-        result: &Result<Response<Bytes>, DoorFailure>,
+        result: Result<&Response<Bytes>, &DoorFailure>,
     ) {
-        if !self.budget(result).take(self.clock) {
+        if !self.budget(result.is_ok()).take(self.clock) {
             return;
         }
         let left = call.deadline.since(self.clock.now());
@@ -99,12 +99,12 @@
         outcome(&log, "door", result);
     }
 
-    const fn budget<T>(&self, result: &Result<T, DoorFailure>) -> &LineBudget {
-        if result.is_ok() { &self.answers } else { &self.failures }
+    const fn budget(&self, is_answered: bool) -> &LineBudget {
+        if is_answered { &self.answers } else { &self.failures }
     }
 }
 
-fn outcome(log: &Logger, message: &'static str, result: &Result<Response<Bytes>, DoorFailure>) {
+fn outcome(log: &Logger, message: &'static str, result: Result<&Response<Bytes>, &DoorFailure>) {
     match result {
         Ok(response) => info!(log, "{}", message; "status" => response.status().as_u16()),
         Err(failure) => info!(log, "{}", message;
--- a/crates/node/src/fleet/caller_handler.rs
+++ b/crates/node/src/fleet/caller_handler.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
-use almondsail_core::fleet::{Attempts, MeshRoute, NextTry, RemoteDoor};
+use almondsail_core::fleet::{Attempts, MeshRoute, NextTry, PlacedCall, RemoteDoor};
 use almondsail_core::ids::ServiceName;
-use almondsail_core::units::{Instant, Micros};
+use almondsail_core::units::{ByteCount, Instant, Micros};
 use almondsail_core::{RefusalReason, Verdict};
 use almondsail_platform::calls as names;
 use bytes::Bytes;
@@ -170,7 +170,14 @@
         true => placement.sends_to_new(now, &call.service, doors),
         false => doors.is_full_shift(now),
     };
-    placement.choose(now, route, doors, to_new, &attempts.tried, &mut rand::rng()).cloned()
+    let call = PlacedCall {
+        route,
+        target_left: call.target.since(now),
+        left: call.deadline.since(now),
+        to_new,
+        tried: &attempts.tried,
+    };
+    placement.choose(now, &call, doors, &mut rand::rng()).cloned()
 }
 
 async fn attempt(
@@ -182,9 +189,17 @@
     let result = if target.node == traffic.view.load().node {
         let started = traffic.clock.now();
         let result = door::run(traffic, call).await;
+        let now = traffic.clock.now();
         let (calls, mean) = traffic.queue.load();
-        traffic.placement().load(&target.node).report(traffic.clock.now(), calls, mean);
-        traffic.log.door(call, traffic.clock.now().since(started), &result);
+        let mut placement = traffic.placement();
+        let load = placement.load(&target.node);
+        load.report(now, calls, mean);
+        if let Ok((_, took)) = &result {
+            load.ran(&call.route, *took);
+        }
+        drop(placement);
+        let result = result.map(|(response, _)| response);
+        traffic.log.door(call, now.since(started), result.as_ref());
         result
     } else {
         door_client::send(traffic, &target.node, target.address, call).await
@@ -192,6 +207,10 @@
     drop(sent);
     let now = traffic.clock.now();
     let mut placement = traffic.placement();
+    if let Ok(response) = &result {
+        let size = call.body.len() + response.body().len();
+        placement.sized(&call.route, ByteCount::new(size as u64));
+    }
     let load = placement.load(&target.node);
     match &result {
         Ok(response) if response.status().is_server_error() => load.failed(now),
--- a/crates/node/src/fleet/door.rs
+++ b/crates/node/src/fleet/door.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use http::Response;
 
+use crate::calls::call_headers as own_names;
 use crate::calls::exchange::ExchangeError;
 use crate::fleet::door_call::DoorCall;
 use crate::fleet::door_failure::DoorFailure;
@@ -19,14 +20,14 @@
 /// How soon a call may come again after a refusal that tells nothing of the load.
 const SOON: Micros = Micros::new(200_000);
 
-/// Runs `call` at the backend server beside this node.
+/// Runs `call` at the backend server beside this node. Returns the answer and how long it ran.
 ///
 /// Only this node reaches the server, so what it knows decides: which server has the
 /// address, whether it takes calls, and how many run.
 pub(crate) async fn run(
     traffic: &Arc<FleetTraffic>,
     call: &DoorCall,
-) -> Result<Response<Bytes>, DoorFailure> {
+) -> Result<(Response<Bytes>, Micros), DoorFailure> {
     check(&traffic.view.load(), call)?;
     let slot = traffic.queue.take(call.need()).await?;
     // The server may have left while the call waited.
@@ -35,7 +36,7 @@
     if traffic.view.load().wants_evidence {
         record(traffic, call, &result);
     }
-    result.map(|(response, _)| response)
+    result
 }
 
 fn check(view: &FleetView, call: &DoorCall) -> Result<(), DoorFailure> {
@@ -73,7 +74,8 @@
             let failure = DoorFailure::unrun(RefusalReason::BackendDown, SOON);
             Err(DoorFailure { has_arrived: true, ..failure })
         }
-        (AnswerKind::Ran, Ok(response)) => {
+        (AnswerKind::Ran, Ok(mut response)) => {
+            own_names::remove_connection_headers(response.headers_mut());
             let took = clock.now().since(slot.started());
             slot.ran();
             Ok((response, took))
--- a/crates/node/src/fleet/door_client.rs
+++ b/crates/node/src/fleet/door_client.rs
@@ -28,11 +28,14 @@
     pub(crate) calls: u32,
     /// Their mean time, if it is known.
     pub(crate) mean: Option<Micros>,
+    /// How long the answered call ran, if it did.
+    pub(crate) took: Option<Micros>,
 }
 
 impl fmt::Display for ReportedLoad {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{} {}", self.calls, self.mean.map_or(0, Micros::get))
+        let number = |span: Option<Micros>| span.map_or(0, Micros::get);
+        write!(f, "{} {} {}", self.calls, number(self.mean), number(self.took))
     }
 }
 
@@ -40,9 +43,11 @@
     type Err = std::num::ParseIntError;
 
     fn from_str(s: &str) -> Result<Self, Self::Err> {
-        let (calls, mean) = s.split_once(' ').unwrap_or((s, "0"));
-        let mean: u64 = mean.parse()?;
-        Ok(Self { calls: calls.parse()?, mean: (mean > 0).then(|| Micros::new(mean)) })
+        let mut parts = s.split(' ');
+        let mut next = || parts.next().unwrap_or_default();
+        let calls = next().parse()?;
+        let mut span = || next().parse().map(|span: u64| (span > 0).then(|| Micros::new(span)));
+        Ok(Self { calls, mean: span()?, took: span()? })
     }
 }
 
@@ -62,7 +67,12 @@
         .await
         .map_err(|_| DoorFailure::may_have_run(RefusalReason::BrokenExchange))?;
     if let Some(load) = take::<ReportedLoad>(response.headers_mut(), &LOAD) {
-        traffic.placement().load(node).report(clock.now(), load.calls, load.mean);
+        let mut placement = traffic.placement();
+        let door = placement.load(node);
+        door.report(clock.now(), load.calls, load.mean);
+        if let Some(took) = load.took {
+            door.ran(&call.route, took);
+        }
     }
     if response.headers().contains_key(FAILURE) {
         let bad = DoorFailure::may_have_run(RefusalReason::BadAnswer);
--- a/crates/node/src/fleet/door_handler.rs
+++ b/crates/node/src/fleet/door_handler.rs
@@ -36,13 +36,14 @@
         Some(hop) => call(&traffic, hop, request).await,
         None => Err(DoorFailure::unrun(RefusalReason::BadRequest, Micros::new(0))),
     };
-    let mut response = result.unwrap_or_else(|failure| {
+    let took = result.as_ref().ok().map(|(_, took)| *took);
+    let mut response = result.map(|(response, _)| response).unwrap_or_else(|failure| {
         let mut response = status(StatusCode::SERVICE_UNAVAILABLE);
         own_names::set(response.headers_mut(), FAILURE, failure);
         response
     });
     let (calls, mean) = traffic.queue.load();
-    own_names::set(response.headers_mut(), LOAD, ReportedLoad { calls, mean });
+    own_names::set(response.headers_mut(), LOAD, ReportedLoad { calls, mean, took });
     response
 }
 
@@ -50,11 +51,11 @@
     traffic: &Arc<FleetTraffic>,
     hop: Hop,
     request: Request<Bytes>,
-) -> Result<Response<Bytes>, DoorFailure> {
+) -> Result<(Response<Bytes>, Micros), DoorFailure> {
     let started = traffic.clock.now();
     let call = DoorCall::from_hop(hop, started, request);
     let result = door::run(traffic, &call).await;
-    traffic.log.door(&call, traffic.clock.now().since(started), &result);
+    traffic.log.door(&call, traffic.clock.now().since(started), result.as_ref().map(|(r, _)| r));
     result
 }
 
