Queue calls by when their answer is due and refuse what would be late

Cause: at overload a door let calls wait until near their deadline. Ruled out: telling inner calls apart by their origin: callers and the backend server use the same address. Change: within a priority the call whose answer is due first goes first; a call that would be late is refused at its arrival unless the wait is short; a door reports the calls before a call of the same route.

--- a/crates/core/src/fleet/attempts.rs
+++ b/crates/core/src/fleet/attempts.rs
@@ -41,7 +41,7 @@
 impl Attempts {
     /// Moves between doors that reached no backend server. Bounds the work of one call when
     /// every door refuses.
-    const MAX_MOVES: u32 = 3;
+    const MAX_MOVES: u32 = 2;
 
     /// No try yet of a call that may arrive at `max_arrivals` backend servers.
     pub const fn new(is_idempotent: bool, max_arrivals: u32) -> Self {
--- a/crates/core/src/fleet/call_queue.rs
+++ b/crates/core/src/fleet/call_queue.rs
@@ -12,9 +12,11 @@
 
 /// The queue in front of one backend server, which gets no more calls than it has slots.
 ///
-/// Answers the load pattern in which more calls come than the server can run: the most
-/// urgent route goes first, within a route the oldest call; a call that would end after its
-/// deadline is refused when that is known, at its arrival or when its turn comes.
+/// Answers the load pattern in which more calls come than the server can run. The most urgent
+/// priority goes first, and within one the call whose answer is due first: calls that a
+/// running call makes have short targets and pass those that begin new work, which would only
+/// wait for them. A call is refused at its arrival if it would be late and the queue is not
+/// short, so that those which are let in are in time.
 #[derive(Debug)]
 pub struct CallQueue {
     slots: u32,
@@ -29,12 +31,19 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Rank {
     priority: u8,
+    target: Instant,
     ticket: QueueTicket,
 }
 
 impl CallQueue {
     /// The largest number of calls that wait; bounds the memory of a door.
     pub const MAX_WAITING: usize = 1_024;
+    /// A wait up to this part of the target latency is allowed also to a call that will be
+    /// late: a server that is slower than the target still serves.
+    const SHORT_WAIT: f64 = 0.25;
+    /// The part of the expected time by which a call must fit before its target; the rest
+    /// covers the spread.
+    const FIT: f64 = 1.1;
 
     /// A queue for a server that is not known yet.
     pub fn new() -> Self {
@@ -60,15 +69,18 @@
             self.running += 1;
             return Admission::Run;
         }
-        let rank = Rank { priority: need.priority, ticket: QueueTicket(self.next) };
-        let ahead = self.waiting.range(..rank).count() + 1;
-        let wait = self.wait_behind(ahead);
-        let retry_after = self.wait_behind(self.waiting.len() + 1);
+        let rank =
+            Rank { priority: need.priority, target: need.target, ticket: QueueTicket(self.next) };
+        let wait = self.wait(self.waiting.range(..rank).map(|(_, need)| need));
+        let refuse = |reason| {
+            let retry_after = self.wait(self.waiting.values());
+            Admission::Refused { reason, retry_after }
+        };
         if self.waiting.len() >= Self::MAX_WAITING {
-            return Admission::Refused { reason: RefusalReason::QueueFull, retry_after };
+            return refuse(RefusalReason::QueueFull);
         }
-        if now + wait + self.expected(&need) > need.deadline {
-            return Admission::Refused { reason: RefusalReason::DeadlineTooNear, retry_after };
+        if !self.is_worth_waiting(now, wait, &need) {
+            return refuse(RefusalReason::DeadlineTooNear);
         }
         self.next += 1;
         self.waiting.insert(rank, need);
@@ -99,14 +111,11 @@
         tickets.map(refuse).collect()
     }
 
-    /// The calls that run.
-    pub const fn running(&self) -> u32 {
-        self.running
-    }
-
-    /// The calls that wait.
-    pub fn waiting(&self) -> u32 {
-        u32::try_from(self.waiting.len()).unwrap_or(u32::MAX)
+    /// The calls that run, and those that wait and go before a call like `need`.
+    pub fn ahead(&self, need: &CallNeed) -> u32 {
+        let rank =
+            Rank { priority: need.priority, target: need.target, ticket: QueueTicket(self.next) };
+        self.running + u32::try_from(self.waiting.range(..rank).count()).unwrap_or(u32::MAX)
     }
 
     /// The mean time of a call; `None` before the first one ended.
@@ -120,10 +129,9 @@
         while self.running < self.slots {
             let Some((rank, need)) = self.waiting.pop_first() else { break };
             self.ranks.remove(&rank.ticket);
-            let is_late = now + self.expected(&need) > need.deadline;
-            let refused = is_late.then(|| {
-                (RefusalReason::DeadlineTooNear, self.wait_behind(self.waiting.len() + 1))
-            });
+            let is_late = now + half(self.expected(&need)) > need.deadline;
+            let refused =
+                is_late.then(|| (RefusalReason::DeadlineTooNear, self.wait(self.waiting.values())));
             if !is_late {
                 self.running += 1;
             }
@@ -132,19 +140,34 @@
         wakeups
     }
 
-    /// How long until `calls` waiting calls have got a slot.
-    fn wait_behind(&self, calls: usize) -> Micros {
-        let mean = self.times.mean().map_or(0, Micros::get);
-        Micros::new(mean * calls as u64 / u64::from(self.slots.max(1)))
+    /// Whether a call that gets a slot after `wait` should wait for it.
+    fn is_worth_waiting(&self, now: Instant, wait: Micros, need: &CallNeed) -> bool {
+        let expected = self.expected(need);
+        let start = now + wait;
+        let fits = Micros::new((expected.get() as f64 * Self::FIT) as u64);
+        let short = Micros::from(need.target_latency).get() as f64 * Self::SHORT_WAIT;
+        let is_in_time = start + fits <= need.target;
+        let is_short = wait.get() as f64 <= short;
+        (is_in_time || is_short) && start + half(expected) <= need.deadline
+    }
+
+    /// How long until a slot is free after the calls `ahead` have got one each.
+    fn wait<'a>(&self, ahead: impl Iterator<Item = &'a CallNeed>) -> Micros {
+        let next = self.times.mean().map_or(0, Micros::get);
+        let ahead: u64 = ahead.map(|need| self.expected(need).get()).sum();
+        Micros::new((next + ahead) / u64::from(self.slots.max(1)))
     }
 
-    /// How long a call is likely to run. Half of what was learned, so that one slow call
-    /// does not refuse those that still have time.
+    /// How long a call is likely to run; nothing before the first call has ended.
     fn expected(&self, need: &CallNeed) -> Micros {
-        Micros::new(self.times.expected(&need.route).map_or(0, Micros::get) / 2)
+        self.times.expected(&need.route).unwrap_or_default()
     }
 }
 
+const fn half(span: Micros) -> Micros {
+    Micros::new(span.get() / 2)
+}
+
 impl Default for CallQueue {
     fn default() -> Self {
         Self::new()
--- a/crates/core/src/fleet/door_load.rs
+++ b/crates/core/src/fleet/door_load.rs
@@ -1,5 +1,7 @@
 //! What a node knows at first hand of another node's door.
 
+use std::collections::HashMap;
+
 use crate::fleet::ServiceTimes;
 use crate::ids::RouteName;
 use crate::units::{Instant, Micros, Millis};
@@ -7,12 +9,10 @@
 /// What a node knows at first hand of the door of another node.
 #[derive(Debug, Default)]
 pub struct DoorLoad {
-    /// Calls that ran or waited at the door when it last answered.
-    reported: u32,
-    /// When that was.
-    reported_at: Instant,
-    /// Calls sent there since.
-    sent_since: u32,
+    /// The calls before a call of each route, as the door last reported.
+    reports: HashMap<RouteName, Report>,
+    /// Calls sent there.
+    sent: u64,
     /// Calls of this node that are there now.
     in_flight: u32,
     /// The mean time of a call there.
@@ -27,6 +27,15 @@
     avoid_until: Instant,
 }
 
+/// The calls before a call of a route when the door answered one.
+#[derive(Debug, Clone, Copy)]
+struct Report {
+    ahead: u32,
+    at: Instant,
+    /// The calls sent there until then.
+    sent: u64,
+}
+
 impl DoorLoad {
     /// A report older than this says nothing of the present load.
     const REPORT_LIFE: Millis = Millis::new(1_000);
@@ -43,7 +52,7 @@
     /// A call is sent.
     pub fn sent(&mut self) {
         self.in_flight += 1;
-        self.sent_since += 1;
+        self.sent += 1;
     }
 
     /// A call has ended, however.
@@ -51,11 +60,15 @@
         self.in_flight = self.in_flight.saturating_sub(1);
     }
 
-    /// The door reported its load.
-    pub fn report(&mut self, now: Instant, load: u32, mean: Option<Micros>) {
-        self.reported = load;
-        self.reported_at = now;
-        self.sent_since = 0;
+    /// The door reported the calls before a call of `route`, and the mean time of a call.
+    pub fn report(&mut self, now: Instant, route: &RouteName, ahead: u32, mean: Option<Micros>) {
+        let report = Report { ahead, at: now, sent: self.sent };
+        match self.reports.get_mut(route) {
+            Some(known) => *known = report,
+            None => {
+                self.reports.insert(route.clone(), report);
+            }
+        }
         self.mean = mean.or(self.mean);
     }
 
@@ -97,10 +110,13 @@
         now < self.avoid_until
     }
 
-    /// The calls that are likely to run or wait at the door.
-    pub fn estimate(&self, now: Instant) -> u32 {
-        let is_fresh = now.since(self.reported_at) < Self::REPORT_LIFE.into();
-        let reported = if is_fresh { self.reported + self.sent_since } else { 0 };
+    /// The calls that are likely to run, or to wait before a call of `route`.
+    pub fn ahead(&self, now: Instant, route: &RouteName) -> u32 {
+        let is_fresh = |report: &&Report| now.since(report.at) < Self::REPORT_LIFE.into();
+        let report = self.reports.get(route).filter(is_fresh);
+        let reported = report.map_or(0, |report| {
+            report.ahead + u32::try_from(self.sent - report.sent).unwrap_or(u32::MAX)
+        });
         reported.max(self.in_flight)
     }
 
--- a/crates/core/src/fleet/placement.rs
+++ b/crates/core/src/fleet/placement.rs
@@ -172,7 +172,7 @@
         let run = if door.is_cold { Self::COLD * run } else { run };
         let mean = load.mean().map_or(run, |mean| mean.get() as f64);
         let slots = f64::from(door.slots.max(1));
-        let ahead = (f64::from(load.estimate(now)) + 1.0 - slots).max(0.0);
+        let ahead = (f64::from(load.ahead(now, &route.name)) + 1.0 - slots).max(0.0);
         run + ahead * mean / slots
     }
 
--- a/crates/node/src/fleet/caller_handler.rs
+++ b/crates/node/src/fleet/caller_handler.rs
@@ -190,10 +190,10 @@
         let started = traffic.clock.now();
         let result = door::run(traffic, call).await;
         let now = traffic.clock.now();
-        let (calls, mean) = traffic.queue.load();
+        let (ahead, mean) = traffic.queue.load(&call.need());
         let mut placement = traffic.placement();
         let load = placement.load(&target.node);
-        load.report(now, calls, mean);
+        load.report(now, &call.route, ahead, mean);
         if let Ok((_, took)) = &result {
             load.ran(&call.route, *took);
         }
--- a/crates/node/src/fleet/door.rs
+++ b/crates/node/src/fleet/door.rs
@@ -114,6 +114,6 @@
 impl FleetTraffic {
     /// How long a call that is refused now would have to wait.
     fn queue_time(&self) -> Micros {
-        self.queue.load().1.unwrap_or(SOON)
+        self.queue.mean_time().unwrap_or(SOON)
     }
 }
--- a/crates/node/src/fleet/door_client.rs
+++ b/crates/node/src/fleet/door_client.rs
@@ -24,8 +24,8 @@
 /// The load that a door reports.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct ReportedLoad {
-    /// The calls that run or wait.
-    pub(crate) calls: u32,
+    /// The calls that run, or wait before a call of the same route.
+    pub(crate) ahead: u32,
     /// Their mean time, if it is known.
     pub(crate) mean: Option<Micros>,
     /// How long the answered call ran, if it did.
@@ -35,7 +35,7 @@
 impl fmt::Display for ReportedLoad {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let number = |span: Option<Micros>| span.map_or(0, Micros::get);
-        write!(f, "{} {} {}", self.calls, number(self.mean), number(self.took))
+        write!(f, "{} {} {}", self.ahead, number(self.mean), number(self.took))
     }
 }
 
@@ -45,9 +45,9 @@
     fn from_str(s: &str) -> Result<Self, Self::Err> {
         let mut parts = s.split(' ');
         let mut next = || parts.next().unwrap_or_default();
-        let calls = next().parse()?;
+        let ahead = next().parse()?;
         let mut span = || next().parse().map(|span: u64| (span > 0).then(|| Micros::new(span)));
-        Ok(Self { calls, mean: span()?, took: span()? })
+        Ok(Self { ahead, mean: span()?, took: span()? })
     }
 }
 
@@ -69,7 +69,7 @@
     if let Some(load) = take::<ReportedLoad>(response.headers_mut(), &LOAD) {
         let mut placement = traffic.placement();
         let door = placement.load(node);
-        door.report(clock.now(), load.calls, load.mean);
+        door.report(clock.now(), &call.route, load.ahead, load.mean);
         if let Some(took) = load.took {
             door.ran(&call.route, took);
         }
--- a/crates/node/src/fleet/door_handler.rs
+++ b/crates/node/src/fleet/door_handler.rs
@@ -32,31 +32,28 @@
     let Some(hop) = request.headers().get(HOP).cloned() else {
         return config(&text, &request);
     };
-    let result = match hop.to_str().ok().and_then(|hop| hop.parse::<Hop>().ok()) {
-        Some(hop) => call(&traffic, hop, request).await,
-        None => Err(DoorFailure::unrun(RefusalReason::BadRequest, Micros::new(0))),
+    let hop = hop.to_str().ok().and_then(|hop| hop.parse::<Hop>().ok());
+    let Some(hop) = hop else {
+        return refusal(&DoorFailure::unrun(RefusalReason::BadRequest, Micros::new(0)));
     };
-    let took = result.as_ref().ok().map(|(_, took)| *took);
-    let mut response = result.map(|(response, _)| response).unwrap_or_else(|failure| {
-        let mut response = status(StatusCode::SERVICE_UNAVAILABLE);
-        own_names::set(response.headers_mut(), FAILURE, failure);
-        response
-    });
-    let (calls, mean) = traffic.queue.load();
-    own_names::set(response.headers_mut(), LOAD, ReportedLoad { calls, mean, took });
+    let started = traffic.clock.now();
+    let call = DoorCall::from_hop(hop, started, request);
+    let result = door::run(&traffic, &call).await;
+    let took = traffic.clock.now().since(started);
+    traffic.log.door(&call, took, result.as_ref().map(|(response, _)| response));
+    let (mut response, took) = match result {
+        Ok((response, took)) => (response, Some(took)),
+        Err(failure) => (refusal(&failure), None),
+    };
+    let (ahead, mean) = traffic.queue.load(&call.need());
+    own_names::set(response.headers_mut(), LOAD, ReportedLoad { ahead, mean, took });
     response
 }
 
-async fn call(
-    traffic: &Arc<FleetTraffic>,
-    hop: Hop,
-    request: Request<Bytes>,
-) -> Result<(Response<Bytes>, Micros), DoorFailure> {
-    let started = traffic.clock.now();
-    let call = DoorCall::from_hop(hop, started, request);
-    let result = door::run(traffic, &call).await;
-    traffic.log.door(&call, traffic.clock.now().since(started), result.as_ref().map(|(r, _)| r));
-    result
+fn refusal(failure: &DoorFailure) -> Response<Bytes> {
+    let mut response = status(StatusCode::SERVICE_UNAVAILABLE);
+    own_names::set(response.headers_mut(), FAILURE, failure);
+    response
 }
 
 fn config(text: &SharedText, request: &Request<Bytes>) -> Response<Bytes> {
--- a/crates/node/src/fleet/slot_queue.rs
+++ b/crates/node/src/fleet/slot_queue.rs
@@ -69,10 +69,15 @@
         state.wake(wakeups);
     }
 
-    /// The calls that run or wait, and their mean time.
-    pub(crate) fn load(&self) -> (u32, Option<Micros>) {
+    /// The calls before a call like `need`, and the mean time of a call.
+    pub(crate) fn load(&self, need: &CallNeed) -> (u32, Option<Micros>) {
         let state = self.lock();
-        (state.queue.running() + state.queue.waiting(), state.queue.mean_time())
+        (state.queue.ahead(need), state.queue.mean_time())
+    }
+
+    /// The mean time of a call.
+    pub(crate) fn mean_time(&self) -> Option<Micros> {
+        self.lock().queue.mean_time()
     }
 
     /// Frees the slot of a call.
