Watch the store from two nodes a data centre, hedge slow calls, judge the spread of answers

Cause: 16 nodes that all watch the store pay for each change 16 times; idempotent calls that run long or meet a silent door wait for their deadline. Change: two watchers a data centre, the others fetch from them; a second door for an idempotent call after 1.6 times its expected time, if that door has free slots and the retry budget allows; no hedge of calls to a version that is judged; the judge also compares the spread of answers and leaves out cold servers.

--- a/crates/core/src/fleet/attempts.rs
+++ b/crates/core/src/fleet/attempts.rs
@@ -70,6 +70,22 @@
         self.arrivals == 0
     }
 
+    /// Whether the call may be sent to a second door while the first still runs it. Draws on
+    /// the budget.
+    pub fn may_hedge(
+        &mut self,
+        now: Instant,
+        service: &ServiceName,
+        budget: &mut RetryShare,
+    ) -> bool {
+        let may = self.is_idempotent && self.arrivals + 1 < self.max_arrivals;
+        if !may || !budget.try_take(now, service) {
+            return false;
+        }
+        self.arrivals += 1;
+        true
+    }
+
     /// Decides after a failed try.
     pub fn after(
         &mut self,
--- a/crates/core/src/fleet/fleet_control.rs
+++ b/crates/core/src/fleet/fleet_control.rs
@@ -63,9 +63,13 @@
     const HEARTBEAT: Millis = Millis::new(300);
     /// The same to nodes of other data centres, where bytes are dear. News go at once.
     const FAR_HEARTBEAT: Millis = Millis::new(1_000);
-    /// How long another node may have a newer configuration before it is asked for it. The
-    /// store tells most changes earlier.
-    const BEHIND: Millis = Millis::new(350);
+    /// The nodes of a data centre that watch the store. A second one covers the time until a
+    /// dead or frozen first one is noticed.
+    const WATCHERS: usize = 2;
+    /// How long a node of another data centre may have a newer configuration before it is
+    /// asked for it, which costs bytes between data centres. Most changes come earlier, by the
+    /// store or from the same data centre.
+    const BEHIND: Millis = Millis::new(600);
     /// How long an answer with a configuration may take.
     const FETCH: Millis = Millis::new(800);
     /// Without the store, a node serves with what other nodes have from this time on.
@@ -271,31 +275,51 @@
         }
     }
 
-    /// Asks a node with a newer configuration for it.
+    /// Asks a node with a newer configuration for it: one of the same data centre at once,
+    /// unless this node watches the store itself, and any other after a while.
     fn fetch_newer_config(&mut self, now: Instant) {
-        let is_due = self.behind_since.is_some_and(|since| {
-            now.since(since) >= Self::BEHIND.into() || self.operator_feed.is_failing()
-        });
-        if !is_due || now < self.fetching_until {
+        let Some(since) = self.behind_since else { return };
+        if now < self.fetching_until {
             return;
         }
+        let is_long = now.since(since) >= Self::BEHIND.into();
+        let may_near = is_long || self.operator_feed.is_failing() || !self.is_watcher(now);
         let own = self.config_version();
-        let newest = self
-            .peers
-            .alive(now)
-            .filter_map(|peer| peer.heartbeat.as_ref())
-            .filter(|heartbeat| heartbeat.config_version > own)
-            .max_by_key(|heartbeat| heartbeat.config_version);
+        let newer = |heartbeat: &&Heartbeat| heartbeat.config_version > own;
+        let alive = self.peers.alive(now).filter_map(|peer| peer.heartbeat.as_ref());
+        let newest = alive
+            .filter(newer)
+            .max_by_key(|heartbeat| (self.is_near(&heartbeat.entry), heartbeat.config_version));
         match newest {
-            Some(heartbeat) => {
+            Some(heartbeat) if is_long || (may_near && self.is_near(&heartbeat.entry)) => {
                 self.fetching_until = now + Self::FETCH;
                 self.actions.push(FleetAction::FetchConfig(heartbeat.entry.door));
             }
+            Some(_) => {}
             None => self.behind_since = None,
         }
     }
 
+    /// Whether this node watches the store for its data centre: it is one of the first, by
+    /// id, of the nodes that reach the store. The others hear of changes from these, so that
+    /// the calls to the store grow with the data centres and not with the nodes.
+    fn is_watcher(&self, now: Instant) -> bool {
+        let own = &self.identity.entry.node;
+        let reaches = |heartbeat: &Heartbeat| heartbeat.is_store_reached && !heartbeat.is_leaving;
+        let before = self.peers.alive(now).filter(|peer| {
+            peer.is_near && peer.entry.node < *own && peer.heartbeat.as_ref().is_some_and(reaches)
+        });
+        before.count() < Self::WATCHERS
+    }
+
+    fn is_near(&self, entry: &crate::fleet::NodeEntry) -> bool {
+        entry.data_centre == self.identity.entry.data_centre
+    }
+
     fn send_due_requests(&mut self, now: Instant) {
+        let is_watcher = self.is_watcher(now);
+        self.operator_feed.set_watching(is_watcher);
+        self.nodes_feed.set_watching(is_watcher);
         for space in [KeySpace::Operator, KeySpace::Nodes] {
             if !self.is_pending(&Purpose::Feed(space))
                 && let Some(request) = self.feed(space).request(now)
@@ -353,6 +377,7 @@
             incarnation: self.identity.incarnation,
             sequence: self.sequence,
             config_version: self.config_version(),
+            is_store_reached: self.is_store_reached,
             is_leaving: self.is_leaving,
             backend: self.registration.backend().cloned(),
             rollouts: self.rollouts.values().map(|rollout| rollout.report(now)).collect(),
--- a/crates/core/src/fleet/heartbeat.rs
+++ b/crates/core/src/fleet/heartbeat.rs
@@ -14,6 +14,8 @@
     pub sequence: u64,
     /// The version of the configuration in force; zero if there is none.
     pub config_version: ConfigVersion,
+    /// Whether the store answered its last request.
+    pub is_store_reached: bool,
     /// Whether it stops.
     pub is_leaving: bool,
     /// The backend server beside it.
--- a/crates/core/src/fleet/placement.rs
+++ b/crates/core/src/fleet/placement.rs
@@ -127,6 +127,15 @@
         })
     }
 
+    /// How long an answer of `door` to a call of `route` is likely to take, and the calls that
+    /// run or wait before it.
+    pub fn outlook(&self, now: Instant, route: &MeshRoute, door: &RemoteDoor) -> (Micros, u32) {
+        let unknown = DoorLoad::default();
+        let load = self.loads.get(&door.node).unwrap_or(&unknown);
+        let estimate = Self::estimate(now, route, door, load);
+        (Micros::new(estimate as u64), load.ahead(now, &route.name))
+    }
+
     fn best<'a>(
         &self,
         now: Instant,
--- a/crates/core/src/fleet/route_evidence.rs
+++ b/crates/core/src/fleet/route_evidence.rs
@@ -80,16 +80,21 @@
         }
     }
 
-    /// The bucket of the median answer.
-    pub fn median(&self) -> Option<usize> {
-        let half = self.answers().div_ceil(2);
+    /// The bucket of the answer that `percent` of the answers are not slower than.
+    pub fn percentile(&self, percent: u32) -> Option<usize> {
+        let rank = (self.answers() * percent).div_ceil(100);
         let mut seen = 0;
         self.times.iter().position(|n| {
             seen += n;
-            seen >= half && half > 0
+            seen >= rank && rank > 0
         })
     }
 
+    /// The buckets between the fast and the slow fifth of the answers.
+    pub fn spread(&self) -> Option<usize> {
+        Some(self.percentile(80)? - self.percentile(20)?)
+    }
+
     /// The answers in `bucket` and above.
     pub fn answers_from(&self, bucket: usize) -> u32 {
         self.times.iter().skip(bucket).sum()
--- a/crates/core/src/fleet/service_doors.rs
+++ b/crates/core/src/fleet/service_doors.rs
@@ -41,4 +41,10 @@
     pub fn is_full_shift(&self, now: Instant) -> bool {
         matches!(&self.rule, VersionRule::Shift(shift) if shift.is_full(now))
     }
+
+    /// Whether `door` is of the new version of a rollout under way, whose calls must run to
+    /// their end to be judged.
+    pub fn is_judged(&self, door: &RemoteDoor) -> bool {
+        matches!(&self.rule, VersionRule::Shift(shift) if shift.target == door.version)
+    }
 }
--- a/crates/core/src/fleet/store_feed.rs
+++ b/crates/core/src/fleet/store_feed.rs
@@ -24,6 +24,8 @@
     pause_until: Instant,
     failures: u32,
     is_listed: bool,
+    /// Whether changes are watched; the first listing is made in any case.
+    is_watching: bool,
 }
 
 #[derive(Debug)]
@@ -58,12 +60,13 @@
             pause_until: Instant::new(0),
             failures: 0,
             is_listed: false,
+            is_watching: true,
         }
     }
 
     /// The next request, if it is due at `now`.
     pub fn request(&self, now: Instant) -> Option<StoreRequest> {
-        if now < self.pause_until {
+        if now < self.pause_until || (self.is_listed && !self.is_watching) {
             return None;
         }
         Some(match &self.state {
@@ -72,6 +75,11 @@
         })
     }
 
+    /// Sets whether changes are watched. A watch that waits already goes on to its end.
+    pub fn set_watching(&mut self, is_watching: bool) {
+        self.is_watching = is_watching;
+    }
+
     /// Whether the space was known as a whole at least once.
     pub const fn is_listed(&self) -> bool {
         self.is_listed
--- a/crates/core/src/fleet/version_judge.rs
+++ b/crates/core/src/fleet/version_judge.rs
@@ -4,9 +4,11 @@
 
 /// Compares a new version with the old one by what their doors saw since the order.
 ///
-/// The new version is bad if more of its calls fail, or more of its answers take four times
-/// as long as the old version's median on the same route. The rule is applied to each route
-/// and to all together, so that one bad route among good ones shows.
+/// The new version is bad if more of its calls fail, if more of its answers take four times
+/// as long as the old version's median on the same route, or if its answers fall into fast and
+/// slow ones where the old version's do not. The last shows a version that is slow for a part
+/// of its calls on a server that is faster than the others. The rules are applied to each
+/// route, and the first one to all together, so that one bad route among good ones shows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct VersionJudge;
 
@@ -17,6 +19,11 @@
     const MARGIN: u32 = 15;
     /// Answers of the old version from which its median is known.
     const FEWEST_OLD: u32 = 8;
+    /// Answers of the new version from which its spread is known.
+    const FEWEST_NEW: u32 = 12;
+    /// Buckets by which the spread of the new version must exceed the old one's: a factor
+    /// of 2.8.
+    const SPREAD: usize = 3;
 
     /// Whether `new` is worse than `old`.
     pub fn is_bad(new: &VersionEvidence, old: &VersionEvidence) -> bool {
@@ -25,13 +32,20 @@
         for (route, new) in &new.routes {
             let old = old.routes.get(route).unwrap_or(&empty);
             let tally = Tally::of(new, old);
-            if tally.is_bad() {
+            if tally.is_bad() || Self::is_split(new, old) {
                 return true;
             }
             total.add(tally);
         }
         total.is_bad()
     }
+
+    /// Whether the answers of the new version fall into fast and slow ones.
+    fn is_split(new: &RouteEvidence, old: &RouteEvidence) -> bool {
+        let is_known = new.answers() >= Self::FEWEST_NEW && old.answers() >= Self::FEWEST_OLD;
+        let spreads = new.spread().zip(old.spread()).filter(|_| is_known);
+        spreads.is_some_and(|(new, old)| new >= old + Self::SPREAD)
+    }
 }
 
 /// The bad calls of both versions.
@@ -46,8 +60,10 @@
 impl Tally {
     fn of(new: &RouteEvidence, old: &RouteEvidence) -> Self {
         let is_known = old.answers() >= VersionJudge::FEWEST_OLD;
-        let slow =
-            old.median().filter(|_| is_known).map(|median| median + RouteEvidence::FOUR_TIMES + 1);
+        let slow = old
+            .percentile(50)
+            .filter(|_| is_known)
+            .map(|median| median + RouteEvidence::FOUR_TIMES + 1);
         let slow = |evidence: &RouteEvidence| slow.map_or(0, |slow| evidence.answers_from(slow));
         Self {
             new: new.calls(),
--- a/crates/node/src/fleet/call_metrics.rs
+++ b/crates/node/src/fleet/call_metrics.rs
@@ -16,6 +16,7 @@
     answers: Counter<u64>,
     failures: Counter<u64>,
     retries: Counter<u64>,
+    hedges: Counter<u64>,
     times: Histogram<f64>,
 }
 
@@ -34,6 +35,10 @@
                 .u64_counter("fleet_retries")
                 .with_description("Calls that were sent to another door, by reason")
                 .build(),
+            hedges: meter
+                .u64_counter("fleet_hedges")
+                .with_description("Slow calls that were sent to a second door as well")
+                .build(),
             times: meter
                 .f64_histogram("fleet_call_seconds")
                 .with_description("Time until a caller's request was answered, by outcome")
@@ -60,6 +65,11 @@
         self.times.record(took.get() as f64 / 1e6, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// A slow call was sent to a second door as well.
+    pub(crate) fn hedged(&self) {
+        self.hedges.add(1, &[]);
+    }
+
     /// A call was sent to another door.
     pub(crate) fn retried(&self, reason: RetryReason) {
         self.retries.add(1, &[KeyValue::new("reason", reason.as_str())]);
--- a/crates/node/src/fleet/caller_handler.rs
+++ b/crates/node/src/fleet/caller_handler.rs
@@ -1,8 +1,9 @@
 //! Answers requests of callers.
 
+use std::pin::pin;
 use std::sync::Arc;
 
-use almondsail_core::fleet::{Attempts, MeshRoute, NextTry, PlacedCall, RemoteDoor};
+use almondsail_core::fleet::{Attempts, Hedge, MeshRoute, NextTry, PlacedCall, RemoteDoor};
 use almondsail_core::ids::ServiceName;
 use almondsail_core::units::{ByteCount, Instant, Micros};
 use almondsail_core::{RefusalReason, Verdict};
@@ -124,8 +125,12 @@
         };
         call.backend = door.backend.clone();
         attempts.tried.push(door.node.clone());
-        let result = attempt(traffic, &door, call).await;
-        doors.push(door);
+        doors.push(door.clone());
+        let result = if route.idempotent && !is_judged(traffic, call, &door) {
+            hedged(traffic, route, &door, call, &mut attempts, doors).await
+        } else {
+            attempt(traffic, &door, call).await
+        };
         let failed = match &result {
             Ok(response) if !response.status().is_server_error() || !route.idempotent => {
                 if attempts.is_first_arrival() {
@@ -150,6 +155,72 @@
     }
 }
 
+fn is_judged(traffic: &FleetTraffic, call: &DoorCall, door: &RemoteDoor) -> bool {
+    let view = traffic.view.load();
+    view.services.get(&call.service).is_some_and(|doors| doors.is_judged(door))
+}
+
+/// Sends an idempotent call to `door`, and to a second one if the answer is slow.
+async fn hedged(
+    traffic: &Arc<FleetTraffic>,
+    route: &MeshRoute,
+    door: &RemoteDoor,
+    call: &DoorCall,
+    attempts: &mut Attempts,
+    doors: &mut Vec<RemoteDoor>,
+) -> Result<Response<Bytes>, DoorFailure> {
+    let started = traffic.clock.now();
+    let (expected, _) = traffic.placement().outlook(started, route, door);
+    let hedge = Hedge { expected, target_left: call.target.since(started) };
+    let mut first = pin!(attempt(traffic, door, call));
+    let mut waited = hedge.delay();
+    let second_door = loop {
+        let until = traffic.clock.timer(started + waited);
+        if let Ok(result) = tokio::time::timeout_at(until, first.as_mut()).await {
+            return result;
+        }
+        if let Some(second) = second_door(traffic, route, hedge, waited, call, attempts) {
+            break second;
+        }
+        // The next chance is when the call is likely to be lost.
+        let lost = hedge.target_left.max(Micros::new(3 * expected.get()));
+        if waited >= lost {
+            return first.await;
+        }
+        waited = lost;
+    };
+    traffic.metrics.hedged();
+    attempts.tried.push(second_door.node.clone());
+    doors.push(second_door.clone());
+    let copy = DoorCall { backend: second_door.backend.clone(), ..call.clone() };
+    let mut second = pin!(attempt(traffic, &second_door, &copy));
+    tokio::select! {
+        result = first.as_mut() => if is_good(&result) { result } else { second.await },
+        result = second.as_mut() => if is_good(&result) { result } else { first.await },
+    }
+}
+
+/// The door for a copy of `call`, if one is worth it and the budget allows it.
+fn second_door(
+    traffic: &FleetTraffic,
+    route: &MeshRoute,
+    hedge: Hedge,
+    waited: Micros,
+    call: &DoorCall,
+    attempts: &mut Attempts,
+) -> Option<RemoteDoor> {
+    let door = choose(traffic, route, call, attempts)?;
+    let now = traffic.clock.now();
+    let (expected, ahead) = traffic.placement().outlook(now, route, &door);
+    let is_worth = !door.is_silent && hedge.is_worth(waited, expected, ahead, door.slots);
+    let may = is_worth && attempts.may_hedge(now, &call.service, &mut traffic.budget());
+    may.then_some(door)
+}
+
+fn is_good(result: &Result<Response<Bytes>, DoorFailure>) -> bool {
+    result.as_ref().is_ok_and(|response| !response.status().is_server_error())
+}
+
 /// The failure of the call after the failure of its last try.
 fn settle(last: DoorFailure, attempts: &Attempts) -> DoorFailure {
     DoorFailure { verdict: attempts.verdict(last.verdict), ..last }
--- a/crates/node/src/fleet/door.rs
+++ b/crates/node/src/fleet/door.rs
@@ -33,9 +33,12 @@
     // The server may have left while the call waited.
     check(&traffic.view.load(), call)?;
     let result = exchange(traffic, call, slot).await;
-    if traffic.view.load().wants_evidence {
-        record(traffic, call, &result);
+    let view = traffic.view.load();
+    if view.wants_evidence {
+        let is_cold = view.backend.as_ref().is_some_and(|backend| backend.is_cold);
+        record(traffic, call, is_cold, &result);
     }
+    drop(view);
     result
 }
 
@@ -94,16 +97,20 @@
     }
 }
 
-/// Hands what the call showed of the server's version to the control state.
+/// Hands what the call showed of the server's version to the control state. The times of a
+/// server that has just started show nothing of its version.
 fn record(
     traffic: &FleetTraffic,
     call: &DoorCall,
+    is_cold: bool,
     result: &Result<(Response<Bytes>, Micros), DoorFailure>,
 ) {
     let route = RouteKey::of(&call.route);
     match result {
         Ok((response, took)) if !response.status().is_server_error() => {
-            traffic.evidence(FleetEvent::Answered(route, *took));
+            if !is_cold {
+                traffic.evidence(FleetEvent::Answered(route, *took));
+            }
         }
         Ok(_) => traffic.evidence(FleetEvent::Failed(route)),
         Err(failure) if failure.has_arrived => traffic.evidence(FleetEvent::Failed(route)),
