Remember departures of backend servers on all nodes

Change: a notice holds also for a server that is not known; departures (and draining, which now counts as gone) are told to all nodes by heartbeats, and told again in full to a node that has started; a started node waits 0.45 s for them before it sends calls to its server.

--- a/crates/core/src/fleet/backend_status.rs
+++ b/crates/core/src/fleet/backend_status.rs
@@ -1,10 +1,9 @@
 //! What nodes know of a backend server.
 
-use crate::fleet::AnnouncedState;
 use crate::ids::{BackendId, ServiceName, VersionName};
 use crate::units::UnixMillis;
 
-/// What a node tells others of the backend server beside it.
+/// What a node tells others of the backend server beside it, which takes calls.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct BackendStatus {
     /// Its id.
@@ -17,15 +16,6 @@
     pub version: VersionName,
     /// How many calls it runs at a time.
     pub slots: u32,
-    /// Whether it takes calls.
-    pub state: AnnouncedState,
     /// Whether it still runs slowly after its start.
     pub is_cold: bool,
 }
-
-impl BackendStatus {
-    /// Whether it takes new calls.
-    pub fn takes_calls(&self) -> bool {
-        self.state == AnnouncedState::Ready
-    }
-}
--- /dev/null
+++ b/crates/core/src/fleet/departures.rs
@@ -0,0 +1,65 @@
+//! The backend servers that have left.
+
+use std::collections::BTreeMap;
+
+use crate::ids::BackendId;
+use crate::units::{Instant, Millis, UnixMillis};
+
+/// A start of a backend server that has left, or has begun to.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Departure {
+    /// The server.
+    pub id: BackendId,
+    /// Its start; `None` if it did not tell.
+    pub born: Option<UnixMillis>,
+}
+
+/// The backend servers that have left, as far as this node or others heard of it.
+///
+/// All nodes remember them for each other: a node that was restarted in between would
+/// otherwise believe a late announcement and send calls to a server that has left.
+#[derive(Debug, Default)]
+pub struct Departures {
+    known: BTreeMap<BackendId, (Option<UnixMillis>, Instant)>,
+}
+
+impl Departures {
+    /// How long a departure is remembered: longer than a server goes on after it and than an
+    /// announcement may be late.
+    pub const MEMORY: Millis = Millis::new(60_000);
+    /// How long other nodes are told of one after it was learned.
+    const TOLD: Millis = Millis::new(3_000);
+    /// The largest number that is remembered.
+    const MAX: usize = 512;
+
+    /// Learns of a departure. Whether it is new.
+    pub fn learn(&mut self, now: Instant, departure: &Departure) -> bool {
+        let known = self.known.get(&departure.id).map(|(born, _)| *born);
+        if known.is_some_and(|born| born >= departure.born) || self.known.len() >= Self::MAX {
+            return false;
+        }
+        self.known.insert(departure.id.clone(), (departure.born, now));
+        true
+    }
+
+    /// Whether the start `born` of the server `id` has left.
+    pub fn has_left(&self, id: &BackendId, born: UnixMillis) -> bool {
+        self.known.get(id).is_some_and(|(left, _)| left.is_none_or(|left| born <= left))
+    }
+
+    /// The departures that other nodes are told of: those learned lately, or every one when
+    /// a node may have started that knows none.
+    pub fn told(&self, now: Instant, is_all: bool) -> Vec<Departure> {
+        let is_told = |learned: Instant| is_all || now.since(learned) < Self::TOLD.into();
+        self.known
+            .iter()
+            .filter(|(_, (_, learned))| is_told(*learned))
+            .map(|(id, (born, _))| Departure { id: id.clone(), born: *born })
+            .collect()
+    }
+
+    /// Forgets what is long past.
+    pub fn tick(&mut self, now: Instant) {
+        self.known.retain(|_, (_, learned)| now.since(*learned) < Self::MEMORY.into());
+    }
+}
--- a/crates/core/src/fleet/fleet_control.rs
+++ b/crates/core/src/fleet/fleet_control.rs
@@ -37,6 +37,8 @@
     sequence: u64,
     next_heartbeat: Instant,
     next_far_heartbeat: Instant,
+    /// A node has started lately that must be told what others remember.
+    newcomer_until: Instant,
     is_leaving: bool,
     /// Calls see something new.
     pub(super) is_changed: bool,
@@ -46,6 +48,8 @@
     behind_since: Option<Instant>,
     /// A configuration was asked for and may come until then.
     fetching_until: Instant,
+    /// Whether the node was ready and had recalled, as calls see it.
+    started: (bool, bool),
     /// The nodes that were heard lately, as calls see them.
     alive: BTreeSet<NodeId>,
 }
@@ -70,6 +74,11 @@
     /// asked for it, which costs bytes between data centres. Most changes come earlier, by the
     /// store or from the same data centre.
     const BEHIND: Millis = Millis::new(600);
+    /// How long a node that has started is told everything that others remember.
+    const NEWCOMER: Millis = Millis::new(3_000);
+    /// How long a node that has started waits for what others remember of the backend
+    /// server beside it, before it sends calls there.
+    const RECALL: Millis = Millis::new(450);
     /// How long an answer with a configuration may take.
     const FETCH: Millis = Millis::new(800);
     /// Without the store, a node serves with what other nodes have from this time on.
@@ -94,11 +103,13 @@
             sequence: 0,
             next_heartbeat: now,
             next_far_heartbeat: now,
+            newcomer_until: now,
             is_leaving: false,
             is_changed: false,
             is_news: false,
             behind_since: None,
             fetching_until: now,
+            started: (false, false),
             alive: BTreeSet::new(),
         }
     }
@@ -117,7 +128,7 @@
             FleetEvent::Heartbeat(heartbeat) => self.heard(now, heartbeat),
             FleetEvent::PeerConfig(config) => self.peer_config(now, config),
             FleetEvent::Announced(announcement) => self.announced(now, &announcement),
-            FleetEvent::Left(id, born) => self.left(&id, born),
+            FleetEvent::Left(id, born) => self.left(now, &id, born),
             FleetEvent::Answered(route, took) => {
                 self.own_rollout(|rollout| rollout.answered(route, took));
             }
@@ -152,7 +163,7 @@
 
     /// What calls see.
     pub fn view(&self, now: Instant) -> FleetView {
-        let backend = self.registration.backend().cloned();
+        let backend = self.backend(now).cloned();
         let config = self.config.as_ref().map(|text| Arc::clone(&text.config));
         let service = backend.as_ref().map(|backend| &backend.service);
         let settings =
@@ -174,6 +185,15 @@
         }
     }
 
+    /// The backend server beside this node, once others had time to tell that it has left.
+    fn backend(&self, now: Instant) -> Option<&BackendStatus> {
+        self.registration.backend().filter(|_| self.has_recalled(now))
+    }
+
+    fn has_recalled(&self, now: Instant) -> bool {
+        now >= Instant::new(0) + Self::RECALL
+    }
+
     fn tick(&mut self, now: Instant) {
         self.peers.tick(now);
         if self.registration.tick(now) {
@@ -184,11 +204,15 @@
         }
         let alive: BTreeSet<NodeId> =
             self.peers.alive(now).map(|peer| peer.entry.node.clone()).collect();
-        let was_ready = self.is_ready(Instant::new(now.get().saturating_sub(200_000)));
-        if alive != self.alive || was_ready != self.is_ready(now) {
+        let started = (self.is_ready(now), self.has_recalled(now));
+        if alive != self.alive {
             self.alive = alive;
             self.is_changed = true;
         }
+        if started != self.started {
+            self.started = started;
+            self.changed();
+        }
     }
 
     fn heard(&mut self, now: Instant, heartbeat: Heartbeat) {
@@ -197,11 +221,16 @@
         }
         let version = heartbeat.config_version;
         let rollouts = heartbeat.rollouts.clone();
+        let departures = heartbeat.departures.clone();
         let news = FleetNews::Peer {
             node: heartbeat.entry.node.clone(),
             is_leaving: heartbeat.is_leaving,
             backend: heartbeat.backend.as_ref().map(|backend| backend.id.clone()),
         };
+        let is_newcomer = self.peers.is_newcomer(&heartbeat);
+        if is_newcomer {
+            self.newcomer_until = now + Self::NEWCOMER;
+        }
         match self.peers.heard(now, heartbeat) {
             None => return,
             Some(false) => {}
@@ -219,6 +248,11 @@
         } else {
             self.behind_since.get_or_insert(now);
         }
+        for departure in departures {
+            if self.registration.depart(now, &departure) == BeatOutcome::Changed {
+                self.changed();
+            }
+        }
         for report in rollouts {
             self.heard_rollout(now, &report);
         }
@@ -242,8 +276,9 @@
                 || self.config.as_ref().is_some_and(is_known))
     }
 
-    fn left(&mut self, id: &BackendId, born: Option<UnixMillis>) {
-        let outcome = self.registration.leave(id, born);
+    fn left(&mut self, now: Instant, id: &BackendId, born: Option<UnixMillis>) {
+        let outcome = self.registration.leave(now, id, born);
+        self.is_news = true;
         self.backend_said(id.clone(), "leaves", outcome);
     }
 
@@ -379,7 +414,8 @@
             config_version: self.config_version(),
             is_store_reached: self.is_store_reached,
             is_leaving: self.is_leaving,
-            backend: self.registration.backend().cloned(),
+            backend: self.backend(now).cloned(),
+            departures: self.registration.departures(now, now < self.newcomer_until),
             rollouts: self.rollouts.values().map(|rollout| rollout.report(now)).collect(),
         }
     }
@@ -400,7 +436,7 @@
 
     /// The backend servers that are known, with the nodes beside them.
     pub(super) fn backends(&self, now: Instant) -> Vec<KnownBackend<'_>> {
-        let own = self.registration.backend().filter(|_| !self.is_leaving);
+        let own = self.backend(now).filter(|_| !self.is_leaving);
         let own = own.map(|status| KnownBackend {
             entry: &self.identity.entry,
             status,
@@ -421,8 +457,7 @@
         }
         let doors = |(service, known): (&ServiceName, Vec<KnownBackend<'_>>)| {
             let rule = self.rule(service, &known);
-            let takes_calls = known.iter().filter(|known| known.status.takes_calls());
-            let doors = takes_calls.map(KnownBackend::door).collect();
+            let doors = known.iter().map(KnownBackend::door).collect();
             (service.clone(), ServiceDoors { doors, rule })
         };
         by_service.into_iter().map(doors).collect()
--- a/crates/core/src/fleet/heartbeat.rs
+++ b/crates/core/src/fleet/heartbeat.rs
@@ -1,6 +1,6 @@
 //! What nodes tell each other.
 
-use crate::fleet::{BackendStatus, NodeEntry, RolloutReport};
+use crate::fleet::{BackendStatus, Departure, NodeEntry, RolloutReport};
 use crate::ids::{ConfigVersion, Incarnation};
 
 /// What a node tells all others, regularly and after each change.
@@ -20,6 +20,8 @@
     pub is_leaving: bool,
     /// The backend server beside it.
     pub backend: Option<BackendStatus>,
+    /// Backend servers that have left.
+    pub departures: Vec<Departure>,
     /// The rollouts that it knows.
     pub rollouts: Vec<RolloutReport>,
 }
--- a/crates/core/src/fleet/peer_directory.rs
+++ b/crates/core/src/fleet/peer_directory.rs
@@ -66,6 +66,12 @@
         }
     }
 
+    /// Whether `heartbeat` is of a node, or of a start of it, that was not known.
+    pub fn is_newcomer(&self, heartbeat: &Heartbeat) -> bool {
+        let known = self.peers.get(&heartbeat.entry.node).and_then(Peer::incarnation);
+        known != Some(heartbeat.incarnation)
+    }
+
     /// Takes a heartbeat. `None` if it is outdated, else whether it tells something new.
     pub fn heard(&mut self, now: Instant, heartbeat: Heartbeat) -> Option<bool> {
         if let Some(peer) = self.peers.get(&heartbeat.entry.node)
--- a/crates/core/src/fleet/registration.rs
+++ b/crates/core/src/fleet/registration.rs
@@ -1,6 +1,6 @@
 //! The registration of the backend server beside a node.
 
-use crate::fleet::{AnnouncedState, Announcement, BackendStatus};
+use crate::fleet::{AnnouncedState, Announcement, BackendStatus, Departure, Departures};
 use crate::ids::BackendId;
 use crate::units::{Instant, Millis, UnixMillis};
 
@@ -18,13 +18,14 @@
 /// The backend server beside a node, as it announces itself.
 ///
 /// Announcements may come late: those of an earlier start, and those with a sequence that
-/// is not above the last one, change nothing. A server that has begun to leave never
-/// returns under the same id and start.
+/// is not above the last one, change nothing. A server that drains counts as gone: it gets
+/// no new calls, and never returns under the same id and start.
 #[derive(Debug, Default)]
 pub struct Registration {
     current: Option<Current>,
-    /// The last start that left, so that its late announcements don't bring it back.
-    left: Option<(BackendId, UnixMillis)>,
+    /// The latest start that was known. An earlier one can't come after it.
+    newest: Option<UnixMillis>,
+    departures: Departures,
 }
 
 #[derive(Debug)]
@@ -42,22 +43,25 @@
 
     /// Takes an announcement.
     pub fn announce(&mut self, now: Instant, announcement: &Announcement) -> BeatOutcome {
-        let start = (announcement.id.clone(), announcement.born);
-        if self.left.as_ref() == Some(&start) {
+        let is_outdated = self.departures.has_left(&announcement.id, announcement.born)
+            || self.newest.is_some_and(|newest| announcement.born < newest)
+            || self.current.as_ref().is_some_and(|current| current.is_newer_than(announcement));
+        if is_outdated {
             return BeatOutcome::Outdated;
         }
-        if let Some(current) = &self.current {
-            let known = &current.status;
-            let is_same = known.id == announcement.id && known.born == announcement.born;
-            let is_older = announcement.born < known.born
-                || (is_same && announcement.sequence <= current.sequence);
-            if is_older {
-                return BeatOutcome::Outdated;
-            }
-        } else if self.left.as_ref().is_some_and(|(_, born)| announcement.born < *born) {
-            return BeatOutcome::Outdated;
+        self.newest = Some(announcement.born);
+        if announcement.state == AnnouncedState::Draining {
+            let (id, born) = (announcement.id.clone(), Some(announcement.born));
+            return self.depart(now, &Departure { id, born });
         }
-        let status = self.status_after(announcement);
+        let status = BackendStatus {
+            id: announcement.id.clone(),
+            born: announcement.born,
+            service: announcement.service.clone(),
+            version: announcement.version.clone(),
+            slots: announcement.slots,
+            is_cold: announcement.cold.get() > 0,
+        };
         let current = Current {
             status,
             sequence: announcement.sequence,
@@ -70,20 +74,35 @@
     }
 
     /// Takes the notice that the server `id` leaves. `born` names its start if it is known.
-    pub fn leave(&mut self, id: &BackendId, born: Option<UnixMillis>) -> BeatOutcome {
-        let Some(current) = &self.current else { return BeatOutcome::Outdated };
-        let known = &current.status;
-        if known.id != *id || born.is_some_and(|born| born != known.born) {
-            return BeatOutcome::Outdated;
+    ///
+    /// Also holds for a server that is not known: the node may have been restarted, and the
+    /// server's announcements may still be on their way.
+    pub fn leave(&mut self, now: Instant, id: &BackendId, born: Option<UnixMillis>) -> BeatOutcome {
+        let known = self.backend().filter(|known| known.id == *id);
+        let born = born.or(known.map(|known| known.born));
+        self.depart(now, &Departure { id: id.clone(), born })
+    }
+
+    /// Learns that a start of a server has left.
+    pub fn depart(&mut self, now: Instant, departure: &Departure) -> BeatOutcome {
+        let is_new = self.departures.learn(now, departure);
+        let has_left = |known: &BackendStatus| self.departures.has_left(&known.id, known.born);
+        if self.backend().is_some_and(has_left) {
+            self.current = None;
+            return BeatOutcome::Changed;
         }
-        self.left = Some((known.id.clone(), known.born));
-        self.current = None;
-        BeatOutcome::Changed
+        if is_new { BeatOutcome::Renewed } else { BeatOutcome::Outdated }
+    }
+
+    /// The departures that other nodes are told of; every one if `is_all`.
+    pub fn departures(&self, now: Instant, is_all: bool) -> Vec<Departure> {
+        self.departures.told(now, is_all)
     }
 
     /// Forgets a server that has been silent for too long, and ends a cold start.
     /// Whether something changed.
     pub fn tick(&mut self, now: Instant) -> bool {
+        self.departures.tick(now);
         let Some(current) = &mut self.current else { return false };
         if now.since(current.heard) > Self::EXPIRY.into() {
             self.current = None;
@@ -100,22 +119,12 @@
     pub fn backend(&self) -> Option<&BackendStatus> {
         self.current.as_ref().map(|current| &current.status)
     }
+}
 
-    fn status_after(&self, announcement: &Announcement) -> BackendStatus {
-        let was_draining = self.current.as_ref().is_some_and(|current| {
-            let known = &current.status;
-            known.id == announcement.id
-                && known.born == announcement.born
-                && known.state == AnnouncedState::Draining
-        });
-        BackendStatus {
-            id: announcement.id.clone(),
-            born: announcement.born,
-            service: announcement.service.clone(),
-            version: announcement.version.clone(),
-            slots: announcement.slots,
-            state: if was_draining { AnnouncedState::Draining } else { announcement.state },
-            is_cold: announcement.cold.get() > 0,
-        }
+impl Current {
+    /// Whether what is known is newer than `announcement`.
+    fn is_newer_than(&self, announcement: &Announcement) -> bool {
+        let is_same = self.status.id == announcement.id && self.status.born == announcement.born;
+        announcement.born < self.status.born || (is_same && announcement.sequence <= self.sequence)
     }
 }
--- a/crates/core/src/fleet/rollout_events.rs
+++ b/crates/core/src/fleet/rollout_events.rs
@@ -136,7 +136,6 @@
             let is_new = |known: &super::fleet_control::KnownBackend<'_>| {
                 known.status.service == *service
                     && known.status.version == rollout.order.target
-                    && known.status.takes_calls()
                     && !known.is_silent
             };
             if self.backends(now).iter().any(is_new) {
--- a/crates/node/src/fleet/door.rs
+++ b/crates/node/src/fleet/door.rs
@@ -51,9 +51,6 @@
     if backend.id != call.backend || backend.service != call.service {
         return refuse(RefusalReason::BackendDown);
     }
-    if !backend.takes_calls() {
-        return refuse(RefusalReason::Leaving);
-    }
     Ok(())
 }
 
--- a/crates/node/src/fleet/traffic.rs
+++ b/crates/node/src/fleet/traffic.rs
@@ -107,7 +107,7 @@
     pub(crate) fn follow(&self, view: &FleetView) {
         let backend = view.backend.as_ref();
         self.queue.set_slots(backend.map_or(0, |backend| backend.slots));
-        if !backend.is_some_and(|backend| backend.takes_calls()) || view.is_leaving {
+        if backend.is_none() || view.is_leaving {
             self.queue.refuse_all(almondsail_core::RefusalReason::Leaving);
         }
         self.budget().set_nodes(view.nodes);
--- a/crates/wire/src/convert/fleet.rs
+++ b/crates/wire/src/convert/fleet.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use almondsail_core::fleet::{
-    AnnouncedState, BackendStatus, Heartbeat, NodeEntry, RolloutProgress, RolloutReport,
-    RouteEvidence, RouteKey, VersionEvidence,
+    BackendStatus, Departure, Heartbeat, NodeEntry, RolloutProgress, RolloutReport, RouteEvidence,
+    RouteKey, VersionEvidence,
 };
 use almondsail_core::ids::{ConfigVersion, Incarnation};
 use almondsail_core::store::Revision;
@@ -80,7 +80,6 @@
             service: status.service.to_string(),
             version: status.version.to_string(),
             slots: status.slots,
-            is_draining: status.state == AnnouncedState::Draining,
             is_cold: status.is_cold,
         }
     }
@@ -96,7 +95,6 @@
             service: parse("service", &w.service)?,
             version: parse("version", &w.version)?,
             slots: w.slots,
-            state: if w.is_draining { AnnouncedState::Draining } else { AnnouncedState::Ready },
             is_cold: w.is_cold,
         })
     }
@@ -156,6 +154,20 @@
     (RouteKey::new(w.route), evidence)
 }
 
+impl From<&Departure> for wire::Departure {
+    fn from(departure: &Departure) -> Self {
+        Self { id: departure.id.to_string(), born: departure.born.map(UnixMillis::get) }
+    }
+}
+
+impl TryFrom<wire::Departure> for Departure {
+    type Error = FieldError;
+
+    fn try_from(w: wire::Departure) -> Result<Self, FieldError> {
+        Ok(Self { id: parse("id", &w.id)?, born: w.born.map(UnixMillis::new) })
+    }
+}
+
 impl From<&Heartbeat> for wire::Heartbeat {
     fn from(heartbeat: &Heartbeat) -> Self {
         Self {
@@ -167,6 +179,7 @@
             is_leaving: heartbeat.is_leaving,
             backend: heartbeat.backend.as_ref().map(Into::into),
             rollouts: to_wire(&heartbeat.rollouts),
+            departures: to_wire(&heartbeat.departures),
         }
     }
 }
@@ -184,6 +197,7 @@
             is_leaving: w.is_leaving,
             backend: w.backend.map(TryInto::try_into).transpose()?,
             rollouts: each("rollouts", w.rollouts)?,
+            departures: each("departures", w.departures)?,
         })
     }
 }
