Keep departures in the node's entry, so that a started node need not wait for others

Change: the last departure is part of the node's entry in the store; a node that has listed the store knows it and starts at once, only one that does not reach the store waits.

--- a/crates/core/src/fleet/fleet_control.rs
+++ b/crates/core/src/fleet/fleet_control.rs
@@ -8,9 +8,9 @@
 
 use super::lease_keeper::LeaseKeeper;
 use crate::fleet::{
-    Announcement, BackendStatus, BeatOutcome, ConfigText, FleetAction, FleetEvent, FleetIdentity,
-    FleetNews, FleetView, Heartbeat, KeySpace, PeerDirectory, Registration, RemoteDoor, Rollout,
-    ServiceDoors, StoreFeed, StoreRequest, VersionRule,
+    AnnouncedState, Announcement, BackendStatus, BeatOutcome, ConfigText, Departure, FleetAction,
+    FleetEvent, FleetIdentity, FleetNews, FleetView, Heartbeat, KeySpace, PeerDirectory,
+    Registration, RemoteDoor, Rollout, ServiceDoors, StoreFeed, StoreRequest, VersionRule,
 };
 use crate::ids::{BackendId, ConfigVersion, NodeId, ServiceName};
 use crate::units::{Instant, Micros, Millis, UnixMillis};
@@ -76,8 +76,8 @@
     const BEHIND: Millis = Millis::new(600);
     /// How long a node that has started is told everything that others remember.
     const NEWCOMER: Millis = Millis::new(3_000);
-    /// How long a node that has started waits for what others remember of the backend
-    /// server beside it, before it sends calls there.
+    /// How long a node that has started, and does not reach the store, waits for what others
+    /// remember of the backend server beside it, before it sends calls there.
     const RECALL: Millis = Millis::new(450);
     /// How long an answer with a configuration may take.
     const FETCH: Millis = Millis::new(800);
@@ -190,8 +190,10 @@
         self.registration.backend().filter(|_| self.has_recalled(now))
     }
 
+    /// Whether the node knows what was remembered before it started, by the store or because
+    /// the other nodes had time to tell.
     fn has_recalled(&self, now: Instant) -> bool {
-        now >= Instant::new(0) + Self::RECALL
+        self.nodes_feed.is_listed() || now >= Instant::new(0) + Self::RECALL
     }
 
     fn tick(&mut self, now: Instant) {
@@ -249,9 +251,7 @@
             self.behind_since.get_or_insert(now);
         }
         for departure in departures {
-            if self.registration.depart(now, &departure) == BeatOutcome::Changed {
-                self.changed();
-            }
+            self.departed(now, &departure);
         }
         for report in rollouts {
             self.heard_rollout(now, &report);
@@ -265,6 +265,10 @@
         } else {
             BeatOutcome::Outdated
         };
+        if announcement.state == AnnouncedState::Draining && outcome != BeatOutcome::Outdated {
+            let born = Some(announcement.born);
+            self.lease.departed(now, Departure { id: id.clone(), born });
+        }
         self.backend_said(id, "announced itself", outcome);
     }
 
@@ -278,10 +282,18 @@
 
     fn left(&mut self, now: Instant, id: &BackendId, born: Option<UnixMillis>) {
         let outcome = self.registration.leave(now, id, born);
+        self.lease.departed(now, Departure { id: id.clone(), born });
         self.is_news = true;
         self.backend_said(id.clone(), "leaves", outcome);
     }
 
+    /// Learns from elsewhere that a backend server has left.
+    pub(super) fn departed(&mut self, now: Instant, departure: &Departure) {
+        if self.registration.depart(now, departure) == BeatOutcome::Changed {
+            self.changed();
+        }
+    }
+
     fn backend_said(&mut self, id: BackendId, said: &'static str, outcome: BeatOutcome) {
         match outcome {
             BeatOutcome::Renewed => return,
@@ -362,7 +374,9 @@
                 self.request(Purpose::Feed(space), request);
             }
         }
-        if !self.is_leaving
+        // What the entry of an earlier start tells must be read before it is replaced.
+        let may_write = !self.is_leaving && self.has_recalled(now);
+        if may_write
             && !self.is_pending(&Purpose::Lease)
             && let Some(request) = self.lease.request(now)
         {
--- a/crates/core/src/fleet/lease_keeper.rs
+++ b/crates/core/src/fleet/lease_keeper.rs
@@ -1,6 +1,8 @@
 //! Keeps the entry of a node in the store alive.
 
-use crate::fleet::{LeaseId, NodeEntry, StoreFailure, StoreReply, StoreRequest, StoreWrite};
+use crate::fleet::{
+    Departure, LeaseId, NodeEntry, StoreFailure, StoreReply, StoreRequest, StoreWrite,
+};
 use crate::units::{Instant, Millis};
 
 /// Keeps the entry of a node in the store alive under a lease.
@@ -65,6 +67,15 @@
         }
     }
 
+    /// Writes that a backend server has left beside the node.
+    pub(super) fn departed(&mut self, now: Instant, departure: Departure) {
+        self.entry.departed = Some(departure);
+        if let State::Kept(lease) = self.state {
+            self.state = State::NoEntry(lease);
+            self.next = now;
+        }
+    }
+
     /// Writes the entry again: it was removed although the node lives.
     pub(super) fn entry_lost(&mut self, now: Instant) {
         if let State::Kept(_) = self.state {
--- a/crates/core/src/fleet/node_entry.rs
+++ b/crates/core/src/fleet/node_entry.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use crate::fleet::Departure;
 use crate::ids::{DataCentre, NodeId};
 
 /// The entry by which other nodes find a node.
@@ -15,4 +16,6 @@
     pub heartbeats: SocketAddr,
     /// Its data centre.
     pub data_centre: DataCentre,
+    /// The last backend server that left beside it. A later start of the node reads it.
+    pub departed: Option<Departure>,
 }
--- a/crates/core/src/fleet/placement.rs
+++ b/crates/core/src/fleet/placement.rs
@@ -45,6 +45,9 @@
     /// What the time itself costs, for each target latency. Decides between doors that are
     /// all in time.
     const TIME: f64 = 0.04;
+    /// How much more a wait counts than its own time: a call that waits also delays those that
+    /// come after it, so that all calls together would wait too long at the fastest server.
+    const WAIT: f64 = 1.5;
     /// The spread of the logarithm of a call's time around its estimate.
     const SPREAD: f64 = 0.25;
     /// The first guess at the time of a call, as a part of the target latency.
@@ -182,7 +185,7 @@
         let mean = load.mean().map_or(run, |mean| mean.get() as f64);
         let slots = f64::from(door.slots.max(1));
         let ahead = (f64::from(load.ahead(now, &route.name)) + 1.0 - slots).max(0.0);
-        run + ahead * mean / slots
+        run + Self::WAIT * ahead * mean / slots
     }
 
     /// The probability that a call takes longer than `limit`.
--- a/crates/core/src/fleet/store_events.rs
+++ b/crates/core/src/fleet/store_events.rs
@@ -74,6 +74,9 @@
             StoredValue::Order(order) => self.ordered(now, order),
             StoredValue::Progress(progress) => self.progressed(now, wall, &progress, revision),
             StoredValue::Node(entry) => {
+                if let Some(departure) = &entry.departed {
+                    self.departed(now, departure);
+                }
                 if entry.node != self.identity.entry.node {
                     self.peers.listed(now, entry);
                     self.is_news = true;
--- a/crates/node/src/fleet/call_log.rs
+++ b/crates/node/src/fleet/call_log.rs
@@ -77,11 +77,13 @@
         outcome(&log, "call", result.answer.as_ref());
     }
 
-    /// A call ended at this node's door after `took`.
+    /// A call ended at this node's door after `took`. When it came, `ahead` calls ran or went
+    /// before it.
     pub(crate) fn door(
         &self,
         call: &DoorCall,
         took: Micros,
+        ahead: u32,
         result: Result<&Response<Bytes>, &DoorFailure>,
     ) {
         if !self.budget(result.is_ok()).take(self.clock) {
@@ -94,6 +96,7 @@
             "route" => call.route.to_string(),
             "service" => call.service.to_string(),
             "backend" => call.backend.to_string(),
+            "ahead" => ahead,
             "left_us" => left.get(),
         ));
         outcome(&log, "door", result);
--- a/crates/node/src/fleet/caller_handler.rs
+++ b/crates/node/src/fleet/caller_handler.rs
@@ -259,6 +259,7 @@
     let sent = Sent::new(traffic, target);
     let result = if target.node == traffic.view.load().node {
         let started = traffic.clock.now();
+        let (ahead_before, _) = traffic.queue.load(&call.need());
         let result = door::run(traffic, call).await;
         let now = traffic.clock.now();
         let (ahead, mean) = traffic.queue.load(&call.need());
@@ -270,7 +271,7 @@
         }
         drop(placement);
         let result = result.map(|(response, _)| response);
-        traffic.log.door(call, now.since(started), result.as_ref());
+        traffic.log.door(call, now.since(started), ahead_before, result.as_ref());
         result
     } else {
         door_client::send(traffic, &target.node, target.address, call).await
--- a/crates/node/src/fleet/door_handler.rs
+++ b/crates/node/src/fleet/door_handler.rs
@@ -38,9 +38,10 @@
     };
     let started = traffic.clock.now();
     let call = DoorCall::from_hop(hop, started, request);
+    let (ahead_before, _) = traffic.queue.load(&call.need());
     let result = door::run(&traffic, &call).await;
     let took = traffic.clock.now().since(started);
-    traffic.log.door(&call, took, result.as_ref().map(|(response, _)| response));
+    traffic.log.door(&call, took, ahead_before, result.as_ref().map(|(response, _)| response));
     let (mut response, took) = match result {
         Ok((response, took)) => (response, Some(took)),
         Err(failure) => (refusal(&failure), None),
--- a/crates/node/src/fleet/fleet_node.rs
+++ b/crates/node/src/fleet/fleet_node.rs
@@ -145,6 +145,7 @@
             door: settings.listen.nodes,
             heartbeats: settings.listen.nodes,
             data_centre: settings.data_centre.clone(),
+            departed: None,
         },
         incarnation: Incarnation::new(clock.wall().get()),
         service: settings.service.clone(),
--- a/crates/wire/src/convert/fleet.rs
+++ b/crates/wire/src/convert/fleet.rs
@@ -55,6 +55,7 @@
             door: entry.door.to_string(),
             heartbeats: entry.heartbeats.to_string(),
             data_centre: entry.data_centre.to_string(),
+            departed: entry.departed.as_ref().map(Into::into),
         }
     }
 }
@@ -68,6 +69,7 @@
             door: parse("door", &w.door)?,
             heartbeats: parse("heartbeats", &w.heartbeats)?,
             data_centre: parse("data_centre", &w.data_centre)?,
+            departed: w.departed.map(TryInto::try_into).transpose()?,
         })
     }
 }
