--- a/crates/core/src/fleet/rollout.rs
+++ b/crates/core/src/fleet/rollout.rs
@@ -211,7 +211,7 @@
     }
 
     /// The record under way took effect. Returns the outcome that it told.
-    pub(super) fn written(&mut self, revision: Revision) -> Option<RolloutOutcome> {
+    pub fn written(&mut self, revision: Revision) -> Option<RolloutOutcome> {
         self.progress = Some(revision);
         self.is_recorded = true;
         self.due_since = None;
--- /dev/null
+++ b/crates/core/tests/fleet_calls.rs
@@ -0,0 +1,210 @@
+//! Where calls of a fleet go, and whether they are sent again.
+
+mod fleet_common;
+
+use std::collections::BTreeMap;
+
+use almondsail_core::Verdict;
+use almondsail_core::fleet::{
+    Attempts, FailedTry, Hedge, MeshRoute, NextTry, PlacedCall, Placement, RetryShare,
+    ServiceDoors, VersionRule,
+};
+use almondsail_core::ids::ServiceName;
+use almondsail_core::units::{ByteCount, Instant, Micros, Millis, PerMille};
+use almondsail_seeded::properties;
+use fleet_common::{at, door, route};
+use rand::SeedableRng as _;
+use rand::rngs::SmallRng;
+
+fn service() -> ServiceName {
+    "bays".parse().unwrap()
+}
+
+fn doors(names: &[(&str, &str)]) -> ServiceDoors {
+    let doors = names.iter().map(|(node, data_centre)| door(node, data_centre, "v1")).collect();
+    ServiceDoors { doors, rule: VersionRule::Any }
+}
+
+fn choose(placement: &Placement, now: Instant, route: &MeshRoute, doors: &ServiceDoors) -> String {
+    let call = PlacedCall {
+        route,
+        target_left: route.target_latency.into(),
+        left: route.timeout.into(),
+        to_new: false,
+        tried: &[],
+    };
+    let mut rng = SmallRng::seed_from_u64(1);
+    placement.choose(now, &call, doors, &mut rng).unwrap().node.to_string()
+}
+
+/// Lets `placement` learn that calls of the route run for `ms` at `node`.
+fn learn(placement: &mut Placement, node: &str, route: &MeshRoute, ms: u64, ahead: u32) {
+    let took = Micros::from(Millis::new(ms));
+    let load = placement.load(&node.parse().unwrap());
+    load.ran(&route.name, took);
+    load.report(at(1), &route.name, ahead, Some(took));
+}
+
+/// Guards against calls that cross data centres although their own is as good.
+#[test]
+fn choose_own_data_centre() {
+    let route = route("r", "/", "bays");
+    let mut placement = Placement::new("dc-a".parse().unwrap());
+    let doors = doors(&[("near", "dc-a"), ("far", "dc-b")]);
+    learn(&mut placement, "near", &route, 120, 0);
+    learn(&mut placement, "far", &route, 100, 0);
+    assert_eq!(choose(&placement, at(2), &route, &doors), "near");
+}
+
+/// Guards against calls that stay at a server that makes them late.
+#[test]
+fn choose_other_data_centre_when_late() {
+    let route = route("r", "/", "bays");
+    let mut placement = Placement::new("dc-a".parse().unwrap());
+    let doors = doors(&[("near", "dc-a"), ("far", "dc-b")]);
+    learn(&mut placement, "near", &route, 600, 0);
+    learn(&mut placement, "far", &route, 150, 0);
+    assert_eq!(choose(&placement, at(2), &route, &doors), "far");
+    learn(&mut placement, "near", &route, 150, 60);
+    assert_eq!(choose(&placement, at(2), &route, &doors), "far");
+}
+
+/// Guards against large answers that cross for a small gain in time.
+#[test]
+fn choose_own_data_centre_for_large_answers() {
+    let route = route("r", "/", "bays");
+    let mut placement = Placement::new("dc-a".parse().unwrap());
+    let doors = doors(&[("near", "dc-a"), ("far", "dc-b")]);
+    learn(&mut placement, "near", &route, 330, 0);
+    learn(&mut placement, "far", &route, 150, 0);
+    assert_eq!(choose(&placement, at(2), &route, &doors), "far");
+    for _ in 0..50 {
+        placement.sized(&route.name, ByteCount::new(30_000));
+    }
+    assert_eq!(choose(&placement, at(2), &route, &doors), "near");
+}
+
+/// Guards against calls to a door that can't be reached or that fails them.
+#[test]
+fn choose_avoids_failures() {
+    let route = route("r", "/", "bays");
+    let mut placement = Placement::new("dc-a".parse().unwrap());
+    let doors = doors(&[("near", "dc-a"), ("far", "dc-b")]);
+    placement.load(&"near".parse().unwrap()).unreachable(at(1));
+    assert_eq!(choose(&placement, at(2), &route, &doors), "far");
+    assert_eq!(choose(&placement, at(9_000), &route, &doors), "near");
+    for _ in 0..4 {
+        placement.load(&"near".parse().unwrap()).failed(at(9_000));
+    }
+    assert_eq!(choose(&placement, at(9_001), &route, &doors), "far");
+    assert_eq!(choose(&placement, at(30_000), &route, &doors), "near");
+}
+
+/// Guards against a second send of a call that may have run, and against a repeat that the
+/// budget or the route does not allow. All cases are enumerated.
+#[test]
+fn after_every_failure() {
+    for verdict in Verdict::ALL {
+        for is_idempotent in [false, true] {
+            for has_arrived in [false, true] {
+                for max_arrivals in 1..=3 {
+                    for has_budget in [false, true] {
+                        check_after(verdict, is_idempotent, has_arrived, max_arrivals, has_budget);
+                    }
+                }
+            }
+        }
+    }
+}
+
+fn check_after(
+    verdict: Verdict,
+    is_idempotent: bool,
+    has_arrived: bool,
+    max_arrivals: u32,
+    has_budget: bool,
+) {
+    let mut budget = RetryShare::new(PerMille::WHOLE, 1_000, Micros::new(10_000_000));
+    if has_budget {
+        budget.first_arrival(at(0), &service());
+        budget.first_arrival(at(5_000), &service());
+    }
+    let mut attempts = Attempts::new(is_idempotent, max_arrivals);
+    let failed = FailedTry { verdict, has_arrived };
+    let next = attempts.after(at(5_000), failed, &service(), &mut budget);
+    let may_run_twice = verdict == Verdict::MayHaveRun && !is_idempotent;
+    let may_arrive = !has_arrived || (max_arrivals > 1 && has_budget);
+    let is_again = matches!(next, NextTry::Again(_));
+    assert_eq!(is_again, !may_run_twice && may_arrive, "{failed:?} {is_idempotent} {max_arrivals}");
+    assert_eq!(
+        attempts.verdict(Verdict::RefusedUnrun) == Verdict::MayHaveRun,
+        verdict == Verdict::MayHaveRun,
+        "an earlier try that may have run is forgotten"
+    );
+}
+
+/// Guards against a call that goes round among doors that all refuse it.
+#[test]
+fn after_refusals_without_end() {
+    let mut budget = RetryShare::new(PerMille::WHOLE, 1_000, Micros::new(10_000_000));
+    let mut attempts = Attempts::new(true, 2);
+    let failed = FailedTry { verdict: Verdict::RefusedUnrun, has_arrived: false };
+    let agains = (0..10)
+        .take_while(|_| {
+            matches!(attempts.after(at(0), failed, &service(), &mut budget), NextTry::Again(_))
+        })
+        .count();
+    assert_eq!(agains, 2);
+}
+
+/// Guards against copies of slow calls that take the place of others, or come too late.
+#[test]
+fn hedge_every_condition() {
+    let ms = |n: u64| Micros::from(Millis::new(n));
+    let hedge = Hedge { expected: ms(100), target_left: ms(500) };
+    assert_eq!(hedge.delay(), ms(160));
+    assert!(hedge.is_worth(ms(160), ms(100), 0, 12));
+    assert!(!hedge.is_worth(ms(160), ms(100), 9, 12), "the second door is nearly full");
+    assert!(!hedge.is_worth(ms(160), ms(400), 0, 12), "the copy would be late");
+    assert!(!hedge.is_worth(ms(450), ms(100), 0, 12), "the copy would be late");
+    assert!(hedge.is_worth(ms(500), ms(100), 0, 12), "the call is likely to be lost");
+}
+
+properties! {
+    /// Guards against nodes that together repeat more than the budget allows in some window,
+    /// also when all of them restart in series.
+    fn retry_share_any_load(nodes: u8, steps: Vec<(u8, u8, bool, u8)>) -> bool {
+        const ALLOWANCE: u32 = 64;
+        let nodes = usize::from(nodes % 8) + 1;
+        let fresh = || {
+            let window = Micros::new(10_000_000);
+            let mut share = RetryShare::new(PerMille::new(200).unwrap(), ALLOWANCE, window);
+            share.set_nodes(nodes as u32);
+            share
+        };
+        let mut shares: Vec<RetryShare> = (0..nodes).map(|_| fresh()).collect();
+        let mut now = at(0);
+        // The first arrivals and repeats at each time.
+        let mut events: BTreeMap<Instant, (u32, u32)> = BTreeMap::new();
+        for (node, calls, restarts, pass) in steps {
+            now = now + Millis::new(u64::from(pass) * 8);
+            let share = &mut shares[usize::from(node) % nodes];
+            if restarts {
+                *share = fresh();
+            }
+            let event = events.entry(now).or_default();
+            for _ in 0..calls {
+                share.first_arrival(now, &service());
+                event.0 += 1;
+                event.1 += u32::from(share.try_take(now, &service()));
+            }
+        }
+        events.keys().all(|end| {
+            let start = Instant::new(end.get().saturating_sub(10_000_000));
+            let in_window = events.range(start..=*end);
+            let (calls, repeats) =
+                in_window.fold((0, 0), |sum, (_, event)| (sum.0 + event.0, sum.1 + event.1));
+            f64::from(repeats) <= 0.2 * f64::from(calls) + f64::from(ALLOWANCE)
+        })
+    }
+}
--- /dev/null
+++ b/crates/core/tests/fleet_common/mod.rs
@@ -0,0 +1,129 @@
+//! Values that the tests of the fleet share.
+
+#![allow(dead_code)]
+
+use almondsail_core::fleet::{
+    AnnouncedState, Announcement, BackendStatus, CallNeed, ConfigText, Destination, FleetIdentity,
+    Heartbeat, MeshConfigBuilder, MeshRoute, NodeEntry, RemoteDoor, ServiceSettings,
+};
+use almondsail_core::ids::{ConfigVersion, Incarnation};
+use almondsail_core::units::{Instant, Millis, UnixMillis};
+
+/// The instant `ms` milliseconds after the start.
+pub fn at(ms: u64) -> Instant {
+    Instant::new(ms * 1_000)
+}
+
+/// A route of `service` below `/prefix/` with a target latency of 500 ms.
+pub fn route(name: &str, prefix: &str, service: &str) -> MeshRoute {
+    MeshRoute {
+        name: name.parse().unwrap(),
+        host: "a.example".into(),
+        prefix: prefix.into(),
+        idempotent: true,
+        timeout: Millis::new(1_500),
+        target_latency: Millis::new(500),
+        priority: 2,
+        max_attempts: 2,
+        destinations: vec![Destination { service: service.parse().unwrap(), weight: 1 }],
+    }
+}
+
+/// A configuration with one route of the service `bays`.
+pub fn config(version: u64) -> ConfigText {
+    let config = MeshConfigBuilder::new(ConfigVersion::new(version))
+        .service("bays".parse().unwrap(), ServiceSettings { connections: 130 })
+        .route(route("r1", "/x/", "bays"))
+        .build()
+        .unwrap();
+    ConfigText { config: config.into(), text: format!("version {version}").into_bytes().into() }
+}
+
+/// The announcement `sequence` of the start `born` of the server `id`.
+pub fn announcement(id: &str, born: u64, sequence: u64) -> Announcement {
+    Announcement {
+        id: id.parse().unwrap(),
+        born: UnixMillis::new(born),
+        sequence,
+        service: "bays".parse().unwrap(),
+        version: "v1".parse().unwrap(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        data_centre: "dc-a".parse().unwrap(),
+        slots: 2,
+        state: AnnouncedState::Ready,
+        cold: Millis::new(0),
+    }
+}
+
+/// The entry of the node `nN` in a data centre.
+pub fn entry(n: u8, data_centre: &str) -> NodeEntry {
+    NodeEntry {
+        node: format!("n{n}").parse().unwrap(),
+        door: format!("10.0.0.{n}:7000").parse().unwrap(),
+        heartbeats: format!("10.0.0.{n}:7000").parse().unwrap(),
+        data_centre: data_centre.parse().unwrap(),
+        departed: None,
+    }
+}
+
+/// The node `n1`, beside a server of `bays` at 10.0.0.1:80.
+pub fn identity() -> FleetIdentity {
+    FleetIdentity {
+        entry: entry(1, "dc-a"),
+        incarnation: Incarnation::new(1),
+        service: "bays".parse().unwrap(),
+        backend: "10.0.0.1:80".parse().unwrap(),
+    }
+}
+
+/// A backend server of `bays`.
+pub fn backend(id: &str, version: &str) -> BackendStatus {
+    BackendStatus {
+        id: id.parse().unwrap(),
+        born: UnixMillis::new(1),
+        service: "bays".parse().unwrap(),
+        version: version.parse().unwrap(),
+        slots: 2,
+        is_cold: false,
+    }
+}
+
+/// The heartbeat `sequence` of the node `nN` in `dc-a`.
+pub fn heartbeat(n: u8, sequence: u64) -> Heartbeat {
+    Heartbeat {
+        entry: entry(n, "dc-a"),
+        incarnation: Incarnation::new(1),
+        sequence,
+        config_version: ConfigVersion::default(),
+        is_store_reached: true,
+        is_leaving: false,
+        backend: None,
+        departures: Vec::new(),
+        rollouts: Vec::new(),
+    }
+}
+
+/// A door with 12 slots.
+pub fn door(node: &str, data_centre: &str, version: &str) -> RemoteDoor {
+    RemoteDoor {
+        node: node.parse().unwrap(),
+        address: "10.0.0.9:7000".parse().unwrap(),
+        data_centre: data_centre.parse().unwrap(),
+        backend: "i-1".parse().unwrap(),
+        version: version.parse().unwrap(),
+        slots: 12,
+        is_cold: false,
+        is_silent: false,
+    }
+}
+
+/// A call of `route` that comes at `now` with a target latency and a deadline.
+pub fn need(route: &str, priority: u8, now: Instant, target: u64, deadline: u64) -> CallNeed {
+    CallNeed {
+        route: route.parse().unwrap(),
+        priority,
+        target: now + Millis::new(target),
+        deadline: now + Millis::new(deadline),
+        target_latency: Millis::new(target),
+    }
+}
--- /dev/null
+++ b/crates/core/tests/fleet_control.rs
@@ -0,0 +1,428 @@
+//! The control state of a node of a fleet.
+
+mod fleet_common;
+
+use almondsail_core::fleet::{
+    ConfigProblem, Departure, FleetAction, FleetControl, FleetEvent, Heartbeat, ItemChange,
+    KeySpace, LeaseId, RolloutOrder, RolloutOutcome, RolloutProgress, RolloutReport, RouteEvidence,
+    RouteKey, StoreFailure, StoreItem, StoreKey, StoreReply, StoreRequest, StoreWrite, StoredValue,
+    VersionEvidence, VersionRule,
+};
+use almondsail_core::ids::ConfigVersion;
+use almondsail_core::store::Revision;
+use almondsail_core::units::{Instant, Millis, UnixMillis};
+use almondsail_seeded::properties;
+use fleet_common::{announcement, at, backend, config, entry, heartbeat, identity};
+use rand::SeedableRng as _;
+use rand::rngs::SmallRng;
+
+/// A node with a store that answers as the test says.
+struct Node {
+    control: FleetControl,
+    rng: SmallRng,
+    now: Instant,
+    /// Requests without a reply.
+    open: Vec<(u64, StoreRequest)>,
+    actions: Vec<FleetAction>,
+}
+
+impl Node {
+    fn start() -> Self {
+        let control = FleetControl::new(identity(), at(0));
+        let rng = SmallRng::seed_from_u64(1);
+        let mut node = Self { control, rng, now: at(0), open: Vec::new(), actions: Vec::new() };
+        node.event(FleetEvent::Tick);
+        node
+    }
+
+    /// A node to which the store has told `items`.
+    fn started(items: Vec<StoreItem>) -> Self {
+        let mut node = Self::start();
+        node.list(KeySpace::Operator, items);
+        node.list(KeySpace::Nodes, Vec::new());
+        node
+    }
+
+    fn event(&mut self, event: FleetEvent) {
+        let wall = UnixMillis::new(1_000_000 + self.now.get() / 1_000);
+        for action in self.control.handle(self.now, wall, event, &mut self.rng) {
+            if let FleetAction::Store { id, request } = &action {
+                self.open.push((*id, request.clone()));
+            }
+            self.actions.push(action);
+        }
+    }
+
+    fn pass(&mut self, ms: u64) {
+        for _ in 0..ms.div_ceil(100) {
+            self.now = self.now + Millis::new(100.min(ms));
+            self.event(FleetEvent::Tick);
+        }
+    }
+
+    fn reply(
+        &mut self,
+        wanted: impl Fn(&StoreRequest) -> bool,
+        reply: Result<StoreReply, StoreFailure>,
+    ) {
+        let found = self.open.iter().position(|(_, request)| wanted(request));
+        let (id, _) = self.open.remove(found.expect("no such request"));
+        self.event(FleetEvent::Store { id, reply });
+    }
+
+    fn list(&mut self, space: KeySpace, items: Vec<StoreItem>) {
+        let reply = StoreReply::Items { items, next: None, as_of: Revision::new(100) };
+        self.reply(|request| *request == StoreRequest::List(space, None), Ok(reply));
+    }
+
+    fn changed(&mut self, space: KeySpace, item: StoreItem) {
+        let revision = item.revision;
+        let reply = StoreReply::Changes(vec![ItemChange::Put(item)], revision);
+        self.reply(|r| matches!(r, StoreRequest::Watch(s, _) if *s == space), Ok(reply));
+    }
+
+    fn version(&self) -> u64 {
+        self.control.view(self.now).config.map_or(0, |config| config.version.get())
+    }
+
+    fn writes(&self) -> Vec<RolloutProgress> {
+        let write = |(_, request): &(u64, StoreRequest)| match request {
+            StoreRequest::Write(StoreWrite::Progress(progress, _)) => Some(progress.clone()),
+            _ => None,
+        };
+        self.open.iter().filter_map(write).collect()
+    }
+}
+
+fn config_item(version: u64, revision: u64) -> StoreItem {
+    let value = StoredValue::Config(Ok(config(version)));
+    StoreItem { key: StoreKey::Config, revision: Revision::new(revision), value }
+}
+
+fn order_item(revision: u64) -> StoreItem {
+    let order = RolloutOrder {
+        service: "bays".parse().unwrap(),
+        target: "v2".parse().unwrap(),
+        duration: Millis::new(15_000),
+        revision: Revision::new(revision),
+    };
+    let key = StoreKey::Order(order.service.clone());
+    StoreItem { key, revision: order.revision, value: StoredValue::Order(order) }
+}
+
+fn of_peer(n: u8, sequence: u64, id: &str, version: &str) -> Heartbeat {
+    Heartbeat { backend: Some(backend(id, version)), ..heartbeat(n, sequence) }
+}
+
+/// Guards against an older configuration that follows a newer one, by whichever path it comes.
+#[test]
+fn config_never_older() {
+    let mut node = Node::started(vec![config_item(5, 50)]);
+    node.event(FleetEvent::PeerConfig(Some(config(4))));
+    assert_eq!(node.version(), 5);
+    node.event(FleetEvent::PeerConfig(Some(config(9))));
+    assert_eq!(node.version(), 9);
+    node.changed(KeySpace::Operator, config_item(7, 101));
+    assert_eq!(node.version(), 9);
+}
+
+/// Guards against a bad configuration that displaces the one in force.
+#[test]
+fn config_unreadable() {
+    let mut node = Node::started(vec![config_item(5, 50)]);
+    let problem = ConfigProblem::Unreadable("cut short".into());
+    let value = StoredValue::Config(Err(problem));
+    let item = StoreItem { key: StoreKey::Config, revision: Revision::new(101), value };
+    node.changed(KeySpace::Operator, item);
+    assert_eq!(node.version(), 5);
+    let is_told = |action: &FleetAction| matches!(action, FleetAction::Report(news) if news.kind() == "config_refused");
+    assert!(node.actions.iter().any(is_told));
+}
+
+/// Guards against a node that serves before it knows that nothing newer was accepted, and one
+/// that never serves because the store is away.
+#[test]
+fn ready_store_away() {
+    let mut node = Node::start();
+    node.event(FleetEvent::PeerConfig(Some(config(3))));
+    assert_eq!(node.version(), 0);
+    node.pass(1_000);
+    assert_eq!(node.version(), 3);
+}
+
+/// Guards against a node that does not hear of a configuration when the store refuses it.
+#[test]
+fn config_from_other_node() {
+    let mut node = Node::started(vec![config_item(5, 50)]);
+    let newer = Heartbeat { config_version: ConfigVersion::new(6), ..heartbeat(2, 1) };
+    node.event(FleetEvent::Heartbeat(newer));
+    node.pass(100);
+    let door = entry(2, "dc-a").door;
+    // This node watches the store itself, so it waits a little first.
+    assert!(!node.actions.contains(&FleetAction::FetchConfig(door)));
+    node.event(FleetEvent::Heartbeat(Heartbeat {
+        config_version: ConfigVersion::new(6),
+        ..heartbeat(2, 2)
+    }));
+    node.pass(700);
+    assert!(node.actions.contains(&FleetAction::FetchConfig(door)));
+}
+
+/// Guards against calls to the store that grow with the nodes of a data centre.
+#[test]
+fn watch_first_two_nodes() {
+    let mut node = Node::started(vec![config_item(5, 50)]);
+    let is_watch = |request: &StoreRequest| matches!(request, StoreRequest::Watch(..));
+    assert!(node.open.iter().any(|(_, request)| is_watch(request)));
+    // Two nodes with lower ids that reach the store take over.
+    for (n, id) in [(2, "m1"), (3, "m2")] {
+        let mut first = heartbeat(n, 1);
+        first.entry.node = id.parse().unwrap();
+        node.event(FleetEvent::Heartbeat(first));
+    }
+    let none = StoreReply::Changes(Vec::new(), Revision::new(100));
+    node.reply(is_watch, Ok(none.clone()));
+    node.reply(is_watch, Ok(none));
+    node.pass(500);
+    assert!(!node.open.iter().any(|(_, request)| is_watch(request)));
+    node.pass(2_000);
+    assert!(node.open.iter().any(|(_, request)| is_watch(request)), "the watchers are silent");
+}
+
+/// Guards against an entry that stays away after an outage of the store.
+#[test]
+fn lease_lapsed_in_outage() {
+    let mut node = Node::started(vec![config_item(5, 50)]);
+    let is_open = |request: &StoreRequest| matches!(request, StoreRequest::OpenLease(_));
+    let is_keep = |request: &StoreRequest| matches!(request, StoreRequest::KeepLease(_));
+    let is_entry =
+        |request: &StoreRequest| matches!(request, StoreRequest::Write(StoreWrite::Node(..)));
+    node.reply(is_open, Ok(StoreReply::Lease(LeaseId::new(1))));
+    node.reply(is_entry, Ok(StoreReply::Written(Revision::new(101))));
+    node.pass(2_600);
+    node.reply(is_keep, Err(StoreFailure::Unanswered));
+    node.pass(1_000);
+    node.reply(is_keep, Err(StoreFailure::NoLease));
+    node.reply(is_open, Ok(StoreReply::Lease(LeaseId::new(2))));
+    assert!(node.open.iter().any(|(_, request)| is_entry(request)));
+}
+
+/// Guards against calls to a server that left while the node beside it was down: the store
+/// remembers, or the other nodes.
+#[test]
+fn departed_before_start() {
+    let departure = Departure { id: "i-1".parse().unwrap(), born: Some(UnixMillis::new(5)) };
+    let mut own = entry(1, "dc-a");
+    own.departed = Some(departure.clone());
+    let key = StoreKey::Node(own.node.clone());
+    let value = StoredValue::Node(own);
+    let item = StoreItem { key, revision: Revision::new(9), value };
+
+    let mut by_store = Node::start();
+    by_store.event(FleetEvent::Announced(announcement("i-1", 5, 9)));
+    assert_eq!(by_store.control.view(by_store.now).backend, None, "others may remember more");
+    by_store.list(KeySpace::Nodes, vec![item]);
+    assert_eq!(by_store.control.view(by_store.now).backend, None);
+
+    let mut by_nodes = Node::start();
+    by_nodes.event(FleetEvent::Announced(announcement("i-1", 5, 9)));
+    let told = Heartbeat { departures: vec![departure], ..heartbeat(2, 1) };
+    by_nodes.event(FleetEvent::Heartbeat(told));
+    by_nodes.pass(1_000);
+    assert_eq!(by_nodes.control.view(by_nodes.now).backend, None);
+    by_nodes.event(FleetEvent::Announced(announcement("i-2", 6, 1)));
+    assert!(by_nodes.control.view(by_nodes.now).backend.is_some());
+}
+
+/// Guards against an acknowledged departure that no later start of the node can know.
+#[test]
+fn departed_is_written() {
+    let mut node = Node::started(vec![config_item(5, 50)]);
+    node.reply(|r| matches!(r, StoreRequest::OpenLease(_)), Ok(StoreReply::Lease(LeaseId::new(1))));
+    let is_entry =
+        |request: &StoreRequest| matches!(request, StoreRequest::Write(StoreWrite::Node(..)));
+    node.reply(is_entry, Ok(StoreReply::Written(Revision::new(101))));
+    node.event(FleetEvent::Announced(announcement("i-1", 5, 1)));
+    node.event(FleetEvent::Left("i-1".parse().unwrap(), Some(UnixMillis::new(5))));
+    assert_eq!(node.control.view(node.now).backend, None);
+    let has_departure = |(_, request): &(u64, StoreRequest)| matches!(request, StoreRequest::Write(StoreWrite::Node(entry, _)) if entry.departed.is_some());
+    assert!(node.open.iter().any(has_departure));
+}
+
+/// Guards against announcements of other writers: another address or an unknown service.
+#[test]
+fn announced_foreign() {
+    let mut node = Node::started(vec![config_item(5, 50)]);
+    let mut elsewhere = announcement("i-1", 5, 1);
+    elsewhere.address = "10.0.0.2:80".parse().unwrap();
+    node.event(FleetEvent::Announced(elsewhere));
+    let mut unknown = announcement("i-1", 5, 2);
+    unknown.service = "other".parse().unwrap();
+    node.event(FleetEvent::Announced(unknown));
+    assert_eq!(node.control.view(node.now).backend, None);
+}
+
+/// Guards against traffic to a new version before its order is known.
+#[test]
+fn rule_without_order() {
+    let mut node = Node::started(vec![config_item(5, 50)]);
+    node.event(FleetEvent::Heartbeat(of_peer(2, 1, "i-2", "v1")));
+    let mut newer = of_peer(3, 1, "i-3", "v2");
+    newer.backend.as_mut().unwrap().born = UnixMillis::new(9);
+    node.event(FleetEvent::Heartbeat(newer));
+    let view = node.control.view(node.now);
+    assert_eq!(view.services["bays"].rule, VersionRule::Only("v1".parse().unwrap()));
+}
+
+/// A node with the order of a rollout from v1 (node 2) to v2 (node 3).
+fn in_rollout() -> Node {
+    let mut node = Node::started(vec![config_item(5, 50), order_item(60)]);
+    node.event(FleetEvent::Heartbeat(of_peer(2, 1, "i-2", "v1")));
+    node.event(FleetEvent::Heartbeat(of_peer(3, 1, "i-3", "v2")));
+    node
+}
+
+fn report(evidence: Option<VersionEvidence>, is_stopped: bool) -> RolloutReport {
+    RolloutReport {
+        service: "bays".parse().unwrap(),
+        target: "v2".parse().unwrap(),
+        order: Revision::new(60),
+        duration: Millis::new(15_000),
+        elapsed: Millis::new(0),
+        is_stopped,
+        outcome: None,
+        evidence,
+    }
+}
+
+fn failing() -> VersionEvidence {
+    let mut route = RouteEvidence::default();
+    (0..6).for_each(|_| route.failed());
+    VersionEvidence { routes: [(RouteKey::new(1), route)].into() }
+}
+
+/// Guards against a bad version that goes on to get calls, or whose end is not written.
+#[test]
+fn rollout_bad() {
+    let mut node = in_rollout();
+    let bad =
+        Heartbeat { rollouts: vec![report(Some(failing()), false)], ..of_peer(3, 2, "i-3", "v2") };
+    node.event(FleetEvent::Heartbeat(bad));
+    let rule = &node.control.view(node.now).services["bays"].rule;
+    assert_eq!(*rule, VersionRule::Except("v2".parse().unwrap()));
+    // The first write, of the beginning, is still open.
+    let is_write = |r: &StoreRequest| matches!(r, StoreRequest::Write(StoreWrite::Progress(..)));
+    node.reply(is_write, Ok(StoreReply::Written(Revision::new(110))));
+    node.pass(500);
+    assert_eq!(node.writes()[0].outcome, Some(RolloutOutcome::RolledBack));
+}
+
+/// Guards against a stop that one node knows of and another does not.
+#[test]
+fn rollout_stopped_elsewhere() {
+    let mut node = in_rollout();
+    let told = Heartbeat { rollouts: vec![report(None, true)], ..of_peer(2, 2, "i-2", "v1") };
+    node.event(FleetEvent::Heartbeat(told));
+    let rule = &node.control.view(node.now).services["bays"].rule;
+    assert_eq!(*rule, VersionRule::Except("v2".parse().unwrap()));
+}
+
+/// Guards against an order that a node without the store never hears of.
+#[test]
+fn rollout_ordered_elsewhere() {
+    let mut node = Node::started(vec![config_item(5, 50)]);
+    let told = Heartbeat { rollouts: vec![report(None, false)], ..of_peer(2, 2, "i-2", "v1") };
+    node.event(FleetEvent::Heartbeat(told));
+    let rule = &node.control.view(node.now).services["bays"].rule;
+    assert!(matches!(rule, VersionRule::Shift(_)));
+}
+
+/// Guards against a good version that is not completed by its deadline, also when the answers
+/// of the store are lost.
+#[test]
+fn rollout_good_lost_answers() {
+    let mut node = in_rollout();
+    let is_write = |r: &StoreRequest| matches!(r, StoreRequest::Write(StoreWrite::Progress(..)));
+    node.reply(is_write, Err(StoreFailure::Unanswered));
+    for sequence in 0..150 {
+        node.pass(100);
+        node.event(FleetEvent::Heartbeat(of_peer(3, 10 + sequence, "i-3", "v2")));
+        let is_end = node.writes().iter().any(|write| write.outcome.is_some());
+        if is_end {
+            break;
+        }
+        if !node.writes().is_empty() {
+            node.reply(is_write, Err(StoreFailure::Conflict));
+        }
+    }
+    assert_eq!(node.writes()[0].outcome, Some(RolloutOutcome::Completed));
+    assert!(node.now < at(14_000), "written at {}", node.now);
+}
+
+/// Guards against a rollout that ends with a version that no server has.
+#[test]
+fn rollout_no_server() {
+    let mut node = Node::started(vec![config_item(5, 50), order_item(60)]);
+    let is_write = |r: &StoreRequest| matches!(r, StoreRequest::Write(StoreWrite::Progress(..)));
+    node.reply(is_write, Ok(StoreReply::Written(Revision::new(110))));
+    node.pass(13_900);
+    assert!(node.writes().is_empty());
+    node.pass(1_000);
+    assert_eq!(node.writes()[0].outcome, Some(RolloutOutcome::RolledBack));
+}
+
+/// Guards against an outcome that a node with later knowledge takes back.
+#[test]
+fn rollout_ended_in_store() {
+    let mut node = in_rollout();
+    let progress = RolloutProgress {
+        service: "bays".parse().unwrap(),
+        target: "v2".parse().unwrap(),
+        order: Revision::new(60),
+        duration: Millis::new(15_000),
+        started: UnixMillis::new(1_000_000),
+        outcome: Some(RolloutOutcome::RolledBack),
+    };
+    let key = StoreKey::Progress(progress.service.clone());
+    let value = StoredValue::Progress(progress);
+    node.changed(KeySpace::Nodes, StoreItem { key, revision: Revision::new(120), value });
+    let rule = || VersionRule::Except("v2".parse().unwrap());
+    let seen = |node: &Node| node.control.view(node.now).services["bays"].rule.clone();
+    assert_eq!(seen(&node), rule());
+    let told = Heartbeat { rollouts: vec![report(None, false)], ..of_peer(2, 2, "i-2", "v1") };
+    node.event(FleetEvent::Heartbeat(told));
+    assert_eq!(seen(&node), rule());
+}
+
+/// Guards against a stop that is not told at once and calls that still come in.
+#[test]
+fn stop_is_told() {
+    let mut node = in_rollout();
+    node.event(FleetEvent::Announced(announcement("i-1", 5, 1)));
+    node.actions.clear();
+    node.event(FleetEvent::StopRequested);
+    let is_told = |action: &FleetAction| matches!(action, FleetAction::Heartbeat(heartbeat, to) if heartbeat.is_leaving && to.len() == 2);
+    assert!(node.actions.iter().any(is_told));
+    assert!(node.control.view(node.now).is_leaving);
+    let service = &node.control.view(node.now).services["bays"];
+    assert!(service.doors.iter().all(|door| door.node.as_str() != "n1"));
+}
+
+properties! {
+    /// Guards against any order of sources in which a node returns to an older configuration.
+    fn config_any_order(steps: Vec<(bool, u8)>) -> bool {
+        let mut node = Node::started(vec![config_item(5, 50)]);
+        let mut newest = 5;
+        steps.into_iter().enumerate().all(|(n, (by_store, version))| {
+            let version = u64::from(version);
+            if by_store {
+                node.pass(200);
+                node.changed(KeySpace::Operator, config_item(version, 101 + n as u64));
+            } else {
+                node.event(FleetEvent::PeerConfig(Some(config(version))));
+            }
+            newest = newest.max(version);
+            node.version() == newest
+        })
+    }
+}
--- /dev/null
+++ b/crates/core/tests/fleet_registration.rs
@@ -0,0 +1,119 @@
+//! The registration of the backend server beside a node of a fleet.
+
+mod fleet_common;
+
+use almondsail_core::fleet::{AnnouncedState, Announcement, BeatOutcome, Departure, Registration};
+use almondsail_core::units::{Millis, UnixMillis};
+use almondsail_seeded::properties;
+use fleet_common::{announcement, at};
+
+fn draining(id: &str, born: u64, sequence: u64) -> Announcement {
+    Announcement { state: AnnouncedState::Draining, ..announcement(id, born, sequence) }
+}
+
+/// Guards against an announcement that overtook a later one and brings back an old state.
+#[test]
+fn announce_out_of_order() {
+    let mut registration = Registration::default();
+    assert_eq!(registration.announce(at(1), &announcement("i-1", 5, 3)), BeatOutcome::Changed);
+    assert_eq!(registration.announce(at(2), &announcement("i-1", 5, 3)), BeatOutcome::Outdated);
+    assert_eq!(registration.announce(at(2), &announcement("i-1", 5, 2)), BeatOutcome::Outdated);
+    assert_eq!(registration.announce(at(3), &announcement("i-1", 5, 4)), BeatOutcome::Renewed);
+}
+
+/// Guards against a server that started again under its id and is ignored because its counts
+/// began anew.
+#[test]
+fn announce_same_id_new_start() {
+    let mut registration = Registration::default();
+    registration.announce(at(1), &announcement("i-1", 5, 90));
+    assert_eq!(registration.announce(at(2), &announcement("i-1", 6, 1)), BeatOutcome::Changed);
+}
+
+/// Guards against a delayed announcement of a crashed server that displaces its successor.
+#[test]
+fn announce_earlier_start() {
+    let mut registration = Registration::default();
+    registration.announce(at(1), &announcement("i-2", 6, 1));
+    assert_eq!(registration.announce(at(2), &announcement("i-1", 5, 9)), BeatOutcome::Outdated);
+    assert_eq!(registration.backend().unwrap().id.as_str(), "i-2");
+}
+
+/// Guards against calls to a server that said it drains.
+#[test]
+fn announce_draining() {
+    let mut registration = Registration::default();
+    registration.announce(at(1), &announcement("i-1", 5, 1));
+    assert_eq!(registration.announce(at(2), &draining("i-1", 5, 2)), BeatOutcome::Changed);
+    assert!(registration.backend().is_none());
+    assert_eq!(registration.announce(at(3), &announcement("i-1", 5, 3)), BeatOutcome::Outdated);
+}
+
+/// Guards against a node that was restarted, hears that an unknown server leaves, and then
+/// believes a late announcement of it (cala-mesh trouble-3 --seed 350483909928).
+#[test]
+fn leave_unknown_server() {
+    let mut registration = Registration::default();
+    registration.leave(at(1), &"i-1".parse().unwrap(), Some(UnixMillis::new(5)));
+    assert_eq!(registration.announce(at(2), &announcement("i-1", 5, 7)), BeatOutcome::Outdated);
+    assert_eq!(registration.announce(at(3), &announcement("i-1", 6, 1)), BeatOutcome::Changed);
+}
+
+/// Guards against a departure that other nodes remember and a restarted node does not.
+#[test]
+fn depart_told_by_others() {
+    let mut registration = Registration::default();
+    registration.announce(at(1), &announcement("i-1", 5, 1));
+    let departure = Departure { id: "i-1".parse().unwrap(), born: Some(UnixMillis::new(5)) };
+    assert_eq!(registration.depart(at(2), &departure), BeatOutcome::Changed);
+    assert!(registration.backend().is_none());
+    assert_eq!(registration.departures(at(3), false), vec![departure.clone()]);
+    assert_eq!(registration.departures(at(20_000), false), Vec::new());
+    assert_eq!(registration.departures(at(20_000), true), vec![departure]);
+}
+
+/// Guards against calls to a server that crashed without a word.
+#[test]
+fn tick_silent_server() {
+    let mut registration = Registration::default();
+    registration.announce(at(1), &announcement("i-1", 5, 1));
+    assert!(!registration.tick(at(1) + Registration::EXPIRY));
+    assert!(registration.tick(at(2) + Registration::EXPIRY));
+    assert!(registration.backend().is_none());
+}
+
+/// Guards against a server that counts as cold for good.
+#[test]
+fn tick_cold_start_over() {
+    let mut registration = Registration::default();
+    let cold = Announcement { cold: Millis::new(900), ..announcement("i-1", 5, 1) };
+    registration.announce(at(0), &cold);
+    assert!(registration.backend().unwrap().is_cold);
+    assert!(registration.tick(at(900)));
+    assert!(!registration.backend().unwrap().is_cold);
+}
+
+properties! {
+    /// Guards against any order of announcements and notices in which a server that left is
+    /// called again.
+    fn announce_any_order(steps: Vec<(bool, u8, u8)>) -> bool {
+        let mut registration = Registration::default();
+        let mut left = Vec::new();
+        steps.into_iter().enumerate().all(|(n, (leaves, start, sequence))| {
+            let (now, born) = (at(n as u64), u64::from(start % 4));
+            let id = format!("i-{}", start % 3);
+            if leaves {
+                registration.leave(now, &id.parse().unwrap(), Some(UnixMillis::new(born)));
+                left.push((id, born));
+            } else {
+                registration.announce(now, &announcement(&id, born, sequence.into()));
+            }
+            registration.backend().is_none_or(|known| {
+                let has_left = |(id, born): &(String, u64)| {
+                    known.id.as_str() == id && known.born.get() <= *born
+                };
+                !left.iter().any(has_left)
+            })
+        })
+    }
+}
--- /dev/null
+++ b/crates/core/tests/fleet_rollouts.rs
@@ -0,0 +1,195 @@
+//! Rollouts of a fleet: steps, shares and the judge.
+
+mod fleet_common;
+
+use almondsail_core::fleet::{
+    Placement, Rollout, RolloutClock, RolloutOrder, RolloutOutcome, RolloutPlan, RolloutProgress,
+    RolloutStep, RouteEvidence, RouteKey, ServiceDoors, TrafficShift, VersionEvidence,
+    VersionJudge, VersionRule,
+};
+use almondsail_core::store::Revision;
+use almondsail_core::units::{Micros, Millis, UnixMillis};
+use almondsail_seeded::properties;
+use fleet_common::{at, door};
+use rand::rngs::SmallRng;
+use rand::{Rng as _, SeedableRng as _};
+
+fn order(duration: u64) -> RolloutOrder {
+    RolloutOrder {
+        service: "bays".parse().unwrap(),
+        target: "v2".parse().unwrap(),
+        duration: Millis::new(duration),
+        revision: Revision::new(7),
+    }
+}
+
+fn micros(ms: u64) -> Micros {
+    Micros::from(Millis::new(ms))
+}
+
+/// `calls` calls on one route that take about `ms`, of which every `nth_slow` takes eight times
+/// as long and every `nth_failed` fails; zero for none.
+fn evidence(calls: u32, ms: u64, nth_slow: u32, nth_failed: u32, seed: u64) -> VersionEvidence {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut route = RouteEvidence::default();
+    let is_nth = |n: u32, nth: u32| nth > 0 && n.is_multiple_of(nth);
+    for n in 1..=calls {
+        if is_nth(n, nth_failed) {
+            route.failed();
+            continue;
+        }
+        // Calls of one server spread by a factor of about two.
+        let spread = rng.random_range(0.7..1.5);
+        let slow = if is_nth(n, nth_slow) { 8.0 } else { 1.0 };
+        route.answered(Micros::new((micros(ms).get() as f64 * spread * slow) as u64));
+    }
+    VersionEvidence { routes: [(RouteKey::new(1), route)].into() }
+}
+
+/// Guards against steps that come out of order or too late for the deadline.
+#[test]
+fn step_over_time() {
+    let plan = RolloutPlan::new(Millis::new(15_000));
+    let steps = [(0, RolloutStep::Canary), (10_700, RolloutStep::Canary)];
+    let steps = steps.into_iter().chain([(10_900, RolloutStep::Quarter)]);
+    let steps = steps.chain([(11_600, RolloutStep::Full), (13_100, RolloutStep::Complete)]);
+    for (ms, step) in steps {
+        assert_eq!(plan.step(micros(ms)), step, "after {ms} ms");
+    }
+}
+
+/// Guards against a short rollout without a canary step.
+#[test]
+fn step_short_rollout() {
+    let plan = RolloutPlan::new(Millis::new(4_000));
+    assert_eq!(plan.step(micros(1_900)), RolloutStep::Canary);
+    assert_eq!(plan.step(micros(3_900)), RolloutStep::Complete);
+}
+
+/// Guards against a restarted node, or one that stood still, that begins a rollout anew.
+#[test]
+fn clock_after_restart() {
+    let mut clock = RolloutClock::start(at(100));
+    clock.at_least(at(200), micros(9_000));
+    assert_eq!(clock.elapsed(at(1_200)), micros(10_000));
+    clock.at_least(at(1_300), micros(500));
+    assert_eq!(clock.elapsed(at(1_300)), micros(10_100), "the time since an order only grows");
+}
+
+/// Guards against a time of day that jumped and moves a rollout past its deadline or back.
+#[test]
+fn recorded_time_of_day_jumped() {
+    let progress = |started: u64| RolloutProgress {
+        service: "bays".parse().unwrap(),
+        target: "v2".parse().unwrap(),
+        order: Revision::new(7),
+        duration: Millis::new(15_000),
+        started: UnixMillis::new(started),
+        outcome: None,
+    };
+    let mut rollout = Rollout::new(order(15_000), at(0));
+    let wall = UnixMillis::new(1_000_000);
+    rollout.recorded(&progress(1_002_000), Revision::new(9), at(100), wall);
+    assert_eq!(rollout.elapsed(at(100)), micros(100));
+    rollout.recorded(&progress(996_000), Revision::new(9), at(100), wall);
+    assert_eq!(rollout.elapsed(at(100)), micros(4_000));
+}
+
+/// Guards against calls to a version that was found bad, and to the old one after the end.
+#[test]
+fn rule_after_each_end() {
+    let mut stopped = Rollout::new(order(15_000), at(0));
+    stopped.stop();
+    assert_eq!(stopped.rule(), VersionRule::Except("v2".parse().unwrap()));
+    let mut ended = Rollout::new(order(15_000), at(0));
+    ended.to_progress(at(1), UnixMillis::new(1), Some(RolloutOutcome::Completed));
+    ended.written(Revision::new(9));
+    assert_eq!(ended.rule(), VersionRule::Only("v2".parse().unwrap()));
+}
+
+/// Guards against good versions that are taken back: slow and fast servers, tails, few calls.
+#[test]
+fn is_bad_good_versions() {
+    for seed in 0..200 {
+        let old = evidence(400, 200, 100, 250, seed);
+        for (calls, ms) in [(2, 200), (20, 200), (80, 340), (80, 100), (200, 420)] {
+            let new = evidence(calls, ms, 100, 50, seed + 1_000);
+            assert!(!VersionJudge::is_bad(&new, &old), "{calls} calls of {ms} ms, seed {seed}");
+        }
+    }
+}
+
+/// Guards against bad versions that are not found: failures, slow answers, on a fast server,
+/// with few calls.
+#[test]
+fn is_bad_bad_versions() {
+    for seed in 0..200 {
+        let old = evidence(400, 200, 100, 250, seed);
+        let cases = [
+            ("half fail", evidence(10, 200, 0, 2, seed)),
+            ("a third fails", evidence(24, 200, 0, 3, seed)),
+            ("half is slow", evidence(24, 200, 2, 0, seed)),
+            ("half is slow on a fast server", evidence(24, 85, 2, 0, seed)),
+            ("all are slow", evidence(24, 200, 1, 0, seed)),
+        ];
+        for (case, new) in cases {
+            assert!(VersionJudge::is_bad(&new, &old), "{case}, seed {seed}");
+        }
+    }
+}
+
+/// Guards against one bad route that good ones hide.
+#[test]
+fn is_bad_one_route() {
+    let old = evidence(400, 200, 0, 0, 1);
+    let mut new = evidence(400, 200, 0, 0, 2);
+    let mut bad = RouteEvidence::default();
+    (0..4).for_each(|_| bad.failed());
+    bad.answered(micros(200));
+    new.routes.insert(RouteKey::new(2), bad);
+    assert!(VersionJudge::is_bad(&new, &old));
+}
+
+fn shifted(started: u64) -> ServiceDoors {
+    let shift = TrafficShift {
+        target: "v2".parse().unwrap(),
+        order: Revision::new(7),
+        clock: RolloutClock::start(at(started)),
+        plan: RolloutPlan::new(Millis::new(15_000)),
+    };
+    let doors = vec![door("n1", "dc-a", "v1"), door("n2", "dc-a", "v2")];
+    ServiceDoors { doors, rule: VersionRule::Shift(shift) }
+}
+
+properties! {
+    /// Guards against a canary that gets more than its share before the ramp, whatever the
+    /// load and however often nodes restart. A bad version may get a tenth of the calls and 50.
+    fn sends_to_new_any_load(gaps: Vec<u8>, restarts: u8) -> bool {
+        let doors = shifted(0);
+        let fresh = || Placement::new("dc-a".parse().unwrap());
+        let (mut placement, mut now) = (fresh(), at(0));
+        let (mut all, mut new) = (0_u32, 0_u32);
+        for (n, gap) in gaps.iter().cycle().take(2_000).enumerate() {
+            now = now + Micros::new(u64::from(*gap) * 100);
+            if now >= at(10_700) {
+                break;
+            }
+            if restarts > 0 && n % 300 == usize::from(restarts) {
+                placement = fresh();
+            }
+            all += 1;
+            new += u32::from(placement.sends_to_new(now, &"bays".parse().unwrap(), &doors));
+        }
+        f64::from(new) <= 0.04 * f64::from(all) + 8.0
+    }
+}
+
+/// Guards against a rollout to a version that no server has: calls stay with the old one.
+#[test]
+fn sends_to_new_no_server() {
+    let mut doors = shifted(0);
+    doors.doors.pop();
+    let mut placement = Placement::new("dc-a".parse().unwrap());
+    let service = "bays".parse().unwrap();
+    assert!((0..100).all(|ms| !placement.sends_to_new(at(11_600 + ms), &service, &doors)));
+}
