Run a fleet of processes on stand-ins of the platform

A store and workers that speak the platform's calls, and process tests of the path: signature, id, body and deadline; bad input; requests sent ahead and bodies in chunks; lost and wrong answers; leaving; a restart while the store is away; a planned stop under load.

--- a/crates/node/src/fleet/fleet_node.rs
+++ b/crates/node/src/fleet/fleet_node.rs
@@ -12,6 +12,7 @@
 use almondsail_core::units::{ByteCount, Micros};
 use arc_swap::{ArcSwap, ArcSwapOption};
 use eyre::WrapErr as _;
+use serde::Serialize;
 use slog::{Logger, info};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::runtime::Builder;
@@ -62,21 +63,32 @@
     callers: StdTcpListener,
     nodes: StdTcpListener,
     heartbeats: StdUdpSocket,
-    /// Of the platform's check, announcements and metrics.
-    local: Vec<StdTcpListener>,
+    /// Of the platform's check, announcements and metrics, in this order.
+    local: [StdTcpListener; 3],
+}
+
+/// The addresses on which a node listens, printed as one line of JSON at the start.
+#[derive(Debug, Clone, Copy, Serialize)]
+struct BoundAddresses {
+    callers: SocketAddr,
+    nodes: SocketAddr,
+    ready: SocketAddr,
+    announcements: SocketAddr,
+    metrics: SocketAddr,
 }
 
 impl Listeners {
     fn bind(settings: &FleetSettings) -> eyre::Result<Self> {
         let listen = &settings.listen;
-        let heartbeats = StdUdpSocket::bind(listen.nodes)
+        let nodes = bind("nodes", listen.nodes)?;
+        let heartbeats = StdUdpSocket::bind(nodes.local_addr()?)
             .wrap_err_with(|| format!("listen.nodes: {}", listen.nodes))?;
         heartbeats.set_nonblocking(true)?;
         Ok(Self {
             callers: bind("callers", listen.callers)?,
-            nodes: bind("nodes", listen.nodes)?,
+            nodes,
             heartbeats,
-            local: vec![
+            local: [
                 bind("ready", listen.ready)?,
                 bind("announcements", listen.announcements)?,
                 bind("metrics", listen.metrics)?,
@@ -85,6 +97,18 @@
     }
 }
 
+impl Listeners {
+    fn addresses(&self) -> std::io::Result<BoundAddresses> {
+        Ok(BoundAddresses {
+            callers: self.callers.local_addr()?,
+            nodes: self.nodes.local_addr()?,
+            ready: self.local[0].local_addr()?,
+            announcements: self.local[1].local_addr()?,
+            metrics: self.local[2].local_addr()?,
+        })
+    }
+}
+
 fn bind(name: &str, addr: SocketAddr) -> eyre::Result<StdTcpListener> {
     let listener = StdTcpListener::bind(addr).wrap_err_with(|| format!("listen.{name}: {addr}"))?;
     listener.set_nonblocking(true)?;
@@ -94,10 +118,12 @@
 /// Runs a node of a fleet until it is told to stop by SIGTERM or SIGINT.
 pub fn run(settings: &FleetSettings) -> eyre::Result<()> {
     let listeners = Listeners::bind(settings)?;
+    let addresses = listeners.addresses()?;
+    println!("{}", serde_json::to_string(&addresses)?);
     let log = log::fleet_logger(settings.id.as_str(), settings.data_centre.as_str());
     let metrics = Metrics::new()?;
     let clock = Clock::start();
-    let control = FleetControl::new(identity(settings, clock), clock.now());
+    let control = FleetControl::new(identity(settings, &addresses, clock), clock.now());
     let view = Arc::new(ArcSwap::from_pointee(control.view(clock.now())));
     let text: SharedText = Arc::new(ArcSwapOption::empty());
     let (notices, control_notices) = mpsc::channel(CONTROL_QUEUE);
@@ -129,7 +155,7 @@
         log: log.clone(),
     }
     .start(control_notices, control_evidence)?;
-    info!(log, "started"; "callers" => %settings.listen.callers, "nodes" => %settings.listen.nodes);
+    info!(log, "started"; "callers" => %addresses.callers, "nodes" => %addresses.nodes);
     let runtime = Builder::new_current_thread().enable_all().build()?;
     let servers = Servers { settings, traffic, text, view, notices, views, metrics, log };
     runtime.block_on(servers.serve(listeners.callers, listeners.nodes, listeners.local))?;
@@ -138,12 +164,12 @@
     control_thread.join().map_err(|_| eyre::eyre!("the control thread panicked"))?
 }
 
-fn identity(settings: &FleetSettings, clock: Clock) -> FleetIdentity {
+fn identity(settings: &FleetSettings, addresses: &BoundAddresses, clock: Clock) -> FleetIdentity {
     FleetIdentity {
         entry: NodeEntry {
             node: settings.id.clone(),
-            door: settings.listen.nodes,
-            heartbeats: settings.listen.nodes,
+            door: addresses.nodes,
+            heartbeats: addresses.nodes,
             data_centre: settings.data_centre.clone(),
             departed: None,
         },
@@ -224,7 +250,7 @@
         self,
         callers: StdTcpListener,
         nodes: StdTcpListener,
-        local: Vec<StdTcpListener>,
+        local: [StdTcpListener; 3],
     ) -> eyre::Result<()> {
         let (stop, stopped) = watch::channel(StopPhase::Serving);
         let (stop_local, local_stopped) = watch::channel(false);
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod harness;
 pub mod http;
 pub mod mesh;
+pub mod platform;
 pub mod store;
 pub mod traffic;
 
--- /dev/null
+++ b/crates/testkit/src/platform/kv_state.rs
@@ -0,0 +1,141 @@
+//! The items of the metadata store.
+
+use std::collections::BTreeMap;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD as BASE64;
+use serde_json::{Value, json};
+
+/// The items of the metadata store and the history of their changes.
+#[derive(Debug, Default)]
+pub struct KvState {
+    revision: u64,
+    items: BTreeMap<String, Item>,
+    /// Every change with its revision, oldest first.
+    history: Vec<(u64, String, Option<Item>)>,
+    /// Changes up to this revision are forgotten.
+    forgotten: u64,
+    leases: BTreeMap<u64, u64>,
+    next_lease: u64,
+}
+
+#[derive(Debug, Clone)]
+struct Item {
+    value: String,
+    revision: u64,
+    lease: u64,
+}
+
+impl Item {
+    fn json(&self, key: &str) -> Value {
+        json!({"key": key, "value": self.value, "revision": self.revision, "lease": self.lease})
+    }
+}
+
+impl KvState {
+    /// The revision of the last change.
+    pub const fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Writes `value`.
+    pub fn put(&mut self, key: &str, value: &[u8]) {
+        self.write(key, &BASE64.encode(value), 0);
+    }
+
+    /// The value of `key`.
+    pub fn get(&self, key: &str) -> Option<Vec<u8>> {
+        BASE64.decode(&self.items.get(key)?.value).ok()
+    }
+
+    /// The keys that begin with `prefix`.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        self.items.keys().filter(|key| key.starts_with(prefix)).cloned().collect()
+    }
+
+    /// Forgets the history of all changes.
+    pub fn forget_history(&mut self) {
+        self.forgotten = self.revision;
+        self.history.clear();
+    }
+
+    /// Ends every lease and removes its keys.
+    pub fn end_leases(&mut self) {
+        self.leases.clear();
+        let leased: Vec<String> =
+            self.items.iter().filter(|(_, item)| item.lease > 0).map(|(k, _)| k.clone()).collect();
+        for key in leased {
+            self.remove(&key);
+        }
+    }
+
+    /// All items that begin with `prefix`.
+    pub fn range(&self, prefix: &str) -> Value {
+        let items: Vec<Value> = self
+            .items
+            .iter()
+            .filter(|(key, _)| key.starts_with(prefix))
+            .map(|(key, item)| item.json(key))
+            .collect();
+        json!({"items": items, "has_more": false, "as_of": self.revision})
+    }
+
+    /// The changes of keys with `prefix` after a revision; `None` if they are forgotten.
+    pub fn changes(&self, prefix: &str, after: u64) -> Option<Vec<Value>> {
+        if after < self.forgotten {
+            return None;
+        }
+        let is_wanted =
+            |(revision, key, _): &&(u64, String, _)| *revision > after && key.starts_with(prefix);
+        let event = |(revision, key, item): &(u64, String, Option<Item>)| match item {
+            Some(item) => item.json(key),
+            None => json!({"key": key, "revision": revision, "deleted": true}),
+        };
+        Some(self.history.iter().filter(is_wanted).map(event).collect())
+    }
+
+    /// Opens a lease.
+    pub fn open_lease(&mut self, ttl_ms: u64) -> Value {
+        self.next_lease += 1;
+        self.leases.insert(self.next_lease, ttl_ms);
+        json!({"lease": self.next_lease, "ttl_ms": ttl_ms})
+    }
+
+    /// Renews a lease; `None` if it has ended.
+    pub fn keep_lease(&self, lease: u64) -> Option<Value> {
+        self.leases.get(&lease).map(|ttl_ms| json!({"ttl_ms": ttl_ms}))
+    }
+
+    /// Carries out a transaction: the status and the answer.
+    pub fn transact(&mut self, body: &Value) -> (u16, Value) {
+        let rows = |name: &str| body[name].as_array().cloned().unwrap_or_default();
+        let revision = |key: &str| self.items.get(key).map_or(0, |item| item.revision);
+        let text = |row: &Value, name: &str| row[name].as_str().unwrap_or_default().to_owned();
+        let holds = |row: &Value| Some(revision(&text(row, "key"))) == row["revision"].as_u64();
+        if !rows("expect").iter().all(holds) {
+            return (412, json!({"items": []}));
+        }
+        let lease = |row: &Value| row["lease"].as_u64().unwrap_or(0);
+        let is_open = |row: &Value| lease(row) == 0 || self.leases.contains_key(&lease(row));
+        if !rows("puts").iter().all(is_open) {
+            return (404, json!({}));
+        }
+        for row in rows("puts") {
+            self.write(&text(&row, "key"), &text(&row, "value"), lease(&row));
+        }
+        (200, json!({"revision": self.revision}))
+    }
+
+    fn write(&mut self, key: &str, value: &str, lease: u64) {
+        self.revision += 1;
+        let item = Item { value: value.to_owned(), revision: self.revision, lease };
+        self.items.insert(key.to_owned(), item.clone());
+        self.history.push((self.revision, key.to_owned(), Some(item)));
+    }
+
+    fn remove(&mut self, key: &str) {
+        self.revision += 1;
+        self.items.remove(key);
+        self.history.push((self.revision, key.to_owned(), None));
+    }
+}
--- /dev/null
+++ b/crates/testkit/tests/fleet_path.rs
@@ -0,0 +1,282 @@
+//! A fleet of processes on the stand-ins of the users' platform.
+
+use std::net::SocketAddr;
+
+use almondsail_testkit::harness::wait_until;
+use almondsail_testkit::http::{HttpClient, Reply};
+use almondsail_testkit::platform::{Fleet, KvMode, WorkerFault};
+use eyre::{Result, ensure};
+use http::Method;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpStream;
+
+const SERVICES: [&str; 2] = ["bays", "traslados"];
+
+/// Two data centres with a node for each service, configured and serving.
+async fn start() -> Result<Fleet> {
+    let fleet = Fleet::start(&["dc-a", "dc-b"], &SERVICES).await?;
+    fleet.configure(1, &SERVICES);
+    for node in 0..fleet.nodes.len() {
+        fleet.wait_until_ready(node).await?;
+        for service in SERVICES {
+            fleet.wait_until_served(node, service).await?;
+        }
+    }
+    // Every node knows the servers of both data centres.
+    wait_until("four backend servers known everywhere", || async {
+        for node in 0..fleet.nodes.len() {
+            for service in SERVICES {
+                ensure!(send(&fleet, node, service, "safe", "warm").await?.status == 200);
+            }
+        }
+        Ok(())
+    })
+    .await?;
+    Ok(fleet)
+}
+
+async fn send(fleet: &Fleet, node: usize, service: &str, kind: &str, id: &str) -> Result<Reply> {
+    let host = format!("{service}.example");
+    let headers = [
+        ("host", host.as_str()),
+        ("almondsail-attempt-id", id),
+        ("almondsail-deadline-ms", "15000"),
+        ("almondsail-caller-service", "forged"),
+    ];
+    let method = if kind == "safe" { Method::GET } else { Method::POST };
+    let client = fleet.caller(node)?;
+    client.send(method, &format!("/{kind}/item"), "body".into(), &headers).await
+}
+
+/// The requests with `id` that ran, at all workers.
+fn runs(fleet: &Fleet, id: &str) -> usize {
+    let ran = fleet.nodes.iter().flat_map(|node| node.worker.ran());
+    ran.filter(|ran| ran.id == id).count()
+}
+
+async fn raw(address: SocketAddr, bytes: &[u8]) -> Result<String> {
+    let mut stream = TcpStream::connect(address).await?;
+    stream.write_all(bytes).await?;
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer).await?;
+    Ok(String::from_utf8_lossy(&answer).into_owned())
+}
+
+// Guards against a path that loses the signature, the id or the body, forwards a forged
+// caller, or lets a deadline grow.
+#[tokio::test]
+async fn path_served_whole() -> Result<()> {
+    let fleet = start().await?;
+    for (node, service, kind) in
+        [(0, "bays", "safe"), (0, "traslados", "unsafe"), (3, "bays", "unsafe")]
+    {
+        let id = format!("{node}-{service}-{kind}");
+        let reply = send(&fleet, node, service, kind, &id).await?;
+        assert_eq!(reply.status, 200);
+        assert_eq!(reply.headers["almondsail-attempt-id"], id.as_str());
+        assert_eq!(reply.headers["almondsail-server-signature"], format!("signed-{id}").as_str());
+        assert!(String::from_utf8_lossy(&reply.body).ends_with(" body"));
+        assert_eq!(runs(&fleet, &id), 1);
+        let ran = fleet.nodes.iter().flat_map(|n| n.worker.ran()).find(|ran| ran.id == id);
+        let ran = ran.expect("it ran");
+        assert_eq!(ran.caller, SERVICES[node % 2]);
+        assert!(ran.deadline_ms <= 15_000 && ran.deadline_ms > 5_000, "{}", ran.deadline_ms);
+    }
+    Ok(())
+}
+
+// Guards against bad input that is passed on, ends a node or displaces what was in force.
+#[tokio::test]
+async fn path_bad_input() -> Result<()> {
+    let fleet = start().await?;
+    let callers = fleet.address(0, "callers")?;
+    let cases: [(&[u8], &str); 6] = [
+        (b"no http at all\r\n\r\n", "HTTP/1.1 400"),
+        (b"GET / HTTP/1.1\r\nhost: other.example\r\nconnection: close\r\n\r\n", "HTTP/1.1 404"),
+        (b"POST / HTTP/1.1\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\nab", "HTTP/1.1 400"),
+        (
+            b"POST / HTTP/1.1\r\ncontent-length: 2\r\ntransfer-encoding: chunked\r\n\r\n",
+            "HTTP/1.1 400",
+        ),
+        (b"POST / HTTP/1.1\r\ncontent-length: 9999999\r\n\r\n", "HTTP/1.1 413"),
+        (b"POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\nxyz\r\n", "HTTP/1.1 400"),
+    ];
+    for (bytes, wanted) in cases {
+        let answer = raw(callers, bytes).await?;
+        assert!(answer.starts_with(wanted), "{:?} got {answer:?}", String::from_utf8_lossy(bytes));
+    }
+    let large = format!("GET / HTTP/1.1\r\nx: {}\r\n\r\n", "y".repeat(20_000));
+    assert!(raw(callers, large.as_bytes()).await?.starts_with("HTTP/1.1 431"));
+
+    let announcements = HttpClient::new(fleet.address(0, "announcements")?);
+    for body in ["", "{}", "no json", r#"{"address":7,"info":{},"status":{}}"#] {
+        let reply = announcements.put("/almondsail/instances/i-dc-a-bays", body).await?;
+        assert_eq!(reply.status, 400, "{body:?}");
+    }
+    fleet.store.edit(|state| {
+        state.put("op/config", b"{\"version\":");
+        state.put("op/rollout/bays", b"{}");
+        state.put("almondsail/nodes/other", b"foreign");
+        state.put("almondsail/unknown", b"");
+    });
+    fleet.configure(2, &["bays"]);
+    wait_until("the next good configuration", || async {
+        let reply = send(&fleet, 0, "traslados", "safe", "gone").await?;
+        ensure!(reply.status == 404, "{}", reply.status);
+        Ok(())
+    })
+    .await?;
+    assert_eq!(send(&fleet, 0, "bays", "safe", "still").await?.status, 200);
+    Ok(())
+}
+
+// Guards against requests of one connection that are answered out of order or not at all, and
+// bodies in chunks that are cut.
+#[tokio::test]
+async fn path_pipelined_and_chunked() -> Result<()> {
+    let fleet = start().await?;
+    let mut requests = String::new();
+    for n in 0..5 {
+        let last = if n == 4 { "connection: close\r\n" } else { "" };
+        requests += &format!(
+            "GET /safe/{n} HTTP/1.1\r\nhost: bays.example\r\nalmondsail-attempt-id: p{n}\r\n{last}\r\n"
+        );
+    }
+    let answer = raw(fleet.address(0, "callers")?, requests.as_bytes()).await?;
+    let places: Vec<Option<usize>> =
+        (0..5).map(|n| answer.find(&format!("almondsail-attempt-id: p{n}"))).collect();
+    assert!(places.iter().all(Option::is_some), "{answer}");
+    assert!(places.is_sorted(), "{answer}");
+    let chunked = "POST /unsafe/ HTTP/1.1\r\nhost: bays.example\r\nalmondsail-attempt-id: c\r\n\
+        transfer-encoding: chunked\r\nconnection: close\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+    let answer = raw(fleet.address(0, "callers")?, chunked.as_bytes()).await?;
+    assert!(answer.ends_with(" abcde"), "{answer}");
+    Ok(())
+}
+
+// Guards against a request that runs twice or is said not to have run although it did, when
+// answers are lost or belong to another request.
+#[tokio::test]
+async fn path_lost_and_wrong_answers() -> Result<()> {
+    let fleet = start().await?;
+    for (fault, status) in [(WorkerFault::LosesAnswers, 502), (WorkerFault::WrongId, 502)] {
+        fleet.nodes.iter().for_each(|node| node.worker.set_fault(fault));
+        let id = format!("unsafe-{fault:?}");
+        let reply = send(&fleet, 0, "bays", "unsafe", &id).await?;
+        assert_eq!(reply.status, status, "{fault:?}");
+        assert_eq!(reply.headers["almondsail-verdict"], "may-have-run");
+        assert_eq!(runs(&fleet, &id), 1);
+    }
+    fleet.nodes.iter().for_each(|node| node.worker.set_fault(WorkerFault::Sheds));
+    let reply = send(&fleet, 0, "bays", "unsafe", "shed").await?;
+    assert_eq!(reply.status, 503);
+    let retry_after = reply.headers["retry-after"].to_str()?.parse::<f64>()?;
+    assert!(retry_after > 0.0);
+    assert_eq!(runs(&fleet, "shed"), 0);
+    Ok(())
+}
+
+// Guards against calls to a server that said it leaves, at any node, and after a restart of
+// the node that was told so.
+#[tokio::test]
+async fn worker_leaves() -> Result<()> {
+    let mut fleet = start().await?;
+    let announcements = fleet.address(0, "announcements")?;
+    fleet.nodes[0].stop_announcing();
+    fleet.nodes[0].worker.leave(announcements).await?;
+    let ran = fleet.nodes[0].worker.ran().len();
+    for n in 0..20 {
+        let reply = send(&fleet, n % 4, "bays", "unsafe", &format!("left-{n}")).await?;
+        assert_eq!(reply.status, 200, "request {n}");
+    }
+    assert_eq!(fleet.nodes[0].worker.ran().len(), ran);
+    wait_until("the departure in the store", || async {
+        let entry = fleet.store.edit(|state| state.get("almondsail/nodes/dc-a-bays"));
+        let entry = String::from_utf8_lossy(&entry.unwrap_or_default()).into_owned();
+        ensure!(entry.contains("i-dc-a-bays"), "{entry:?}");
+        Ok(())
+    })
+    .await?;
+    fleet.kill(0)?;
+    fleet.restart(0).await?;
+    fleet.wait_until_ready(0).await?;
+    // A late announcement of the server that left.
+    fleet.nodes[0].worker.announce(announcements, "ready").await?;
+    fleet.wait_until_served(0, "bays").await?;
+    assert_eq!(fleet.nodes[0].worker.ran().len(), ran);
+    Ok(())
+}
+
+// Guards against a node that can't start without the store although others know everything,
+// and entries that stay away when the store is back.
+#[tokio::test]
+async fn node_restarts_store_away() -> Result<()> {
+    let mut fleet = start().await?;
+    fleet.store.set_mode(KvMode::Busy);
+    fleet.kill(0)?;
+    fleet.restart(0).await?;
+    fleet.wait_until_ready(0).await?;
+    for service in SERVICES {
+        fleet.wait_until_served(0, service).await?;
+    }
+    fleet.store.edit(|state| {
+        state.end_leases();
+        state.forget_history();
+    });
+    fleet.store.set_mode(KvMode::Up);
+    wait_until("the entries of all nodes", || async {
+        let entries = fleet.store.edit(|state| state.keys("almondsail/nodes/"));
+        ensure!(entries.len() == 4, "{entries:?}");
+        Ok(())
+    })
+    .await?;
+    fleet.configure(2, &["bays"]);
+    for node in 0..4 {
+        wait_until("the next configuration", || async {
+            let reply = send(&fleet, node, "traslados", "safe", "gone").await?;
+            ensure!(reply.status == 404, "{}", reply.status);
+            Ok(())
+        })
+        .await?;
+    }
+    Ok(())
+}
+
+// Guards against a planned stop that cuts requests, keeps the node ready, or does not end.
+#[tokio::test]
+async fn node_stops_under_load() -> Result<()> {
+    let mut fleet = start().await?;
+    let client = fleet.caller(0)?;
+    let ready = HttpClient::new(fleet.address(0, "ready")?);
+    let load = tokio::spawn(async move {
+        let mut answers = 0;
+        loop {
+            let headers = [("host", "traslados.example"), ("almondsail-attempt-id", "s")];
+            let reply = client.send(Method::POST, "/unsafe/", "x".into(), &headers).await;
+            match reply {
+                Ok(reply) => {
+                    ensure!(reply.status == 200 || reply.status == 503, "{}", reply.status)
+                }
+                // A connection that was refused took no request.
+                Err(error) if format!("{error:#}").contains("refused") => return Ok(answers),
+                Err(error) => return Err(error),
+            }
+            answers += 1;
+        }
+    });
+    wait_until("the first answers", || async {
+        ensure!(!fleet.nodes[1].worker.ran().is_empty());
+        Ok(())
+    })
+    .await?;
+    fleet.request_stop(0)?;
+    wait_until("the end of readiness", || async {
+        let is_ready = ready.get("/almondsail/readyz").await.is_ok_and(|reply| reply.status == 200);
+        ensure!(!is_ready, "it is still ready");
+        Ok(())
+    })
+    .await?;
+    assert!(fleet.ended(0).await?.success());
+    assert!(load.await?? > 0);
+    Ok(())
+}
