--- a/crates/core/tests/fleet_queue.rs
+++ b/crates/core/tests/fleet_queue.rs
@@ -184,11 +184,12 @@
                 4 | 5 => if let Some(call) = running.pop() {
                     woken = queue.end(now, &call, Some(Micros::new(u64::from(number))));
                 },
-                6 => if let Some((ticket, _)) = waiting.pop_first() {
-                    if !queue.cancel(ticket) {
+                6 => {
+                    let first = waiting.pop_first();
+                    if first.is_some_and(|(ticket, _)| !queue.cancel(ticket)) {
                         return false;
                     }
-                },
+                }
                 _ => {
                     slots = u32::from(number % 5);
                     woken = queue.set_slots(now, slots);
