--- a/crates/cli/src/cli.rs
+++ b/crates/cli/src/cli.rs
@@ -41,6 +41,7 @@
         .subcommand(run_command())
         .subcommand(outcome_command())
         .subcommand(report_command())
+        .subcommand(explain_command())
         .subcommand(Command::new("grammar").about("Prints the grammar of the command language"))
 }
 
@@ -116,6 +117,19 @@
         )
 }
 
+fn explain_command() -> Command {
+    Command::new("explain")
+        .about("Shows what became of a request, from the logs of nodes")
+        .arg(Arg::new("id").value_name("ID").required(true).help("The id of the caller's attempt"))
+        .arg(
+            Arg::new("logs")
+                .value_name("FILE")
+                .action(ArgAction::Append)
+                .value_parser(value_parser!(PathBuf))
+                .help("Logs of nodes; the standard input if there is none"),
+        )
+}
+
 fn parse_timeout(text: &str) -> Result<Duration, String> {
     match humantime::parse_duration(text) {
         Ok(span) if !span.is_zero() => Ok(span),
@@ -140,6 +154,10 @@
             member: required(args, "member"),
             since: required(args, "since"),
         }),
+        Some(("explain", args)) => Task::Explain {
+            id: required(args, "id"),
+            logs: args.get_many("logs").unwrap_or_default().cloned().collect(),
+        },
         _ => Task::Grammar,
     }
 }
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod delivery;
 pub mod exchange;
 pub mod exit;
+pub mod explain;
 pub mod language;
 pub mod options;
 pub mod output;
--- a/crates/cli/src/output/console.rs
+++ b/crates/cli/src/output/console.rs
@@ -21,6 +21,11 @@
         Self { format }
     }
 
+    /// The form.
+    pub const fn format(&self) -> Format {
+        self.format
+    }
+
     /// Writes a result; `text` makes its form for people.
     pub fn show<T: Serialize>(&self, value: &T, text: impl FnOnce(&T) -> String) {
         match self.format {
--- a/crates/cli/src/session.rs
+++ b/crates/cli/src/session.rs
@@ -1,7 +1,7 @@
 //! The run of the tool.
 
 use std::io::{self, BufRead};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 use almondsail_core::ids::{ConfigVersion, WriteId};
 use almondsail_core::operators::{CommandRequest, Query};
@@ -20,9 +20,10 @@
 use crate::delivery::{self, Delivery};
 use crate::exchange::{NodeClient, NodeRequest};
 use crate::exit::Exit;
+use crate::explain::{self, Explanation, LogLine};
 use crate::language::{GRAMMAR, Statement};
 use crate::options::Options;
-use crate::output::{Console, answer_text, outcome_text, report_text};
+use crate::output::{Console, Format, answer_text, outcome_text, report_text};
 use crate::task::Task;
 
 /// Reads the options, carries out the task and returns how it ended.
@@ -33,6 +34,9 @@
         console.text(GRAMMAR);
         return Exit::Done;
     }
+    if let Task::Explain { id, logs } = &task {
+        return explain_request(id, logs, &console);
+    }
     match Session::start(options) {
         Ok(mut session) => session.run(task),
         Err(e) => {
@@ -42,6 +46,40 @@
     }
 }
 
+/// Prints what became of the request `id`.
+fn explain_request(id: &str, logs: &[PathBuf], console: &Console) -> Exit {
+    let lines = match read_logs(logs) {
+        Ok(lines) => lines,
+        Err(e) => {
+            console.own_error("usage", &format!("{e:#}"));
+            return Exit::Usage;
+        }
+    };
+    let explanation = Explanation::of(id, lines);
+    if explanation.lines.is_empty() {
+        console.own_error("unknown", &format!("no line of the logs tells of the request {id}"));
+        return Exit::Refused;
+    }
+    match console.format() {
+        Format::Text => console.text(&explanation.to_string()),
+        Format::Json => console.text(&explanation.json()),
+    }
+    Exit::Done
+}
+
+fn read_logs(logs: &[PathBuf]) -> eyre::Result<Vec<LogLine>> {
+    if logs.is_empty() {
+        return Ok(explain::read(io::stdin().lock())?);
+    }
+    let mut lines = Vec::new();
+    for path in logs {
+        let name = || path.display().to_string();
+        let file = std::fs::File::open(path).wrap_err_with(name)?;
+        lines.extend(explain::read(io::BufReader::new(file)).wrap_err_with(name)?);
+    }
+    Ok(lines)
+}
+
 /// The statements of one run of the tool.
 struct Session {
     options: Options,
@@ -73,7 +111,8 @@
             Task::RunLines => self.run_lines(),
             Task::Outcome(write_id) => self.ask_outcome(write_id),
             Task::Report(query) => self.report(&query),
-            Task::Grammar => Exit::Done,
+            // Tasks that need no node were carried out before.
+            Task::Explain { .. } | Task::Grammar => Exit::Done,
         }
     }
 
--- a/crates/cli/src/task.rs
+++ b/crates/cli/src/task.rs
@@ -1,5 +1,7 @@
 //! What the tool is asked to do.
 
+use std::path::PathBuf;
+
 use almondsail_core::ids::WriteId;
 use almondsail_core::report::ReportQuery;
 
@@ -14,6 +16,13 @@
     Outcome(WriteId),
     /// Ask for the report of a member.
     Report(ReportQuery),
+    /// Show what became of a request, from the logs of nodes.
+    Explain {
+        /// The id of the caller's attempt.
+        id: String,
+        /// The logs; the standard input if there is none.
+        logs: Vec<PathBuf>,
+    },
     /// Print the grammar.
     Grammar,
 }
