--- /dev/null
+++ b/crates/core/examples/load_bound.rs
@@ -0,0 +1,160 @@
+//! Prints the share of requests that any policy could serve at a load.
+//!
+//! `cargo run --release --example load_bound -p almondsail-core [LOAD]`, where LOAD multiplies the
+//! usual rates (1 if left out). Both sites of the users' letter are shown.
+
+use std::process::ExitCode;
+
+/// The calls that a request makes of another service while it holds its own slot.
+struct InnerCalls {
+    service: usize,
+    /// How many, in the mean.
+    count: f64,
+    /// How long one runs at a server of speed 1, in seconds.
+    work: f64,
+}
+
+/// A kind of request.
+struct Kind {
+    name: &'static str,
+    service: usize,
+    /// Requests a second.
+    rate: f64,
+    /// How long one runs at a server of speed 1, in seconds.
+    work: f64,
+    inner: Option<InnerCalls>,
+}
+
+struct Service {
+    name: &'static str,
+    /// The speeds of its servers.
+    speeds: &'static [f64],
+}
+
+struct Site {
+    name: &'static str,
+    slots: f64,
+    services: [Service; 4],
+    kinds: [Kind; 4],
+}
+
+const fn inner(service: usize, count: f64, work: f64) -> Option<InnerCalls> {
+    Some(InnerCalls { service, count, work })
+}
+
+/// The figures of the users' pages; speeds repeat in the order of the servers.
+const SITES: [Site; 2] = [
+    Site {
+        name: "bodega-carros",
+        slots: 12.0,
+        services: [
+            Service { name: "bays", speeds: &[0.7, 0.7, 1.7, 0.7] },
+            Service { name: "traslados", speeds: &[0.5, 1.0, 1.0, 1.5] },
+            Service { name: "taller", speeds: &[0.5, 1.0, 1.0, 1.5] },
+            Service { name: "utileria", speeds: &[0.6, 1.0, 1.4, 0.6] },
+        ],
+        kinds: [
+            Kind {
+                name: "bay-lookup",
+                service: 0,
+                rate: 115.0,
+                work: 0.16,
+                inner: inner(1, 1.4, 0.04),
+            },
+            Kind {
+                name: "move-booking",
+                service: 1,
+                rate: 64.6,
+                work: 0.21,
+                inner: inner(2, 1.4, 0.04),
+            },
+            Kind {
+                name: "repair-history",
+                service: 2,
+                rate: 67.4,
+                work: 0.4,
+                inner: inner(3, 0.7, 0.04),
+            },
+            Kind { name: "prop-inventory", service: 3, rate: 30.9, work: 0.64, inner: None },
+        ],
+    },
+    Site {
+        name: "cala-mesh",
+        slots: 12.0,
+        services: [
+            Service { name: "berthdesk", speeds: &[0.55, 1.2, 1.2] },
+            Service { name: "transferbook", speeds: &[0.7, 0.7, 1.6] },
+            Service { name: "fleetboard", speeds: &[0.7, 0.7, 1.6] },
+            Service { name: "tankwatch", speeds: &[0.7, 0.7, 1.6] },
+        ],
+        kinds: [
+            Kind {
+                name: "slot-lookup",
+                service: 0,
+                rate: 299.0,
+                work: 0.06,
+                inner: inner(1, 1.4, 0.015),
+            },
+            Kind {
+                name: "transfer-booking",
+                service: 1,
+                rate: 149.0,
+                work: 0.078,
+                inner: inner(2, 1.4, 0.015),
+            },
+            Kind {
+                name: "vessel-status",
+                service: 2,
+                rate: 135.0,
+                work: 0.15,
+                inner: inner(3, 0.7, 0.015),
+            },
+            Kind { name: "water-report", service: 3, rate: 61.1, work: 0.24, inner: None },
+        ],
+    },
+];
+
+/// The slots that the requests of a site keep busy at `service` of speed 1.
+fn demand(site: &Site, service: usize, load: f64) -> f64 {
+    let own = |kind: &Kind| {
+        let waits = kind.inner.as_ref().map_or(0.0, |inner| inner.count * inner.work);
+        if kind.service == service { kind.rate * (kind.work + waits) } else { 0.0 }
+    };
+    let called = |kind: &Kind| match &kind.inner {
+        Some(inner) if inner.service == service => kind.rate * inner.count * inner.work,
+        _ => 0.0,
+    };
+    load * site.kinds.iter().map(|kind| own(kind) + called(kind)).sum::<f64>()
+}
+
+fn main() -> ExitCode {
+    let load = std::env::args().nth(1).map_or(Ok(1.0), |text| text.parse::<f64>());
+    let Ok(load) = load else {
+        eprintln!("expected a number such as 1.25");
+        return ExitCode::FAILURE;
+    };
+    for site in &SITES {
+        println!("{} at {load} times the usual load", site.name);
+        for (n, service) in site.services.iter().enumerate() {
+            let capacity = site.slots * service.speeds.iter().sum::<f64>();
+            let used = demand(site, n, load) / capacity;
+            let bar = "#".repeat((used * 30.0).min(60.0) as usize);
+            let served = (1.0 / used).min(1.0);
+            println!(
+                "  {:14} {:5.0}% used, {:4.0}% could be served {bar}",
+                service.name,
+                used * 100.0,
+                served * 100.0
+            );
+        }
+        for kind in &site.kinds {
+            println!(
+                "  {:16} {:6.1}/s to {}",
+                kind.name,
+                kind.rate * load,
+                site.services[kind.service].name
+            );
+        }
+    }
+    ExitCode::SUCCESS
+}
--- a/crates/core/src/fleet/attempts.rs
+++ b/crates/core/src/fleet/attempts.rs
@@ -55,11 +55,6 @@
         }
     }
 
-    /// Whether a try may have run.
-    pub const fn may_have_run(&self) -> bool {
-        self.may_have_run
-    }
-
     /// The verdict on the call after `verdict` on its last try.
     pub fn verdict(&self, last: Verdict) -> Verdict {
         if self.may_have_run { Verdict::MayHaveRun } else { last }
--- a/crates/core/tests/fleet_calls.rs
+++ b/crates/core/tests/fleet_calls.rs
@@ -157,6 +157,45 @@
     assert_eq!(agains, 2);
 }
 
+/// Guards against a copy of a call that may not arrive twice, or that the budget or the route
+/// does not allow. All cases are enumerated.
+#[test]
+fn may_hedge_every_case() {
+    for is_idempotent in [false, true] {
+        for max_arrivals in 1..=3 {
+            for has_budget in [false, true] {
+                let mut budget = RetryShare::new(PerMille::WHOLE, 1_000, Micros::new(10_000_000));
+                if has_budget {
+                    budget.first_arrival(at(0), &service());
+                    budget.first_arrival(at(5_000), &service());
+                }
+                let mut attempts = Attempts::new(is_idempotent, max_arrivals);
+                assert!(attempts.is_first_arrival());
+                let may = attempts.may_hedge(at(5_000), &service(), &mut budget);
+                let wanted = is_idempotent && max_arrivals > 1 && has_budget;
+                assert_eq!(may, wanted, "{is_idempotent} {max_arrivals} {has_budget}");
+                assert_eq!(attempts.is_first_arrival(), !wanted);
+            }
+        }
+    }
+}
+
+/// Guards against a copy beyond the arrivals that the route allows.
+#[test]
+fn may_hedge_after_arrival() {
+    let mut budget = RetryShare::new(PerMille::WHOLE, 1_000, Micros::new(10_000_000));
+    budget.first_arrival(at(0), &service());
+    (1..5).for_each(|s| budget.first_arrival(at(s * 5_000), &service()));
+    let failed = FailedTry { verdict: Verdict::MayHaveRun, has_arrived: true };
+    let mut attempts = Attempts::new(true, 2);
+    attempts.after(at(25_000), failed, &service(), &mut budget);
+    assert!(!attempts.is_first_arrival());
+    assert!(!attempts.may_hedge(at(25_000), &service(), &mut budget));
+    let mut more = Attempts::new(true, 3);
+    more.after(at(25_000), failed, &service(), &mut budget);
+    assert!(more.may_hedge(at(25_000), &service(), &mut budget));
+}
+
 /// Guards against copies of slow calls that take the place of others, or come too late.
 #[test]
 fn hedge_every_condition() {
