--- a/crates/cli/src/cli.rs
+++ b/crates/cli/src/cli.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use almondsail_core::ids::{MemberName, WriteId};
+use almondsail_core::ids::{TeamName, WriteId};
 use almondsail_core::report::ReportQuery;
 use almondsail_core::units::UnixMillis;
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
@@ -98,14 +98,14 @@
 
 fn report_command() -> Command {
     Command::new("report")
-        .about("Shows what was delivered to a member and at what cost")
+        .about("Shows what was delivered to a team and at what cost")
         .arg(
-            Arg::new("member")
-                .long("member")
+            Arg::new("team")
+                .long("team")
                 .value_name("NAME")
                 .required(true)
-                .value_parser(value_parser!(MemberName))
-                .help("The member"),
+                .value_parser(value_parser!(TeamName))
+                .help("The team"),
         )
         .arg(
             Arg::new("since")
@@ -151,7 +151,7 @@
         },
         Some(("outcome", args)) => Task::Outcome(required(args, "write-id")),
         Some(("report", args)) => Task::Report(ReportQuery {
-            member: required(args, "member"),
+            team: required(args, "team"),
             since: required(args, "since"),
         }),
         Some(("explain", args)) => Task::Explain {
--- a/crates/cli/src/language/grammar.rs
+++ b/crates/cli/src/language/grammar.rs
@@ -12,7 +12,7 @@
           | "show history" [SERVICE]
           | "where" SERVICE ["version" VERSION] ["in" DATA_CENTRE]
 
-command   = "create service" SERVICE "member" MEMBER
+command   = "create service" SERVICE "team" TEAM
           | "remove service" SERVICE
           | ("create route" | "change route") ROUTE "service" SERVICE "prefix" PATH
             ("idempotent" | "non-idempotent")
--- a/crates/cli/src/language/parser.rs
+++ b/crates/cli/src/language/parser.rs
@@ -2,7 +2,7 @@
 
 use almondsail_core::config::{Priority, Reason, Route, StopMark};
 use almondsail_core::ids::{
-    ConfigVersion, DataCentre, MemberName, RouteName, ServiceName, VersionName,
+    ConfigVersion, DataCentre, RouteName, ServiceName, TeamName, VersionName,
 };
 use almondsail_core::operators::{Command, Moment, Query};
 use winnow::combinator::{alt, opt, preceded, terminated};
@@ -114,8 +114,8 @@
 
 fn new_service(input: &mut Input<'_>) -> Parsed<Command> {
     let name = service(input)?;
-    let member: MemberName = preceded(word("member"), value("a member name")).parse_next(input)?;
-    Ok(Command::CreateService { name, member })
+    let team: TeamName = preceded(word("team"), value("a team name")).parse_next(input)?;
+    Ok(Command::CreateService { name, team })
 }
 
 fn route(input: &mut Input<'_>) -> Parsed<Route> {
--- a/crates/cli/src/output/answer_text.rs
+++ b/crates/cli/src/output/answer_text.rs
@@ -45,9 +45,9 @@
 }
 
 fn services(rows: &[config::Service]) -> Table {
-    let mut table = Table::new(&["SERVICE", "MEMBER", "STABLE VERSION"]);
+    let mut table = Table::new(&["SERVICE", "TEAM", "STABLE VERSION"]);
     for s in rows {
-        table.row([&s.name, &s.member, or_dash(&s.stable)]);
+        table.row([&s.name, &s.team, or_dash(&s.stable)]);
     }
     table
 }
--- a/crates/cli/src/output/report_text.rs
+++ b/crates/cli/src/output/report_text.rs
@@ -1,11 +1,11 @@
-//! The text of a member's report.
+//! The text of a team's report.
 
 use almondsail_wire::operator::Report;
 
 use super::time_text::time_text;
 use crate::output::Table;
 
-/// The sentences and the figures of a member's report.
+/// The sentences and the figures of a team's report.
 pub fn report_text(report: &Report) -> String {
     let (from, to) = (time_text(report.from_unix_ms), time_text(report.to_unix_ms));
     let sentences: String =
@@ -14,5 +14,5 @@
     for figure in &report.figures {
         table.row([&figure.name, &figure.value]);
     }
-    format!("member {} from {from} to {to}\n\n{sentences}\n{table}", report.member)
+    format!("team {} from {from} to {to}\n\n{sentences}\n{table}", report.team)
 }
--- a/crates/cli/src/output/table.rs
+++ b/crates/cli/src/output/table.rs
@@ -7,9 +7,9 @@
 /// ```
 /// use almondsail_cli::output::Table;
 ///
-/// let mut table = Table::new(&["SERVICE", "MEMBER"]);
+/// let mut table = Table::new(&["SERVICE", "TEAM"]);
 /// table.row(["bays", "depots"]);
-/// assert_eq!(table.to_string(), "SERVICE  MEMBER\nbays     depots\n");
+/// assert_eq!(table.to_string(), "SERVICE  TEAM\nbays     depots\n");
 /// ```
 #[derive(Debug, Clone)]
 pub struct Table {
--- a/crates/cli/src/session.rs
+++ b/crates/cli/src/session.rs
@@ -192,7 +192,7 @@
     }
 
     fn report(&self, query: &ReportQuery) -> Exit {
-        let path = format!("/v1/report?member={}&since={}", query.member, query.since);
+        let path = format!("/v1/report?team={}&since={}", query.team, query.since);
         let request = NodeRequest { method: Method::GET, path, body: Bytes::new() };
         let asked = delivery::ask::<wire::Report>(&self.client, &self.options.nodes, &request);
         match self.runtime.block_on(asked) {
--- a/crates/cli/src/task.rs
+++ b/crates/cli/src/task.rs
@@ -14,7 +14,7 @@
     RunLines,
     /// Ask how a command ended.
     Outcome(WriteId),
-    /// Ask for the report of a member.
+    /// Ask for the report of a team.
     Report(ReportQuery),
     /// Show what became of a request, from the logs of nodes.
     Explain {
--- a/crates/cli/tests/language.rs
+++ b/crates/cli/tests/language.rs
@@ -68,7 +68,7 @@
 
 fn command(g: &mut Gen) -> Command {
     match u8::arbitrary(g) % 14 {
-        0 => Command::CreateService { name: name(g), member: name(g) },
+        0 => Command::CreateService { name: name(g), team: name(g) },
         1 => Command::RemoveService(name(g)),
         2 => Command::CreateRoute(route(g)),
         3 => Command::ChangeRoute(route(g)),
@@ -144,8 +144,8 @@
              expected the end of the command; found \"now\"",
         ),
         (
-            "create service Bays member depots",
-            "create service Bays member depots\n               ^\n\
+            "create service Bays team depots",
+            "create service Bays team depots\n               ^\n\
              expected a service name; found \"Bays\"",
         ),
         (
--- a/crates/cli/tests/tool.rs
+++ b/crates/cli/tests/tool.rs
@@ -67,7 +67,7 @@
 async fn run_lines_in_turn() {
     let port = node().await;
     let script = "# A service with a route.\n\
-        create service bays member depots\n\
+        create service bays team depots\n\
         create version bays/v1\n\n\
         create route moves service bays prefix /moves non-idempotent priority interactive deadline 800ms\n\
         show config\n\
@@ -93,7 +93,7 @@
 #[tokio::test]
 async fn exit_codes() {
     let port = node().await;
-    let create = ["run", "create service bays member depots"];
+    let create = ["run", "create service bays team depots"];
     assert_eq!(tool(&[port.addr], &create, "").await.0, 0);
     let (code, out, _) = tool(&[port.addr], &create, "").await;
     assert_eq!((code, out.as_str()), (1, "refused because service bays exists already\n"));
@@ -102,7 +102,7 @@
     assert_eq!(err, "hold Bays\n     ^\nexpected a service name; found \"Bays\"\n");
     assert_eq!(tool(&[port.addr], &["run"], "").await.0, 2);
     assert_eq!(
-        tool(&[port.addr], &["report", "--member", "depots", "--since", "now"], "").await.0,
+        tool(&[port.addr], &["report", "--team", "depots", "--since", "now"], "").await.0,
         2
     );
     assert_eq!(tool(&[], &create, "").await.0, 2);
@@ -121,7 +121,7 @@
 async fn command_next_node() {
     let port = node().await;
     let nodes = [closed().await, port.addr];
-    let (code, out, err) = tool(&nodes, &["run", "create service bays member depots"], "").await;
+    let (code, out, err) = tool(&nodes, &["run", "create service bays team depots"], "").await;
     assert_eq!((code, out.as_str(), err.as_str()), (0, "accepted at version 1\n", ""));
 }
 
@@ -144,7 +144,7 @@
             }
         }
     });
-    let (code, out, err) = tool(&nodes, &["run", "create service bays member depots"], "").await;
+    let (code, out, err) = tool(&nodes, &["run", "create service bays team depots"], "").await;
     assert_eq!((code, out.as_str(), err.as_str()), (0, "accepted at version 1\n", ""));
     let (_, out, _) = tool(&[port.addr], &["run", "show history"], "").await;
     assert_eq!(out.matches("create service bays").count(), 1, "{out}");
@@ -155,7 +155,7 @@
 #[tokio::test]
 async fn command_in_doubt_stays_unknown() {
     let port = node().await;
-    let create = ["run", "create service bays member depots"];
+    let create = ["run", "create service bays team depots"];
     assert_eq!(tool(&[port.addr], &create, "").await.0, 0);
     let (code, out, err) = tool(&[silent().await, port.addr], &create, "").await;
     assert_eq!(code, 3, "{out}{err}");
@@ -178,7 +178,7 @@
             control.answer(request);
         }
     });
-    let script = "create service bays member depots\nshow services\ncreate version bays/v1\n\
+    let script = "create service bays team depots\nshow services\ncreate version bays/v1\n\
         create version bays/v2\ncreate version bays/v3 at version 1\nrollback bays\n";
     let (code, out, _) = tool(&[port.addr], &["run", "-"], script).await;
     assert_eq!(code, 1, "{out}");
@@ -189,7 +189,7 @@
 #[tokio::test]
 async fn json_lines() {
     let port = node().await;
-    let script = "create service bays member depots\nshow services\nhold bays\n";
+    let script = "create service bays team depots\nshow services\nhold bays\n";
     let (code, out, _) = tool(&[port.addr], &["--output", "json", "run", "-"], script).await;
     assert_eq!(code, 1);
     let lines: Vec<serde_json::Value> =
@@ -204,11 +204,11 @@
 #[tokio::test]
 async fn report_table() {
     let port = node().await;
-    let args = ["report", "--member", "depots", "--since", "2026-12-04T11:00:00Z"];
+    let args = ["report", "--team", "depots", "--since", "2026-12-04T11:00:00Z"];
     let (code, out, err) = tool(&[port.addr], &args, "").await;
     assert_eq!((code, err.as_str()), (0, ""));
     let lines = [
-        "member depots from 2026-12-04T11:00:00.000Z to 2026-12-04T11:01:00.000Z",
+        "team depots from 2026-12-04T11:00:00.000Z to 2026-12-04T11:01:00.000Z",
         "1 of 1 records of the nodes are missing or of a part of a minute; what they lack is in no \
          figure.",
         "The store has all 1 minutes of the data centres.",
--- a/crates/core/benches/control.rs
+++ b/crates/core/benches/control.rs
@@ -94,7 +94,7 @@
         };
         let version = ServerVersion { service: service.clone(), version: name("v1") };
         for change in [
-            Change::CreateService { name: service, member: name("depots") },
+            Change::CreateService { name: service, team: name("depots") },
             Change::CreateVersion(version),
             Change::CreateRoute(route),
         ] {
--- a/crates/core/benches/rollout_policies/run.rs
+++ b/crates/core/benches/rollout_policies/run.rs
@@ -266,7 +266,7 @@
 fn content(scenario: Scenario) -> ConfigContent {
     let mut content = ConfigContent::default();
     let service: ServiceName = name("bays");
-    let owner = Service { name: service.clone(), member: name("depots"), stable: Some(name("v1")) };
+    let owner = Service { name: service.clone(), team: name("depots"), stable: Some(name("v1")) };
     content.services.insert(service.clone(), owner);
     for version in ["v1", "v2"] {
         let version = ServerVersion { service: service.clone(), version: name(version) };
--- a/crates/core/src/config/change.rs
+++ b/crates/core/src/config/change.rs
@@ -7,7 +7,7 @@
 use crate::config::{
     ConfigContent, ConfigError, Rollout, RolloutPhase, Route, ServerVersion, Service, StopMark,
 };
-use crate::ids::{ConfigVersion, MemberName, RouteName, ServiceName, VersionName};
+use crate::ids::{ConfigVersion, RouteName, ServiceName, TeamName, VersionName};
 use crate::units::{PerMille, UnixMillis};
 
 /// A change that an operator, or the driver of a rollout, asks for.
@@ -18,7 +18,7 @@
         /// The service.
         name: ServiceName,
         /// Its owner.
-        member: MemberName,
+        team: TeamName,
     },
     /// Removes a service that has no routes, with its versions.
     RemoveService(ServiceName),
@@ -127,7 +127,7 @@
 
     fn edit(&self, content: &mut ConfigContent, now: UnixMillis) -> Result<(), ConfigError> {
         match self {
-            Self::CreateService { name, member } => create_service(content, name, member),
+            Self::CreateService { name, team } => create_service(content, name, team),
             Self::RemoveService(name) => remove_service(content, name),
             Self::CreateRoute(route) => create_route(content, route),
             Self::ReplaceRoute(route) => replace_route(content, route),
@@ -164,8 +164,8 @@
 impl fmt::Display for Change {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::CreateService { name, member } => {
-                write!(f, "create service {name} for member {member}")
+            Self::CreateService { name, team } => {
+                write!(f, "create service {name} for team {team}")
             }
             Self::RemoveService(name) => write!(f, "remove service {name}"),
             Self::CreateRoute(route) => write!(f, "create route {}", route.name),
@@ -199,12 +199,12 @@
 fn create_service(
     content: &mut ConfigContent,
     name: &ServiceName,
-    member: &MemberName,
+    team: &TeamName,
 ) -> Result<(), ConfigError> {
     if content.services.contains_key(name) {
         return Err(ConfigError::ServiceExists(name.clone()));
     }
-    let service = Service { name: name.clone(), member: member.clone(), stable: None };
+    let service = Service { name: name.clone(), team: team.clone(), stable: None };
     content.services.insert(name.clone(), service);
     Ok(())
 }
--- a/crates/core/src/config/config_error.rs
+++ b/crates/core/src/config/config_error.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 
 use crate::config::PathPrefix;
-use crate::ids::{MemberName, RouteName, ServiceName, VersionName};
+use crate::ids::{RouteName, ServiceName, TeamName, VersionName};
 
 /// Why a configuration or a change is refused.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -46,8 +46,8 @@
     VersionStopped(ServiceName, VersionName),
     /// Nothing is stopped that the command would clear.
     NotStopped(ServiceName, VersionName),
-    /// The service belongs to another member.
-    WrongMember(ServiceName, MemberName),
+    /// The service belongs to another team.
+    WrongTeam(ServiceName, TeamName),
     /// There are more entries of a kind than allowed.
     TooMany {
         /// The kind of entry.
@@ -99,7 +99,7 @@
                 write!(f, "version {s}/{v} is stopped; clear the stop first")
             }
             Self::NotStopped(s, v) => write!(f, "version {s}/{v} is not stopped"),
-            Self::WrongMember(s, m) => write!(f, "service {s} belongs to member {m}"),
+            Self::WrongTeam(s, m) => write!(f, "service {s} belongs to team {m}"),
             Self::TooMany { kind, limit } => write!(f, "there may be at most {limit} {kind}"),
             Self::Text(field) => {
                 write!(f, "{field} must be at most 512 bytes without line breaks")
--- a/crates/core/src/config/content.rs
+++ b/crates/core/src/config/content.rs
@@ -28,7 +28,7 @@
     pub(crate) fn write_canonical(&self, out: &mut String) -> fmt::Result {
         for service in self.services.values() {
             let stable = service.stable.as_ref().map_or("", |v| v.as_str());
-            writeln!(out, "service {} {} {stable}", service.name, service.member)?;
+            writeln!(out, "service {} {} {stable}", service.name, service.team)?;
         }
         for route in self.routes.values() {
             writeln!(
--- a/crates/core/src/control/store_access.rs
+++ b/crates/core/src/control/store_access.rs
@@ -226,7 +226,7 @@
     Some(Submission {
         write_id: WriteId::new(rng.random()),
         operator: MESH_OPERATOR.parse().ok()?,
-        member: None,
+        team: None,
         base,
         change,
         dry_run: false,
--- a/crates/core/src/control/store_events.rs
+++ b/crates/core/src/control/store_events.rs
@@ -8,7 +8,7 @@
 use crate::control::stop_origin::StopOrigin;
 use crate::control::{Action, RequestId};
 use crate::ids::WriteId;
-use crate::store::scope::check_member;
+use crate::store::scope::check_team;
 use crate::store::{JobId, Outcome, RefusedChange, StoreReply, Submission, WriterStep};
 
 impl Control {
@@ -75,7 +75,7 @@
         let change = &submission.change;
         let marks = change.stops(&config.content);
         let is_allowed = !submission.dry_run
-            && check_member(submission, &config.content).is_ok()
+            && check_team(submission, &config.content).is_ok()
             && change.apply(&config.content, cx.wall).is_ok();
         if marks.is_empty() || !is_allowed {
             return false;
--- a/crates/core/src/ids/member_name.rs
+++ /dev/null
@@ -1,7 +0,0 @@
-//! The name of a member.
-
-name_type!(
-    /// A member, one of the customers who share an installation.
-    MemberName,
-    "member"
-);
--- a/crates/core/src/operators/command.rs
+++ b/crates/core/src/operators/command.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use crate::config::{Change, ConfigContent, ConfigError, Reason, Route, ServerVersion, StopMark};
-use crate::ids::{ConfigVersion, MemberName, RouteName, ServiceName, VersionName};
+use crate::ids::{ConfigVersion, RouteName, ServiceName, TeamName, VersionName};
 use crate::operators::Moment;
 use crate::units::UnixMillis;
 
@@ -19,7 +19,7 @@
         /// The service.
         name: ServiceName,
         /// Its owner.
-        member: MemberName,
+        team: TeamName,
     },
     /// Remove a service that has no routes.
     RemoveService(ServiceName),
@@ -93,7 +93,7 @@
         earlier: Option<ConfigContent>,
     ) -> Result<Change, ConfigError> {
         Ok(match self {
-            Self::CreateService { name, member } => Change::CreateService { name, member },
+            Self::CreateService { name, team } => Change::CreateService { name, team },
             Self::RemoveService(name) => Change::RemoveService(name),
             Self::CreateRoute(route) => Change::CreateRoute(route),
             Self::ChangeRoute(route) => Change::ReplaceRoute(route),
@@ -129,8 +129,8 @@
 impl fmt::Display for Command {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::CreateService { name, member } => {
-                write!(f, "create service {name} member {member}")
+            Self::CreateService { name, team } => {
+                write!(f, "create service {name} team {team}")
             }
             Self::RemoveService(name) => write!(f, "remove service {name}"),
             Self::CreateRoute(route) => write_route(f, "create", route),
--- a/crates/core/src/peers/peer_table.rs
+++ b/crates/core/src/peers/peer_table.rs
@@ -209,8 +209,8 @@
         links
     }
 
-    fn links_among(&self, id: &NodeId, is_member: impl Fn(&Entry) -> bool) -> Links {
-        let is_on_ring = |entry: &&Entry| is_member(entry) || entry.peer.id == *id;
+    fn links_among(&self, id: &NodeId, is_team: impl Fn(&Entry) -> bool) -> Links {
+        let is_on_ring = |entry: &&Entry| is_team(entry) || entry.peer.id == *id;
         let mut ring: Vec<(u64, &NodeId)> =
             self.entries.values().filter(is_on_ring).map(|e| (e.position, &e.peer.id)).collect();
         ring.sort_unstable();
--- a/crates/core/src/report/call_counts.rs
+++ b/crates/core/src/report/call_counts.rs
@@ -1,9 +1,9 @@
-//! Counts of a member's calls by how they ended.
+//! Counts of a team's calls by how they ended.
 
 use crate::RefusalReason;
 use crate::report::CallEnd;
 
-/// Counts of a member's calls by how they ended. Each call is in exactly one of them.
+/// Counts of a team's calls by how they ended. Each call is in exactly one of them.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct CallCounts {
     /// Answered in full before the deadline.
--- a/crates/core/src/report/change_sums.rs
+++ b/crates/core/src/report/change_sums.rs
@@ -1,13 +1,13 @@
 //! How long a change took on the nodes of a data centre.
 
-use crate::ids::MemberName;
+use crate::ids::TeamName;
 use crate::units::{Millis, UnixMillis};
 
 /// How long a change took to be in force on the nodes of a data centre.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ChangeSums {
-    /// The member whose service it changed; `None` if it may concern every member.
-    pub member: Option<MemberName>,
+    /// The team whose service it changed; `None` if it may concern every team.
+    pub team: Option<TeamName>,
     /// When it was accepted.
     pub accepted: UnixMillis,
     /// The nodes on which it was in force. Each node counts itself once.
--- a/crates/core/src/report/cost.rs
+++ b/crates/core/src/report/cost.rs
@@ -1,12 +1,12 @@
-//! What the mesh costs, and how members share it.
+//! What the mesh costs, and how teams share it.
 
 use std::collections::BTreeMap;
 
-use crate::ids::MemberName;
+use crate::ids::TeamName;
 use crate::units::{ByteCount, Micros, PerMille};
 
-/// The part of each cost that the members share equally: peers, configuration
-/// and heartbeats cost the same however few calls a member has.
+/// The part of each cost that the teams share equally: peers, configuration
+/// and heartbeats cost the same however few calls a team has.
 pub const FIXED_PART: PerMille = match PerMille::new(250) {
     Some(part) => part,
     None => PerMille::WHOLE,
@@ -41,20 +41,20 @@
         }
     }
 
-    /// Shares this cost between the members of `calls`: [`FIXED_PART`] equally,
+    /// Shares this cost between the teams of `calls`: [`FIXED_PART`] equally,
     /// the rest by their numbers of calls, or equally if there were none.
     ///
     /// The shares add up to the cost exactly; what whole units can't divide goes
-    /// to the members in the order of their names, one unit each.
-    pub fn share(&self, calls: &BTreeMap<MemberName, u64>) -> BTreeMap<MemberName, Self> {
+    /// to the teams in the order of their names, one unit each.
+    pub fn share(&self, calls: &BTreeMap<TeamName, u64>) -> BTreeMap<TeamName, Self> {
         let weights: Vec<u64> = calls.values().copied().collect();
         let cpu = split(self.cpu.get(), &weights);
         let bytes = split(self.bytes.get(), &weights);
         let store_calls = split(self.store_calls, &weights);
-        let share = |(i, member): (usize, &MemberName)| {
+        let share = |(i, team): (usize, &TeamName)| {
             let cpu = Micros::new(cpu[i]);
             let bytes = ByteCount::new(bytes[i]);
-            (member.clone(), Self { cpu, bytes, store_calls: store_calls[i] })
+            (team.clone(), Self { cpu, bytes, store_calls: store_calls[i] })
         };
         calls.keys().enumerate().map(share).collect()
     }
@@ -86,6 +86,6 @@
         *part += 1;
         rest -= 1;
     }
-    debug_assert_eq!(rest, 0, "rounding leaves less than one unit for each member");
+    debug_assert_eq!(rest, 0, "rounding leaves less than one unit for each team");
     parts
 }
--- a/crates/core/src/report/ledger.rs
+++ b/crates/core/src/report/ledger.rs
@@ -4,7 +4,7 @@
 
 use crate::config::{Config, ConfigContent, HistoryEntry, ServerVersion};
 use crate::control::is_active;
-use crate::ids::{MemberName, NodeId};
+use crate::ids::{NodeId, TeamName};
 use crate::report::{AccountingRecord, ChangeSums, Cost, EndedCalls, Minute, RolloutRecord, Sums};
 use crate::rollout::{CallOutcome, CountedAt, CountedCalls};
 use crate::units::UnixMillis;
@@ -39,13 +39,13 @@
     }
 
     /// Counts calls that entered the mesh here. Calls of a service that the
-    /// configuration no longer has belong to no member and are not counted.
+    /// configuration no longer has belong to no team and are not counted.
     pub fn count(&mut self, ended: &[EndedCalls], content: &ConfigContent) {
         for calls in ended {
             let Some(service) = content.services.get(&calls.service) else { continue };
             let route = content.routes.get(&calls.route);
             let is_idempotent = route.is_some_and(|route| route.idempotent);
-            let counts = self.sums.members.entry(service.member.clone()).or_default();
+            let counts = self.sums.teams.entry(service.team.clone()).or_default();
             counts.record(calls.end, is_idempotent, calls.calls);
         }
     }
@@ -86,7 +86,7 @@
         let is_new = |e: &&HistoryEntry| e.version > before && e.at >= self.started;
         for entry in config.history.iter().filter(is_new) {
             let change = ChangeSums {
-                member: self.member_of(entry, config),
+                team: self.team_of(entry, config),
                 accepted: entry.at,
                 nodes: 1,
                 expected: 0,
@@ -113,12 +113,12 @@
         })
     }
 
-    /// The member that a change concerned, also if it deleted the service.
-    fn member_of(&self, entry: &HistoryEntry, config: &Config) -> Option<MemberName> {
+    /// The team that a change concerned, also if it deleted the service.
+    fn team_of(&self, entry: &HistoryEntry, config: &Config) -> Option<TeamName> {
         let service = entry.service.as_ref()?;
         let configs = [Some(config), self.applied.as_deref()];
         let mut owners = configs.into_iter().flatten();
-        owners.find_map(|cfg| cfg.content.services.get(service)).map(|s| s.member.clone())
+        owners.find_map(|cfg| cfg.content.services.get(service)).map(|s| s.team.clone())
     }
 
     fn note_rollouts(&mut self, config: &Config, wall: UnixMillis) {
@@ -131,7 +131,7 @@
             let Some(service) = config.content.services.get(&rollout.service) else { continue };
             if !is_known
                 && !is_old
-                && let Some(record) = RolloutRecord::of(rollout, &service.member, wall)
+                && let Some(record) = RolloutRecord::of(rollout, &service.team, wall)
             {
                 self.sums.add_rollout(&record);
             }
--- a/crates/core/src/report/mod.rs
+++ b/crates/core/src/report/mod.rs
@@ -1,8 +1,8 @@
-//! What a member's board reads: what was delivered, and at what cost.
+//! What a team's board reads: what was delivered, and at what cost.
 //!
 //! Each node counts ([`Ledger`]) and sends a record a minute
 //! ([`AccountingRecord`]) to the collector of its data centre ([`Collector`]),
-//! which adds the records up in the store ([`HourValue`]). [`MemberReport`] is
+//! which adds the records up in the store ([`HourValue`]). [`TeamReport`] is
 //! made from the hours read back ([`StoredHours`]). What is missing is counted
 //! as missing.
 
@@ -19,7 +19,6 @@
 mod hour_write;
 mod in_force_times;
 mod ledger;
-mod member_report;
 mod minute;
 mod report_input;
 mod report_period;
@@ -27,6 +26,7 @@
 mod rollout_record;
 mod stored_hours;
 mod sums;
+mod team_report;
 
 pub use accounting_record::AccountingRecord;
 pub use call_counts::CallCounts;
@@ -40,7 +40,6 @@
 pub use hour_value::{HourValue, MAX_WRITE_IDS};
 pub use in_force_times::InForceTimes;
 pub use ledger::Ledger;
-pub use member_report::MemberReport;
 pub use minute::Minute;
 pub use report_input::ReportInput;
 pub use report_period::{MAX_REPORT_HOURS, ReportPeriod};
@@ -48,3 +47,4 @@
 pub use rollout_record::{RolloutEnd, RolloutKey, RolloutRecord};
 pub use stored_hours::{Gaps, StoredHours};
 pub use sums::Sums;
+pub use team_report::TeamReport;
--- a/crates/core/src/report/rollout_record.rs
+++ b/crates/core/src/report/rollout_record.rs
@@ -1,7 +1,7 @@
 //! How a rollout ended.
 
 use crate::config::{Rollout, RolloutPhase};
-use crate::ids::{MemberName, ServiceName, VersionName};
+use crate::ids::{ServiceName, TeamName, VersionName};
 use crate::units::UnixMillis;
 
 /// How a rollout ended.
@@ -21,12 +21,12 @@
 /// What identifies a rollout: its service, its new version and its start.
 pub type RolloutKey = (ServiceName, VersionName, UnixMillis);
 
-/// How a rollout of a member ended.
+/// How a rollout of a team ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RolloutRecord {
-    /// The member.
-    pub member: MemberName,
-    /// The member's service.
+    /// The team.
+    pub team: TeamName,
+    /// The team's service.
     pub service: ServiceName,
     /// The new version.
     pub version: VersionName,
@@ -44,9 +44,9 @@
         (self.service.clone(), self.version.clone(), self.started)
     }
 
-    /// How `rollout` of `member` has ended; `None` if it goes on and its deadline
+    /// How `rollout` of `team` has ended; `None` if it goes on and its deadline
     /// is after `wall`.
-    pub fn of(rollout: &Rollout, member: &MemberName, wall: UnixMillis) -> Option<Self> {
+    pub fn of(rollout: &Rollout, team: &TeamName, wall: UnixMillis) -> Option<Self> {
         let (ended, end) = match rollout.phase {
             RolloutPhase::RolledBack => (rollout.changed, RolloutEnd::RolledBack { touched: None }),
             RolloutPhase::Completed if rollout.changed <= rollout.deadline => {
@@ -57,7 +57,7 @@
             _ => return None,
         };
         Some(Self {
-            member: member.clone(),
+            team: team.clone(),
             service: rollout.service.clone(),
             version: rollout.to.clone(),
             started: rollout.started,
--- a/crates/core/src/report/sums.rs
+++ b/crates/core/src/report/sums.rs
@@ -4,7 +4,7 @@
 use std::collections::btree_map::Entry;
 
 use crate::config::ServerVersion;
-use crate::ids::{ConfigVersion, MemberName};
+use crate::ids::{ConfigVersion, TeamName};
 use crate::report::{CallCounts, ChangeSums, Cost, RolloutKey, RolloutRecord};
 
 /// What nodes counted, added up. Addition gives the same in any order.
@@ -12,8 +12,8 @@
 pub struct Sums {
     /// The cost of the nodes.
     pub cost: Cost,
-    /// The calls of each member that entered the mesh.
-    pub members: BTreeMap<MemberName, CallCounts>,
+    /// The calls of each team that entered the mesh.
+    pub teams: BTreeMap<TeamName, CallCounts>,
     /// The calls that doors ran for versions that a rollout moves traffic to.
     pub touched: BTreeMap<ServerVersion, u64>,
     /// The rollouts that ended. Every node sees each of them, so they are a set.
@@ -26,8 +26,8 @@
     /// Adds what other nodes, or the same ones at another time, counted.
     pub fn add(&mut self, other: &Self) {
         self.cost.add(&other.cost);
-        for (member, counts) in &other.members {
-            self.members.entry(member.clone()).or_default().add(counts);
+        for (team, counts) in &other.teams {
+            self.teams.entry(team.clone()).or_default().add(counts);
         }
         for (version, calls) in &other.touched {
             let sum = self.touched.entry(version.clone()).or_default();
--- a/crates/core/src/report/member_report.rs
+++ b/crates/core/src/report/team_report.rs
@@ -1,26 +1,26 @@
-//! What a member's board reads.
+//! What a team's board reads.
 
 use std::collections::BTreeMap;
 use std::fmt;
 
 use crate::config::ServerVersion;
-use crate::ids::MemberName;
+use crate::ids::TeamName;
 use crate::report::{
     CallCounts, ChangeSums, Cost, Gaps, InForceTimes, Minute, ReportInput, RolloutEnd,
     RolloutRecord, Sums,
 };
 use crate::units::Millis;
 
-/// What a member's board reads about a period.
+/// What a team's board reads about a period.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct MemberReport {
-    /// The member.
-    pub member: MemberName,
+pub struct TeamReport {
+    /// The team.
+    pub team: TeamName,
     /// The first minute of the period.
     pub from: Minute,
     /// The first minute after the period.
     pub to: Minute,
-    /// The member's calls.
+    /// The team's calls.
     pub calls: CallCounts,
     /// The rollouts that were complete before their deadline.
     pub in_time: u64,
@@ -28,35 +28,35 @@
     pub late: u64,
     /// The rollouts that were rolled back. Each one's end is `RolledBack`.
     pub rolled_back: Vec<RolloutRecord>,
-    /// The times until the member's changes were in force.
+    /// The times until the team's changes were in force.
     pub in_force: InForceTimes,
-    /// The member's share of the cost.
+    /// The team's share of the cost.
     pub cost: Cost,
-    /// The cost of all members together.
+    /// The cost of all teams together.
     pub total_cost: Cost,
     /// What is missing; its calls and costs are in no figure.
     pub gaps: Gaps,
 }
 
-impl MemberReport {
-    /// The report of `member`.
-    pub fn new(member: &MemberName, input: ReportInput<'_>) -> Self {
+impl TeamReport {
+    /// The report of `team`.
+    pub fn new(team: &TeamName, input: ReportInput<'_>) -> Self {
         let (from, to) = (input.period.from.first(), input.period.to);
         let total = input.hours.total();
-        let rollouts = rollouts(member, &input, &total);
+        let rollouts = rollouts(team, &input, &total);
         let count = |end: RolloutEnd| rollouts.iter().filter(|r| r.end == end).count() as u64;
         let (in_time, late) = (count(RolloutEnd::InTime), count(RolloutEnd::Late));
         let is_rolled_back = |r: &RolloutRecord| matches!(r.end, RolloutEnd::RolledBack { .. });
         Self {
-            member: member.clone(),
+            team: team.clone(),
             from,
             to,
-            calls: total.members.get(member).copied().unwrap_or_default(),
+            calls: total.teams.get(team).copied().unwrap_or_default(),
             in_time,
             late,
             rolled_back: rollouts.into_iter().filter(is_rolled_back).collect(),
-            in_force: in_force(member, &input),
-            cost: shares(&input, &total).remove(member).unwrap_or_default(),
+            in_force: in_force(team, &input),
+            cost: shares(&input, &total).remove(team).unwrap_or_default(),
             total_cost: total.cost,
             gaps: input.hours.gaps(from, to),
         }
@@ -102,7 +102,7 @@
             "Of {} calls of {}, {} were delivered in time, {} were late, {} were refused \
              unrun, and {} non-idempotent ones are in doubt.",
             self.calls.total(),
-            self.member,
+            self.team,
             self.calls.delivered,
             self.calls.late,
             self.calls.refused,
@@ -135,7 +135,7 @@
 
     fn cost_sentence(&self) -> String {
         format!(
-            "The member's share of the cost is {} of {} of processor time, {} of {}, and {} of \
+            "The team's share of the cost is {} of {} of processor time, {} of {}, and {} of \
              {} store calls.",
             self.cost.cpu,
             self.total_cost.cpu,
@@ -171,7 +171,7 @@
     }
 }
 
-impl fmt::Display for MemberReport {
+impl fmt::Display for TeamReport {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         for sentence in self.sentences() {
             writeln!(f, "{sentence}")?;
@@ -196,20 +196,19 @@
     }
 }
 
-/// The rollouts of `member` that ended in the period or whose deadline passed in it.
-fn rollouts(member: &MemberName, input: &ReportInput<'_>, total: &Sums) -> Vec<RolloutRecord> {
+/// The rollouts of `team` that ended in the period or whose deadline passed in it.
+fn rollouts(team: &TeamName, input: &ReportInput<'_>, total: &Sums) -> Vec<RolloutRecord> {
     let mut all = Sums { rollouts: total.rollouts.clone(), ..Sums::default() };
     for rollout in input.content.rollouts.values() {
         if let Some(service) = input.content.services.get(&rollout.service)
-            && let Some(record) =
-                RolloutRecord::of(rollout, &service.member, input.period.to.start())
+            && let Some(record) = RolloutRecord::of(rollout, &service.team, input.period.to.start())
         {
             // A node may have seen the end of a rollout that still is open here.
             all.rollouts.entry(record.key()).or_insert(record);
         }
     }
     let period = input.period.start()..input.period.to.start();
-    let is_wanted = |r: &RolloutRecord| r.member == *member && period.contains(&r.ended);
+    let is_wanted = |r: &RolloutRecord| r.team == *team && period.contains(&r.ended);
     all.rollouts.into_values().filter(is_wanted).map(|r| with_touched(r, input)).collect()
 }
 
@@ -223,22 +222,22 @@
     record
 }
 
-/// The times of the member's changes. One of the last minute may still be on
+/// The times of the team's changes. One of the last minute may still be on
 /// its way to the nodes or to the store.
-fn in_force(member: &MemberName, input: &ReportInput<'_>) -> InForceTimes {
+fn in_force(team: &TeamName, input: &ReportInput<'_>) -> InForceTimes {
     let last = Minute::new(input.period.to.get().saturating_sub(1)).start();
     let is_wanted = |change: &ChangeSums| {
-        change.member.as_ref().is_none_or(|m| m == member)
+        change.team.as_ref().is_none_or(|m| m == team)
             && (input.period.start()..last).contains(&change.accepted)
     };
     let changes = input.hours.changes();
     InForceTimes::of(changes.values().filter(|(c, _)| is_wanted(c)).map(|(_, time)| *time))
 }
 
-/// The share of each member of the configuration, and of each with calls, in the cost.
-fn shares(input: &ReportInput<'_>, total: &Sums) -> BTreeMap<MemberName, Cost> {
-    let members = input.content.services.values().map(|service| (service.member.clone(), 0));
-    let mut calls: BTreeMap<MemberName, u64> = members.collect();
-    calls.extend(total.members.iter().map(|(member, counts)| (member.clone(), counts.total())));
+/// The share of each team of the configuration, and of each with calls, in the cost.
+fn shares(input: &ReportInput<'_>, total: &Sums) -> BTreeMap<TeamName, Cost> {
+    let teams = input.content.services.values().map(|service| (service.team.clone(), 0));
+    let mut calls: BTreeMap<TeamName, u64> = teams.collect();
+    calls.extend(total.teams.iter().map(|(team, counts)| (team.clone(), counts.total())));
     total.cost.share(&calls)
 }
--- a/crates/core/src/store/edit_text.rs
+++ b/crates/core/src/store/edit_text.rs
@@ -7,7 +7,7 @@
     match edit {
         Edit::PutService(s) => {
             let stable = s.stable.as_ref().map_or("none", |version| version.as_str());
-            format!("service {}: member {}, stable version {stable}", s.name, s.member)
+            format!("service {}: team {}, stable version {stable}", s.name, s.team)
         }
         Edit::RemoveService(name) => format!("service {name}: removed"),
         Edit::PutRoute(r) => format!(
--- a/crates/core/src/store/scope.rs
+++ b/crates/core/src/store/scope.rs
@@ -1,7 +1,7 @@
 //! What a change concerns.
 
 use crate::config::{Change, ConfigContent, ConfigError, HistoryEntry};
-use crate::ids::{ConfigVersion, MemberName, ServiceName};
+use crate::ids::{ConfigVersion, ServiceName, TeamName};
 use crate::store::Submission;
 
 /// The services that `change` concerns in `content`; empty if it concerns all.
@@ -28,14 +28,14 @@
     }
 }
 
-/// Refuses a change of a service of another member than the submission's.
-pub(crate) fn check_member(
+/// Refuses a change of a service of another team than the submission's.
+pub(crate) fn check_team(
     submission: &Submission,
     content: &ConfigContent,
 ) -> Result<(), ConfigError> {
-    let Some(member) = &submission.member else { return Ok(()) };
-    if let Change::CreateService { name, member: owner } = &submission.change {
-        return require_same(name, owner, member);
+    let Some(team) = &submission.team else { return Ok(()) };
+    if let Change::CreateService { name, team: owner } = &submission.change {
+        return require_same(name, owner, team);
     }
     let concerned = match &submission.change {
         Change::Restore { .. } => content.services.keys().collect(),
@@ -43,12 +43,12 @@
     };
     for name in concerned {
         if let Some(service) = content.services.get(name) {
-            require_same(name, &service.member, member)?;
+            require_same(name, &service.team, team)?;
         }
     }
     if let Change::Restore { content: earlier, .. } = &submission.change {
         for service in earlier.services.values() {
-            require_same(&service.name, &service.member, member)?;
+            require_same(&service.name, &service.team, team)?;
         }
     }
     Ok(())
@@ -56,14 +56,10 @@
 
 fn require_same(
     service: &ServiceName,
-    owner: &MemberName,
-    member: &MemberName,
+    owner: &TeamName,
+    team: &TeamName,
 ) -> Result<(), ConfigError> {
-    if owner == member {
-        Ok(())
-    } else {
-        Err(ConfigError::WrongMember(service.clone(), owner.clone()))
-    }
+    if owner == team { Ok(()) } else { Err(ConfigError::WrongTeam(service.clone(), owner.clone())) }
 }
 
 /// The change in `history` that came first, if what `concerned` names may have changed since `base`.
--- a/crates/core/src/store/store_job.rs
+++ b/crates/core/src/store/store_job.rs
@@ -5,7 +5,7 @@
 use crate::config::{Config, ConfigContent, Delta, HistoryEntry, MAX_HISTORY_ENTRIES};
 use crate::ids::{ConfigVersion, WriteId};
 use crate::store::edit_text::edit_text;
-use crate::store::scope::{check_member, overtaken_by, single_service};
+use crate::store::scope::{check_team, overtaken_by, single_service};
 use crate::store::{
     JobId, Outcome, RefusedChange, Revision, StoreError, StoreReply, StoreRequest, StoredConfig,
     Submission,
@@ -202,7 +202,7 @@
     let empty = ConfigContent::default();
     let content = current.map_or(&empty, |cfg| &cfg.content);
     let history = current.map_or(&[][..], |cfg| &cfg.history);
-    check_member(submission, content).map_err(|e| RefusedChange::Invalid(vec![e]))?;
+    check_team(submission, content).map_err(|e| RefusedChange::Invalid(vec![e]))?;
     let service = single_service(&submission.change, content);
     if let Some(base) = submission.base
         && let Some(winner) = overtaken_by(history, base, service.as_ref())
--- a/crates/core/src/store/submission.rs
+++ b/crates/core/src/store/submission.rs
@@ -1,7 +1,7 @@
 //! A change as it is submitted.
 
 use crate::config::Change;
-use crate::ids::{ConfigVersion, MemberName, OperatorName, WriteId};
+use crate::ids::{ConfigVersion, OperatorName, TeamName, WriteId};
 
 /// A change as an operator, or the driver of a rollout, submits it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -10,8 +10,8 @@
     pub write_id: WriteId,
     /// Who submits it.
     pub operator: OperatorName,
-    /// The member to whose services the operator is limited; `None` for all.
-    pub member: Option<MemberName>,
+    /// The team to whose services the operator is limited; `None` for all.
+    pub team: Option<TeamName>,
     /// The configuration version that the change was decided on, if it matters.
     pub base: Option<ConfigVersion>,
     /// The change.
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -63,7 +63,7 @@
     Submission {
         write_id: WriteId::new(bytes),
         operator: name("op"),
-        member: None,
+        team: None,
         base: None,
         change,
         dry_run: false,
@@ -71,7 +71,7 @@
 }
 
 pub fn create_service(service: &str) -> Change {
-    Change::CreateService { name: name(service), member: name("depots") }
+    Change::CreateService { name: name(service), team: name("depots") }
 }
 
 pub fn create_version(service: &str, version: &str) -> Change {
--- a/crates/core/tests/control_stops.rs
+++ b/crates/core/tests/control_stops.rs
@@ -42,13 +42,13 @@
     assert!(newest.content.stops.contains(&stop_mark("bays", "v1")), "not recorded");
 }
 
-/// Guards against a member's operator who stops another member's version.
+/// Guards against a team's operator who stops another team's version.
 #[test]
-fn submit_stop_wrong_member() {
+fn submit_stop_wrong_team() {
     let mut sim = running();
-    let member = Some("wellboats".parse().unwrap());
-    let id = sim
-        .submit(1, almondsail_core::store::Submission { member, ..submission(71, stop_of_v1()) });
+    let team = Some("wellboats".parse().unwrap());
+    let id =
+        sim.submit(1, almondsail_core::store::Submission { team, ..submission(71, stop_of_v1()) });
     sim.run(2_000);
     assert!(matches!(sim.nodes[1].outcomes.get(&id), Some(Outcome::Refused(_))));
     assert!((0..4).all(|index| sim.control(index).snapshot().stops.is_empty()));
--- a/crates/core/tests/operators.rs
+++ b/crates/core/tests/operators.rs
@@ -35,11 +35,11 @@
         deadline: Millis::new(800),
     };
     vec![
-        Change::CreateService { name: name("bays"), member: name("depots") },
+        Change::CreateService { name: name("bays"), team: name("depots") },
         Change::CreateVersion(version("bays", "v1")),
         Change::CreateVersion(version("bays", "v2")),
         Change::CreateRoute(route),
-        Change::CreateService { name: name("taller"), member: name("depots") },
+        Change::CreateService { name: name("taller"), team: name("depots") },
         Change::CreateVersion(version("taller", "v1")),
         Change::StartRollout {
             service: name("bays"),
@@ -157,7 +157,7 @@
         panic!("not a history");
     };
     let summaries: Vec<&str> = entries.iter().map(|entry| &*entry.summary).collect();
-    assert_eq!(summaries, ["create version taller/v1", "create service taller for member depots"]);
+    assert_eq!(summaries, ["create version taller/v1", "create service taller for team depots"]);
 }
 
 /// Guards against an answer that invents a configuration.
--- a/crates/core/tests/report_collector.rs
+++ b/crates/core/tests/report_collector.rs
@@ -4,7 +4,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use almondsail_core::ids::{ConfigVersion, MemberName};
+use almondsail_core::ids::{ConfigVersion, TeamName};
 use almondsail_core::report::{
     AccountingRecord, CallCounts, CallEnd, Collector, EndedCalls, Gaps, Hour, HourKey, HourValue,
     KEPT_HOURS, Minute, StoredHours, Sums, WRITE_AFTER,
@@ -136,12 +136,12 @@
     }
 
     fn delivered(&self) -> u64 {
-        let members = self.store.stored().total().members;
-        members.get(&depots()).map_or(0, |counts| counts.delivered)
+        let teams = self.store.stored().total().teams;
+        teams.get(&depots()).map_or(0, |counts| counts.delivered)
     }
 }
 
-fn depots() -> MemberName {
+fn depots() -> TeamName {
     name("depots")
 }
 
@@ -152,7 +152,7 @@
 /// The record of a node with one call.
 fn record(node: usize, minute: Minute) -> AccountingRecord {
     let counts = CallCounts { delivered: 1, ..CallCounts::default() };
-    let sums = Sums { members: [(depots(), counts)].into(), ..Sums::default() };
+    let sums = Sums { teams: [(depots(), counts)].into(), ..Sums::default() };
     AccountingRecord { node: common::node_id(node), minute, is_whole: true, sums }
 }
 
@@ -324,11 +324,11 @@
     let gaps = hours.gaps(first, Minute::new(first.get() + 5));
     assert!(gaps.is_empty(), "{gaps:?}");
     assert_eq!(gaps.expected_records, 5 * 4);
-    let delivered = hours.total().members.get(&depots()).map(|counts| counts.delivered);
+    let delivered = hours.total().teams.get(&depots()).map(|counts| counts.delivered);
     assert_eq!(delivered, Some(5 * 4));
     let changes = hours.changes();
     let (change, time) = &changes[&ConfigVersion::new(1)];
-    assert_eq!(change.member, Some(depots()));
+    assert_eq!(change.team, Some(depots()));
     assert!(time.is_some_and(|time| time <= Millis::new(1_000)), "{change:?} {time:?}");
     let writes: Vec<u64> = sim.store.hours.values().map(|(writes, _)| *writes).collect();
     assert_eq!(writes, [6, 6], "one write for each data centre and minute");
@@ -349,8 +349,8 @@
             .flat_map(|(_, value)| value.sums.minutes.values())
             .map(|minute| minute.received)
             .sum();
-        let members = hours.total().members;
-        let delivered = members.get(&depots()).map_or(0, |counts| counts.delivered);
+        let teams = hours.total().teams;
+        let delivered = teams.get(&depots()).map_or(0, |counts| counts.delivered);
         received <= 5 * 4 && (delivered == received || !all_know && delivered <= received)
     }
     checker(8).quickcheck(property as fn(_) -> _);
--- a/crates/core/tests/report_ledger.rs
+++ b/crates/core/tests/report_ledger.rs
@@ -85,7 +85,7 @@
     let times: Vec<(u64, u64, u64)> =
         sums.changes.iter().map(|(v, c)| (v.get(), c.nodes, c.longest.get())).collect();
     assert_eq!(times, [(2, 1, 900), (3, 1, 800), (4, 1, 1_700), (5, 1, 1_600)]);
-    assert!(sums.changes.values().all(|change| change.member == Some(name("depots"))));
+    assert!(sums.changes.values().all(|change| change.team == Some(name("depots"))));
 }
 
 /// Guards against the end of a rollout that is told more than once, or never.
@@ -137,7 +137,7 @@
         let counts = CallCounts { late, ..CallCounts::default() };
         let minute = Minute::at(START + Millis::new(minutes * 60_000));
         assert_eq!((record.minute, record.is_whole), (minute, is_whole));
-        assert_eq!(record.sums.members, [(name("depots"), counts)].into());
+        assert_eq!(record.sums.teams, [(name("depots"), counts)].into());
         assert_eq!(record.sums.cost, cost(cpu));
     }
 }
--- a/crates/core/tests/report_member.rs
+++ b/crates/core/tests/report_team.rs
@@ -1,4 +1,4 @@
-//! Tests of the sums of records and of the members' reports.
+//! Tests of the sums of records and of the teams' reports.
 
 mod rollout_common;
 
@@ -6,11 +6,11 @@
 use std::sync::Arc;
 
 use almondsail_core::config::{ConfigContent, ServerVersion, Service};
-use almondsail_core::ids::{ConfigVersion, DataCentre, MemberName};
+use almondsail_core::ids::{ConfigVersion, DataCentre, TeamName};
 use almondsail_core::report::{
-    AccountingRecord, CallCounts, ChangeSums, Collector, Cost, Hour, HourKey, HourSums,
-    MemberReport, Minute, NodeMinutes, ReportInput, ReportPeriod, RolloutEnd, RolloutRecord,
-    StoredHours, Sums, WRITE_AFTER,
+    AccountingRecord, CallCounts, ChangeSums, Collector, Cost, Hour, HourKey, HourSums, Minute,
+    NodeMinutes, ReportInput, ReportPeriod, RolloutEnd, RolloutRecord, StoredHours, Sums,
+    TeamReport, WRITE_AFTER,
 };
 use almondsail_core::store::{Revision, StoreReply, StoreRequest, StoredHour};
 use almondsail_core::units::{ByteCount, Instant, Micros, Millis, UnixMillis};
@@ -37,8 +37,8 @@
             bytes: ByteCount::new(u64::from(*kind)),
             store_calls: 1,
         });
-        let member: MemberName = name(if kind % 5 == 0 { "depots" } else { "wellboats" });
-        let counts = record.sums.members.entry(member).or_default();
+        let team: TeamName = name(if kind % 5 == 0 { "depots" } else { "wellboats" });
+        let counts = record.sums.teams.entry(team).or_default();
         match kind % 4 {
             0 => counts.delivered += 1,
             1 => counts.late += 1,
@@ -57,7 +57,7 @@
 
 fn rollout(started: UnixMillis, end: RolloutEnd) -> RolloutRecord {
     RolloutRecord {
-        member: name("depots"),
+        team: name("depots"),
         service: name("bays"),
         version: name("v2"),
         started,
@@ -68,7 +68,7 @@
 
 fn change_of(nodes: u64, longest: u64) -> ChangeSums {
     ChangeSums {
-        member: Some(name("depots")),
+        team: Some(name("depots")),
         accepted: FROM.start(),
         nodes,
         expected: 3,
@@ -111,15 +111,15 @@
     hours
 }
 
-fn reports(hours: &StoredHours, members: &[&str]) -> Vec<MemberReport> {
+fn reports(hours: &StoredHours, teams: &[&str]) -> Vec<TeamReport> {
     let mut content = ConfigContent::default();
-    for (i, member) in members.iter().enumerate() {
-        let service = Service { name: name(&format!("s{i}")), member: name(member), stable: None };
+    for (i, team) in teams.iter().enumerate() {
+        let service = Service { name: name(&format!("s{i}")), team: name(team), stable: None };
         content.services.insert(service.name.clone(), service);
     }
     let period = ReportPeriod { from: Hour::of(FROM), to: TO };
     let input = ReportInput { period, hours, content: &content };
-    members.iter().map(|member| MemberReport::new(&name(member), input)).collect()
+    teams.iter().map(|team| TeamReport::new(&name(team), input)).collect()
 }
 
 /// Guards against sums that depend on the order or number of deliveries of a record.
@@ -160,8 +160,8 @@
 fn share_adds_up() {
     fn property(cpu: u64, bytes: u64, store_calls: u64, calls: Vec<u64>) -> bool {
         let cost = Cost { cpu: Micros::new(cpu), bytes: ByteCount::new(bytes), store_calls };
-        let member = |(i, n): (usize, &u64)| (name(&format!("m{i}")), *n);
-        let calls: BTreeMap<MemberName, u64> = calls.iter().enumerate().map(member).collect();
+        let team = |(i, n): (usize, &u64)| (name(&format!("m{i}")), *n);
+        let calls: BTreeMap<TeamName, u64> = calls.iter().enumerate().map(team).collect();
         let shares = cost.share(&calls);
         let mut sum = Cost::default();
         shares.values().for_each(|share| sum.add(share));
@@ -170,7 +170,7 @@
     runner().quickcheck(property as fn(_, _, _, _) -> _);
 }
 
-/// Guards against a member without calls that pays nothing of the fixed part.
+/// Guards against a team without calls that pays nothing of the fixed part.
 #[test]
 fn share_fixed_part() {
     let cost = Cost { store_calls: 1_000, ..Cost::default() };
--- a/crates/core/tests/rollout_common/mod.rs
+++ b/crates/core/tests/rollout_common/mod.rs
@@ -53,7 +53,7 @@
 pub fn content(routes: usize, idempotent: usize, span: u64) -> ConfigContent {
     let mut content = ConfigContent::default();
     let service: ServiceName = name(SERVICE);
-    let owner = Service { name: service.clone(), member: name("depots"), stable: Some(name("v1")) };
+    let owner = Service { name: service.clone(), team: name("depots"), stable: Some(name("v1")) };
     content.services.insert(service.clone(), owner);
     for version in ["v1", "v2"] {
         let version = ServerVersion { service: service.clone(), version: name(version) };
--- a/crates/core/tests/round_trip.rs
+++ b/crates/core/tests/round_trip.rs
@@ -6,8 +6,8 @@
 use almondsail_core::config::{PathPrefix, Priority, RolloutPhase};
 use almondsail_core::control::RequestId;
 use almondsail_core::ids::{
-    CallKey, ConfigVersion, DataCentre, Digest, HostName, Incarnation, MemberName, NodeId,
-    OperatorName, Region, RouteName, ServiceName, VersionName, WriteId,
+    CallKey, ConfigVersion, DataCentre, Digest, HostName, Incarnation, NodeId, OperatorName,
+    Region, RouteName, ServiceName, TeamName, VersionName, WriteId,
 };
 use almondsail_core::peers::{BackendState, PeerStatus};
 use almondsail_core::report::Minute;
@@ -83,7 +83,7 @@
     }
     check::<DataCentre>();
     check::<HostName>();
-    check::<MemberName>();
+    check::<TeamName>();
     check::<NodeId>();
     check::<OperatorName>();
     check::<Region>();
--- a/crates/core/tests/store_writer.rs
+++ b/crates/core/tests/store_writer.rs
@@ -55,12 +55,12 @@
     assert_eq!(outcome(&mut sim, based(5, "taller")), Outcome::Accepted(version(4)));
 }
 
-/// Guards against a member's operator who changes another member's service.
+/// Guards against a team's operator who changes another team's service.
 #[test]
-fn submit_wrong_member() {
+fn submit_wrong_team() {
     let mut sim = sim_with_services();
-    let foreign = |change| Submission { member: Some(name("wellboats")), ..submission(3, change) };
-    let wrong = Outcome::Refused(RefusedChange::Invalid(vec![ConfigError::WrongMember(
+    let foreign = |change| Submission { team: Some(name("wellboats")), ..submission(3, change) };
+    let wrong = Outcome::Refused(RefusedChange::Invalid(vec![ConfigError::WrongTeam(
         name("bays"),
         name("depots"),
     )]));
--- a/crates/core/tests/sync_config.rs
+++ b/crates/core/tests/sync_config.rs
@@ -12,7 +12,7 @@
 fn config(version: u64, valid: bool) -> Arc<Config> {
     let stable = (!valid).then(|| "v1".parse().expect("a name"));
     let name: almondsail_core::ids::ServiceName = "bays".parse().expect("a name");
-    let service = Service { name: name.clone(), member: "depots".parse().expect("a name"), stable };
+    let service = Service { name: name.clone(), team: "depots".parse().expect("a name"), stable };
     let content = ConfigContent { services: [(name, service)].into(), ..ConfigContent::default() };
     let (version, write_id) = (ConfigVersion::new(version), WriteId::new([version as u8; 16]));
     Arc::new(Config { version, write_id, content, history: Vec::new() })
--- a/crates/node/benches/messages.rs
+++ b/crates/node/benches/messages.rs
@@ -137,7 +137,7 @@
     }
     slopes.push(slope);
 
-    let mut slope = Slope::new("wire.accounting", "B", "members");
+    let mut slope = Slope::new("wire.accounting", "B", "teams");
     for count in [1, 2, 4, 8] {
         let record = Box::new(accounting(count));
         slope.points.push((count as f64, wire.bytes(PeerMessage::Accounting(record), ack()).await));
@@ -197,7 +197,7 @@
         };
         let version = ServerVersion { service: service.clone(), version: name("v1") };
         for change in [
-            Change::CreateService { name: service, member: name("depots") },
+            Change::CreateService { name: service, team: name("depots") },
             Change::CreateVersion(version),
             Change::CreateRoute(route),
         ] {
@@ -243,11 +243,11 @@
     }
 }
 
-fn accounting(members: usize) -> AccountingRecord {
+fn accounting(teams: usize) -> AccountingRecord {
     let mut sums = Sums::default();
     let counts = CallCounts { delivered: 6_857, late: 5, refused: 5, in_doubt: 1 };
-    for index in 0..members {
-        sums.members.insert(name(&format!("member-{index}")), counts);
+    for index in 0..teams {
+        sums.teams.insert(name(&format!("team-{index}")), counts);
     }
     AccountingRecord { node: peer(1).id, minute: Minute::at(WALL), is_whole: true, sums }
 }
--- a/crates/node/src/control/control_request.rs
+++ b/crates/node/src/control/control_request.rs
@@ -3,7 +3,7 @@
 use almondsail_core::config::ConfigContent;
 use almondsail_core::ids::{ConfigVersion, WriteId};
 use almondsail_core::operators::{Answer, Query};
-use almondsail_core::report::{MemberReport, ReportQuery};
+use almondsail_core::report::{ReportQuery, TeamReport};
 use almondsail_core::store::{Outcome, Submission};
 use tokio::sync::oneshot;
 
@@ -23,6 +23,6 @@
     Query(Query, oneshot::Sender<Answer>),
     /// Give the content of an earlier configuration version; `None` if it is not kept.
     KeptContent(ConfigVersion, oneshot::Sender<Option<ConfigContent>>),
-    /// Give the report of a member.
-    Report(ReportQuery, oneshot::Sender<Result<MemberReport, OperatorError>>),
+    /// Give the report of a team.
+    Report(ReportQuery, oneshot::Sender<Result<TeamReport, OperatorError>>),
 }
--- a/crates/node/src/control/control_thread.rs
+++ b/crates/node/src/control/control_thread.rs
@@ -7,9 +7,9 @@
 
 use almondsail_core::config::ConfigContent;
 use almondsail_core::control::{Action, Control, Event, PeerMessage, RequestId};
-use almondsail_core::ids::{ConfigVersion, MemberName, NodeId};
+use almondsail_core::ids::{ConfigVersion, NodeId, TeamName};
 use almondsail_core::operators::{Answer, NodeView, Query, View};
-use almondsail_core::report::{MemberReport, ReportInput, ReportPeriod, ReportQuery, StoredHours};
+use almondsail_core::report::{ReportInput, ReportPeriod, ReportQuery, StoredHours, TeamReport};
 use almondsail_core::store::Outcome;
 use almondsail_core::sync::KeptVersions;
 use almondsail_core::traffic::Snapshot;
@@ -98,7 +98,7 @@
 }
 
 /// Where the answer to a request for a report goes.
-type ReportSender = oneshot::Sender<Result<MemberReport, OperatorError>>;
+type ReportSender = oneshot::Sender<Result<TeamReport, OperatorError>>;
 
 /// A request of the control thread that ended.
 enum Finished {
@@ -106,8 +106,8 @@
     Event(Event),
     /// The versions that other nodes hold, for the answer to a query.
     Survey(Query, BTreeMap<NodeId, ConfigVersion>, oneshot::Sender<Answer>),
-    /// The hours of a member's report.
-    Hours(MemberName, ReportPeriod, StoredHours, ReportSender),
+    /// The hours of a team's report.
+    Hours(TeamName, ReportPeriod, StoredHours, ReportSender),
 }
 
 impl<S: StoreClient> ControlThread<S> {
@@ -213,9 +213,9 @@
             Finished::Survey(query, versions, reply) => {
                 let _ = reply.send(self.answer(&query, &versions));
             }
-            Finished::Hours(member, period, hours, reply) => {
+            Finished::Hours(team, period, hours, reply) => {
                 self.is_reading = false;
-                let _ = reply.send(self.report(&member, period, &hours));
+                let _ = reply.send(self.report(&team, period, &hours));
             }
         }
     }
@@ -233,20 +233,20 @@
         let (store, cost, results) = (self.store.clone(), self.cost.clone(), self.results.clone());
         tokio::task::spawn_local(async move {
             let hours = report_reader::read(store, cost, keys, hours).await;
-            let _ = results.send(Finished::Hours(query.member, period, hours, reply));
+            let _ = results.send(Finished::Hours(query.team, period, hours, reply));
         });
     }
 
     fn report(
         &self,
-        member: &MemberName,
+        team: &TeamName,
         period: ReportPeriod,
         hours: &StoredHours,
-    ) -> Result<MemberReport, OperatorError> {
+    ) -> Result<TeamReport, OperatorError> {
         let config = self.control.config().ok_or(OperatorError::NoReport)?;
         let input = ReportInput { period, hours, content: &config.content };
-        if input.has_member(member) {
-            Ok(MemberReport::new(member, input))
+        if input.has_team(team) {
+            Ok(TeamReport::new(team, input))
         } else {
             Err(OperatorError::NoReport)
         }
--- a/crates/node/src/operators/operator_api.rs
+++ b/crates/node/src/operators/operator_api.rs
@@ -54,7 +54,7 @@
     }
 
     /// The routes: `POST /v1/commands`, `POST /v1/queries`, `GET /v1/outcomes/WRITE_ID`
-    /// and `GET /v1/report?member=NAME&since=TIME`.
+    /// and `GET /v1/report?team=NAME&since=TIME`.
     pub fn router(self) -> Router {
         let no_such_path = self.extender(OperatorError::NoSuchPath);
         let bad_parameters = self.extender(OperatorError::BadParameters);
@@ -158,8 +158,8 @@
     let run = async {
         let operator = api.operator(&headers)?;
         let query = ReportQuery::try_from(params)?;
-        if operator.member.as_ref().is_some_and(|member| *member != query.member) {
-            return Err(OperatorError::OtherMember);
+        if operator.team.as_ref().is_some_and(|team| *team != query.team) {
+            return Err(OperatorError::OtherTeam);
         }
         let report = api.0.control.report(query).await?;
         Ok(wire::Report::from(&report))
--- a/crates/node/src/operators/operator_control.rs
+++ b/crates/node/src/operators/operator_control.rs
@@ -5,7 +5,7 @@
 use almondsail_core::config::{Change, ConfigContent, ConfigError};
 use almondsail_core::ids::WriteId;
 use almondsail_core::operators::{Answer, Command, CommandRequest, Query};
-use almondsail_core::report::{MemberReport, ReportQuery};
+use almondsail_core::report::{ReportQuery, TeamReport};
 use almondsail_core::store::{Outcome, RefusedChange, Submission};
 use tokio::sync::{mpsc, oneshot};
 
@@ -47,7 +47,7 @@
         let submission = Submission {
             write_id: request.write_id,
             operator: operator.name.clone(),
-            member: operator.member.clone(),
+            team: operator.team.clone(),
             base: request.base,
             change,
             dry_run: request.dry_run,
@@ -72,7 +72,7 @@
     }
 
     /// The report that `query` asks for.
-    pub async fn report(&self, query: ReportQuery) -> Result<MemberReport, OperatorError> {
+    pub async fn report(&self, query: ReportQuery) -> Result<TeamReport, OperatorError> {
         let request = |reply| ControlRequest::Report(query, reply);
         self.ask_within(REPORT_TIMEOUT, request).await?
     }
--- a/crates/node/src/operators/operator_error.rs
+++ b/crates/node/src/operators/operator_error.rs
@@ -36,8 +36,8 @@
     NoAnswer,
     /// The node has no counts to make a report from.
     NoReport,
-    /// An operator of one member asked for the report of another.
-    OtherMember,
+    /// An operator of one team asked for the report of another.
+    OtherTeam,
 }
 
 impl OperatorError {
@@ -53,7 +53,7 @@
             }
             Self::Busy | Self::Stopping | Self::NoReport => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoAnswer => StatusCode::GATEWAY_TIMEOUT,
-            Self::OtherMember => StatusCode::FORBIDDEN,
+            Self::OtherTeam => StatusCode::FORBIDDEN,
         }
     }
 
@@ -73,7 +73,7 @@
             Self::Stopping => "stopping",
             Self::NoAnswer => "no_answer",
             Self::NoReport => "no_report",
-            Self::OtherMember => "other_member",
+            Self::OtherTeam => "other_team",
         }
     }
 }
@@ -96,9 +96,9 @@
             Self::Stopping => f.write_str("this node stops; ask another one"),
             Self::NoAnswer => f.write_str("this node did not answer in time; ask another one"),
             Self::NoReport => {
-                f.write_str("this node has no counts of this member to make a report from")
+                f.write_str("this node has no counts of this team to make a report from")
             }
-            Self::OtherMember => f.write_str("this report is of another member than the token's"),
+            Self::OtherTeam => f.write_str("this report is of another team than the token's"),
         }
     }
 }
--- a/crates/node/src/operators/operator_report_params.rs
+++ b/crates/node/src/operators/operator_report_params.rs
@@ -12,7 +12,7 @@
 #[derive(Deserialize)]
 pub(crate) struct ReportParams {
     #[serde(default)]
-    member: String,
+    team: String,
     #[serde(default)]
     since: String,
 }
@@ -32,7 +32,7 @@
 
     fn try_from(params: ReportParams) -> Result<Self, FieldError> {
         Ok(Self {
-            member: params.member.parse().map_err(|e| FieldError::new("member", e))?,
+            team: params.team.parse().map_err(|e| FieldError::new("team", e))?,
             since: params.since.parse().map_err(|e| FieldError::new("since", e))?,
         })
     }
--- a/crates/node/tests/operators_http.rs
+++ b/crates/node/tests/operators_http.rs
@@ -46,7 +46,7 @@
 
 fn create_service(write_id: &str) -> String {
     format!(
-        r#"{{"command":{{"command":{{"create_service":{{"name":"bays","member":"depots"}}}}}},"write_id":"{write_id}"}}"#
+        r#"{{"command":{{"command":{{"create_service":{{"name":"bays","team":"depots"}}}}}},"write_id":"{write_id}"}}"#
     )
 }
 
@@ -73,7 +73,7 @@
     assert_eq!(status, 200);
     assert_eq!(
         body,
-        r#"{"node":"n1","version":1,"body":{"services":{"services":[{"name":"bays","member":"depots","stable":""}]}}}"#
+        r#"{"node":"n1","version":1,"body":{"services":{"services":[{"name":"bays","team":"depots","stable":""}]}}}"#
     );
 
     let (status, body) =
@@ -98,7 +98,7 @@
     assert!(requests.try_recv().is_err(), "the control thread got a request");
 }
 
-/// Guards against a change that is submitted under another operator or member.
+/// Guards against a change that is submitted under another operator or team.
 #[tokio::test]
 async fn commands_carry_operator() {
     let (port, _, mut requests) = serve(8).await;
@@ -109,7 +109,7 @@
             panic!("no submission");
         };
         assert_eq!(submission.operator.as_str(), "bo");
-        assert_eq!(submission.member.as_ref().map(|m| m.as_str()), Some("wellboats"));
+        assert_eq!(submission.team.as_ref().map(|m| m.as_str()), Some("wellboats"));
         assert_eq!(submission.write_id.to_string(), WRITE_ID);
         drop(reply);
     };
@@ -144,8 +144,8 @@
         ("POST /v1/queries", &large, 413, r#"{"code":"body_too_large""#, "larger than 1 MB"),
         ("GET /v1/outcomes/xyz", "", 400, r#"{"code":"bad_field""#, r#""field":"write_id""#),
         ("GET /v1/commands", "", 405, r#"{"code":"wrong_method""#, ""),
-        ("GET /v1/report?member=depots", "", 400, r#"{"code":"bad_field""#, r#""field":"since""#),
-        ("GET /v1/report?member=%ff&since=%fe", "", 400, r#"{"code":"bad_parameters""#, ""),
+        ("GET /v1/report?team=depots", "", 400, r#"{"code":"bad_field""#, r#""field":"since""#),
+        ("GET /v1/report?team=%ff&since=%fe", "", 400, r#"{"code":"bad_parameters""#, ""),
         ("GET /v1/outcomes/%ff", "", 404, r#"{"code":"no_such_path""#, ""),
         ("GET /v1/nothing", "", 404, r#"{"code":"no_such_path""#, ""),
     ];
@@ -205,26 +205,23 @@
 async fn report_answered_or_refused() {
     let (port, _, requests) = serve(8).await;
     tokio::spawn(FakeControl::default().run(requests));
-    let report = |member: &str| format!("GET /v1/report?member={member}&since=unix:1ms");
+    let report = |team: &str| format!("GET /v1/report?team={team}&since=unix:1ms");
     let (status, body) = call(port.addr, &report("depots"), TOKEN, "").await;
     assert_eq!(status, 200);
-    assert!(
-        body.starts_with(r#"{"member":"depots","from_unix_ms":0,"to_unix_ms":60000,"#),
-        "{body}"
-    );
+    assert!(body.starts_with(r#"{"team":"depots","from_unix_ms":0,"to_unix_ms":60000,"#), "{body}");
     let (status, body) = call(port.addr, &report("bo"), TOKEN, "").await;
     assert_eq!(status, 503);
     assert!(body.contains(r#""code":"no_report""#), "{body}");
 }
 
-/// Guards against an operator of one member who reads the report of another.
+/// Guards against an operator of one team who reads the report of another.
 #[tokio::test]
-async fn report_own_member_only() {
+async fn report_own_team_only() {
     let (port, _, requests) = serve(8).await;
     tokio::spawn(FakeControl::default().run(requests));
-    let report = |member: &str| format!("GET /v1/report?member={member}&since=unix:1ms");
+    let report = |team: &str| format!("GET /v1/report?team={team}&since=unix:1ms");
     let (status, body) = call(port.addr, &report("depots"), "token-of-bo", "").await;
-    assert_eq!((status, body.contains(r#""code":"other_member""#)), (403, true), "{body}");
+    assert_eq!((status, body.contains(r#""code":"other_team""#)), (403, true), "{body}");
     let (_, body) = call(port.addr, &report("wellboats"), "token-of-bo", "").await;
     assert!(body.contains(r#""code":"no_report""#), "{body}");
 }
--- a/crates/node/tests/operators_support/mod.rs
+++ b/crates/node/tests/operators_support/mod.rs
@@ -8,8 +8,8 @@
 use almondsail_core::operators::{NodeView, View};
 use almondsail_core::peers::{Peer, PeerStatus};
 use almondsail_core::report::{
-    Hour, HourKey, HourSums, MemberReport, Minute, NodeMinutes, ReportInput, ReportPeriod,
-    ReportQuery, StoredHours,
+    Hour, HourKey, HourSums, Minute, NodeMinutes, ReportInput, ReportPeriod, ReportQuery,
+    StoredHours, TeamReport,
 };
 use almondsail_core::store::{Outcome, RefusedChange, Submission};
 use almondsail_core::units::UnixMillis;
@@ -39,9 +39,9 @@
     let addr = listener.local_addr().unwrap();
     let (requests, received) = mpsc::channel(queue);
     let tokens = [("ana", None, TOKEN), ("bo", Some("wellboats"), "token-of-bo")].map(
-        |(name, member, token)| OperatorToken {
+        |(name, team, token)| OperatorToken {
             name: name.parse().unwrap(),
-            member: member.map(|m| m.parse().unwrap()),
+            team: team.map(|m| m.parse().unwrap()),
             token_sha256: Digest::of(token.as_bytes()),
         },
     );
@@ -91,7 +91,7 @@
                 let _ = reply.send(cfg.map(|cfg| cfg.content.clone()));
             }
             ControlRequest::Report(query, reply) => {
-                let is_known = query.member.as_str() == "depots";
+                let is_known = query.team.as_str() == "depots";
                 let answer = is_known.then(|| report(&query)).ok_or(OperatorError::NoReport);
                 let _ = reply.send(answer);
             }
@@ -134,8 +134,8 @@
     }
 }
 
-/// The report of a member of one minute, of which the record of a node is missing.
-fn report(query: &ReportQuery) -> MemberReport {
+/// The report of a team of one minute, of which the record of a node is missing.
+fn report(query: &ReportQuery) -> TeamReport {
     let from = Hour::at(query.since);
     let first = from.first();
     let data_centre: DataCentre = "dc-a".parse().unwrap();
@@ -148,7 +148,7 @@
         hours: &hours,
         content: &ConfigContent::default(),
     };
-    MemberReport::new(&query.member, input)
+    TeamReport::new(&query.team, input)
 }
 
 fn peer() -> Peer {
--- a/crates/node/tests/report_thread.rs
+++ b/crates/node/tests/report_thread.rs
@@ -1,4 +1,4 @@
-//! A member's report from a control thread, with a store that the test answers for.
+//! A team's report from a control thread, with a store that the test answers for.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -8,7 +8,7 @@
 use almondsail_core::control::{Control, ControlSettings};
 use almondsail_core::ids::{ConfigVersion, WriteId};
 use almondsail_core::report::{
-    CallCounts, Hour, HourSums, HourValue, MemberReport, Minute, NodeMinutes, ReportQuery, Sums,
+    CallCounts, Hour, HourSums, HourValue, Minute, NodeMinutes, ReportQuery, Sums, TeamReport,
 };
 use almondsail_core::store::{
     Revision, StoreError, StoreReply, StoreRequest, StoredConfig, StoredHour,
@@ -66,7 +66,7 @@
 fn config() -> Config {
     let now = UnixMillis::new(1_000);
     let change =
-        Change::CreateService { name: "bays".parse().unwrap(), member: "depots".parse().unwrap() };
+        Change::CreateService { name: "bays".parse().unwrap(), team: "depots".parse().unwrap() };
     let entry = HistoryEntry {
         version: ConfigVersion::new(1),
         write_id: WriteId::new([7; WriteId::BYTES]),
@@ -84,7 +84,7 @@
     let first = hour.first().get();
     let minute = |n| (Minute::new(first + n), NodeMinutes { expected: 1, received: 1 });
     let counts = CallCounts { delivered: 1, ..CallCounts::default() };
-    let sums = Sums { members: [("depots".parse().unwrap(), counts)].into(), ..Sums::default() };
+    let sums = Sums { teams: [("depots".parse().unwrap(), counts)].into(), ..Sums::default() };
     let sums = HourSums { minutes: (0..Hour::MINUTES).map(minute).collect(), sums };
     HourValue { sums, writes: Vec::new() }
 }
@@ -121,13 +121,13 @@
     }
 }
 
-type Answers = Vec<Result<MemberReport, OperatorError>>;
+type Answers = Vec<Result<TeamReport, OperatorError>>;
 
-/// Asks a new control thread for the reports of `members` over `hours` at once.
-async fn ask(store: FakeStore, hours: u64, members: &[&str]) -> Answers {
+/// Asks a new control thread for the reports of `teams` over `hours` at once.
+async fn ask(store: FakeStore, hours: u64, teams: &[&str]) -> Answers {
     let (inputs, control_inputs) = mpsc::channel(1);
     let (_peers, peer_requests) = mpsc::channel(1);
-    let (operators, operator_requests) = mpsc::channel(members.len());
+    let (operators, operator_requests) = mpsc::channel(teams.len());
     let parts = parts(store);
     let wall = parts.clock.wall();
     let thread = ControlThread::run(
@@ -142,11 +142,11 @@
         // The thread reads the configuration first.
         tokio::time::sleep(std::time::Duration::from_secs(6)).await;
         let mut answers = Vec::new();
-        for member in members {
+        for team in teams {
             let (reply, answer) = oneshot::channel();
             let span = Millis::new(hours * 3_600_000);
             let since = UnixMillis::new(wall.get() - span.get());
-            let query = ReportQuery { member: member.parse().unwrap(), since };
+            let query = ReportQuery { team: team.parse().unwrap(), since };
             operators.send(ControlRequest::Report(query, reply)).await.unwrap();
             answers.push(answer);
         }
@@ -187,9 +187,9 @@
     assert!(reads.load(Ordering::Relaxed) <= 20, "{reads:?}");
 }
 
-/// Guards against a report of a member that does not exist.
+/// Guards against a report of a team that does not exist.
 #[tokio::test]
-async fn report_unknown_member() {
+async fn report_unknown_team() {
     let store = FakeStore { has_hours: true, ..FakeStore::default() };
     let answers = ask(store, 1, &["nobody"]).await;
     assert_eq!(answers, [Err(OperatorError::NoReport)]);
--- a/crates/node/tests/settings_check.rs
+++ b/crates/node/tests/settings_check.rs
@@ -36,7 +36,7 @@
         "store": {"address": "127.0.0.1:6000", "timeout_ms": 0},
         "backend": [],
         "installation_key_file": "absent.key",
-        "operators": [{"name": "ana", "member": "Depots", "token_sha256": "12"}],
+        "operators": [{"name": "ana", "team": "Depots", "token_sha256": "12"}],
         "colour": "red",
     }"#;
     let mut paths = paths_of_mistakes(text);
@@ -52,7 +52,7 @@
         "node.host",
         "node.id",
         "node.rack",
-        "operators[0].member",
+        "operators[0].team",
         "operators[0].token_sha256",
         "seeds[1]",
         "store.timeout_ms",
--- a/crates/node/tests/support/fake_backend.rs
+++ b/crates/node/tests/support/fake_backend.rs
@@ -94,9 +94,9 @@
 
 impl Seen {
     fn remember(&self, request: FakeRequest) {
-        const MAX_REMEMBERED: usize = 10_000;
+        const MAX_RETEAMED: usize = 10_000;
         let mut requests = self.requests.lock().unwrap();
-        if requests.len() < MAX_REMEMBERED {
+        if requests.len() < MAX_RETEAMED {
             requests.push(request);
         }
     }
--- a/crates/node/tests/support/mesh.rs
+++ b/crates/node/tests/support/mesh.rs
@@ -56,7 +56,7 @@
     let mut content = ConfigContent::default();
     let service = Service {
         name: "bays".parse().unwrap(),
-        member: "depots".parse().unwrap(),
+        team: "depots".parse().unwrap(),
         stable: Some("v1".parse().unwrap()),
     };
     content.services.insert(service.name.clone(), service);
--- a/crates/testkit/examples/convergence.rs
+++ b/crates/testkit/examples/convergence.rs
@@ -125,8 +125,8 @@
         mesh.nodes().iter().map(|node| node.name.parse()).collect::<Result<_, _>>()?;
     let mut readers = BTreeSet::new();
     for data_centre in 0..DATA_CENTRES {
-        let members = ids.iter().skip(data_centre).step_by(DATA_CENTRES);
-        readers.extend(rank(READER_KEY, members, READERS_PER_DATA_CENTRE));
+        let teams = ids.iter().skip(data_centre).step_by(DATA_CENTRES);
+        readers.extend(rank(READER_KEY, teams, READERS_PER_DATA_CENTRE));
     }
     let role = |id| if readers.contains(id) { Role::StoreReader } else { Role::Ordinary };
     Ok(ids.iter().map(role).collect())
--- a/crates/testkit/src/mesh/changes.rs
+++ b/crates/testkit/src/mesh/changes.rs
@@ -11,7 +11,7 @@
 /// idempotent, `/SERVICE/book` is not.
 pub fn service(service: &str, version: &str) -> Result<Vec<Change>> {
     Ok(vec![
-        Change::CreateService { name: service.parse()?, member: "depots".parse()? },
+        Change::CreateService { name: service.parse()?, team: "depots".parse()? },
         Change::CreateVersion(ServerVersion {
             service: service.parse()?,
             version: version.parse()?,
--- a/crates/testkit/src/mesh/mesh_type.rs
+++ b/crates/testkit/src/mesh/mesh_type.rs
@@ -171,7 +171,7 @@
             )
         };
         [
-            format!("create service {service} member depots"),
+            format!("create service {service} team depots"),
             format!("create version {service}/{version}"),
             route("lookup", &format!("/{service}"), "idempotent"),
             route("book", &format!("/{service}/book"), "non-idempotent"),
--- a/crates/testkit/src/mesh/node_settings.rs
+++ b/crates/testkit/src/mesh/node_settings.rs
@@ -108,7 +108,7 @@
             "installation_key_file": Self::KEY_FILE,
             "operators": [{
                 "name": Self::OPERATOR,
-                "member": "*",
+                "team": "*",
                 "token_sha256": Digest::of(Self::TOKEN.as_bytes()).to_string(),
             }],
         });
--- a/crates/wire/src/convert/config.rs
+++ b/crates/wire/src/convert/config.rs
@@ -17,7 +17,7 @@
     fn from(service: &Service) -> Self {
         Self {
             name: service.name.to_string(),
-            member: service.member.to_string(),
+            team: service.team.to_string(),
             stable: optional_text(service.stable.as_ref()),
         }
     }
@@ -29,7 +29,7 @@
     fn try_from(w: wire::Service) -> Result<Self, FieldError> {
         Ok(Self {
             name: parse("name", &w.name)?,
-            member: parse("member", &w.member)?,
+            team: parse("team", &w.team)?,
             stable: parse_optional("stable", &w.stable)?,
         })
     }
--- a/crates/wire/src/convert/operator_command.rs
+++ b/crates/wire/src/convert/operator_command.rs
@@ -13,12 +13,10 @@
 impl From<&Command> for wire::Command {
     fn from(command: &Command) -> Self {
         let command = match command {
-            Command::CreateService { name, member } => {
-                WireCommand::CreateService(wire::NewService {
-                    name: name.to_string(),
-                    member: member.to_string(),
-                })
-            }
+            Command::CreateService { name, team } => WireCommand::CreateService(wire::NewService {
+                name: name.to_string(),
+                team: team.to_string(),
+            }),
             Command::RemoveService(name) => WireCommand::RemoveService(name.to_string()),
             Command::CreateRoute(route) => WireCommand::CreateRoute(route.into()),
             Command::ChangeRoute(route) => WireCommand::ChangeRoute(route.into()),
@@ -90,10 +88,7 @@
 }
 
 fn create_service(w: &wire::NewService) -> Result<Command, FieldError> {
-    Ok(Command::CreateService {
-        name: parse("name", &w.name)?,
-        member: parse("member", &w.member)?,
-    })
+    Ok(Command::CreateService { name: parse("name", &w.name)?, team: parse("team", &w.team)? })
 }
 
 fn move_service(w: wire::Move) -> Result<Command, FieldError> {
--- a/crates/wire/src/convert/report.rs
+++ b/crates/wire/src/convert/report.rs
@@ -1,9 +1,9 @@
-//! Conversions of what nodes count for the members' reports.
+//! Conversions of what nodes count for the teams' reports.
 
 use std::collections::BTreeMap;
 
 use almondsail_core::config::ServerVersion;
-use almondsail_core::ids::{ConfigVersion, MemberName};
+use almondsail_core::ids::{ConfigVersion, TeamName};
 use almondsail_core::report::{
     AccountingRecord, CallCounts, ChangeSums, Cost, HourSums, HourValue, Minute, NodeMinutes,
     RolloutEnd, RolloutRecord, Sums,
@@ -13,10 +13,10 @@
 use super::fields::{each, optional_text, parse, parse_optional, required, to_wire, write_id};
 use crate::{FieldError, report as wire};
 
-impl From<(&MemberName, &CallCounts)> for wire::MemberCalls {
-    fn from((member, counts): (&MemberName, &CallCounts)) -> Self {
+impl From<(&TeamName, &CallCounts)> for wire::TeamCalls {
+    fn from((team, counts): (&TeamName, &CallCounts)) -> Self {
         Self {
-            member: member.to_string(),
+            team: team.to_string(),
             delivered: counts.delivered,
             late: counts.late,
             refused: counts.refused,
@@ -25,17 +25,17 @@
     }
 }
 
-impl TryFrom<wire::MemberCalls> for (MemberName, CallCounts) {
+impl TryFrom<wire::TeamCalls> for (TeamName, CallCounts) {
     type Error = FieldError;
 
-    fn try_from(w: wire::MemberCalls) -> Result<Self, FieldError> {
+    fn try_from(w: wire::TeamCalls) -> Result<Self, FieldError> {
         let counts = CallCounts {
             delivered: w.delivered,
             late: w.late,
             refused: w.refused,
             in_doubt: w.in_doubt,
         };
-        Ok((parse("member", &w.member)?, counts))
+        Ok((parse("team", &w.team)?, counts))
     }
 }
 
@@ -67,7 +67,7 @@
             RolloutEnd::RolledBack { .. } => wire::RolloutEnd::RolledBack,
         };
         Self {
-            member: record.member.to_string(),
+            team: record.team.to_string(),
             service: record.service.to_string(),
             version: record.version.to_string(),
             started_unix_ms: record.started.get(),
@@ -88,7 +88,7 @@
             wire::RolloutEnd::Unspecified => return Err(FieldError::new("end", "missing")),
         };
         Ok(Self {
-            member: parse("member", &w.member)?,
+            team: parse("team", &w.team)?,
             service: parse("service", &w.service)?,
             version: parse("version", &w.version)?,
             started: UnixMillis::new(w.started_unix_ms),
@@ -102,7 +102,7 @@
     fn from((version, change): (&ConfigVersion, &ChangeSums)) -> Self {
         Self {
             version: version.get(),
-            member: optional_text(change.member.as_ref()),
+            team: optional_text(change.team.as_ref()),
             accepted_unix_ms: change.accepted.get(),
             nodes: change.nodes,
             expected: change.expected,
@@ -116,7 +116,7 @@
 
     fn try_from(w: wire::Change) -> Result<Self, FieldError> {
         let change = ChangeSums {
-            member: parse_optional("member", &w.member)?,
+            team: parse_optional("team", &w.team)?,
             accepted: UnixMillis::new(w.accepted_unix_ms),
             nodes: w.nodes,
             expected: w.expected,
@@ -132,7 +132,7 @@
             cpu_us: sums.cost.cpu.get(),
             bytes: sums.cost.bytes.get(),
             store_calls: sums.cost.store_calls,
-            members: sums.members.iter().map(Into::into).collect(),
+            teams: sums.teams.iter().map(Into::into).collect(),
             touched: sums.touched.iter().map(Into::into).collect(),
             rollouts: to_wire(sums.rollouts.values()),
             changes: sums.changes.iter().map(Into::into).collect(),
@@ -151,7 +151,7 @@
                 bytes: ByteCount::new(w.bytes),
                 store_calls: w.store_calls,
             },
-            members: map("members", w.members)?,
+            teams: map("teams", w.teams)?,
             touched: map("touched", w.touched)?,
             rollouts: rollouts.into_iter().map(|record| (record.key(), record)).collect(),
             changes: map("changes", w.changes)?,
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -9,7 +9,7 @@
 fn sample() -> Config {
     let now = UnixMillis::new(1_000);
     let changes = [
-        Change::CreateService { name: "bays".parse().unwrap(), member: "depots".parse().unwrap() },
+        Change::CreateService { name: "bays".parse().unwrap(), team: "depots".parse().unwrap() },
         Change::CreateVersion(ServerVersion {
             service: "bays".parse().unwrap(),
             version: "v1".parse().unwrap(),
--- a/crates/wire/tests/operator.rs
+++ b/crates/wire/tests/operator.rs
@@ -21,7 +21,7 @@
     let by = [Moment::At(UnixMillis::new(1_500)), Moment::In(Millis::new(90))];
     let moves = by.map(|by| Command::Move { service: name("bays"), to: name("v2"), by });
     let others = [
-        Command::CreateService { name: name("bays"), member: name("depots") },
+        Command::CreateService { name: name("bays"), team: name("depots") },
         Command::RemoveService(name("bays")),
         Command::CreateRoute(route.clone()),
         Command::ChangeRoute(route),
--- a/crates/wire/tests/report.rs
+++ b/crates/wire/tests/report.rs
@@ -1,4 +1,4 @@
-//! Tests of the encoding of what nodes count for the members' reports.
+//! Tests of the encoding of what nodes count for the teams' reports.
 
 use almondsail_core::config::ServerVersion;
 use almondsail_core::control::PeerMessage;
@@ -13,7 +13,7 @@
 fn sums() -> Sums {
     let mut sums = Sums {
         cost: Cost { cpu: Micros::new(1), bytes: ByteCount::new(2), store_calls: 3 },
-        members: [(
+        teams: [(
             "depots".parse().unwrap(),
             CallCounts { delivered: 4, late: 5, refused: 6, in_doubt: 7 },
         )]
@@ -25,10 +25,10 @@
         .into(),
         ..Sums::default()
     };
-    for (version, member) in [(1, Some("depots".parse().unwrap())), (2, None)] {
+    for (version, team) in [(1, Some("depots".parse().unwrap())), (2, None)] {
         let accepted = UnixMillis::new(9);
         let longest = Millis::new(12);
-        let change = ChangeSums { member, accepted, nodes: 10, expected: 11, longest };
+        let change = ChangeSums { team, accepted, nodes: 10, expected: 11, longest };
         sums.changes.insert(ConfigVersion::new(version), change);
     }
     for (started, end) in
@@ -37,7 +37,7 @@
             .enumerate()
     {
         sums.add_rollout(&RolloutRecord {
-            member: "depots".parse().unwrap(),
+            team: "depots".parse().unwrap(),
             service: "bays".parse().unwrap(),
             version: "v2".parse().unwrap(),
             started: UnixMillis::new(started as u64),
