Let fewer calls wait that would be late

Change: a call must fit with 1.3 times its expected time (1.1 before); the short wait that any call may have is 0.15 of its target latency (0.25 before); waits weigh twice in the choice of a door.

--- a/crates/core/src/fleet/call_queue.rs
+++ b/crates/core/src/fleet/call_queue.rs
@@ -40,10 +40,10 @@
     pub const MAX_WAITING: usize = 1_024;
     /// A wait up to this part of the target latency is allowed also to a call that will be
     /// late: a server that is slower than the target still serves.
-    const SHORT_WAIT: f64 = 0.25;
+    const SHORT_WAIT: f64 = 0.15;
     /// The part of the expected time by which a call must fit before its target; the rest
     /// covers the spread.
-    const FIT: f64 = 1.1;
+    const FIT: f64 = 1.3;
 
     /// A queue for a server that is not known yet.
     pub fn new() -> Self {
--- a/crates/core/src/fleet/placement.rs
+++ b/crates/core/src/fleet/placement.rs
@@ -47,7 +47,7 @@
     const TIME: f64 = 0.04;
     /// How much more a wait counts than its own time: a call that waits also delays those that
     /// come after it, so that all calls together would wait too long at the fastest server.
-    const WAIT: f64 = 1.5;
+    const WAIT: f64 = 2.0;
     /// The spread of the logarithm of a call's time around its estimate.
     const SPREAD: f64 = 0.25;
     /// The first guess at the time of a call, as a part of the target latency.
