Leave time for the way to the caller, and try doors that were never called

Change: a tenth of the target latency, at most 18 ms, is left for the way; a wait of 20 ms is short in any case; a call must fit with 1.5 times its expected time; one idempotent call in 16 goes to a door that was never called.

--- a/crates/core/src/fleet/call_queue.rs
+++ b/crates/core/src/fleet/call_queue.rs
@@ -4,7 +4,7 @@
 
 use crate::RefusalReason;
 use crate::fleet::{Admission, CallNeed, QueueWakeup, ServiceTimes};
-use crate::units::{Instant, Micros};
+use crate::units::{Instant, Micros, Millis};
 
 /// A call that waits.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -40,10 +40,13 @@
     pub const MAX_WAITING: usize = 1_024;
     /// A wait up to this part of the target latency is allowed also to a call that will be
     /// late: a server that is slower than the target still serves.
-    const SHORT_WAIT: f64 = 0.15;
+    const SHORT_WAIT: f64 = 0.08;
+    /// A wait up to this is short in any case: refusing a call that a running call made wastes
+    /// the work of both.
+    const SHORTEST_WAIT: Millis = Millis::new(20);
     /// The part of the expected time by which a call must fit before its target; the rest
     /// covers the spread.
-    const FIT: f64 = 1.3;
+    const FIT: f64 = 1.5;
 
     /// A queue for a server that is not known yet.
     pub fn new() -> Self {
@@ -147,7 +150,7 @@
         let fits = Micros::new((expected.get() as f64 * Self::FIT) as u64);
         let short = Micros::from(need.target_latency).get() as f64 * Self::SHORT_WAIT;
         let is_in_time = start + fits <= need.target;
-        let is_short = wait.get() as f64 <= short;
+        let is_short = wait.get() as f64 <= short || wait <= Self::SHORTEST_WAIT.into();
         (is_in_time || is_short) && start + half(expected) <= need.deadline
     }
 
--- a/crates/core/src/fleet/placement.rs
+++ b/crates/core/src/fleet/placement.rs
@@ -54,6 +54,9 @@
     const FIRST_GUESS: f64 = 0.35;
     /// How much longer calls run at a server that has just started.
     const COLD: f64 = 2.0;
+    /// One of this many idempotent calls goes to a door that was never called, if there is
+    /// one: a server that has joined shows what it can do only by calls.
+    const EXPLORE: u32 = 16;
     /// The weight of the newest call in the size of a route's calls.
     const SIZE_WEIGHT: f64 = 0.1;
 
@@ -122,6 +125,10 @@
             };
             doors.doors.iter().filter(fits)
         };
+        let is_explorer = call.route.idempotent && rng.random_range(0..Self::EXPLORE) == 0;
+        if is_explorer && let Some(door) = allowed(call.to_new).find(|door| self.is_unknown(door)) {
+            return Some(door);
+        }
         let is_shift = matches!(doors.rule, VersionRule::Shift(_));
         let wanted = self.best(now, call, allowed(call.to_new), rng);
         wanted.or_else(|| {
@@ -139,6 +146,12 @@
         (Micros::new(estimate as u64), load.ahead(now, &route.name))
     }
 
+    /// Whether this node never had an answer of `door`.
+    fn is_unknown(&self, door: &RemoteDoor) -> bool {
+        let is_known = self.loads.get(&door.node).is_some_and(|load| load.mean().is_some());
+        !is_known && !door.is_silent
+    }
+
     fn best<'a>(
         &self,
         now: Instant,
--- a/crates/node/src/fleet/caller_handler.rs
+++ b/crates/node/src/fleet/caller_handler.rs
@@ -5,7 +5,7 @@
 
 use almondsail_core::fleet::{Attempts, Hedge, MeshRoute, NextTry, PlacedCall, RemoteDoor};
 use almondsail_core::ids::ServiceName;
-use almondsail_core::units::{ByteCount, Instant, Micros};
+use almondsail_core::units::{ByteCount, Instant, Micros, Millis};
 use almondsail_core::{RefusalReason, Verdict};
 use almondsail_platform::calls as names;
 use bytes::Bytes;
@@ -99,7 +99,7 @@
         route: route.name.clone(),
         priority: route.priority,
         deadline: started + limit,
-        target: started + route.target_latency,
+        target: started + in_time(route.target_latency),
         target_latency: route.target_latency,
         caller: traffic.service.clone(),
         method: parts.method,
@@ -109,6 +109,14 @@
     }
 }
 
+/// How long after a request came its answer must leave to reach the caller in time. Callers of
+/// the users stand up to 8 ms away; a short target is that of a backend server, which is near.
+fn in_time(target: Millis) -> Millis {
+    const LONGEST_WAY_MS: u64 = 18;
+    let way = (target.get() / 10).min(LONGEST_WAY_MS);
+    Millis::new(target.get() - way)
+}
+
 /// Sends a call to one door after the other until it has an answer or has failed.
 async fn send(
     traffic: &Arc<FleetTraffic>,
