Let one call wait whatever its target, so that no slot stays free

Found by admit_server_slower_than_target: with the shorter wait, a server slower than the target let no call wait.

--- a/crates/core/src/fleet/call_queue.rs
+++ b/crates/core/src/fleet/call_queue.rs
@@ -151,7 +151,9 @@
         let short = Micros::from(need.target_latency).get() as f64 * Self::SHORT_WAIT;
         let is_in_time = start + fits <= need.target;
         let is_short = wait.get() as f64 <= short || wait <= Self::SHORTEST_WAIT.into();
-        (is_in_time || is_short) && start + half(expected) <= need.deadline
+        // One call that waits keeps a slot busy that becomes free.
+        let is_next = self.waiting.is_empty();
+        (is_in_time || is_short || is_next) && start + half(expected) <= need.deadline
     }
 
     /// How long until a slot is free after the calls `ahead` have got one each.
--- a/crates/core/tests/fleet_queue.rs
+++ b/crates/core/tests/fleet_queue.rs
@@ -152,7 +152,7 @@
 }
 
 /// Guards against an overload that makes every call late: at twice the capacity, what fits is
-/// served in time. A queue bounded by the deadline alone serves 12 of 100 in time here.
+/// served in time. A queue bounded by the deadline alone serves 10 in time and 28 late here.
 #[test]
 fn replay_twice_the_capacity() {
     let (served, late, refused) = replay(40, 100, 300);
