Accept connections in one loop

The servers of callers, of other nodes and of operators had an accept loop each, with different rules at a stop: only the first took waiting connections over before it closed. All use accept::serve now, so a connection that waits at a stop is served everywhere.

--- a/crates/node/src/calls/server.rs
+++ b/crates/node/src/calls/server.rs
@@ -1,4 +1,4 @@
-//! The accept loop of both HTTP servers.
+//! The servers of callers and of other nodes.
 
 use std::future::Future;
 use std::net::SocketAddr;
@@ -13,8 +13,8 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::task::JoinSet;
 
+use crate::accept;
 use crate::calls::callers::MAX_HEADER;
 use crate::calls::stall_limit::StallLimit;
 use crate::calls::traffic::Inner;
@@ -27,10 +27,6 @@
 const PARSER_HEADER: usize = 2 * MAX_HEADER;
 /// How often idle connections to other nodes are checked.
 const TIDY_EVERY: Duration = Duration::from_secs(1);
-/// How long to wait after a failure to accept, which usually means that no file
-/// descriptors are left.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// Serves connections on `listener` with `answer` until `stop` becomes true, then
 /// goes on for the time to leave and waits for the requests in flight.
 pub(crate) async fn serve<H, F, E>(
@@ -44,48 +40,37 @@
     E: Into<Box<dyn std::error::Error + Send + Sync>> + 'static,
 {
     let leave_time = duration(inner.settings.leave_time);
-    let mut stop_later = std::pin::pin!(stop_after(stop.clone(), leave_time));
-    let mut connections = JoinSet::new();
-    let mut tidy = tokio::time::interval(TIDY_EVERY);
-    let connect = |(stream, peer)| {
+    let connect = |stream, peer| {
         let answer = answer.clone();
         let service = move |request| answer(request, peer);
         connection(stream, Arc::clone(inner), stop.clone(), service)
     };
-    loop {
-        tokio::select! {
-            () = &mut stop_later => break,
-            accepted = listener.accept(), if connections.len() < MAX_CONNECTIONS => {
-                let Ok(accepted) = accepted else {
-                    tokio::time::sleep(ACCEPT_PAUSE).await;
-                    continue;
-                };
-                connections.spawn(connect(accepted));
-            }
-            _ = connections.join_next(), if !connections.is_empty() => {}
-            _ = tidy.tick() => inner.tidy(),
-        }
-    }
-    for accepted in close(listener, MAX_CONNECTIONS - connections.len()) {
-        connections.spawn(connect(accepted));
+    let (stopping, is_stopping) = tokio::sync::oneshot::channel();
+    let stop_accepting = async {
+        stop_after(stop.clone(), leave_time).await;
+        // The receiver lives as long as this future.
+        let _ = stopping.send(());
+    };
+    let accepting = accept::serve(listener, MAX_CONNECTIONS, stop_accepting, connect);
+    let limit = async {
+        let _ = is_stopping.await;
+        tokio::time::sleep(duration(inner.settings.stop_time)).await;
+    };
+    tokio::select! {
+        () = accepting => {}
+        // Connections that are left after this time are closed.
+        () = limit => {}
+        () = tidy(inner) => {}
     }
-    let all_ended = async { while connections.join_next().await.is_some() {} };
-    // Connections that are left after this time are closed when the set is dropped.
-    let _ = tokio::time::timeout(duration(inner.settings.stop_time), all_ended).await;
 }
 
-/// Closes the listener and gives the connections, at most `limit`, that waited to be accepted.
-///
-/// Closing alone would reset them, and their callers could not tell whether
-/// their calls ran.
-fn close(listener: TcpListener, limit: usize) -> Vec<(TcpStream, SocketAddr)> {
-    let Ok(listener) = listener.into_std() else { return Vec::new() };
-    let accept = || {
-        let (stream, peer) = listener.accept()?;
-        stream.set_nonblocking(true)?;
-        Ok::<_, std::io::Error>((TcpStream::from_std(stream)?, peer))
-    };
-    std::iter::from_fn(|| accept().ok()).take(limit).collect()
+/// Closes idle connections to other nodes, without an end.
+async fn tidy(inner: &Inner) {
+    let mut tidy = tokio::time::interval(TIDY_EVERY);
+    loop {
+        tidy.tick().await;
+        inner.tidy();
+    }
 }
 
 /// Waits until `stop` becomes true, and for `leave_time` after it.
--- a/crates/node/src/fleet/http1/mod.rs
+++ b/crates/node/src/fleet/http1/mod.rs
@@ -5,11 +5,11 @@
 //! idempotent requests ahead, and leave. So the connection is driven here: requests are
 //! parsed by `httparse`, answered together and in order, and dropped when the caller closes.
 
-mod accept;
 mod body_reader;
 mod connection;
 mod request_error;
 mod request_parser;
 mod response_writer;
+mod server;
 
-pub(crate) use accept::{Http1Settings, serve};
+pub(crate) use server::{Http1Settings, serve};
--- /dev/null
+++ b/crates/node/src/fleet/http1/server.rs
@@ -0,0 +1,55 @@
+//! Serves a listener.
+
+use std::future::Future;
+
+use almondsail_core::fleet::CallerLimits;
+use bytes::Bytes;
+use http::{Request, Response};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use crate::accept;
+use crate::fleet::http1::connection::Connection;
+use crate::fleet::stop_phase::StopPhase;
+use crate::socket;
+
+/// The settings of a listener.
+pub(crate) struct Http1Settings<L> {
+    /// The limits of requests, asked for each connection.
+    pub(crate) limits: L,
+    /// The largest number of connections; further ones wait to be accepted.
+    pub(crate) connections: usize,
+    /// The phase of a planned stop.
+    pub(crate) stop: watch::Receiver<StopPhase>,
+}
+
+/// Answers the requests on `listener` with `handler` until the stop closes it and all
+/// connections have ended.
+pub(crate) async fn serve<L, H, F>(listener: TcpListener, settings: Http1Settings<L>, handler: H)
+where
+    L: Fn() -> CallerLimits,
+    H: Fn(Request<Bytes>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<Bytes>> + Send + 'static,
+{
+    let connect = |stream: TcpStream, _| {
+        // A connection whose options can't be set has ended already.
+        let is_open = socket::prepare(&stream).is_ok();
+        let (limits, stop) = ((settings.limits)(), settings.stop.clone());
+        let connection = Connection::new(stream, handler.clone(), limits, stop);
+        async move {
+            if is_open {
+                connection.run().await;
+            }
+        }
+    };
+    let closing = closing(settings.stop.clone());
+    accept::serve(listener, settings.connections, closing, connect).await;
+}
+
+/// Waits until the stop closes the listener.
+async fn closing(mut stop: watch::Receiver<StopPhase>) {
+    // Without a sender nobody can ask to stop any more.
+    if stop.wait_for(|phase| *phase == StopPhase::Closing).await.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
--- a/crates/node/src/http_server.rs
+++ b/crates/node/src/http_server.rs
@@ -11,56 +11,34 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::watch;
+
+use crate::accept;
 
 /// Number of bytes of a request's header at most.
 pub const MAX_HEADER_BYTES: usize = 64 * 1024;
 /// A caller that has not sent its whole header after this time is disconnected.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
-/// Wait after a failed accept, which happens when file descriptors run out.
-const ACCEPT_RETRY: Duration = Duration::from_millis(50);
-
 /// Serves `handler` on `listener` until `stop` is true, with at most
 /// `max_connections` at a time. Requests that run then are finished.
 pub async fn serve<H>(
     listener: TcpListener,
     handler: H,
     max_connections: usize,
-    mut stop: watch::Receiver<bool>,
+    stop: watch::Receiver<bool>,
 ) where
     H: NewHandler + 'static,
 {
     let handler = Arc::new(handler);
-    let slots = Arc::new(Semaphore::new(max_connections));
-    loop {
-        let accepted = tokio::select! {
-            accepted = accept(&listener, &slots) => accepted,
-            _ = stop.wait_for(|stop| *stop) => break,
-        };
-        let (stream, permit) = accepted;
-        let connection = serve_connection(stream, handler.clone(), stop.clone());
-        tokio::spawn(async move {
-            connection.await;
-            drop(permit);
-        });
-    }
-    // Each connection holds a permit, so all permits are free once all have ended.
-    let all = u32::try_from(max_connections).unwrap_or(u32::MAX);
-    let _ = slots.acquire_many(all).await;
-}
-
-async fn accept(
-    listener: &TcpListener,
-    slots: &Arc<Semaphore>,
-) -> (TcpStream, Option<tokio::sync::OwnedSemaphorePermit>) {
-    // The semaphore is never closed, so a permit always comes.
-    let permit = slots.clone().acquire_owned().await.ok();
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => return (stream, permit),
-            Err(_) => tokio::time::sleep(ACCEPT_RETRY).await,
+    let connect = |stream, _| serve_connection(stream, Arc::clone(&handler), stop.clone());
+    let stopped = {
+        let mut stop = stop.clone();
+        async move {
+            // A dropped sender means a stop as well.
+            let _ = stop.wait_for(|stop| *stop).await;
         }
-    }
+    };
+    accept::serve(listener, max_connections, stopped, connect).await;
 }
 
 async fn serve_connection<H>(stream: TcpStream, handler: Arc<H>, mut stop: watch::Receiver<bool>)
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,7 @@
 #![deny(missing_docs, unsafe_code, rust_2018_idioms, unreachable_pub)]
 #![deny(clippy::all)]
 
+mod accept;
 pub mod byte_counts;
 pub mod calls;
 pub mod cli;
