--- a/crates/core/src/config/change.rs
+++ b/crates/core/src/config/change.rs
@@ -3,9 +3,10 @@
 use std::fmt;
 use std::sync::Arc;
 
+use super::edits;
 use crate::config::check::check;
 use crate::config::{
-    ConfigContent, ConfigError, Rollout, RolloutPhase, Route, ServerVersion, Service, StopMark,
+    ConfigContent, ConfigError, Rollout, RolloutPhase, Route, ServerVersion, StopMark,
 };
 use crate::ids::{ConfigVersion, RouteName, ServiceName, TeamName, VersionName};
 use crate::units::{PerMille, UnixMillis};
@@ -107,7 +108,7 @@
             Self::AddStops { marks, .. } => marks.clone(),
             Self::RollBack { service, .. } => {
                 let rollout = content.rollouts.get(service);
-                rollout.map(rollout_stop).into_iter().collect()
+                rollout.map(edits::rollout_stop).into_iter().collect()
             }
             _ => Vec::new(),
         }
@@ -127,34 +128,39 @@
 
     fn edit(&self, content: &mut ConfigContent, now: UnixMillis) -> Result<(), ConfigError> {
         match self {
-            Self::CreateService { name, team } => create_service(content, name, team),
-            Self::RemoveService(name) => remove_service(content, name),
-            Self::CreateRoute(route) => create_route(content, route),
-            Self::ReplaceRoute(route) => replace_route(content, route),
-            Self::RemoveRoute(name) => remove_route(content, name),
-            Self::CreateVersion(version) => create_version(content, version),
-            Self::RemoveVersion(version) => remove_version(content, version),
+            Self::CreateService { name, team } => edits::create_service(content, name, team),
+            Self::RemoveService(name) => edits::remove_service(content, name),
+            Self::CreateRoute(route) => edits::create_route(content, route),
+            Self::ReplaceRoute(route) => edits::replace_route(content, route),
+            Self::RemoveRoute(name) => edits::remove_route(content, name),
+            Self::CreateVersion(version) => edits::create_version(content, version),
+            Self::RemoveVersion(version) => edits::remove_version(content, version),
             Self::StartRollout { service, to, deadline } => {
-                start_rollout(content, service, to, *deadline, now)
+                edits::start_rollout(content, service, to, *deadline, now)
             }
             Self::HoldRollout(service) => {
-                set_phase(content, service, RolloutPhase::Held, "held by an operator", now)
+                edits::set_phase(content, service, RolloutPhase::Held, "held by an operator", now)
             }
-            Self::ResumeRollout(service) => {
-                set_phase(content, service, RolloutPhase::Ramping, "resumed by an operator", now)
-            }
-            Self::RollBack { service, reason } => roll_back(content, service, reason, now),
+            Self::ResumeRollout(service) => edits::set_phase(
+                content,
+                service,
+                RolloutPhase::Ramping,
+                "resumed by an operator",
+                now,
+            ),
+            Self::RollBack { service, reason } => edits::roll_back(content, service, reason, now),
             Self::StepRollout { expected, share, non_idempotent_share, reason } => {
-                let step = Step { share: *share, non_idempotent_share: *non_idempotent_share };
-                step_rollout(content, expected, step, reason, now)
+                let step =
+                    edits::Step { share: *share, non_idempotent_share: *non_idempotent_share };
+                edits::step_rollout(content, expected, step, reason, now)
             }
             Self::AddStops { marks, reason } => {
-                add_stops(content, marks, reason, now);
+                edits::add_stops(content, marks, reason, now);
                 Ok(())
             }
-            Self::ClearStop(version) => clear_stop(content, version),
+            Self::ClearStop(version) => edits::clear_stop(content, version),
             Self::Restore { content: earlier, .. } => {
-                restore(content, earlier);
+                edits::restore(content, earlier);
                 Ok(())
             }
         }
@@ -189,244 +195,3 @@
         }
     }
 }
-
-/// The shares after a step.
-struct Step {
-    share: PerMille,
-    non_idempotent_share: PerMille,
-}
-
-fn create_service(
-    content: &mut ConfigContent,
-    name: &ServiceName,
-    team: &TeamName,
-) -> Result<(), ConfigError> {
-    if content.services.contains_key(name) {
-        return Err(ConfigError::ServiceExists(name.clone()));
-    }
-    let service = Service { name: name.clone(), team: team.clone(), stable: None };
-    content.services.insert(name.clone(), service);
-    Ok(())
-}
-
-fn remove_service(content: &mut ConfigContent, name: &ServiceName) -> Result<(), ConfigError> {
-    if content.services.remove(name).is_none() {
-        return Err(ConfigError::UnknownService(name.clone()));
-    }
-    if content.routes.values().any(|route| route.service == *name) {
-        return Err(ConfigError::ServiceHasRoutes(name.clone()));
-    }
-    content.versions.retain(|version| version.service != *name);
-    content.rollouts.remove(name);
-    content.stops.retain(|stop| stop.service != *name);
-    Ok(())
-}
-
-fn create_route(content: &mut ConfigContent, route: &Route) -> Result<(), ConfigError> {
-    if content.routes.contains_key(&route.name) {
-        return Err(ConfigError::RouteExists(route.name.clone()));
-    }
-    content.routes.insert(route.name.clone(), route.clone());
-    Ok(())
-}
-
-fn replace_route(content: &mut ConfigContent, route: &Route) -> Result<(), ConfigError> {
-    match content.routes.get_mut(&route.name) {
-        Some(old) => {
-            *old = route.clone();
-            Ok(())
-        }
-        None => Err(ConfigError::UnknownRoute(route.name.clone())),
-    }
-}
-
-fn remove_route(content: &mut ConfigContent, name: &RouteName) -> Result<(), ConfigError> {
-    if content.routes.remove(name).is_none() {
-        return Err(ConfigError::UnknownRoute(name.clone()));
-    }
-    content.stops.retain(|stop| stop.route.as_ref() != Some(name));
-    Ok(())
-}
-
-fn create_version(content: &mut ConfigContent, version: &ServerVersion) -> Result<(), ConfigError> {
-    let Some(service) = content.services.get_mut(&version.service) else {
-        return Err(ConfigError::UnknownService(version.service.clone()));
-    };
-    if !content.versions.insert(version.clone()) {
-        return Err(ConfigError::VersionExists(version.service.clone(), version.version.clone()));
-    }
-    service.stable.get_or_insert_with(|| version.version.clone());
-    Ok(())
-}
-
-fn remove_version(content: &mut ConfigContent, version: &ServerVersion) -> Result<(), ConfigError> {
-    if !content.versions.remove(version) {
-        return Err(unknown_version(version));
-    }
-    let is_stable = content
-        .services
-        .get(&version.service)
-        .is_some_and(|service| service.stable.as_ref() == Some(&version.version));
-    let rollout = content.rollouts.get(&version.service);
-    let uses = |r: &Rollout| r.from == version.version || r.to == version.version;
-    if is_stable || rollout.is_some_and(|r| r.phase.is_open() && uses(r)) {
-        return Err(ConfigError::VersionInUse(version.service.clone(), version.version.clone()));
-    }
-    if rollout.is_some_and(uses) {
-        content.rollouts.remove(&version.service);
-    }
-    content.stops.retain(|stop| stop.service != version.service || stop.version != version.version);
-    Ok(())
-}
-
-fn start_rollout(
-    content: &mut ConfigContent,
-    service: &ServiceName,
-    to: &VersionName,
-    deadline: UnixMillis,
-    now: UnixMillis,
-) -> Result<(), ConfigError> {
-    let owner = content
-        .services
-        .get(service)
-        .ok_or_else(|| ConfigError::UnknownService(service.clone()))?;
-    let from = owner.stable.clone().ok_or_else(|| ConfigError::NoStableVersion(service.clone()))?;
-    if content.rollouts.get(service).is_some_and(|r| r.phase.is_open()) {
-        return Err(ConfigError::RolloutOpen(service.clone()));
-    }
-    if content.stops.iter().any(|s| s.service == *service && s.version == *to) {
-        return Err(ConfigError::VersionStopped(service.clone(), to.clone()));
-    }
-    if deadline <= now {
-        return Err(ConfigError::RolloutDeadline(service.clone()));
-    }
-    let rollout = Rollout {
-        service: service.clone(),
-        from,
-        to: to.clone(),
-        started: now,
-        deadline,
-        phase: RolloutPhase::Ramping,
-        share: PerMille::ZERO,
-        non_idempotent_share: PerMille::ZERO,
-        changed: now,
-        reason: "started by an operator".into(),
-    };
-    content.rollouts.insert(service.clone(), rollout);
-    Ok(())
-}
-
-fn set_phase(
-    content: &mut ConfigContent,
-    service: &ServiceName,
-    phase: RolloutPhase,
-    reason: &str,
-    now: UnixMillis,
-) -> Result<(), ConfigError> {
-    let rollout = content
-        .rollouts
-        .get_mut(service)
-        .filter(|rollout| rollout.phase.is_open())
-        .ok_or_else(|| ConfigError::NoOpenRollout(service.clone()))?;
-    rollout.phase = phase;
-    rollout.changed = now;
-    rollout.reason = reason.into();
-    Ok(())
-}
-
-fn step_rollout(
-    content: &mut ConfigContent,
-    expected: &Rollout,
-    step: Step,
-    reason: &Arc<str>,
-    now: UnixMillis,
-) -> Result<(), ConfigError> {
-    let name = &expected.service;
-    let rollout = content
-        .rollouts
-        .get_mut(name)
-        .filter(|rollout| *rollout == expected && rollout.phase == RolloutPhase::Ramping)
-        .ok_or_else(|| ConfigError::RolloutChanged(name.clone()))?;
-    rollout.share = step.share;
-    rollout.non_idempotent_share = step.non_idempotent_share;
-    rollout.changed = now;
-    rollout.reason = reason.clone();
-    if step.non_idempotent_share == PerMille::WHOLE {
-        rollout.phase = RolloutPhase::Completed;
-        let to = rollout.to.clone();
-        if let Some(service) = content.services.get_mut(name) {
-            service.stable = Some(to);
-        }
-    }
-    Ok(())
-}
-
-fn roll_back(
-    content: &mut ConfigContent,
-    service: &ServiceName,
-    reason: &Arc<str>,
-    now: UnixMillis,
-) -> Result<(), ConfigError> {
-    let rollout = content
-        .rollouts
-        .get(service)
-        .filter(|rollout| rollout.phase != RolloutPhase::RolledBack)
-        .ok_or_else(|| ConfigError::NoOpenRollout(service.clone()))?;
-    let mark = rollout_stop(rollout);
-    add_stops(content, &[mark], reason, now);
-    Ok(())
-}
-
-/// The mark that stops the new version of `rollout` on every route.
-fn rollout_stop(rollout: &Rollout) -> StopMark {
-    StopMark { service: rollout.service.clone(), version: rollout.to.clone(), route: None }
-}
-
-/// Adds `marks` and rolls back the rollouts to the versions that they stop.
-fn add_stops(content: &mut ConfigContent, marks: &[StopMark], reason: &Arc<str>, now: UnixMillis) {
-    for mark in marks {
-        content.stops.insert(mark.clone());
-        let Some(rollout) = content.rollouts.get_mut(&mark.service) else {
-            continue;
-        };
-        if rollout.to != mark.version || rollout.phase == RolloutPhase::RolledBack {
-            continue;
-        }
-        rollout.phase = RolloutPhase::RolledBack;
-        rollout.share = PerMille::ZERO;
-        rollout.non_idempotent_share = PerMille::ZERO;
-        rollout.changed = now;
-        rollout.reason = reason.clone();
-        let from = rollout.from.clone();
-        if let Some(service) = content.services.get_mut(&mark.service) {
-            service.stable = Some(from);
-        }
-    }
-}
-
-fn clear_stop(content: &mut ConfigContent, version: &ServerVersion) -> Result<(), ConfigError> {
-    let count = content.stops.len();
-    content.stops.retain(|stop| stop.service != version.service || stop.version != version.version);
-    if content.stops.len() == count {
-        return Err(ConfigError::NotStopped(version.service.clone(), version.version.clone()));
-    }
-    Ok(())
-}
-
-/// Takes the content of `earlier` and keeps the stop marks whose version it has.
-fn restore(content: &mut ConfigContent, earlier: &ConfigContent) {
-    let stops = std::mem::take(&mut content.stops);
-    *content = earlier.clone();
-    let has_version = |stop: &StopMark| {
-        let version =
-            ServerVersion { service: stop.service.clone(), version: stop.version.clone() };
-        earlier.versions.contains(&version)
-    };
-    let has_route =
-        |stop: &StopMark| stop.route.as_ref().is_none_or(|r| earlier.routes.contains_key(r));
-    content.stops.extend(stops.into_iter().filter(|stop| has_version(stop) && has_route(stop)));
-}
-
-fn unknown_version(version: &ServerVersion) -> ConfigError {
-    ConfigError::UnknownVersion(version.service.clone(), version.version.clone())
-}
--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -8,6 +8,7 @@
 mod delta;
 mod delta_error;
 mod edit;
+mod edits;
 mod history_entry;
 mod path_prefix;
 mod priority;
