--- a/crates/node/src/calls/answer_body.rs
+++ b/crates/node/src/calls/answer_body.rs
@@ -12,8 +12,9 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use tokio::time::Sleep;
 
+use crate::calls::answer_end::AnswerEnd;
 use crate::calls::answer_stream::{AnswerStream, StreamError};
-use crate::calls::answer_watcher::{AnswerEnd, AnswerWatcher};
+use crate::calls::answer_watcher::AnswerWatcher;
 use crate::calls::exchange::Exchange;
 use crate::calls::exchange_pool::ExchangePool;
 
--- a/crates/node/src/calls/answer_recorder.rs
+++ b/crates/node/src/calls/answer_recorder.rs
@@ -2,23 +2,13 @@
 
 use std::sync::Arc;
 
-use almondsail_core::ids::{CallKey, Digest};
+use almondsail_core::ids::CallKey;
 use almondsail_core::traffic::RecordedAnswers;
 use almondsail_core::units::ByteCount;
 use bytes::Bytes;
-use http::{HeaderMap, StatusCode};
 
 use crate::calls::claims::Claims;
-
-/// An answer that was given to a call with an idempotency key.
-#[derive(Debug, Clone)]
-pub(crate) struct RecordedAnswer {
-    /// The digest of the request, so that another request with the same key gets no wrong answer.
-    pub(crate) request: Digest,
-    pub(crate) status: StatusCode,
-    pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
-}
+use crate::calls::recorded_answer::RecordedAnswer;
 
 /// Collects an answer while it is passed on.
 #[derive(Debug)]
--- a/crates/node/src/calls/answer_stream.rs
+++ b/crates/node/src/calls/answer_stream.rs
@@ -10,7 +10,7 @@
 use hyper::body::{Body as _, Incoming};
 use tokio::time::Sleep;
 
-use crate::calls::answer_watcher::AnswerEnd;
+use crate::calls::answer_end::AnswerEnd;
 use crate::calls::exchange::{AfterAnswer, Exchange};
 use crate::calls::exchange_pool::ExchangePool;
 
--- a/crates/node/src/calls/answer_watcher.rs
+++ b/crates/node/src/calls/answer_watcher.rs
@@ -3,24 +3,12 @@
 use bytes::Bytes;
 use http::StatusCode;
 
+use crate::calls::answer_end::AnswerEnd;
 use crate::calls::answer_recorder::AnswerRecorder;
 use crate::calls::call_timer::CallTimer;
 use crate::calls::in_flight::InFlight;
 use crate::calls::slot::{Slot, SlotEnd};
 
-/// How the body of an answer ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum AnswerEnd {
-    /// Every byte was passed on.
-    Complete,
-    /// The exchange broke or the answer is malformed.
-    Broken,
-    /// The deadline passed.
-    TimedOut,
-    /// The caller gave up.
-    Dropped,
-}
-
 /// A part of the node that is told how an answer ended.
 #[derive(Debug)]
 pub(crate) enum AnswerWatcher {
--- a/crates/node/src/calls/call_table.rs
+++ b/crates/node/src/calls/call_table.rs
@@ -6,7 +6,9 @@
 
 use almondsail_core::ids::{CallKey, ConfigVersion, NodeId, RouteName, ServiceName, VersionName};
 use almondsail_core::peers::BackendState;
-use almondsail_core::traffic::{Endpoint, EndpointLoad, REGISTRARS, Snapshot, registrars};
+use almondsail_core::traffic::{
+    DoorLimits, Endpoint, EndpointLoad, REGISTRARS, Snapshot, registrars,
+};
 use almondsail_core::units::{Instant, Micros};
 
 use crate::calls::call_counters::{CallCell, CallCounters, CountKey, CountedAt};
@@ -92,6 +94,14 @@
         self.snapshot.config.as_ref().map_or(ConfigVersion::default(), |cfg| cfg.version)
     }
 
+    /// The limits that the backend server beside this node announced.
+    pub(crate) fn door_limits(&self) -> DoorLimits {
+        self.snapshot.local_backend.as_ref().map_or(
+            DoorLimits { slots: 0, connections: 0 },
+            |backend| DoorLimits { slots: backend.slots, connections: backend.connections },
+        )
+    }
+
     /// The endpoint of `service` at `node`.
     pub(crate) fn target(&self, service: &ServiceName, node: &NodeId) -> Option<&Target> {
         let versions = &self.services.get(service)?.versions;
--- a/crates/node/src/calls/call_timer.rs
+++ b/crates/node/src/calls/call_timer.rs
@@ -6,7 +6,7 @@
 use almondsail_core::units::Instant;
 use http::StatusCode;
 
-use crate::calls::answer_watcher::AnswerEnd;
+use crate::calls::answer_end::AnswerEnd;
 use crate::calls::call_counters::CallCell;
 use crate::clock::Clock;
 
--- a/crates/node/src/calls/caller_request.rs
+++ b/crates/node/src/calls/caller_request.rs
@@ -13,8 +13,8 @@
 use crate::calls::call_headers as names;
 use crate::calls::call_table::CallTable;
 use crate::calls::caller_marks::CallerMarks;
-use crate::calls::callers::MAX_HEADER;
 use crate::calls::door_request::{DoorCall, clean};
+use crate::calls::server::MAX_HEADER;
 use crate::calls::traffic::Inner;
 use crate::clock::duration;
 
--- a/crates/node/src/calls/callers.rs
+++ b/crates/node/src/calls/callers.rs
@@ -12,9 +12,6 @@
 use crate::calls::server::serve;
 use crate::calls::traffic::Traffic;
 
-/// Number of bytes that a request's header may have.
-pub const MAX_HEADER: usize = 64 * 1024;
-
 /// Takes calls on `listener` until `stop` becomes true, then waits for those in flight.
 pub async fn serve_callers(listener: TcpListener, traffic: Traffic, stop: watch::Receiver<bool>) {
     let handler = CallHandler::new(Arc::clone(&traffic.inner));
--- a/crates/node/src/calls/claim.rs
+++ b/crates/node/src/calls/claim.rs
@@ -8,7 +8,7 @@
 
 use crate::calls::call_headers as names;
 use crate::calls::door_request::{DoorRequest, required};
-use crate::calls::traffic::Inner;
+use crate::calls::peer_token::PeerToken;
 
 /// The claim of a key by a call that is about to run.
 #[derive(Debug, Clone)]
@@ -32,11 +32,15 @@
     }
 
     /// The message to another node.
-    pub(crate) fn to_request(&self, inner: &Inner, message: DoorRequest) -> Request<Full<Bytes>> {
+    pub(crate) fn to_request(
+        &self,
+        token: &PeerToken,
+        message: DoorRequest,
+    ) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(Bytes::new()));
         *request.method_mut() = Method::POST;
         let headers = request.headers_mut();
-        headers.insert(names::TOKEN, inner.token.header());
+        headers.insert(names::TOKEN, token.header());
         names::set(headers, http::header::HOST, &self.holder);
         names::set(headers, names::MESSAGE, message);
         names::set(headers, names::SERVICE, &self.service);
--- a/crates/node/src/calls/claims.rs
+++ b/crates/node/src/calls/claims.rs
@@ -8,10 +8,10 @@
 use bytes::Bytes;
 use http::{HeaderMap, Response, StatusCode};
 
-use crate::calls::answer_recorder::RecordedAnswer;
 use crate::calls::call_headers as names;
 use crate::calls::claim::Claim;
 use crate::calls::door_request::DoorRequest;
+use crate::calls::recorded_answer::RecordedAnswer;
 use crate::clock::Clock;
 
 /// The keys that this node registers, and the answers that its door recorded.
--- a/crates/node/src/calls/door.rs
+++ b/crates/node/src/calls/door.rs
@@ -6,12 +6,12 @@
 use almondsail_core::Verdict;
 use almondsail_core::ids::{CallKey, Digest};
 use almondsail_core::peers::BackendState;
-use almondsail_core::traffic::{DoorLimits, Replay};
+use almondsail_core::traffic::Replay;
 use http::{HeaderMap, Response};
 use hyper::body::{Body as _, Incoming};
 
 use crate::calls::answer_body::{Answer, AnswerBody};
-use crate::calls::answer_recorder::{AnswerRecorder, RecordedAnswer};
+use crate::calls::answer_recorder::AnswerRecorder;
 use crate::calls::answer_watcher::AnswerWatcher;
 use crate::calls::call_counters::CancelCount;
 use crate::calls::call_headers as names;
@@ -21,6 +21,7 @@
 use crate::calls::exchange::{Exchange, ExchangeError};
 use crate::calls::failure::Failure;
 use crate::calls::held_claim::HeldClaim;
+use crate::calls::recorded_answer::RecordedAnswer;
 use crate::calls::slot::{Slot, SlotEnd};
 use crate::calls::traffic::Inner;
 
@@ -191,11 +192,3 @@
 fn tells_its_end(headers: &HeaderMap, incoming: &Incoming) -> bool {
     incoming.size_hint().exact().is_some() || headers.contains_key(http::header::TRANSFER_ENCODING)
 }
-
-/// The limits that the backend server beside this node announced.
-pub(crate) fn limits(table: &CallTable) -> DoorLimits {
-    table.snapshot.local_backend.as_ref().map_or(
-        DoorLimits { slots: 0, connections: 0 },
-        |backend| DoorLimits { slots: backend.slots, connections: backend.connections },
-    )
-}
--- a/crates/node/src/calls/held_claim.rs
+++ b/crates/node/src/calls/held_claim.rs
@@ -151,7 +151,7 @@
     let pool = table.doors.get(node)?;
     let until = tokio::time::Instant::now() + CLAIM_TIME;
     let (response, mut exchange) =
-        pool.send(|| claim.to_request(inner, message), until).await.ok()?;
+        pool.send(|| claim.to_request(&inner.token, message), until).await.ok()?;
     let (parts, body) = response.into_parts();
     drop(body);
     if exchange.is_reusable() {
--- a/crates/node/src/calls/in_flight.rs
+++ b/crates/node/src/calls/in_flight.rs
@@ -6,7 +6,7 @@
 use almondsail_core::units::Instant;
 use http::StatusCode;
 
-use crate::calls::answer_watcher::AnswerEnd;
+use crate::calls::answer_end::AnswerEnd;
 use crate::clock::Clock;
 
 /// A call in flight to an endpoint; counted until it is dropped.
--- a/crates/node/src/calls/mod.rs
+++ b/crates/node/src/calls/mod.rs
@@ -5,6 +5,7 @@
 //! `exchange_pool` hold the connections in between, `claims` and `held_claim` the idempotency keys.
 
 pub(crate) mod answer_body;
+mod answer_end;
 mod answer_recorder;
 mod answer_stream;
 mod answer_watcher;
@@ -32,6 +33,7 @@
 mod held_claim;
 mod in_flight;
 mod peer_token;
+mod recorded_answer;
 mod server;
 mod slot;
 mod slot_wait;
@@ -43,8 +45,9 @@
 mod traffic_settings;
 
 pub use body::MAX_BODY;
-pub use callers::{MAX_HEADER, serve_callers};
+pub use callers::serve_callers;
 pub use door_server::serve_door;
+pub use server::MAX_HEADER;
 pub use traffic::Traffic;
 pub use traffic_builder::TrafficBuilder;
 pub use traffic_error::TrafficError;
--- a/crates/node/src/calls/server.rs
+++ b/crates/node/src/calls/server.rs
@@ -15,11 +15,12 @@
 use tokio::sync::watch;
 
 use crate::accept;
-use crate::calls::callers::MAX_HEADER;
 use crate::calls::stall_limit::StallLimit;
 use crate::calls::traffic::Inner;
 use crate::clock::duration;
 
+/// Number of bytes that a request's header may have.
+pub const MAX_HEADER: usize = 64 * 1024;
 /// The largest number of connections that a server holds; further ones wait to be accepted.
 const MAX_CONNECTIONS: usize = 8_192;
 /// The largest header that the parser takes. Above [`MAX_HEADER`], so that a header
--- a/crates/node/src/calls/traffic.rs
+++ b/crates/node/src/calls/traffic.rs
@@ -9,7 +9,6 @@
 use crate::calls::call_counters::{CallCounters, CallCountsReader};
 use crate::calls::call_table::CallTable;
 use crate::calls::claims::Claims;
-use crate::calls::door;
 use crate::calls::exchange_pool::{ExchangePool, PoolLimits};
 use crate::calls::peer_token::PeerToken;
 use crate::calls::slots::Slots;
@@ -119,7 +118,7 @@
         let limits = pool_limits(&self.settings);
         let now = self.clock.now();
         let table = CallTable::build(snapshot, old.as_deref(), now, limits, &self.counters);
-        self.slots.set_limits(door::limits(&table));
+        self.slots.set_limits(table.door_limits());
         let table = Arc::new(table);
         self.table.store(Some(Arc::clone(&table)));
         table
