Draw the node that a configuration is fetched from

Change: the node is drawn among those that have the configuration; one watcher of the store for each 6 nodes of a data centre, two at the least.

--- a/crates/core/src/fleet/fleet_control.rs
+++ b/crates/core/src/fleet/fleet_control.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use rand::Rng;
+use rand::seq::IteratorRandom;
 
 use super::lease_keeper::LeaseKeeper;
 use crate::fleet::{
@@ -67,9 +68,12 @@
     const HEARTBEAT: Millis = Millis::new(300);
     /// The same to nodes of other data centres, where bytes are dear. News go at once.
     const FAR_HEARTBEAT: Millis = Millis::new(1_000);
-    /// The nodes of a data centre that watch the store. A second one covers the time until a
-    /// dead or frozen first one is noticed.
+    /// The nodes of a data centre that watch the store, at the least. A second one covers the
+    /// time until a dead or frozen first one is noticed.
     const WATCHERS: usize = 2;
+    /// One more node of this many watches: a configuration of a megabyte takes a slow link most
+    /// of a second, so one node can pass it on to few others in time.
+    const NODES_EACH_WATCHER: usize = 6;
     /// How long a node of another data centre may have a newer configuration before it is
     /// asked for it, which costs bytes between data centres. Most changes come earlier, by the
     /// store or from the same data centre.
@@ -140,7 +144,7 @@
         }
         self.drive_rollouts(now, wall);
         self.send_due_requests(now);
-        self.fetch_newer_config(now);
+        self.fetch_newer_config(now, rng);
         self.send_heartbeat(now, rng);
         if std::mem::take(&mut self.is_changed) {
             self.actions.push(FleetAction::Publish);
@@ -323,28 +327,34 @@
     }
 
     /// Asks a node with a newer configuration for it: one of the same data centre at once,
-    /// unless this node watches the store itself, and any other after a while.
-    fn fetch_newer_config(&mut self, now: Instant) {
+    /// unless this node watches the store itself, and any other after a while. Which one is
+    /// drawn, so that those who have it share the work and pass it on like a tree.
+    fn fetch_newer_config(&mut self, now: Instant, rng: &mut impl Rng) {
         let Some(since) = self.behind_since else { return };
         if now < self.fetching_until {
             return;
         }
         let is_long = now.since(since) >= Self::BEHIND.into();
         let may_near = is_long || self.operator_feed.is_failing() || !self.is_watcher(now);
+        let newer = self.newer_nodes(now);
+        if newer.is_empty() {
+            self.behind_since = None;
+            return;
+        }
+        let near = newer.iter().filter(|entry| may_near && self.is_near(entry)).choose(rng);
+        let any = newer.iter().filter(|_| is_long).choose(rng);
+        if let Some(entry) = near.or(any) {
+            self.fetching_until = now + Self::FETCH;
+            self.actions.push(FleetAction::FetchConfig(entry.door));
+        }
+    }
+
+    /// The nodes that have a newer configuration.
+    fn newer_nodes(&self, now: Instant) -> Vec<crate::fleet::NodeEntry> {
         let own = self.config_version();
-        let newer = |heartbeat: &&Heartbeat| heartbeat.config_version > own;
         let alive = self.peers.alive(now).filter_map(|peer| peer.heartbeat.as_ref());
-        let newest = alive
-            .filter(newer)
-            .max_by_key(|heartbeat| (self.is_near(&heartbeat.entry), heartbeat.config_version));
-        match newest {
-            Some(heartbeat) if is_long || (may_near && self.is_near(&heartbeat.entry)) => {
-                self.fetching_until = now + Self::FETCH;
-                self.actions.push(FleetAction::FetchConfig(heartbeat.entry.door));
-            }
-            Some(_) => {}
-            None => self.behind_since = None,
-        }
+        let newer = alive.filter(|heartbeat| heartbeat.config_version > own);
+        newer.map(|heartbeat| heartbeat.entry.clone()).collect()
     }
 
     /// Whether this node watches the store for its data centre: it is one of the first, by
@@ -356,7 +366,8 @@
         let before = self.peers.alive(now).filter(|peer| {
             peer.is_near && peer.entry.node < *own && peer.heartbeat.as_ref().is_some_and(reaches)
         });
-        before.count() < Self::WATCHERS
+        let near = self.peers.alive(now).filter(|peer| peer.is_near).count() + 1;
+        before.count() < Self::WATCHERS.max(near / Self::NODES_EACH_WATCHER)
     }
 
     fn is_near(&self, entry: &crate::fleet::NodeEntry) -> bool {
