--- a/crates/core/src/fleet/fleet_control.rs
+++ b/crates/core/src/fleet/fleet_control.rs
@@ -84,7 +84,7 @@
     /// remember of the backend server beside it, before it sends calls there.
     const RECALL: Millis = Millis::new(450);
     /// How long an answer with a configuration may take.
-    const FETCH: Millis = Millis::new(800);
+    const FETCH: Millis = Millis::new(1_900);
     /// Without the store, a node serves with what other nodes have from this time on.
     const PEERS_ONLY: Millis = Millis::new(700);
 
--- a/crates/node/src/fleet/control_loop.rs
+++ b/crates/node/src/fleet/control_loop.rs
@@ -27,8 +27,9 @@
 
 /// Longest time between two events of the control state.
 const TICK: Duration = Duration::from_millis(100);
-/// How long another node may take to send its configuration.
-const FETCH_TIME: Duration = Duration::from_millis(700);
+/// How long another node may take to send its configuration, a megabyte at most, over a slow
+/// link that other nodes use as well.
+const FETCH_TIME: Duration = Duration::from_millis(1_800);
 
 /// An event that is answered once its effect is published.
 #[derive(Debug)]
--- a/crates/node/src/fleet/store_caller.rs
+++ b/crates/node/src/fleet/store_caller.rs
@@ -28,6 +28,8 @@
     pub(crate) async fn call(&self, request: &StoreRequest) -> Result<StoreReply, StoreFailure> {
         let limit = match request {
             StoreRequest::Watch(..) => self.timeout + duration(codec::WATCH_TIME),
+            // A page may be a megabyte, which a slow link carries in most of a second.
+            StoreRequest::List(..) => 2 * self.timeout,
             _ => self.timeout,
         };
         let sent = codec::encode(request).map_err(|_| StoreFailure::Unreadable)?;
