--- /dev/null
+++ b/crates/node/tests/fleet_settings.rs
@@ -0,0 +1,48 @@
+//! The settings of a node of a fleet.
+
+use std::path::Path;
+
+use almondsail_core::units::Millis;
+use almondsail_node::fleet::FleetSettings;
+use almondsail_node::settings::{SettingsError, SettingsFile};
+
+fn sample() -> String {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../samples/fleet.jsonc");
+    std::fs::read_to_string(path).unwrap()
+}
+
+fn mistakes(text: &str) -> Vec<String> {
+    match FleetSettings::parse(text) {
+        Err(SettingsError::Mistakes(mistakes)) => {
+            mistakes.iter().map(ToString::to_string).collect()
+        }
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Guards against a shipped sample that is out of date, and one that is taken for the settings
+/// of the other kind of node.
+#[test]
+fn read_shipped_sample() {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../samples/fleet.jsonc");
+    let settings = SettingsFile::read(Path::new(path)).unwrap();
+    let SettingsFile::Fleet(settings) = settings else { panic!("{settings:?}") };
+    assert_eq!(settings.grace, Millis::new(6_000));
+    assert_eq!((settings.retry_ratio.get(), settings.retry_allowance), (200, 60));
+    assert_eq!(settings.retry_window, Millis::new(10_000));
+}
+
+/// Guards against a settings file whose mistakes come to light one at a time.
+#[test]
+fn parse_every_mistake() {
+    let text = sample()
+        .replace("\"node-1\"", "\"N 1\"")
+        .replace("\"10.1.0.8:7620\"", "\"0.0.0.0:7620\"")
+        .replace("\"retry_ratio\": 0.2", "\"retry_ratio\": 2")
+        .replace("\"service\"", "\"sarvice\"");
+    let mistakes = mistakes(&text);
+    for place in ["fleet.id", "fleet.listen.nodes", "fleet.retry_ratio", "fleet.service", "sarvice"]
+    {
+        assert!(mistakes.iter().any(|m| m.contains(place)), "{place} is not in {mistakes:?}");
+    }
+}
