--- a/crates/testkit/examples/demo.rs
+++ b/crates/testkit/examples/demo.rs
@@ -7,9 +7,11 @@
 use almondsail_testkit::backend::{Fault, FaultRule, Faults};
 use almondsail_testkit::harness::wait_until;
 use almondsail_testkit::mesh::{Mesh, Operator, ProcessUsage};
+use almondsail_testkit::platform::Fleet;
 use almondsail_testkit::stop_signal;
 use almondsail_testkit::traffic::{Audit, CallEnd, CallRequest, Caller, Load, LoadOptions, Tally};
 use eyre::{Result, bail, ensure, eyre};
+use http::Method;
 
 const SERVICES: [&str; 4] = ["bays", "traslados", "taller", "utileria"];
 /// Resident memory that an idle node may use at most.
@@ -46,6 +48,7 @@
     show_loss(&mut mesh).await?;
     drop(mesh);
     show_moves().await?;
+    show_fleet().await?;
     println!("\nThe demo ended without a fault.");
     Ok(())
 }
@@ -177,3 +180,31 @@
     println!("No call was lost and none ran twice.");
     Ok(())
 }
+
+/// Shows a fleet whose configuration comes from a stand-in of the users' platform.
+async fn show_fleet() -> Result<()> {
+    println!("\n== A fleet on the platform's stand-ins: 4 nodes in 2 data centres");
+    let services = ["bays", "traslados"];
+    let mut fleet = Fleet::start(&["dc-a", "dc-b"], &services).await?;
+    fleet.configure(1, &services);
+    for node in 0..fleet.nodes.len() {
+        fleet.wait_until_ready(node).await?;
+        for service in services {
+            fleet.wait_until_served(node, service).await?;
+        }
+    }
+    println!("version 1 is in force everywhere, {} calls to the store", fleet.store.calls());
+    for (node, service) in [(0, "bays"), (0, "traslados"), (3, "bays")] {
+        let host = format!("{service}.example");
+        let headers = [("host", host.as_str()), ("almondsail-attempt-id", "demo")];
+        let client = fleet.caller(node)?;
+        let reply = client.send(Method::POST, "/unsafe/", "x".into(), &headers).await?;
+        ensure!(reply.status == 200, "{service} through node {node}: {}", reply.status);
+        let server = String::from_utf8_lossy(&reply.body).into_owned();
+        println!("{:14} POST {service}: {} by {server}", fleet.nodes[node].name, reply.status);
+    }
+    fleet.kill(0)?;
+    fleet.wait_until_served(1, "bays").await?;
+    println!("{} was killed; bays is served by the other data centre", fleet.nodes[0].name);
+    Ok(())
+}
