--- /dev/null
+++ b/crates/core/src/fleet/calls_view.rs
@@ -0,0 +1,127 @@
+//! What calls see of the control state.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use super::fleet_control::FleetControl;
+use crate::fleet::{BackendStatus, FleetView, RemoteDoor, ServiceDoors, VersionRule};
+use crate::ids::ServiceName;
+use crate::units::{Instant, Millis};
+
+impl FleetControl {
+    /// Without the store, a node serves with what other nodes have from this time on.
+    const PEERS_ONLY: Millis = Millis::new(700);
+    /// How long a node that has started, and does not reach the store, waits for what others
+    /// remember of the backend server beside it, before it sends calls there.
+    const RECALL: Millis = Millis::new(450);
+
+    /// Whether the node can serve: it knows the configuration, and that none newer was
+    /// accepted before it started, as far as the store or the other nodes can tell.
+    pub fn is_ready(&self, now: Instant) -> bool {
+        let has_listed = self.operator_feed.is_listed() && self.nodes_feed.is_listed();
+        let has_peers = now > Instant::new(0) + Self::PEERS_ONLY;
+        self.config.is_some() && (has_listed || has_peers) && !self.is_leaving
+    }
+
+    /// What calls see.
+    pub fn view(&self, now: Instant) -> FleetView {
+        let backend = self.backend(now).cloned();
+        let config = self.config.as_ref().map(|text| Arc::clone(&text.config));
+        let service = backend.as_ref().map(|backend| &backend.service);
+        let settings =
+            |cfg: &crate::fleet::MeshConfig| service.and_then(|s| cfg.services.get(s).copied());
+        let connections = config.as_deref().and_then(settings).map_or(0, |s| s.connections);
+        let wants_evidence = service
+            .and_then(|service| self.rollouts.get(service))
+            .is_some_and(|rollout| rollout.is_running());
+        FleetView {
+            node: self.identity.entry.node.clone(),
+            data_centre: self.identity.entry.data_centre.clone(),
+            config: config.filter(|_| self.is_ready(now) || self.is_leaving),
+            services: self.services(now),
+            backend,
+            connections,
+            is_leaving: self.is_leaving,
+            nodes: u32::try_from(self.alive.len()).unwrap_or(u32::MAX) + 1,
+            wants_evidence,
+        }
+    }
+
+    /// The backend server beside this node, once others had time to tell that it has left.
+    pub(super) fn backend(&self, now: Instant) -> Option<&BackendStatus> {
+        self.registration.backend().filter(|_| self.has_recalled(now))
+    }
+
+    /// Whether the node knows what was remembered before it started, by the store or because
+    /// the other nodes had time to tell.
+    pub(super) fn has_recalled(&self, now: Instant) -> bool {
+        self.nodes_feed.is_listed() || now >= Instant::new(0) + Self::RECALL
+    }
+
+    /// The backend servers that are known, with the nodes beside them.
+    pub(super) fn backends(&self, now: Instant) -> Vec<KnownBackend<'_>> {
+        let own = self.backend(now).filter(|_| !self.is_leaving);
+        let own = own.map(|status| KnownBackend {
+            entry: &self.identity.entry,
+            status,
+            is_silent: false,
+        });
+        let others = self.peers.iter().filter_map(|peer| {
+            let heartbeat = peer.heartbeat.as_ref().filter(|heartbeat| !heartbeat.is_leaving)?;
+            let status = heartbeat.backend.as_ref()?;
+            Some(KnownBackend { entry: &peer.entry, status, is_silent: peer.is_silent(now) })
+        });
+        own.into_iter().chain(others).collect()
+    }
+
+    pub(super) fn services(&self, now: Instant) -> HashMap<ServiceName, ServiceDoors> {
+        let mut by_service: HashMap<&ServiceName, Vec<KnownBackend<'_>>> = HashMap::new();
+        for known in self.backends(now) {
+            by_service.entry(&known.status.service).or_default().push(known);
+        }
+        let doors = |(service, known): (&ServiceName, Vec<KnownBackend<'_>>)| {
+            let rule = self.rule(service, &known);
+            let doors = known.iter().map(KnownBackend::door).collect();
+            (service.clone(), ServiceDoors { doors, rule })
+        };
+        by_service.into_iter().map(doors).collect()
+    }
+
+    /// Which versions of `service` may take calls. Without an order, a second version that
+    /// appears is not trusted: calls stay with the version of the oldest server.
+    pub(super) fn rule(&self, service: &ServiceName, known: &[KnownBackend<'_>]) -> VersionRule {
+        if let Some(rollout) = self.rollouts.get(service) {
+            return rollout.rule();
+        }
+        let oldest = known.iter().map(|known| known.status).min_by_key(|status| status.born);
+        match oldest {
+            Some(oldest) if known.iter().any(|k| k.status.version != oldest.version) => {
+                VersionRule::Only(oldest.version.clone())
+            }
+            _ => VersionRule::Any,
+        }
+    }
+}
+
+/// A backend server with the node beside it.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct KnownBackend<'a> {
+    pub(super) entry: &'a crate::fleet::NodeEntry,
+    pub(super) status: &'a BackendStatus,
+    pub(super) is_silent: bool,
+}
+
+impl KnownBackend<'_> {
+    fn door(&self) -> RemoteDoor {
+        RemoteDoor {
+            node: self.entry.node.clone(),
+            address: self.entry.door,
+            data_centre: self.entry.data_centre.clone(),
+            backend: self.status.id.clone(),
+            version: self.status.version.clone(),
+            slots: self.status.slots,
+            is_cold: self.status.is_cold,
+            is_silent: self.is_silent,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/fleet/node_events.rs
@@ -0,0 +1,177 @@
+//! What the control state does with other nodes.
+
+use std::net::SocketAddr;
+
+use rand::Rng;
+use rand::seq::IteratorRandom;
+
+use super::fleet_control::FleetControl;
+use crate::fleet::{ConfigText, FleetAction, FleetNews, Heartbeat};
+use crate::units::{Instant, Micros, Millis};
+
+impl FleetControl {
+    /// Time between two heartbeats to nodes of the same data centre.
+    const HEARTBEAT: Millis = Millis::new(300);
+    /// The same to nodes of other data centres, where bytes are dear. News go at once.
+    const FAR_HEARTBEAT: Millis = Millis::new(1_000);
+    /// The nodes of a data centre that watch the store, at the least. A second one covers the
+    /// time until a dead or frozen first one is noticed.
+    const WATCHERS: usize = 2;
+    /// One more node of this many watches: a configuration of a megabyte takes a slow link most
+    /// of a second, so one node can pass it on to few others in time.
+    const NODES_EACH_WATCHER: usize = 6;
+    /// How long a node of another data centre may have a newer configuration before it is
+    /// asked for it, which costs bytes between data centres. Most changes come earlier, by the
+    /// store or from the same data centre.
+    const BEHIND: Millis = Millis::new(600);
+    /// How long a node that has started is told everything that others remember.
+    const NEWCOMER: Millis = Millis::new(3_000);
+    /// How long an answer with a configuration may take.
+    const FETCH: Millis = Millis::new(1_900);
+
+    pub(super) fn heard(&mut self, now: Instant, heartbeat: Heartbeat) {
+        if heartbeat.entry.node == self.identity.entry.node {
+            return;
+        }
+        let version = heartbeat.config_version;
+        let rollouts = heartbeat.rollouts.clone();
+        let departures = heartbeat.departures.clone();
+        let news = FleetNews::Peer {
+            node: heartbeat.entry.node.clone(),
+            is_leaving: heartbeat.is_leaving,
+            backend: heartbeat.backend.as_ref().map(|backend| backend.id.clone()),
+        };
+        let is_newcomer = self.peers.is_newcomer(&heartbeat);
+        if is_newcomer {
+            self.newcomer_until = now + Self::NEWCOMER;
+        }
+        match self.peers.heard(now, heartbeat) {
+            None => return,
+            Some(false) => {}
+            Some(true) => {
+                self.is_changed = true;
+                self.report(news);
+            }
+        }
+        if version <= self.config_version() {
+            let newest = self.peers.alive(now).filter_map(|peer| peer.heartbeat.as_ref());
+            if newest.map(|heartbeat| heartbeat.config_version).max() <= Some(self.config_version())
+            {
+                self.behind_since = None;
+            }
+        } else {
+            self.behind_since.get_or_insert(now);
+        }
+        for departure in departures {
+            self.departed(now, &departure);
+        }
+        for report in rollouts {
+            self.heard_rollout(now, &report);
+        }
+    }
+
+    /// Puts `text` in force if it is newer.
+    pub(super) fn take_config(&mut self, text: ConfigText, source: &'static str) {
+        let (before, version) = (self.config_version(), text.config.version);
+        if self.config.is_some() && version <= before {
+            return;
+        }
+        self.config = Some(text);
+        self.behind_since = None;
+        self.report(FleetNews::ConfigInForce { version, before, source });
+        self.changed();
+    }
+
+    pub(super) fn peer_config(&mut self, now: Instant, config: Option<ConfigText>) {
+        self.fetching_until = now;
+        if let Some(text) = config {
+            self.take_config(text, "node");
+        }
+    }
+
+    /// Asks a node with a newer configuration for it: one of the same data centre at once,
+    /// unless this node watches the store itself, and any other after a while. Which one is
+    /// drawn, so that those who have it share the work and pass it on like a tree.
+    pub(super) fn fetch_newer_config(&mut self, now: Instant, rng: &mut impl Rng) {
+        let Some(since) = self.behind_since else { return };
+        if now < self.fetching_until {
+            return;
+        }
+        let is_long = now.since(since) >= Self::BEHIND.into();
+        let may_near = is_long || self.operator_feed.is_failing() || !self.is_watcher(now);
+        let newer = self.newer_nodes(now);
+        if newer.is_empty() {
+            self.behind_since = None;
+            return;
+        }
+        let near = newer.iter().filter(|entry| may_near && self.is_near(entry)).choose(rng);
+        let any = newer.iter().filter(|_| is_long).choose(rng);
+        if let Some(entry) = near.or(any) {
+            self.fetching_until = now + Self::FETCH;
+            self.actions.push(FleetAction::FetchConfig(entry.door));
+        }
+    }
+
+    /// The nodes that have a newer configuration.
+    pub(super) fn newer_nodes(&self, now: Instant) -> Vec<crate::fleet::NodeEntry> {
+        let own = self.config_version();
+        let alive = self.peers.alive(now).filter_map(|peer| peer.heartbeat.as_ref());
+        let newer = alive.filter(|heartbeat| heartbeat.config_version > own);
+        newer.map(|heartbeat| heartbeat.entry.clone()).collect()
+    }
+
+    /// Whether this node watches the store for its data centre: it is one of the first, by
+    /// id, of the nodes that reach the store. The others hear of changes from these, so that
+    /// the calls to the store grow with the data centres and not with the nodes.
+    pub(super) fn is_watcher(&self, now: Instant) -> bool {
+        let own = &self.identity.entry.node;
+        let reaches = |heartbeat: &Heartbeat| heartbeat.is_store_reached && !heartbeat.is_leaving;
+        let before = self.peers.alive(now).filter(|peer| {
+            peer.is_near && peer.entry.node < *own && peer.heartbeat.as_ref().is_some_and(reaches)
+        });
+        let near = self.peers.alive(now).filter(|peer| peer.is_near).count() + 1;
+        before.count() < Self::WATCHERS.max(near / Self::NODES_EACH_WATCHER)
+    }
+
+    pub(super) fn is_near(&self, entry: &crate::fleet::NodeEntry) -> bool {
+        entry.data_centre == self.identity.entry.data_centre
+    }
+
+    pub(super) fn send_heartbeat(&mut self, now: Instant, rng: &mut impl Rng) {
+        let is_news = std::mem::take(&mut self.is_news);
+        let mut to: Vec<SocketAddr> = Vec::new();
+        if is_news || now >= self.next_heartbeat {
+            self.next_heartbeat = next_time(now, Self::HEARTBEAT, rng);
+            to.extend(self.peers.addresses(true));
+        }
+        if is_news || now >= self.next_far_heartbeat {
+            self.next_far_heartbeat = next_time(now, Self::FAR_HEARTBEAT, rng);
+            to.extend(self.peers.addresses(false));
+        }
+        if !to.is_empty() {
+            let heartbeat = Box::new(self.heartbeat(now));
+            self.actions.push(FleetAction::Heartbeat(heartbeat, to));
+        }
+    }
+
+    pub(super) fn heartbeat(&mut self, now: Instant) -> Heartbeat {
+        self.sequence += 1;
+        Heartbeat {
+            entry: self.identity.entry.clone(),
+            incarnation: self.identity.incarnation,
+            sequence: self.sequence,
+            config_version: self.config_version(),
+            is_store_reached: self.is_store_reached,
+            is_leaving: self.is_leaving,
+            backend: self.backend(now).cloned(),
+            departures: self.registration.departures(now, now < self.newcomer_until),
+            rollouts: self.rollouts.values().map(|rollout| rollout.report(now)).collect(),
+        }
+    }
+}
+
+/// The time after `now` and `period`, up to a tenth earlier, so that nodes don't beat together.
+fn next_time(now: Instant, period: Millis, rng: &mut impl Rng) -> Instant {
+    let period = Micros::from(period).get();
+    now + Micros::new(rng.random_range(period * 9 / 10..=period))
+}
--- a/crates/core/src/fleet/rollout_events.rs
+++ b/crates/core/src/fleet/rollout_events.rs
@@ -1,5 +1,6 @@
 //! What the control state does about rollouts.
 
+use super::calls_view::KnownBackend;
 use super::fleet_control::{FleetControl, Purpose};
 use crate::fleet::{
     FleetNews, Rollout, RolloutOrder, RolloutOutcome, RolloutReport, RolloutStep, StoreFailure,
@@ -133,7 +134,7 @@
             return Some(Some(RolloutOutcome::RolledBack));
         }
         if rollout.step(now) == RolloutStep::Complete {
-            let is_new = |known: &super::fleet_control::KnownBackend<'_>| {
+            let is_new = |known: &KnownBackend<'_>| {
                 known.status.service == *service
                     && known.status.version == rollout.order.target
                     && !known.is_silent
