--- a/crates/core/src/fleet/calls_view.rs
+++ b/crates/core/src/fleet/calls_view.rs
@@ -28,9 +28,6 @@
         let backend = self.backend(now).cloned();
         let config = self.config.as_ref().map(|text| Arc::clone(&text.config));
         let service = backend.as_ref().map(|backend| &backend.service);
-        let settings =
-            |cfg: &crate::fleet::MeshConfig| service.and_then(|s| cfg.services.get(s).copied());
-        let connections = config.as_deref().and_then(settings).map_or(0, |s| s.connections);
         let wants_evidence = service
             .and_then(|service| self.rollouts.get(service))
             .is_some_and(|rollout| rollout.is_running());
@@ -40,7 +37,6 @@
             config: config.filter(|_| self.is_ready(now) || self.is_leaving),
             services: self.services(now),
             backend,
-            connections,
             is_leaving: self.is_leaving,
             nodes: u32::try_from(self.alive.len()).unwrap_or(u32::MAX) + 1,
             wants_evidence,
--- a/crates/core/src/fleet/fleet_view.rs
+++ b/crates/core/src/fleet/fleet_view.rs
@@ -19,8 +19,6 @@
     pub services: HashMap<ServiceName, ServiceDoors>,
     /// The backend server beside this node.
     pub backend: Option<BackendStatus>,
-    /// The largest number of connections to it.
-    pub connections: u32,
     /// Whether this node stops.
     pub is_leaving: bool,
     /// The number of nodes that share the retry budget, this one included.
--- a/crates/node/src/fleet/door.rs
+++ b/crates/node/src/fleet/door.rs
@@ -10,7 +10,6 @@
 use http::Response;
 
 use crate::calls::call_headers as own_names;
-use crate::calls::exchange::ExchangeError;
 use crate::fleet::door_call::DoorCall;
 use crate::fleet::door_failure::DoorFailure;
 use crate::fleet::queue_slot::QueueSlot;
@@ -64,7 +63,7 @@
     let sent = traffic.backend_pool.send(|| call.to_backend(clock.now()), until).await;
     let (response, exchange) = match sent {
         Ok(sent) => sent,
-        Err(error) => return Err(failure(&error)),
+        Err(error) => return Err(DoorFailure::of_exchange(&error, RefusalReason::BackendDown)),
     };
     let kind = names::answer_kind(response.status(), response.headers(), call.id());
     let answer = whole_answer::read(response, exchange, &traffic.backend_pool, until).await;
@@ -85,15 +84,6 @@
     }
 }
 
-const fn failure(error: &ExchangeError) -> DoorFailure {
-    match error {
-        ExchangeError::NotSent => DoorFailure::not_sent(RefusalReason::BackendDown),
-        ExchangeError::Broken => DoorFailure::may_have_run(RefusalReason::BrokenExchange),
-        ExchangeError::BadAnswer => DoorFailure::may_have_run(RefusalReason::BadAnswer),
-        ExchangeError::TimedOut => DoorFailure::may_have_run(RefusalReason::DeadlinePassed),
-    }
-}
-
 /// Hands what the call showed of the server's version to the control state. The times of a
 /// server that has just started show nothing of its version.
 fn record(
--- a/crates/node/src/fleet/door_client.rs
+++ b/crates/node/src/fleet/door_client.rs
@@ -12,7 +12,6 @@
 use http::Response;
 use http::header::{HeaderMap, HeaderName};
 
-use crate::calls::exchange::ExchangeError;
 use crate::fleet::door_call::DoorCall;
 use crate::fleet::door_failure::{DoorFailure, FAILURE};
 use crate::fleet::traffic::FleetTraffic;
@@ -61,8 +60,10 @@
     let clock = traffic.clock;
     let pool = traffic.door_pool(address);
     let until = clock.timer(call.deadline);
-    let (response, exchange) =
-        pool.send(|| call.to_door(clock.now()), until).await.map_err(|error| failure(&error))?;
+    let (response, exchange) = pool
+        .send(|| call.to_door(clock.now()), until)
+        .await
+        .map_err(|error| DoorFailure::of_exchange(&error, RefusalReason::ConnectFailed))?;
     let mut response = whole_answer::read(response, exchange, &pool, until)
         .await
         .map_err(|_| DoorFailure::may_have_run(RefusalReason::BrokenExchange))?;
@@ -84,12 +85,3 @@
 fn take<T: FromStr>(headers: &mut HeaderMap, name: &HeaderName) -> Option<T> {
     headers.remove(name)?.to_str().ok()?.parse().ok()
 }
-
-const fn failure(error: &ExchangeError) -> DoorFailure {
-    match error {
-        ExchangeError::NotSent => DoorFailure::not_sent(RefusalReason::ConnectFailed),
-        ExchangeError::Broken => DoorFailure::may_have_run(RefusalReason::BrokenExchange),
-        ExchangeError::BadAnswer => DoorFailure::may_have_run(RefusalReason::BadAnswer),
-        ExchangeError::TimedOut => DoorFailure::may_have_run(RefusalReason::DeadlinePassed),
-    }
-}
--- a/crates/node/src/fleet/door_failure.rs
+++ b/crates/node/src/fleet/door_failure.rs
@@ -8,6 +8,8 @@
 use almondsail_core::{RefusalReason, Verdict};
 use http::header::HeaderName;
 
+use crate::calls::exchange::ExchangeError;
+
 /// The header in which a door reports a failure to an entry node.
 pub(crate) const FAILURE: HeaderName = HeaderName::from_static("almondsail-failure");
 
@@ -55,6 +57,16 @@
         }
     }
 
+    /// The failure of an exchange; `not_sent` is the reason if no byte was sent.
+    pub(crate) const fn of_exchange(error: &ExchangeError, not_sent: RefusalReason) -> Self {
+        match error {
+            ExchangeError::NotSent => Self::not_sent(not_sent),
+            ExchangeError::Broken => Self::may_have_run(RefusalReason::BrokenExchange),
+            ExchangeError::BadAnswer => Self::may_have_run(RefusalReason::BadAnswer),
+            ExchangeError::TimedOut => Self::may_have_run(RefusalReason::DeadlinePassed),
+        }
+    }
+
     /// The failure as a try of a call.
     pub(crate) const fn as_try(&self) -> FailedTry {
         FailedTry { verdict: self.verdict, has_arrived: self.has_arrived }
