--- a/crates/core/tests/traffic_retry.rs
+++ b/crates/core/tests/traffic_retry.rs
@@ -5,7 +5,7 @@
     RetryPolicy,
 };
 use almondsail_core::units::{ByteCount, Instant, Micros, Millis};
-use almondsail_core::{RefusalReason, Verdict};
+use almondsail_core::{RefusalReason, RetryReason, Verdict};
 use almondsail_seeded::properties;
 
 properties! {
@@ -84,6 +84,57 @@
     }
 }
 
+/// Guards against a second send of a call that may have run. The closed sets of verdicts,
+/// reasons, kinds and numbers of attempts are enumerated whole.
+#[test]
+fn decide_every_failure() {
+    let now = Instant::new(5);
+    for verdict in Verdict::ALL {
+        for reason in RefusalReason::ALL {
+            for idempotent in [false, true] {
+                for attempts in 1..=RetryPolicy::MAX_ATTEMPTS {
+                    let left = RetryPolicy::MIN_LEFT;
+                    let failed = FailedAttempt { verdict, reason, idempotent, attempts, left };
+                    let decision = RetryPolicy.decide(failed, &RetryBudget::new(now), now);
+                    let expected = match retry_expected(failed) {
+                        Some(reason) => RetryDecision::Retry(reason),
+                        None => RetryDecision::Report,
+                    };
+                    assert_eq!(decision, expected, "{failed:?}");
+                }
+            }
+        }
+    }
+}
+
+/// Why `failed` is sent again, written out apart from the policy.
+fn retry_expected(failed: FailedAttempt) -> Option<RetryReason> {
+    use RefusalReason as R;
+    if failed.attempts == RetryPolicy::MAX_ATTEMPTS {
+        return None;
+    }
+    match (failed.verdict, failed.reason) {
+        (Verdict::MayHaveRun, R::BrokenExchange | R::BadAnswer) => {
+            failed.idempotent.then_some(RetryReason::IdempotentBroken)
+        }
+        (Verdict::MayHaveRun, _) => None,
+        (_, R::ConnectFailed | R::BrokenExchange) => Some(RetryReason::ConnectFailed),
+        (_, R::Leaving) => Some(RetryReason::Leaving),
+        (
+            _,
+            R::NoBackend
+            | R::BackendDown
+            | R::StoppedVersion
+            | R::QueueFull
+            | R::DeadlineTooNear
+            | R::BackendShed
+            | R::BodyMemory
+            | R::NoConfig,
+        ) => Some(RetryReason::RefusedUnrun),
+        _ => None,
+    }
+}
+
 /// Guards against a retry after the budget is used up, and a changed verdict in its place.
 #[test]
 fn decide_budget_used_up() {
--- a/crates/testkit/src/platform/worker.rs
+++ b/crates/testkit/src/platform/worker.rs
@@ -1,7 +1,7 @@
 //! A worker: a backend server of the platform.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -25,6 +25,8 @@
     Sheds,
     /// It answers with another request's id.
     WrongId,
+    /// It is at work on requests until their connection closes.
+    Stalls,
 }
 
 /// What a worker says of itself.
@@ -59,6 +61,24 @@
     fault: Mutex<WorkerFault>,
     /// The ids of the requests that ran, in order, with what came with them.
     ran: Mutex<Vec<RanRequest>>,
+    /// The requests at which it is at work.
+    at_work: AtomicUsize,
+}
+
+/// A request at which a worker is at work. Dropped when it ends or its connection closes.
+struct AtWork(Arc<Shared>);
+
+impl AtWork {
+    fn new(shared: &Arc<Shared>) -> Self {
+        shared.at_work.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(shared))
+    }
+}
+
+impl Drop for AtWork {
+    fn drop(&mut self) {
+        self.0.at_work.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 /// A request that ran.
@@ -78,7 +98,12 @@
         let server = HttpServer::bind(address, ServerOptions::default()).await?;
         let address = server.address()?;
         let fault = Mutex::new(WorkerFault::None);
-        let shared = Arc::new(Shared { options: options.clone(), fault, ran: Mutex::default() });
+        let shared = Arc::new(Shared {
+            options: options.clone(),
+            fault,
+            ran: Mutex::default(),
+            at_work: AtomicUsize::new(0),
+        });
         let (stop, stopped) = watch::channel(false);
         let handler = {
             let shared = Arc::clone(&shared);
@@ -104,6 +129,11 @@
         self.shared.ran.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// The number of requests at which it is at work.
+    pub fn at_work(&self) -> usize {
+        self.shared.at_work.load(Ordering::Relaxed)
+    }
+
     /// Announces `state` at the node's address for announcements.
     pub async fn announce(&self, node: SocketAddr, state: &str) -> Result<()> {
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
@@ -159,7 +189,11 @@
         deadline_ms: header("almondsail-deadline-ms").parse().unwrap_or(0),
     };
     shared.ran.lock().unwrap_or_else(PoisonError::into_inner).push(ran);
+    let _at_work = AtWork::new(&shared);
     let Ok(body) = req.into_body().collect().await else { return Handled::Close };
+    if fault == WorkerFault::Stalls {
+        std::future::pending::<()>().await;
+    }
     tokio::time::sleep(shared.options.work).await;
     let signed = response.header("almondsail-server-signature", format!("signed-{id}"));
     let text = format!("{} {}", shared.options.id, String::from_utf8_lossy(&body.to_bytes()));
@@ -169,6 +203,6 @@
             let wrong = Response::builder().header("almondsail-attempt-id", "another");
             answer(wrong.header("almondsail-server-signature", "s"), text)
         }
-        WorkerFault::None | WorkerFault::Sheds => answer(signed, text),
+        WorkerFault::None | WorkerFault::Sheds | WorkerFault::Stalls => answer(signed, text),
     }
 }
--- a/crates/testkit/tests/fleet_path.rs
+++ b/crates/testkit/tests/fleet_path.rs
@@ -1,6 +1,7 @@
 //! A fleet of processes on the stand-ins of the users' platform.
 
 use std::net::SocketAddr;
+use std::time::{Duration, Instant};
 
 use almondsail_testkit::harness::wait_until;
 use almondsail_testkit::http::{HttpClient, Reply};
@@ -10,6 +11,9 @@
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
 
+/// A server learns within this time that its caller has left.
+const CANCELLED_WITHIN: Duration = Duration::from_millis(500);
+
 const SERVICES: [&str; 2] = ["bays", "traslados"];
 
 /// Two data centres with a node for each service, configured and serving.
@@ -176,6 +180,39 @@
     Ok(())
 }
 
+// Guards against servers that go on with a request whose caller has left: at the caller's own
+// node, at another node, and behind a request that was sent ahead.
+#[tokio::test]
+async fn caller_leaves() -> Result<()> {
+    let fleet = start().await?;
+    fleet.nodes.iter().for_each(|node| node.worker.set_fault(WorkerFault::Stalls));
+    let at_work = || fleet.nodes.iter().map(|node| node.worker.at_work()).sum::<usize>();
+    for (service, requests) in [("bays", 1), ("traslados", 1), ("bays", 2)] {
+        let mut stream = TcpStream::connect(fleet.address(0, "callers")?).await?;
+        for n in 0..requests {
+            let request = format!(
+                "GET /safe/ HTTP/1.1\r\nhost: {service}.example\r\nalmondsail-attempt-id: g{n}\r\n\
+                 almondsail-deadline-ms: 15000\r\n\r\n"
+            );
+            stream.write_all(request.as_bytes()).await?;
+        }
+        wait_until("the servers at work", || async {
+            ensure!(at_work() >= requests, "{} at work", at_work());
+            Ok(())
+        })
+        .await?;
+        drop(stream);
+        let left = Instant::now();
+        wait_until("the end of the work", || async {
+            ensure!(at_work() == 0, "{} still at work", at_work());
+            Ok(())
+        })
+        .await?;
+        assert!(left.elapsed() < CANCELLED_WITHIN, "{service}: {:?}", left.elapsed());
+    }
+    Ok(())
+}
+
 // Guards against calls to a server that said it leaves, at any node, and after a restart of
 // the node that was told so.
 #[tokio::test]
