Make the log of a fleet's node a typed vocabulary

Cause: lines were written from seven places with fields of their own, so that what a line may say stood nowhere, and the beliefs that decided where a call went were not in it. Unreadable heartbeats were told at a level that is never written. Change: FleetLogEvent (core) names every line with its inputs and its class; LogBudget (core) bounds the lines of each class in a second; EventLog (node) is the one place that renders them and counts what it leaves out (fleet_log_skipped). A call's line has for each door the calls believed ahead, the expected and the left time, and whether a rollout judges it (field beliefs). Shown by the tests of the path and of explain, unchanged and green.

--- a/crates/node/src/fleet/caller_handler.rs
+++ b/crates/node/src/fleet/caller_handler.rs
@@ -4,9 +4,10 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use almondsail_core::fleet::{
-    Attempts, CallerPipeline, Hedge, MeshRoute, NextTry, PlacedCall, RemoteDoor,
+    Attempts, CallRecord, CallerPipeline, DoorChoice, FleetLogEvent, Hedge, MeshRoute, NextTry,
+    PlacedCall, RemoteDoor,
 };
-use almondsail_core::ids::ServiceName;
+use almondsail_core::ids::{ConfigVersion, ServiceName};
 use almondsail_core::units::{ByteCount, Instant, Micros};
 use almondsail_core::{RefusalReason, Verdict};
 use almondsail_platform::calls as names;
@@ -17,7 +18,7 @@
 
 use crate::calls::call_headers as own_names;
 use crate::fleet::door_call::DoorCall;
-use crate::fleet::door_failure::DoorFailure;
+use crate::fleet::door_failure::{self, DoorFailure};
 use crate::fleet::http1::SentAhead;
 use crate::fleet::traffic::FleetTraffic;
 use crate::fleet::{door, door_client};
@@ -42,7 +43,18 @@
     let result = route(&traffic, &pipeline, started, request).await;
     let took = traffic.clock.now().since(started);
     traffic.metrics.answered(&result, took);
-    traffic.log.caller(id.as_ref(), took, &result);
+    let outcome = door_failure::outcome(result.answer.as_ref());
+    traffic.log.write_with(outcome.class(), || {
+        FleetLogEvent::Call(CallRecord {
+            id: id.as_ref().map(names::id_text),
+            route: result.route.as_ref().map(|route| route.name.clone()),
+            service: result.service.clone(),
+            config: result.config,
+            tries: result.tries.clone(),
+            took,
+            outcome,
+        })
+    });
     match result.answer {
         Ok(response) => response,
         Err(failure) => refusal(&failure, id.as_ref()),
@@ -59,9 +71,9 @@
     /// The service.
     pub(crate) service: Option<ServiceName>,
     /// The doors that were tried, the last one last.
-    pub(crate) doors: Vec<RemoteDoor>,
+    pub(crate) tries: Vec<DoorChoice>,
     /// The version of the configuration by which the request was routed.
-    pub(crate) config_version: u64,
+    pub(crate) config: ConfigVersion,
 }
 
 async fn route(
@@ -75,8 +87,8 @@
         answer: Err(DoorFailure::unrun(RefusalReason::NoConfig, NO_DOOR)),
         route: None,
         service: None,
-        doors: Vec::new(),
-        config_version: view.config.as_ref().map_or(0, |cfg| cfg.version.get()),
+        tries: Vec::new(),
+        config: view.config.as_ref().map_or(ConfigVersion::default(), |cfg| cfg.version),
     };
     let Some(config) = &view.config else { return result };
     let host = request.headers().get(header::HOST).and_then(|host| host.to_str().ok());
@@ -91,7 +103,7 @@
     let target = lock(pipeline).target(started, route.target_latency, is_behind);
     let mut call = prepare(traffic, started, route, route.destination(draw), request);
     call.answer_by = started + in_time(target);
-    result.answer = send(traffic, route, &mut call, &mut result.doors).await;
+    result.answer = send(traffic, route, &mut call, &mut result.tries).await;
     result
 }
 
@@ -142,22 +154,22 @@
     traffic: &Arc<FleetTraffic>,
     route: &MeshRoute,
     call: &mut DoorCall,
-    doors: &mut Vec<RemoteDoor>,
+    tries: &mut Vec<DoorChoice>,
 ) -> Result<Response<Bytes>, DoorFailure> {
     let mut attempts = Attempts::new(route.idempotent, route.max_attempts);
     let mut last: Option<Result<Response<Bytes>, DoorFailure>> = None;
     loop {
-        let Some(door) = choose(traffic, route, call, &attempts) else {
+        let Some(choice) = choose(traffic, route, call, &attempts) else {
             let none = DoorFailure::unrun(RefusalReason::NoBackend, NO_DOOR);
             return last.unwrap_or(Err(none)).map_err(|failure| settle(failure, &attempts));
         };
-        call.backend = door.backend.clone();
-        attempts.tried.push(door.node.clone());
-        doors.push(door.clone());
-        let result = if route.idempotent && !is_judged(traffic, call, &door) {
-            hedged(traffic, route, &door, call, &mut attempts, doors).await
+        call.backend = choice.door.backend.clone();
+        attempts.tried.push(choice.door.node.clone());
+        tries.push(choice.clone());
+        let result = if route.idempotent && !choice.is_judged {
+            hedged(traffic, route, &choice, call, &mut attempts, tries).await
         } else {
-            attempt(traffic, &door, call).await
+            attempt(traffic, &choice.door, call).await
         };
         let failed = match &result {
             Ok(response) if !response.status().is_server_error() || !route.idempotent => {
@@ -183,26 +195,21 @@
     }
 }
 
-fn is_judged(traffic: &FleetTraffic, call: &DoorCall, door: &RemoteDoor) -> bool {
-    let view = traffic.view.load();
-    view.services.get(&call.service).is_some_and(|doors| doors.is_judged(door))
-}
-
-/// Sends an idempotent call to `door`, and to a second one if the answer is slow.
+/// Sends an idempotent call to the door of `choice`, and to a second one if the answer is slow.
 async fn hedged(
     traffic: &Arc<FleetTraffic>,
     route: &MeshRoute,
-    door: &RemoteDoor,
+    choice: &DoorChoice,
     call: &DoorCall,
     attempts: &mut Attempts,
-    doors: &mut Vec<RemoteDoor>,
+    tries: &mut Vec<DoorChoice>,
 ) -> Result<Response<Bytes>, DoorFailure> {
     let started = traffic.clock.now();
-    let (expected, _) = traffic.placement().outlook(started, route, door);
+    let expected = choice.expected;
     let hedge = Hedge { expected, target_left: call.answer_by.since(started) };
-    let mut first = pin!(attempt(traffic, door, call));
+    let mut first = pin!(attempt(traffic, &choice.door, call));
     let mut waited = hedge.delay();
-    let second_door = loop {
+    let copy_choice = loop {
         let until = traffic.clock.timer(started + waited);
         if let Ok(result) = tokio::time::timeout_at(until, first.as_mut()).await {
             return result;
@@ -218,10 +225,10 @@
         waited = lost;
     };
     traffic.metrics.hedged();
-    attempts.tried.push(second_door.node.clone());
-    doors.push(second_door.clone());
-    let copy = DoorCall { backend: second_door.backend.clone(), ..call.clone() };
-    let mut second = pin!(attempt(traffic, &second_door, &copy));
+    attempts.tried.push(copy_choice.door.node.clone());
+    tries.push(copy_choice.clone());
+    let copy = DoorCall { backend: copy_choice.door.backend.clone(), ..call.clone() };
+    let mut second = pin!(attempt(traffic, &copy_choice.door, &copy));
     tokio::select! {
         result = first.as_mut() => if is_good(&result) { result } else { second.await },
         result = second.as_mut() => if is_good(&result) { result } else { first.await },
@@ -236,13 +243,13 @@
     waited: Micros,
     call: &DoorCall,
     attempts: &mut Attempts,
-) -> Option<RemoteDoor> {
-    let door = choose(traffic, route, call, attempts)?;
+) -> Option<DoorChoice> {
+    let choice = choose(traffic, route, call, attempts)?;
+    let is_worth = !choice.door.is_silent
+        && hedge.is_worth(waited, choice.expected, choice.ahead, choice.door.slots);
     let now = traffic.clock.now();
-    let (expected, ahead) = traffic.placement().outlook(now, route, &door);
-    let is_worth = !door.is_silent && hedge.is_worth(waited, expected, ahead, door.slots);
     let may = is_worth && attempts.may_hedge(now, &call.service, &mut traffic.budget());
-    may.then_some(door)
+    may.then_some(choice)
 }
 
 fn is_good(result: &Result<Response<Bytes>, DoorFailure>) -> bool {
@@ -259,7 +266,7 @@
     route: &MeshRoute,
     call: &DoorCall,
     attempts: &Attempts,
-) -> Option<RemoteDoor> {
+) -> Option<DoorChoice> {
     let now = traffic.clock.now();
     let view = traffic.view.load();
     let doors = view.services.get(&call.service)?;
@@ -269,14 +276,18 @@
         true => placement.sends_to_new(now, &call.service, doors),
         false => doors.is_full_shift(now),
     };
-    let call = PlacedCall {
+    let left = call.deadline.since(now);
+    let placed = PlacedCall {
         route,
         target_left: call.answer_by.since(now),
-        left: call.deadline.since(now),
+        left,
         to_new,
         tried: &attempts.tried,
     };
-    placement.choose(now, &call, doors, &mut rand::rng()).cloned()
+    let door = placement.choose(now, &placed, doors, &mut rand::rng())?;
+    let (expected, ahead) = placement.outlook(now, route, door);
+    let is_judged = doors.is_judged(door);
+    Some(DoorChoice { door: door.clone(), ahead, expected, left, is_judged })
 }
 
 async fn attempt(
@@ -299,7 +310,7 @@
         }
         drop(placement);
         let result = result.map(|(response, _)| response);
-        traffic.log.door(call, now.since(started), ahead_before, result.as_ref());
+        door::log(traffic, call, started, ahead_before, result.as_ref());
         result
     } else {
         door_client::send(traffic, &target.node, target.address, call).await
--- a/crates/node/src/fleet/control_loop.rs
+++ b/crates/node/src/fleet/control_loop.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use almondsail_core::fleet::{
-    FleetAction, FleetControl, FleetEvent, FleetNews, FleetView, StoreRequest,
+    FleetAction, FleetControl, FleetEvent, FleetLogEvent, FleetNews, FleetView, StoreRequest,
 };
 use almondsail_core::ids::ConfigVersion;
 use arc_swap::ArcSwap;
@@ -15,12 +15,12 @@
 use opentelemetry::metrics::Counter;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use slog::{Logger, info};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::MissedTickBehavior;
 
 use crate::clock::Clock;
 use crate::fleet::door_handler::{CONFIG_PATH, SharedText};
+use crate::fleet::event_log::EventLog;
 use crate::fleet::heartbeat_link::HeartbeatLink;
 use crate::fleet::http_caller::HttpCaller;
 use crate::fleet::store_caller::StoreCaller;
@@ -52,7 +52,7 @@
     /// Told after each new view.
     pub(crate) published: watch::Sender<()>,
     pub(crate) changes: Counter<u64>,
-    pub(crate) log: Logger,
+    pub(crate) log: EventLog,
 }
 
 impl ControlLoop {
@@ -95,7 +95,7 @@
             FleetAction::Heartbeat(heartbeat, to) => self.heartbeats.send(&heartbeat, &to),
             FleetAction::FetchConfig(from) => self.fetch(from, results),
             FleetAction::Publish => self.publish(),
-            FleetAction::Report(news) => self.report(&news),
+            FleetAction::Report(news) => self.report(news),
         }
     }
 
@@ -128,9 +128,9 @@
         self.published.send_replace(());
     }
 
-    fn report(&self, news: &FleetNews) {
+    fn report(&self, news: FleetNews) {
         self.changes.add(1, &[KeyValue::new("kind", news.kind())]);
-        info!(self.log, "change"; "kind" => news.kind(), "what" => news.to_string());
+        self.log.write(&FleetLogEvent::Change(news));
     }
 }
 
--- a/crates/node/src/fleet/door.rs
+++ b/crates/node/src/fleet/door.rs
@@ -3,15 +3,15 @@
 use std::sync::Arc;
 
 use almondsail_core::RefusalReason;
-use almondsail_core::fleet::{FleetEvent, FleetView, RouteKey};
-use almondsail_core::units::Micros;
+use almondsail_core::fleet::{DoorRecord, FleetEvent, FleetLogEvent, FleetView, RouteKey};
+use almondsail_core::units::{Instant, Micros};
 use almondsail_platform::calls::{self as names, AnswerKind};
 use bytes::Bytes;
 use http::Response;
 
 use crate::calls::call_headers as own_names;
 use crate::fleet::door_call::DoorCall;
-use crate::fleet::door_failure::DoorFailure;
+use crate::fleet::door_failure::{self, DoorFailure};
 use crate::fleet::queue_slot::QueueSlot;
 use crate::fleet::traffic::FleetTraffic;
 use crate::fleet::whole_answer;
@@ -84,6 +84,30 @@
     }
 }
 
+/// Logs that `call`, which came at `started` when `ahead` calls ran or went before it, ended.
+pub(crate) fn log(
+    traffic: &FleetTraffic,
+    call: &DoorCall,
+    started: Instant,
+    ahead: u32,
+    answer: Result<&Response<Bytes>, &DoorFailure>,
+) {
+    let now = traffic.clock.now();
+    let outcome = door_failure::outcome(answer);
+    traffic.log.write_with(outcome.class(), || {
+        FleetLogEvent::Door(DoorRecord {
+            id: call.id().map(names::id_text),
+            route: call.route.clone(),
+            service: call.service.clone(),
+            backend: call.backend.clone(),
+            ahead,
+            left: call.deadline.since(now),
+            took: now.since(started),
+            outcome,
+        })
+    });
+}
+
 /// Hands what the call showed of the server's version to the control state. The times of a
 /// server that has just started show nothing of its version.
 fn record(
--- a/crates/node/src/fleet/door_failure.rs
+++ b/crates/node/src/fleet/door_failure.rs
@@ -3,9 +3,11 @@
 use std::fmt;
 use std::str::FromStr;
 
-use almondsail_core::fleet::FailedTry;
+use almondsail_core::fleet::{CallOutcome, FailedTry};
 use almondsail_core::units::Micros;
 use almondsail_core::{RefusalReason, Verdict};
+use bytes::Bytes;
+use http::Response;
 use http::header::HeaderName;
 
 use crate::calls::exchange::ExchangeError;
@@ -73,6 +75,19 @@
     }
 }
 
+/// How a call ended, for the log.
+pub(crate) fn outcome(result: Result<&Response<Bytes>, &DoorFailure>) -> CallOutcome {
+    match result {
+        Ok(response) => CallOutcome::Answered(response.status().as_u16()),
+        Err(failure) => CallOutcome::Failed {
+            verdict: failure.verdict,
+            reason: failure.reason,
+            has_arrived: failure.has_arrived,
+            retry_after: failure.retry_after,
+        },
+    }
+}
+
 impl fmt::Display for DoorFailure {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self { verdict, reason, has_arrived, retry_after } = self;
--- a/crates/node/src/fleet/door_handler.rs
+++ b/crates/node/src/fleet/door_handler.rs
@@ -40,8 +40,8 @@
     let call = DoorCall::from_hop(hop, started, request);
     let (ahead_before, _) = traffic.queue.load(&call.need());
     let result = door::run(&traffic, &call).await;
-    let took = traffic.clock.now().since(started);
-    traffic.log.door(&call, took, ahead_before, result.as_ref().map(|(response, _)| response));
+    let answer = result.as_ref().map(|(response, _)| response);
+    door::log(&traffic, &call, started, ahead_before, answer);
     let (mut response, took) = match result {
         Ok((response, took)) => (response, Some(took)),
         Err(failure) => (refusal(&failure), None),
--- /dev/null
+++ b/crates/node/src/fleet/event_log.rs
@@ -0,0 +1,153 @@
+//! The log of a node of a fleet: the one place where its events become lines.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use almondsail_core::fleet::{
+    CallOutcome, CallRecord, DoorChoice, DoorRecord, FleetLogEvent, LogBudget, LogClass,
+};
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Meter};
+use slog::{KV, Logger, Record, Result, Serializer, info};
+
+use crate::clock::Clock;
+
+/// Writes events as JSON lines, within a bound on the lines of a second. A clone writes to the
+/// same log.
+#[derive(Debug, Clone)]
+pub(crate) struct EventLog {
+    log: Logger,
+    clock: Clock,
+    /// Locked for one count.
+    budget: Arc<Mutex<LogBudget>>,
+    skipped: Counter<u64>,
+}
+
+impl EventLog {
+    pub(crate) fn new(log: Logger, clock: Clock, meter: &Meter) -> Self {
+        let skipped = meter
+            .u64_counter("fleet_log_skipped")
+            .with_description("Log lines that were not written because their second was full")
+            .build();
+        Self { log, clock, budget: Arc::default(), skipped }
+    }
+
+    /// Writes `event`, unless the lines of its class are used up.
+    pub(crate) fn write(&self, event: &FleetLogEvent) {
+        if self.wants(event.class()) {
+            self.render(event);
+        }
+    }
+
+    /// Writes the event that `event` makes, unless the lines of `class`, its class, are used
+    /// up. Most calls make no line, so that the event is not made for them.
+    pub(crate) fn write_with(&self, class: LogClass, event: impl FnOnce() -> FleetLogEvent) {
+        if self.wants(class) {
+            self.render(&event());
+        }
+    }
+
+    fn wants(&self, class: LogClass) -> bool {
+        let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
+        let wants = budget.take(self.clock.now(), class);
+        drop(budget);
+        if !wants {
+            self.skipped.add(1, &[KeyValue::new("class", class.as_str())]);
+        }
+        wants
+    }
+
+    fn render(&self, event: &FleetLogEvent) {
+        info!(self.log, "{}", event.message(); Fields(event));
+    }
+}
+
+/// The fields of an event's line.
+struct Fields<'a>(&'a FleetLogEvent);
+
+impl KV for Fields<'_> {
+    fn serialize(&self, _: &Record<'_>, out: &mut dyn Serializer) -> Result {
+        match self.0 {
+            FleetLogEvent::Started { callers, nodes } => {
+                out.emit_arguments("callers", &format_args!("{callers}"))?;
+                out.emit_arguments("nodes", &format_args!("{nodes}"))
+            }
+            FleetLogEvent::Stopping { signal } => out.emit_str("signal", signal),
+            FleetLogEvent::CallsCut | FleetLogEvent::Stopped | FleetLogEvent::SettingsChanged => {
+                Ok(())
+            }
+            FleetLogEvent::Change(news) => {
+                out.emit_str("kind", news.kind())?;
+                out.emit_arguments("what", &format_args!("{news}"))
+            }
+            FleetLogEvent::AnnouncementRefused { server, problem } => {
+                out.emit_str("server", server)?;
+                out.emit_str("problem", problem)
+            }
+            FleetLogEvent::HeartbeatRefused { from, problem } => {
+                out.emit_arguments("from", &format_args!("{from}"))?;
+                out.emit_str("problem", problem)
+            }
+            FleetLogEvent::HeartbeatFailed { problem } => out.emit_str("problem", problem),
+            FleetLogEvent::Call(call) => call_fields(call, out),
+            FleetLogEvent::Door(door) => door_fields(door, out),
+        }
+    }
+}
+
+fn call_fields(call: &CallRecord, out: &mut dyn Serializer) -> Result {
+    if let Some(id) = &call.id {
+        out.emit_str("id", id)?;
+    }
+    if let Some(route) = &call.route {
+        out.emit_str("route", route.as_str())?;
+    }
+    if let Some(service) = &call.service {
+        out.emit_str("service", service.as_str())?;
+    }
+    out.emit_u64("config", call.config.get())?;
+    out.emit_str("doors", &list(&call.tries, door_text))?;
+    out.emit_str("beliefs", &list(&call.tries, belief_text))?;
+    out.emit_u64("took_us", call.took.get())?;
+    outcome_fields(call.outcome, out)
+}
+
+fn door_fields(door: &DoorRecord, out: &mut dyn Serializer) -> Result {
+    if let Some(id) = &door.id {
+        out.emit_str("id", id)?;
+    }
+    out.emit_str("route", door.route.as_str())?;
+    out.emit_str("service", door.service.as_str())?;
+    out.emit_str("backend", door.backend.as_str())?;
+    out.emit_u32("ahead", door.ahead)?;
+    out.emit_u64("left_us", door.left.get())?;
+    out.emit_u64("took_us", door.took.get())?;
+    outcome_fields(door.outcome, out)
+}
+
+fn outcome_fields(outcome: CallOutcome, out: &mut dyn Serializer) -> Result {
+    match outcome {
+        CallOutcome::Answered(status) => out.emit_u16("status", status),
+        CallOutcome::Failed { verdict, reason, has_arrived, retry_after } => {
+            out.emit_str("verdict", verdict.as_str())?;
+            out.emit_str("reason", reason.as_str())?;
+            out.emit_bool("arrived", has_arrived)?;
+            out.emit_u64("retry_after_us", retry_after.get())
+        }
+    }
+}
+
+fn list(tries: &[DoorChoice], text: impl Fn(&DoorChoice) -> String) -> String {
+    tries.iter().map(text).collect::<Vec<_>>().join(" ")
+}
+
+fn door_text(choice: &DoorChoice) -> String {
+    let door = &choice.door;
+    format!("{}/{}/{}", door.node, door.backend, door.version)
+}
+
+/// What was believed of a door: calls there, expected and left microseconds.
+fn belief_text(choice: &DoorChoice) -> String {
+    let judged = if choice.is_judged { "/judged" } else { "" };
+    let (expected, left) = (choice.expected.get(), choice.left.get());
+    format!("{}/{expected}/{left}{judged}", choice.ahead)
+}
--- a/crates/node/src/fleet/fleet_node.rs
+++ b/crates/node/src/fleet/fleet_node.rs
@@ -6,14 +6,14 @@
 use std::time::Duration;
 
 use almondsail_core::fleet::{
-    CallerLimits, FleetControl, FleetEvent, FleetIdentity, FleetView, NodeEntry, RetryShare,
+    CallerLimits, FleetControl, FleetEvent, FleetIdentity, FleetLogEvent, FleetView, NodeEntry,
+    RetryShare,
 };
 use almondsail_core::ids::Incarnation;
 use almondsail_core::units::{ByteCount, Micros};
 use arc_swap::{ArcSwap, ArcSwapOption};
 use eyre::WrapErr as _;
 use serde::Serialize;
-use slog::{Logger, info};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::runtime::Builder;
 use tokio::signal::unix::{SignalKind, signal};
@@ -21,11 +21,11 @@
 use tokio::task::LocalSet;
 
 use crate::clock::{Clock, duration};
-use crate::fleet::call_log::CallLog;
 use crate::fleet::call_metrics::CallMetrics;
 use crate::fleet::caller_handler::SharedPipeline;
 use crate::fleet::control_loop::{ControlLoop, Notice};
 use crate::fleet::door_handler::SharedText;
+use crate::fleet::event_log::EventLog;
 use crate::fleet::fleet_settings::FleetSettings;
 use crate::fleet::heartbeat_link::HeartbeatLink;
 use crate::fleet::http_caller::HttpCaller;
@@ -121,9 +121,10 @@
     let listeners = Listeners::bind(settings)?;
     let addresses = listeners.addresses()?;
     println!("{}", serde_json::to_string(&addresses)?);
-    let log = log::fleet_logger(settings.id.as_str(), settings.data_centre.as_str());
     let metrics = Metrics::new()?;
     let clock = Clock::start();
+    let log = log::fleet_logger(settings.id.as_str(), settings.data_centre.as_str());
+    let log = EventLog::new(log, clock, &metrics.meter());
     let control = FleetControl::new(identity(settings, &addresses, clock), clock.now());
     let view = Arc::new(ArcSwap::from_pointee(control.view(clock.now())));
     let text: SharedText = Arc::new(ArcSwapOption::empty());
@@ -142,7 +143,7 @@
         ),
         evidence,
         metrics: CallMetrics::new(&metrics.meter()),
-        log: CallLog::new(log.clone(), clock),
+        log: log.clone(),
     });
     let control_thread = ControlThread {
         settings: settings.clone(),
@@ -156,7 +157,7 @@
         log: log.clone(),
     }
     .start(control_notices, control_evidence)?;
-    info!(log, "started"; "callers" => %addresses.callers, "nodes" => %addresses.nodes);
+    log.write(&FleetLogEvent::Started { callers: addresses.callers, nodes: addresses.nodes });
     let runtime = Builder::new_current_thread().enable_all().build()?;
     let servers = Servers { settings, traffic, text, view, notices, views, metrics, log };
     runtime.block_on(servers.serve(listeners.callers, listeners.nodes, listeners.local))?;
@@ -190,7 +191,7 @@
     text: SharedText,
     published: watch::Sender<()>,
     metrics: Metrics,
-    log: Logger,
+    log: EventLog,
 }
 
 impl ControlThread {
@@ -242,7 +243,7 @@
     notices: mpsc::Sender<Notice>,
     views: watch::Receiver<()>,
     metrics: Metrics,
-    log: Logger,
+    log: EventLog,
 }
 
 impl Servers<'_> {
@@ -273,7 +274,7 @@
         let nodes = tokio::spawn(self.nodes(TcpListener::from_std(nodes)?, stopped));
 
         let signal = wait_for_signal(&self.log).await?;
-        info!(self.log, "stopping"; "signal" => signal);
+        self.log.write(&FleetLogEvent::Stopping { signal });
         let (done, is_done) = oneshot::channel();
         self.notices.send(Notice { event: FleetEvent::StopRequested, done }).await?;
         // The control thread lives as long as `notices`.
@@ -287,10 +288,10 @@
             let _ = nodes.await;
         };
         if tokio::time::timeout(rest, all_ended).await.is_err() {
-            info!(self.log, "calls are cut by the end of the grace");
+            self.log.write(&FleetLogEvent::CallsCut);
         }
         stop_local.send_replace(true);
-        info!(self.log, "stopped");
+        self.log.write(&FleetLogEvent::Stopped);
         Ok(())
     }
 
@@ -347,7 +348,7 @@
 }
 
 /// Waits for a signal that asks to stop; one that tells of new settings is noted.
-async fn wait_for_signal(log: &Logger) -> eyre::Result<&'static str> {
+async fn wait_for_signal(log: &EventLog) -> eyre::Result<&'static str> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut reload = signal(SignalKind::hangup())?;
@@ -355,7 +356,7 @@
         tokio::select! {
             _ = terminate.recv() => return Ok("SIGTERM"),
             _ = interrupt.recv() => return Ok("SIGINT"),
-            _ = reload.recv() => info!(log, "settings file has changed; read at the next start"),
+            _ = reload.recv() => log.write(&FleetLogEvent::SettingsChanged),
         }
     }
 }
--- a/crates/node/src/fleet/heartbeat_link.rs
+++ b/crates/node/src/fleet/heartbeat_link.rs
@@ -1,14 +1,16 @@
 //! Heartbeats between nodes, as datagrams.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use almondsail_core::fleet::{FleetEvent, Heartbeat};
+use almondsail_core::fleet::{FleetEvent, FleetLogEvent, Heartbeat};
 use almondsail_wire::{decode_heartbeat, encode_heartbeat};
-use slog::{Logger, debug};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
+use crate::fleet::event_log::EventLog;
+
 /// The largest heartbeat that is received.
 const MAX_DATAGRAM: usize = 16 * 1024;
 
@@ -16,11 +18,11 @@
 #[derive(Debug, Clone)]
 pub(crate) struct HeartbeatLink {
     socket: Arc<UdpSocket>,
-    log: Logger,
+    log: EventLog,
 }
 
 impl HeartbeatLink {
-    pub(crate) fn new(socket: UdpSocket, log: Logger) -> Self {
+    pub(crate) fn new(socket: UdpSocket, log: EventLog) -> Self {
         Self { socket: Arc::new(socket), log }
     }
 
@@ -28,21 +30,25 @@
     pub(crate) fn send(&self, heartbeat: &Heartbeat, to: &[SocketAddr]) {
         let bytes = encode_heartbeat(heartbeat);
         for addr in to {
-            if let Err(e) = self.socket.try_send_to(&bytes, *addr) {
-                debug!(self.log, "heartbeat not sent"; "to" => %addr, "error" => %e);
+            if let Err(error) = self.socket.try_send_to(&bytes, *addr) {
+                self.failed(&error);
             }
         }
     }
 
+    fn failed(&self, error: &io::Error) {
+        self.log.write(&FleetLogEvent::HeartbeatFailed { problem: error.to_string() });
+    }
+
     /// Hands received heartbeats to the control state until it ends.
     pub(crate) async fn receive(self, events: mpsc::Sender<FleetEvent>) {
         let mut buf = vec![0; MAX_DATAGRAM];
         loop {
             let (length, from) = match self.socket.recv_from(&mut buf).await {
                 Ok(received) => received,
-                Err(e) => {
-                    // A refused earlier datagram shows as an error of the next receive.
-                    debug!(self.log, "no heartbeat received"; "error" => %e);
+                // A refused earlier datagram shows as an error of the next receive.
+                Err(error) => {
+                    self.failed(&error);
                     continue;
                 }
             };
@@ -52,7 +58,10 @@
                         return;
                     }
                 }
-                Err(e) => debug!(self.log, "heartbeat unreadable"; "from" => %from, "error" => %e),
+                Err(problem) => {
+                    let problem = problem.to_string();
+                    self.log.write(&FleetLogEvent::HeartbeatRefused { from, problem });
+                }
             }
         }
     }
--- a/crates/node/src/fleet/local_api.rs
+++ b/crates/node/src/fleet/local_api.rs
@@ -3,7 +3,7 @@
 use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 
-use almondsail_core::fleet::{FleetEvent, FleetView};
+use almondsail_core::fleet::{FleetEvent, FleetLogEvent, FleetView};
 use almondsail_platform::{FormatError, announcement, calls};
 use arc_swap::ArcSwap;
 use gotham::handler::HandlerError;
@@ -18,10 +18,10 @@
 use http_body_util::{BodyExt as _, Limited};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Counter;
-use slog::{Logger, info};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::fleet::control_loop::Notice;
+use crate::fleet::event_log::EventLog;
 use crate::metrics::Metrics;
 
 /// Number of bytes of an announcement at most.
@@ -40,7 +40,7 @@
     pub(crate) view: Arc<ArcSwap<FleetView>>,
     pub(crate) metrics: Metrics,
     pub(crate) refused: Counter<u64>,
-    pub(crate) log: Logger,
+    pub(crate) log: EventLog,
 }
 
 impl StateData for LocalApi {}
@@ -79,7 +79,8 @@
     /// Refuses what can't be read.
     fn refuse(&self, id: &str, problem: &FormatError) -> StatusCode {
         self.0.refused.add(1, &[KeyValue::new("what", "announcement")]);
-        info!(self.0.log, "announcement refused"; "server" => id, "problem" => %problem);
+        let (server, problem) = (id.to_owned(), problem.to_string());
+        self.0.log.write(&FleetLogEvent::AnnouncementRefused { server, problem });
         StatusCode::BAD_REQUEST
     }
 }
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -10,7 +10,6 @@
 //! 4. `http1` reads requests and writes answers; `store_caller` and `heartbeat_link` carry
 //!    the control state's messages.
 
-mod call_log;
 mod call_metrics;
 mod caller_handler;
 mod control_loop;
@@ -19,6 +18,7 @@
 mod door_client;
 mod door_failure;
 mod door_handler;
+mod event_log;
 mod fleet_node;
 mod fleet_settings;
 mod heartbeat_link;
--- a/crates/node/src/fleet/traffic.rs
+++ b/crates/node/src/fleet/traffic.rs
@@ -12,8 +12,8 @@
 
 use crate::calls::exchange_pool::{ExchangePool, PoolLimits};
 use crate::clock::Clock;
-use crate::fleet::call_log::CallLog;
 use crate::fleet::call_metrics::CallMetrics;
+use crate::fleet::event_log::EventLog;
 use crate::fleet::slot_queue::SlotQueue;
 
 /// Idle connections to one door of another node.
@@ -37,7 +37,7 @@
     pub(crate) queue: Arc<SlotQueue>,
     pub(crate) backend_pool: Arc<ExchangePool>,
     pub(crate) metrics: CallMetrics,
-    pub(crate) log: CallLog,
+    pub(crate) log: EventLog,
     pub(crate) view: Arc<ArcSwap<FleetView>>,
     /// Locked for single decisions of the traffic side, never across a wait.
     placement: Mutex<Placement>,
@@ -55,7 +55,7 @@
     pub(crate) budget: RetryShare,
     pub(crate) evidence: mpsc::Sender<FleetEvent>,
     pub(crate) metrics: CallMetrics,
-    pub(crate) log: CallLog,
+    pub(crate) log: EventLog,
 }
 
 impl FleetTraffic {
