--- /dev/null
+++ b/crates/core/src/fleet/belief_times.rs
@@ -0,0 +1,19 @@
+//! How old the beliefs of a node are.
+
+use crate::ids::ConfigVersion;
+use crate::units::Instant;
+
+/// When a node last learned what it believes.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct BeliefTimes {
+    /// The version of the configuration in force; zero if there is none.
+    pub config_version: ConfigVersion,
+    /// When it came into force.
+    pub config: Option<Instant>,
+    /// When the store last answered.
+    pub store: Option<Instant>,
+    /// The other nodes that were heard lately.
+    pub peers: usize,
+    /// When the one of them that is silent for longest was last heard.
+    pub oldest_peer: Option<Instant>,
+}
--- a/crates/core/src/fleet/door_load.rs
+++ b/crates/core/src/fleet/door_load.rs
@@ -38,7 +38,7 @@
 
 impl DoorLoad {
     /// A report older than this says nothing of the present load.
-    const REPORT_LIFE: Millis = Millis::new(1_000);
+    pub const REPORT_LIFE: Millis = Millis::new(1_000);
     /// The weight of the newest call in the share of failures.
     const WEIGHT: f64 = 0.15;
     /// The time in which the share of failures halves without calls, so that a door that is
@@ -120,6 +120,11 @@
         reported.max(self.in_flight)
     }
 
+    /// When the door last reported its load.
+    pub fn reported_at(&self) -> Option<Instant> {
+        self.reports.values().map(|report| report.at).max()
+    }
+
     /// The mean time of a call there; `None` if it is not known.
     pub const fn mean(&self) -> Option<Micros> {
         self.mean
--- a/crates/core/src/fleet/fleet_control.rs
+++ b/crates/core/src/fleet/fleet_control.rs
@@ -5,10 +5,11 @@
 use rand::Rng;
 
 use super::lease_keeper::LeaseKeeper;
+use super::peer_directory::Peer;
 use crate::fleet::{
-    AnnouncedState, Announcement, BeatOutcome, ConfigText, Departure, FleetAction, FleetEvent,
-    FleetIdentity, FleetNews, KeySpace, PeerDirectory, Registration, Rollout, StoreFeed,
-    StoreRequest,
+    AnnouncedState, Announcement, BeatOutcome, BeliefTimes, ConfigText, Departure, FleetAction,
+    FleetEvent, FleetIdentity, FleetNews, KeySpace, PeerDirectory, Registration, Rollout,
+    StoreFeed, StoreRequest,
 };
 use crate::ids::{BackendId, ConfigVersion, NodeId, ServiceName};
 use crate::units::{Instant, UnixMillis};
@@ -31,6 +32,10 @@
     pub(super) pending: BTreeMap<u64, Purpose>,
     pub(super) next_request: u64,
     pub(super) is_store_reached: bool,
+    /// When the store last answered.
+    pub(super) store_heard: Option<Instant>,
+    /// When the configuration came into force.
+    pub(super) config_since: Option<Instant>,
     pub(super) actions: Vec<FleetAction>,
     pub(super) sequence: u64,
     pub(super) next_heartbeat: Instant,
@@ -76,6 +81,8 @@
             pending: BTreeMap::new(),
             next_request: 0,
             is_store_reached: true,
+            store_heard: None,
+            config_since: None,
             actions: Vec::new(),
             sequence: 0,
             next_heartbeat: now,
@@ -130,6 +137,17 @@
         self.config.as_ref()
     }
 
+    /// How old the beliefs are.
+    pub fn belief_times(&self, now: Instant) -> BeliefTimes {
+        BeliefTimes {
+            config_version: self.config_version(),
+            config: self.config_since,
+            store: self.store_heard,
+            peers: self.peers.alive(now).count(),
+            oldest_peer: self.peers.alive(now).map(Peer::heard_at).min(),
+        }
+    }
+
     fn tick(&mut self, now: Instant) {
         self.peers.tick(now);
         if self.registration.tick(now) {
--- a/crates/core/src/fleet/node_events.rs
+++ b/crates/core/src/fleet/node_events.rs
@@ -74,12 +74,13 @@
     }
 
     /// Puts `text` in force if it is newer.
-    pub(super) fn take_config(&mut self, text: ConfigText, source: &'static str) {
+    pub(super) fn take_config(&mut self, now: Instant, text: ConfigText, source: &'static str) {
         let (before, version) = (self.config_version(), text.config.version);
         if self.config.is_some() && version <= before {
             return;
         }
         self.config = Some(text);
+        self.config_since = Some(now);
         self.behind_since = None;
         self.report(FleetNews::ConfigInForce { version, before, source });
         self.changed();
@@ -94,7 +95,7 @@
         match config {
             Some(text) => {
                 self.fetching_until = now;
-                self.take_config(text, "node");
+                self.take_config(now, text, "node");
             }
             None => {
                 let pause = Micros::from(Self::FETCH_AGAIN).get();
--- a/crates/core/src/fleet/peer_directory.rs
+++ b/crates/core/src/fleet/peer_directory.rs
@@ -120,6 +120,11 @@
 }
 
 impl Peer {
+    /// When it was last heard, or found in the store.
+    pub const fn heard_at(&self) -> Instant {
+        self.heard
+    }
+
     /// Whether it was not heard lately.
     pub fn is_silent(&self, now: Instant) -> bool {
         let silence =
--- a/crates/core/src/fleet/placement.rs
+++ b/crates/core/src/fleet/placement.rs
@@ -146,6 +146,13 @@
         (Micros::new(estimate as u64), load.ahead(now, &route.name))
     }
 
+    /// When the door whose load is known for longest reported it, of those whose report still
+    /// decides where calls go.
+    pub fn oldest_report(&self, now: Instant) -> Option<Instant> {
+        let reports = self.loads.values().filter_map(DoorLoad::reported_at);
+        reports.filter(|at| now.since(*at) < DoorLoad::REPORT_LIFE.into()).min()
+    }
+
     /// Whether this node never had an answer of `door`.
     fn is_unknown(&self, door: &RemoteDoor) -> bool {
         let is_known = self.loads.get(&door.node).is_some_and(|load| load.mean().is_some());
--- a/crates/core/src/fleet/store_events.rs
+++ b/crates/core/src/fleet/store_events.rs
@@ -20,6 +20,9 @@
         rng: &mut impl Rng,
     ) {
         let Some(purpose) = self.pending.remove(&id) else { return };
+        if !matches!(reply, Err(StoreFailure::Unanswered)) {
+            self.store_heard = Some(now);
+        }
         match purpose {
             Purpose::Feed(space) => {
                 self.note_store(space, reply.as_ref().err().copied());
@@ -67,7 +70,7 @@
         value: StoredValue,
     ) {
         match value {
-            StoredValue::Config(Ok(text)) => self.take_config(text, "store"),
+            StoredValue::Config(Ok(text)) => self.take_config(now, text, "store"),
             StoredValue::Config(Err(problem)) => {
                 self.report(FleetNews::ConfigRefused(problem.to_string()));
             }
--- a/crates/node/src/fleet/call_metrics.rs
+++ b/crates/node/src/fleet/call_metrics.rs
@@ -41,7 +41,7 @@
                 .build(),
             times: meter
                 .f64_histogram("fleet_call_seconds")
-                .with_description("Time until a caller's request was answered, by outcome")
+                .with_description("Time until a caller's request ended, by route and outcome")
                 .with_boundaries(BOUNDS.to_vec())
                 .build(),
         }
@@ -62,7 +62,10 @@
                 failure.verdict.as_str()
             }
         };
-        self.times.record(took.get() as f64 / 1e6, &[KeyValue::new("outcome", outcome)]);
+        // Names of routes come from the accepted configuration, never from callers.
+        let route = result.route.as_ref().map_or("unknown", |route| route.name.as_str());
+        let labels = [KeyValue::new("outcome", outcome), KeyValue::new("route", route.to_owned())];
+        self.times.record(took.get() as f64 / 1e6, &labels);
     }
 
     /// A slow call was sent to a second door as well.
--- a/crates/node/src/fleet/control_loop.rs
+++ b/crates/node/src/fleet/control_loop.rs
@@ -19,6 +19,7 @@
 use tokio::time::MissedTickBehavior;
 
 use crate::clock::Clock;
+use crate::fleet::belief_metrics::SharedTimes;
 use crate::fleet::config_source::ConfigSource;
 use crate::fleet::door_handler::CONFIG_PATH;
 use crate::fleet::event_log::EventLog;
@@ -55,6 +56,8 @@
     pub(crate) source: Arc<ConfigSource>,
     /// Told after each new view.
     pub(crate) published: watch::Sender<()>,
+    /// Told with each tick.
+    pub(crate) times: SharedTimes,
     pub(crate) changes: Counter<u64>,
     pub(crate) log: EventLog,
 }
@@ -80,7 +83,10 @@
                 },
                 Some(event) = finished.recv() => (event, None),
                 Some(event) = evidence.recv() => (event, None),
-                _ = tick.tick() => (FleetEvent::Tick, None),
+                _ = tick.tick() => {
+                    self.times.store(Arc::new(self.control.belief_times(self.clock.now())));
+                    (FleetEvent::Tick, None)
+                }
             };
             let actions = self.control.handle(self.clock.now(), self.clock.wall(), event, &mut rng);
             for action in actions {
--- a/crates/node/src/fleet/fleet_node.rs
+++ b/crates/node/src/fleet/fleet_node.rs
@@ -21,6 +21,7 @@
 use tokio::task::LocalSet;
 
 use crate::clock::{Clock, duration};
+use crate::fleet::belief_metrics::{self, SharedTimes};
 use crate::fleet::call_metrics::CallMetrics;
 use crate::fleet::caller_handler::SharedPipeline;
 use crate::fleet::config_source::ConfigSource;
@@ -145,6 +146,8 @@
         metrics: CallMetrics::new(&metrics.meter()),
         log: log.clone(),
     });
+    let times = SharedTimes::default();
+    belief_metrics::export(&metrics.meter(), &times, &traffic);
     let control_thread = ControlThread {
         settings: settings.clone(),
         control,
@@ -153,6 +156,7 @@
         view: Arc::clone(&view),
         source: Arc::clone(&source),
         published,
+        times,
         metrics: metrics.clone(),
         log: log.clone(),
     }
@@ -190,6 +194,7 @@
     view: Arc<ArcSwap<FleetView>>,
     source: Arc<ConfigSource>,
     published: watch::Sender<()>,
+    times: SharedTimes,
     metrics: Metrics,
     log: EventLog,
 }
@@ -228,6 +233,7 @@
             view: self.view,
             source: self.source,
             published: self.published,
+            times: self.times,
             changes,
             log: self.log,
         })
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 //! 4. `http1` reads requests and writes answers; `store_caller` and `heartbeat_link` carry
 //!    the control state's messages.
 
+mod belief_metrics;
 mod call_metrics;
 mod caller_handler;
 mod config_source;
--- a/crates/testkit/tests/fleet_path.rs
+++ b/crates/testkit/tests/fleet_path.rs
@@ -301,6 +301,25 @@
     Ok(())
 }
 
+// Guards against metrics that say nothing of how old a node's beliefs are, or of a route.
+#[tokio::test]
+async fn metrics_of_beliefs() -> Result<()> {
+    let fleet = start().await?;
+    let metrics = HttpClient::new(fleet.address(0, "metrics")?).get("/metrics").await?;
+    let metrics = String::from_utf8_lossy(&metrics.body).into_owned();
+    let value = |name: &str| {
+        let line = metrics.lines().find(|line| line.starts_with(&format!("{name} ")));
+        line.and_then(|line| line.rsplit(' ').next()?.parse::<f64>().ok())
+    };
+    assert_eq!((value("fleet_config_version"), value("fleet_peers")), (Some(1.0), Some(3.0)));
+    for age in ["config", "store", "peer"] {
+        let seconds = value(&format!("fleet_{age}_age_seconds"));
+        assert!(seconds.is_some_and(|seconds| seconds < 60.0), "{age}: {seconds:?}");
+    }
+    assert!(metrics.contains("route=\"bays-safe\""), "{metrics}");
+    Ok(())
+}
+
 // Guards against a planned stop that cuts requests, keeps the node ready, or does not end.
 #[tokio::test]
 async fn node_stops_under_load() -> Result<()> {
