--- /dev/null
+++ b/crates/core/examples/queue_experiment.rs
@@ -0,0 +1,277 @@
+//! Replays a load pattern at one server for several policies of the queue in front of it.
+//!
+//! `cargo run --release --example queue_experiment -p almondsail-core [PATTERN] [POLICY]` prints
+//! for each class what was served in time, late and refused, and a histogram of the times of the
+//! answers. Without arguments all patterns and policies are shown.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::process::ExitCode;
+
+use almondsail_core::fleet::{Admission, CallNeed, CallQueue, QueueTicket};
+use almondsail_core::units::{Instant, Millis};
+use rand::rngs::SmallRng;
+use rand::{Rng as _, SeedableRng as _};
+
+/// Slots of the server.
+const SLOTS: u32 = 12;
+/// Length of a replay, in milliseconds.
+const LENGTH: u64 = 30_000;
+/// Width of a row of the histogram, in milliseconds.
+const ROW: u64 = 100;
+/// Calls for each mark of the histogram.
+const MARK: usize = 40;
+
+/// A class of calls.
+#[derive(Debug, Clone, Copy)]
+struct Class {
+    name: &'static str,
+    /// Calls a second at load 1.
+    rate: f64,
+    /// Mean time of a call at this server, in milliseconds.
+    work: f64,
+    target: u64,
+    deadline: u64,
+    priority: u8,
+}
+
+/// Calls of callers and calls that other services make, as at the last fast server of cala-mesh's
+/// `fleetboard`.
+const CLASSES: [Class; 2] = [
+    Class { name: "status", rate: 70.0, work: 130.0, target: 400, deadline: 1_000, priority: 2 },
+    Class { name: "sync", rate: 150.0, work: 13.0, target: 60, deadline: 200, priority: 2 },
+];
+
+/// How the load moves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Pattern {
+    /// The usual rates.
+    Usual,
+    /// Twice the usual rates.
+    Twice,
+    /// Three times the usual rates from the tenth to the twentieth second.
+    Burst,
+    /// The server runs three times as slowly from the tenth second on.
+    Slow,
+}
+
+/// Which calls wait and in which order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Policy {
+    /// The queue of the product.
+    Product,
+    /// In order of arrival, whatever the wait.
+    Fifo,
+    /// In order of arrival; refused once forty wait.
+    Bounded,
+}
+
+impl Pattern {
+    const ALL: [Self; 4] = [Self::Usual, Self::Twice, Self::Burst, Self::Slow];
+
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Usual => "usual",
+            Self::Twice => "twice",
+            Self::Burst => "burst",
+            Self::Slow => "slow",
+        }
+    }
+
+    /// The load at a time, and how much longer calls run.
+    const fn at(self, ms: u64) -> (f64, f64) {
+        match self {
+            Self::Usual => (1.0, 1.0),
+            Self::Twice => (2.0, 1.0),
+            Self::Burst if ms >= 10_000 && ms < 20_000 => (3.0, 1.0),
+            Self::Slow if ms >= 10_000 => (1.0, 3.0),
+            Self::Burst | Self::Slow => (1.0, 1.0),
+        }
+    }
+}
+
+impl Policy {
+    const ALL: [Self; 3] = [Self::Product, Self::Fifo, Self::Bounded];
+
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Product => "product",
+            Self::Fifo => "fifo",
+            Self::Bounded => "bounded",
+        }
+    }
+}
+
+/// A call of the replay.
+#[derive(Debug, Clone)]
+struct Call {
+    class: usize,
+    came: u64,
+    /// How long it runs.
+    work: u64,
+    need: CallNeed,
+}
+
+/// The queue under test.
+enum Queue {
+    Product(Box<CallQueue>, BTreeMap<QueueTicket, Call>),
+    Fifo { waiting: VecDeque<Call>, most: usize, running: u32 },
+}
+
+impl Queue {
+    fn new(policy: Policy) -> Self {
+        let fifo = |most| Self::Fifo { waiting: VecDeque::new(), most, running: 0 };
+        match policy {
+            Policy::Product => {
+                let mut queue = CallQueue::new();
+                queue.set_slots(Instant::new(0), SLOTS);
+                Self::Product(Box::new(queue), BTreeMap::new())
+            }
+            Policy::Fifo => fifo(usize::MAX),
+            Policy::Bounded => fifo(40),
+        }
+    }
+
+    /// Takes a call that arrives: the calls that begin to run, and those that are refused.
+    fn arrive(&mut self, now: u64, call: Call) -> (Vec<Call>, Vec<Call>) {
+        match self {
+            Self::Product(queue, waiting) => match queue.admit(at(now), call.need.clone()) {
+                Admission::Run => (vec![call], Vec::new()),
+                Admission::Wait(ticket) => {
+                    waiting.insert(ticket, call);
+                    (Vec::new(), Vec::new())
+                }
+                Admission::Refused { .. } => (Vec::new(), vec![call]),
+            },
+            Self::Fifo { running, .. } if *running < SLOTS => {
+                *running += 1;
+                (vec![call], Vec::new())
+            }
+            Self::Fifo { waiting, most, .. } if waiting.len() < *most => {
+                waiting.push_back(call);
+                (Vec::new(), Vec::new())
+            }
+            Self::Fifo { .. } => (Vec::new(), vec![call]),
+        }
+    }
+
+    /// Ends a call: the calls that begin to run, and those that are refused.
+    fn end(&mut self, now: u64, call: &Call) -> (Vec<Call>, Vec<Call>) {
+        match self {
+            Self::Product(queue, waiting) => {
+                let took = Millis::new(call.work).into();
+                let (mut begun, mut refused) = (Vec::new(), Vec::new());
+                for wakeup in queue.end(at(now), &call.need, Some(took)) {
+                    let Some(call) = waiting.remove(&wakeup.ticket) else { continue };
+                    if wakeup.refused.is_none() { &mut begun } else { &mut refused }.push(call);
+                }
+                (begun, refused)
+            }
+            Self::Fifo { waiting, running, .. } => match waiting.pop_front() {
+                Some(next) => (vec![next], Vec::new()),
+                None => {
+                    *running -= 1;
+                    (Vec::new(), Vec::new())
+                }
+            },
+        }
+    }
+}
+
+/// What became of the calls of a class.
+#[derive(Debug, Default, Clone)]
+struct Tally {
+    in_time: usize,
+    late: usize,
+    refused: usize,
+    lost: usize,
+    /// Answers by the row of their time.
+    times: BTreeMap<u64, usize>,
+}
+
+impl Tally {
+    fn ended(&mut self, took: u64, class: &Class) {
+        match took {
+            _ if took <= class.target => self.in_time += 1,
+            _ if took <= class.deadline => self.late += 1,
+            _ => self.lost += 1,
+        }
+        *self.times.entry(took / ROW).or_default() += 1;
+    }
+}
+
+fn replay(pattern: Pattern, policy: Policy) -> [Tally; CLASSES.len()] {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut queue = Queue::new(policy);
+    let mut tallies: [Tally; CLASSES.len()] = Default::default();
+    let mut running: Vec<(u64, Call)> = Vec::new();
+    for now in 0..LENGTH + 10_000 {
+        let (ended, rest): (Vec<_>, Vec<_>) = running.into_iter().partition(|(end, _)| *end <= now);
+        running = rest;
+        let mut steps = Vec::new();
+        for (_, call) in ended {
+            tallies[call.class].ended(now - call.came, &CLASSES[call.class]);
+            steps.push(queue.end(now, &call));
+        }
+        let (load, slowness) = pattern.at(now);
+        for (index, class) in CLASSES.iter().enumerate().filter(|_| now < LENGTH) {
+            if rng.random_bool((load * class.rate / 1_000.0).min(1.0)) {
+                let work = class.work * slowness * rng.random_range(0.5..1.5);
+                steps.push(queue.arrive(now, call(now, index, class, work as u64)));
+            }
+        }
+        for (begun, refused) in steps {
+            running.extend(begun.into_iter().map(|call| (now + call.work.max(1), call)));
+            refused.iter().for_each(|call| tallies[call.class].refused += 1);
+        }
+    }
+    tallies
+}
+
+fn call(now: u64, index: usize, class: &Class, work: u64) -> Call {
+    let need = CallNeed {
+        route: class.name.parse().expect("a valid name"),
+        priority: class.priority,
+        target: at(now + class.target),
+        deadline: at(now + class.deadline),
+        target_latency: Millis::new(class.target),
+    };
+    Call { class: index, came: now, work, need }
+}
+
+const fn at(ms: u64) -> Instant {
+    Instant::new(ms * 1_000)
+}
+
+fn print(pattern: Pattern, policy: Policy) {
+    println!("pattern {}, policy {}", pattern.name(), policy.name());
+    for (class, tally) in CLASSES.iter().zip(replay(pattern, policy)) {
+        let Tally { in_time, late, refused, lost, times } = tally;
+        let name = class.name;
+        println!("  {name}: {in_time} in time, {late} late, {refused} refused, {lost} lost");
+        for (row, count) in times {
+            let marks = "#".repeat(count.div_ceil(MARK));
+            println!("    {:>5} ms {count:>5} {marks}", row * ROW);
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    let mut arguments = std::env::args().skip(1);
+    let (pattern, policy) = (arguments.next(), arguments.next());
+    let is_wanted =
+        |name: &str, wanted: &Option<String>| wanted.as_deref().is_none_or(|wanted| wanted == name);
+    let mut printed = 0;
+    for (a, b) in Pattern::ALL.iter().flat_map(|a| Policy::ALL.iter().map(move |b| (*a, *b))) {
+        if is_wanted(a.name(), &pattern) && is_wanted(b.name(), &policy) {
+            print(a, b);
+            printed += 1;
+        }
+    }
+    if printed == 0 {
+        let patterns = Pattern::ALL.map(Pattern::name).join(", ");
+        let policies = Policy::ALL.map(Policy::name).join(", ");
+        eprintln!("patterns: {patterns}; policies: {policies}");
+        return ExitCode::FAILURE;
+    }
+    ExitCode::SUCCESS
+}
