Begin the learned overtaking of a route at one

Found in reading: the first wait of a route set the factor, up to 8, so that one odd wait (a server that hung, a wait before any call had ended) would have refused calls for some seconds.

--- a/crates/core/src/fleet/call_queue.rs
+++ b/crates/core/src/fleet/call_queue.rs
@@ -30,7 +30,7 @@
     next: u64,
     times: ServiceTimes,
     /// How much longer calls of each route waited than it seemed when they came, because
-    /// others overtook them.
+    /// others overtook them. Begins at 1, so that a first odd wait does not decide.
     overtaking: HashMap<RouteName, f64>,
 }
 
@@ -195,13 +195,14 @@
     fn learn_overtaking(&mut self, now: Instant, waiting: &Waiting) {
         let waited = now.since(waiting.since).get() as f64;
         let factor = (waited / waiting.expected.get().max(1) as f64).min(Self::MOST_OVERTAKING);
-        let Some(mean) = self.overtaking.get_mut(&waiting.need.route) else {
-            if self.overtaking.len() < ServiceTimes::MAX_ROUTES {
-                self.overtaking.insert(waiting.need.route.clone(), factor);
-            }
-            return;
-        };
-        *mean += Self::OVERTAKING_WEIGHT * (factor - *mean);
+        let route = &waiting.need.route;
+        if !self.overtaking.contains_key(route) && self.overtaking.len() < ServiceTimes::MAX_ROUTES
+        {
+            self.overtaking.insert(route.clone(), 1.0);
+        }
+        if let Some(mean) = self.overtaking.get_mut(route) {
+            *mean += Self::OVERTAKING_WEIGHT * (factor - *mean);
+        }
     }
 
     /// How long until a slot is free after the calls `ahead` have got one each.
--- a/crates/core/src/fleet/service_times.rs
+++ b/crates/core/src/fleet/service_times.rs
@@ -11,6 +11,7 @@
     routes: HashMap<RouteName, RouteTime>,
     /// Over all routes, weighted as they come.
     mean: Option<f64>,
+    /// Over all routes, for the mean by how long a call holds a slot.
     slots: Option<SlotTime>,
 }
 
