--- /dev/null
+++ b/crates/core/src/fleet/call_record.rs
@@ -0,0 +1,26 @@
+//! What the log tells of a caller's request.
+
+use std::sync::Arc;
+
+use crate::fleet::{CallOutcome, DoorChoice};
+use crate::ids::{ConfigVersion, RouteName, ServiceName};
+use crate::units::Micros;
+
+/// A caller's request and what decided where it went.
+#[derive(Debug, Clone, PartialEq)]
+pub struct CallRecord {
+    /// The attempt's id.
+    pub id: Option<Arc<str>>,
+    /// The route, if there is one.
+    pub route: Option<RouteName>,
+    /// The service.
+    pub service: Option<ServiceName>,
+    /// The configuration by which it was routed.
+    pub config: ConfigVersion,
+    /// The doors that were tried, the last one last.
+    pub tries: Vec<DoorChoice>,
+    /// How long it took.
+    pub took: Micros,
+    /// How it ended.
+    pub outcome: CallOutcome,
+}
--- /dev/null
+++ b/crates/core/src/fleet/door_record.rs
@@ -0,0 +1,28 @@
+//! What the log tells of a call at a door.
+
+use std::sync::Arc;
+
+use crate::fleet::CallOutcome;
+use crate::ids::{BackendId, RouteName, ServiceName};
+use crate::units::Micros;
+
+/// A call at a door.
+#[derive(Debug, Clone, PartialEq)]
+pub struct DoorRecord {
+    /// The attempt's id.
+    pub id: Option<Arc<str>>,
+    /// The route.
+    pub route: RouteName,
+    /// The service.
+    pub service: ServiceName,
+    /// The backend server that was meant.
+    pub backend: BackendId,
+    /// The calls that ran or went before it when it came.
+    pub ahead: u32,
+    /// The time left until its deadline when it ended.
+    pub left: Micros,
+    /// How long it took.
+    pub took: Micros,
+    /// How it ended.
+    pub outcome: CallOutcome,
+}
--- a/crates/core/src/fleet/fleet_log_event.rs
+++ b/crates/core/src/fleet/fleet_log_event.rs
@@ -1,12 +1,8 @@
 //! What a node of a fleet writes into its log.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 
-use crate::fleet::{FleetNews, LogClass, RemoteDoor};
-use crate::ids::{BackendId, ConfigVersion, RouteName, ServiceName};
-use crate::units::Micros;
-use crate::{RefusalReason, Verdict};
+use crate::fleet::{CallRecord, DoorRecord, FleetNews, LogClass};
 
 /// What a node of a fleet writes into its log.
 #[derive(Debug, Clone, PartialEq)]
@@ -56,79 +52,6 @@
     Door(DoorRecord),
 }
 
-/// A caller's request and what decided where it went.
-#[derive(Debug, Clone, PartialEq)]
-pub struct CallRecord {
-    /// The attempt's id.
-    pub id: Option<Arc<str>>,
-    /// The route, if there is one.
-    pub route: Option<RouteName>,
-    /// The service.
-    pub service: Option<ServiceName>,
-    /// The configuration by which it was routed.
-    pub config: ConfigVersion,
-    /// The doors that were tried, the last one last.
-    pub tries: Vec<DoorChoice>,
-    /// How long it took.
-    pub took: Micros,
-    /// How it ended.
-    pub outcome: CallOutcome,
-}
-
-/// A door that was chosen, and what was believed of it.
-#[derive(Debug, Clone, PartialEq)]
-pub struct DoorChoice {
-    /// The door.
-    pub door: RemoteDoor,
-    /// The calls that were believed to run or wait there.
-    pub ahead: u32,
-    /// How long the answer was expected to take.
-    pub expected: Micros,
-    /// The time that was left until the deadline.
-    pub left: Micros,
-    /// Whether a rollout judges the door's version.
-    pub is_judged: bool,
-}
-
-/// A call at a door.
-#[derive(Debug, Clone, PartialEq)]
-pub struct DoorRecord {
-    /// The attempt's id.
-    pub id: Option<Arc<str>>,
-    /// The route.
-    pub route: RouteName,
-    /// The service.
-    pub service: ServiceName,
-    /// The backend server that was meant.
-    pub backend: BackendId,
-    /// The calls that ran or went before it when it came.
-    pub ahead: u32,
-    /// The time left until its deadline when it ended.
-    pub left: Micros,
-    /// How long it took.
-    pub took: Micros,
-    /// How it ended.
-    pub outcome: CallOutcome,
-}
-
-/// How a call ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum CallOutcome {
-    /// A backend server answered with this status.
-    Answered(u16),
-    /// There is no answer of a backend server.
-    Failed {
-        /// Whether the call may have run.
-        verdict: Verdict,
-        /// Why there is none.
-        reason: RefusalReason,
-        /// Whether it arrived at a backend server.
-        has_arrived: bool,
-        /// After how long it may come again, if it did not run.
-        retry_after: Micros,
-    },
-}
-
 impl FleetLogEvent {
     /// What the line says.
     pub const fn message(&self) -> &'static str {
@@ -165,13 +88,3 @@
         }
     }
 }
-
-impl CallOutcome {
-    /// By which bound the lines of such calls are limited.
-    pub const fn class(self) -> LogClass {
-        match self {
-            Self::Answered(_) => LogClass::Answer,
-            Self::Failed { .. } => LogClass::Failure,
-        }
-    }
-}
