Log the age of a load and the retry budget that is left

A call's line now has every input that decided where it went: the calls believed at each door and how old that is, the expected and the left time, the share of the retry budget.

--- a/crates/core/src/fleet/call_record.rs
+++ b/crates/core/src/fleet/call_record.rs
@@ -17,6 +17,9 @@
     pub service: Option<ServiceName>,
     /// The configuration by which it was routed.
     pub config: ConfigVersion,
+    /// The further arrivals of calls of the service that this node still had in its share of
+    /// the retry budget, when the request ended.
+    pub budget_left: u32,
     /// The doors that were tried, the last one last.
     pub tries: Vec<DoorChoice>,
     /// How long it took.
--- a/crates/core/src/fleet/door_choice.rs
+++ b/crates/core/src/fleet/door_choice.rs
@@ -10,6 +10,8 @@
     pub door: RemoteDoor,
     /// The calls that were believed to run or wait there.
     pub ahead: u32,
+    /// How old the door's last report of its load was; `None` if there was none.
+    pub load_age: Option<Micros>,
     /// How long the answer was expected to take.
     pub expected: Micros,
     /// The time that was left until the deadline.
--- a/crates/core/src/fleet/placement.rs
+++ b/crates/core/src/fleet/placement.rs
@@ -146,6 +146,11 @@
         (Micros::new(estimate as u64), load.ahead(now, &route.name))
     }
 
+    /// How old the last report of a node's door is; `None` if there was none.
+    pub fn report_age(&self, now: Instant, node: &NodeId) -> Option<Micros> {
+        self.loads.get(node)?.reported_at().map(|at| now.since(at))
+    }
+
     /// When the door whose load is known for longest reported it, of those whose report still
     /// decides where calls go.
     pub fn oldest_report(&self, now: Instant) -> Option<Instant> {
--- a/crates/core/src/fleet/retry_share.rs
+++ b/crates/core/src/fleet/retry_share.rs
@@ -67,6 +67,11 @@
         true
     }
 
+    /// The repeats of calls of `service` that are left, as of the last call.
+    pub fn left(&self, service: &ServiceName) -> u32 {
+        self.buckets.get(service).map_or(0, |bucket| bucket.tokens as u32)
+    }
+
     /// The largest number of tokens: the node's part of the allowance, and at least one.
     fn most(&self) -> f64 {
         (self.allowance / f64::from(self.nodes) / 2.0).max(1.0)
--- a/crates/node/src/fleet/caller_handler.rs
+++ b/crates/node/src/fleet/caller_handler.rs
@@ -50,6 +50,7 @@
             route: result.route.as_ref().map(|route| route.name.clone()),
             service: result.service.clone(),
             config: result.config,
+            budget_left: result.service.as_ref().map_or(0, |s| traffic.budget().left(s)),
             tries: result.tries.clone(),
             took,
             outcome,
@@ -286,8 +287,9 @@
     };
     let door = placement.choose(now, &placed, doors, &mut rand::rng())?;
     let (expected, ahead) = placement.outlook(now, route, door);
+    let load_age = placement.report_age(now, &door.node);
     let is_judged = doors.is_judged(door);
-    Some(DoorChoice { door: door.clone(), ahead, expected, left, is_judged })
+    Some(DoorChoice { door: door.clone(), ahead, load_age, expected, left, is_judged })
 }
 
 async fn attempt(
--- a/crates/node/src/fleet/event_log.rs
+++ b/crates/node/src/fleet/event_log.rs
@@ -105,6 +105,7 @@
         out.emit_str("service", service.as_str())?;
     }
     out.emit_u64("config", call.config.get())?;
+    out.emit_u32("budget_left", call.budget_left)?;
     out.emit_str("doors", &list(&call.tries, door_text))?;
     out.emit_str("beliefs", &list(&call.tries, belief_text))?;
     out.emit_u64("took_us", call.took.get())?;
@@ -145,9 +146,11 @@
     format!("{}/{}/{}", door.node, door.backend, door.version)
 }
 
-/// What was believed of a door: calls there, expected and left microseconds.
+/// What was believed of a door: calls there, the age of its last report, the time of an answer
+/// and the time left, in microseconds.
 fn belief_text(choice: &DoorChoice) -> String {
     let judged = if choice.is_judged { "/judged" } else { "" };
+    let age = choice.load_age.map_or_else(|| "unknown".to_owned(), |age| age.get().to_string());
     let (expected, left) = (choice.expected.get(), choice.left.get());
-    format!("{}/{expected}/{left}{judged}", choice.ahead)
+    format!("{}/{age}/{expected}/{left}{judged}", choice.ahead)
 }
