Merge what stood twice in the fleet's node

Found in reading the whole change once more; behaviour stays as it is. - The entry node and the door's handler each read the load, ran the call, logged it and read the load again: door::serve does it once, with one CallNeed in place of three. Both ways of learning a reported load are FleetTraffic::learn_load; ReportedLoad has its own file. - Two clients of outside services were set up line by line alike: http_client. The connector's keep-alive options stand beside those of a stream, in socket. Ruled out: sharing the notice to the control thread (its two callers treat a dead thread differently), the conversions of the wire (generated types on one side).

--- a/crates/core/src/fleet/peer_directory.rs
+++ b/crates/core/src/fleet/peer_directory.rs
@@ -103,6 +103,11 @@
         self.peers.values()
     }
 
+    /// The node with the id `node`.
+    pub fn get(&self, node: &NodeId) -> Option<&Peer> {
+        self.peers.get(node)
+    }
+
     /// The nodes that were heard lately.
     pub fn alive(&self, now: Instant) -> impl Iterator<Item = &Peer> {
         self.iter().filter(move |peer| !peer.is_silent(now))
--- a/crates/core/src/fleet/rollout_events.rs
+++ b/crates/core/src/fleet/rollout_events.rs
@@ -98,7 +98,7 @@
     }
 
     fn peer_report(&self, node: &NodeId, rollout: &Rollout) -> Option<&RolloutReport> {
-        let peer = self.peers.iter().find(|peer| peer.entry.node == *node)?;
+        let peer = self.peers.get(node)?;
         let reports = &peer.heartbeat.as_ref()?.rollouts;
         reports.iter().find(|report| {
             report.service == rollout.order.service && report.order == rollout.order.revision
--- a/crates/node/src/fleet/belief_metrics.rs
+++ b/crates/node/src/fleet/belief_metrics.rs
@@ -5,7 +5,7 @@
 use almondsail_core::fleet::BeliefTimes;
 use almondsail_core::units::Instant;
 use arc_swap::ArcSwap;
-use opentelemetry::metrics::{AsyncInstrument, Meter};
+use opentelemetry::metrics::Meter;
 
 use crate::clock::Clock;
 use crate::fleet::traffic::FleetTraffic;
@@ -28,36 +28,37 @@
         .with_description("Other nodes that were heard lately")
         .with_callback(move |gauge| gauge.observe(shared.load().peers as u64, &[]))
         .build();
-    let shared = Arc::clone(times);
-    meter
-        .f64_observable_gauge("fleet_config_age_seconds")
-        .with_description("Time since the configuration came into force")
-        .with_callback(move |gauge| observe_age(gauge, clock, shared.load().config))
-        .build();
-    let shared = Arc::clone(times);
-    meter
-        .f64_observable_gauge("fleet_store_age_seconds")
-        .with_description("Time since the store last answered")
-        .with_callback(move |gauge| observe_age(gauge, clock, shared.load().store))
-        .build();
-    let shared = Arc::clone(times);
-    meter
-        .f64_observable_gauge("fleet_peer_age_seconds")
-        .with_description("Time since the most silent of the nodes heard lately was heard")
-        .with_callback(move |gauge| observe_age(gauge, clock, shared.load().oldest_peer))
-        .build();
+    let belief = |since: fn(&BeliefTimes) -> Option<Instant>| {
+        let shared = Arc::clone(times);
+        move || since(&shared.load())
+    };
+    let text = "Time since the configuration came into force";
+    age_gauge(meter, clock, "fleet_config_age_seconds", text, belief(|times| times.config));
+    let text = "Time since the store last answered";
+    age_gauge(meter, clock, "fleet_store_age_seconds", text, belief(|times| times.store));
+    let text = "Time since the most silent of the nodes heard lately was heard";
+    age_gauge(meter, clock, "fleet_peer_age_seconds", text, belief(|times| times.oldest_peer));
+    let text = "Age of the oldest load by which calls are placed";
     let traffic = Arc::clone(traffic);
+    let oldest_load = move || traffic.placement().oldest_report(clock.now());
+    age_gauge(meter, clock, "fleet_load_age_seconds", text, oldest_load);
+}
+
+/// Exports how long ago `since` was, while it is known.
+fn age_gauge(
+    meter: &Meter,
+    clock: Clock,
+    name: &'static str,
+    description: &'static str,
+    since: impl Fn() -> Option<Instant> + Send + Sync + 'static,
+) {
     meter
-        .f64_observable_gauge("fleet_load_age_seconds")
-        .with_description("Age of the oldest load by which calls are placed")
+        .f64_observable_gauge(name)
+        .with_description(description)
         .with_callback(move |gauge| {
-            observe_age(gauge, clock, traffic.placement().oldest_report(clock.now()));
+            if let Some(since) = since() {
+                gauge.observe(clock.now().since(since).get() as f64 / 1e6, &[]);
+            }
         })
         .build();
 }
-
-fn observe_age(gauge: &dyn AsyncInstrument<f64>, clock: Clock, since: Option<Instant>) {
-    if let Some(since) = since {
-        gauge.observe(clock.now().since(since).get() as f64 / 1e6, &[]);
-    }
-}
--- a/crates/node/src/fleet/caller_handler.rs
+++ b/crates/node/src/fleet/caller_handler.rs
@@ -299,20 +299,8 @@
 ) -> Result<Response<Bytes>, DoorFailure> {
     let sent = Sent::new(traffic, target);
     let result = if target.node == traffic.view.load().node {
-        let started = traffic.clock.now();
-        let (ahead_before, _) = traffic.queue.load(&call.need());
-        let result = door::run(traffic, call).await;
-        let now = traffic.clock.now();
-        let (ahead, mean) = traffic.queue.load(&call.need());
-        let mut placement = traffic.placement();
-        let load = placement.load(&target.node);
-        load.report(now, &call.route, ahead, mean);
-        if let Ok((_, took)) = &result {
-            load.ran(&call.route, *took);
-        }
-        drop(placement);
-        let result = result.map(|(response, _)| response);
-        door::log(traffic, call, started, ahead_before, result.as_ref());
+        let (result, load) = door::serve(traffic, call).await;
+        traffic.learn_load(&target.node, &call.route, load);
         result
     } else {
         door_client::send(traffic, &target.node, target.address, call).await
--- a/crates/node/src/fleet/config_source.rs
+++ b/crates/node/src/fleet/config_source.rs
@@ -14,18 +14,15 @@
     gate: Mutex<TransferGate>,
 }
 
-/// A transfer to another node, which has ended when the last clone is dropped.
-#[derive(Debug, Clone)]
-pub(crate) struct Transfer(#[expect(dead_code, reason = "held for its drop")] Arc<Ending>);
-
+/// A transfer to another node, which has ended when it is dropped.
 #[derive(Debug)]
-struct Ending(Arc<ConfigSource>);
+pub(crate) struct Transfer(Arc<ConfigSource>);
 
 /// What a node that asks for the configuration gets.
 #[derive(Debug)]
 pub(crate) enum Offer {
     /// The text, while the transfer is held.
-    Text(Bytes, Transfer),
+    Text(Bytes, Arc<Transfer>),
     /// There are transfers enough.
     Busy,
     /// There is no configuration.
@@ -44,7 +41,7 @@
         if !self.gate().begin() {
             return Offer::Busy;
         }
-        Offer::Text(Bytes::clone(&text), Transfer(Arc::new(Ending(Arc::clone(self)))))
+        Offer::Text(Bytes::clone(&text), Arc::new(Transfer(Arc::clone(self))))
     }
 
     fn gate(&self) -> MutexGuard<'_, TransferGate> {
@@ -52,7 +49,7 @@
     }
 }
 
-impl Drop for Ending {
+impl Drop for Transfer {
     fn drop(&mut self) {
         self.0.gate().end();
     }
--- a/crates/node/src/fleet/door.rs
+++ b/crates/node/src/fleet/door.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 
 use almondsail_core::RefusalReason;
-use almondsail_core::fleet::{DoorRecord, FleetEvent, FleetLogEvent, FleetView, RouteKey};
+use almondsail_core::fleet::{
+    CallNeed, DoorRecord, FleetEvent, FleetLogEvent, FleetView, RouteKey,
+};
 use almondsail_core::units::{Instant, Micros};
 use almondsail_platform::calls::{self as names, AnswerKind};
 use bytes::Bytes;
@@ -13,22 +15,42 @@
 use crate::fleet::door_call::DoorCall;
 use crate::fleet::door_failure::{self, DoorFailure};
 use crate::fleet::queue_slot::QueueSlot;
+use crate::fleet::reported_load::ReportedLoad;
 use crate::fleet::traffic::FleetTraffic;
 use crate::fleet::whole_answer;
 
 /// How soon a call may come again after a refusal that tells nothing of the load.
 const SOON: Micros = Micros::new(200_000);
 
-/// Runs `call` at the backend server beside this node. Returns the answer and how long it ran.
+/// Runs `call` at the backend server beside this node and logs its end. Returns the answer, and
+/// the load that whoever sent the call learns.
 ///
 /// Only this node reaches the server, so what it knows decides: which server has the
 /// address, whether it takes calls, and how many run.
-pub(crate) async fn run(
+pub(crate) async fn serve(
     traffic: &Arc<FleetTraffic>,
     call: &DoorCall,
+) -> (Result<Response<Bytes>, DoorFailure>, ReportedLoad) {
+    let started = traffic.clock.now();
+    let need = call.need();
+    let (ahead_before, _) = traffic.queue.load(&need);
+    let (result, took) = match run(traffic, call, need.clone()).await {
+        Ok((response, took)) => (Ok(response), Some(took)),
+        Err(failure) => (Err(failure), None),
+    };
+    log(traffic, call, started, ahead_before, result.as_ref());
+    let (ahead, mean) = traffic.queue.load(&need);
+    (result, ReportedLoad { ahead, mean, took })
+}
+
+/// Returns the answer and how long the call ran.
+async fn run(
+    traffic: &Arc<FleetTraffic>,
+    call: &DoorCall,
+    need: CallNeed,
 ) -> Result<(Response<Bytes>, Micros), DoorFailure> {
     check(&traffic.view.load(), call)?;
-    let slot = traffic.queue.take(call.need()).await?;
+    let slot = traffic.queue.take(need).await?;
     // The server may have left while the call waited.
     check(&traffic.view.load(), call)?;
     let result = exchange(traffic, call, slot).await;
@@ -85,7 +107,7 @@
 }
 
 /// Logs that `call`, which came at `started` when `ahead` calls ran or went before it, ended.
-pub(crate) fn log(
+fn log(
     traffic: &FleetTraffic,
     call: &DoorCall,
     started: Instant,
--- a/crates/node/src/fleet/door_handler.rs
+++ b/crates/node/src/fleet/door_handler.rs
@@ -12,9 +12,9 @@
 use crate::fleet::config_source::{ConfigSource, Offer};
 use crate::fleet::door;
 use crate::fleet::door_call::DoorCall;
-use crate::fleet::door_client::{LOAD, ReportedLoad};
 use crate::fleet::door_failure::{DoorFailure, FAILURE};
 use crate::fleet::hop::{HOP, Hop};
+use crate::fleet::reported_load::LOAD;
 use crate::fleet::traffic::FleetTraffic;
 
 /// The path at which other nodes read this node's configuration.
@@ -33,18 +33,10 @@
     let Some(hop) = hop else {
         return refusal(&DoorFailure::unrun(RefusalReason::BadRequest, Micros::new(0)));
     };
-    let started = traffic.clock.now();
-    let call = DoorCall::from_hop(hop, started, request);
-    let (ahead_before, _) = traffic.queue.load(&call.need());
-    let result = door::run(&traffic, &call).await;
-    let answer = result.as_ref().map(|(response, _)| response);
-    door::log(&traffic, &call, started, ahead_before, answer);
-    let (mut response, took) = match result {
-        Ok((response, took)) => (response, Some(took)),
-        Err(failure) => (refusal(&failure), None),
-    };
-    let (ahead, mean) = traffic.queue.load(&call.need());
-    own_names::set(response.headers_mut(), LOAD, ReportedLoad { ahead, mean, took });
+    let call = DoorCall::from_hop(hop, traffic.clock.now(), request);
+    let (result, load) = door::serve(&traffic, &call).await;
+    let mut response = result.unwrap_or_else(|failure| refusal(&failure));
+    own_names::set(response.headers_mut(), LOAD, load);
     response
 }
 
--- a/crates/node/src/fleet/fleet_node.rs
+++ b/crates/node/src/fleet/fleet_node.rs
@@ -39,6 +39,7 @@
 use crate::http_server;
 use crate::log;
 use crate::metrics::Metrics;
+use crate::socket;
 
 /// Notices that wait for the control thread at most.
 const CONTROL_QUEUE: usize = 256;
@@ -82,24 +83,22 @@
 impl Listeners {
     fn bind(settings: &FleetSettings) -> eyre::Result<Self> {
         let listen = &settings.listen;
-        let nodes = bind("nodes", listen.nodes)?;
+        let nodes = socket::bind("listen.nodes", listen.nodes)?;
         let heartbeats = StdUdpSocket::bind(nodes.local_addr()?)
             .wrap_err_with(|| format!("listen.nodes: {}", listen.nodes))?;
         heartbeats.set_nonblocking(true)?;
         Ok(Self {
-            callers: bind("callers", listen.callers)?,
+            callers: socket::bind("listen.callers", listen.callers)?,
             nodes,
             heartbeats,
             local: [
-                bind("ready", listen.ready)?,
-                bind("announcements", listen.announcements)?,
-                bind("metrics", listen.metrics)?,
+                socket::bind("listen.ready", listen.ready)?,
+                socket::bind("listen.announcements", listen.announcements)?,
+                socket::bind("listen.metrics", listen.metrics)?,
             ],
         })
     }
-}
 
-impl Listeners {
     fn addresses(&self) -> std::io::Result<BoundAddresses> {
         Ok(BoundAddresses {
             callers: self.callers.local_addr()?,
@@ -111,12 +110,6 @@
     }
 }
 
-fn bind(name: &str, addr: SocketAddr) -> eyre::Result<StdTcpListener> {
-    let listener = StdTcpListener::bind(addr).wrap_err_with(|| format!("listen.{name}: {addr}"))?;
-    listener.set_nonblocking(true)?;
-    Ok(listener)
-}
-
 /// Runs a node of a fleet until it is told to stop by SIGTERM or SIGINT.
 pub fn run(settings: &FleetSettings) -> eyre::Result<()> {
     let listeners = Listeners::bind(settings)?;
--- a/crates/node/src/fleet/http_caller.rs
+++ b/crates/node/src/fleet/http_caller.rs
@@ -7,11 +7,9 @@
 use http::uri::{Authority, Scheme};
 use http::{Request, StatusCode, Uri};
 use http_body_util::{BodyExt as _, Full, Limited};
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::{TokioExecutor, TokioTimer};
 use tokio::time::timeout;
 
+use crate::http_client::{self, HttpClient};
 use crate::socket;
 
 /// The largest answer that is read: a page of the store with its encoding.
@@ -32,26 +30,15 @@
 /// for calls.
 #[derive(Debug, Clone)]
 pub(crate) struct HttpCaller {
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: HttpClient,
 }
 
 impl HttpCaller {
     /// A caller that opens connections within `connect_time`.
     pub(crate) fn new(connect_time: Duration) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(connect_time));
-        connector.set_keepalive(Some(socket::KEEPALIVE_IDLE));
-        connector.set_keepalive_interval(Some(socket::KEEPALIVE_INTERVAL));
-        connector.set_keepalive_retries(Some(socket::KEEPALIVE_PROBES));
-        connector.set_tcp_user_timeout(Some(socket::USER_TIMEOUT));
-        let client = Client::builder(TokioExecutor::new())
-            .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(IDLE_TIME)
-            // A write that is sent again would count as a second write.
-            .retry_canceled_requests(false)
-            .build(connector);
-        Self { client }
+        let mut connector = http_client::connector(connect_time);
+        socket::end_if_silent(&mut connector);
+        Self { client: http_client::client(connector, IDLE_TIME) }
     }
 
     /// Sends `request` to `address`; `None` if no whole answer comes within `limits`.
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -29,6 +29,7 @@
 mod http_caller;
 mod local_api;
 mod queue_slot;
+mod reported_load;
 mod slot_queue;
 mod stop_phase;
 mod store_caller;
--- /dev/null
+++ b/crates/node/src/fleet/reported_load.rs
@@ -0,0 +1,40 @@
+//! The load that a door reports with an answer.
+
+use std::fmt;
+use std::str::FromStr;
+
+use almondsail_core::units::Micros;
+use http::header::HeaderName;
+
+/// The header in which a door reports its load.
+pub(crate) const LOAD: HeaderName = HeaderName::from_static("almondsail-door-load");
+
+/// The load that a door reports.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct ReportedLoad {
+    /// The calls that run, or wait before a call of the same route.
+    pub(crate) ahead: u32,
+    /// Their mean time, if it is known.
+    pub(crate) mean: Option<Micros>,
+    /// How long the answered call ran, if it did.
+    pub(crate) took: Option<Micros>,
+}
+
+impl fmt::Display for ReportedLoad {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let number = |span: Option<Micros>| span.map_or(0, Micros::get);
+        write!(f, "{} {} {}", self.ahead, number(self.mean), number(self.took))
+    }
+}
+
+impl FromStr for ReportedLoad {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(s: &str) -> Result<Self, Self::Err> {
+        let mut parts = s.split(' ');
+        let mut next = || parts.next().unwrap_or_default();
+        let ahead = next().parse()?;
+        let mut span = || next().parse().map(|span: u64| (span > 0).then(|| Micros::new(span)));
+        Ok(Self { ahead, mean: span()?, took: span()? })
+    }
+}
--- a/crates/node/src/fleet/traffic.rs
+++ b/crates/node/src/fleet/traffic.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use almondsail_core::fleet::{FleetEvent, FleetView, Placement, RetryShare};
-use almondsail_core::ids::ServiceName;
+use almondsail_core::ids::{NodeId, RouteName, ServiceName};
 use arc_swap::ArcSwap;
 use tokio::sync::mpsc;
 
@@ -14,6 +14,7 @@
 use crate::clock::Clock;
 use crate::fleet::call_metrics::CallMetrics;
 use crate::fleet::event_log::EventLog;
+use crate::fleet::reported_load::ReportedLoad;
 use crate::fleet::slot_queue::SlotQueue;
 
 /// Idle connections to one door of another node.
@@ -86,6 +87,16 @@
         self.placement.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Learns what the door of `node` reported with the end of a call of `route`.
+    pub(crate) fn learn_load(&self, node: &NodeId, route: &RouteName, load: ReportedLoad) {
+        let mut placement = self.placement();
+        let door = placement.load(node);
+        door.report(self.clock.now(), route, load.ahead, load.mean);
+        if let Some(took) = load.took {
+            door.ran(route, took);
+        }
+    }
+
     /// This node's share of the retry budget.
     pub(crate) fn budget(&self) -> MutexGuard<'_, RetryShare> {
         self.budget.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod control;
 mod counted_stream;
 pub mod fleet;
+mod http_client;
 pub mod http_server;
 pub mod local_api;
 pub mod log;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -8,7 +8,6 @@
 use almondsail_core::control::{Control, ControlSettings, Event};
 use almondsail_core::traffic::Snapshot;
 use arc_swap::ArcSwap;
-use eyre::WrapErr;
 use opentelemetry::KeyValue;
 use serde::Serialize;
 use slog::{Logger, info};
@@ -35,6 +34,7 @@
 use crate::operators::operator_error::OperatorError;
 use crate::peer_link::{ClientPool, FrameSeal, PeerServer};
 use crate::settings::NodeSettings;
+use crate::socket;
 use crate::store_client::{CallCounts, HttpStore};
 use crate::{Traffic, TrafficBuilder, TrafficSettings, serve_callers, serve_door};
 
@@ -73,11 +73,11 @@
     fn bind(settings: &NodeSettings) -> eyre::Result<Self> {
         let listen = &settings.listen;
         Ok(Self {
-            callers: bind("listen.callers", listen.callers)?,
-            door: bind("listen.door", listen.door)?,
-            peers: bind("listen.peers", listen.peers)?,
-            operators: bind("listen.operators", listen.operators)?,
-            local: bind("listen.local", listen.local)?,
+            callers: socket::bind("listen.callers", listen.callers)?,
+            door: socket::bind("listen.door", listen.door)?,
+            peers: socket::bind("listen.peers", listen.peers)?,
+            operators: socket::bind("listen.operators", listen.operators)?,
+            local: socket::bind("listen.local", listen.local)?,
         })
     }
 
@@ -92,12 +92,6 @@
     }
 }
 
-fn bind(name: &str, addr: SocketAddr) -> eyre::Result<StdTcpListener> {
-    let listener = StdTcpListener::bind(addr).wrap_err_with(|| format!("{name}: {addr}"))?;
-    listener.set_nonblocking(true)?;
-    Ok(listener)
-}
-
 /// Runs a node until it is told to stop by SIGTERM or SIGINT.
 pub fn run(settings: &NodeSettings) -> eyre::Result<()> {
     let listeners = Listeners::bind(settings)?;
--- a/crates/node/src/store_client/http_store.rs
+++ b/crates/node/src/store_client/http_store.rs
@@ -13,12 +13,10 @@
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::{TokioExecutor, TokioTimer};
 use tokio::time::timeout;
 
 use super::{CallCounts, StoreClient};
+use crate::http_client::{self, HttpClient};
 
 /// The key that holds the configuration.
 const CONFIG_KEY: &str = "almondsail/config";
@@ -37,21 +35,13 @@
     address: SocketAddr,
     timeout: Duration,
     counts: CallCounts,
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: HttpClient,
 }
 
 impl HttpStore {
     /// A client for the store at `address` that waits for `timeout` at most.
     pub fn new(address: SocketAddr, timeout: Duration, counts: CallCounts) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(timeout));
-        let client = Client::builder(TokioExecutor::new())
-            .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(IDLE_TIME)
-            // A write that is sent again would count as a second write.
-            .retry_canceled_requests(false)
-            .build(connector);
+        let client = http_client::client(http_client::connector(timeout), IDLE_TIME);
         Self { address, timeout, counts, client }
     }
 
--- a/crates/testkit/src/platform/kv_server.rs
+++ b/crates/testkit/src/platform/kv_server.rs
@@ -12,7 +12,7 @@
 use tokio::sync::watch;
 
 use super::KvState;
-use crate::http::{Handled, HttpServer, ReplyBody, ServerOptions};
+use crate::http::{Handled, HttpServer, Query, ReplyBody, ServerOptions};
 
 /// How the store answers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -99,21 +99,17 @@
     let (parts, body) = req.into_parts();
     let Ok(body) = body.collect().await else { return Handled::Close };
     let body: Value = serde_json::from_slice(&body.to_bytes()).unwrap_or_default();
-    let query = parts.uri.query().unwrap_or_default();
-    let param = |name: &str| {
-        let pair = query.split('&').filter_map(|pair| pair.split_once('='));
-        pair.into_iter().find(|(key, _)| *key == name).map(|(_, value)| value.to_owned())
-    };
-    let prefix = param("prefix").unwrap_or_default();
+    let query = Query::of(&parts.uri);
+    let prefix = query.text("prefix").unwrap_or_default();
     let path: Vec<&str> = parts.uri.path().trim_start_matches('/').split('/').collect();
     match (&parts.method, path.as_slice()) {
         (&Method::GET, ["almondsail", "kv-range"]) => {
-            reply(200, &shared.with(|(state, ..)| state.range(&prefix)))
+            reply(200, &shared.with(|(state, ..)| state.range(prefix)))
         }
         (&Method::GET, ["almondsail", "kv-watch"]) => {
-            let number = |name: &str| param(name).and_then(|n| n.parse().ok()).unwrap_or(0);
+            let number = |name: &str| query.text(name).and_then(|n| n.parse().ok()).unwrap_or(0);
             let wait = Duration::from_millis(number("wait_ms"));
-            watch_changes(&shared, &prefix, number("after"), wait).await
+            watch_changes(&shared, prefix, number("after"), wait).await
         }
         (&Method::POST, ["almondsail", "kv-lease"]) => {
             let ttl = body["ttl_ms"].as_u64().unwrap_or(1_000);
