Log and count requests whose connection ends before their answer

A request that a node has read and whose connection ends before the answer left no trace: neither the entry node nor the node beside the server wrote a line, so a close by the node itself could not be told from a caller that left.

The connection now remembers how it ends and records the requests that are still in flight: one log line `unanswered` and the counter `fleet_unanswered_requests` with the listener and the end (the peer closed, a write failed, the node closed after an answer in a stop, the grace ended).

The testkit's worker can change its run time, for tests of requests in progress.

--- a/crates/core/src/fleet/fleet_log_event.rs
+++ b/crates/core/src/fleet/fleet_log_event.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use crate::fleet::{CallRecord, FleetChange, InboundCallRecord, LogClass};
+use crate::fleet::{CallRecord, ConnectionEnd, FleetChange, InboundCallRecord, LogClass};
 
 /// An event that a node of a fleet writes to its log.
 #[derive(Debug, Clone, PartialEq)]
@@ -51,6 +51,15 @@
     /// A call to the backend server beside this node ended. It came from another node or from a
     /// caller of this one.
     InboundCall(InboundCallRecord),
+    /// A connection ended with requests that had been read and were not answered.
+    Unanswered {
+        /// The listener that had accepted the connection: `callers` or `nodes`.
+        listener: &'static str,
+        /// How the connection ended.
+        end: ConnectionEnd,
+        /// The number of unanswered requests.
+        requests: usize,
+    },
 }
 
 impl FleetLogEvent {
@@ -68,6 +77,7 @@
             Self::HeartbeatFailed { .. } => "heartbeat failed",
             Self::Call(_) => "call",
             Self::InboundCall(_) => "door",
+            Self::Unanswered { .. } => "unanswered",
         }
     }
 
@@ -83,6 +93,7 @@
             Self::AnnouncementRefused { .. }
             | Self::HeartbeatRefused { .. }
             | Self::HeartbeatFailed { .. } => LogClass::BadInput,
+            Self::Unanswered { .. } => LogClass::Failure,
             Self::Call(CallRecord { outcome, .. })
             | Self::InboundCall(InboundCallRecord { outcome, .. }) => outcome.class(),
         }
--- a/crates/node/src/fleet/event_log.rs
+++ b/crates/node/src/fleet/event_log.rs
@@ -91,6 +91,11 @@
             FleetLogEvent::HeartbeatFailed { problem } => out.emit_str("problem", problem),
             FleetLogEvent::Call(call) => call_fields(call, out),
             FleetLogEvent::InboundCall(call) => inbound_call_fields(call, out),
+            FleetLogEvent::Unanswered { listener, end, requests } => {
+                out.emit_str("listener", listener)?;
+                out.emit_str("end", end.as_str())?;
+                out.emit_usize("requests", *requests)
+            }
         }
     }
 }
--- a/crates/node/src/fleet/fleet_node.rs
+++ b/crates/node/src/fleet/fleet_node.rs
@@ -35,6 +35,7 @@
 use crate::fleet::local_api::{LocalApi, LocalApiParts};
 use crate::fleet::stop_phase::StopPhase;
 use crate::fleet::traffic::{FleetTraffic, TrafficParts};
+use crate::fleet::unanswered_requests::UnansweredRequests;
 use crate::fleet::{caller_handler, inbound_handler};
 use crate::http_server;
 use crate::log;
@@ -307,7 +308,10 @@
         let view = Arc::clone(&self.view);
         let limits =
             move || view.load().config.as_ref().map_or_else(Default::default, |c| c.limits);
-        let settings = Http1Settings { limits, max_connections: MAX_CALLER_CONNECTIONS, stop };
+        let unanswered =
+            UnansweredRequests::new("callers", &self.metrics.meter(), self.log.clone());
+        let settings =
+            Http1Settings { limits, max_connections: MAX_CALLER_CONNECTIONS, stop, unanswered };
         let traffic = Arc::clone(&self.traffic);
         let make_handler = move || {
             let (traffic, pipeline) = (Arc::clone(&traffic), SharedPipeline::default());
@@ -324,7 +328,9 @@
         stop: watch::Receiver<StopPhase>,
     ) -> impl Future<Output = ()> + Send + use<> {
         let limits = || CallerLimits { body: MAX_BODY, ..CallerLimits::default() };
-        let settings = Http1Settings { limits, max_connections: MAX_NODE_CONNECTIONS, stop };
+        let unanswered = UnansweredRequests::new("nodes", &self.metrics.meter(), self.log.clone());
+        let settings =
+            Http1Settings { limits, max_connections: MAX_NODE_CONNECTIONS, stop, unanswered };
         let (traffic, source) = (Arc::clone(&self.traffic), Arc::clone(&self.source));
         let make_handler = move || {
             let (traffic, source) = (Arc::clone(&traffic), Arc::clone(&source));
--- a/crates/node/src/fleet/http1/connection.rs
+++ b/crates/node/src/fleet/http1/connection.rs
@@ -4,7 +4,7 @@
 use std::pin::Pin;
 use std::time::Duration;
 
-use almondsail_core::fleet::CallerLimits;
+use almondsail_core::fleet::{CallerLimits, ConnectionEnd};
 use bytes::{Bytes, BytesMut};
 use futures::StreamExt as _;
 use futures::stream::FuturesOrdered;
@@ -20,6 +20,7 @@
 use crate::fleet::http1::request_parser::{RequestLimits, RequestParser};
 use crate::fleet::http1::response_writer;
 use crate::fleet::stop_phase::StopPhase;
+use crate::fleet::unanswered_requests::UnansweredRequests;
 
 /// Number of requests of one connection that are answered concurrently.
 const MAX_PIPELINED: usize = 16;
@@ -64,6 +65,7 @@
     handler: H,
     limits: CallerLimits,
     stop: watch::Receiver<StopPhase>,
+    unanswered: UnansweredRequests,
     parser: RequestParser,
     buf: BytesMut,
     in_flight: FuturesOrdered<AnswerFuture>,
@@ -74,6 +76,8 @@
     reading: ReadState,
     /// Start of the current wait for bytes of the caller.
     waiting_since: Instant,
+    /// How the connection ends, if requests are still in flight then.
+    end: ConnectionEnd,
 }
 
 impl<H, F> Connection<H>
@@ -86,12 +90,14 @@
         handler: H,
         limits: CallerLimits,
         stop: watch::Receiver<StopPhase>,
+        unanswered: UnansweredRequests,
     ) -> Self {
         Self {
             stream,
             handler,
             limits,
             stop,
+            unanswered,
             parser: RequestParser::default(),
             buf: BytesMut::new(),
             in_flight: FuturesOrdered::new(),
@@ -99,6 +105,7 @@
             in_flight_is_safe: true,
             reading: ReadState::Open,
             waiting_since: Instant::now(),
+            end: ConnectionEnd::Aborted,
         }
     }
 
@@ -129,6 +136,9 @@
             Some(handled) = self.in_flight.next(), if !is_idle => self.write(handled).await,
             read = self.stream.read_buf(&mut self.buf), if may_read => {
                 let is_open = read.is_ok_and(|n| n > 0);
+                if !is_open {
+                    self.end = ConnectionEnd::PeerClosed;
+                }
                 if is_open && is_idle && !self.parser.has_partial() {
                     self.waiting_since = Instant::now();
                 }
@@ -184,8 +194,10 @@
         let close = wants_close || is_stopping;
         let mut out = BytesMut::with_capacity(512 + response.body().len());
         response_writer::write(&mut out, &method, &response, close);
+        self.end = ConnectionEnd::WriteFailed;
         timeout(WRITE_TIMEOUT, self.stream.write_all(&out)).await.ok()?.ok()?;
         self.waiting_since = Instant::now();
+        self.end = if close { ConnectionEnd::Stopped } else { ConnectionEnd::Aborted };
         if close {
             self.linger().await;
             return None;
@@ -231,6 +243,14 @@
     }
 }
 
+impl<H> Drop for Connection<H> {
+    fn drop(&mut self) {
+        if !self.in_flight.is_empty() {
+            self.unanswered.record(self.end, self.in_flight.len());
+        }
+    }
+}
+
 fn error_answer(error: RequestError) -> HandledRequest {
     let mut response = Response::new(Bytes::new());
     *response.status_mut() = error.status();
--- a/crates/node/src/fleet/http1/server.rs
+++ b/crates/node/src/fleet/http1/server.rs
@@ -11,6 +11,7 @@
 use crate::accept;
 use crate::fleet::http1::connection::Connection;
 use crate::fleet::stop_phase::StopPhase;
+use crate::fleet::unanswered_requests::UnansweredRequests;
 use crate::socket;
 
 /// Settings of a listener and its connections.
@@ -21,6 +22,8 @@
     pub(crate) max_connections: usize,
     /// Current phase of a graceful stop.
     pub(crate) stop: watch::Receiver<StopPhase>,
+    /// Records requests whose connection ends before they are answered.
+    pub(crate) unanswered: UnansweredRequests,
 }
 
 /// Serves `listener` until a graceful stop closes it and all connections have ended. `make_handler`
@@ -39,7 +42,8 @@
         // Setting the options fails only if the caller has already closed the connection.
         let is_open = socket::set_socket_options(&stream).is_ok();
         let (limits, stop) = ((settings.limits)(), settings.stop.clone());
-        let connection = Connection::new(stream, make_handler(), limits, stop);
+        let unanswered = settings.unanswered.clone();
+        let connection = Connection::new(stream, make_handler(), limits, stop, unanswered);
         async move {
             if is_open {
                 connection.run().await;
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -34,6 +34,7 @@
 mod slot_queue;
 mod stop_phase;
 mod traffic;
+mod unanswered_requests;
 mod whole_answer;
 
 pub use fleet_node::run;
--- a/crates/testkit/src/platform/worker.rs
+++ b/crates/testkit/src/platform/worker.rs
@@ -59,6 +59,7 @@
 struct Shared {
     options: WorkerOptions,
     fault: Mutex<WorkerFault>,
+    run_time: Mutex<Duration>,
     /// The requests that were executed or are running, in the order of their start.
     executed: Mutex<Vec<ExecutedRequest>>,
     /// Number of requests that are running.
@@ -101,6 +102,7 @@
         let shared = Arc::new(Shared {
             options: options.clone(),
             fault,
+            run_time: Mutex::new(options.run_time),
             executed: Mutex::default(),
             running: AtomicUsize::new(0),
         });
@@ -124,6 +126,11 @@
         *self.shared.fault.lock().unwrap_or_else(PoisonError::into_inner) = fault;
     }
 
+    /// Sets how long the execution of requests takes that arrive from now on.
+    pub fn set_run_time(&self, run_time: Duration) {
+        *self.shared.run_time.lock().unwrap_or_else(PoisonError::into_inner) = run_time;
+    }
+
     /// Returns the requests that were executed or are running, in the order of their start.
     pub fn executed_requests(&self) -> Vec<ExecutedRequest> {
         self.shared.executed.lock().unwrap_or_else(PoisonError::into_inner).clone()
@@ -194,7 +201,8 @@
     if fault == WorkerFault::Stalls {
         std::future::pending::<()>().await;
     }
-    tokio::time::sleep(shared.options.run_time).await;
+    let run_time = *shared.run_time.lock().unwrap_or_else(PoisonError::into_inner);
+    tokio::time::sleep(run_time).await;
     let signed = response.header("almondsail-server-signature", format!("signed-{id}"));
     let text = format!("{} {}", shared.options.id, String::from_utf8_lossy(&body.to_bytes()));
     match fault {
