Answer all started requests before a stopping node closes

Callers that send requests ahead on one connection lost all but the first answer when their node was stopped: the connection ended without an answer for requests that servers were running.

Cause: Connection closed after the first answer that it wrote while the node stops, and dropped the requests still in flight.

Now only the last answer that is due announces the close, and the connection ends after it. While the node drains, requests that arrive are still started; from the closing phase on none starts behind another one, so that the connection comes to its end. A request that was not started is read by nobody and the caller sends it again.

stop_answers_pipelined_requests failed before: "p1 is missing in \"HTTP/1.1 200 OK ... signed-p0 ... connection: close\"". It passes now.

--- a/crates/node/src/fleet/http1/connection.rs
+++ b/crates/node/src/fleet/http1/connection.rs
@@ -153,7 +153,7 @@
     /// other than GET and HEAD run alone.
     fn start_requests(&mut self) -> Result<(), RequestError> {
         let limits = self.request_limits();
-        while self.reading == ReadState::Open && self.in_flight.len() < MAX_PIPELINED {
+        while self.reading == ReadState::Open && self.in_flight.len() < self.max_in_flight() {
             let request = match self.deferred.take() {
                 Some(request) => request,
                 None => match self.parser.next(&mut self.buf, limits)? {
@@ -173,6 +173,19 @@
         Ok(())
     }
 
+    /// Returns how many requests may be in flight. In the closing phase no request starts behind
+    /// another one, so that the connection comes to its end; the caller sends it again elsewhere.
+    fn max_in_flight(&self) -> usize {
+        match *self.stop.borrow() {
+            StopPhase::Serving | StopPhase::Draining => MAX_PIPELINED,
+            StopPhase::Closing => 1,
+        }
+    }
+
+    fn is_stopping(&self) -> bool {
+        *self.stop.borrow() > StopPhase::Serving
+    }
+
     fn start(&mut self, mut request: Request<Bytes>) {
         if !self.in_flight.is_empty() {
             request.extensions_mut().insert(Pipelined);
@@ -190,8 +203,8 @@
 
     async fn write(&mut self, handled: HandledRequest) -> Option<()> {
         let HandledRequest { method, wants_close, response } = handled;
-        let is_stopping = *self.stop.borrow() > StopPhase::Serving;
-        let close = wants_close || is_stopping;
+        let is_last = self.in_flight.is_empty();
+        let close = wants_close || (self.is_stopping() && is_last);
         let mut out = BytesMut::with_capacity(512 + response.body().len());
         response_writer::write(&mut out, &method, &response, close);
         self.end = ConnectionEnd::WriteFailed;
--- /dev/null
+++ b/crates/testkit/tests/fleet_stop.rs
@@ -0,0 +1,68 @@
+//! Tests of requests that are in progress while a node of a fleet stops.
+
+use std::time::Duration;
+
+use almondsail_testkit::harness::wait_until;
+use almondsail_testkit::platform::Fleet;
+use eyre::{Result, ensure};
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpStream;
+
+const SERVICES: [&str; 2] = ["bays", "traslados"];
+
+/// Starts a fleet of one data centre whose workers take `run_time` for a request, and waits until
+/// node 0 reaches a server of each service.
+async fn start(run_time: Duration) -> Result<Fleet> {
+    let fleet = Fleet::start(&["dc-a"], &SERVICES).await?;
+    fleet.configure(1, &SERVICES);
+    fleet.wait_until_ready(0).await?;
+    for service in SERVICES {
+        fleet.wait_until_served(0, service).await?;
+    }
+    fleet.nodes.iter().for_each(|node| node.worker.set_run_time(run_time));
+    Ok(fleet)
+}
+
+async fn send(stream: &mut TcpStream, id: &str) -> Result<()> {
+    let request = format!(
+        "GET /safe/ HTTP/1.1\r\nhost: traslados.example\r\nalmondsail-attempt-id: {id}\r\n\
+         almondsail-deadline-ms: 15000\r\n\r\n"
+    );
+    Ok(stream.write_all(request.as_bytes()).await?)
+}
+
+/// Reads until the node closes the connection.
+async fn read_all(mut stream: TcpStream) -> Result<String> {
+    let mut text = Vec::new();
+    stream.read_to_end(&mut text).await?;
+    Ok(String::from_utf8_lossy(&text).into_owned())
+}
+
+async fn wait_until_running(fleet: &Fleet, requests: usize) -> Result<()> {
+    wait_until("the requests at the server", || async {
+        let running = fleet.nodes[1].worker.running_requests();
+        ensure!(running == requests, "{running} are running");
+        Ok(())
+    })
+    .await
+}
+
+// Guards against a stopping node that closes a connection after its first answer, while servers
+// run further requests of that connection.
+#[tokio::test]
+async fn stop_answers_pipelined_requests() -> Result<()> {
+    let mut fleet = start(Duration::from_millis(1_000)).await?;
+    let mut stream = TcpStream::connect(fleet.address(0, "callers")?).await?;
+    for id in ["p0", "p1", "p2"] {
+        send(&mut stream, id).await?;
+    }
+    wait_until_running(&fleet, 3).await?;
+    fleet.request_stop(0)?;
+    let answers = read_all(stream).await?;
+    for id in ["p0", "p1", "p2"] {
+        assert!(answers.contains(&format!("signed-{id}")), "{id} is missing in {answers:?}");
+    }
+    assert_eq!(answers.matches("connection: close").count(), 1, "{answers:?}");
+    assert!(fleet.wait_for_exit(0).await?.success());
+    Ok(())
+}
