Keep idle connections open for a moment when a node stops

What callers would see: a request sent on a kept connection in the moment in which its node is stopped is reset. Between nodes the same close turns a call that is not idempotent into a 502, because its bytes were sent, although the other node never read it.

A connection that had been idle for longer was closed at once, and the time that was meant for a request on its way was only granted to connections that had just been used.

The wait of an idle connection now begins anew with each phase of a stop. stop_answers_on_idle_connection failed before at its check of the answer (the node closed the connection without one); it passes now.

--- a/crates/node/src/fleet/http1/connection.rs
+++ b/crates/node/src/fleet/http1/connection.rs
@@ -145,7 +145,7 @@
                 is_open.then_some(())
             }
             () = tokio::time::sleep_until(read_deadline), if is_idle => self.time_out(),
-            changed = self.stop.changed() => changed.ok(),
+            changed = self.stop.changed() => self.enter_stop_phase(changed.is_ok()),
         }
     }
 
@@ -218,6 +218,15 @@
         Some(())
     }
 
+    /// Begins the wait of an idle connection anew with each phase of a stop. The caller may just have
+    /// sent a request, however long the connection has been idle.
+    fn enter_stop_phase(&mut self, may_stop: bool) -> Option<()> {
+        if !self.has_partial_request() {
+            self.waiting_since = Instant::now();
+        }
+        may_stop.then_some(())
+    }
+
     /// Shuts down the sending side, then reads and discards input for up to `LINGER_TIMEOUT`.
     async fn linger(&mut self) {
         let _ = self.stream.shutdown().await;
@@ -228,9 +237,8 @@
 
     /// Returns when to give up waiting for bytes of the caller.
     fn read_deadline(&self) -> Instant {
-        let has_partial_request = self.parser.has_partial() || !self.buf.is_empty();
         let allowed = match *self.stop.borrow() {
-            _ if has_partial_request => to_std_duration(self.limits.header_timeout),
+            _ if self.has_partial_request() => to_std_duration(self.limits.header_timeout),
             StopPhase::Serving => to_std_duration(self.limits.idle_timeout),
             StopPhase::Draining => DRAIN_IDLE_TIMEOUT,
             StopPhase::Closing => Duration::ZERO,
@@ -240,8 +248,7 @@
 
     /// Ends an idle connection; answers a partial request with 408 first.
     fn time_out(&mut self) -> Option<()> {
-        let has_partial_request = self.parser.has_partial() || !self.buf.is_empty();
-        if !has_partial_request {
+        if !self.has_partial_request() {
             return None;
         }
         self.reading = ReadState::Ended;
@@ -250,6 +257,10 @@
         Some(())
     }
 
+    fn has_partial_request(&self) -> bool {
+        self.parser.has_partial() || !self.buf.is_empty()
+    }
+
     fn request_limits(&self) -> RequestLimits {
         let size = |bytes: u64| usize::try_from(bytes).unwrap_or(usize::MAX);
         RequestLimits { head: size(self.limits.header.get()), body: size(self.limits.body.get()) }
--- a/crates/testkit/tests/fleet_stop.rs
+++ b/crates/testkit/tests/fleet_stop.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use almondsail_testkit::harness::wait_until;
+use almondsail_testkit::http::HttpClient;
 use almondsail_testkit::platform::Fleet;
 use eyre::{Result, ensure};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
@@ -66,3 +67,21 @@
     assert!(fleet.wait_for_exit(0).await?.success());
     Ok(())
 }
+
+// Guards against a stopping node that closes a connection as idle in the moment in which the caller
+// sends its next request.
+#[tokio::test]
+async fn stop_answers_on_idle_connection() -> Result<()> {
+    let mut fleet = start(Duration::from_millis(5)).await?;
+    let mut stream = TcpStream::connect(fleet.address(0, "callers")?).await?;
+    // Longer than an idle connection stays open once the node stops.
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    let ready = HttpClient::new(fleet.address(0, "ready")?);
+    fleet.request_stop(0)?;
+    while ready.get("/almondsail/readyz").await?.status == 200 {}
+    send(&mut stream, "late").await?;
+    let answers = read_all(stream).await?;
+    assert!(answers.contains("signed-late"), "{answers:?}");
+    assert!(fleet.wait_for_exit(0).await?.success());
+    Ok(())
+}
