Answer calls that the end of a stop cuts

Cause: the end of the grace dropped the connections with their requests.

A request that was sent to an endpoint gets 502 with the verdict may-have-run, one that was not gets 503; both are logged with the reason `leaving` like every other failure. Calls that the node runs for other nodes end at the same moment with the same verdict, so that an entry node learns of it at once.

--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -34,6 +34,11 @@
     }
 }
 
+/// Converts `span` from the standard library's type.
+pub(crate) fn to_micros(span: Duration) -> Micros {
+    Micros::new(u64::try_from(span.as_micros()).unwrap_or(u64::MAX))
+}
+
 /// Converts `span` to the standard library's type.
 pub(crate) fn to_std_duration(span: impl Into<Micros>) -> Duration {
     Duration::from_micros(span.into().get())
--- a/crates/node/src/fleet/caller_handler.rs
+++ b/crates/node/src/fleet/caller_handler.rs
@@ -40,7 +40,11 @@
 ) -> Response<Bytes> {
     let id = platform_calls::attempt_id(request.headers()).cloned();
     let started = traffic.clock.now();
-    let result = route_request(&traffic, &pipeline, started, request).await;
+    let mut result = CallerResult::new();
+    tokio::select! {
+        () = route_request(&traffic, &pipeline, started, request, &mut result) => {}
+        () = traffic.wait_for_calls_end() => result.abort(),
+    }
     let took = traffic.clock.now().since(started);
     traffic.metrics.record_result(&result, took);
     let outcome = call_failure::outcome(result.answer.as_ref());
@@ -80,25 +84,42 @@
     pub(crate) config: ConfigVersion,
 }
 
+impl CallerResult {
+    /// Creates the result of a request that no configuration has routed yet.
+    fn new() -> Self {
+        Self {
+            answer: Err(CallFailure::refused(RefusalReason::NoConfig, NO_ENDPOINT_RETRY_AFTER)),
+            route: None,
+            service: None,
+            endpoints_tried: Vec::new(),
+            config: ConfigVersion::default(),
+        }
+    }
+
+    /// Records that a graceful stop ended the request before it had an answer.
+    fn abort(&mut self) {
+        self.answer = Err(match self.endpoints_tried.is_empty() {
+            true => CallFailure::refused(RefusalReason::Leaving, NO_ENDPOINT_RETRY_AFTER),
+            false => CallFailure::may_have_run(RefusalReason::Leaving),
+        });
+    }
+}
+
+/// Routes `request` and sends it to endpoints. `result` names them also if the future is dropped.
 async fn route_request(
     traffic: &Arc<FleetTraffic>,
     pipeline: &SharedPipeline,
     started: Instant,
     request: Request<Bytes>,
-) -> CallerResult {
+    result: &mut CallerResult,
+) {
     let view = traffic.view.load_full();
-    let mut result = CallerResult {
-        answer: Err(CallFailure::refused(RefusalReason::NoConfig, NO_ENDPOINT_RETRY_AFTER)),
-        route: None,
-        service: None,
-        endpoints_tried: Vec::new(),
-        config: view.config.as_ref().map_or(ConfigVersion::default(), |cfg| cfg.version),
-    };
-    let Some(config) = &view.config else { return result };
+    let Some(config) = &view.config else { return };
+    result.config = config.version;
     let host = request.headers().get(header::HOST).and_then(|host| host.to_str().ok());
     let Some(route) = config.route(host.unwrap_or_default(), request.uri().path()) else {
         result.answer = Err(CallFailure::refused(RefusalReason::UnknownRoute, Micros::new(0)));
-        return result;
+        return;
     };
     let draw = rand::rng().random_range(0..route.weight());
     result.route = Some(Arc::clone(route));
@@ -108,7 +129,6 @@
     let mut call = forwarded_call(traffic, started, route, route.destination(draw), request);
     call.answer_by = started + subtract_travel_time(target);
     result.answer = send_with_retries(traffic, route, &mut call, &mut result.endpoints_tried).await;
-    result
 }
 
 fn lock(pipeline: &SharedPipeline) -> MutexGuard<'_, CallerPipeline> {
--- a/crates/node/src/fleet/fleet_node.rs
+++ b/crates/node/src/fleet/fleet_node.rs
@@ -20,7 +20,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::LocalSet;
 
-use crate::clock::{Clock, to_std_duration};
+use crate::clock::{Clock, to_micros, to_std_duration};
 use crate::fleet::call_metrics::CallMetrics;
 use crate::fleet::caller_handler::SharedPipeline;
 use crate::fleet::config_source::ConfigSource;
@@ -60,6 +60,9 @@
 const DRAIN_TIME: Duration = Duration::from_millis(2_500);
 /// Part of the grace period that is reserved for ending the process.
 const GRACE_MARGIN: Duration = Duration::from_millis(400);
+/// Part of the grace period, before `GRACE_MARGIN`, in which the callers of calls that have not
+/// ended are answered.
+const ABORTED_ANSWER_TIME: Duration = Duration::from_millis(200);
 /// Size limit of a body from another node, independent of the configuration.
 const MAX_BODY: ByteCount = ByteCount::new(64 * 1024 * 1024);
 
@@ -279,6 +282,9 @@
 
         let signal = wait_for_signal(&self.log).await?;
         self.log.write(&FleetLogEvent::Stopping { signal });
+        let grace = to_std_duration(self.settings.grace);
+        let calls_time = grace.saturating_sub(GRACE_MARGIN + ABORTED_ANSWER_TIME);
+        self.traffic.begin_stop(self.traffic.clock.now() + to_micros(calls_time));
         let (done, done_rx) = oneshot::channel();
         self.control_tx.send(ControlRequest { event: FleetEvent::StopRequested, done }).await?;
         // The control thread replies, since it runs as long as `control_tx` exists.
@@ -286,8 +292,7 @@
         stop.send_replace(StopPhase::Draining);
         tokio::time::sleep(DRAIN_TIME).await;
         stop.send_replace(StopPhase::Closing);
-        let remaining =
-            to_std_duration(self.settings.grace).saturating_sub(DRAIN_TIME + GRACE_MARGIN);
+        let remaining = grace.saturating_sub(DRAIN_TIME + GRACE_MARGIN);
         let all_ended = async {
             let _ = callers.await;
             let _ = nodes.await;
--- a/crates/node/src/fleet/inbound.rs
+++ b/crates/node/src/fleet/inbound.rs
@@ -34,7 +34,11 @@
     let started = traffic.clock.now();
     let requirements = call.requirements();
     let (calls_ahead_at_start, _) = traffic.queue.load(&requirements);
-    let (result, run_time) = match run(traffic, call, requirements.clone()).await {
+    let ran = tokio::select! {
+        ran = run(traffic, call, requirements.clone()) => ran,
+        () = traffic.wait_for_calls_end() => Err(CallFailure::may_have_run(RefusalReason::Leaving)),
+    };
+    let (result, run_time) = match ran {
         Ok((response, took)) => (Ok(response), Some(took)),
         Err(failure) => (Err(failure), None),
     };
--- a/crates/node/src/fleet/traffic.rs
+++ b/crates/node/src/fleet/traffic.rs
@@ -7,8 +7,9 @@
 
 use almondsail_core::fleet::{FleetEvent, FleetView, LoadBalancer, RetryShare};
 use almondsail_core::ids::{NodeId, RouteName, ServiceName};
+use almondsail_core::units::Instant;
 use arc_swap::ArcSwap;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 use crate::calls::connection_pool::{ConnectionPool, PoolLimits};
 use crate::clock::Clock;
@@ -46,6 +47,8 @@
     retry_budget: Mutex<RetryShare>,
     endpoint_pools: Mutex<HashMap<SocketAddr, Arc<ConnectionPool>>>,
     evidence_tx: mpsc::Sender<FleetEvent>,
+    /// When all calls must have ended; `None` until a graceful stop begins.
+    calls_end: watch::Sender<Option<Instant>>,
 }
 
 /// The clock, addresses and shared state from which [`FleetTraffic::new`] builds the call path.
@@ -80,6 +83,7 @@
             retry_budget: Mutex::new(parts.retry_budget),
             endpoint_pools: Mutex::new(HashMap::new()),
             evidence_tx: parts.evidence_tx,
+            calls_end: watch::Sender::new(None),
         })
     }
 
@@ -103,6 +107,22 @@
         self.retry_budget.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Begins a graceful stop, in which all calls must have ended by `calls_end`.
+    pub(crate) fn begin_stop(&self, calls_end: Instant) {
+        self.calls_end.send_replace(Some(calls_end));
+    }
+
+    /// Waits for the moment in a graceful stop at which all calls must have ended.
+    pub(crate) async fn wait_for_calls_end(&self) {
+        let mut calls_end = self.calls_end.subscribe();
+        let end = calls_end.wait_for(Option::is_some).await.ok().and_then(|end| *end);
+        match end {
+            Some(end) => tokio::time::sleep_until(self.clock.to_tokio_instant(end)).await,
+            // The sender is a field of `self`, so it can't be dropped meanwhile.
+            None => std::future::pending().await,
+        }
+    }
+
     /// Returns the connection pool of the endpoint at `address`, creating it on first use.
     pub(crate) fn endpoint_pool(&self, address: SocketAddr) -> Arc<ConnectionPool> {
         let limits = PoolLimits {
--- a/crates/testkit/tests/fleet_stop.rs
+++ b/crates/testkit/tests/fleet_stop.rs
@@ -85,3 +85,18 @@
     assert!(fleet.wait_for_exit(0).await?.success());
     Ok(())
 }
+
+// Guards against a stopping node that cuts calls at the end of its grace without an answer.
+#[tokio::test]
+async fn stop_answers_at_end_of_grace() -> Result<()> {
+    let mut fleet = start(Duration::from_millis(60_000)).await?;
+    let mut stream = TcpStream::connect(fleet.address(0, "callers")?).await?;
+    send(&mut stream, "long").await?;
+    wait_until_running(&fleet, 1).await?;
+    fleet.request_stop(0)?;
+    let answers = read_all(stream).await?;
+    assert!(answers.starts_with("HTTP/1.1 502 "), "{answers:?}");
+    assert!(answers.contains("almondsail-verdict: may-have-run"), "{answers:?}");
+    assert!(fleet.wait_for_exit(0).await?.success());
+    Ok(())
+}
