Limit the deadline of calls that a stopping node takes

What callers would see: a call that arrives while its node stops is queued at an endpoint by the caller's whole deadline, and is still waiting when the node has to end it: it may have run and can't be retried, although it was known from the start that there was less time.

Cause: the deadline of a call did not depend on the stop.

A call that arrives during a stop has the end of the stop's calls, less 100 ms for its answer, as its latest deadline. Endpoints refuse at once what they can't run by then, so that the caller may send it again elsewhere.

--- a/crates/node/src/fleet/caller_handler.rs
+++ b/crates/node/src/fleet/caller_handler.rs
@@ -153,7 +153,7 @@
         backend: "none".parse().expect("a valid name"),
         route: route.name.clone(),
         priority: route.priority,
-        deadline: started + limit,
+        deadline: traffic.limit_deadline(started + limit),
         target: started + subtract_travel_time(route.target_latency.into()),
         answer_by: started + subtract_travel_time(route.target_latency.into()),
         target_latency: route.target_latency,
--- a/crates/node/src/fleet/traffic.rs
+++ b/crates/node/src/fleet/traffic.rs
@@ -7,7 +7,7 @@
 
 use almondsail_core::fleet::{FleetEvent, FleetView, LoadBalancer, RetryShare};
 use almondsail_core::ids::{NodeId, RouteName, ServiceName};
-use almondsail_core::units::Instant;
+use almondsail_core::units::{Instant, Micros};
 use arc_swap::ArcSwap;
 use tokio::sync::{mpsc, watch};
 
@@ -27,6 +27,9 @@
 const BACKEND_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Time limit for opening a connection to another node.
 const ENDPOINT_CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time between the deadline of a call that arrives during a graceful stop and the end of all calls,
+/// so that its answer still arrives.
+const STOP_ANSWER_TIME: Micros = Micros::new(100_000);
 /// Time limit for opening a connection to the backend server, which is on the same host.
 const BACKEND_CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -112,6 +115,14 @@
         self.calls_end.send_replace(Some(calls_end));
     }
 
+    /// Returns `deadline`, or an earlier deadline for a call that arrives during a graceful stop, so
+    /// that an endpoint that can't run it before the end of the stop refuses it.
+    pub(crate) fn limit_deadline(&self, deadline: Instant) -> Instant {
+        let Some(calls_end) = *self.calls_end.borrow() else { return deadline };
+        let latest = calls_end.get().saturating_sub(STOP_ANSWER_TIME.get());
+        deadline.min(Instant::new(latest))
+    }
+
     /// Waits for the moment in a graceful stop at which all calls must have ended.
     pub(crate) async fn wait_for_calls_end(&self) {
         let mut calls_end = self.calls_end.subscribe();
--- a/crates/testkit/tests/fleet_stop.rs
+++ b/crates/testkit/tests/fleet_stop.rs
@@ -10,6 +10,8 @@
 use tokio::net::TcpStream;
 
 const SERVICES: [&str; 2] = ["bays", "traslados"];
+/// Grace period of a node whose settings name none.
+const GRACE_MS: u64 = 6_000;
 
 /// Starts a fleet of one data centre whose workers take `run_time` for a request, and waits until
 /// node 0 reaches a server of each service.
@@ -100,3 +102,21 @@
     assert!(fleet.wait_for_exit(0).await?.success());
     Ok(())
 }
+
+// Guards against a call that a stopping node takes with a deadline after the end of its grace.
+#[tokio::test]
+async fn stop_limits_deadlines() -> Result<()> {
+    let mut fleet = start(Duration::from_millis(5)).await?;
+    let mut stream = TcpStream::connect(fleet.address(0, "callers")?).await?;
+    let ready = HttpClient::new(fleet.address(0, "ready")?);
+    fleet.request_stop(0)?;
+    while ready.get("/almondsail/readyz").await?.status == 200 {}
+    send(&mut stream, "during-stop").await?;
+    assert!(read_all(stream).await?.contains("signed-during-stop"));
+    let executed = fleet.nodes[1].worker.executed_requests();
+    let request = executed.iter().find(|request| request.id == "during-stop");
+    let deadline = request.map(|request| request.deadline_ms);
+    assert!(deadline.is_some_and(|ms| ms < GRACE_MS), "{deadline:?}");
+    assert!(fleet.wait_for_exit(0).await?.success());
+    Ok(())
+}
