--- a/crates/node/src/fleet/http1/connection.rs
+++ b/crates/node/src/fleet/http1/connection.rs
@@ -4,7 +4,7 @@
 use std::pin::Pin;
 use std::time::Duration;
 
-use almondsail_core::fleet::CallerLimits;
+use almondsail_core::fleet::{CallerLimits, ConnectionEnd};
 use bytes::{Bytes, BytesMut};
 use futures::StreamExt as _;
 use futures::stream::FuturesOrdered;
@@ -20,6 +20,7 @@
 use crate::fleet::http1::request_parser::{RequestLimits, RequestParser};
 use crate::fleet::http1::response_writer;
 use crate::fleet::stop_phase::StopPhase;
+use crate::fleet::unanswered_requests::UnansweredRequests;
 
 /// Number of requests of one connection that are answered concurrently.
 const MAX_PIPELINED: usize = 16;
@@ -64,6 +65,7 @@
     handler: H,
     limits: CallerLimits,
     stop: watch::Receiver<StopPhase>,
+    unanswered: UnansweredRequests,
     parser: RequestParser,
     buf: BytesMut,
     in_flight: FuturesOrdered<AnswerFuture>,
@@ -74,6 +76,8 @@
     reading: ReadState,
     /// Start of the current wait for bytes of the caller.
     waiting_since: Instant,
+    /// How the connection ends, if requests are still in flight then.
+    end: ConnectionEnd,
 }
 
 impl<H, F> Connection<H>
@@ -86,12 +90,14 @@
         handler: H,
         limits: CallerLimits,
         stop: watch::Receiver<StopPhase>,
+        unanswered: UnansweredRequests,
     ) -> Self {
         Self {
             stream,
             handler,
             limits,
             stop,
+            unanswered,
             parser: RequestParser::default(),
             buf: BytesMut::new(),
             in_flight: FuturesOrdered::new(),
@@ -99,6 +105,7 @@
             in_flight_is_safe: true,
             reading: ReadState::Open,
             waiting_since: Instant::now(),
+            end: ConnectionEnd::Aborted,
         }
     }
 
@@ -129,13 +136,16 @@
             Some(handled) = self.in_flight.next(), if !is_idle => self.write(handled).await,
             read = self.stream.read_buf(&mut self.buf), if may_read => {
                 let is_open = read.is_ok_and(|n| n > 0);
+                if !is_open {
+                    self.end = ConnectionEnd::PeerClosed;
+                }
                 if is_open && is_idle && !self.parser.has_partial() {
                     self.waiting_since = Instant::now();
                 }
                 is_open.then_some(())
             }
             () = tokio::time::sleep_until(read_deadline), if is_idle => self.time_out(),
-            changed = self.stop.changed() => changed.ok(),
+            changed = self.stop.changed() => self.enter_stop_phase(changed.is_ok()),
         }
     }
 
@@ -143,7 +153,7 @@
     /// other than GET and HEAD run alone.
     fn start_requests(&mut self) -> Result<(), RequestError> {
         let limits = self.request_limits();
-        while self.reading == ReadState::Open && self.in_flight.len() < MAX_PIPELINED {
+        while self.reading == ReadState::Open && self.in_flight.len() < self.max_in_flight() {
             let request = match self.deferred.take() {
                 Some(request) => request,
                 None => match self.parser.next(&mut self.buf, limits)? {
@@ -163,6 +173,19 @@
         Ok(())
     }
 
+    /// Returns how many requests may be in flight. In the closing phase no request starts behind
+    /// another one, so that the connection comes to its end; the caller sends it again elsewhere.
+    fn max_in_flight(&self) -> usize {
+        match *self.stop.borrow() {
+            StopPhase::Serving | StopPhase::Draining => MAX_PIPELINED,
+            StopPhase::Closing => 1,
+        }
+    }
+
+    fn is_stopping(&self) -> bool {
+        *self.stop.borrow() > StopPhase::Serving
+    }
+
     fn start(&mut self, mut request: Request<Bytes>) {
         if !self.in_flight.is_empty() {
             request.extensions_mut().insert(Pipelined);
@@ -180,12 +203,14 @@
 
     async fn write(&mut self, handled: HandledRequest) -> Option<()> {
         let HandledRequest { method, wants_close, response } = handled;
-        let is_stopping = *self.stop.borrow() > StopPhase::Serving;
-        let close = wants_close || is_stopping;
+        let is_last = self.in_flight.is_empty();
+        let close = wants_close || (self.is_stopping() && is_last);
         let mut out = BytesMut::with_capacity(512 + response.body().len());
         response_writer::write(&mut out, &method, &response, close);
+        self.end = ConnectionEnd::WriteFailed;
         timeout(WRITE_TIMEOUT, self.stream.write_all(&out)).await.ok()?.ok()?;
         self.waiting_since = Instant::now();
+        self.end = if close { ConnectionEnd::Stopped } else { ConnectionEnd::Aborted };
         if close {
             self.linger().await;
             return None;
@@ -193,6 +218,15 @@
         Some(())
     }
 
+    /// Begins the wait of an idle connection anew with each phase of a stop. The caller may just have
+    /// sent a request, however long the connection has been idle.
+    fn enter_stop_phase(&mut self, may_stop: bool) -> Option<()> {
+        if !self.has_partial_request() {
+            self.waiting_since = Instant::now();
+        }
+        may_stop.then_some(())
+    }
+
     /// Shuts down the sending side, then reads and discards input for up to `LINGER_TIMEOUT`.
     async fn linger(&mut self) {
         let _ = self.stream.shutdown().await;
@@ -203,9 +237,8 @@
 
     /// Returns when to give up waiting for bytes of the caller.
     fn read_deadline(&self) -> Instant {
-        let has_partial_request = self.parser.has_partial() || !self.buf.is_empty();
         let allowed = match *self.stop.borrow() {
-            _ if has_partial_request => to_std_duration(self.limits.header_timeout),
+            _ if self.has_partial_request() => to_std_duration(self.limits.header_timeout),
             StopPhase::Serving => to_std_duration(self.limits.idle_timeout),
             StopPhase::Draining => DRAIN_IDLE_TIMEOUT,
             StopPhase::Closing => Duration::ZERO,
@@ -215,8 +248,7 @@
 
     /// Ends an idle connection; answers a partial request with 408 first.
     fn time_out(&mut self) -> Option<()> {
-        let has_partial_request = self.parser.has_partial() || !self.buf.is_empty();
-        if !has_partial_request {
+        if !self.has_partial_request() {
             return None;
         }
         self.reading = ReadState::Ended;
@@ -225,12 +257,24 @@
         Some(())
     }
 
+    fn has_partial_request(&self) -> bool {
+        self.parser.has_partial() || !self.buf.is_empty()
+    }
+
     fn request_limits(&self) -> RequestLimits {
         let size = |bytes: u64| usize::try_from(bytes).unwrap_or(usize::MAX);
         RequestLimits { head: size(self.limits.header.get()), body: size(self.limits.body.get()) }
     }
 }
 
+impl<H> Drop for Connection<H> {
+    fn drop(&mut self) {
+        if !self.in_flight.is_empty() {
+            self.unanswered.record(self.end, self.in_flight.len());
+        }
+    }
+}
+
 fn error_answer(error: RequestError) -> HandledRequest {
     let mut response = Response::new(Bytes::new());
     *response.status_mut() = error.status();
