--- a/crates/testkit/src/platform/fleet.rs
+++ b/crates/testkit/src/platform/fleet.rs
@@ -6,12 +6,14 @@
 use eyre::{Result, ensure};
 use serde_json::json;
 
-use super::{KvServer, Worker, WorkerOptions};
+use super::raw_node::RawNode;
+use super::{KvServer, RawWorker, Worker, WorkerOptions};
 use crate::harness::{Binary, Harness, Launch, ProcessId, wait_until};
 use crate::http::HttpClient;
+use crate::mesh::ProcessUsage;
 
-/// Time between two announcements of a worker.
-const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(300);
+/// Slots of a [`RawWorker`], as many as a worker of the platform has.
+const RAW_SLOTS: u32 = 12;
 
 /// A fleet of node processes, each with a worker, and a metadata store; the workers and
 /// the store run in this process.
@@ -22,6 +24,7 @@
     /// The nodes in the order in which they were started, including stopped ones.
     pub nodes: Vec<FleetNode>,
     harness: Harness,
+    raw_nodes: Vec<RawNode>,
 }
 
 /// A node of a fleet with its worker.
@@ -52,14 +55,7 @@
     }
 
     fn start_announcing(&mut self) {
-        let (worker, node) = (self.worker.clone(), self.announcements);
-        self.announcer = Some(tokio::spawn(async move {
-            loop {
-                // Announcements fail while the node is down; the next one may succeed.
-                let _refused = worker.announce(node, "ready").await;
-                tokio::time::sleep(ANNOUNCE_INTERVAL).await;
-            }
-        }));
+        self.announcer = Some(self.worker.announce_repeatedly(self.announcements));
     }
 }
 
@@ -75,7 +71,18 @@
                 nodes.push(start_node(&mut harness, &store, data_centre, service).await?);
             }
         }
-        Ok(Self { store, nodes, harness })
+        Ok(Self { store, nodes, harness, raw_nodes: Vec::new() })
+    }
+
+    /// Starts a further node, whose worker is a [`RawWorker`], without waiting until it is ready.
+    pub async fn add_raw_node(&mut self, data_centre: &str, service: &str) -> Result<RawWorker> {
+        let options = WorkerOptions { slots: RAW_SLOTS, ..options(data_centre, service) };
+        let worker = RawWorker::start(self.harness.any_port(), options).await?;
+        let started =
+            start_process(&mut self.harness, &self.store, data_centre, service, worker.address());
+        let (process, announcements) = started.await?;
+        self.raw_nodes.push(RawNode::new(process, worker.announce_repeatedly(announcements)));
+        Ok(worker)
     }
 
     /// Writes a configuration in which each service has the host `SERVICE.example`, an
@@ -117,6 +124,17 @@
         self.harness.address(self.nodes[node].process, purpose)
     }
 
+    /// Returns a client for the address on which the `index`th node with a [`RawWorker`] accepts
+    /// calls.
+    pub fn raw_caller(&self, index: usize) -> Result<HttpClient> {
+        Ok(HttpClient::new(self.harness.address(self.raw_nodes[index].process(), "callers")?))
+    }
+
+    /// Returns the resources that the `index`th node with a [`RawWorker`] uses.
+    pub fn raw_usage(&self, index: usize) -> Result<ProcessUsage> {
+        ProcessUsage::of(self.harness.pid(self.raw_nodes[index].process())?)
+    }
+
     /// Returns a client for the address on which a node accepts calls.
     pub fn caller(&self, node: usize) -> Result<HttpClient> {
         Ok(HttpClient::new(self.address(node, "callers")?))
@@ -179,15 +197,40 @@
     data_centre: &str,
     service: &str,
 ) -> Result<FleetNode> {
-    let name = format!("{data_centre}-{service}");
-    let options = WorkerOptions {
-        id: format!("i-{name}"),
+    let worker = Worker::start(harness.any_port(), options(data_centre, service)).await?;
+    let started = start_process(harness, store, data_centre, service, worker.address());
+    let (process, announcements) = started.await?;
+    let name = node_name(data_centre, service);
+    let mut node = FleetNode { name, worker, process, announcements, announcer: None };
+    node.start_announcing();
+    Ok(node)
+}
+
+fn node_name(data_centre: &str, service: &str) -> String {
+    format!("{data_centre}-{service}")
+}
+
+fn options(data_centre: &str, service: &str) -> WorkerOptions {
+    WorkerOptions {
+        id: format!("i-{}", node_name(data_centre, service)),
         service: service.to_owned(),
         version: "v1".to_owned(),
         data_centre: data_centre.to_owned(),
+        slots: 4,
         run_time: Duration::from_millis(5),
-    };
-    let worker = Worker::start(harness.any_port(), options).await?;
+    }
+}
+
+/// Starts the process of a node whose worker has the address `backend`. Returns the process and
+/// the node's address for announcements.
+async fn start_process(
+    harness: &mut Harness,
+    store: &KvServer,
+    data_centre: &str,
+    service: &str,
+    backend: SocketAddr,
+) -> Result<(ProcessId, SocketAddr)> {
+    let name = node_name(data_centre, service);
     // As on the platform, these ports are fixed, so that the worker and the other nodes
     // reach the node after a restart.
     let fixed = || std::net::TcpListener::bind(harness.any_port())?.local_addr();
@@ -201,13 +244,11 @@
             "announcements": announcements.to_string(),
         },
         "store": store.address().to_string(),
-        "backend": worker.address().to_string(),
+        "backend": backend.to_string(),
         "service": service,
     }});
     let file = format!("{name}.jsonc");
     harness.write_file(&file, &settings.to_string())?;
     let process = harness.start(Launch::new(Binary::Node, &name).with_argument(file)).await?;
-    let mut node = FleetNode { name, worker, process, announcements, announcer: None };
-    node.start_announcing();
-    Ok(node)
+    Ok((process, announcements))
 }
--- a/crates/testkit/src/platform/mod.rs
+++ b/crates/testkit/src/platform/mod.rs
@@ -3,9 +3,17 @@
 mod fleet;
 mod kv_server;
 mod kv_state;
+mod raw_node;
+mod raw_request;
+mod raw_step;
+mod raw_worker;
 mod worker;
+mod worker_announcements;
 
 pub use fleet::{Fleet, FleetNode};
 pub use kv_server::{KvMode, KvServer};
 pub use kv_state::KvState;
+pub use raw_request::RawRequest;
+pub use raw_step::RawStep;
+pub use raw_worker::RawWorker;
 pub use worker::{Worker, WorkerFault, WorkerOptions};
--- a/crates/testkit/src/platform/worker.rs
+++ b/crates/testkit/src/platform/worker.rs
@@ -1,18 +1,19 @@
 //! A test double of a worker, the platform's kind of backend server.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use eyre::{Result, ensure};
+use eyre::Result;
 use http::{Request, Response};
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
-use serde_json::json;
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 
-use crate::http::{Handled, HttpClient, HttpServer, ReplyBody, ServerOptions};
+use super::worker_announcements::WorkerAnnouncements;
+use crate::http::{Handled, HttpServer, ReplyBody, ServerOptions};
 
 /// The fault injected into a worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -40,6 +41,8 @@
     pub version: String,
     /// The data centre in which the worker claims to run.
     pub data_centre: String,
+    /// The number of requests that the worker claims to execute at a time.
+    pub slots: u32,
     /// The time that the execution of a request takes.
     pub run_time: Duration,
 }
@@ -47,10 +50,7 @@
 /// A test double of a worker that runs in this process.
 #[derive(Debug, Clone)]
 pub struct Worker {
-    address: SocketAddr,
-    options: WorkerOptions,
-    started_at: u64,
-    sequence: Arc<AtomicU64>,
+    announcements: WorkerAnnouncements,
     shared: Arc<Shared>,
     _stop: Arc<watch::Sender<bool>>,
 }
@@ -110,13 +110,13 @@
             move |req| run(Arc::clone(&shared), req)
         };
         tokio::spawn(server.serve(handler, stopped));
-        let (sequence, stop) = (Arc::default(), Arc::new(stop));
-        Ok(Self { address, options, started_at: 1_000, sequence, shared, _stop: stop })
+        let announcements = WorkerAnnouncements::new(address, options);
+        Ok(Self { announcements, shared, _stop: Arc::new(stop) })
     }
 
     /// Returns the address on which the worker accepts requests.
     pub const fn address(&self) -> SocketAddr {
-        self.address
+        self.announcements.address()
     }
 
     /// Sets the fault for the requests that arrive from now on.
@@ -136,32 +136,17 @@
 
     /// Announces the worker with `state` to the node that accepts announcements at `node`.
     pub async fn announce(&self, node: SocketAddr, state: &str) -> Result<()> {
-        let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
-        let body = json!({
-            "address": self.address.to_string(),
-            "born": self.started_at,
-            "info": {
-                "service": self.options.service,
-                "version": self.options.version,
-                "zone": self.options.data_centre,
-                "capacity": 4,
-            },
-            "status": {"state": state, "sequence": sequence, "cold_remaining_ms": 0},
-        });
-        let reply = HttpClient::new(node).put(&self.path(), body.to_string()).await?;
-        ensure!(reply.status == 200, "the announcement got {}", reply.status);
-        Ok(())
+        self.announcements.announce(node, state).await
     }
 
     /// Announces to the node that the worker leaves.
     pub async fn leave(&self, node: SocketAddr) -> Result<()> {
-        let reply = HttpClient::new(node).delete(&self.path()).await?;
-        ensure!(reply.status == 200, "the notice got {}", reply.status);
-        Ok(())
+        self.announcements.leave(node).await
     }
 
-    fn path(&self) -> String {
-        format!("/almondsail/instances/{}", self.options.id)
+    /// Announces the worker as ready to `node`, again and again until the task is aborted.
+    pub(super) fn announce_repeatedly(&self, node: SocketAddr) -> JoinHandle<()> {
+        self.announcements.clone().repeat(node)
     }
 }
 
--- /dev/null
+++ b/crates/testkit/src/platform/worker_announcements.rs
@@ -0,0 +1,78 @@
+//! The announcements that a worker sends to the node beside it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use eyre::{Result, ensure};
+use serde_json::json;
+use tokio::task::JoinHandle;
+
+use super::WorkerOptions;
+use crate::http::HttpClient;
+
+/// Time between two announcements of a worker.
+const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Sends the announcements of one start of a worker; clones share their sequence.
+#[derive(Debug, Clone)]
+pub(super) struct WorkerAnnouncements {
+    address: SocketAddr,
+    options: WorkerOptions,
+    started_at: u64,
+    sequence: Arc<AtomicU64>,
+}
+
+impl WorkerAnnouncements {
+    /// Creates the announcements of a worker that accepts requests on `address`.
+    pub(super) fn new(address: SocketAddr, options: WorkerOptions) -> Self {
+        Self { address, options, started_at: 1_000, sequence: Arc::default() }
+    }
+
+    /// Returns the address on which the worker accepts requests.
+    pub(super) const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Announces the worker with `state` to the node that accepts announcements at `node`.
+    pub(super) async fn announce(&self, node: SocketAddr, state: &str) -> Result<()> {
+        let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
+        let body = json!({
+            "address": self.address.to_string(),
+            "born": self.started_at,
+            "info": {
+                "service": self.options.service,
+                "version": self.options.version,
+                "zone": self.options.data_centre,
+                "capacity": self.options.slots,
+            },
+            "status": {"state": state, "sequence": sequence, "cold_remaining_ms": 0},
+        });
+        let reply = HttpClient::new(node).put(&self.path(), body.to_string()).await?;
+        ensure!(reply.status == 200, "the announcement got {}", reply.status);
+        Ok(())
+    }
+
+    /// Announces to the node that the worker leaves.
+    pub(super) async fn leave(&self, node: SocketAddr) -> Result<()> {
+        let reply = HttpClient::new(node).delete(&self.path()).await?;
+        ensure!(reply.status == 200, "the notice got {}", reply.status);
+        Ok(())
+    }
+
+    /// Announces the worker as ready to `node`, again and again until the task is aborted.
+    pub(super) fn repeat(self, node: SocketAddr) -> JoinHandle<()> {
+        tokio::spawn(async move {
+            loop {
+                // Announcements fail while the node is down; the next one may succeed.
+                let _refused = self.announce(node, "ready").await;
+                tokio::time::sleep(ANNOUNCE_INTERVAL).await;
+            }
+        })
+    }
+
+    fn path(&self) -> String {
+        format!("/almondsail/instances/{}", self.options.id)
+    }
+}
--- /dev/null
+++ b/crates/testkit/tests/fleet_faulty_worker.rs
@@ -0,0 +1,227 @@
+//! Tests of a fleet whose backend servers write answers again.
+
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use almondsail_testkit::harness::wait_until;
+use almondsail_testkit::http::{HttpClient, Reply};
+use almondsail_testkit::platform::{Fleet, RawRequest, RawStep, RawWorker};
+use bytes::Bytes;
+use eyre::{Result, ensure};
+use http::Method;
+
+const SERVICES: [&str; 2] = ["traslados", "bays"];
+/// Run time of the requests that a raw worker runs.
+const RUN_TIME: Duration = Duration::from_millis(150);
+/// Number of requests after which the retry budget allows retries.
+const RETRY_BUDGET_REQUESTS: usize = 300;
+const DEADLINE_MS: &str = "15000";
+
+/// Starts a node with a proper worker of the service `traslados`, and one node with a raw worker of
+/// the service `bays` in each of `data_centres`, which are equally far from the first node.
+async fn start(data_centres: &[&str]) -> Result<(Fleet, Vec<RawWorker>)> {
+    let mut fleet = Fleet::start(&["dc-c"], &["traslados"]).await?;
+    let mut workers = Vec::new();
+    for data_centre in data_centres {
+        workers.push(fleet.add_raw_node(data_centre, "bays").await?);
+    }
+    fleet.configure(1, &SERVICES);
+    fleet.wait_until_ready(0).await?;
+    for service in SERVICES {
+        fleet.wait_until_served(0, service).await?;
+    }
+    wait_until("requests at all raw workers", || async {
+        let path = "/safe/start";
+        ensure!(send(&fleet.caller(0)?, path, "start", "").await?.status == 200);
+        ensure!(workers.iter().all(|worker| worker.arrivals(path) > 0));
+        Ok(())
+    })
+    .await?;
+    Ok((fleet, workers))
+}
+
+/// Sends a request to the service `bays`. The id is left out if it is empty.
+async fn send(client: &HttpClient, path: &str, id: &str, body: &str) -> Result<Reply> {
+    let method = if path.starts_with("/safe/") { Method::GET } else { Method::POST };
+    let mut headers = vec![("host", "bays.example"), ("almondsail-deadline-ms", DEADLINE_MS)];
+    if !id.is_empty() {
+        headers.push(("almondsail-attempt-id", id));
+    }
+    client.send(method, path, body.to_owned().into(), &headers).await
+}
+
+/// When a worker writes the last refusal of a connection once more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Repeat {
+    /// While no request is under way on the connection.
+    Idle,
+    /// When the head of the next request has arrived, and its body has not been read.
+    WhileSent,
+    /// When the next request has arrived and runs.
+    WhileRun,
+}
+
+/// Refuses the first arrival of a request whose path contains `refuse` with `refusal`, and runs all
+/// others. Writes the last refusal of a connection again as `repeat` says.
+fn repeat_refusals(
+    repeat: Repeat,
+    refusal: Refusal,
+) -> impl Fn(&RawRequest) -> Vec<RawStep> + Clone + Send + Sync + 'static {
+    let refused: Arc<Mutex<HashSet<String>>> = Arc::default();
+    let refusals: Arc<Mutex<HashMap<(SocketAddr, usize), Bytes>>> = Arc::default();
+    move |req| {
+        let mut refusals = refusals.lock().expect("not poisoned");
+        let mut refused = refused.lock().expect("not poisoned");
+        if req.path.contains("refuse") && refused.insert(req.path.clone()) {
+            let refusal = refusal(req);
+            refusals.insert((req.worker, req.connection), refusal.clone());
+            let mut steps = vec![RawStep::ReadBody, RawStep::Write(refusal.clone())];
+            if repeat == Repeat::Idle {
+                steps.extend([RawStep::Pause(RUN_TIME / 10), RawStep::Write(refusal)]);
+            }
+            return steps;
+        }
+        let again = refusals.remove(&(req.worker, req.connection)).map(RawStep::Write);
+        let again = again.filter(|_| repeat != Repeat::Idle);
+        let mut steps = match repeat {
+            Repeat::WhileRun => vec![RawStep::ReadBody],
+            Repeat::Idle | Repeat::WhileSent => Vec::new(),
+        };
+        steps.extend(again);
+        steps.extend([RawStep::Pause(RUN_TIME), RawStep::ReadBody, RawStep::Write(req.answer())]);
+        steps
+    }
+}
+
+/// A way in which a worker writes that it refuses a request.
+type Refusal = fn(&RawRequest) -> Bytes;
+
+/// All kinds of refusals, with and without the attempt's id.
+const REFUSALS: [(&str, Refusal); 6] = [
+    ("503 with id", |req| req.response("503 Service Unavailable", NOT_EXECUTED, "")),
+    ("429 with id", |req| req.response("429 Too Many Requests", NOT_EXECUTED, "")),
+    ("421 with id", |req| req.response("421 Misdirected Request", OTHER_INSTANCE, "")),
+    ("503 without id", |_| without_id("503 Service Unavailable", NOT_EXECUTED)),
+    ("429 without id", |_| without_id("429 Too Many Requests", NOT_EXECUTED)),
+    ("421 without id", |_| without_id("421 Misdirected Request", OTHER_INSTANCE)),
+];
+const NOT_EXECUTED: &str = "Almondsail-Not-Executed: 1\r\n";
+const OTHER_INSTANCE: &str = "Almondsail-Instance-Id: i-other\r\n";
+
+fn without_id(status: &str, header: &str) -> Bytes {
+    format!("HTTP/1.1 {status}\r\n{header}Content-Length: 0\r\n\r\n").into()
+}
+
+/// A request that was sent: the status of its answer, and how often it arrived at a worker.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Sent {
+    path: String,
+    status: u16,
+    arrivals: usize,
+}
+
+/// Sends a request for `path`, which is also its id.
+async fn send_counted(
+    client: &HttpClient,
+    workers: &[RawWorker],
+    path: String,
+    body: &str,
+) -> Result<Sent> {
+    let status = send(client, &path, &path, body).await?.status.as_u16();
+    let arrivals = workers.iter().map(|worker| worker.arrivals(&path)).sum();
+    Ok(Sent { path, status, arrivals })
+}
+
+/// Sends requests on new paths under `prefix`, until one arrives at a worker.
+async fn send_until_arrived(
+    client: &HttpClient,
+    workers: &[RawWorker],
+    prefix: &str,
+    body: &str,
+) -> Result<Sent> {
+    let mut tries = 0;
+    wait_until("a request that arrives", || {
+        tries += 1;
+        let path = format!("{prefix}-{tries}");
+        async move {
+            let sent = send_counted(client, workers, path, body).await?;
+            ensure!(sent.arrivals > 0, "{sent:?}");
+            Ok(sent)
+        }
+    })
+    .await
+}
+
+/// Sends so many requests at a time on new paths under `prefix` that all workers get some.
+async fn send_concurrently(
+    client: &HttpClient,
+    workers: &[RawWorker],
+    prefix: &str,
+    body: &str,
+) -> Result<Vec<Sent>> {
+    let [a, b, c, d, e, f] = [0, 1, 2, 3, 4, 5]
+        .map(|n| send_counted(client, workers, format!("{prefix}-run-{n}"), body));
+    let (a, b, c, d, e, f) = tokio::try_join!(a, b, c, d, e, f)?;
+    Ok(vec![a, b, c, d, e, f])
+}
+
+/// Waits until the workers have written all that their scripts say.
+async fn wait_until_idle(workers: &[RawWorker]) -> Result<()> {
+    wait_until("idle workers", || async {
+        ensure!(workers.iter().all(|worker| worker.busy_requests() == 0));
+        Ok(())
+    })
+    .await
+}
+
+// Guards against an earlier refusal, written once more on a kept connection, that is taken for the
+// answer to a request that runs: the caller is told that it has not run, or it runs again.
+#[tokio::test]
+async fn refusal_repeated() -> Result<()> {
+    let (fleet, workers) = start(&["dc-a", "dc-b"]).await?;
+    let client = fleet.caller(0)?;
+    for n in 0..RETRY_BUDGET_REQUESTS {
+        send(&client, "/unsafe/budget", &format!("budget-{n}"), "").await?;
+    }
+    let mut wrong = Vec::new();
+    for (name, refusal) in REFUSALS {
+        for repeat in [Repeat::Idle, Repeat::WhileSent, Repeat::WhileRun] {
+            for kind in ["unsafe", "safe"] {
+                let script = repeat_refusals(repeat, refusal);
+                workers.iter().for_each(|worker| worker.set_script(script.clone()));
+                let case = format!("/{kind}/{name}-{repeat:?}").replace(' ', "-");
+                send_until_arrived(&client, &workers, &format!("{case}-refuse"), "").await?;
+                wait_until_idle(&workers).await?;
+                let body = "x".repeat(if repeat == Repeat::WhileSent { 90_000 } else { 1 });
+                let sent = send_concurrently(&client, &workers, &case, &body).await?;
+                let is_right = |sent: &Sent| match (kind, repeat) {
+                    (_, _) if sent.arrivals == 0 => sent.status == 503,
+                    // A safe request may also arrive at the second worker.
+                    ("safe", Repeat::Idle) => sent.status == 200,
+                    ("safe", _) => matches!(sent.status, 200 | 502),
+                    (_, Repeat::Idle) => sent.status == 200 && sent.arrivals == 1,
+                    _ => matches!(sent.status, 200 | 502) && sent.arrivals == 1,
+                };
+                wrong.extend(sent.into_iter().filter(|sent| !is_right(sent)));
+            }
+        }
+    }
+    assert!(wrong.is_empty(), "{wrong:#?}");
+    Ok(())
+}
+
+// Guards against an informational response that is taken for the answer.
+#[tokio::test]
+async fn informational_before_answer() -> Result<()> {
+    let (fleet, workers) = start(&["dc-a"]).await?;
+    workers[0].set_script(|req| {
+        let early = req.response("103 Early Hints", NOT_EXECUTED, "");
+        let early = String::from_utf8_lossy(&early).replace("Content-Length: 0\r\n", "");
+        vec![RawStep::Write(early.into()), RawStep::Pause(RUN_TIME), RawStep::Write(req.answer())]
+    });
+    let sent = send_counted(&fleet.caller(0)?, &workers, "/unsafe/early".into(), "").await?;
+    assert_eq!((sent.status, sent.arrivals), (200, 1));
+    Ok(())
+}
