Close a connection on which an answer to another request arrived

Callers saw: 502 for one request after the other on the same connection to a backend server, although the server ran and answered each of them. Cause: the body of every answer was read and its connection returned to the pool before the kind of the answer was known. After an answer that belonged to another request, the own answer was still to come, and was taken for that of the next request, and so on. Change: an unverified answer drops its connection. A refusal keeps its connection only if the call has an id and the refusal's body is already there; without an id, the same refusal written again could not be told from that of a later call. Result: both tests pass, and so do the others of the file.

--- a/crates/node/src/fleet/inbound.rs
+++ b/crates/node/src/fleet/inbound.rs
@@ -88,26 +88,35 @@
         Ok(sent) => sent,
         Err(error) => return Err(CallFailure::from_exchange(&error, RefusalReason::BackendDown)),
     };
-    let kind =
-        platform_calls::classify_response(response.status(), response.headers(), call.attempt_id());
-    let answer = whole_answer::read(response, connection, &traffic.backend_pool, until).await;
-    match (kind, answer) {
-        (ResponseKind::Refused, _) => Err(CallFailure::shed(traffic.expected_wait())),
-        (ResponseKind::WrongBackend, _) => {
-            let failure = CallFailure::refused(RefusalReason::BackendDown, DEFAULT_RETRY_AFTER);
-            Err(CallFailure { has_arrived: true, ..failure })
-        }
-        (ResponseKind::Ran, Ok(mut response)) => {
+    let pool = &traffic.backend_pool;
+    let (status, headers) = (response.status(), response.headers());
+    let kind = platform_calls::classify_response(status, headers, call.attempt_id());
+    let failure = match kind {
+        ResponseKind::Ran => {
+            let answer = whole_answer::read(response, connection, pool, until).await;
+            let Ok(mut response) = answer else {
+                return Err(CallFailure::may_have_run(RefusalReason::BrokenExchange));
+            };
             call_headers::remove_connection_headers(response.headers_mut());
             let took = clock.now().since(slot.started());
             slot.complete();
-            Ok((response, took))
+            return Ok((response, took));
         }
-        (ResponseKind::Ran, Err(_)) => {
-            Err(CallFailure::may_have_run(RefusalReason::BrokenExchange))
+        ResponseKind::Refused => CallFailure::shed(traffic.expected_wait()),
+        ResponseKind::WrongBackend => {
+            let failure = CallFailure::refused(RefusalReason::BackendDown, DEFAULT_RETRY_AFTER);
+            CallFailure { has_arrived: true, ..failure }
         }
-        (ResponseKind::Unverified, _) => Err(CallFailure::may_have_run(RefusalReason::BadAnswer)),
+        // The response to this call may still arrive, so the connection is not used again.
+        ResponseKind::Unverified => {
+            return Err(CallFailure::may_have_run(RefusalReason::BadAnswer));
+        }
+    };
+    // Without an id, this refusal written again could not be told from that of a later call.
+    if call.attempt_id().is_some() {
+        whole_answer::discard(response, connection, pool, until);
     }
+    Err(failure)
 }
 
 /// Logs the result of `call`, which arrived at `started` with `calls_ahead` calls running or queued
--- a/crates/node/src/fleet/whole_answer.rs
+++ b/crates/node/src/fleet/whole_answer.rs
@@ -1,6 +1,7 @@
 //! Reads a complete answer into memory.
 
 use bytes::Bytes;
+use futures::FutureExt as _;
 use http::Response;
 use http_body_util::{BodyExt as _, Limited};
 use hyper::body::Incoming;
@@ -32,3 +33,17 @@
         Limited::new(body, MAX_ANSWER_BYTES).collect().await.map_err(|_| IncompleteAnswer)?;
     Ok(Response::from_parts(parts, body.to_bytes()))
 }
+
+/// Returns `connection` to `pool` if the body of `response` has arrived, and closes it otherwise.
+/// Waits for nothing, so that a caller learns of a refusal at once.
+pub(crate) fn discard(
+    response: Response<Incoming>,
+    connection: ClientConnection,
+    pool: &Arc<ConnectionPool>,
+    until: tokio::time::Instant,
+) {
+    let (parts, incoming) = response.into_parts();
+    let timeout = Box::pin(tokio::time::sleep_until(until));
+    let body = AnswerBody::stream(parts.status, incoming, connection, Arc::clone(pool), timeout);
+    let _ended = body.discard().now_or_never();
+}
--- a/crates/testkit/tests/fleet_faulty_worker.rs
+++ b/crates/testkit/tests/fleet_faulty_worker.rs
@@ -212,6 +212,27 @@
     Ok(())
 }
 
+// Guards against the use of a connection after an answer to another request: the answer that is
+// still to come would be taken for that of the next request.
+#[tokio::test]
+async fn connection_after_foreign_answer() -> Result<()> {
+    let (fleet, workers) = start(&["dc-a"]).await?;
+    let client = fleet.caller(0)?;
+    let mut wrong = Vec::new();
+    for (name, refusal) in REFUSALS {
+        workers[0].set_script(repeat_refusals(Repeat::WhileRun, refusal));
+        let case = format!("/unsafe/{name}").replace(' ', "-");
+        send_until_arrived(&client, &workers, &format!("{case}-refuse"), "").await?;
+        let first = send_until_arrived(&client, &workers, &format!("{case}-run"), "").await?;
+        let next = send_until_arrived(&client, &workers, &format!("{case}-next"), "").await?;
+        if next.status != 200 {
+            wrong.push((first, next));
+        }
+    }
+    assert!(wrong.is_empty(), "{wrong:#?}");
+    Ok(())
+}
+
 // Guards against an informational response that is taken for the answer.
 #[tokio::test]
 async fn informational_before_answer() -> Result<()> {
@@ -225,3 +246,19 @@
     assert_eq!((sent.status, sent.arrivals), (200, 1));
     Ok(())
 }
+
+// Guards against a request without an id whose refusal, which has no id either, is not believed, or
+// is believed again for the next request on the connection.
+#[tokio::test]
+async fn refusal_caller_without_id() -> Result<()> {
+    let (fleet, workers) = start(&["dc-a"]).await?;
+    let client = fleet.caller(0)?;
+    workers[0].set_script(repeat_refusals(Repeat::WhileRun, |_| {
+        without_id("400 Bad Request", NOT_EXECUTED)
+    }));
+    let refused = send(&client, "/unsafe/refuse", "", "").await?;
+    assert_eq!((refused.status.as_u16(), workers[0].arrivals("/unsafe/refuse")), (503, 1));
+    let next = send_until_arrived(&client, &workers, "/unsafe/run", "").await?;
+    assert_eq!((next.status, next.arrivals), (200, 1));
+    Ok(())
+}
