--- a/crates/node/src/calls/inbound.rs
+++ b/crates/node/src/calls/inbound.rs
@@ -164,8 +164,12 @@
     slot: Slot,
 ) -> Result<Answer, Failure> {
     let (mut parts, incoming) = response.into_parts();
-    let is_shed = is_shed(&parts);
-    if !is_self_delimiting(&parts.headers, &incoming) && !is_shed {
+    if is_shed(&parts) {
+        // The connection is closed: a refusal names no call, so this one, written again on the
+        // same connection, would be taken for that of the next call.
+        return Err(Failure::refused(RefusalReason::BackendShed));
+    }
+    if !is_self_delimiting(&parts.headers, &incoming) {
         return Err(Failure::may_have_run(RefusalReason::BadAnswer));
     }
     call_headers::remove_internal_headers(&mut parts.headers);
@@ -173,10 +177,6 @@
         Box::pin(tokio::time::sleep_until(inner.clock.to_tokio_instant(call.deadline.at())));
     let pool = Arc::clone(&inner.backend_pool);
     let mut body = AnswerBody::stream(parts.status, incoming, connection, pool, timeout);
-    if is_shed {
-        body.discard().await;
-        return Err(Failure::refused(RefusalReason::BackendShed));
-    }
     body.watch(AnswerWatcher::Slot(slot));
     body.prefetch().await.map_err(Failure::may_have_run)?;
     Ok(Response::from_parts(parts, body))
--- a/crates/node/tests/calls_exchange.rs
+++ b/crates/node/tests/calls_exchange.rs
@@ -3,11 +3,11 @@
 mod support;
 
 use std::sync::atomic::Ordering;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 
 use support::caller::{get, post, request, send, send_raw};
-use support::fake_backend::{FakeBackend, FakeReply, FakeRequest, answer_bytes};
+use support::fake_backend::{FakeBackend, FakeReply, FakeRequest, FakeStats, answer_bytes};
 use support::mesh::{MeshPlan, TestMesh};
 
 const CHUNKED: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n\
@@ -106,6 +106,31 @@
     assert_eq!(backend.runs(), 10);
 }
 
+/// Guards against an earlier refusal, written once more on a kept connection, that is taken for the
+/// answer to the next call, which runs.
+#[tokio::test]
+async fn shed_repeated() {
+    let stats: Arc<OnceLock<Arc<FakeStats>>> = Arc::default();
+    let counts = Arc::clone(&stats);
+    let backend = FakeBackend::start(move |req| {
+        let connections =
+            counts.get().map_or(0, |counts| counts.connections.load(Ordering::SeqCst));
+        match (&req.body[..], connections) {
+            (b"refuse", _) => FakeReply::shed(),
+            // The refusal's connection is still in use.
+            (_, 1) => FakeReply { runs: true, ..FakeReply::shed() },
+            _ => echo_reply(req),
+        }
+    })
+    .await;
+    stats.get_or_init(|| Arc::clone(&backend.stats));
+    let mesh = TestMesh::start(&MeshPlan::new(&[None, Some(backend.addr)])).await;
+    let refused = post(mesh.entry(0), "/book", b"refuse").await.unwrap();
+    assert_eq!(refused.failure(), ("refused-unrun", "backend_shed"));
+    let answer = post(mesh.entry(0), "/book", b"run").await.unwrap();
+    assert_eq!((answer.status.as_u16(), answer.failure(), backend.runs()), (200, ("", ""), 1));
+}
+
 /// Guards against answers delivered to the wrong caller when many calls share connections.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn answers_crossed() {
--- a/crates/node/tests/calls_forward.rs
+++ b/crates/node/tests/calls_forward.rs
@@ -116,8 +116,8 @@
         let answer = post(mesh.entry(0), "/book", b"b").await.unwrap();
         assert_eq!(answer.failure(), ("refused-unrun", "backend_shed"));
     }
-    // The connection is reused after a refusal.
-    assert_eq!(busy.stats.connections.load(std::sync::atomic::Ordering::SeqCst), 1);
+    // No connection is reused after a refusal, which could be written again on it.
+    assert_eq!(busy.stats.connections.load(std::sync::atomic::Ordering::SeqCst), 5);
     let free = echo().await;
     let mesh = TestMesh::start(&MeshPlan::new(&[None, Some(busy.addr), Some(free.addr)])).await;
     for i in 1..=6 {
