Tell a silent caller from one that closed

A read that fails because nothing was acknowledged in time is now `peer_silent`. What the connection does is unchanged.

--- a/crates/core/src/fleet/connection_end.rs
+++ b/crates/core/src/fleet/connection_end.rs
@@ -5,6 +5,8 @@
 pub enum ConnectionEnd {
     /// The other side closed or reset the connection.
     PeerClosed,
+    /// The other side acknowledged nothing for too long, neither bytes nor keep-alive probes.
+    PeerSilent,
     /// An answer could not be written, or not in time.
     WriteFailed,
     /// The node closed the connection after an answer, because it stops.
@@ -18,6 +20,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::PeerClosed => "peer_closed",
+            Self::PeerSilent => "peer_silent",
             Self::WriteFailed => "write_failed",
             Self::Stopped => "stopped",
             Self::Aborted => "aborted",
--- a/crates/node/src/fleet/http1/connection.rs
+++ b/crates/node/src/fleet/http1/connection.rs
@@ -1,6 +1,7 @@
 //! Drives one HTTP/1.1 connection.
 
 use std::future::Future;
+use std::io;
 use std::pin::Pin;
 use std::time::Duration;
 
@@ -135,9 +136,9 @@
             biased;
             Some(handled) = self.in_flight.next(), if !is_idle => self.write(handled).await,
             read = self.stream.read_buf(&mut self.buf), if may_read => {
-                let is_open = read.is_ok_and(|n| n > 0);
+                let is_open = matches!(read, Ok(n) if n > 0);
                 if !is_open {
-                    self.end = ConnectionEnd::PeerClosed;
+                    self.end = read_end(&read);
                 }
                 if is_open && is_idle && !self.parser.has_partial() {
                     self.waiting_since = Instant::now();
@@ -275,6 +276,14 @@
     }
 }
 
+/// Returns how a connection ended on which `read` got no bytes.
+fn read_end(read: &io::Result<usize>) -> ConnectionEnd {
+    match read {
+        Err(error) if error.kind() == io::ErrorKind::TimedOut => ConnectionEnd::PeerSilent,
+        _ => ConnectionEnd::PeerClosed,
+    }
+}
+
 fn error_answer(error: RequestError) -> HandledRequest {
     let mut response = Response::new(Bytes::new());
     *response.status_mut() = error.status();
