List the store again after changes that can't be read

What callers would see: after one watch reply that can't be decoded as a whole, a watcher asked for the same changes for ever and followed no later configuration, order or entry from the store.

Cause: `StoreWatcher` kept its revision after an unreadable reply, and the store answers the same watch in the same way.

Change: an unreadable watch reply restarts the listing, which has the current items. The delay is random up to the longest retry delay, because a listing that succeeds in between resets the delay that grows with failures in a row.

After: the test passes; 20 such replies in a row cause one listing each, none sooner than 150 ms.

--- a/crates/core/src/fleet/store_watcher.rs
+++ b/crates/core/src/fleet/store_watcher.rs
@@ -12,8 +12,8 @@
 
 /// Watches a key space of the store: lists it once, then waits for changes.
 ///
-/// At most one request is pending. When the store has lost the history, the watcher lists the key
-/// space again and reports what was changed or removed in between.
+/// At most one request is pending. When the store has lost the history, or the changes can't be
+/// read, the watcher lists the key space again and reports what was changed or removed in between.
 #[derive(Debug)]
 pub struct StoreWatcher {
     space: KeySpace,
@@ -119,6 +119,14 @@
                 self.back_off(now, rng);
                 WatchUpdate::default()
             }
+            // The same watch would be answered in the same way; a listing shows the current items.
+            (Err(StoreFailure::Unreadable), State::Watching(_)) => {
+                self.restart_listing();
+                self.failures_in_a_row += 1;
+                // A listing that succeeds in between resets the delay of failures in a row.
+                self.delay_request(now, Self::MAX_RETRY_DELAY, rng);
+                WatchUpdate::default()
+            }
             _ => {
                 self.back_off(now, rng);
                 WatchUpdate::default()
@@ -187,8 +195,13 @@
             self.restart_listing();
         }
         let max_delay = Self::INITIAL_RETRY_DELAY.get() << self.failures_in_a_row.min(5);
-        let max_delay = Micros::from(Millis::new(max_delay).min(Self::MAX_RETRY_DELAY)).get();
         self.failures_in_a_row += 1;
+        self.delay_request(now, Millis::new(max_delay).min(Self::MAX_RETRY_DELAY), rng);
+    }
+
+    /// Delays the next request by a random time of at most `max_delay`.
+    fn delay_request(&mut self, now: Instant, max_delay: Millis, rng: &mut impl Rng) {
+        let max_delay = Micros::from(max_delay).get();
         self.next_request_at = now + Micros::new(rng.random_range(max_delay / 4..=max_delay));
     }
 }
--- a/crates/core/tests/fleet_store_watcher.rs
+++ b/crates/core/tests/fleet_store_watcher.rs
@@ -71,6 +71,25 @@
     assert_eq!(changes, vec![removed, ItemChange::Put(item(2, 7))]);
 }
 
+/// Guards against a watcher that asks for the same unreadable changes for ever and so follows no
+/// later one, and one that lists the store without a pause because of them.
+#[test]
+fn reply_unreadable_changes() {
+    let mut watcher = StoreWatcher::new(KeySpace::Operator);
+    let mut now = at(0);
+    for n in 1..=20 {
+        let listed = reply(&mut watcher, now, Ok(page(vec![item(1, n)], None, n)));
+        assert_eq!(listed, vec![ItemChange::Put(item(1, n))]);
+        let watch = StoreRequest::Watch(KeySpace::Operator, Revision::new(n));
+        assert_eq!(watcher.request(now), Some(watch));
+        assert!(reply(&mut watcher, now, Err(StoreFailure::Unreadable)).is_empty());
+        let later = now + Millis::new(900);
+        assert_eq!(watcher.request(later), Some(StoreRequest::List(KeySpace::Operator, None)));
+        assert_eq!(watcher.request(now + Millis::new(150)), None);
+        now = later;
+    }
+}
+
 /// Guards against a watcher that polls a failing store without a delay, and one that waits longer
 /// than the two seconds within which lapsed entries must be written again.
 #[test]
