Bound how long an odd start shuts out a backend server

What callers would see: after one announcement of another writer with a start in the future, every proper announcement of the backend server beside the node counted as outdated until the node restarted, so the node had no server. A leave notice, or a departure told by another node or an entry in the store, with such a start took the server out of service for a minute.

Cause: `Registration` kept the newest start for ever and compared it with no clock.

The newest start is forgotten a minute after its last announcement, as long as departures are remembered: no announcement is expected to be later.

--- a/crates/core/src/fleet/fleet_control.rs
+++ b/crates/core/src/fleet/fleet_control.rs
@@ -110,10 +110,14 @@
         match event {
             FleetEvent::Tick => self.tick(now),
             FleetEvent::Store { id, reply } => self.handle_store_reply(now, wall, id, reply, rng),
-            FleetEvent::Heartbeat(heartbeat) => self.handle_heartbeat(now, heartbeat),
+            FleetEvent::Heartbeat(heartbeat) => self.handle_heartbeat(now, wall, heartbeat),
             FleetEvent::PeerConfig(config) => self.handle_peer_config(now, config, rng),
-            FleetEvent::Announced(announcement) => self.handle_announcement(now, &announcement),
-            FleetEvent::Left(id, started_at) => self.handle_leaving(now, &id, started_at),
+            FleetEvent::Announced(announcement) => {
+                self.handle_announcement(now, wall, &announcement);
+            }
+            FleetEvent::Left(id, started_at) => {
+                self.handle_leaving(now, wall, Departure { id, started_at });
+            }
             FleetEvent::Answered(route, took) => {
                 self.update_own_rollout(|rollout| rollout.record_answer(route, took));
             }
@@ -172,9 +176,10 @@
         }
     }
 
-    fn handle_announcement(&mut self, now: Instant, announcement: &Announcement) {
+    fn handle_announcement(&mut self, now: Instant, wall: UnixMillis, announcement: &Announcement) {
         let id = announcement.id.clone();
-        let outcome = if self.is_from_local_backend(announcement) {
+        let is_possible = Registration::is_possible_start(announcement.started_at, wall);
+        let outcome = if is_possible && self.is_from_local_backend(announcement) {
             self.registration.announce(now, announcement)
         } else {
             AnnouncementOutcome::Outdated
@@ -197,16 +202,27 @@
                 || self.config.as_ref().is_some_and(is_known))
     }
 
-    fn handle_leaving(&mut self, now: Instant, id: &BackendId, started_at: Option<UnixMillis>) {
-        let outcome = self.registration.leave(now, id, started_at);
-        self.lease.record_departure(now, Departure { id: id.clone(), started_at });
+    fn handle_leaving(&mut self, now: Instant, wall: UnixMillis, departure: Departure) {
+        let id = departure.id.clone();
+        if !is_possible_departure(&departure, wall) {
+            return self.report_backend(id, "leaves", AnnouncementOutcome::Outdated);
+        }
+        let outcome = self.registration.leave(now, &id, departure.started_at);
+        self.lease.record_departure(now, departure);
         self.has_update = true;
-        self.report_backend(id.clone(), "leaves", outcome);
+        self.report_backend(id, "leaves", outcome);
     }
 
     /// Records a departure that the store or another node reported.
-    pub(super) fn record_departure(&mut self, now: Instant, departure: &Departure) {
-        if self.registration.depart(now, departure) == AnnouncementOutcome::Changed {
+    pub(super) fn record_departure(
+        &mut self,
+        now: Instant,
+        wall: UnixMillis,
+        departure: &Departure,
+    ) {
+        if is_possible_departure(departure, wall)
+            && self.registration.depart(now, departure) == AnnouncementOutcome::Changed
+        {
             self.mark_changed();
         }
     }
@@ -279,3 +295,7 @@
         self.actions.push(FleetAction::Report(change));
     }
 }
+
+fn is_possible_departure(departure: &Departure, wall: UnixMillis) -> bool {
+    departure.started_at.is_none_or(|start| Registration::is_possible_start(start, wall))
+}
--- a/crates/core/src/fleet/node_events.rs
+++ b/crates/core/src/fleet/node_events.rs
@@ -7,7 +7,7 @@
 
 use super::fleet_control::FleetControl;
 use crate::fleet::{ConfigText, FleetAction, FleetChange, Heartbeat};
-use crate::units::{Instant, Micros, Millis};
+use crate::units::{Instant, Micros, Millis, UnixMillis};
 
 impl FleetControl {
     /// The time between two heartbeats to nodes of the same data centre.
@@ -34,7 +34,12 @@
     /// time that a node takes to send a configuration over a slow link.
     const FETCH_RETRY_DELAY: Millis = Millis::new(80);
 
-    pub(super) fn handle_heartbeat(&mut self, now: Instant, heartbeat: Heartbeat) {
+    pub(super) fn handle_heartbeat(
+        &mut self,
+        now: Instant,
+        wall: UnixMillis,
+        heartbeat: Heartbeat,
+    ) {
         if heartbeat.entry.node == self.identity.entry.node {
             return;
         }
@@ -68,7 +73,7 @@
             self.behind_since.get_or_insert(now);
         }
         for departure in departures {
-            self.record_departure(now, &departure);
+            self.record_departure(now, wall, &departure);
         }
         for report in rollouts {
             self.handle_rollout_report(now, &report);
--- a/crates/core/src/fleet/registration.rs
+++ b/crates/core/src/fleet/registration.rs
@@ -11,7 +11,8 @@
     Changed,
     /// The notice was accepted and changed nothing that calls see.
     Renewed,
-    /// The notice belongs to an earlier start or arrived out of order, and was ignored.
+    /// The notice belongs to an earlier start, arrived out of order or can't come from the server,
+    /// and was ignored.
     Outdated,
 }
 
@@ -23,8 +24,9 @@
 #[derive(Debug, Default)]
 pub struct Registration {
     current: Option<RegisteredBackend>,
-    /// The latest known start of a server; announcements of earlier starts are ignored.
-    newest_start: Option<UnixMillis>,
+    /// The latest known start of a server and when it was last announced. Announcements of earlier
+    /// starts are ignored for [`Departures::RETENTION`] after that.
+    newest_start: Option<(UnixMillis, Instant)>,
     departures: Departures,
 }
 
@@ -40,16 +42,24 @@
     /// A server without announcements for this long counts as gone: three missed heartbeats and
     /// their usual delay.
     pub const ANNOUNCEMENT_TIMEOUT: Millis = Millis::new(6_000);
+    /// How far ahead of the time of day a start may lie. Covers a clock that was set back since.
+    const MAX_START_LEAD: Millis = Millis::new(24 * 3_600_000);
+
+    /// Returns whether a server can have started at `started_at`, by the time of day. A start in
+    /// the far future would make every later announcement count as outdated.
+    pub fn is_possible_start(started_at: UnixMillis, wall: UnixMillis) -> bool {
+        started_at <= wall + Self::MAX_START_LEAD
+    }
 
     /// Handles an announcement of the backend server beside the node.
     pub fn announce(&mut self, now: Instant, announcement: &Announcement) -> AnnouncementOutcome {
         let is_outdated = self.departures.has_left(&announcement.id, announcement.started_at)
-            || self.newest_start.is_some_and(|newest| announcement.started_at < newest)
+            || self.newest_start.is_some_and(|(newest, _)| announcement.started_at < newest)
             || self.current.as_ref().is_some_and(|current| current.is_newer_than(announcement));
         if is_outdated {
             return AnnouncementOutcome::Outdated;
         }
-        self.newest_start = Some(announcement.started_at);
+        self.newest_start = Some((announcement.started_at, now));
         if announcement.state == AnnouncedState::Draining {
             let (id, started_at) = (announcement.id.clone(), Some(announcement.started_at));
             return self.depart(now, &Departure { id, started_at });
@@ -109,6 +119,9 @@
     /// something changed.
     pub fn tick(&mut self, now: Instant) -> bool {
         self.departures.tick(now);
+        let is_recent =
+            |announced_at: Instant| now.since(announced_at) < Departures::RETENTION.into();
+        self.newest_start = self.newest_start.filter(|(_, announced_at)| is_recent(*announced_at));
         let Some(current) = &mut self.current else { return false };
         if now.since(current.last_seen) > Self::ANNOUNCEMENT_TIMEOUT.into() {
             self.current = None;
--- a/crates/core/src/fleet/store_events.rs
+++ b/crates/core/src/fleet/store_events.rs
@@ -78,7 +78,7 @@
             StoredValue::Progress(progress) => self.record_progress(now, wall, &progress, revision),
             StoredValue::Node(entry) => {
                 if let Some(departure) = &entry.departed {
-                    self.record_departure(now, departure);
+                    self.record_departure(now, wall, departure);
                 }
                 if entry.node != self.identity.entry.node {
                     self.peers.add_listed(now, entry);
--- /dev/null
+++ b/crates/core/tests/fleet_odd_input.rs
@@ -0,0 +1,124 @@
+//! Input of other writers that is well-formed but has odd numbers.
+
+mod fleet_common;
+
+use almondsail_core::fleet::{
+    Announcement, Departure, FleetAction, FleetControl, FleetEvent, Heartbeat, Registration,
+};
+use almondsail_core::units::{Instant, Millis, UnixMillis};
+use fleet_common::{announcement, at, heartbeat, identity};
+use rand::SeedableRng as _;
+use rand::rngs::SmallRng;
+
+/// The time of day at the start of each test.
+const START: u64 = 1_800_000_000_000;
+/// How long a node remembers the newest start that was announced to it.
+const START_RETENTION: Millis = Millis::new(60_000);
+
+/// A node without a store, beside a backend server that started at [`START`].
+struct Node {
+    control: FleetControl,
+    rng: SmallRng,
+    now: Instant,
+    sequence: u64,
+}
+
+impl Node {
+    fn start() -> Self {
+        let rng = SmallRng::seed_from_u64(1);
+        Self { control: FleetControl::new(identity(), at(0)), rng, now: at(1_000), sequence: 0 }
+    }
+
+    fn event(&mut self, event: FleetEvent) -> Vec<FleetAction> {
+        let wall = UnixMillis::new(START + self.now.get() / 1_000);
+        self.control.handle(self.now, wall, event, &mut self.rng)
+    }
+
+    /// Announces the backend server `i-1` and returns the id and start of the one that then takes
+    /// calls.
+    fn announce(&mut self) -> Option<(String, u64)> {
+        self.sequence += 1;
+        self.event(FleetEvent::Announced(announcement("i-1", START, self.sequence)));
+        self.backend()
+    }
+
+    /// Announces the backend server each second for `span`.
+    fn announce_for(&mut self, span: Millis) -> Option<(String, u64)> {
+        for _ in 0..span.get() / 1_000 {
+            self.now = self.now + Millis::new(1_000);
+            self.event(FleetEvent::Tick);
+            self.announce();
+        }
+        self.backend()
+    }
+
+    fn backend(&self) -> Option<(String, u64)> {
+        let backend = self.control.view(self.now).backend?;
+        Some((backend.id.to_string(), backend.started_at.get()))
+    }
+}
+
+fn own_backend() -> Option<(String, u64)> {
+    Some(("i-1".to_owned(), START))
+}
+
+/// Guards against one announcement with a start in the far future after which all proper ones count
+/// as outdated until the node restarts.
+#[test]
+fn announced_start_too_large() {
+    for start in [u64::MAX, START * 1_000, START + 2 * 24 * 3_600_000] {
+        let mut node = Node::start();
+        assert_eq!(node.announce(), own_backend());
+        for id in ["i-1", "i-2"] {
+            node.event(FleetEvent::Announced(announcement(id, start, 1)));
+            assert_eq!(node.announce(), own_backend(), "{id} started at {start}");
+        }
+    }
+}
+
+/// Guards against an announcement with a wrong start, which the time of day does not disprove, that
+/// shuts out all proper ones for longer than late announcements are expected.
+#[test]
+fn announced_start_ahead() {
+    let mut node = Node::start();
+    node.event(FleetEvent::Announced(announcement("i-2", START + 3_600_000, 1)));
+    let wait = Registration::ANNOUNCEMENT_TIMEOUT.get() + START_RETENTION.get();
+    assert_eq!(node.announce_for(Millis::new(wait)), own_backend());
+}
+
+/// Guards against an announcement with a sequence number above all proper ones that shuts these out
+/// for longer than a silent backend server is known.
+#[test]
+fn announced_sequence_ahead() {
+    let mut node = Node::start();
+    node.event(FleetEvent::Announced(announcement("i-1", START, u64::MAX)));
+    let wait = Millis::new(Registration::ANNOUNCEMENT_TIMEOUT.get() + 2_000);
+    assert_eq!(node.announce_for(wait), own_backend());
+}
+
+/// Guards against a cold start without end, or an overflow, after an announcement with a time that
+/// is too large.
+#[test]
+fn announced_cold_too_long() {
+    let mut node = Node::start();
+    let odd = Announcement { cold: Millis::new(u64::MAX), ..announcement("i-1", START, 1) };
+    node.event(FleetEvent::Announced(odd));
+    node.sequence = 1;
+    node.announce();
+    assert!(!node.control.view(node.now).backend.unwrap().is_cold);
+}
+
+/// Guards against a departure of a start in the far future, by a notice or by another node, that
+/// takes the backend server out of service.
+#[test]
+fn departed_start_too_large() {
+    let mut node = Node::start();
+    node.announce();
+    let started_at = Some(UnixMillis::new(u64::MAX));
+    let departure = Departure { id: "i-1".parse().unwrap(), started_at };
+    node.event(FleetEvent::Left(departure.id.clone(), started_at));
+    assert_eq!(node.announce(), own_backend(), "after a notice");
+    let odd = Heartbeat { departures: vec![departure], ..heartbeat(2, 1) };
+    node.event(FleetEvent::Heartbeat(odd));
+    assert_eq!(node.announce(), own_backend(), "after a heartbeat of another node");
+}
