--- a/crates/core/src/fleet/mesh_route.rs
+++ b/crates/core/src/fleet/mesh_route.rs
@@ -31,19 +31,20 @@
 
 impl MeshRoute {
     /// Returns the service for `draw`, a number below [`Self::weight`].
-    pub fn destination(&self, draw: u32) -> &ServiceName {
+    pub fn destination(&self, draw: u64) -> &ServiceName {
         let mut rest = draw;
         for destination in &self.destinations {
-            if rest < destination.weight {
+            let weight = u64::from(destination.weight);
+            if rest < weight {
                 return &destination.service;
             }
-            rest -= destination.weight;
+            rest -= weight;
         }
         &self.destinations[0].service
     }
 
     /// Returns the sum of the destinations' weights.
-    pub fn weight(&self) -> u32 {
-        self.destinations.iter().map(|destination| destination.weight).sum()
+    pub fn weight(&self) -> u64 {
+        self.destinations.iter().map(|destination| u64::from(destination.weight)).sum()
     }
 }
--- a/crates/core/tests/fleet_config.rs
+++ b/crates/core/tests/fleet_config.rs
@@ -67,6 +67,22 @@
     }
 }
 
+/// Guards against a sum of weights that overflows, for which a process ends or calls go to another
+/// service.
+#[test]
+fn destination_largest_weights() {
+    let names = ["s0", "s1", "s2"];
+    let destination =
+        |name: &&str| Destination { service: name.parse().unwrap(), weight: u32::MAX };
+    let destinations = names.iter().map(destination).collect();
+    let route = MeshRoute { destinations, ..route("r", "/", "bays") };
+    let third = route.weight() / 3;
+    for (n, name) in names.iter().enumerate() {
+        assert_eq!(route.destination(third * n as u64).as_str(), *name);
+        assert_eq!(route.destination(third * (n as u64 + 1) - 1).as_str(), *name);
+    }
+}
+
 properties! {
     /// Guards against destinations that get more or fewer calls than their weight.
     fn destination_any_weights(weights: Vec<u8>) -> bool {
