Keep the clock of a rollout from overflowing

What callers would see: an order with a duration beyond 10^12 s, or a node's report with a time near 2^64, ends the control thread of a debug build: the node stays ready and follows nothing more. A release build wraps, so steps come at other times and an elapsed time goes back.

Cause: `RolloutPlan::scaled_lead` multiplied, and `RolloutClock::elapsed` added, without a bound.

Change: both saturate.

--- a/crates/core/src/fleet/rollout_clock.rs
+++ b/crates/core/src/fleet/rollout_clock.rs
@@ -18,7 +18,7 @@
 
     /// Returns the time since the order.
     pub fn elapsed(&self, now: Instant) -> Micros {
-        Micros::new(self.elapsed.get() + now.since(self.anchor).get())
+        Micros::new(self.elapsed.get().saturating_add(now.since(self.anchor).get()))
     }
 
     /// Advances the clock if at least `elapsed` has passed. The clock never goes back, also in a
--- a/crates/core/src/fleet/rollout_plan.rs
+++ b/crates/core/src/fleet/rollout_plan.rs
@@ -73,6 +73,6 @@
     /// order within half of the duration.
     fn scaled_lead(self, lead: Millis) -> u64 {
         let half = self.duration.get() / 2;
-        lead.get().min(half * lead.get() / Self::QUARTER_LEAD.get())
+        lead.get().min(half.saturating_mul(lead.get()) / Self::QUARTER_LEAD.get())
     }
 }
--- a/crates/core/tests/fleet_odd_input.rs
+++ b/crates/core/tests/fleet_odd_input.rs
@@ -4,8 +4,10 @@
 
 use almondsail_core::fleet::{
     Announcement, Departure, FleetAction, FleetControl, FleetEvent, Heartbeat, Registration,
+    Rollout, RolloutOrder, RolloutReport, RolloutStep,
 };
-use almondsail_core::units::{Instant, Millis, UnixMillis};
+use almondsail_core::store::Revision;
+use almondsail_core::units::{Instant, Micros, Millis, UnixMillis};
 use fleet_common::{announcement, at, heartbeat, identity};
 use rand::SeedableRng as _;
 use rand::rngs::SmallRng;
@@ -122,3 +124,45 @@
     node.event(FleetEvent::Heartbeat(odd));
     assert_eq!(node.announce(), own_backend(), "after a heartbeat of another node");
 }
+
+/// Durations of rollouts in milliseconds, up to the largest one that an order can contain.
+const DURATIONS: [u64; 6] = [0, 1, 12_000, u64::MAX / 4_200 + 1, u64::MAX / 2, u64::MAX];
+
+fn rollout(duration: u64) -> Rollout {
+    let order = RolloutOrder {
+        service: "bays".parse().unwrap(),
+        target: "v2".parse().unwrap(),
+        duration: Millis::new(duration),
+        revision: Revision::new(7),
+    };
+    Rollout::new(order, at(1_000))
+}
+
+/// Guards against an overflow for a rollout with a duration out of range, by which the process ends
+/// or the steps come out of order.
+#[test]
+fn step_any_duration() {
+    for duration in DURATIONS {
+        let rollout = rollout(duration);
+        let times = [1_000, 2_000, 20_000, u64::MAX / 1_000];
+        let steps = times.map(|ms| rollout.step(at(ms)));
+        assert!(steps.is_sorted(), "{duration} ms: {steps:?}");
+        let first = if duration == 0 { RolloutStep::Complete } else { RolloutStep::Canary };
+        assert_eq!(steps[0], first, "{duration} ms");
+    }
+}
+
+/// Guards against a report of another node whose time since the order overflows, by which the
+/// process ends or the rollout goes back to an earlier step.
+#[test]
+fn merge_report_any_elapsed() {
+    for elapsed in DURATIONS {
+        let mut rollout = rollout(12_000);
+        let report = RolloutReport { elapsed: Millis::new(elapsed), ..rollout.report(at(1_000)) };
+        rollout.merge_report(&report, at(2_000));
+        let before = rollout.elapsed(at(2_000));
+        assert!(before >= Micros::from(Millis::new(elapsed.min(1_000))), "{elapsed} ms");
+        assert!(rollout.elapsed(at(9_000)) >= before, "{elapsed} ms");
+        assert!(rollout.step(at(20_000)) >= rollout.step(at(2_000)), "{elapsed} ms");
+    }
+}
