Count the evidence of a rollout without overflow

What callers would see: a heartbeat whose evidence has counts near 2^32 ends the control thread of a debug build: the node stays ready and follows nothing more. A release build wraps, so that a good version may be rolled back or a bad one kept.

Cause: counts of other nodes were added, summed and multiplied by 100 in 32 bits.

Change: the counts of a bucket saturate when they are added; sums and shares have 64 bits.

After: both tests pass, as do those of rollouts and of the judge.

--- a/crates/core/src/fleet/fleet_change.rs
+++ b/crates/core/src/fleet/fleet_change.rs
@@ -57,9 +57,9 @@
         /// The new version that was found bad.
         target: VersionName,
         /// The observed calls of the new version.
-        calls: u32,
+        calls: u64,
         /// The observed calls of the new version that failed.
-        failures: u32,
+        failures: u64,
     },
     /// The store has recorded the end of a rollout.
     RolloutEnded(ServiceName, VersionName, RolloutOutcome),
--- a/crates/core/src/fleet/route_evidence.rs
+++ b/crates/core/src/fleet/route_evidence.rs
@@ -63,29 +63,29 @@
     }
 
     /// Returns the number of answered and failed calls.
-    pub fn calls(&self) -> u32 {
-        self.failures + self.answers()
+    pub fn calls(&self) -> u64 {
+        u64::from(self.failures) + self.answers()
     }
 
     /// Returns the number of answered calls.
-    pub fn answers(&self) -> u32 {
-        self.times.iter().sum()
+    pub fn answers(&self) -> u64 {
+        self.answers_from(0)
     }
 
-    /// Adds the counts of another node.
+    /// Adds the counts of another node, which may have any value.
     pub fn add(&mut self, other: &Self) {
-        self.failures += other.failures;
+        self.failures = self.failures.saturating_add(other.failures);
         for (sum, n) in self.times.iter_mut().zip(other.times) {
-            *sum += n;
+            *sum = sum.saturating_add(n);
         }
     }
 
     /// Returns the bucket of the given percentile of the answers' times; `None` without answers.
-    pub fn percentile(&self, percent: u32) -> Option<usize> {
+    pub fn percentile(&self, percent: u64) -> Option<usize> {
         let rank = (self.answers() * percent).div_ceil(100);
         let mut seen = 0;
         self.times.iter().position(|n| {
-            seen += n;
+            seen += u64::from(*n);
             seen >= rank && rank > 0
         })
     }
@@ -97,8 +97,8 @@
     }
 
     /// Returns the number of answers in `bucket` and above.
-    pub fn answers_from(&self, bucket: usize) -> u32 {
-        self.times.iter().skip(bucket).sum()
+    pub fn answers_from(&self, bucket: usize) -> u64 {
+        self.times.iter().skip(bucket).copied().map(u64::from).sum()
     }
 
     fn bucket(took: Micros) -> usize {
--- a/crates/core/src/fleet/version_evidence.rs
+++ b/crates/core/src/fleet/version_evidence.rs
@@ -20,12 +20,12 @@
     }
 
     /// Returns the number of answered and failed calls on all routes.
-    pub fn calls(&self) -> u32 {
+    pub fn calls(&self) -> u64 {
         self.routes.values().map(RouteEvidence::calls).sum()
     }
 
     /// Returns the number of failed calls on all routes.
-    pub fn failures(&self) -> u32 {
-        self.routes.values().map(|route| route.failures).sum()
+    pub fn failures(&self) -> u64 {
+        self.routes.values().map(|route| u64::from(route.failures)).sum()
     }
 }
--- a/crates/core/src/fleet/version_judge.rs
+++ b/crates/core/src/fleet/version_judge.rs
@@ -14,14 +14,14 @@
 
 impl VersionJudge {
     /// Fewer failed or slow calls of the new version than this prove nothing.
-    const MIN_BAD_CALLS: u32 = 4;
+    const MIN_BAD_CALLS: u64 = 4;
     /// The percentage points by which the new version's share of failed or slow calls must exceed
     /// that of the old one.
-    const BAD_SHARE_MARGIN_PERCENT: u32 = 15;
+    const BAD_SHARE_MARGIN_PERCENT: u64 = 15;
     /// The number of answers of the old version from which its median is known.
-    const MIN_OLD_ANSWERS: u32 = 8;
+    const MIN_OLD_ANSWERS: u64 = 8;
     /// The number of answers of the new version from which its spread is known.
-    const MIN_NEW_ANSWERS: u32 = 12;
+    const MIN_NEW_ANSWERS: u64 = 12;
     /// The number of buckets by which the new version's spread must exceed the old one's: a factor
     /// of 2.8.
     const SPREAD_MARGIN_BUCKETS: usize = 3;
@@ -53,10 +53,10 @@
 /// The calls of both versions, and how many of them failed or were slow.
 #[derive(Debug, Clone, Copy, Default)]
 struct BadCallCounts {
-    new_calls: u32,
-    new_bad_calls: u32,
-    old_calls: u32,
-    old_bad_calls: u32,
+    new_calls: u64,
+    new_bad_calls: u64,
+    old_calls: u64,
+    old_bad_calls: u64,
 }
 
 impl BadCallCounts {
@@ -71,9 +71,9 @@
         };
         Self {
             new_calls: new.calls(),
-            new_bad_calls: new.failures + slow_answers(new),
+            new_bad_calls: u64::from(new.failures) + slow_answers(new),
             old_calls: old.calls(),
-            old_bad_calls: old.failures + slow_answers(old),
+            old_bad_calls: u64::from(old.failures) + slow_answers(old),
         }
     }
 
--- a/crates/core/tests/fleet_odd_input.rs
+++ b/crates/core/tests/fleet_odd_input.rs
@@ -4,10 +4,12 @@
 
 use almondsail_core::fleet::{
     Announcement, Departure, FleetAction, FleetControl, FleetEvent, Heartbeat, Registration,
-    Rollout, RolloutOrder, RolloutReport, RolloutStep,
+    Rollout, RolloutOrder, RolloutReport, RolloutStep, RouteEvidence, RouteKey, VersionEvidence,
+    VersionJudge,
 };
 use almondsail_core::store::Revision;
 use almondsail_core::units::{Instant, Micros, Millis, UnixMillis};
+use almondsail_seeded::properties;
 use fleet_common::{announcement, at, heartbeat, identity};
 use rand::SeedableRng as _;
 use rand::rngs::SmallRng;
@@ -166,3 +168,45 @@
         assert!(rollout.step(at(20_000)) >= rollout.step(at(2_000)), "{elapsed} ms");
     }
 }
+
+/// Returns evidence on one route whose counts are all `count`.
+fn evidence(count: u32) -> VersionEvidence {
+    let route = RouteEvidence { failures: count, times: [count; RouteEvidence::BUCKETS] };
+    VersionEvidence { routes: [(RouteKey::new(1), route)].into() }
+}
+
+/// Guards against counts of another node that overflow when they are added or compared, by which
+/// the process ends or a good version is judged bad.
+#[test]
+fn is_bad_largest_counts() {
+    for count in [u32::MAX / 100, u32::MAX / 24, u32::MAX / 2, u32::MAX] {
+        let mut sum = evidence(count);
+        sum.add(&evidence(count));
+        assert!(sum.calls() >= sum.failures(), "{count}");
+        assert!(!VersionJudge::is_bad(&sum, &sum), "{count}: judged against itself");
+        let mut other = sum.clone();
+        other.routes.insert(RouteKey::new(2), RouteEvidence::default());
+        assert!(!VersionJudge::is_bad(&other, &sum), "{count}");
+    }
+    let mut failing = evidence(0);
+    failing.routes.entry(RouteKey::new(1)).or_default().failures = u32::MAX;
+    assert!(VersionJudge::is_bad(&failing, &VersionEvidence::default()));
+}
+
+properties! {
+    /// Guards against evidence of other nodes, of any counts, that ends the process when it is
+    /// judged.
+    fn is_bad_any_counts(counts: Vec<(bool, u8, u32)>) -> bool {
+        let (mut new, mut old) = (VersionEvidence::default(), VersionEvidence::default());
+        for (is_new, bucket, count) in counts {
+            let side = if is_new { &mut new } else { &mut old };
+            let route = side.routes.entry(RouteKey::new(u32::from(bucket % 3))).or_default();
+            route.times[usize::from(bucket) % RouteEvidence::BUCKETS] = count;
+            route.failures = count / 2;
+            let copy = side.clone();
+            side.add(&copy);
+        }
+        let _verdict = VersionJudge::is_bad(&new, &old);
+        new.calls() >= new.failures() && !VersionJudge::is_bad(&VersionEvidence::default(), &old)
+    }
+}
