Keep reported loads and latencies from overflowing

What callers would see: a load near 2^32 or a run time near 2^64 in the answer of another node, or a target latency beyond 10^16 ms in the configuration, ends a caller's request in a debug build; a release build wraps, so calls go to a full endpoint or are sent twice for nothing.

Cause: three sums and a product of such values had no bound; the product stood twice.

Change: they saturate, as instants and durations do; the time after which a call is presumed lost has one place, `Hedge::presumed_lost_after`.

--- a/crates/core/src/fleet/caller_pipeline.rs
+++ b/crates/core/src/fleet/caller_pipeline.rs
@@ -56,7 +56,8 @@
         }
         let sends_ahead = self.sent_ahead_at.is_some_and(is_recent);
         let target_latency = Micros::from(target_latency);
-        let next_due = Micros::new(Micros::from(shortest).get() + self.mean_gap.get());
+        let next_due =
+            Micros::new(Micros::from(shortest).get().saturating_add(self.mean_gap.get()));
         if sends_ahead { target_latency.min(next_due) } else { target_latency }
     }
 
--- a/crates/core/src/fleet/endpoint_load.rs
+++ b/crates/core/src/fleet/endpoint_load.rs
@@ -123,8 +123,8 @@
             |report: &&LoadReport| now.since(report.reported_at) < Self::MAX_REPORT_AGE.into();
         let report = self.reports.get(route).filter(is_fresh);
         let reported = report.map_or(0, |report| {
-            report.calls_ahead
-                + u32::try_from(self.sent_calls - report.sent_calls).unwrap_or(u32::MAX)
+            let sent_since = u32::try_from(self.sent_calls - report.sent_calls);
+            report.calls_ahead.saturating_add(sent_since.unwrap_or(u32::MAX))
         });
         reported.max(self.in_flight)
     }
--- a/crates/core/src/fleet/hedge.rs
+++ b/crates/core/src/fleet/hedge.rs
@@ -29,6 +29,12 @@
         Micros::new(slow).max(Self::MIN_DELAY.into())
     }
 
+    /// Returns how long after the first attempt the call is presumed lost.
+    pub fn presumed_lost_after(self) -> Micros {
+        const LOST_FACTOR: u64 = 3;
+        self.target_left.max(Micros::new(self.expected.get().saturating_mul(LOST_FACTOR)))
+    }
+
     /// Returns whether to send a copy to an endpoint with `slots`, of which `calls_ahead` are
     /// taken, and an expected latency of `expected`. `waited` is the time since the first attempt.
     pub fn is_worthwhile(
@@ -40,10 +46,10 @@
     ) -> bool {
         let is_free =
             f64::from(calls_ahead) <= f64::from(slots) * (1.0 - Self::MIN_FREE_SLOT_FRACTION);
-        let arrives = waited.get() + expected.get();
+        let arrives = waited.get().saturating_add(expected.get());
         let is_in_time = arrives <= self.target_left.get();
         // After the target, a copy is worthwhile only if the first attempt is likely to be lost.
-        let is_lost = waited.get() >= self.target_left.get().max(3 * self.expected.get());
+        let is_lost = waited >= self.presumed_lost_after();
         is_free && (is_in_time || is_lost)
     }
 }
--- a/crates/core/tests/fleet_odd_input.rs
+++ b/crates/core/tests/fleet_odd_input.rs
@@ -3,9 +3,9 @@
 mod fleet_common;
 
 use almondsail_core::fleet::{
-    Announcement, Departure, FleetAction, FleetControl, FleetEvent, Heartbeat, Registration,
-    Rollout, RolloutOrder, RolloutReport, RolloutStep, RouteEvidence, RouteKey, VersionEvidence,
-    VersionJudge,
+    Announcement, CallerPipeline, Departure, EndpointLoad, FleetAction, FleetControl, FleetEvent,
+    Heartbeat, Hedge, Registration, Rollout, RolloutOrder, RolloutReport, RolloutStep,
+    RouteEvidence, RouteKey, VersionEvidence, VersionJudge,
 };
 use almondsail_core::store::Revision;
 use almondsail_core::units::{Instant, Micros, Millis, UnixMillis};
@@ -193,6 +193,40 @@
     assert!(VersionJudge::is_bad(&failing, &VersionEvidence::default()));
 }
 
+/// Guards against a load reported by another node that overflows when it is compared.
+#[test]
+fn calls_ahead_largest_report() {
+    let route = "r1".parse().unwrap();
+    let mut load = EndpointLoad::default();
+    load.record_report(at(0), &route, u32::MAX, Some(Micros::new(u64::MAX)));
+    load.record_sent();
+    assert_eq!(load.calls_ahead(at(1), &route), u32::MAX);
+}
+
+/// Guards against an expected run time, from another node or a target latency, that overflows when
+/// a second endpoint is considered.
+#[test]
+fn hedge_largest_expected() {
+    let largest = Micros::new(u64::MAX);
+    for expected in [largest, Micros::new(u64::MAX / 3 + 1)] {
+        let hedge = Hedge { expected, target_left: Micros::new(1_000) };
+        assert!(hedge.delay() >= expected);
+        assert!(!hedge.is_worthwhile(Micros::new(1), expected, 0, 12), "the copy would be late");
+        assert!(!hedge.is_worthwhile(Micros::new(2_000), expected, 0, 12), "it may still answer");
+    }
+}
+
+/// Guards against a target latency of the configuration that overflows for requests which are
+/// pipelined on a connection.
+#[test]
+fn target_largest_latency() {
+    let mut pipeline = CallerPipeline::default();
+    let largest = Millis::new(u64::MAX);
+    pipeline.target(at(0), largest, false);
+    assert_eq!(pipeline.target(at(30), largest, true), Micros::from(largest));
+    assert_eq!(pipeline.target(at(60), Millis::new(200), true), Micros::new(200_000));
+}
+
 properties! {
     /// Guards against evidence of other nodes, of any counts, that ends the process when it is
     /// judged.
--- a/crates/node/src/fleet/caller_handler.rs
+++ b/crates/node/src/fleet/caller_handler.rs
@@ -216,8 +216,7 @@
     endpoints_tried: &mut Vec<EndpointChoice>,
 ) -> Result<Response<Bytes>, CallFailure> {
     let started = traffic.clock.now();
-    let expected = choice.expected;
-    let hedge = Hedge { expected, target_left: call.answer_by.since(started) };
+    let hedge = Hedge { expected: choice.expected, target_left: call.answer_by.since(started) };
     let mut first = pin!(send_attempt(traffic, &choice.endpoint, call));
     let mut waited = hedge.delay();
     let hedge_choice = loop {
@@ -229,7 +228,7 @@
             break candidate;
         }
         // A hedge is worth it again once the call is presumed lost.
-        let presumed_lost = hedge.target_left.max(Micros::new(3 * expected.get()));
+        let presumed_lost = hedge.presumed_lost_after();
         if waited >= presumed_lost {
             return first.await;
         }
