Refuse heartbeats and entries with numbers out of range

What callers would see: a datagram or an entry in the store with a number near 2^64 shuts out proper ones (a start of a node, a sequence, a version, the revision of an order: the larger one counts); one with no slots or port zero names a server to which calls are sent in vain.

Cause: the decoders took every number that its type holds.

Durations stay unbounded, because their sums saturate and a node's own heartbeats may carry them.

--- a/crates/wire/src/convert/fields.rs
+++ b/crates/wire/src/convert/fields.rs
@@ -1,6 +1,7 @@
 //! Conversions of single message fields; each error names the field.
 
 use std::fmt;
+use std::net::SocketAddr;
 use std::str::FromStr;
 use std::sync::Arc;
 
@@ -93,6 +94,25 @@
         .ok_or_else(|| FieldError::new(field, "expected 1 to 65535"))
 }
 
+/// Checks a counter, a revision or a time of day, of which the largest known one counts; fails for
+/// a number that none of them reaches, since it would shut out all later ones.
+pub(super) fn counter(field: &str, n: u64) -> Result<u64, FieldError> {
+    const MAX_COUNTER: u64 = i64::MAX as u64;
+    if n > MAX_COUNTER {
+        return Err(FieldError::new(field, format_args!("expected at most {MAX_COUNTER}")));
+    }
+    Ok(n)
+}
+
+/// Parses the address of a listener; fails for port zero, at which nothing listens.
+pub(super) fn listener_address(field: &str, text: &str) -> Result<SocketAddr, FieldError> {
+    let address: SocketAddr = parse(field, text)?;
+    if address.port() == 0 {
+        return Err(FieldError::new(field, "expected a port above zero"));
+    }
+    Ok(address)
+}
+
 /// Checks that a free text is short and without line breaks.
 pub(super) fn plain_text(field: &str, text: String) -> Result<Arc<str>, FieldError> {
     if !is_plain_text(&text) {
--- a/crates/wire/src/convert/fleet.rs
+++ b/crates/wire/src/convert/fleet.rs
@@ -12,7 +12,10 @@
 use prost::Message;
 
 use super::codec::decode;
-use super::fields::{convert_each, optional_text, parse, parse_optional, required, to_wire};
+use super::fields::{
+    convert_each, counter, listener_address, optional_text, parse, parse_optional, positive_u16,
+    required, to_wire,
+};
 use crate::{DecodeError, FieldError, MAX_FRAME_BYTES, fleet as wire};
 
 /// Encodes a heartbeat as the body of a request to another node.
@@ -66,8 +69,8 @@
     fn try_from(w: wire::NodeEntry) -> Result<Self, FieldError> {
         Ok(Self {
             node: parse("node", &w.node)?,
-            inbound: parse("door", &w.door)?,
-            heartbeats: parse("heartbeats", &w.heartbeats)?,
+            inbound: listener_address("door", &w.door)?,
+            heartbeats: listener_address("heartbeats", &w.heartbeats)?,
             data_centre: parse("data_centre", &w.data_centre)?,
             departed: w.departed.map(TryInto::try_into).transpose()?,
         })
@@ -93,10 +96,10 @@
     fn try_from(w: wire::Backend) -> Result<Self, FieldError> {
         Ok(Self {
             id: parse("id", &w.id)?,
-            started_at: UnixMillis::new(w.born),
+            started_at: UnixMillis::new(counter("born", w.born)?),
             service: parse("service", &w.service)?,
             version: parse("version", &w.version)?,
-            slots: w.slots,
+            slots: positive_u16("slots", w.slots)?.into(),
             is_cold: w.is_cold,
         })
     }
@@ -137,7 +140,7 @@
         Ok(Self {
             service: parse("service", &w.service)?,
             target: parse("target", &w.target)?,
-            order: Revision::new(w.order),
+            order: Revision::new(counter("order", w.order)?),
             duration: Millis::new(w.duration_ms),
             elapsed: Millis::new(w.elapsed_ms),
             is_stopped: w.is_stopped,
@@ -166,7 +169,8 @@
     type Error = FieldError;
 
     fn try_from(w: wire::Departure) -> Result<Self, FieldError> {
-        Ok(Self { id: parse("id", &w.id)?, started_at: w.born.map(UnixMillis::new) })
+        let born = w.born.map(|born| counter("born", born)).transpose()?;
+        Ok(Self { id: parse("id", &w.id)?, started_at: born.map(UnixMillis::new) })
     }
 }
 
@@ -192,9 +196,9 @@
     fn try_from(w: wire::Heartbeat) -> Result<Self, FieldError> {
         Ok(Self {
             entry: required("entry", w.entry)?.try_into()?,
-            incarnation: Incarnation::new(w.incarnation),
-            sequence: w.sequence,
-            config_version: ConfigVersion::new(w.config_version),
+            incarnation: Incarnation::new(counter("incarnation", w.incarnation)?),
+            sequence: counter("sequence", w.sequence)?,
+            config_version: ConfigVersion::new(counter("config_version", w.config_version)?),
             is_store_reached: w.is_store_reached,
             is_leaving: w.is_leaving,
             backend: w.backend.map(TryInto::try_into).transpose()?,
@@ -224,7 +228,7 @@
         Ok(Self {
             service: parse("service", &w.service)?,
             target: parse("target", &w.target)?,
-            order: Revision::new(w.order),
+            order: Revision::new(counter("order", w.order)?),
             duration: Millis::new(w.duration_ms),
             started: UnixMillis::new(w.started),
             outcome: parse_optional("outcome", &w.outcome)?,
