Pause after a node sent no newer configuration

What callers would see: a heartbeat that announces a version which its sender does not have made other nodes fetch its configuration of up to a megabyte again and again, as fast as the network carries it.

Cause: the pause between two fetches followed only a missing answer, not a configuration that is no newer than the one in force.

Change: both are followed by the same pause.

--- a/crates/core/src/fleet/node_events.rs
+++ b/crates/core/src/fleet/node_events.rs
@@ -99,11 +99,15 @@
         config: Option<ConfigText>,
         rng: &mut impl Rng,
     ) {
-        match config {
+        let is_newer = |text: &ConfigText| {
+            self.config.is_none() || text.config.version > self.config_version()
+        };
+        match config.filter(is_newer) {
             Some(text) => {
                 self.fetching_until = now;
                 self.apply_config(now, text, "node");
             }
+            // The node was busy, did not answer, or does not have the version that it announced.
             None => {
                 let pause = Micros::from(Self::FETCH_RETRY_DELAY).get();
                 let pause = rng.random_range(pause / 2..=pause * 3 / 2);
--- a/crates/core/tests/fleet_odd_input.rs
+++ b/crates/core/tests/fleet_odd_input.rs
@@ -7,10 +7,11 @@
     Heartbeat, Hedge, Registration, Rollout, RolloutOrder, RolloutReport, RolloutStep,
     RouteEvidence, RouteKey, VersionEvidence, VersionJudge,
 };
+use almondsail_core::ids::ConfigVersion;
 use almondsail_core::store::Revision;
 use almondsail_core::units::{Instant, Micros, Millis, UnixMillis};
 use almondsail_seeded::properties;
-use fleet_common::{announcement, at, heartbeat, identity};
+use fleet_common::{announcement, at, config, heartbeat, identity};
 use rand::SeedableRng as _;
 use rand::rngs::SmallRng;
 
@@ -169,6 +170,24 @@
     }
 }
 
+/// Guards against a node that fetches a configuration again and again without a pause, because
+/// another node announces a version that it does not have.
+#[test]
+fn config_version_nobody_has() {
+    let mut node = Node::start();
+    let is_fetch = |action: &FleetAction| matches!(action, FleetAction::FetchConfig(_));
+    let mut fetches = 0;
+    for sequence in 1..=20 {
+        let config_version = ConfigVersion::new(u64::from(u32::MAX));
+        let odd = Heartbeat { config_version, ..heartbeat(2, sequence) };
+        node.now = node.now + Millis::new(if sequence == 3 { 700 } else { 0 });
+        let mut actions = node.event(FleetEvent::Heartbeat(odd));
+        actions.extend(node.event(FleetEvent::PeerConfig(Some(config(5)))));
+        fetches += actions.iter().filter(|action| is_fetch(action)).count();
+    }
+    assert!((1..=2).contains(&fetches), "{fetches} fetches");
+}
+
 /// Returns evidence on one route whose counts are all `count`.
 fn evidence(count: u32) -> VersionEvidence {
     let route = RouteEvidence { failures: count, times: [count; RouteEvidence::BUCKETS] };
