Test a fleet among odd entries of another writer

A fleet of four processes gets odd items in every page and watch reply of the store, odd entries, progress, orders and keys, odd announcements and odd datagrams. It must follow the next configuration, also at a node that starts then, serve calls, and have no process end or thread panic.

With the odd values alone, all four nodes printed `thread 'control' panicked at crates/core/src/fleet/rollout_plan.rs:76:24: attempt to multiply with overflow`, answered the readiness check with 200, ran on, and followed nothing more. An announcement with a start of 2^64-1 was answered with 200.

Change: the stand-in of the store can add items of any form to its replies; the fleet of the test kit tells of processes that ended and of what they printed.

--- a/crates/testkit/src/platform/fleet.rs
+++ b/crates/testkit/src/platform/fleet.rs
@@ -162,6 +162,16 @@
         self.harness.request_stop(self.nodes[node].process)
     }
 
+    /// Returns an error if a node that was not stopped has exited.
+    pub fn check_running(&mut self) -> Result<()> {
+        self.harness.check_running()
+    }
+
+    /// Returns what a node has written to stderr, including earlier starts.
+    pub fn stderr(&self, node: usize) -> Result<String> {
+        self.harness.stderr(self.nodes[node].process)
+    }
+
     /// Stops reading the log that a node writes to stdout, so that its pipe fills up.
     pub fn stop_reading(&self, node: usize) -> Result<()> {
         self.harness.stop_reading(self.nodes[node].process)
--- a/crates/testkit/src/platform/kv_server.rs
+++ b/crates/testkit/src/platform/kv_server.rs
@@ -104,7 +104,7 @@
     let path: Vec<&str> = parts.uri.path().trim_start_matches('/').split('/').collect();
     match (&parts.method, path.as_slice()) {
         (&Method::GET, ["almondsail", "kv-range"]) => {
-            reply(200, &shared.with(|(state, ..)| state.range(prefix)))
+            reply_text(200, shared.with(|(state, ..)| state.with_odd_items(state.range(prefix))))
         }
         (&Method::GET, ["almondsail", "kv-watch"]) => {
             let number = |name: &str| query.text(name).and_then(|n| n.parse().ok()).unwrap_or(0);
@@ -143,15 +143,20 @@
         }
         let is_over = tokio::time::Instant::now() >= until;
         if !changes.is_empty() || is_over {
-            return reply(200, &serde_json::json!({"events": changes, "as_of": as_of}));
+            let body = serde_json::json!({"events": changes, "as_of": as_of});
+            return reply_text(200, shared.with(|(state, ..)| state.with_odd_items(body)));
         }
         let _over = tokio::time::timeout_at(until, changed.changed()).await;
     }
 }
 
 fn reply(status: u16, body: &Value) -> Handled {
+    reply_text(status, body.to_string())
+}
+
+fn reply_text(status: u16, body: String) -> Handled {
     let response = Response::builder().status(status);
-    match response.body(ReplyBody::complete(body.to_string())) {
+    match response.body(ReplyBody::complete(body)) {
         Ok(response) => Handled::Answer(response),
         Err(_) => Handled::Close,
     }
--- a/crates/testkit/src/platform/kv_state.rs
+++ b/crates/testkit/src/platform/kv_state.rs
@@ -17,6 +17,8 @@
     compacted_revision: u64,
     leases: BTreeMap<u64, u64>,
     next_lease: u64,
+    /// JSON texts that every page and watch reply contains before its items.
+    odd_items: Vec<String>,
 }
 
 #[derive(Debug, Clone)]
@@ -43,6 +45,21 @@
         self.write(key, &BASE64.encode(value), 0);
     }
 
+    /// Adds an item of another writer, in any form, to every page and watch reply.
+    pub fn add_odd_item(&mut self, json: &str) {
+        self.odd_items.push(json.to_owned());
+    }
+
+    /// Returns the answer `body` to a range or watch request as JSON with the odd items, which may
+    /// be nested too deep for a [`Value`].
+    pub fn with_odd_items(&self, mut body: Value) -> String {
+        let name = if body["items"].is_array() { "items" } else { "events" };
+        let items = std::mem::take(&mut body[name]);
+        let items = items.as_array().into_iter().flatten().map(Value::to_string);
+        let items: Vec<String> = self.odd_items.iter().cloned().chain(items).collect();
+        body.to_string().replacen("null", &format!("[{}]", items.join(",")), 1)
+    }
+
     /// Returns the value of `key`, or `None` if the key is absent.
     pub fn get(&self, key: &str) -> Option<Vec<u8>> {
         BASE64.decode(&self.items.get(key)?.value).ok()
