--- a/crates/wire/tests/fleet.rs
+++ b/crates/wire/tests/fleet.rs
@@ -14,6 +14,8 @@
 /// Smallest number that no counter, revision or time of day reaches.
 const TOO_LARGE: u64 = 1 << 63;
 
+type Edit = fn(&mut wire::Heartbeat);
+
 fn node_entry() -> NodeEntry {
     NodeEntry {
         node: "n1".parse().unwrap(),
@@ -56,7 +58,7 @@
 #[test]
 fn decode_heartbeat_out_of_range() {
     assert!(decode_heartbeat(&heartbeat().encode_to_vec()).is_ok());
-    let edits: [(&str, fn(&mut wire::Heartbeat)); 11] = [
+    let edits: [(&str, Edit); 11] = [
         ("incarnation", |h| h.incarnation = TOO_LARGE),
         ("sequence", |h| h.sequence = TOO_LARGE),
         ("config_version", |h| h.config_version = u64::MAX),
