Refuse a leave notice whose body can't be read

What callers would see: a notice of leaving with a body above 16 KiB, or one that ends early, took the backend server out of service on all nodes.

Cause: a body that can't be read counted as an empty one, and a notice with an empty body names every start of the server.

Change: such a body is refused with 400, counted and logged, for notices and announcements, which now share one handler.

After: the test passes; the server takes calls after each notice.

--- a/crates/node/src/fleet/local_api.rs
+++ b/crates/node/src/fleet/local_api.rs
@@ -1,5 +1,6 @@
 //! HTTP API for the backend server beside the node, the readiness check and the metrics.
 
+use std::fmt;
 use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 
@@ -78,7 +79,7 @@
     }
 
     /// Counts and logs an announcement that can't be parsed.
-    fn refuse(&self, id: &str, problem: &FormatError) -> StatusCode {
+    fn refuse(&self, id: &str, problem: &dyn fmt::Display) -> StatusCode {
         self.0.refused.add(1, &[KeyValue::new("what", "announcement")]);
         let (server, problem) = (id.to_owned(), problem.to_string());
         self.0.log.write(&FleetLogEvent::AnnouncementRefused { server, problem });
@@ -87,21 +88,18 @@
 }
 
 async fn announce(mut state: State) -> Handled {
-    let (api, id, body) = read_request(&mut state).await;
-    let status = match announcement::decode(&id, &body) {
-        Ok(announcement) => api.notify(FleetEvent::Announced(announcement)).await,
-        Err(problem) => api.refuse(&id, &problem),
-    };
+    let decode = |id: &str, body: &[u8]| announcement::decode(id, body).map(FleetEvent::Announced);
+    let status = handle_notice(&mut state, decode).await;
     let response = empty_json(&state, status);
     Ok((state, response))
 }
 
 async fn leave(mut state: State) -> Handled {
-    let (api, id, body) = read_request(&mut state).await;
-    let status = match announcement::decode_leave(&id, &body) {
-        Ok((id, started_at)) => api.notify(FleetEvent::Left(id, started_at)).await,
-        Err(problem) => api.refuse(&id, &problem),
+    let decode = |id: &str, body: &[u8]| {
+        announcement::decode_leave(id, body)
+            .map(|(id, started_at)| FleetEvent::Left(id, started_at))
     };
+    let status = handle_notice(&mut state, decode).await;
     let response = empty_json(&state, status);
     Ok((state, response))
 }
@@ -120,14 +118,23 @@
     (state, response)
 }
 
-/// Returns the API, the id at the end of the path, and the body. The body is empty if it can't be
-/// read or exceeds `MAX_ANNOUNCEMENT_BYTES`.
-async fn read_request(state: &mut State) -> (LocalApi, String, Vec<u8>) {
+/// Passes the event that `decode` reads from the id at the end of the path and from the body to
+/// the control loop. Refuses a body that exceeds `MAX_ANNOUNCEMENT_BYTES` or ends early.
+async fn handle_notice(
+    state: &mut State,
+    decode: impl Fn(&str, &[u8]) -> Result<FleetEvent, FormatError>,
+) -> StatusCode {
     let body: Body = state.take();
+    let api = LocalApi::borrow_from(state).clone();
     let id = http::Uri::borrow_from(state).path().rsplit('/').next().unwrap_or_default().to_owned();
-    let read = Limited::new(body, MAX_ANNOUNCEMENT_BYTES).collect().await;
-    let body = read.map(|body| body.to_bytes().to_vec()).unwrap_or_default();
-    (LocalApi::borrow_from(state).clone(), id, body)
+    let body = match Limited::new(body, MAX_ANNOUNCEMENT_BYTES).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(problem) => return api.refuse(&id, &problem),
+    };
+    match decode(&id, &body) {
+        Ok(event) => api.notify(event).await,
+        Err(problem) => api.refuse(&id, &problem),
+    }
 }
 
 fn empty_json(state: &State, status: StatusCode) -> Response<Body> {
--- a/crates/testkit/tests/fleet_odd_entries.rs
+++ b/crates/testkit/tests/fleet_odd_entries.rs
@@ -8,10 +8,14 @@
 use eyre::{Result, ensure};
 use http::Method;
 use serde_json::json;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpStream;
 
 const SERVICES: [&str; 2] = ["bays", "traslados"];
 /// Levels of an odd value; far beyond what a recursive parser has stack for.
 const NESTING: usize = 100_000;
+/// Size limit of the body of an announcement.
+const MAX_ANNOUNCEMENT_BYTES: usize = 16 * 1024;
 
 fn nested() -> String {
     "[".repeat(NESTING) + &"]".repeat(NESTING)
@@ -142,3 +146,36 @@
     }
     Ok(())
 }
+
+// Guards against a leave notice with a body that is too large, or ends early, that takes the
+// backend server out of service.
+#[tokio::test]
+async fn leave_body_unreadable() -> Result<()> {
+    let fleet = Fleet::start(&["dc-a"], &["bays"]).await?;
+    fleet.configure(1, &["bays"]);
+    wait_until_answered(&fleet, "bays", 200).await?;
+    let address = fleet.address(0, "announcements")?;
+    let path = "/almondsail/instances/i-dc-a-bays";
+
+    let mut cut = TcpStream::connect(address).await?;
+    let head = format!("DELETE {path} HTTP/1.1\r\nhost: a\r\ncontent-length: 100\r\n\r\n{{");
+    cut.write_all(head.as_bytes()).await?;
+    cut.shutdown().await?;
+    let mut answer = String::new();
+    // The node may close the connection or answer that the request is bad.
+    let _closed = cut.read_to_string(&mut answer).await;
+    ensure!(!answer.starts_with("HTTP/1.1 200"), "{answer}");
+    wait_until_answered(&fleet, "bays", 200).await?;
+
+    let large = format!(r#"{{"x":"{}"}}"#, "y".repeat(MAX_ANNOUNCEMENT_BYTES));
+    let client = HttpClient::new(address);
+    let reply = client.send(Method::DELETE, path, large.into(), &[]).await?;
+    assert_eq!(reply.status, 400);
+    let reply = client.put(path, "z".repeat(MAX_ANNOUNCEMENT_BYTES + 1)).await?;
+    assert_eq!(reply.status, 400);
+    let caller = fleet.caller(0)?;
+    let headers = [("host", "bays.example"), ("almondsail-attempt-id", "after")];
+    let reply = caller.send(Method::GET, "/safe/", Default::default(), &headers).await?;
+    assert_eq!(reply.status, 200);
+    Ok(())
+}
