Withdraw a node whose control thread ended

What callers would see: after a panic of the control thread a node answered the readiness check with 200 and served by what it had known last. On SIGTERM it ended at once and cut the requests in flight (LOST).

Cause: the thread was joined only at the very end, and the stop failed with `?` because nobody received its request, before it drained.

Change: when the receiver of control requests is gone, the node becomes not ready, sends no more calls to the backend server beside it, and logs it; it does not end by itself. A stop drains in any case.

There is no lasting test of it.

--- a/crates/core/src/fleet/fleet_log_event.rs
+++ b/crates/core/src/fleet/fleet_log_event.rs
@@ -19,6 +19,8 @@
         /// The name of the signal that stops the node.
         signal: &'static str,
     },
+    /// The control thread has ended, so that the node follows nothing more.
+    ControlEnded,
     /// The grace period of a planned stop ended before all calls had ended.
     CallsAborted,
     /// The node is about to exit.
@@ -59,6 +61,7 @@
         match self {
             Self::Started { .. } => "started",
             Self::Stopping { .. } => "stopping",
+            Self::ControlEnded => "control thread has ended; not ready until the next start",
             Self::CallsAborted => "calls are cut by the end of the grace",
             Self::Stopped => "stopped",
             Self::SettingsChanged => "settings file has changed; read at the next start",
@@ -76,6 +79,7 @@
         match self {
             Self::Started { .. }
             | Self::Stopping { .. }
+            | Self::ControlEnded
             | Self::CallsAborted
             | Self::Stopped
             | Self::SettingsChanged => LogClass::Lifecycle,
--- a/crates/node/src/fleet/control_loop.rs
+++ b/crates/node/src/fleet/control_loop.rs
@@ -161,3 +161,17 @@
     }
     almondsail_platform::config::decode(&body).ok()
 }
+
+/// Withdraws the node from the callers and from the backend server if the control thread panics:
+/// what the node knows becomes wrong, and nobody corrects it. Requests that arrive are answered
+/// until the node is stopped.
+pub(crate) async fn withdraw_after_control(
+    control_tx: mpsc::Sender<ControlRequest>,
+    view: Arc<ArcSwap<FleetView>>,
+    log: EventLog,
+) {
+    control_tx.closed().await;
+    log.write(&FleetLogEvent::ControlEnded);
+    let last = FleetView::clone(&view.load());
+    view.store(Arc::new(FleetView { is_leaving: true, ..last }));
+}
--- a/crates/node/src/fleet/event_log.rs
+++ b/crates/node/src/fleet/event_log.rs
@@ -73,7 +73,8 @@
                 out.emit_arguments("nodes", &format_args!("{nodes}"))
             }
             FleetLogEvent::Stopping { signal } => out.emit_str("signal", signal),
-            FleetLogEvent::CallsAborted
+            FleetLogEvent::ControlEnded
+            | FleetLogEvent::CallsAborted
             | FleetLogEvent::Stopped
             | FleetLogEvent::SettingsChanged => Ok(()),
             FleetLogEvent::Change(change) => {
--- a/crates/node/src/fleet/fleet_node.rs
+++ b/crates/node/src/fleet/fleet_node.rs
@@ -25,7 +25,7 @@
 use crate::fleet::caller_handler::SharedPipeline;
 use crate::fleet::config_source::ConfigSource;
 use crate::fleet::control_http_client::ControlHttpClient;
-use crate::fleet::control_loop::{ControlLoop, ControlRequest};
+use crate::fleet::control_loop::{ControlLoop, ControlRequest, withdraw_after_control};
 use crate::fleet::event_log::EventLog;
 use crate::fleet::fleet_settings::FleetSettings;
 use crate::fleet::fleet_store_client::FleetStoreClient;
@@ -273,15 +273,20 @@
             tokio::spawn(http_server::serve(listener, router, MAX_LOCAL_CONNECTIONS, stop_rx));
         }
         tokio::spawn(apply_views(Arc::clone(&self.traffic), self.view_changed_rx.clone()));
+        let (control_tx, view) = (self.control_tx.clone(), Arc::clone(&self.view));
+        tokio::spawn(withdraw_after_control(control_tx, view, self.log.clone()));
         let callers = tokio::spawn(self.callers(TcpListener::from_std(callers)?, stop_rx.clone()));
         let nodes = tokio::spawn(self.nodes(TcpListener::from_std(nodes)?, stop_rx));
 
         let signal = wait_for_signal(&self.log).await?;
         self.log.write(&FleetLogEvent::Stopping { signal });
         let (done, done_rx) = oneshot::channel();
-        self.control_tx.send(ControlRequest { event: FleetEvent::StopRequested, done }).await?;
-        // The control thread replies, since it runs as long as `control_tx` exists.
-        let _ = done_rx.await;
+        let request = ControlRequest { event: FleetEvent::StopRequested, done };
+        // Both fail after the control thread has ended. Then the node was withdrawn already, and
+        // the requests in flight must still end.
+        if self.control_tx.send(request).await.is_ok() {
+            let _ = done_rx.await;
+        }
         stop.send_replace(StopPhase::Draining);
         tokio::time::sleep(DRAIN_TIME).await;
         stop.send_replace(StopPhase::Closing);
