--- a/crates/testkit/tests/fleet_odd_entries.rs
+++ b/crates/testkit/tests/fleet_odd_entries.rs
@@ -179,3 +179,39 @@
     assert_eq!(reply.status, 200);
     Ok(())
 }
+
+// Guards against the largest times, limits and weights of a configuration by which a node ends or
+// a request is cut.
+#[tokio::test]
+async fn fleet_serves_with_largest_limits() -> Result<()> {
+    let fleet = Fleet::start(&["dc-a"], &["bays"]).await?;
+    let config = json!({"version": "00000001", "resources": [
+        {"type": "routes", "metadata": {"name": "r-1"}, "spec": {
+            "host": "bays.example", "prefix": "/safe/", "kind": "safe", "timeout_ms": f64::MAX,
+            "target_latency_ms": f64::MAX, "priority": 255, "max_attempts": u32::MAX,
+            "traffic_split": [{"service": "bays", "weight": f64::MAX}]}},
+        {"type": "services", "metadata": {"name": "bays"}, "spec": {"max_connections": u32::MAX}},
+        {"type": "limits", "metadata": {}, "spec": {
+            "max_header_bytes": u64::MAX, "max_body_bytes": u64::MAX,
+            "header_timeout_ms": u64::MAX, "idle_timeout_ms": u64::MAX}},
+    ]});
+    fleet.store.edit(|state| state.put("op/config", config.to_string().as_bytes()));
+    wait_until_answered(&fleet, "bays", 200).await?;
+
+    let mut requests = String::new();
+    for n in 0..3 {
+        let last = if n == 2 { "connection: close\r\n" } else { "" };
+        requests += &format!(
+            "GET /safe/{n} HTTP/1.1\r\nhost: bays.example\r\nalmondsail-attempt-id: p{n}\r\n\
+             almondsail-deadline-ms: 1e300\r\n{last}\r\n"
+        );
+    }
+    let mut stream = TcpStream::connect(fleet.address(0, "callers")?).await?;
+    stream.write_all(requests.as_bytes()).await?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await?;
+    assert_eq!(answer.matches("HTTP/1.1 200").count(), 3, "{answer}");
+    let stderr = fleet.stderr(0)?;
+    ensure!(!stderr.contains("panicked"), "{stderr}");
+    Ok(())
+}
