List the store after changes too large to read

Cause: a body above the limit counted as no answer, after which the watcher asks for the same changes again.

--- a/crates/node/src/fleet/control_http_client.rs
+++ b/crates/node/src/fleet/control_http_client.rs
@@ -6,7 +6,8 @@
 use bytes::Bytes;
 use http::uri::{Authority, Scheme};
 use http::{Request, StatusCode, Uri};
-use http_body_util::{BodyExt as _, Full, Limited};
+use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
 use tokio::time::timeout;
 
 use crate::http_client::{self, HttpClient};
@@ -65,7 +66,16 @@
         let request = Request::from_parts(parts, Full::new(body));
         let response = timeout(head_timeout, self.client.request(request)).await.ok()?.ok()?;
         let status = response.status();
-        let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect().await.ok()?;
-        Some((status, body.to_bytes()))
+        Some((status, read_body(response.into_body()).await?))
+    }
+}
+
+/// Reads a body to its end; `None` if it ends early. A body above [`MAX_RESPONSE_BYTES`] counts as
+/// empty: it was answered, and would be again, but nobody can read it.
+async fn read_body(body: Incoming) -> Option<Bytes> {
+    match Limited::new(body, MAX_RESPONSE_BYTES).collect().await {
+        Ok(body) => Some(body.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Some(Bytes::new()),
+        Err(_) => None,
     }
 }
--- a/crates/testkit/tests/fleet_odd_entries.rs
+++ b/crates/testkit/tests/fleet_odd_entries.rs
@@ -4,7 +4,7 @@
 
 use almondsail_testkit::harness::wait_until;
 use almondsail_testkit::http::HttpClient;
-use almondsail_testkit::platform::Fleet;
+use almondsail_testkit::platform::{Fleet, KvMode};
 use eyre::{Result, ensure};
 use http::Method;
 use serde_json::json;
@@ -14,6 +14,8 @@
 const SERVICES: [&str; 2] = ["bays", "traslados"];
 /// Levels of an odd value; far beyond what a recursive parser has stack for.
 const NESTING: usize = 100_000;
+/// Largest value that the store accepts.
+const MAX_VALUE_BYTES: usize = 1_048_576;
 /// Size limit of the body of an announcement.
 const MAX_ANNOUNCEMENT_BYTES: usize = 16 * 1024;
 
@@ -215,3 +217,20 @@
     ensure!(!stderr.contains("panicked"), "{stderr}");
     Ok(())
 }
+
+// Guards against a watch reply above the size limit of an answer, after which a node asks for the
+// same changes until the store forgets them.
+#[tokio::test]
+async fn watch_reply_too_large() -> Result<()> {
+    let fleet = Fleet::start(&["dc-a"], &["bays"]).await?;
+    fleet.configure(1, &["bays"]);
+    wait_until_answered(&fleet, "bays", 200).await?;
+    fleet.store.set_mode(KvMode::Down);
+    for _ in 0..5 {
+        fleet.store.edit(|state| state.put("op/odd", &vec![b'x'; MAX_VALUE_BYTES]));
+    }
+    fleet.configure(2, &SERVICES);
+    fleet.store.set_mode(KvMode::Up);
+    // Without a server the route is known but no endpoint.
+    wait_until_answered(&fleet, "traslados", 503).await
+}
