Reserve ports that must refuse connections

The test closed a listener while a parallel test started a process. A child process holds a copy of every open socket between fork and exec, so the listener still accepted the connection and reset it at exec. Change: Harness::reserve_port binds a socket that never listens and keeps it. send_closed_port, the mesh's nodes without a backend server and the tests of the command line use such sockets.

--- a/crates/cli/tests/tool.rs
+++ b/crates/cli/tests/tool.rs
@@ -12,7 +12,7 @@
 use almondsail_node::control::control_request::ControlRequest;
 use operators_support::{FakeControl, OperatorServer, TOKEN, serve};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::process::Command;
 
 /// Exit code, standard output and standard error of a run of the tool.
@@ -45,9 +45,13 @@
     server
 }
 
-/// Returns an address at which nothing listens, so that connections are refused.
-async fn unused_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap()
+/// Binds a socket that doesn't listen, so that connections to its address are refused and no
+/// other socket gets its port while it is open.
+fn refusing_socket() -> (TcpSocket, SocketAddr) {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let addr = socket.local_addr().unwrap();
+    (socket, addr)
 }
 
 /// Starts a node that reads one request and closes the connection without a response.
@@ -107,7 +111,8 @@
         2
     );
     assert_eq!(run_tool(&[], &create, "").await.0, 2);
-    let (code, _, err) = run_tool(&[unused_address().await], &create, "").await;
+    let (_refusing, refused_addr) = refusing_socket();
+    let (code, _, err) = run_tool(&[refused_addr], &create, "").await;
     assert_eq!(code, 4, "{err}");
     let (code, out, _) = run_tool(&[unresponsive_node().await], &create, "").await;
     assert_eq!(code, 3);
@@ -121,7 +126,8 @@
 #[tokio::test]
 async fn command_next_node() {
     let server = start_node().await;
-    let nodes = [unused_address().await, server.addr];
+    let (_refusing, refused_addr) = refusing_socket();
+    let nodes = [refused_addr, server.addr];
     let (code, out, err) = run_tool(&nodes, &["run", "create service bays team depots"], "").await;
     assert_eq!((code, out.as_str(), err.as_str()), (0, "accepted at version 1\n", ""));
 }
--- a/crates/testkit/src/harness/mod.rs
+++ b/crates/testkit/src/harness/mod.rs
@@ -5,6 +5,7 @@
 mod process;
 mod process_id;
 mod process_set;
+mod reserved_port;
 mod temp_folder;
 mod wait;
 
--- a/crates/testkit/src/harness/process_set.rs
+++ b/crates/testkit/src/harness/process_set.rs
@@ -9,6 +9,7 @@
 use rustix::process::Signal;
 
 use super::process::Process;
+use super::reserved_port::ReservedPort;
 use super::temp_folder::TempFolder;
 use super::{Launch, ProcessId};
 use crate::BoundAddresses;
@@ -24,6 +25,7 @@
     processes: Vec<ManagedProcess>,
     folder: TempFolder,
     ip: Ipv4Addr,
+    reserved_ports: Vec<ReservedPort>,
 }
 
 #[derive(Debug)]
@@ -42,7 +44,7 @@
         let ip = Ipv4Addr::new(127, number, high, low);
         // Addresses that end in 0 or 255 are network and broadcast addresses.
         let ip = if low == 0 || low == 255 { Ipv4Addr::new(127, number, high, 77) } else { ip };
-        Ok(Self { processes: Vec::new(), folder, ip })
+        Ok(Self { processes: Vec::new(), folder, ip, reserved_ports: Vec::new() })
     }
 
     /// Returns the harness's loopback address with port 0, so that the system chooses a port.
@@ -50,6 +52,15 @@
         SocketAddr::new(IpAddr::V4(self.ip), 0)
     }
 
+    /// Returns an address that refuses connections until a process of the harness listens on
+    /// it. Its port is given to no other socket while the harness exists.
+    pub fn reserve_port(&mut self) -> Result<SocketAddr> {
+        let port = ReservedPort::bind(self.any_port())?;
+        let address = port.address();
+        self.reserved_ports.push(port);
+        Ok(address)
+    }
+
     /// Returns the temporary folder in which the processes run.
     pub fn folder(&self) -> &Path {
         self.folder.path()
--- a/crates/testkit/src/mesh/mesh_builder.rs
+++ b/crates/testkit/src/mesh/mesh_builder.rs
@@ -106,7 +106,7 @@
         let backend = self.start_backend(processes, index).await?;
         let backend_address = match backend {
             Some(id) => processes.harness.address(id, "address")?,
-            None => processes.closed_port()?,
+            None => processes.harness.reserve_port()?,
         };
         let store = processes.harness.address(processes.store, "address")?;
         let listen = ListenAddresses::any_port(processes.harness.any_port());
--- a/crates/testkit/src/mesh/mesh_type.rs
+++ b/crates/testkit/src/mesh/mesh_type.rs
@@ -32,11 +32,6 @@
         let newest = self.nodes.iter().rev().take(count);
         newest.map(|node| self.harness.address(node.node, "peers")).collect()
     }
-
-    /// Returns an address on which nothing listens.
-    pub(super) fn closed_port(&self) -> Result<SocketAddr> {
-        Ok(std::net::TcpListener::bind(self.harness.any_port())?.local_addr()?)
-    }
 }
 
 impl Mesh {
--- a/crates/testkit/tests/caller.rs
+++ b/crates/testkit/tests/caller.rs
@@ -115,7 +115,8 @@
 // call did not run.
 #[tokio::test]
 async fn send_closed_port() -> Result<()> {
-    let address = TcpListener::bind("127.0.0.1:0").await?.local_addr()?;
+    let mut harness = Harness::new()?;
+    let address = harness.reserve_port()?;
     let outcome = Caller::new(vec![address]).send(0, &CallRequest::lookup("bays", 1)).await;
     assert!(matches!(outcome, CallOutcome::NotConnected(_)), "{outcome:?}");
     assert!(outcome.is_safe_to_retry());
--- a/crates/testkit/tests/harness.rs
+++ b/crates/testkit/tests/harness.rs
@@ -1,11 +1,14 @@
 //! Tests the harness that runs child processes.
 
+use std::net::{TcpListener, TcpStream};
 use std::path::PathBuf;
+use std::process::Command;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use almondsail_testkit::harness::{Binary, Harness, Launch, ProcessId};
 use almondsail_testkit::http::HttpClient;
-use eyre::Result;
+use eyre::{Result, ensure};
 
 async fn start() -> Result<(Harness, ProcessId)> {
     let mut harness = Harness::new()?;
@@ -68,3 +71,38 @@
     assert!(format!("{error:#}").contains("a rate such as"), "{error:#}");
     Ok(())
 }
+
+// Guards against a reserved port that accepts connections or can't be bound while another
+// thread starts a child process, which briefly holds a copy of every open socket.
+#[test]
+fn reserve_port_during_starts() -> Result<()> {
+    let is_over = AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        let starts = || -> Result<()> {
+            while !is_over.load(Ordering::Relaxed) {
+                Command::new("true").status()?;
+            }
+            Ok(())
+        };
+        let starters: Vec<_> = (0..3).map(|_| scope.spawn(starts)).collect();
+        let result = reserve_ports(3_000);
+        is_over.store(true, Ordering::Relaxed);
+        starters.into_iter().try_for_each(|starter| starter.join().expect("no panic"))?;
+        result
+    })
+}
+
+/// Reserves `count` ports, connects to each and listens on it.
+fn reserve_ports(count: usize) -> Result<()> {
+    let mut harness = Harness::new()?;
+    for n in 0..count {
+        let address = harness.reserve_port()?;
+        let connected = TcpStream::connect(address);
+        let is_refused =
+            |error: &std::io::Error| error.kind() == std::io::ErrorKind::ConnectionRefused;
+        ensure!(connected.as_ref().is_err_and(is_refused), "port {n}: {connected:?}");
+        let listener = TcpListener::bind(address);
+        ensure!(listener.is_ok(), "port {n}: {listener:?}");
+    }
+    Ok(())
+}
