Keep the fixed ports of a fleet's nodes reserved

Seen: path_bad_input failed once with "Address already in use". Cause: the test fleet closed the two fixed ports of a node before the node bound them. Until then, a port-0 listener of the same node (its callers and ready addresses are bound before the announcements address) can get one of them, or a child process that a parallel test starts still holds it. Change: the harness reserves both ports, also for a restart.

--- a/crates/testkit/src/platform/fleet.rs
+++ b/crates/testkit/src/platform/fleet.rs
@@ -190,8 +190,7 @@
     let worker = Worker::start(harness.any_port(), options).await?;
     // As on the platform, these ports are fixed, so that the worker and the other nodes
     // reach the node after a restart.
-    let fixed = || std::net::TcpListener::bind(harness.any_port())?.local_addr();
-    let (announcements, nodes) = (fixed()?, fixed()?);
+    let (announcements, nodes) = (harness.reserve_port()?, harness.reserve_port()?);
     let any = harness.any_port().to_string();
     let settings = json!({"fleet": {
         "id": name,
