Wait until all nodes of a test fleet know each other

Cause: start() waited until each node answers for each service, which the worker beside the node alone can do. Change: the gauge fleet_backends tells to how many backend servers a node can send calls; start() also waits until each node reports all other nodes and all workers.

--- a/crates/core/src/fleet/fleet_view.rs
+++ b/crates/core/src/fleet/fleet_view.rs
@@ -26,3 +26,11 @@
     /// Whether this node counts calls as evidence, because a rollout of its service runs.
     pub wants_evidence: bool,
 }
+
+impl FleetView {
+    /// Returns the number of endpoints, of all services, whose nodes were heard lately.
+    pub fn reachable_endpoints(&self) -> usize {
+        let endpoints = self.services.values().flat_map(|service| &service.endpoints);
+        endpoints.filter(|endpoint| !endpoint.is_silent).count()
+    }
+}
--- a/crates/node/src/fleet/freshness_metrics.rs
+++ b/crates/node/src/fleet/freshness_metrics.rs
@@ -13,8 +13,8 @@
 /// Update times of the control state; the control thread replaces them with each tick.
 pub(crate) type SharedLastUpdates = Arc<ArcSwap<LastUpdates>>;
 
-/// Exports the version of the configuration, the number of other nodes heard lately and the age of
-/// each part of the state. A part that was never updated has no age.
+/// Exports the version of the configuration, the numbers of other nodes heard lately and of backend
+/// servers, and the age of each part of the state. A part that was never updated has no age.
 pub(crate) fn export(meter: &Meter, updates: &SharedLastUpdates, traffic: &Arc<FleetTraffic>) {
     let (clock, shared) = (traffic.clock, Arc::clone(updates));
     meter
@@ -28,6 +28,12 @@
         .with_description("Other nodes that were heard lately")
         .with_callback(move |gauge| gauge.observe(shared.load().peers as u64, &[]))
         .build();
+    let view = Arc::clone(&traffic.view);
+    meter
+        .u64_observable_gauge("fleet_backends")
+        .with_description("Backend servers that calls can be sent to")
+        .with_callback(move |gauge| gauge.observe(view.load().reachable_endpoints() as u64, &[]))
+        .build();
     let last_update = |since: fn(&LastUpdates) -> Option<Instant>| {
         let shared = Arc::clone(updates);
         move || since(&shared.load())
--- a/crates/testkit/src/platform/fleet.rs
+++ b/crates/testkit/src/platform/fleet.rs
@@ -9,6 +9,7 @@
 use super::{KvServer, Worker, WorkerOptions};
 use crate::harness::{Binary, Harness, Launch, ProcessId, wait_until};
 use crate::http::HttpClient;
+use crate::mesh::Metrics;
 
 /// Time between two announcements of a worker.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(300);
@@ -147,6 +148,23 @@
         .await
     }
 
+    /// Waits until each node hears all other nodes and can send calls to the workers of all.
+    pub async fn wait_until_joined(&self) -> Result<()> {
+        for node in 0..self.nodes.len() {
+            let client = HttpClient::new(self.address(node, "metrics")?);
+            wait_until("all nodes and workers known", || async {
+                let reply = client.get("/metrics").await?;
+                let metrics = Metrics::parse(&String::from_utf8_lossy(&reply.body))?;
+                let known = (metrics.sum("fleet_peers"), metrics.sum("fleet_backends"));
+                let all = self.nodes.len() as f64;
+                ensure!(known == (all - 1.0, all), "node {node} knows {known:?}");
+                Ok(())
+            })
+            .await?;
+        }
+        Ok(())
+    }
+
     /// Kills a node with SIGKILL, like a crash.
     pub fn kill(&mut self, node: usize) -> Result<()> {
         self.harness.kill(self.nodes[node].process)
--- a/crates/testkit/tests/fleet_path.rs
+++ b/crates/testkit/tests/fleet_path.rs
@@ -16,7 +16,8 @@
 
 const SERVICES: [&str; 2] = ["bays", "traslados"];
 
-/// Starts a fleet of two data centres with a node for each service, and waits until all serve.
+/// Starts a fleet of two data centres with a node for each service, and waits until all serve
+/// and know each other.
 async fn start() -> Result<Fleet> {
     let fleet = Fleet::start(&["dc-a", "dc-b"], &SERVICES).await?;
     fleet.configure(1, &SERVICES);
@@ -36,6 +37,7 @@
         Ok(())
     })
     .await?;
+    fleet.wait_until_joined().await?;
     Ok(fleet)
 }
 
@@ -327,6 +329,7 @@
         line.and_then(|line| line.rsplit(' ').next()?.parse::<f64>().ok())
     };
     assert_eq!((value("fleet_config_version"), value("fleet_peers")), (Some(1.0), Some(3.0)));
+    assert_eq!(value("fleet_backends"), Some(4.0));
     for age in ["config", "store", "peer"] {
         let seconds = value(&format!("fleet_{age}_age_seconds"));
         assert!(seconds.is_some_and(|seconds| seconds < 60.0), "{age}: {seconds:?}");
