Remove the unread flag of nodes that the store lists

Cause: PeerDirectory kept for each node whether the store has its entry, but nothing read it: a node without an entry may still be alive, and its heartbeats tell. Change: the field and mark_unlisted leave; behaviour stays.

--- a/crates/core/src/fleet/peer_directory.rs
+++ b/crates/core/src/fleet/peer_directory.rs
@@ -25,8 +25,6 @@
     pub heartbeat: Option<Heartbeat>,
     /// When the last heartbeat arrived or the entry was found in the store.
     last_seen: Instant,
-    /// Whether the other node has an entry in the store.
-    is_listed: bool,
 }
 
 impl PeerDirectory {
@@ -53,17 +51,8 @@
             is_local,
             heartbeat: None,
             last_seen: now,
-            is_listed: true,
         });
         peer.entry = entry;
-        peer.is_listed = true;
-    }
-
-    /// Records that a node's entry was removed from the store. The node may still be alive.
-    pub fn mark_unlisted(&mut self, node: &NodeId) {
-        if let Some(peer) = self.peers.get_mut(node) {
-            peer.is_listed = false;
-        }
     }
 
     /// Returns whether `heartbeat` comes from a node, or from a start of it, that was not known.
@@ -84,14 +73,13 @@
         let node = heartbeat.entry.node.clone();
         let old = self.peers.remove(&node);
         let was_silent = old.as_ref().is_none_or(|peer| peer.is_silent(now));
-        let is_listed = old.as_ref().is_some_and(|peer| peer.is_listed);
         let is_new = was_silent
             || old
                 .and_then(|peer| peer.heartbeat)
                 .is_none_or(|old| !has_same_content(&old, &heartbeat));
         let entry = heartbeat.entry.clone();
         let is_local = entry.data_centre == self.data_centre;
-        let peer = Peer { entry, is_local, heartbeat: Some(heartbeat), last_seen: now, is_listed };
+        let peer = Peer { entry, is_local, heartbeat: Some(heartbeat), last_seen: now };
         self.peers.insert(node, peer);
         Some(is_new)
     }
--- a/crates/core/src/fleet/store_events.rs
+++ b/crates/core/src/fleet/store_events.rs
@@ -51,10 +51,9 @@
                 self.apply_put_item(now, wall, &key, revision, value);
             }
             ItemChange::Removed(StoreKey::Node(node), _) => {
+                // Another node without an entry may still be alive; its heartbeats tell.
                 if node == self.identity.entry.node {
                     self.lease.entry_removed(now);
-                } else {
-                    self.peers.mark_unlisted(&node);
                 }
             }
             ItemChange::Removed(..) => {}
