--- a/crates/core/src/fleet/rollout_plan.rs
+++ b/crates/core/src/fleet/rollout_plan.rs
@@ -28,8 +28,6 @@
 impl RolloutPlan {
     /// The largest share of the calls that the canary step sends to the new version.
     pub const CANARY_SHARE: PerMille = PerMille::new(40).unwrap();
-    /// The share of the calls that the quarter step sends to the new version.
-    pub const QUARTER_SHARE: PerMille = PerMille::new(250).unwrap();
     /// The time between the starts of two bursts of the canary step.
     pub const BURST_PERIOD: Millis = Millis::new(2_000);
     /// The duration of a burst of the canary step.
