Keep a backend server's answer from posing as a node's failure

Seen in a test: a request that a worker ran was answered 503 with verdict not-sent, and ran at a second worker too. Cause: nodes report a failed call to each other in the header almondsail-failure, and the node beside the worker passed that header on from the worker's own signed answer. The entry node took it for the other node's word that the call had not run. Before: answer_claims_failure: "left: (503, 2) right: (200, 1)", with "almondsail-verdict": "not-sent" for traslados, through another node. Change: the node beside the worker removes the header from every answer that it takes from the worker.

--- a/crates/node/src/fleet/inbound.rs
+++ b/crates/node/src/fleet/inbound.rs
@@ -12,7 +12,7 @@
 use http::Response;
 
 use crate::calls::call_headers;
-use crate::fleet::call_failure::{self, CallFailure};
+use crate::fleet::call_failure::{self, CallFailure, FAILURE_HEADER};
 use crate::fleet::forwarded_call::ForwardedCall;
 use crate::fleet::queue_slot::QueueSlot;
 use crate::fleet::reported_load::ReportedLoad;
@@ -99,6 +99,8 @@
         }
         (ResponseKind::Ran, Ok(mut response)) => {
             call_headers::remove_connection_headers(response.headers_mut());
+            // Only a node may report a failed call to another node.
+            response.headers_mut().remove(FAILURE_HEADER);
             let took = clock.now().since(slot.started());
             slot.complete();
             Ok((response, took))
--- a/crates/testkit/src/platform/worker.rs
+++ b/crates/testkit/src/platform/worker.rs
@@ -25,6 +25,9 @@
     Sheds,
     /// Executes requests and answers with the id of another request.
     WrongId,
+    /// Executes requests and answers with the header in which nodes report failed calls, as for a
+    /// request that was not sent.
+    ClaimsFailure,
     /// Executes requests until their connection closes.
     Stalls,
 }
@@ -203,6 +206,9 @@
             let wrong = Response::builder().header("almondsail-attempt-id", "another");
             answer(wrong.header("almondsail-server-signature", "s"), text)
         }
+        WorkerFault::ClaimsFailure => {
+            answer(signed.header("almondsail-failure", "not-sent backend_down false 0"), text)
+        }
         WorkerFault::None | WorkerFault::Sheds | WorkerFault::Stalls => answer(signed, text),
     }
 }
--- a/crates/testkit/tests/fleet_path.rs
+++ b/crates/testkit/tests/fleet_path.rs
@@ -192,6 +192,26 @@
     Ok(())
 }
 
+// Guards against a request that is sent to a second backend server, or reported as not run, because
+// the answer of the one that ran it has the header in which nodes report failures to each other.
+#[tokio::test]
+async fn answer_claims_failure() -> Result<()> {
+    let fleet = start().await?;
+    fleet.nodes.iter().for_each(|node| node.worker.set_fault(WorkerFault::ClaimsFailure));
+    for service in ["traslados", "bays"] {
+        let id = format!("claims-{service}");
+        let reply = send(&fleet, 0, service, "unsafe", &id).await?;
+        assert_eq!(
+            (reply.status.as_u16(), runs(&fleet, &id)),
+            (200, 1),
+            "{service}: {:?}",
+            reply.headers
+        );
+        assert!(!reply.headers.contains_key("almondsail-failure"), "{service}");
+    }
+    Ok(())
+}
+
 // Guards against backend servers that keep working on a request after its caller disconnects: at
 // the caller's own node, at another node, and for a pipelined request.
 #[tokio::test]
