Log the end of self-preservation as such

Seen: the log warned "most pings fail; declaring no peer dead" also when most pings succeeded again, with only doubt=false as a difference. Before: report_self_preservation_end: left: [(Warning, "most pings fail; declaring no peer dead"), (Warning, "most pings fail; ...")]. Change: the end is logged at level info with its own text. Result: the test passes.

--- a/crates/node/src/control/state_log.rs
+++ b/crates/node/src/control/state_log.rs
@@ -45,8 +45,11 @@
                 info!(self.log, "rollout"; "service" => notice.service.as_str(),
                     "news" => %notice.kind, "reason" => &*notice.reason);
             }
-            StateChange::SelfPreservation(is_self_preserving) => {
-                warn!(self.log, "most pings fail; declaring no peer dead"; "doubt" => is_self_preserving);
+            StateChange::SelfPreservation(true) => {
+                warn!(self.log, "most pings fail; declaring no peer dead"; "doubt" => true);
+            }
+            StateChange::SelfPreservation(false) => {
+                info!(self.log, "most pings succeed again"; "doubt" => false);
             }
             StateChange::StoreLost | StateChange::StoreValueCorrupt => {
                 warn!(self.log, "store trouble"; "kind" => kind);
