Keep one connection to another node, and the newest

Cause: the pool looked for a connection and added one under two locks, so requests sent at the same time each connected; and a failed request removed whatever connection the pool had by then, also a newer one. Change: the pool adds the connection before it is open, the first request opens it, and a failure removes only the connection on which it happened.

--- a/crates/node/src/peer_link/client_pool.rs
+++ b/crates/node/src/peer_link/client_pool.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use almondsail_core::control::{PeerFailure, PeerMessage};
@@ -9,7 +10,7 @@
 use tarpc::tokio_serde::formats::Bincode;
 use tarpc::{client, context};
 use tokio::net::TcpStream;
-use tokio::sync::Mutex;
+use tokio::sync::{Mutex, OnceCell};
 use tokio::time::timeout;
 use tokio_util::codec::LengthDelimitedCodec;
 
@@ -24,12 +25,15 @@
 pub struct ClientPool {
     seal: FrameSeal,
     counts: ByteCounts,
-    clients: Mutex<HashMap<SocketAddr, PooledClient>>,
+    connections: Mutex<HashMap<SocketAddr, PooledConnection>>,
 }
 
+/// A connection, which the first request on it opens.
+type Connection = Arc<OnceCell<PeerServiceClient>>;
+
 #[derive(Debug)]
-struct PooledClient {
-    client: PeerServiceClient,
+struct PooledConnection {
+    connection: Connection,
     last_used: Instant,
 }
 
@@ -39,7 +43,7 @@
 
     /// Creates an empty pool that authenticates messages with `seal` and counts bytes in `counts`.
     pub fn new(seal: FrameSeal, counts: ByteCounts) -> Self {
-        Self { seal, counts, clients: Mutex::default() }
+        Self { seal, counts, connections: Mutex::default() }
     }
 
     /// Sends a request and waits for its reply for at most `limit`.
@@ -51,10 +55,11 @@
         message: &PeerMessage,
         limit: Duration,
     ) -> Result<PeerMessage, PeerFailure> {
-        let reply = timeout(limit, self.exchange(to, message, limit)).await;
+        let connection = self.connection(to).await;
+        let reply = timeout(limit, self.exchange(to, &connection, message, limit)).await;
         let reply = reply.unwrap_or(Err(PeerFailure::Timeout));
         if reply.is_err() {
-            self.clients.lock().await.remove(&to);
+            self.remove(to, &connection).await;
         }
         reply
     }
@@ -62,10 +67,12 @@
     async fn exchange(
         &self,
         to: SocketAddr,
+        connection: &Connection,
         message: &PeerMessage,
         limit: Duration,
     ) -> Result<PeerMessage, PeerFailure> {
-        let client = self.client_for(to).await?;
+        let client = connection.get_or_try_init(|| self.connect(to)).await;
+        let client = client.map_err(|_| PeerFailure::Unreachable)?;
         let mut cx = context::current();
         cx.deadline = Instant::now() + limit;
         let frame = self.seal.seal(Direction::Request, message);
@@ -74,18 +81,27 @@
         self.seal.open(Direction::Reply, &reply).map_err(|_| PeerFailure::BadReply)
     }
 
-    /// Returns the pooled connection to `to`, or opens one.
-    async fn client_for(&self, to: SocketAddr) -> Result<PeerServiceClient, PeerFailure> {
-        if let Some(pooled) = self.clients.lock().await.get_mut(&to) {
+    /// Returns the pooled connection to `to`, or adds one that is not yet open.
+    async fn connection(&self, to: SocketAddr) -> Connection {
+        let mut connections = self.connections.lock().await;
+        if let Some(pooled) = connections.get_mut(&to) {
             pooled.last_used = Instant::now();
-            return Ok(pooled.client.clone());
+            return Arc::clone(&pooled.connection);
+        }
+        connections.retain(|_, pooled| pooled.last_used.elapsed() < Self::IDLE_TIMEOUT);
+        let connection = Connection::default();
+        let pooled =
+            PooledConnection { connection: Arc::clone(&connection), last_used: Instant::now() };
+        connections.insert(to, pooled);
+        connection
+    }
+
+    /// Removes `failed` from the pool, unless a newer connection has replaced it.
+    async fn remove(&self, to: SocketAddr, failed: &Connection) {
+        let mut connections = self.connections.lock().await;
+        if connections.get(&to).is_some_and(|pooled| Arc::ptr_eq(&pooled.connection, failed)) {
+            connections.remove(&to);
         }
-        let client = self.connect(to).await.map_err(|_| PeerFailure::Unreachable)?;
-        let mut clients = self.clients.lock().await;
-        clients.retain(|_, pooled| pooled.last_used.elapsed() < Self::IDLE_TIMEOUT);
-        let pooled = PooledClient { client: client.clone(), last_used: Instant::now() };
-        clients.insert(to, pooled);
-        Ok(client)
     }
 
     async fn connect(&self, to: SocketAddr) -> std::io::Result<PeerServiceClient> {
