Join the newtypes of two counters

Cause: ConfigVersion and Incarnation were the same code twice. Change: number_type defines both, as name_type defines the names.

--- a/crates/core/src/ids/mod.rs
+++ b/crates/core/src/ids/mod.rs
@@ -2,6 +2,8 @@
 
 #[macro_use]
 mod name;
+#[macro_use]
+mod number;
 
 mod backend_id;
 mod call_key;
