--- a/crates/testkit/src/platform/fleet.rs
+++ b/crates/testkit/src/platform/fleet.rs
@@ -10,7 +10,7 @@
 use super::{KvServer, RawWorker, Worker, WorkerOptions};
 use crate::harness::{Binary, Harness, Launch, ProcessId, wait_until};
 use crate::http::HttpClient;
-use crate::mesh::ProcessUsage;
+use crate::mesh::{Metrics, ProcessUsage};
 
 /// Slots of a [`RawWorker`], as many as a worker of the platform has.
 const RAW_SLOTS: u32 = 12;
@@ -165,6 +165,23 @@
         .await
     }
 
+    /// Waits until each node hears all other nodes and can send calls to the workers of all.
+    pub async fn wait_until_joined(&self) -> Result<()> {
+        for node in 0..self.nodes.len() {
+            let client = HttpClient::new(self.address(node, "metrics")?);
+            wait_until("all nodes and workers known", || async {
+                let reply = client.get("/metrics").await?;
+                let metrics = Metrics::parse(&String::from_utf8_lossy(&reply.body))?;
+                let known = (metrics.sum("fleet_peers"), metrics.sum("fleet_backends"));
+                let all = self.nodes.len() as f64;
+                ensure!(known == (all - 1.0, all), "node {node} knows {known:?}");
+                Ok(())
+            })
+            .await?;
+        }
+        Ok(())
+    }
+
     /// Kills a node with SIGKILL, like a crash.
     pub fn kill(&mut self, node: usize) -> Result<()> {
         self.harness.kill(self.nodes[node].process)
@@ -243,8 +260,7 @@
     let name = node_name(data_centre, service);
     // As on the platform, these ports are fixed, so that the worker and the other nodes
     // reach the node after a restart.
-    let fixed = || std::net::TcpListener::bind(harness.any_port())?.local_addr();
-    let (announcements, nodes) = (fixed()?, fixed()?);
+    let (announcements, nodes) = (harness.reserve_port()?, harness.reserve_port()?);
     let any = harness.any_port().to_string();
     let settings = json!({"fleet": {
         "id": name,
