Limit the bytes that are read of an answer and of all answers together

Callers would see: no answer from a node for a minute and more, to any request, while a backend server writes informational responses, chunk sizes or small chunks without end; and the end of the process once it needs more memory than its machine has. Cause: only the data of one body was limited (16 MiB), not its framing, what comes before the head, or all answers together, and one poll read on while bytes came. Each piece of a body kept its read buffer. Change: a connection reads no more than its owner allows: 128 KiB until the head is there, then steps of 32 KiB. A body that is passed on must yield data in each step. A body that is kept takes each step from AnswerBudget: 16 MiB for all answers, 4 MiB for one, and no more than it leaves to the others, so that a megabyte passes in all twelve slots; a quarter of a step must be data. A longer Content-Length fails at once. The call may have run (502), the connection closes and the slot is free. Pieces are copied into one buffer (BodyBytes, also for request bodies).

--- a/crates/node/src/calls/answer_body.rs
+++ b/crates/node/src/calls/answer_body.rs
@@ -13,6 +13,7 @@
 use tokio::time::Sleep;
 
 use crate::calls::answer_end::AnswerEnd;
+use crate::calls::answer_limit::AnswerLimit;
 use crate::calls::answer_stream::{AnswerStream, StreamError};
 use crate::calls::answer_watcher::AnswerWatcher;
 use crate::calls::client_connection::ClientConnection;
@@ -45,15 +46,17 @@
 }
 
 impl AnswerBody {
-    /// Wraps `incoming`, which arrives over `client_connection` and must end by `timeout`.
+    /// Wraps `incoming`, which arrives over `client_connection` and must end by `timeout` and within
+    /// `limit`.
     pub(crate) fn stream(
         status: StatusCode,
         incoming: Incoming,
         connection: ClientConnection,
         pool: Arc<ConnectionPool>,
         timeout: Pin<Box<Sleep>>,
+        limit: AnswerLimit,
     ) -> Self {
-        let stream = AnswerStream::new(incoming, connection, pool, timeout);
+        let stream = AnswerStream::new(incoming, connection, pool, timeout, limit);
         Self::new(status, Source::Stream(Box::new(stream)))
     }
 
--- a/crates/node/src/calls/answer_stream.rs
+++ b/crates/node/src/calls/answer_stream.rs
@@ -7,13 +7,16 @@
 
 use almondsail_core::RefusalReason;
 use bytes::Bytes;
-use hyper::body::{Body as _, Incoming};
+use hyper::body::{Body as _, Frame, Incoming};
 use tokio::time::Sleep;
 
 use crate::calls::answer_end::AnswerEnd;
+use crate::calls::answer_limit::AnswerLimit;
 use crate::calls::client_connection::{AfterAnswer, ClientConnection};
 use crate::calls::connection_pool::ConnectionPool;
 
+type IncomingPoll = Poll<Option<Result<Frame<Bytes>, hyper::Error>>>;
+
 /// Reads the body of an answer and drives its connection.
 #[derive(Debug)]
 pub(crate) struct AnswerStream {
@@ -22,20 +25,24 @@
     connection: Option<ClientConnection>,
     pool: Arc<ConnectionPool>,
     timeout: Pin<Box<Sleep>>,
+    limit: AnswerLimit,
     /// The number of bytes that are still to come; `None` if the answer has no known length.
     remaining: Option<u64>,
 }
 
 impl AnswerStream {
-    /// Reads `incoming`, which arrives over `client_connection` and must end by `timeout`.
+    /// Reads `incoming`, which arrives over `client_connection` and must end by `timeout` and within
+    /// `limit`.
     pub(crate) fn new(
         incoming: Incoming,
         connection: ClientConnection,
         pool: Arc<ConnectionPool>,
         timeout: Pin<Box<Sleep>>,
+        limit: AnswerLimit,
     ) -> Self {
         let remaining = incoming.size_hint().exact();
-        Self { incoming, connection: Some(connection), pool, timeout, remaining }
+        connection.allow_reading(AnswerLimit::STEP);
+        Self { incoming, connection: Some(connection), pool, timeout, limit, remaining }
     }
 
     /// The number of bytes that are still to come; `None` if the answer has no known length.
@@ -74,18 +81,13 @@
     }
 
     fn poll_data(&mut self, cx: &mut Context<'_>) -> Poll<Result<Option<Bytes>, StreamError>> {
-        let mut frame = Pin::new(&mut self.incoming).poll_frame(cx);
-        if frame.is_pending() {
-            if let Some(connection) = &mut self.connection {
-                connection.drive(cx);
-            }
-            frame = Pin::new(&mut self.incoming).poll_frame(cx);
-        }
-        match frame {
+        match self.poll_incoming(cx)? {
             Poll::Ready(None) => Poll::Ready(Ok(None)),
             // Trailers are not passed on; they become an empty chunk.
             Poll::Ready(Some(Ok(frame))) => {
-                Poll::Ready(Ok(Some(frame.into_data().unwrap_or_default())))
+                let data = frame.into_data().unwrap_or_default();
+                self.record_data(data.len());
+                Poll::Ready(Ok(Some(data)))
             }
             Poll::Ready(Some(Err(_))) => Poll::Ready(Err(StreamError::Broken)),
             Poll::Pending => {
@@ -95,6 +97,32 @@
         }
     }
 
+    fn record_data(&mut self, bytes: usize) {
+        let begins_step = self.limit.record_data(bytes);
+        if let Some(connection) = self.connection.as_ref().filter(|_| begins_step) {
+            connection.allow_reading(AnswerLimit::STEP);
+        }
+    }
+
+    /// Polls the body, reading from the connection as far as the limit allows.
+    fn poll_incoming(&mut self, cx: &mut Context<'_>) -> Result<IncomingPoll, StreamError> {
+        loop {
+            let frame = Pin::new(&mut self.incoming).poll_frame(cx);
+            let Some(connection) = self.connection.as_mut().filter(|_| frame.is_pending()) else {
+                return Ok(frame);
+            };
+            connection.drive(cx);
+            let frame = Pin::new(&mut self.incoming).poll_frame(cx);
+            if frame.is_ready() || !connection.has_used_allowance() {
+                return Ok(frame);
+            }
+            if !self.limit.begin_step() {
+                return Err(StreamError::TooLong);
+            }
+            connection.allow_reading(AnswerLimit::STEP);
+        }
+    }
+
     /// Returns the connection to the pool, or closes it if it can't be reused.
     fn finish(&mut self, cx: &mut Context<'_>) -> Result<(), StreamError> {
         let Some(mut connection) = self.connection.take() else { return Ok(()) };
@@ -114,13 +142,15 @@
     /// The next hop sent bytes after the end of the answer.
     Surplus,
     TimedOut,
+    /// The answer exceeds its limit.
+    TooLong,
 }
 
 impl StreamError {
     /// The end that is reported to watchers.
     pub(crate) const fn answer_end(self) -> AnswerEnd {
         match self {
-            Self::Broken | Self::Surplus => AnswerEnd::Broken,
+            Self::Broken | Self::Surplus | Self::TooLong => AnswerEnd::Broken,
             Self::TimedOut => AnswerEnd::TimedOut,
         }
     }
@@ -129,7 +159,7 @@
     pub(crate) const fn reason(self) -> RefusalReason {
         match self {
             Self::Broken => RefusalReason::BrokenExchange,
-            Self::Surplus => RefusalReason::BadAnswer,
+            Self::Surplus | Self::TooLong => RefusalReason::BadAnswer,
             Self::TimedOut => RefusalReason::DeadlinePassed,
         }
     }
--- a/crates/node/src/calls/buffered_body.rs
+++ b/crates/node/src/calls/buffered_body.rs
@@ -5,10 +5,12 @@
 use almondsail_core::RefusalReason;
 use almondsail_core::traffic::BodyBudget;
 use almondsail_core::units::ByteCount;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt as _;
 use hyper::body::Body;
 
+use crate::calls::body_bytes::BodyBytes;
+
 /// The largest body of a request; a larger one is refused with status 413.
 pub const MAX_BODY: ByteCount = ByteCount::new(1024 * 1024);
 
@@ -32,20 +34,14 @@
         if body.size_hint().lower() > MAX_BODY.get() {
             return Err(RefusalReason::BodyTooLarge);
         }
-        let mut first = Bytes::new();
-        let mut rest = BytesMut::new();
+        let mut bytes = BodyBytes::default();
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|_| RefusalReason::BadRequest)?;
             let Ok(data) = frame.into_data() else { continue };
             guard.acquire(data.len() as u64)?;
-            if first.is_empty() {
-                first = data;
-            } else {
-                rest.extend_from_slice(&data);
-            }
+            bytes.push(data);
         }
-        let bytes = if rest.is_empty() { first } else { [&first[..], &rest[..]].concat().into() };
-        Ok(Self { bytes, _budget: guard })
+        Ok(Self { bytes: bytes.into_bytes(), _budget: guard })
     }
 
     pub(crate) fn bytes(&self) -> &Bytes {
--- a/crates/node/src/calls/client_connection.rs
+++ b/crates/node/src/calls/client_connection.rs
@@ -8,6 +8,7 @@
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
+use almondsail_core::units::ByteCount;
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::Full;
@@ -18,11 +19,16 @@
 use tokio::time::Instant;
 
 use crate::byte_counts::ByteCounts;
+use crate::calls::limited_stream::LimitedStream;
+use crate::calls::read_allowance::ReadAllowance;
 use crate::counted_stream::CountedStream;
 use crate::socket;
 
-/// The largest header of an answer, in bytes.
+/// The largest header of an answer, in bytes, and the size of the read buffer.
 const MAX_ANSWER_HEADER: usize = 64 * 1024;
+/// The number of bytes in which the header of an answer must end, with the informational responses
+/// before it and the part of the body that is read with it.
+const HEAD_ALLOWANCE: ByteCount = ByteCount::new(2 * MAX_ANSWER_HEADER as u64);
 
 /// A client connection that carries one exchange at a time.
 ///
@@ -34,6 +40,8 @@
     conn: ConnState,
     /// Counts the bytes written to the socket.
     written: ByteCounts,
+    /// How much the connection may read.
+    allowance: ReadAllowance,
     /// When the connection was opened or last returned to a pool.
     pub(crate) last_used: Instant,
 }
@@ -41,7 +49,7 @@
 /// A hyper connection, or how it ended, which may be known before the answer is read.
 #[derive(Debug)]
 enum ConnState {
-    Open(Box<Connection<TokioIo<CountedStream>, Full<Bytes>>>),
+    Open(Box<Connection<TokioIo<LimitedStream>, Full<Bytes>>>),
     Closed,
     /// The next hop sent bytes that belong to no answer.
     Surplus,
@@ -77,15 +85,18 @@
         let stream = tokio::time::timeout(timeout, TcpStream::connect(addr)).await??;
         socket::set_socket_options(&stream)?;
         let written = ByteCounts::default();
-        let stream = CountedStream::new(stream, written.clone());
+        let allowance = ReadAllowance::default();
+        let stream =
+            LimitedStream::new(CountedStream::new(stream, written.clone()), allowance.clone());
         let mut builder = Builder::new();
-        builder.max_header_size(MAX_ANSWER_HEADER);
+        builder.max_header_size(MAX_ANSWER_HEADER).max_buf_size(MAX_ANSWER_HEADER);
         let (sender, conn) =
             builder.handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
         Ok(Self {
             sender,
             conn: ConnState::Open(Box::new(conn)),
             written,
+            allowance,
             last_used: Instant::now(),
         })
     }
@@ -108,17 +119,22 @@
         &mut self,
         req: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, ExchangeError> {
+        self.allowance.set(HEAD_ALLOWANCE);
         let mut answer = pin!(self.sender.try_send_request(req));
         let conn = &mut self.conn;
+        let allowance = &self.allowance;
         let result = std::future::poll_fn(|cx| {
             if let Poll::Ready(result) = answer.as_mut().poll(cx) {
-                return Poll::Ready(result);
+                return Poll::Ready(Some(result));
             }
             conn.poll(cx);
-            answer.as_mut().poll(cx)
+            match answer.as_mut().poll(cx) {
+                Poll::Pending if allowance.is_used_up() => Poll::Ready(None),
+                result => result.map(Some),
+            }
         })
         .await;
-        result.map_err(|error| {
+        result.ok_or(ExchangeError::BadAnswer)?.map_err(|error| {
             if error.error().is_parse() { ExchangeError::BadAnswer } else { ExchangeError::Broken }
         })
     }
@@ -128,8 +144,19 @@
         self.conn.poll(cx);
     }
 
+    /// Allows to read `bytes` from now on, and no more of what was allowed before.
+    pub(crate) fn allow_reading(&self, bytes: ByteCount) {
+        self.allowance.set(bytes);
+    }
+
+    /// Returns whether the connection waits for its owner to allow further reading.
+    pub(crate) fn has_used_allowance(&self) -> bool {
+        self.allowance.is_used_up()
+    }
+
     /// Returns the state of the connection; called when the answer is complete.
     pub(crate) fn after_answer(&mut self, cx: &mut Context<'_>) -> AfterAnswer {
+        self.allowance.set(HEAD_ALLOWANCE);
         self.conn.poll(cx);
         match self.conn {
             ConnState::Open(_) if self.sender.is_ready() => AfterAnswer::Reusable,
--- a/crates/node/src/calls/forward.rs
+++ b/crates/node/src/calls/forward.rs
@@ -11,6 +11,7 @@
 use http::{HeaderMap, Response};
 
 use crate::calls::answer_body::{Answer, AnswerBody};
+use crate::calls::answer_limit::AnswerLimit;
 use crate::calls::answer_watcher::AnswerWatcher;
 use crate::calls::call_counters::CancellationGuard;
 use crate::calls::call_headers;
@@ -180,7 +181,8 @@
     let failure = parse_failure(&parts.headers)
         .map_err(|_| Failure::may_have_run(RefusalReason::BadAnswer))?;
     let pool = Arc::clone(&target.pool);
-    let mut body = AnswerBody::stream(parts.status, incoming, connection, pool, timeout);
+    let limit = AnswerLimit::Streamed;
+    let mut body = AnswerBody::stream(parts.status, incoming, connection, pool, timeout, limit);
     if let Some(failure) = failure {
         body.discard().await;
         return Err(failure);
--- a/crates/node/src/calls/inbound.rs
+++ b/crates/node/src/calls/inbound.rs
@@ -11,6 +11,7 @@
 use hyper::body::{Body as _, Incoming};
 
 use crate::calls::answer_body::{Answer, AnswerBody};
+use crate::calls::answer_limit::AnswerLimit;
 use crate::calls::answer_recorder::AnswerRecorder;
 use crate::calls::answer_watcher::AnswerWatcher;
 use crate::calls::call_counters::CancellationGuard;
@@ -176,7 +177,8 @@
     let timeout =
         Box::pin(tokio::time::sleep_until(inner.clock.to_tokio_instant(call.deadline.at())));
     let pool = Arc::clone(&inner.backend_pool);
-    let mut body = AnswerBody::stream(parts.status, incoming, connection, pool, timeout);
+    let limit = AnswerLimit::Streamed;
+    let mut body = AnswerBody::stream(parts.status, incoming, connection, pool, timeout, limit);
     body.watch(AnswerWatcher::Slot(slot));
     body.prefetch().await.map_err(Failure::may_have_run)?;
     Ok(Response::from_parts(parts, body))
--- a/crates/node/src/calls/mod.rs
+++ b/crates/node/src/calls/mod.rs
@@ -8,10 +8,13 @@
 
 pub(crate) mod answer_body;
 mod answer_end;
+pub(crate) mod answer_limit;
 mod answer_recorder;
+pub(crate) mod answer_reservation;
 mod answer_stream;
 mod answer_watcher;
 mod batch_outcome;
+pub(crate) mod body_bytes;
 mod buffered_body;
 pub mod call_counters;
 mod call_handler;
@@ -33,7 +36,9 @@
 mod in_flight;
 mod inbound;
 mod inbound_server;
+mod limited_stream;
 mod peer_token;
+mod read_allowance;
 mod recorded_answer;
 mod routing_table;
 mod server;
--- a/crates/node/src/fleet/endpoint_client.rs
+++ b/crates/node/src/fleet/endpoint_client.rs
@@ -31,9 +31,10 @@
         .send(|| call.endpoint_request(clock.now()), until)
         .await
         .map_err(|error| CallFailure::from_exchange(&error, RefusalReason::ConnectFailed))?;
-    let mut response = whole_answer::read(response, connection, &pool, until)
-        .await
-        .map_err(|_| CallFailure::may_have_run(RefusalReason::BrokenExchange))?;
+    let mut response =
+        whole_answer::read(response, connection, &pool, until, &traffic.answer_budget)
+            .await
+            .map_err(|_| CallFailure::may_have_run(RefusalReason::BrokenExchange))?;
     if let Some(load) = take::<ReportedLoad>(response.headers_mut(), &LOAD_HEADER) {
         traffic.record_load(node, &call.route, load);
     }
--- a/crates/node/src/fleet/inbound.rs
+++ b/crates/node/src/fleet/inbound.rs
@@ -93,7 +93,8 @@
     let kind = platform_calls::classify_response(status, headers, call.attempt_id());
     let failure = match kind {
         ResponseKind::Ran => {
-            let answer = whole_answer::read(response, connection, pool, until).await;
+            let answer =
+                whole_answer::read(response, connection, pool, until, &traffic.answer_budget).await;
             let Ok(mut response) = answer else {
                 return Err(CallFailure::may_have_run(RefusalReason::BrokenExchange));
             };
--- a/crates/node/src/fleet/traffic.rs
+++ b/crates/node/src/fleet/traffic.rs
@@ -7,6 +7,7 @@
 
 use almondsail_core::fleet::{FleetEvent, FleetView, LoadBalancer, RetryShare};
 use almondsail_core::ids::{NodeId, RouteName, ServiceName};
+use almondsail_core::traffic::AnswerBudget;
 use arc_swap::ArcSwap;
 use tokio::sync::mpsc;
 
@@ -38,6 +39,7 @@
     pub(crate) service: ServiceName,
     pub(crate) queue: Arc<SlotQueue>,
     pub(crate) backend_pool: Arc<ConnectionPool>,
+    pub(crate) answer_budget: Arc<AnswerBudget>,
     pub(crate) metrics: CallMetrics,
     pub(crate) log: EventLog,
     pub(crate) view: Arc<ArcSwap<FleetView>>,
@@ -73,6 +75,7 @@
             service: parts.service,
             queue: Arc::new(SlotQueue::new(parts.clock)),
             backend_pool: Arc::new(ConnectionPool::new(parts.backend, limits)),
+            answer_budget: Arc::default(),
             metrics: parts.metrics,
             log: parts.log,
             view: parts.view,
--- a/crates/testkit/src/mesh/process_usage.rs
+++ b/crates/testkit/src/mesh/process_usage.rs
@@ -13,6 +13,8 @@
 pub struct ProcessUsage {
     /// The resident set size of the process.
     pub memory: ByteCount,
+    /// The largest resident set size since the process started.
+    pub peak_memory: ByteCount,
     /// The user and system processor time since the process started.
     pub cpu: Duration,
 }
@@ -24,14 +26,17 @@
             let path = format!("/proc/{pid}/{name}");
             std::fs::read_to_string(&path).wrap_err(path)
         };
-        let memory = parse_memory(&read("status")?).ok_or_else(|| eyre!("no VmRSS of {pid}"))?;
+        let status = read("status")?;
+        let memory = |name: &str| {
+            parse_memory(&status, name).ok_or_else(|| eyre!("no {name} of the process {pid}"))
+        };
         let cpu = parse_cpu(&read("stat")?).ok_or_else(|| eyre!("no processor time of {pid}"))?;
-        Ok(Self { memory, cpu })
+        Ok(Self { memory: memory("VmRSS:")?, peak_memory: memory("VmHWM:")?, cpu })
     }
 }
 
-fn parse_memory(status: &str) -> Option<ByteCount> {
-    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+fn parse_memory(status: &str, name: &str) -> Option<ByteCount> {
+    let line = status.lines().find_map(|line| line.strip_prefix(name))?;
     let kilobytes: u64 = line.trim().strip_suffix("kB")?.trim().parse().ok()?;
     Some(ByteCount::new(kilobytes * 1_024))
 }
