--- a/crates/node/tests/calls_exchange.rs
+++ b/crates/node/tests/calls_exchange.rs
@@ -4,7 +4,7 @@
 
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex, OnceLock};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use support::caller::{get, post, request, send, send_raw};
 use support::fake_backend::{FakeBackend, FakeReply, FakeRequest, FakeStats, answer_bytes};
@@ -106,6 +106,27 @@
     assert_eq!(backend.runs(), 10);
 }
 
+/// Guards against framing without data, in front of an answer or in its body, that is read until the
+/// deadline.
+#[tokio::test]
+async fn answer_without_data() {
+    const FRAMING: usize = 1024 * 1024;
+    const CHUNKED: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (start, rest) in [("", "HTTP/1.1 100 Continue\r\n\r\n"), (CHUNKED, "0000000000000000")] {
+        let bytes = [start, &rest.repeat(FRAMING / rest.len())].concat();
+        let backend = FakeBackend::start(move |_| FakeReply::raw(bytes.as_bytes())).await;
+        let mesh = TestMesh::start(&MeshPlan::new(&[None, Some(backend.addr)])).await;
+        let call = request("POST", "/book", &[("almondsail-deadline-ms", "6000")], b"b");
+        let started = Instant::now();
+        let answer = send(mesh.entry(0), call).await;
+        assert!(started.elapsed() < Duration::from_secs(3), "{rest:?}: {:?}", started.elapsed());
+        // A head that was passed on is followed by the end of the connection.
+        let failure = answer.as_ref().map(|answer| answer.failure());
+        assert!(matches!(failure, None | Some(("may-have-run", "bad_answer"))), "{failure:?}");
+        assert_eq!(mesh.nodes[1].traffic.admission_counts().running, 0);
+    }
+}
+
 /// Guards against an earlier refusal, written once more on a kept connection, that is taken for the
 /// answer to the next call, which runs.
 #[tokio::test]
--- a/crates/node/tests/calls_limits.rs
+++ b/crates/node/tests/calls_limits.rs
@@ -4,7 +4,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use almondsail_core::peers::{BackendState, PeerStatus};
 use almondsail_core::units::{ByteCount, Millis};
@@ -25,26 +25,6 @@
     (backend, mesh)
 }
 
-/// Guards against framing without data, in front of an answer or in its body, that is read until the
-/// deadline.
-#[tokio::test]
-async fn answer_without_data() {
-    const CHUNKED: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-    for (start, rest) in [("", "HTTP/1.1 100 Continue\r\n\r\n"), (CHUNKED, "0000000000000000")] {
-        let bytes = [start, &rest.repeat(MB / rest.len())].concat();
-        let backend = FakeBackend::start(move |_| FakeReply::raw(bytes.as_bytes())).await;
-        let mesh = TestMesh::start(&MeshPlan::new(&[None, Some(backend.addr)])).await;
-        let call = request("POST", "/book", &[("almondsail-deadline-ms", "6000")], b"b");
-        let started = Instant::now();
-        let answer = send(mesh.entry(0), call).await;
-        assert!(started.elapsed() < Duration::from_secs(3), "{rest:?}: {:?}", started.elapsed());
-        // A head that was passed on is followed by the end of the connection.
-        let failure = answer.as_ref().map(|answer| answer.failure());
-        assert!(matches!(failure, None | Some(("may-have-run", "bad_answer"))), "{failure:?}");
-        assert_eq!(mesh.nodes[1].traffic.admission_counts().running, 0);
-    }
-}
-
 /// Guards against a body over the limit that reaches a backend server, and one at the limit that
 /// doesn't.
 #[tokio::test]
