Accept requests of other nodes with heads above the callers' limit

Callers would see: 431 for a request that is within the limits of the configuration, if its route leads to another node (DENIED in RULES.md). Cause: the listener for other nodes applied the default limit on heads, 16 KiB, to a head to which the entry node had added its own header. Evidence: the new head_at_limit_forwarded failed before with left: "HTTP/1.1 431 Request Header Fields Too Large" right: "HTTP/1.1 200 OK" for the service of the other node, while the service beside the entry node answered. Change: as with bodies, only the entry node applies the callers' limit; the listener for other nodes has a fixed one of 1 MiB. Result: the test passes.

--- a/crates/node/src/fleet/fleet_node.rs
+++ b/crates/node/src/fleet/fleet_node.rs
@@ -63,6 +63,9 @@
 /// Part of the grace period, before `GRACE_MARGIN`, in which the callers of calls that have not
 /// ended are answered.
 const ABORTED_ANSWER_TIME: Duration = Duration::from_millis(200);
+/// Size limit of a request's head from another node, which adds a header to that of the caller.
+/// Independent of the configuration, as only the entry node applies the caller's limits.
+const MAX_NODE_HEAD: ByteCount = ByteCount::new(1024 * 1024);
 /// Size limit of a body from another node, independent of the configuration.
 const MAX_BODY: ByteCount = ByteCount::new(64 * 1024 * 1024);
 
@@ -332,7 +335,8 @@
         listener: TcpListener,
         stop: watch::Receiver<StopPhase>,
     ) -> impl Future<Output = ()> + Send + use<> {
-        let limits = || CallerLimits { body: MAX_BODY, ..CallerLimits::default() };
+        let limits =
+            || CallerLimits { header: MAX_NODE_HEAD, body: MAX_BODY, ..CallerLimits::default() };
         let unanswered = UnansweredRequests::new("nodes", &self.metrics.meter(), self.log.clone());
         let settings =
             Http1Settings { limits, max_connections: MAX_NODE_CONNECTIONS, stop, unanswered };
