Apply changed limits to connections that are already open

Cause: a connection copied the limits when it was accepted. Change: a connection asks for the limits that apply each time it uses them. A wait that ends by a limit which was raised meanwhile goes on.

--- a/crates/node/src/fleet/http1/connection.rs
+++ b/crates/node/src/fleet/http1/connection.rs
@@ -60,10 +60,11 @@
 }
 
 /// Server side of a connection from a caller or another node.
-pub(crate) struct Connection<H> {
+pub(crate) struct Connection<L, H> {
     stream: TcpStream,
     handler: H,
-    limits: CallerLimits,
+    /// Returns the limits that apply now; they may change while the connection is open.
+    limits: L,
     stop: watch::Receiver<StopPhase>,
     unanswered: UnansweredRequests,
     parser: RequestParser,
@@ -80,15 +81,16 @@
     end: ConnectionEnd,
 }
 
-impl<H, F> Connection<H>
+impl<L, H, F> Connection<L, H>
 where
+    L: Fn() -> CallerLimits,
     H: Fn(Request<Bytes>) -> F,
     F: Future<Output = Response<Bytes>> + Send + 'static,
 {
     pub(crate) fn new(
         stream: TcpStream,
         handler: H,
-        limits: CallerLimits,
+        limits: L,
         stop: watch::Receiver<StopPhase>,
         unanswered: UnansweredRequests,
     ) -> Self {
@@ -238,16 +240,20 @@
     /// Returns when to give up waiting for bytes of the caller.
     fn read_deadline(&self) -> Instant {
         let allowed = match *self.stop.borrow() {
-            _ if self.has_partial_request() => to_std_duration(self.limits.header_timeout),
-            StopPhase::Serving => to_std_duration(self.limits.idle_timeout),
+            _ if self.has_partial_request() => to_std_duration((self.limits)().header_timeout),
+            StopPhase::Serving => to_std_duration((self.limits)().idle_timeout),
             StopPhase::Draining => DRAIN_IDLE_TIMEOUT,
             StopPhase::Closing => Duration::ZERO,
         };
         self.waiting_since + allowed
     }
 
-    /// Ends an idle connection; answers a partial request with 408 first.
+    /// Ends an idle connection; answers a partial request with 408 first. Goes on waiting if the time
+    /// limit has been raised meanwhile.
     fn time_out(&mut self) -> Option<()> {
+        if Instant::now() < self.read_deadline() {
+            return Some(());
+        }
         if !self.has_partial_request() {
             return None;
         }
@@ -263,11 +269,12 @@
 
     fn request_limits(&self) -> RequestLimits {
         let size = |bytes: u64| usize::try_from(bytes).unwrap_or(usize::MAX);
-        RequestLimits { head: size(self.limits.header.get()), body: size(self.limits.body.get()) }
+        let limits = (self.limits)();
+        RequestLimits { head: size(limits.header.get()), body: size(limits.body.get()) }
     }
 }
 
-impl<H> Drop for Connection<H> {
+impl<L, H> Drop for Connection<L, H> {
     fn drop(&mut self) {
         if !self.in_flight.is_empty() {
             self.unanswered.record(self.end, self.in_flight.len());
--- a/crates/node/src/fleet/http1/server.rs
+++ b/crates/node/src/fleet/http1/server.rs
@@ -16,7 +16,7 @@
 
 /// Settings of a listener and its connections.
 pub(crate) struct Http1Settings<L> {
-    /// Returns the limits of callers' requests; called for each new connection.
+    /// Returns the limits of callers' requests that apply now.
     pub(crate) limits: L,
     /// Number of connections that are open at a time; further ones wait to be accepted.
     pub(crate) max_connections: usize,
@@ -33,7 +33,7 @@
     settings: Http1Settings<L>,
     make_handler: C,
 ) where
-    L: Fn() -> CallerLimits,
+    L: Fn() -> CallerLimits + Clone + Send + 'static,
     C: Fn() -> H,
     H: Fn(Request<Bytes>) -> F + Send + 'static,
     F: Future<Output = Response<Bytes>> + Send + 'static,
@@ -41,7 +41,7 @@
     let serve_connection = |stream: TcpStream, _| {
         // Setting the options fails only if the caller has already closed the connection.
         let is_open = socket::set_socket_options(&stream).is_ok();
-        let (limits, stop) = ((settings.limits)(), settings.stop.clone());
+        let (limits, stop) = (settings.limits.clone(), settings.stop.clone());
         let unanswered = settings.unanswered.clone();
         let connection = Connection::new(stream, make_handler(), limits, stop, unanswered);
         async move {
--- a/crates/testkit/src/platform/fleet.rs
+++ b/crates/testkit/src/platform/fleet.rs
@@ -14,6 +14,10 @@
 
 /// Slots of a [`RawWorker`], as many as a worker of the platform has.
 const RAW_SLOTS: u32 = 12;
+/// Limit on the body of a request, unless a test sets another one.
+const MAX_BODY_BYTES: usize = 1_048_576;
+/// How long a caller's connection may stay idle, unless a test sets another limit.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// A fleet of node processes, each with a worker, and a metadata store; the workers and
 /// the store run in this process.
@@ -88,6 +92,18 @@
     /// Writes a configuration in which each service has the host `SERVICE.example`, an
     /// idempotent route `/safe/` and a non-idempotent route `/unsafe/`.
     pub fn configure(&self, version: u32, services: &[&str]) {
+        self.configure_limits(version, services, MAX_BODY_BYTES, IDLE_TIMEOUT);
+    }
+
+    /// Writes the configuration of [`Self::configure`] with other limits on the body of a request and on
+    /// the time that a connection may stay idle.
+    pub fn configure_limits(
+        &self,
+        version: u32,
+        services: &[&str],
+        max_body_bytes: usize,
+        idle_timeout: Duration,
+    ) {
         let route = |service: &str, kind: &str| {
             json!({
                 "type": "routes",
@@ -108,8 +124,8 @@
         let mut resources = vec![json!({
             "type": "limits", "metadata": {},
             "spec": {
-                "max_header_bytes": 16_384, "max_body_bytes": 1_048_576,
-                "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000,
+                "max_header_bytes": 16_384, "max_body_bytes": max_body_bytes,
+                "header_timeout_ms": 3_000, "idle_timeout_ms": idle_timeout.as_millis(),
             },
         })];
         for service in services {
--- a/crates/testkit/tests/fleet_limits.rs
+++ b/crates/testkit/tests/fleet_limits.rs
@@ -1,15 +1,19 @@
 //! Tests of the limits on callers' requests in a fleet.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
+use almondsail_testkit::harness::wait_until;
 use almondsail_testkit::platform::Fleet;
-use eyre::Result;
+use eyre::{Result, ensure};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
 
 const SERVICES: [&str; 2] = ["bays", "traslados"];
 /// Limit on the head of a request in the configuration of [`Fleet::configure`].
 const MAX_HEAD_BYTES: usize = 16_384;
+/// Limit on the body of a request in the configuration of [`Fleet::configure`].
+const MAX_BODY_BYTES: usize = 1_048_576;
 
 /// Starts a fleet of one data centre and waits until node 0 reaches a server of each service.
 async fn start() -> Result<Fleet> {
@@ -22,20 +26,20 @@
     Ok(fleet)
 }
 
-/// Returns a request to `service` whose head has exactly `head` bytes.
-fn request(service: &str, head: usize) -> Vec<u8> {
+/// Returns a request to `service` whose head has exactly `head` bytes and whose body has `body`.
+fn request(service: &str, head: usize, body: usize) -> Vec<u8> {
     let start = format!(
         "GET /safe/ HTTP/1.1\r\nhost: {service}.example\r\nalmondsail-attempt-id: limits\r\n\
-         almondsail-deadline-ms: 10000\r\nfiller: "
+         almondsail-deadline-ms: 10000\r\ncontent-length: {body}\r\nfiller: "
     );
     let filler = "f".repeat(head - start.len() - "\r\n\r\n".len());
-    [start.as_bytes(), filler.as_bytes(), b"\r\n\r\n"].concat()
+    [start.as_bytes(), filler.as_bytes(), b"\r\n\r\n", &vec![b'b'; body]].concat()
 }
 
 /// Sends `request` and returns the status line of the answer.
 async fn send(stream: &mut TcpStream, request: &[u8]) -> Result<String> {
     stream.write_all(request).await?;
-    let mut buf = vec![0; 64 * 1024];
+    let mut buf = vec![0; 4 * 1024 * 1024];
     let n = stream.read(&mut buf).await?;
     let answer = String::from_utf8_lossy(&buf[..n]);
     Ok(answer.lines().next().unwrap_or_default().to_owned())
@@ -53,8 +57,53 @@
     let fleet = start().await?;
     for service in SERVICES {
         let mut stream = connect(&fleet).await?;
-        let status = send(&mut stream, &request(service, MAX_HEAD_BYTES)).await?;
+        let status = send(&mut stream, &request(service, MAX_HEAD_BYTES, 0)).await?;
         assert_eq!(status, "HTTP/1.1 200 OK", "{service}");
     }
     Ok(())
 }
+
+/// Writes configuration `version` and waits until node 0 accepts a body just below
+/// `max_body_bytes` on a new connection.
+async fn change_limits(
+    fleet: &Fleet,
+    version: u32,
+    max_body_bytes: usize,
+    idle_timeout: Duration,
+) -> Result<()> {
+    fleet.configure_limits(version, &SERVICES, max_body_bytes, idle_timeout);
+    let largest = request("bays", 1_000, max_body_bytes);
+    wait_until("the changed limits", || async {
+        let status = send(&mut connect(fleet).await?, &largest).await?;
+        ensure!(status == "HTTP/1.1 200 OK", "{status}");
+        Ok(())
+    })
+    .await
+}
+
+// Guards against a kept connection on which requests are refused by the limits of the configuration
+// in which it was accepted.
+#[tokio::test]
+async fn body_limit_raised_on_kept_connection() -> Result<()> {
+    let fleet = start().await?;
+    let mut kept = connect(&fleet).await?;
+    assert_eq!(send(&mut kept, &request("bays", 1_000, 0)).await?, "HTTP/1.1 200 OK");
+    change_limits(&fleet, 2, 2 * MAX_BODY_BYTES, Duration::from_secs(15)).await?;
+    let larger = request("bays", 1_000, MAX_BODY_BYTES + 1);
+    assert_eq!(send(&mut kept, &larger).await?, "HTTP/1.1 200 OK");
+    Ok(())
+}
+
+// Guards against a kept connection that is closed as idle by the limit of an older configuration.
+#[tokio::test]
+async fn idle_limit_raised_on_kept_connection() -> Result<()> {
+    const SHORT: Duration = Duration::from_secs(2);
+    let fleet = start().await?;
+    change_limits(&fleet, 2, 2 * MAX_BODY_BYTES, SHORT).await?;
+    let mut kept = connect(&fleet).await?;
+    assert_eq!(send(&mut kept, &request("bays", 1_000, 0)).await?, "HTTP/1.1 200 OK");
+    change_limits(&fleet, 3, 3 * MAX_BODY_BYTES, 5 * SHORT).await?;
+    tokio::time::sleep(SHORT + SHORT / 4).await;
+    assert_eq!(send(&mut kept, &request("bays", 1_000, 0)).await?, "HTTP/1.1 200 OK");
+    Ok(())
+}
