Record the request whose answer can't be written

Operators would see: nothing. Cause: a request leaves the requests in flight before its answer is written, and only those were counted when the connection ended. Evidence: the new write_failed_recorded failed before with "the failed write: no success within 60s". Change: the connection remembers that it is writing an answer, and counts its request too.

--- a/crates/node/src/fleet/http1/connection.rs
+++ b/crates/node/src/fleet/http1/connection.rs
@@ -77,8 +77,10 @@
     reading: ReadState,
     /// Start of the current wait for bytes of the caller.
     waiting_since: Instant,
-    /// How the connection ends, if requests are still in flight then.
+    /// How the connection ends, if requests are still unanswered then.
     end: ConnectionEnd,
+    /// Whether an answer is being written; its request is unanswered and not in flight.
+    is_writing: bool,
 }
 
 impl<L, H, F> Connection<L, H>
@@ -108,6 +110,7 @@
             reading: ReadState::Open,
             waiting_since: Instant::now(),
             end: ConnectionEnd::Aborted,
+            is_writing: false,
         }
     }
 
@@ -209,8 +212,13 @@
         let close = wants_close || (self.is_stopping() && is_last);
         let mut out = BytesMut::with_capacity(512 + response.body().len());
         response_writer::write(&mut out, &method, &response, close);
-        self.end = ConnectionEnd::WriteFailed;
-        timeout(WRITE_TIMEOUT, self.stream.write_all(&out)).await.ok()?.ok()?;
+        self.is_writing = true;
+        let written = timeout(WRITE_TIMEOUT, self.stream.write_all(&out)).await;
+        if !matches!(written, Ok(Ok(()))) {
+            self.end = ConnectionEnd::WriteFailed;
+            return None;
+        }
+        self.is_writing = false;
         self.waiting_since = Instant::now();
         self.end = if close { ConnectionEnd::Stopped } else { ConnectionEnd::Aborted };
         if close {
@@ -276,8 +284,9 @@
 
 impl<L, H> Drop for Connection<L, H> {
     fn drop(&mut self) {
-        if !self.in_flight.is_empty() {
-            self.unanswered.record(self.end, self.in_flight.len());
+        let requests = self.in_flight.len() + usize::from(self.is_writing);
+        if requests > 0 {
+            self.unanswered.record(self.end, requests);
         }
     }
 }
