End a stop within a grace period shorter than the drain time

Operators would see: a node whose `grace_s` is below 2.9 s, which the settings allow, still drains when the platform kills it; its log ends without `stopped`. A late reply of the control thread delayed the end of any stop by the same time. Cause: the drain time did not depend on the grace period, and the rest of the grace was counted from the end of the drain time. Evidence: the new stop_short_grace, with a grace of 2 s, failed before with an exit after 2.521741846s. Change: the drain ends with the calls at the latest, and the end of the stop counts from the signal. Result: the test passes, and so do the others of fleet_stop and those of fleet_path.

--- a/crates/node/src/fleet/fleet_node.rs
+++ b/crates/node/src/fleet/fleet_node.rs
@@ -285,6 +285,7 @@
 
         let signal = wait_for_signal(&self.log).await?;
         self.log.write(&FleetLogEvent::Stopping { signal });
+        let stopping_since = tokio::time::Instant::now();
         let grace = to_std_duration(self.settings.grace);
         let calls_time = grace.saturating_sub(GRACE_MARGIN + ABORTED_ANSWER_TIME);
         self.traffic.begin_stop(self.traffic.clock.now() + to_micros(calls_time));
@@ -293,14 +294,15 @@
         // The control thread replies, since it runs as long as `control_tx` exists.
         let _ = done_rx.await;
         stop.send_replace(StopPhase::Draining);
-        tokio::time::sleep(DRAIN_TIME).await;
+        let drain_end = tokio::time::Instant::now() + DRAIN_TIME;
+        tokio::time::sleep_until(drain_end.min(stopping_since + calls_time)).await;
         stop.send_replace(StopPhase::Closing);
-        let remaining = grace.saturating_sub(DRAIN_TIME + GRACE_MARGIN);
+        let stop_end = stopping_since + grace.saturating_sub(GRACE_MARGIN);
         let all_ended = async {
             let _ = callers.await;
             let _ = nodes.await;
         };
-        if tokio::time::timeout(remaining, all_ended).await.is_err() {
+        if tokio::time::timeout_at(stop_end, all_ended).await.is_err() {
             self.log.write(&FleetLogEvent::CallsAborted);
         }
         local_stop.send_replace(true);
--- a/crates/testkit/src/platform/fleet.rs
+++ b/crates/testkit/src/platform/fleet.rs
@@ -18,6 +18,8 @@
 const MAX_BODY_BYTES: usize = 1_048_576;
 /// How long a caller's connection may stay idle, unless a test sets another limit.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+/// Grace period of a node, unless a test sets another one.
+const GRACE: Duration = Duration::from_secs(6);
 
 /// A fleet of node processes, each with a worker, and a metadata store; the workers and
 /// the store run in this process.
@@ -67,12 +69,21 @@
     /// Starts a fleet with one node for each data centre and service, without waiting until
     /// the nodes are ready.
     pub async fn start(data_centres: &[&str], services: &[&str]) -> Result<Self> {
+        Self::start_with_grace(data_centres, services, GRACE).await
+    }
+
+    /// Starts a fleet like [`Self::start`], in which a stop of a node may take `grace`.
+    pub async fn start_with_grace(
+        data_centres: &[&str],
+        services: &[&str],
+        grace: Duration,
+    ) -> Result<Self> {
         let mut harness = Harness::new()?;
         let store = KvServer::start(harness.any_port()).await?;
         let mut nodes = Vec::new();
         for data_centre in data_centres {
             for service in services {
-                nodes.push(start_node(&mut harness, &store, data_centre, service).await?);
+                nodes.push(start_node(&mut harness, &store, data_centre, service, grace).await?);
             }
         }
         Ok(Self { store, nodes, harness, raw_nodes: Vec::new() })
@@ -82,8 +93,14 @@
     pub async fn add_raw_node(&mut self, data_centre: &str, service: &str) -> Result<RawWorker> {
         let options = WorkerOptions { slots: RAW_SLOTS, ..options(data_centre, service) };
         let worker = RawWorker::start(self.harness.any_port(), options).await?;
-        let started =
-            start_process(&mut self.harness, &self.store, data_centre, service, worker.address());
+        let started = start_process(
+            &mut self.harness,
+            &self.store,
+            data_centre,
+            service,
+            worker.address(),
+            GRACE,
+        );
         let (process, announcements) = started.await?;
         self.raw_nodes.push(RawNode::new(process, worker.announce_repeatedly(announcements)));
         Ok(worker)
@@ -212,9 +229,10 @@
     store: &KvServer,
     data_centre: &str,
     service: &str,
+    grace: Duration,
 ) -> Result<FleetNode> {
     let worker = Worker::start(harness.any_port(), options(data_centre, service)).await?;
-    let started = start_process(harness, store, data_centre, service, worker.address());
+    let started = start_process(harness, store, data_centre, service, worker.address(), grace);
     let (process, announcements) = started.await?;
     let name = node_name(data_centre, service);
     let mut node = FleetNode { name, worker, process, announcements, announcer: None };
@@ -245,6 +263,7 @@
     data_centre: &str,
     service: &str,
     backend: SocketAddr,
+    grace: Duration,
 ) -> Result<(ProcessId, SocketAddr)> {
     let name = node_name(data_centre, service);
     // As on the platform, these ports are fixed, so that the worker and the other nodes
@@ -262,6 +281,7 @@
         "store": store.address().to_string(),
         "backend": backend.to_string(),
         "service": service,
+        "grace_s": grace.as_secs_f64(),
     }});
     let file = format!("{name}.jsonc");
     harness.write_file(&file, &settings.to_string())?;
--- a/crates/testkit/tests/fleet_stop.rs
+++ b/crates/testkit/tests/fleet_stop.rs
@@ -1,6 +1,6 @@
 //! Tests of requests that are in progress while a node of a fleet stops.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use almondsail_testkit::harness::wait_until;
 use almondsail_testkit::http::HttpClient;
@@ -120,3 +120,24 @@
     assert!(fleet.wait_for_exit(0).await?.success());
     Ok(())
 }
+
+// Guards against a stop that goes on after the end of its grace, when the platform kills the node.
+#[tokio::test]
+async fn stop_short_grace() -> Result<()> {
+    const GRACE: Duration = Duration::from_secs(2);
+    let mut fleet = Fleet::start_with_grace(&["dc-a"], &SERVICES, GRACE).await?;
+    fleet.configure(1, &SERVICES);
+    fleet.wait_until_ready(0).await?;
+    fleet.wait_until_served(0, "traslados").await?;
+    fleet.nodes.iter().for_each(|node| node.worker.set_run_time(10 * GRACE));
+    let mut stream = TcpStream::connect(fleet.address(0, "callers")?).await?;
+    send(&mut stream, "long").await?;
+    wait_until_running(&fleet, 1).await?;
+    let stopped = Instant::now();
+    fleet.request_stop(0)?;
+    let answers = read_all(stream).await?;
+    assert!(answers.starts_with("HTTP/1.1 502 "), "{answers:?}");
+    assert!(fleet.wait_for_exit(0).await?.success());
+    assert!(stopped.elapsed() < GRACE, "{:?}", stopped.elapsed());
+    Ok(())
+}
