--- a/crates/testkit/tests/fleet_stop.rs
+++ b/crates/testkit/tests/fleet_stop.rs
@@ -1,11 +1,13 @@
 //! Tests of requests that are in progress while a node of a fleet stops.
 
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use almondsail_testkit::harness::wait_until;
 use almondsail_testkit::http::HttpClient;
 use almondsail_testkit::platform::Fleet;
 use eyre::{Result, ensure};
+use http::Method;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
 
@@ -141,3 +143,39 @@
     assert!(stopped.elapsed() < GRACE, "{:?}", stopped.elapsed());
     Ok(())
 }
+
+// Guards against calls that are lost when the node beside the server stops: those in progress, and
+// those sent on a connection between nodes that it closes.
+#[tokio::test]
+async fn stop_beside_server_loses_no_calls() -> Result<()> {
+    const RUN_TIME: Duration = Duration::from_millis(50);
+    let mut fleet = start(RUN_TIME).await?;
+    let client = fleet.caller(0)?;
+    let loads = (0..16).map(|caller: u64| {
+        let client = client.clone();
+        tokio::spawn(async move {
+            let mut statuses = BTreeMap::new();
+            let started = Instant::now();
+            while started.elapsed() < Duration::from_secs(5) {
+                let headers = [("host", "traslados.example"), ("almondsail-attempt-id", "s")];
+                let reply = client.send(Method::POST, "/unsafe/", "x".into(), &headers).await?;
+                *statuses.entry(reply.status.as_u16()).or_insert(0) += 1;
+                // The pauses differ, so that connections become idle at different times.
+                tokio::time::sleep(Duration::from_millis(5 + 53 * caller)).await;
+            }
+            eyre::Ok(statuses)
+        })
+    });
+    let loads: Vec<_> = loads.collect();
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    fleet.request_stop(1)?;
+    let mut statuses = BTreeMap::new();
+    for load in loads {
+        for (status, count) in load.await?? {
+            *statuses.entry(status).or_insert(0) += count;
+        }
+    }
+    assert!(statuses.keys().all(|status| matches!(status, 200 | 503)), "{statuses:?}");
+    assert!(fleet.wait_for_exit(1).await?.success());
+    Ok(())
+}
