--- a/crates/testkit/src/harness/process_set.rs
+++ b/crates/testkit/src/harness/process_set.rs
@@ -118,6 +118,11 @@
         self.process(id)?.signal(Signal::CONT)
     }
 
+    /// Sends SIGHUP to a process, which announces a change of its settings.
+    pub fn request_reload(&self, id: ProcessId) -> Result<()> {
+        self.process(id)?.signal(Signal::HUP)
+    }
+
     /// Sends SIGTERM to a process without waiting for it to exit.
     pub fn request_stop(&self, id: ProcessId) -> Result<()> {
         self.process(id)?.signal(Signal::TERM)
--- a/crates/testkit/src/platform/fleet.rs
+++ b/crates/testkit/src/platform/fleet.rs
@@ -213,6 +213,11 @@
         self.harness.request_stop(self.nodes[node].process)
     }
 
+    /// Sends SIGHUP to a node.
+    pub fn request_reload(&self, node: usize) -> Result<()> {
+        self.harness.request_reload(self.nodes[node].process)
+    }
+
     /// Stops reading the log that a node writes to stdout, so that its pipe fills up.
     pub fn stop_reading(&self, node: usize) -> Result<()> {
         self.harness.stop_reading(self.nodes[node].process)
