--- a/crates/node/src/fleet/fleet_node.rs
+++ b/crates/node/src/fleet/fleet_node.rs
@@ -63,6 +63,9 @@
 /// Part of the grace period, before `GRACE_MARGIN`, in which the callers of calls that have not
 /// ended are answered.
 const ABORTED_ANSWER_TIME: Duration = Duration::from_millis(200);
+/// Size limit of a request's head from another node, which adds a header to that of the caller.
+/// Independent of the configuration, as only the entry node applies the caller's limits.
+const MAX_NODE_HEAD: ByteCount = ByteCount::new(1024 * 1024);
 /// Size limit of a body from another node, independent of the configuration.
 const MAX_BODY: ByteCount = ByteCount::new(64 * 1024 * 1024);
 
@@ -284,6 +287,7 @@
 
         let signal = wait_for_signal(&self.log).await?;
         self.log.write(&FleetLogEvent::Stopping { signal });
+        let stopping_since = tokio::time::Instant::now();
         let grace = to_std_duration(self.settings.grace);
         let calls_time = grace.saturating_sub(GRACE_MARGIN + ABORTED_ANSWER_TIME);
         self.traffic.begin_stop(self.traffic.clock.now() + to_micros(calls_time));
@@ -295,14 +299,15 @@
             let _ = done_rx.await;
         }
         stop.send_replace(StopPhase::Draining);
-        tokio::time::sleep(DRAIN_TIME).await;
+        let drain_end = tokio::time::Instant::now() + DRAIN_TIME;
+        tokio::time::sleep_until(drain_end.min(stopping_since + calls_time)).await;
         stop.send_replace(StopPhase::Closing);
-        let remaining = grace.saturating_sub(DRAIN_TIME + GRACE_MARGIN);
+        let stop_end = stopping_since + grace.saturating_sub(GRACE_MARGIN);
         let all_ended = async {
             let _ = callers.await;
             let _ = nodes.await;
         };
-        if tokio::time::timeout(remaining, all_ended).await.is_err() {
+        if tokio::time::timeout_at(stop_end, all_ended).await.is_err() {
             self.log.write(&FleetLogEvent::CallsAborted);
         }
         local_stop.send_replace(true);
@@ -337,7 +342,8 @@
         listener: TcpListener,
         stop: watch::Receiver<StopPhase>,
     ) -> impl Future<Output = ()> + Send + use<> {
-        let limits = || CallerLimits { body: MAX_BODY, ..CallerLimits::default() };
+        let limits =
+            || CallerLimits { header: MAX_NODE_HEAD, body: MAX_BODY, ..CallerLimits::default() };
         let unanswered = UnansweredRequests::new("nodes", &self.metrics.meter(), self.log.clone());
         let settings =
             Http1Settings { limits, max_connections: MAX_NODE_CONNECTIONS, stop, unanswered };
--- a/crates/node/src/fleet/http1/connection.rs
+++ b/crates/node/src/fleet/http1/connection.rs
@@ -61,10 +61,11 @@
 }
 
 /// Server side of a connection from a caller or another node.
-pub(crate) struct Connection<H> {
+pub(crate) struct Connection<L, H> {
     stream: TcpStream,
     handler: H,
-    limits: CallerLimits,
+    /// Returns the limits that apply now; they may change while the connection is open.
+    limits: L,
     stop: watch::Receiver<StopPhase>,
     unanswered: UnansweredRequests,
     parser: RequestParser,
@@ -77,19 +78,22 @@
     reading: ReadState,
     /// Start of the current wait for bytes of the caller.
     waiting_since: Instant,
-    /// How the connection ends, if requests are still in flight then.
+    /// How the connection ends, if requests are still unanswered then.
     end: ConnectionEnd,
+    /// Whether an answer is being written; its request is unanswered and not in flight.
+    is_writing: bool,
 }
 
-impl<H, F> Connection<H>
+impl<L, H, F> Connection<L, H>
 where
+    L: Fn() -> CallerLimits,
     H: Fn(Request<Bytes>) -> F,
     F: Future<Output = Response<Bytes>> + Send + 'static,
 {
     pub(crate) fn new(
         stream: TcpStream,
         handler: H,
-        limits: CallerLimits,
+        limits: L,
         stop: watch::Receiver<StopPhase>,
         unanswered: UnansweredRequests,
     ) -> Self {
@@ -107,6 +111,7 @@
             reading: ReadState::Open,
             waiting_since: Instant::now(),
             end: ConnectionEnd::Aborted,
+            is_writing: false,
         }
     }
 
@@ -208,8 +213,13 @@
         let close = wants_close || (self.is_stopping() && is_last);
         let mut out = BytesMut::with_capacity(512 + response.body().len());
         response_writer::write(&mut out, &method, &response, close);
-        self.end = ConnectionEnd::WriteFailed;
-        timeout(WRITE_TIMEOUT, self.stream.write_all(&out)).await.ok()?.ok()?;
+        self.is_writing = true;
+        let written = timeout(WRITE_TIMEOUT, self.stream.write_all(&out)).await;
+        if !matches!(written, Ok(Ok(()))) {
+            self.end = ConnectionEnd::WriteFailed;
+            return None;
+        }
+        self.is_writing = false;
         self.waiting_since = Instant::now();
         self.end = if close { ConnectionEnd::Stopped } else { ConnectionEnd::Aborted };
         if close {
@@ -239,16 +249,20 @@
     /// Returns when to give up waiting for bytes of the caller.
     fn read_deadline(&self) -> Instant {
         let allowed = match *self.stop.borrow() {
-            _ if self.has_partial_request() => to_std_duration(self.limits.header_timeout),
-            StopPhase::Serving => to_std_duration(self.limits.idle_timeout),
+            _ if self.has_partial_request() => to_std_duration((self.limits)().header_timeout),
+            StopPhase::Serving => to_std_duration((self.limits)().idle_timeout),
             StopPhase::Draining => DRAIN_IDLE_TIMEOUT,
             StopPhase::Closing => Duration::ZERO,
         };
         self.waiting_since + allowed
     }
 
-    /// Ends an idle connection; answers a partial request with 408 first.
+    /// Ends an idle connection; answers a partial request with 408 first. Goes on waiting if the time
+    /// limit has been raised meanwhile.
     fn time_out(&mut self) -> Option<()> {
+        if Instant::now() < self.read_deadline() {
+            return Some(());
+        }
         if !self.has_partial_request() {
             return None;
         }
@@ -264,14 +278,16 @@
 
     fn request_limits(&self) -> RequestLimits {
         let size = |bytes: u64| usize::try_from(bytes).unwrap_or(usize::MAX);
-        RequestLimits { head: size(self.limits.header.get()), body: size(self.limits.body.get()) }
+        let limits = (self.limits)();
+        RequestLimits { head: size(limits.header.get()), body: size(limits.body.get()) }
     }
 }
 
-impl<H> Drop for Connection<H> {
+impl<L, H> Drop for Connection<L, H> {
     fn drop(&mut self) {
-        if !self.in_flight.is_empty() {
-            self.unanswered.record(self.end, self.in_flight.len());
+        let requests = self.in_flight.len() + usize::from(self.is_writing);
+        if requests > 0 {
+            self.unanswered.record(self.end, requests);
         }
     }
 }
