Read the store anew after it was restored from a copy

Cause: a watcher keeps the revision of each item and drops a change that is not above it. After a restoration the store gives revisions out again, so each change was dropped until they had passed the old ones. A watch from a revision that was given out again also succeeds, without the events in between.

A position in the store is now an era (`Store-Era`) and a revision, and compares by era first. The control state notes the era of each answer, also of refusals. A later one makes it forget the pending requests and list both key spaces again; an earlier one counts as a failure. A node whose watch was lost renews its lease early, because the renewal tells the era while a repeated watch may wait for 15 s. The log and the counters have `store_restored`.

--- a/crates/core/src/fleet/fleet_change.rs
+++ b/crates/core/src/fleet/fleet_change.rs
@@ -4,6 +4,7 @@
 
 use crate::fleet::{AnnouncementOutcome, RolloutOutcome, StoreFailure};
 use crate::ids::{BackendId, ConfigVersion, NodeId, ServiceName, VersionName};
+use crate::store::StoreEra;
 
 /// A change of a node's state.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -48,6 +49,13 @@
         /// Why the last request failed, if the store does not answer.
         failure: Option<StoreFailure>,
     },
+    /// The store was restored from an earlier copy and is read anew.
+    StoreRestored {
+        /// The era that the store names now.
+        era: StoreEra,
+        /// The era that it named before.
+        before: StoreEra,
+    },
     /// A rollout of a service to a version was ordered.
     RolloutOrdered(ServiceName, VersionName),
     /// The new version of a rollout was found bad and gets no more calls.
@@ -76,6 +84,7 @@
             Self::BackendExpired => "backend_expired",
             Self::Peer { .. } => "peer",
             Self::Store { .. } => "store",
+            Self::StoreRestored { .. } => "store_restored",
             Self::RolloutOrdered(..) => "rollout_ordered",
             Self::RolloutStopped { .. } => "rollout_stopped",
             Self::RolloutEnded(..) => "rollout_ended",
@@ -102,6 +111,7 @@
                 Some(failure) => write!(f, "does not answer: {failure}"),
                 None => f.write_str("does not answer"),
             },
+            Self::StoreRestored { era, before } => write!(f, "era {era}, before {before}"),
             Self::RolloutOrdered(service, target) => write!(f, "{service} to {target}"),
             Self::RolloutStopped { service, target, calls, failures } => {
                 write!(f, "{service} {target}: {failures} of {calls} calls failed")
--- a/crates/core/src/fleet/fleet_control.rs
+++ b/crates/core/src/fleet/fleet_control.rs
@@ -12,6 +12,7 @@
     Rollout, StoreRequest, StoreWatcher,
 };
 use crate::ids::{BackendId, ConfigVersion, NodeId, ServiceName};
+use crate::store::StoreEra;
 use crate::units::{Instant, UnixMillis};
 
 /// The control state of a node of a fleet.
@@ -32,6 +33,9 @@
     pub(super) pending_requests: BTreeMap<u64, RequestPurpose>,
     pub(super) next_request: u64,
     pub(super) is_store_reached: bool,
+    /// The latest era that the store named; `None` before its first answer. Pending requests were
+    /// sent in this era.
+    pub(super) store_era: Option<StoreEra>,
     /// When the store last answered a request.
     pub(super) last_store_reply: Option<Instant>,
     /// When the configuration in force took effect.
@@ -82,6 +86,7 @@
             pending_requests: BTreeMap::new(),
             next_request: 0,
             is_store_reached: true,
+            store_era: None,
             last_store_reply: None,
             config_since: None,
             actions: Vec::new(),
@@ -109,7 +114,9 @@
     ) -> Vec<FleetAction> {
         match event {
             FleetEvent::Tick => self.tick(now),
-            FleetEvent::Store { id, reply } => self.handle_store_reply(now, wall, id, reply, rng),
+            FleetEvent::Store { id, response } => {
+                self.handle_store_response(now, wall, id, response, rng);
+            }
             FleetEvent::Heartbeat(heartbeat) => self.handle_heartbeat(now, heartbeat),
             FleetEvent::PeerConfig(config) => self.handle_peer_config(now, config, rng),
             FleetEvent::Announced(announcement) => self.handle_announcement(now, &announcement),
--- a/crates/core/src/fleet/fleet_event.rs
+++ b/crates/core/src/fleet/fleet_event.rs
@@ -1,6 +1,6 @@
 //! Events that the control state handles.
 
-use crate::fleet::{Announcement, ConfigText, Heartbeat, RouteKey, StoreFailure, StoreReply};
+use crate::fleet::{Announcement, ConfigText, Heartbeat, RouteKey, StoreResponse};
 use crate::ids::BackendId;
 use crate::units::{Micros, UnixMillis};
 
@@ -13,8 +13,8 @@
     Store {
         /// The number of the request, from the action that asked for it.
         id: u64,
-        /// The store's answer, or why there is none.
-        reply: Result<StoreReply, StoreFailure>,
+        /// What came back.
+        response: StoreResponse,
     },
     /// Another node sent a heartbeat.
     Heartbeat(Heartbeat),
--- a/crates/core/src/fleet/node_entry_lease.rs
+++ b/crates/core/src/fleet/node_entry_lease.rs
@@ -78,6 +78,13 @@
         }
     }
 
+    /// Brings the next renewal forward, because a request to the store was lost. The reply tells
+    /// whether the store was restored meanwhile, which a watch of a revision that was given out
+    /// again does not.
+    pub(super) fn renew_early(&mut self, now: Instant) {
+        self.next_request_at = self.next_request_at.min(now + Self::RETRY_DELAY);
+    }
+
     /// Writes the entry again under a new lease, because it was removed although the node is alive.
     pub(super) fn entry_removed(&mut self, now: Instant) {
         if let State::EntryWritten(_) = self.state {
--- a/crates/core/src/fleet/store_events.rs
+++ b/crates/core/src/fleet/store_events.rs
@@ -5,27 +5,31 @@
 use super::fleet_control::{FleetControl, RequestPurpose};
 use crate::fleet::{
     FleetChange, ItemChange, KeySpace, RolloutOrder, RolloutProgress, StoreFailure, StoreItem,
-    StoreKey, StoreReply, StoredValue,
+    StoreKey, StoreReply, StoreResponse, StoredValue,
 };
-use crate::store::Revision;
+use crate::store::{Revision, StoreEra};
 use crate::units::{Instant, UnixMillis};
 
 impl FleetControl {
-    pub(super) fn handle_store_reply(
+    pub(super) fn handle_store_response(
         &mut self,
         now: Instant,
         wall: UnixMillis,
         id: u64,
-        reply: Result<StoreReply, StoreFailure>,
+        response: StoreResponse,
         rng: &mut impl Rng,
     ) {
         let Some(purpose) = self.pending_requests.remove(&id) else { return };
-        if !matches!(reply, Err(StoreFailure::Unanswered)) {
+        if !matches!(response.reply, Err(StoreFailure::Unanswered)) {
             self.last_store_reply = Some(now);
         }
+        let Some(reply) = self.reply_of_known_era(now, response) else { return };
         match purpose {
             RequestPurpose::Watch(space) => {
                 self.update_store_state(space, reply.as_ref().err().copied());
+                if matches!(reply, Err(StoreFailure::Unanswered)) {
+                    self.lease.renew_early(now);
+                }
                 let update = self.watcher(space).reply(now, reply, rng);
                 for change in update.changes {
                     self.apply_item_change(now, wall, change);
@@ -36,6 +40,37 @@
         }
     }
 
+    /// Returns the reply of `response` unless it names a later era than the known one, which it
+    /// begins. One of an earlier era is turned into a failure.
+    fn reply_of_known_era(
+        &mut self,
+        now: Instant,
+        response: StoreResponse,
+    ) -> Option<Result<StoreReply, StoreFailure>> {
+        match (response.era, self.store_era) {
+            (Some(era), Some(known)) if era > known => {
+                self.enter_store_era(now, era, known);
+                None
+            }
+            (Some(era), Some(known)) if era < known => Some(Err(StoreFailure::Outdated)),
+            (Some(era), _) => {
+                self.store_era = Some(era);
+                Some(response.reply)
+            }
+            (None, _) => Some(response.reply),
+        }
+    }
+
+    /// Reads the store anew, because it was restored from an earlier copy. Replies to the pending
+    /// requests are ignored: they are of the earlier era, or depend on what was read in it.
+    fn enter_store_era(&mut self, now: Instant, era: StoreEra, before: StoreEra) {
+        self.store_era = Some(era);
+        self.pending_requests.clear();
+        self.operator_watcher.restart(now, era);
+        self.nodes_watcher.restart(now, era);
+        self.report(FleetChange::StoreRestored { era, before });
+    }
+
     /// Updates whether the store answers, by the requests of the watcher of the operator's keys.
     fn update_store_state(&mut self, space: KeySpace, failure: Option<StoreFailure>) {
         let is_reached = matches!(failure, None | Some(StoreFailure::HistoryLost));
--- a/crates/core/src/fleet/store_reply.rs
+++ b/crates/core/src/fleet/store_reply.rs
@@ -40,6 +40,8 @@
     NoLease,
     /// The answer can't be decoded.
     Unreadable,
+    /// The answer is of an earlier era than others before it.
+    Outdated,
 }
 
 impl StoreFailure {
@@ -52,6 +54,7 @@
             Self::Conflict => "conflict",
             Self::NoLease => "no_lease",
             Self::Unreadable => "unreadable",
+            Self::Outdated => "outdated",
         }
     }
 }
--- a/crates/core/src/fleet/store_watcher.rs
+++ b/crates/core/src/fleet/store_watcher.rs
@@ -7,19 +7,21 @@
 use crate::fleet::{
     ItemChange, KeySpace, StoreFailure, StoreItem, StoreKey, StoreReply, StoreRequest,
 };
-use crate::store::Revision;
+use crate::store::{Revision, StoreEra, StorePosition};
 use crate::units::{Instant, Micros, Millis};
 
 /// Watches a key space of the store: lists it once, then waits for changes.
 ///
-/// At most one request is pending. When the store has lost the history, the watcher lists the key
-/// space again and reports what was changed or removed in between.
+/// At most one request is pending. When the store has lost the history or was restored from a copy,
+/// the watcher lists the key space again and reports what was changed or removed in between.
 #[derive(Debug)]
 pub struct StoreWatcher {
     space: KeySpace,
     state: State,
-    /// The revisions of the items that were reported.
-    known: BTreeMap<StoreKey, Revision>,
+    /// The era of the store in which the key space was listed or is about to be.
+    era: StoreEra,
+    /// The positions of the items that were reported.
+    known: BTreeMap<StoreKey, StorePosition>,
     /// No request is sent before this instant.
     next_request_at: Instant,
     failures_in_a_row: u32,
@@ -58,6 +60,7 @@
         Self {
             space,
             state: State::Listing { after: None, as_of: None, listed: Vec::new() },
+            era: StoreEra::new(0),
             known: BTreeMap::new(),
             next_request_at: Instant::new(0),
             failures_in_a_row: 0,
@@ -82,6 +85,14 @@
         self.is_watching = is_watching;
     }
 
+    /// Lists the key space again, because the store was restored and is now in `era`.
+    pub fn restart(&mut self, now: Instant, era: StoreEra) {
+        self.era = era;
+        self.restart_listing();
+        self.next_request_at = now;
+        self.failures_in_a_row = 0;
+    }
+
     /// Returns whether the key space was known completely at least once.
     pub const fn is_listed(&self) -> bool {
         self.is_listed
@@ -165,12 +176,13 @@
             ItemChange::Put(item) => (&item.key, item.revision),
             ItemChange::Removed(key, revision) => (key, *revision),
         };
-        if self.known.get(key).is_some_and(|known| *known >= revision) {
+        let position = StorePosition::new(self.era, revision);
+        if self.known.get(key).is_some_and(|known| *known >= position) {
             return false;
         }
         match change {
             ItemChange::Put(_) => {
-                self.known.insert(key.clone(), revision);
+                self.known.insert(key.clone(), position);
                 true
             }
             ItemChange::Removed(..) => self.known.remove(key).is_some(),
--- a/crates/core/tests/fleet_common/mod.rs
+++ b/crates/core/tests/fleet_common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub mod node;
+
 use almondsail_core::fleet::{
     AnnouncedState, Announcement, BackendStatus, CallRequirements, ConfigText, Destination,
     Endpoint, FleetIdentity, Heartbeat, MeshConfigBuilder, MeshRoute, NodeEntry, ServiceSettings,
--- /dev/null
+++ b/crates/core/tests/fleet_common/node.rs
@@ -0,0 +1,128 @@
+//! A node whose store the test plays, and items of that store.
+
+use almondsail_core::fleet::{
+    FleetAction, FleetControl, FleetEvent, Heartbeat, ItemChange, KeySpace, RolloutOrder,
+    RolloutProgress, StoreFailure, StoreItem, StoreKey, StoreReply, StoreRequest, StoreResponse,
+    StoreWrite, StoredValue,
+};
+use almondsail_core::store::{Revision, StoreEra};
+use almondsail_core::units::{Instant, Millis, UnixMillis};
+use rand::SeedableRng as _;
+use rand::rngs::SmallRng;
+
+use super::{at, backend, config, heartbeat, identity};
+
+/// A node whose store replies as the test decides.
+pub struct Node {
+    pub control: FleetControl,
+    pub rng: SmallRng,
+    pub now: Instant,
+    /// The era that the store names in its answers.
+    pub era: StoreEra,
+    /// The requests that wait for a reply.
+    pub open_requests: Vec<(u64, StoreRequest)>,
+    pub actions: Vec<FleetAction>,
+}
+
+impl Node {
+    pub fn start() -> Self {
+        let control = FleetControl::new(identity(), at(0));
+        let rng = SmallRng::seed_from_u64(1);
+        let mut node = Self {
+            control,
+            rng,
+            now: at(0),
+            era: StoreEra::default(),
+            open_requests: Vec::new(),
+            actions: Vec::new(),
+        };
+        node.event(FleetEvent::Tick);
+        node
+    }
+
+    /// Starts a node for which the store lists `items`.
+    pub fn started(items: Vec<StoreItem>) -> Self {
+        let mut node = Self::start();
+        node.list(KeySpace::Operator, items);
+        node.list(KeySpace::Nodes, Vec::new());
+        node
+    }
+
+    pub fn event(&mut self, event: FleetEvent) {
+        let wall = UnixMillis::new(1_000_000 + self.now.get() / 1_000);
+        for action in self.control.handle(self.now, wall, event, &mut self.rng) {
+            if let FleetAction::Store { id, request } = &action {
+                self.open_requests.push((*id, request.clone()));
+            }
+            self.actions.push(action);
+        }
+    }
+
+    pub fn advance(&mut self, ms: u64) {
+        for _ in 0..ms.div_ceil(100) {
+            self.now = self.now + Millis::new(100.min(ms));
+            self.event(FleetEvent::Tick);
+        }
+    }
+
+    pub fn reply(
+        &mut self,
+        wanted: impl Fn(&StoreRequest) -> bool,
+        reply: Result<StoreReply, StoreFailure>,
+    ) {
+        let found = self.open_requests.iter().position(|(_, request)| wanted(request));
+        let (id, _) = self.open_requests.remove(found.expect("no such request"));
+        let response = match reply {
+            Err(StoreFailure::Unanswered) => StoreResponse::failed(StoreFailure::Unanswered),
+            reply => StoreResponse::new(self.era, reply),
+        };
+        self.event(FleetEvent::Store { id, response });
+    }
+
+    pub fn list(&mut self, space: KeySpace, items: Vec<StoreItem>) {
+        self.list_as_of(space, items, 100);
+    }
+
+    pub fn list_as_of(&mut self, space: KeySpace, items: Vec<StoreItem>, as_of: u64) {
+        let reply = StoreReply::Items { items, next: None, as_of: Revision::new(as_of) };
+        self.reply(|request| *request == StoreRequest::List(space, None), Ok(reply));
+    }
+
+    pub fn report_change(&mut self, space: KeySpace, item: StoreItem) {
+        let revision = item.revision;
+        let reply = StoreReply::Changes(vec![ItemChange::Put(item)], revision);
+        self.reply(|r| matches!(r, StoreRequest::Watch(s, _) if *s == space), Ok(reply));
+    }
+
+    pub fn version(&self) -> u64 {
+        self.control.view(self.now).config.map_or(0, |config| config.version.get())
+    }
+
+    pub fn writes(&self) -> Vec<RolloutProgress> {
+        let write = |(_, request): &(u64, StoreRequest)| match request {
+            StoreRequest::Write(StoreWrite::Progress(progress, _)) => Some(progress.clone()),
+            _ => None,
+        };
+        self.open_requests.iter().filter_map(write).collect()
+    }
+}
+
+pub fn config_item(version: u64, revision: u64) -> StoreItem {
+    let value = StoredValue::Config(Ok(config(version)));
+    StoreItem { key: StoreKey::Config, revision: Revision::new(revision), value }
+}
+
+pub fn order_item(revision: u64) -> StoreItem {
+    let order = RolloutOrder {
+        service: "bays".parse().unwrap(),
+        target: "v2".parse().unwrap(),
+        duration: Millis::new(15_000),
+        revision: Revision::new(revision),
+    };
+    let key = StoreKey::Order(order.service.clone());
+    StoreItem { key, revision: order.revision, value: StoredValue::Order(order) }
+}
+
+pub fn heartbeat_with_backend(n: u8, sequence: u64, id: &str, version: &str) -> Heartbeat {
+    Heartbeat { backend: Some(backend(id, version)), ..heartbeat(n, sequence) }
+}
--- a/crates/core/tests/fleet_control.rs
+++ b/crates/core/tests/fleet_control.rs
@@ -3,117 +3,17 @@
 mod fleet_common;
 
 use almondsail_core::fleet::{
-    ConfigProblem, Departure, FleetAction, FleetControl, FleetEvent, Heartbeat, ItemChange,
-    KeySpace, LeaseId, RolloutOrder, RolloutOutcome, RolloutProgress, RolloutReport, RouteEvidence,
-    RouteKey, StoreFailure, StoreItem, StoreKey, StoreReply, StoreRequest, StoreWrite, StoredValue,
-    VersionEvidence, VersionRule,
+    ConfigProblem, Departure, FleetAction, FleetEvent, Heartbeat, KeySpace, LeaseId,
+    RolloutOutcome, RolloutProgress, RolloutReport, RouteEvidence, RouteKey, StoreFailure,
+    StoreItem, StoreKey, StoreReply, StoreRequest, StoreWrite, StoredValue, VersionEvidence,
+    VersionRule,
 };
 use almondsail_core::ids::ConfigVersion;
 use almondsail_core::store::Revision;
-use almondsail_core::units::{Instant, Millis, UnixMillis};
+use almondsail_core::units::{Millis, UnixMillis};
 use almondsail_seeded::properties;
-use fleet_common::{announcement, at, backend, config, entry, heartbeat, identity};
-use rand::SeedableRng as _;
-use rand::rngs::SmallRng;
-
-/// A node whose store replies as the test decides.
-struct Node {
-    control: FleetControl,
-    rng: SmallRng,
-    now: Instant,
-    /// The requests that wait for a reply.
-    open_requests: Vec<(u64, StoreRequest)>,
-    actions: Vec<FleetAction>,
-}
-
-impl Node {
-    fn start() -> Self {
-        let control = FleetControl::new(identity(), at(0));
-        let rng = SmallRng::seed_from_u64(1);
-        let mut node =
-            Self { control, rng, now: at(0), open_requests: Vec::new(), actions: Vec::new() };
-        node.event(FleetEvent::Tick);
-        node
-    }
-
-    /// Starts a node for which the store lists `items`.
-    fn started(items: Vec<StoreItem>) -> Self {
-        let mut node = Self::start();
-        node.list(KeySpace::Operator, items);
-        node.list(KeySpace::Nodes, Vec::new());
-        node
-    }
-
-    fn event(&mut self, event: FleetEvent) {
-        let wall = UnixMillis::new(1_000_000 + self.now.get() / 1_000);
-        for action in self.control.handle(self.now, wall, event, &mut self.rng) {
-            if let FleetAction::Store { id, request } = &action {
-                self.open_requests.push((*id, request.clone()));
-            }
-            self.actions.push(action);
-        }
-    }
-
-    fn advance(&mut self, ms: u64) {
-        for _ in 0..ms.div_ceil(100) {
-            self.now = self.now + Millis::new(100.min(ms));
-            self.event(FleetEvent::Tick);
-        }
-    }
-
-    fn reply(
-        &mut self,
-        wanted: impl Fn(&StoreRequest) -> bool,
-        reply: Result<StoreReply, StoreFailure>,
-    ) {
-        let found = self.open_requests.iter().position(|(_, request)| wanted(request));
-        let (id, _) = self.open_requests.remove(found.expect("no such request"));
-        self.event(FleetEvent::Store { id, reply });
-    }
-
-    fn list(&mut self, space: KeySpace, items: Vec<StoreItem>) {
-        let reply = StoreReply::Items { items, next: None, as_of: Revision::new(100) };
-        self.reply(|request| *request == StoreRequest::List(space, None), Ok(reply));
-    }
-
-    fn report_change(&mut self, space: KeySpace, item: StoreItem) {
-        let revision = item.revision;
-        let reply = StoreReply::Changes(vec![ItemChange::Put(item)], revision);
-        self.reply(|r| matches!(r, StoreRequest::Watch(s, _) if *s == space), Ok(reply));
-    }
-
-    fn version(&self) -> u64 {
-        self.control.view(self.now).config.map_or(0, |config| config.version.get())
-    }
-
-    fn writes(&self) -> Vec<RolloutProgress> {
-        let write = |(_, request): &(u64, StoreRequest)| match request {
-            StoreRequest::Write(StoreWrite::Progress(progress, _)) => Some(progress.clone()),
-            _ => None,
-        };
-        self.open_requests.iter().filter_map(write).collect()
-    }
-}
-
-fn config_item(version: u64, revision: u64) -> StoreItem {
-    let value = StoredValue::Config(Ok(config(version)));
-    StoreItem { key: StoreKey::Config, revision: Revision::new(revision), value }
-}
-
-fn order_item(revision: u64) -> StoreItem {
-    let order = RolloutOrder {
-        service: "bays".parse().unwrap(),
-        target: "v2".parse().unwrap(),
-        duration: Millis::new(15_000),
-        revision: Revision::new(revision),
-    };
-    let key = StoreKey::Order(order.service.clone());
-    StoreItem { key, revision: order.revision, value: StoredValue::Order(order) }
-}
-
-fn heartbeat_with_backend(n: u8, sequence: u64, id: &str, version: &str) -> Heartbeat {
-    Heartbeat { backend: Some(backend(id, version)), ..heartbeat(n, sequence) }
-}
+use fleet_common::node::{Node, config_item, heartbeat_with_backend, order_item};
+use fleet_common::{announcement, at, config, entry, heartbeat};
 
 /// Guards against an older configuration that replaces a newer one, from any source.
 #[test]
--- a/crates/core/tests/fleet_store_watcher.rs
+++ b/crates/core/tests/fleet_store_watcher.rs
@@ -6,7 +6,7 @@
     ItemChange, KeySpace, NodeEntry, StoreFailure, StoreItem, StoreKey, StoreReply, StoreRequest,
     StoreWatcher, StoredValue,
 };
-use almondsail_core::store::Revision;
+use almondsail_core::store::{Revision, StoreEra};
 use almondsail_core::units::{Instant, Millis};
 use fleet_common::{at, entry};
 use rand::SeedableRng as _;
@@ -97,3 +97,20 @@
     watcher.set_watching(true);
     assert!(watcher.request(at(5_000)).is_some());
 }
+
+/// Guards against items that are dropped after a restoration of the store because their revisions
+/// are lower than before, and against removed ones that stay known.
+#[test]
+fn restart_lower_revisions() {
+    let mut watcher = StoreWatcher::new(KeySpace::Nodes);
+    reply(&mut watcher, at(0), Ok(page(vec![item(1, 30), item(2, 40)], None, 50)));
+    watcher.restart(at(1), StoreEra::new(1));
+    assert_eq!(watcher.request(at(1)), Some(StoreRequest::List(KeySpace::Nodes, None)));
+    let changes = reply(&mut watcher, at(1), Ok(page(vec![item(2, 20)], None, 25)));
+    let removed = ItemChange::Removed(StoreKey::Node(entry(1, "dc-a").node), Revision::new(25));
+    assert_eq!(changes, vec![removed, ItemChange::Put(item(2, 20))]);
+    let changes = vec![ItemChange::Put(item(2, 26))];
+    let reported =
+        reply(&mut watcher, at(2), Ok(StoreReply::Changes(changes.clone(), Revision::new(26))));
+    assert_eq!(reported, changes);
+}
--- a/crates/node/src/fleet/control_http_client.rs
+++ b/crates/node/src/fleet/control_http_client.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use http::uri::{Authority, Scheme};
-use http::{Request, StatusCode, Uri};
+use http::{Request, Response, Uri};
 use http_body_util::{BodyExt as _, Full, Limited};
 use tokio::time::timeout;
 
@@ -47,7 +47,7 @@
         address: SocketAddr,
         request: Request<Bytes>,
         timeouts: RequestTimeouts,
-    ) -> Option<(StatusCode, Bytes)> {
+    ) -> Option<Response<Bytes>> {
         timeout(timeouts.total, self.exchange(address, request, timeouts.head)).await.ok().flatten()
     }
 
@@ -56,7 +56,7 @@
         address: SocketAddr,
         request: Request<Bytes>,
         head_timeout: Duration,
-    ) -> Option<(StatusCode, Bytes)> {
+    ) -> Option<Response<Bytes>> {
         let (mut parts, body) = request.into_parts();
         let mut uri = parts.uri.into_parts();
         uri.scheme = Some(Scheme::HTTP);
@@ -64,8 +64,8 @@
         parts.uri = Uri::from_parts(uri).ok()?;
         let request = Request::from_parts(parts, Full::new(body));
         let response = timeout(head_timeout, self.client.request(request)).await.ok()?.ok()?;
-        let status = response.status();
-        let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect().await.ok()?;
-        Some((status, body.to_bytes()))
+        let (head, body) = response.into_parts();
+        let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await.ok()?;
+        Some(Response::from_parts(head, body.to_bytes()))
     }
 }
--- a/crates/node/src/fleet/control_loop.rs
+++ b/crates/node/src/fleet/control_loop.rs
@@ -117,9 +117,9 @@
     ) {
         let (store_client, result_tx) = (self.store_client.clone(), result_tx.clone());
         tokio::task::spawn_local(async move {
-            let reply = store_client.call(&request).await;
+            let response = store_client.call(&request).await;
             // Sending fails only after the control loop has ended.
-            let _ = result_tx.send(FleetEvent::Store { id, reply }).await;
+            let _ = result_tx.send(FleetEvent::Store { id, response }).await;
         });
     }
 
@@ -155,9 +155,9 @@
 ) -> Option<almondsail_core::fleet::ConfigText> {
     let request = Request::builder().uri(CONFIG_PATH).body(Bytes::new()).ok()?;
     let timeouts = RequestTimeouts { head: CONFIG_FETCH_HEAD_TIMEOUT, total: CONFIG_FETCH_TIMEOUT };
-    let (status, body) = node_client.call(from, request, timeouts).await?;
-    if !status.is_success() {
+    let response = node_client.call(from, request, timeouts).await?;
+    if !response.status().is_success() {
         return None;
     }
-    almondsail_platform::config::decode(&body).ok()
+    almondsail_platform::config::decode(response.body()).ok()
 }
--- a/crates/node/src/fleet/fleet_store_client.rs
+++ b/crates/node/src/fleet/fleet_store_client.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use almondsail_core::fleet::{StoreFailure, StoreReply, StoreRequest};
+use almondsail_core::fleet::{StoreFailure, StoreRequest, StoreResponse};
 use almondsail_platform::store as codec;
 
 use crate::clock::to_std_duration;
@@ -29,17 +29,23 @@
     }
 
     /// Sends `request` and decodes the reply.
-    pub(crate) async fn call(&self, request: &StoreRequest) -> Result<StoreReply, StoreFailure> {
+    pub(crate) async fn call(&self, request: &StoreRequest) -> StoreResponse {
         let timeout = match request {
             StoreRequest::Watch(..) => self.timeout + to_std_duration(codec::WATCH_TIMEOUT),
             // A page can be a megabyte, which takes most of a second over a slow link.
             StoreRequest::List(..) => 2 * self.timeout,
             _ => self.timeout,
         };
-        let sent = codec::encode(request).map_err(|_| StoreFailure::Unreadable)?;
+        let Ok(sent) = codec::encode(request) else {
+            return StoreResponse::failed(StoreFailure::Unreadable);
+        };
         let timeouts = RequestTimeouts { head: timeout, total: timeout };
-        let response = self.client.call(self.address, sent, timeouts).await;
-        let (status, body) = response.ok_or(StoreFailure::Unanswered)?;
-        codec::decode(request, status, &body)
+        match self.client.call(self.address, sent, timeouts).await {
+            Some(response) => {
+                let (head, body) = response.into_parts();
+                codec::decode(request, head.status, &head.headers, &body)
+            }
+            None => StoreResponse::failed(StoreFailure::Unanswered),
+        }
     }
 }
--- a/crates/testkit/src/platform/kv_server.rs
+++ b/crates/testkit/src/platform/kv_server.rs
@@ -14,6 +14,9 @@
 use super::KvState;
 use crate::http::{Handled, HttpServer, Query, ReplyBody, ServerOptions};
 
+/// Response header with the number of restorations of the store.
+const ERA_HEADER: &str = "Store-Era";
+
 /// How the metadata store responds to calls.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum KvMode {
@@ -86,7 +89,19 @@
     }
 }
 
+/// Answers a call and names the era of the store in the answer.
 async fn answer(shared: Arc<Shared>, req: Request<Incoming>) -> Handled {
+    match handle(&shared, req).await {
+        Handled::Answer(mut response) => {
+            let era = shared.with(|(state, ..)| state.era());
+            response.headers_mut().insert(ERA_HEADER, era.into());
+            Handled::Answer(response)
+        }
+        unanswered => unanswered,
+    }
+}
+
+async fn handle(shared: &Shared, req: Request<Incoming>) -> Handled {
     let mode = shared.with(|(_, mode, calls)| {
         *calls += 1;
         *mode
@@ -109,7 +124,7 @@
         (&Method::GET, ["almondsail", "kv-watch"]) => {
             let number = |name: &str| query.text(name).and_then(|n| n.parse().ok()).unwrap_or(0);
             let wait = Duration::from_millis(number("wait_ms"));
-            watch_changes(&shared, prefix, number("after"), wait).await
+            watch_changes(shared, prefix, number("after"), wait).await
         }
         (&Method::POST, ["almondsail", "kv-lease"]) => {
             let ttl = body["ttl_ms"].as_u64().unwrap_or(1_000);
--- a/crates/testkit/src/platform/kv_state.rs
+++ b/crates/testkit/src/platform/kv_state.rs
@@ -7,8 +7,10 @@
 use serde_json::{Value, json};
 
 /// The items of the test metadata store and the history of their changes.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct KvState {
+    /// Rises by one with each restoration from a copy.
+    era: u64,
     revision: u64,
     items: BTreeMap<String, Item>,
     /// Revision, key and new item of each change, the oldest first; no item for a deletion.
@@ -38,6 +40,18 @@
         self.revision
     }
 
+    /// Returns the number of restorations so far.
+    pub const fn era(&self) -> u64 {
+        self.era
+    }
+
+    /// Replaces the state by a copy, as a restored backup does. Revisions and lease ids continue
+    /// from the copy, so they are given out again, and the history is gone.
+    pub fn restore(&mut self, copy: Self) {
+        *self = Self { era: self.era + 1, ..copy };
+        self.compact_history();
+    }
+
     /// Writes `value` under `key` without a lease.
     pub fn put(&mut self, key: &str, value: &[u8]) {
         self.write(key, &BASE64.encode(value), 0);
@@ -81,9 +95,9 @@
     }
 
     /// Returns the changes after the revision `after` of keys that begin with `prefix`, or
-    /// `None` if the history no longer contains them.
+    /// `None` if the history doesn't contain them: they were dropped, or `after` is yet to come.
     pub fn changes(&self, prefix: &str, after: u64) -> Option<Vec<Value>> {
-        if after < self.compacted_revision {
+        if after < self.compacted_revision || after > self.revision {
             return None;
         }
         let is_wanted =
--- /dev/null
+++ b/crates/testkit/tests/fleet_restored_store.rs
@@ -0,0 +1,83 @@
+//! End-to-end tests of a fleet whose metadata store comes back from an earlier copy.
+
+use std::time::{Duration, Instant};
+
+use almondsail_testkit::harness::wait_until;
+use almondsail_testkit::platform::{Fleet, KvMode, KvState};
+use eyre::{Result, ensure};
+
+const SERVICES: [&str; 2] = ["bays", "traslados"];
+
+/// Time limit for a change of the configuration to be in force at every node.
+const CONFIG_LIMIT: Duration = Duration::from_secs(2);
+/// Time between a restoration and a change that must be in force in time.
+const SETTLING_TIME: Duration = Duration::from_secs(4);
+
+/// Starts a fleet of two data centres that serves the first service only.
+async fn start() -> Result<Fleet> {
+    let fleet = Fleet::start(&["dc-a", "dc-b"], &SERVICES).await?;
+    fleet.configure(1, &SERVICES[..1]);
+    for node in 0..fleet.nodes.len() {
+        fleet.wait_until_ready(node).await?;
+        fleet.wait_until_served(node, SERVICES[0]).await?;
+    }
+    Ok(fleet)
+}
+
+/// Replaces the store by `copy` while it is away for a moment.
+async fn restore(fleet: &Fleet, copy: KvState) {
+    fleet.store.set_mode(KvMode::Down);
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    fleet.store.edit(|state| state.restore(copy));
+    fleet.store.set_mode(KvMode::Up);
+}
+
+/// Returns the status of a request for the second service at each node.
+async fn statuses(fleet: &Fleet) -> Result<Vec<u16>> {
+    let host = format!("{}.example", SERVICES[1]);
+    let headers = [("host", host.as_str()), ("almondsail-attempt-id", "probe")];
+    let mut statuses = Vec::new();
+    for node in 0..fleet.nodes.len() {
+        let client = fleet.caller(node)?;
+        let reply = client.send(http::Method::GET, "/safe/", Default::default(), &headers).await?;
+        statuses.push(reply.status.as_u16());
+    }
+    Ok(statuses)
+}
+
+async fn wait_until_all_answer(fleet: &Fleet, status: u16) -> Result<()> {
+    wait_until("the same answer of every node", || async {
+        let statuses = statuses(fleet).await?;
+        ensure!(statuses.iter().all(|s| *s == status), "the nodes answer {statuses:?}");
+        Ok(())
+    })
+    .await
+}
+
+/// Guards against a change that no node takes after a restoration because its revision was given
+/// out before, and against an older configuration of the copy that comes into force.
+#[tokio::test]
+async fn config_changed_after_restoration() -> Result<()> {
+    let fleet = start().await?;
+    let copy = fleet.store.edit(|state| state.clone());
+    // Revisions that the restored store reaches only after some time.
+    (2..40).for_each(|version| fleet.configure(version, &SERVICES[..1]));
+    fleet.configure(40, &SERVICES);
+    wait_until_all_answer(&fleet, 200).await?;
+    restore(&fleet, copy).await;
+    fleet.configure(40, &SERVICES);
+    let restored_at = Instant::now();
+    while restored_at.elapsed() < SETTLING_TIME {
+        let statuses = statuses(&fleet).await?;
+        ensure!(statuses.iter().all(|status| *status == 200), "the nodes answer {statuses:?}");
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+    for (version, services, status) in [(41, &SERVICES[..1], 404), (42, &SERVICES[..], 200)] {
+        fleet.configure(version, services);
+        let changed_at = Instant::now();
+        wait_until_all_answer(&fleet, status).await?;
+        let took = changed_at.elapsed();
+        ensure!(took < CONFIG_LIMIT, "version {version} is in force after {took:?}");
+    }
+    Ok(())
+}
