Write a node's entry under a new lease after a restoration

Callers would see a node that starts while the store is restored and finds only some of the others, because their entries are missing from the store for good.

Cause: after a restoration the store gives lease ids out again. A node that renews the lease it knows may renew that of another node, and believes that its entry is there.

A node that sees a later era opens a lease and writes its entry again. A reply to a request for a lease from before the restoration is ignored.

Before, entry_after_restoration failed in the core tests (no request for a lease), and entries_after_restoration with node processes: "the store has only [dc-a-bays, dc-a-cargas, dc-a-traslados]" of four entries. Both pass now.

--- a/crates/core/src/fleet/node_entry_lease.rs
+++ b/crates/core/src/fleet/node_entry_lease.rs
@@ -78,6 +78,13 @@
         }
     }
 
+    /// Writes the entry under a new lease, because the store was restored: the known lease may be
+    /// gone, and its id may have been given to another node.
+    pub(super) fn restart(&mut self, now: Instant) {
+        self.state = State::NoLease;
+        self.next_request_at = now;
+    }
+
     /// Brings the next renewal forward, because a request to the store was lost. The reply tells
     /// whether the store was restored meanwhile, which a watch of a revision that was given out
     /// again does not.
--- a/crates/core/src/fleet/store_events.rs
+++ b/crates/core/src/fleet/store_events.rs
@@ -68,6 +68,7 @@
         self.pending_requests.clear();
         self.operator_watcher.restart(now, era);
         self.nodes_watcher.restart(now, era);
+        self.lease.restart(now);
         self.report(FleetChange::StoreRestored { era, before });
     }
 
--- a/crates/core/tests/fleet_restored_store.rs
+++ b/crates/core/tests/fleet_restored_store.rs
@@ -3,7 +3,7 @@
 mod fleet_common;
 
 use almondsail_core::fleet::{
-    ItemChange, KeySpace, LeaseId, StoreFailure, StoreKey, StoreReply, StoreRequest,
+    ItemChange, KeySpace, LeaseId, StoreFailure, StoreKey, StoreReply, StoreRequest, StoreWrite,
 };
 use almondsail_core::store::{Revision, StoreEra};
 use fleet_common::node::{Node, config_item};
@@ -115,3 +115,38 @@
     node.advance(700);
     assert!(node.open_requests.iter().any(|(_, request)| is_renewal(request)));
 }
+
+/// Guards against a node that renews the lease of another, whose id was given out again, and whose
+/// own entry is never written again.
+#[test]
+fn entry_after_restoration() {
+    let mut node = node_with_entry();
+    node.advance(2_500);
+    node.era = StoreEra::new(1);
+    node.reply(is_renewal, Ok(StoreReply::Lease(LeaseId::new(7))));
+    let is_opening = |request: &StoreRequest| matches!(request, StoreRequest::OpenLease(_));
+    assert!(node.open_requests.iter().any(|(_, request)| is_opening(request)));
+    node.reply(is_opening, Ok(StoreReply::Lease(LeaseId::new(9))));
+    let lease = |request: &StoreRequest| match request {
+        StoreRequest::Write(StoreWrite::Node(_, lease)) => Some(*lease),
+        _ => None,
+    };
+    let leases: Vec<LeaseId> =
+        node.open_requests.iter().filter_map(|(_, request)| lease(request)).collect();
+    assert_eq!(leases, [LeaseId::new(9)]);
+}
+
+/// Guards against a lease that was opened before a restoration and is used after it.
+#[test]
+fn lease_opened_before_restoration() {
+    let mut node = Node::started(vec![config_item(5, 50)]);
+    node.era = StoreEra::new(1);
+    node.reply(is_watch, Err(StoreFailure::HistoryLost));
+    let is_opening = |request: &StoreRequest| matches!(request, StoreRequest::OpenLease(_));
+    let openings = node.open_requests.iter().filter(|(_, request)| is_opening(request)).count();
+    assert_eq!(openings, 2, "one in each era");
+    node.era = StoreEra::new(0);
+    node.reply(is_opening, Ok(StoreReply::Lease(LeaseId::new(7))));
+    let is_write = |request: &StoreRequest| matches!(request, StoreRequest::Write(_));
+    assert!(!node.open_requests.iter().any(|(_, request)| is_write(request)));
+}
--- a/crates/testkit/tests/fleet_restored_store.rs
+++ b/crates/testkit/tests/fleet_restored_store.rs
@@ -10,6 +10,8 @@
 
 /// Time limit for a change of the configuration to be in force at every node.
 const CONFIG_LIMIT: Duration = Duration::from_secs(2);
+/// Time limit for the nodes to write again what a restored store lacks.
+const REWRITE_LIMIT: Duration = Duration::from_secs(4);
 /// Time between a restoration and a change that must be in force in time.
 const SETTLING_TIME: Duration = Duration::from_secs(4);
 
@@ -81,3 +83,25 @@
     }
     Ok(())
 }
+
+/// Guards against a node that renews the lease of another, whose id was given out again, and whose
+/// own entry is never written again.
+#[tokio::test]
+async fn entries_after_restoration() -> Result<()> {
+    let fleet = Fleet::start(&["dc-a"], &["bays", "traslados", "taller", "cargas"]).await?;
+    let entries = || fleet.store.edit(|state| state.keys("almondsail/nodes/"));
+    wait_until("an entry of each node", || async {
+        ensure!(entries().len() == fleet.nodes.len());
+        Ok(())
+    })
+    .await?;
+    let mut copy = KvState::default();
+    // Others have leases with the ids that the nodes know.
+    for _ in 0..20 {
+        copy.open_lease(600_000);
+    }
+    restore(&fleet, copy).await;
+    tokio::time::sleep(REWRITE_LIMIT).await;
+    ensure!(entries().len() == fleet.nodes.len(), "the store has only {:?}", entries());
+    Ok(())
+}
