Recognise a rollout order that was written again

The operator would see no `status/rollout/SERVICE` for good, if it was written since the copy was made, and would see a rollout that has ended start anew when the order is written again. An order that the copy still holds would replace the one that followed it.

Cause: orders were compared by revision, which a restored store gives out again, and a rollout that has ended was never recorded again. The conditional write of progress named a revision of the earlier era.

An order now has a position: era and revision. An equal order at a position of another era is the same order, and its rollout goes on. One that was superseded before and appears with its old revision is an item of the copy, and is ignored. Within one era each write is a new order, as before. After a restoration a node writes progress only after it has listed the space again, with the revision from there, and writes the end of a rollout again if the store lacks it. Heartbeats and progress name the era in new fields; a heartbeat without it is taken as of the era that the receiver knows.

--- a/crates/core/src/fleet/load_balancer.rs
+++ b/crates/core/src/fleet/load_balancer.rs
@@ -6,7 +6,7 @@
 
 use crate::fleet::{Endpoint, EndpointLoad, MeshRoute, ServiceEndpoints, VersionRule};
 use crate::ids::{DataCentre, NodeId, RouteName, ServiceName};
-use crate::store::Revision;
+use crate::store::StorePosition;
 use crate::units::{ByteCount, Instant, Micros};
 
 /// Chooses the endpoint of each call by the load and failures that this node observed.
@@ -26,7 +26,7 @@
 /// The calls of a service since a rollout order, and how many of them went to the new version.
 #[derive(Debug, Clone, Copy)]
 struct ShiftCount {
-    order: Revision,
+    order: StorePosition,
     all_calls: u64,
     new_calls: u64,
 }
--- a/crates/core/src/fleet/rollout.rs
+++ b/crates/core/src/fleet/rollout.rs
@@ -1,8 +1,9 @@
 //! The state of a rollout on one node.
 
 use crate::fleet::{
-    RolloutClock, RolloutOrder, RolloutOutcome, RolloutPlan, RolloutProgress, RolloutReport,
-    RolloutStep, RouteKey, TrafficShift, VersionEvidence, VersionRule,
+    OrderHistory, OrderRelation, RolloutClock, RolloutOrder, RolloutOutcome, RolloutPlan,
+    RolloutProgress, RolloutRecord, RolloutReport, RolloutStep, RouteKey, TrafficShift,
+    VersionEvidence, VersionRule,
 };
 use crate::store::Revision;
 use crate::units::{Instant, Micros, Millis, UnixMillis};
@@ -10,16 +11,18 @@
 /// The state of a rollout as one node knows it.
 #[derive(Debug)]
 pub struct Rollout {
-    /// The operator's order that started the rollout.
-    pub order: RolloutOrder,
+    /// The operator's order that started the rollout, and earlier ones.
+    orders: OrderHistory,
     clock: RolloutClock,
     /// Whether the new version was found bad. Never reset to false.
     is_stopped: bool,
     outcome: Option<RolloutOutcome>,
-    /// The revision of the progress in the store; `None` if the store has none.
+    /// The revision of the progress in the store; `None` if the store has none, as far as is known
+    /// in its present era.
     progress: Option<Revision>,
-    /// Whether the progress in the store belongs to this order.
-    is_recorded: bool,
+    record: RolloutRecord,
+    /// Whether the store was restored from a copy since the rollout began.
+    is_store_restored: bool,
     /// The calls that this node observed at the backend server beside it.
     evidence: VersionEvidence,
     /// Since when a write of the progress has been due.
@@ -34,12 +37,13 @@
     /// Creates a rollout that begins at `now`.
     pub fn new(order: RolloutOrder, now: Instant) -> Self {
         Self {
-            order,
+            orders: OrderHistory::new(order),
             clock: RolloutClock::start(now),
             is_stopped: false,
             outcome: None,
             progress: None,
-            is_recorded: false,
+            record: RolloutRecord::Missing,
+            is_store_restored: false,
             evidence: VersionEvidence::default(),
             due_since: None,
             writing: None,
@@ -47,11 +51,45 @@
         }
     }
 
+    /// Returns the order that started the rollout, with the earliest position at which it is known.
+    pub const fn order(&self) -> &RolloutOrder {
+        self.orders.current()
+    }
+
+    /// Returns whether `order` is the one that started the rollout.
+    pub fn is_for(&self, order: &RolloutOrder) -> bool {
+        self.orders.is_current(order)
+    }
+
+    /// Applies an order of the service: a later one replaces the rollout. Returns whether it did.
+    pub fn apply_order(&mut self, order: RolloutOrder, now: Instant) -> bool {
+        match self.orders.relation(&order) {
+            OrderRelation::Current => self.orders.add_position(order.position),
+            OrderRelation::Superseded => {}
+            OrderRelation::New => {
+                self.replace(order, now);
+                return true;
+            }
+        }
+        false
+    }
+
     /// Replaces the rollout by a later order of the service. Keeps the revision of the progress in
     /// the store.
-    pub fn replace(&mut self, order: RolloutOrder, now: Instant) {
-        let progress = self.progress;
-        *self = Self { progress, ..Self::new(order, now) };
+    fn replace(&mut self, order: RolloutOrder, now: Instant) {
+        let mut new = Self { progress: self.progress, ..Self::new(order.clone(), now) };
+        std::mem::swap(&mut new.orders, &mut self.orders);
+        new.orders.replace(order);
+        *self = new;
+    }
+
+    /// Forgets what the store holds, because it was restored from an earlier copy.
+    pub(super) fn forget_record(&mut self) {
+        self.progress = None;
+        self.record = RolloutRecord::Missing;
+        self.is_store_restored = true;
+        self.writing = None;
+        self.due_since = None;
     }
 
     /// Applies the progress that the store holds.
@@ -63,21 +101,22 @@
         wall: UnixMillis,
     ) {
         self.progress = Some(revision);
-        self.is_recorded = progress.order == self.order.revision;
-        if !self.is_recorded {
+        let order = progress.to_order();
+        if !self.is_for(&order) {
+            self.record = RolloutRecord::Missing;
             return;
         }
-        let elapsed = wall.since(progress.started).min(self.order.duration);
+        self.orders.add_position(order.position);
+        self.record = progress.outcome.into();
+        let elapsed = wall.since(progress.started).min(self.order().duration);
         self.clock.advance_to(now, elapsed.into());
         self.outcome = progress.outcome.or(self.outcome);
         self.is_stopped |= progress.outcome == Some(RolloutOutcome::RolledBack);
     }
 
-    /// Applies the report of another node. Returns whether something changed for calls.
+    /// Applies the report of another node on the same order. Returns whether something changed for
+    /// calls.
     pub fn merge_report(&mut self, report: &RolloutReport, now: Instant) -> bool {
-        if report.order != self.order.revision {
-            return false;
-        }
         let before = (self.is_stopped, self.outcome);
         self.clock.advance_to(now, report.elapsed.into());
         self.is_stopped |= report.is_stopped;
@@ -106,8 +145,13 @@
     }
 
     /// Returns whether the progress in the store belongs to this order.
-    pub const fn is_recorded(&self) -> bool {
-        self.is_recorded
+    pub fn is_recorded(&self) -> bool {
+        self.record != RolloutRecord::Missing
+    }
+
+    /// Returns whether the rollout has ended and a restored store lacks its end.
+    pub fn is_outcome_lost(&self) -> bool {
+        self.is_store_restored && self.outcome.is_some() && self.record != RolloutRecord::Ended
     }
 
     /// Returns whether the rollout has not ended yet.
@@ -122,21 +166,21 @@
 
     /// Returns the step that is due at `now`.
     pub fn step(&self, now: Instant) -> RolloutStep {
-        RolloutPlan::new(self.order.duration).step(self.elapsed(now))
+        RolloutPlan::new(self.order().duration).step(self.elapsed(now))
     }
 
     /// Returns which versions may take calls.
     pub fn rule(&self) -> VersionRule {
-        let target = self.order.target.clone();
+        let target = self.order().target.clone();
         match self.outcome {
             Some(RolloutOutcome::RolledBack) => VersionRule::Except(target),
             Some(RolloutOutcome::Completed) => VersionRule::Only(target),
             None if self.is_stopped => VersionRule::Except(target),
             None => VersionRule::Shift(TrafficShift {
                 target,
-                order: self.order.revision,
+                order: self.order().position,
                 clock: self.clock,
-                plan: RolloutPlan::new(self.order.duration),
+                plan: RolloutPlan::new(self.order().duration),
             }),
         }
     }
@@ -160,10 +204,11 @@
     pub fn report(&self, now: Instant) -> RolloutReport {
         let evidence = self.is_running() && !self.evidence.routes.is_empty();
         RolloutReport {
-            service: self.order.service.clone(),
-            target: self.order.target.clone(),
-            order: self.order.revision,
-            duration: self.order.duration,
+            service: self.order().service.clone(),
+            target: self.order().target.clone(),
+            order: self.order().position.revision,
+            order_era: Some(self.order().position.era),
+            duration: self.order().duration,
             elapsed: Millis::new(self.elapsed(now).get() / 1_000),
             is_stopped: self.is_stopped,
             outcome: self.outcome,
@@ -182,10 +227,10 @@
         self.writing = outcome;
         let elapsed = self.elapsed(now).get() / 1_000;
         RolloutProgress {
-            service: self.order.service.clone(),
-            target: self.order.target.clone(),
-            order: self.order.revision,
-            duration: self.order.duration,
+            service: self.order().service.clone(),
+            target: self.order().target.clone(),
+            order: self.order().position,
+            duration: self.order().duration,
             started: UnixMillis::new(wall.get().saturating_sub(elapsed)),
             outcome,
         }
@@ -193,7 +238,7 @@
 
     /// Returns the time left until the deadline.
     pub fn remaining(&self, now: Instant) -> Micros {
-        let duration = Micros::from(self.order.duration).get();
+        let duration = Micros::from(self.order().duration).get();
         Micros::new(duration.saturating_sub(self.elapsed(now).get()))
     }
 
@@ -215,9 +260,9 @@
     /// Records that the pending write took effect. Returns the outcome that it contained.
     pub fn confirm_write(&mut self, revision: Revision) -> Option<RolloutOutcome> {
         self.progress = Some(revision);
-        self.is_recorded = true;
         self.due_since = None;
         let outcome = self.writing.take();
+        self.record = outcome.into();
         self.outcome = self.outcome.or(outcome);
         outcome
     }
--- a/crates/core/src/fleet/rollout_events.rs
+++ b/crates/core/src/fleet/rollout_events.rs
@@ -3,8 +3,8 @@
 use super::calls_view::KnownBackend;
 use super::fleet_control::{FleetControl, RequestPurpose};
 use crate::fleet::{
-    FleetChange, Rollout, RolloutOrder, RolloutOutcome, RolloutReport, RolloutStep, StoreFailure,
-    StoreReply, StoreRequest, StoreWrite, VersionEvidence, VersionJudge,
+    FleetChange, Rollout, RolloutOutcome, RolloutReport, RolloutStep, StoreFailure, StoreReply,
+    StoreRequest, StoreWrite, VersionEvidence, VersionJudge,
 };
 use crate::ids::{NodeId, ServiceName, VersionName};
 use crate::units::{Instant, Micros, Millis, UnixMillis};
@@ -19,17 +19,10 @@
 
     /// Handles the report of another node on a rollout.
     pub(super) fn handle_rollout_report(&mut self, now: Instant, report: &RolloutReport) {
-        let is_known = |rollout: &Rollout| rollout.order.revision >= report.order;
-        if !self.rollouts.get(&report.service).is_some_and(is_known) {
-            let order = RolloutOrder {
-                service: report.service.clone(),
-                target: report.target.clone(),
-                duration: report.duration,
-                revision: report.order,
-            };
-            self.record_order(now, order);
-        }
+        let order = report.to_order(self.store_era.unwrap_or_default());
+        self.record_order(now, order.clone());
         if let Some(rollout) = self.rollouts.get_mut(&report.service)
+            && rollout.is_for(&order)
             && rollout.merge_report(report, now)
         {
             self.mark_changed();
@@ -46,17 +39,19 @@
 
     /// Judges the running rollouts and writes the progress that is due.
     pub(super) fn drive_rollouts(&mut self, now: Instant, wall: UnixMillis) {
-        let running = self.rollouts.iter().filter(|(_, rollout)| rollout.is_running());
-        let running: Vec<ServiceName> = running.map(|(service, _)| service.clone()).collect();
-        for service in running {
+        let is_driven = |rollout: &Rollout| rollout.is_running() || rollout.is_outcome_lost();
+        let driven = self.rollouts.iter().filter(|(_, rollout)| is_driven(rollout));
+        let driven: Vec<ServiceName> = driven.map(|(service, _)| service.clone()).collect();
+        for service in driven {
             self.stop_if_bad(now, &service);
             self.write_due_progress(now, wall, &service);
         }
     }
 
     fn stop_if_bad(&mut self, now: Instant, service: &ServiceName) {
-        let Some(rollout) = self.rollouts.get(service).filter(|r| !r.is_stopped()) else { return };
-        let target = rollout.order.target.clone();
+        let may_stop = |rollout: &&Rollout| rollout.is_running() && !rollout.is_stopped();
+        let Some(rollout) = self.rollouts.get(service).filter(may_stop) else { return };
+        let target = rollout.order().target.clone();
         let (new, old) = self.evidence(now, service, &target);
         if !VersionJudge::is_bad(&new, &old) {
             return;
@@ -100,9 +95,8 @@
     fn peer_report(&self, node: &NodeId, rollout: &Rollout) -> Option<&RolloutReport> {
         let peer = self.peers.get(node)?;
         let reports = &peer.heartbeat.as_ref()?.rollouts;
-        reports.iter().find(|report| {
-            report.service == rollout.order.service && report.order == rollout.order.revision
-        })
+        let era = self.store_era.unwrap_or_default();
+        reports.iter().find(|report| rollout.is_for(&report.to_order(era)))
     }
 
     /// Writes the progress of a rollout if it is due and this node's turn.
@@ -133,13 +127,20 @@
     /// Returns the progress that is due: the start of the rollout (`Some(None)`) or an outcome.
     fn due_progress(&self, now: Instant, service: &ServiceName) -> Option<Option<RolloutOutcome>> {
         let rollout = self.rollouts.get(service)?;
+        if !self.nodes_watcher.is_current() {
+            // The write is conditional on what the store holds, which must be read first.
+            return None;
+        }
+        if rollout.outcome().is_some() {
+            return Some(rollout.outcome());
+        }
         if rollout.is_stopped() {
             return Some(Some(RolloutOutcome::RolledBack));
         }
         if rollout.step(now) == RolloutStep::Complete {
             let is_new = |known: &KnownBackend<'_>| {
                 known.status.service == *service
-                    && known.status.version == rollout.order.target
+                    && known.status.version == rollout.order().target
                     && !known.is_silent
             };
             if self.backends(now).iter().any(is_new) {
@@ -163,7 +164,7 @@
         match reply {
             Ok(StoreReply::Written(revision)) => {
                 if let Some(outcome) = rollout.confirm_write(revision) {
-                    let target = rollout.order.target.clone();
+                    let target = rollout.order().target.clone();
                     self.report(FleetChange::RolloutEnded(service.clone(), target, outcome));
                 }
                 self.mark_changed();
--- a/crates/core/src/fleet/rollout_progress.rs
+++ b/crates/core/src/fleet/rollout_progress.rs
@@ -1,8 +1,8 @@
 //! The progress of a rollout in the store.
 
-use crate::fleet::RolloutOutcome;
+use crate::fleet::{RolloutOrder, RolloutOutcome};
 use crate::ids::{ServiceName, VersionName};
-use crate::store::Revision;
+use crate::store::StorePosition;
 use crate::units::{Millis, UnixMillis};
 
 /// The progress of a rollout, which the store keeps beyond the life of any process.
@@ -12,8 +12,8 @@
     pub service: ServiceName,
     /// The new version that the order names.
     pub target: VersionName,
-    /// The revision of the order in the store.
-    pub order: Revision,
+    /// The position of the order in the store.
+    pub order: StorePosition,
     /// The time that the order allows for the rollout.
     pub duration: Millis,
     /// When the rollout began, by the time of day of the node that wrote the progress.
@@ -21,3 +21,15 @@
     /// How the rollout ended; `None` while it runs.
     pub outcome: Option<RolloutOutcome>,
 }
+
+impl RolloutProgress {
+    /// Returns the order that the progress names.
+    pub fn to_order(&self) -> RolloutOrder {
+        RolloutOrder {
+            service: self.service.clone(),
+            target: self.target.clone(),
+            duration: self.duration,
+            position: self.order,
+        }
+    }
+}
--- a/crates/core/src/fleet/rollout_report.rs
+++ b/crates/core/src/fleet/rollout_report.rs
@@ -1,8 +1,8 @@
 //! The report of a node to others on a rollout.
 
-use crate::fleet::{RolloutOutcome, VersionEvidence};
+use crate::fleet::{RolloutOrder, RolloutOutcome, VersionEvidence};
 use crate::ids::{ServiceName, VersionName};
-use crate::store::Revision;
+use crate::store::{Revision, StoreEra, StorePosition};
 use crate::units::Millis;
 
 /// The state of a rollout that a node reports to others in heartbeats.
@@ -14,6 +14,8 @@
     pub target: VersionName,
     /// The revision of the order in the store.
     pub order: Revision,
+    /// The era of the store in which it gave out the revision; `None` if the sender doesn't tell.
+    pub order_era: Option<StoreEra>,
     /// The time that the order allows for the rollout.
     pub duration: Millis,
     /// The time since the order, by the sender's monotonic clock.
@@ -26,3 +28,15 @@
     /// service.
     pub evidence: Option<VersionEvidence>,
 }
+
+impl RolloutReport {
+    /// Returns the order that the report names, which is of `era` if the sender doesn't tell.
+    pub fn to_order(&self, era: StoreEra) -> RolloutOrder {
+        RolloutOrder {
+            service: self.service.clone(),
+            target: self.target.clone(),
+            duration: self.duration,
+            position: StorePosition::new(self.order_era.unwrap_or(era), self.order),
+        }
+    }
+}
--- a/crates/core/src/fleet/store_events.rs
+++ b/crates/core/src/fleet/store_events.rs
@@ -4,8 +4,8 @@
 
 use super::fleet_control::{FleetControl, RequestPurpose};
 use crate::fleet::{
-    FleetChange, ItemChange, KeySpace, RolloutOrder, RolloutProgress, StoreFailure, StoreItem,
-    StoreKey, StoreReply, StoreResponse, StoredValue,
+    FleetChange, ItemChange, KeySpace, Rollout, RolloutOrder, RolloutProgress, StoreFailure,
+    StoreItem, StoreKey, StoreReply, StoreResponse, StoredValue,
 };
 use crate::store::{Revision, StoreEra};
 use crate::units::{Instant, UnixMillis};
@@ -69,6 +69,7 @@
         self.operator_watcher.restart(now, era);
         self.nodes_watcher.restart(now, era);
         self.lease.restart(now);
+        self.rollouts.values_mut().for_each(Rollout::forget_record);
         self.report(FleetChange::StoreRestored { era, before });
     }
 
@@ -130,15 +131,17 @@
     pub(super) fn record_order(&mut self, now: Instant, order: RolloutOrder) {
         let service = order.service.clone();
         let change = FleetChange::RolloutOrdered(service.clone(), order.target.clone());
-        match self.rollouts.get_mut(&service) {
-            Some(known) if known.order.revision >= order.revision => return,
-            Some(known) => known.replace(order, now),
+        let is_new = match self.rollouts.get_mut(&service) {
+            Some(rollout) => rollout.apply_order(order, now),
             None => {
-                self.rollouts.insert(service, crate::fleet::Rollout::new(order, now));
+                self.rollouts.insert(service, Rollout::new(order, now));
+                true
             }
+        };
+        if is_new {
+            self.report(change);
+            self.mark_changed();
         }
-        self.report(change);
-        self.mark_changed();
     }
 
     fn record_progress(
@@ -149,14 +152,8 @@
         revision: Revision,
     ) {
         // The order may not have arrived yet, but the progress names all that it contains.
-        let order = RolloutOrder {
-            service: progress.service.clone(),
-            target: progress.target.clone(),
-            duration: progress.duration,
-            revision: progress.order,
-        };
         if !self.rollouts.contains_key(&progress.service) {
-            self.record_order(now, order);
+            self.record_order(now, progress.to_order());
         }
         if let Some(rollout) = self.rollouts.get_mut(&progress.service) {
             rollout.apply_progress(progress, revision, now, wall);
--- a/crates/core/src/fleet/store_watcher.rs
+++ b/crates/core/src/fleet/store_watcher.rs
@@ -26,6 +26,8 @@
     next_request_at: Instant,
     failures_in_a_row: u32,
     is_listed: bool,
+    /// Whether the key space was known completely since the last restoration of the store.
+    is_current: bool,
     /// Whether to wait for changes. The first listing is made in any case.
     is_watching: bool,
 }
@@ -65,6 +67,7 @@
             next_request_at: Instant::new(0),
             failures_in_a_row: 0,
             is_listed: false,
+            is_current: false,
             is_watching: true,
         }
     }
@@ -88,6 +91,7 @@
     /// Lists the key space again, because the store was restored and is now in `era`.
     pub fn restart(&mut self, now: Instant, era: StoreEra) {
         self.era = era;
+        self.is_current = false;
         self.restart_listing();
         self.next_request_at = now;
         self.failures_in_a_row = 0;
@@ -98,6 +102,11 @@
         self.is_listed
     }
 
+    /// Returns whether the key space was known completely since the last restoration of the store.
+    pub const fn is_current(&self) -> bool {
+        self.is_current
+    }
+
     /// Returns whether the last request failed.
     pub const fn is_failing(&self) -> bool {
         self.failures_in_a_row > 0
@@ -156,6 +165,7 @@
         let listed = std::mem::take(listed);
         self.state = State::Watching(as_of);
         self.is_listed = true;
+        self.is_current = true;
         WatchUpdate { changes: self.diff(listed, as_of), is_listed: true }
     }
 
--- a/crates/core/src/fleet/traffic_shift.rs
+++ b/crates/core/src/fleet/traffic_shift.rs
@@ -2,7 +2,7 @@
 
 use crate::fleet::{RolloutClock, RolloutPlan, RolloutStep};
 use crate::ids::VersionName;
-use crate::store::Revision;
+use crate::store::StorePosition;
 use crate::units::Instant;
 
 /// The share of a service's calls that a rollout sends to its new version.
@@ -10,9 +10,9 @@
 pub struct TrafficShift {
     /// The new version that calls are moved to.
     pub target: VersionName,
-    /// The revision of the rollout order. Calls counted for an earlier order don't count for a
+    /// The position of the rollout order. Calls counted for an earlier order don't count for a
     /// later one.
-    pub order: Revision,
+    pub order: StorePosition,
     /// Measures the time since the rollout order.
     pub clock: RolloutClock,
     /// Decides which step is due at a time.
--- a/crates/core/tests/fleet_common/node.rs
+++ b/crates/core/tests/fleet_common/node.rs
@@ -2,10 +2,10 @@
 
 use almondsail_core::fleet::{
     FleetAction, FleetControl, FleetEvent, Heartbeat, ItemChange, KeySpace, RolloutOrder,
-    RolloutProgress, StoreFailure, StoreItem, StoreKey, StoreReply, StoreRequest, StoreResponse,
-    StoreWrite, StoredValue,
+    RolloutProgress, RolloutReport, StoreFailure, StoreItem, StoreKey, StoreReply, StoreRequest,
+    StoreResponse, StoreWrite, StoredValue, VersionEvidence,
 };
-use almondsail_core::store::{Revision, StoreEra};
+use almondsail_core::store::{Revision, StoreEra, StorePosition};
 use almondsail_core::units::{Instant, Millis, UnixMillis};
 use rand::SeedableRng as _;
 use rand::rngs::SmallRng;
@@ -112,17 +112,46 @@
     StoreItem { key: StoreKey::Config, revision: Revision::new(revision), value }
 }
 
+/// Returns the order to move `bays` to `v2`, as the store holds it before any restoration.
 pub fn order_item(revision: u64) -> StoreItem {
+    order_item_in(StoreEra::default(), revision, "v2")
+}
+
+/// Returns the order to move `bays` to `target`, as the store holds it in `era`.
+pub fn order_item_in(era: StoreEra, revision: u64, target: &str) -> StoreItem {
+    let revision = Revision::new(revision);
     let order = RolloutOrder {
         service: "bays".parse().unwrap(),
-        target: "v2".parse().unwrap(),
+        target: target.parse().unwrap(),
         duration: Millis::new(15_000),
-        revision: Revision::new(revision),
+        position: StorePosition::new(era, revision),
     };
     let key = StoreKey::Order(order.service.clone());
-    StoreItem { key, revision: order.revision, value: StoredValue::Order(order) }
+    StoreItem { key, revision, value: StoredValue::Order(order) }
 }
 
 pub fn heartbeat_with_backend(n: u8, sequence: u64, id: &str, version: &str) -> Heartbeat {
     Heartbeat { backend: Some(backend(id, version)), ..heartbeat(n, sequence) }
 }
+
+/// Starts a node with the order of a rollout from v1 (node 2) to v2 (node 3).
+pub fn node_in_rollout() -> Node {
+    let mut node = Node::started(vec![config_item(5, 50), order_item(60)]);
+    node.event(FleetEvent::Heartbeat(heartbeat_with_backend(2, 1, "i-2", "v1")));
+    node.event(FleetEvent::Heartbeat(heartbeat_with_backend(3, 1, "i-3", "v2")));
+    node
+}
+
+pub fn report(evidence: Option<VersionEvidence>, is_stopped: bool) -> RolloutReport {
+    RolloutReport {
+        service: "bays".parse().unwrap(),
+        target: "v2".parse().unwrap(),
+        order: Revision::new(60),
+        order_era: Some(StoreEra::default()),
+        duration: Millis::new(15_000),
+        elapsed: Millis::new(0),
+        is_stopped,
+        outcome: None,
+        evidence,
+    }
+}
--- a/crates/core/tests/fleet_control.rs
+++ b/crates/core/tests/fleet_control.rs
@@ -4,15 +4,16 @@
 
 use almondsail_core::fleet::{
     ConfigProblem, Departure, FleetAction, FleetEvent, Heartbeat, KeySpace, LeaseId,
-    RolloutOutcome, RolloutProgress, RolloutReport, RouteEvidence, RouteKey, StoreFailure,
-    StoreItem, StoreKey, StoreReply, StoreRequest, StoreWrite, StoredValue, VersionEvidence,
-    VersionRule,
+    RolloutOutcome, RolloutProgress, RouteEvidence, RouteKey, StoreFailure, StoreItem, StoreKey,
+    StoreReply, StoreRequest, StoreWrite, StoredValue, VersionEvidence, VersionRule,
 };
 use almondsail_core::ids::ConfigVersion;
-use almondsail_core::store::Revision;
+use almondsail_core::store::{Revision, StoreEra, StorePosition};
 use almondsail_core::units::{Millis, UnixMillis};
 use almondsail_seeded::properties;
-use fleet_common::node::{Node, config_item, heartbeat_with_backend, order_item};
+use fleet_common::node::{
+    Node, config_item, heartbeat_with_backend, node_in_rollout, order_item, report,
+};
 use fleet_common::{announcement, at, config, entry, heartbeat};
 
 /// Guards against an older configuration that replaces a newer one, from any source.
@@ -205,27 +206,6 @@
     assert_eq!(view.services["bays"].rule, VersionRule::Only("v1".parse().unwrap()));
 }
 
-/// Starts a node with the order of a rollout from v1 (node 2) to v2 (node 3).
-fn node_in_rollout() -> Node {
-    let mut node = Node::started(vec![config_item(5, 50), order_item(60)]);
-    node.event(FleetEvent::Heartbeat(heartbeat_with_backend(2, 1, "i-2", "v1")));
-    node.event(FleetEvent::Heartbeat(heartbeat_with_backend(3, 1, "i-3", "v2")));
-    node
-}
-
-fn report(evidence: Option<VersionEvidence>, is_stopped: bool) -> RolloutReport {
-    RolloutReport {
-        service: "bays".parse().unwrap(),
-        target: "v2".parse().unwrap(),
-        order: Revision::new(60),
-        duration: Millis::new(15_000),
-        elapsed: Millis::new(0),
-        is_stopped,
-        outcome: None,
-        evidence,
-    }
-}
-
 fn failing_evidence() -> VersionEvidence {
     let mut route = RouteEvidence::default();
     (0..6).for_each(|_| route.record_failure());
@@ -317,7 +297,7 @@
     let progress = RolloutProgress {
         service: "bays".parse().unwrap(),
         target: "v2".parse().unwrap(),
-        order: Revision::new(60),
+        order: StorePosition::new(StoreEra::default(), Revision::new(60)),
         duration: Millis::new(15_000),
         started: UnixMillis::new(1_000_000),
         outcome: Some(RolloutOutcome::RolledBack),
--- a/crates/core/tests/fleet_rollouts.rs
+++ b/crates/core/tests/fleet_rollouts.rs
@@ -7,19 +7,23 @@
     RolloutProgress, RolloutStep, RouteEvidence, RouteKey, ServiceEndpoints, TrafficShift,
     VersionEvidence, VersionJudge, VersionRule,
 };
-use almondsail_core::store::Revision;
+use almondsail_core::store::{Revision, StoreEra, StorePosition};
 use almondsail_core::units::{Micros, Millis, UnixMillis};
 use almondsail_seeded::properties;
 use fleet_common::{at, endpoint};
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
 
+fn position(revision: u64) -> StorePosition {
+    StorePosition::new(StoreEra::default(), Revision::new(revision))
+}
+
 fn order(duration: u64) -> RolloutOrder {
     RolloutOrder {
         service: "bays".parse().unwrap(),
         target: "v2".parse().unwrap(),
         duration: Millis::new(duration),
-        revision: Revision::new(7),
+        position: position(7),
     }
 }
 
@@ -82,7 +86,7 @@
     let progress = |started: u64| RolloutProgress {
         service: "bays".parse().unwrap(),
         target: "v2".parse().unwrap(),
-        order: Revision::new(7),
+        order: position(7),
         duration: Millis::new(15_000),
         started: UnixMillis::new(started),
         outcome: None,
@@ -154,7 +158,7 @@
 fn endpoints_in_shift(started: u64) -> ServiceEndpoints {
     let shift = TrafficShift {
         target: "v2".parse().unwrap(),
-        order: Revision::new(7),
+        order: position(7),
         clock: RolloutClock::start(at(started)),
         plan: RolloutPlan::new(Millis::new(15_000)),
     };
--- a/crates/testkit/tests/fleet_restored_store.rs
+++ b/crates/testkit/tests/fleet_restored_store.rs
@@ -5,6 +5,7 @@
 use almondsail_testkit::harness::wait_until;
 use almondsail_testkit::platform::{Fleet, KvMode, KvState};
 use eyre::{Result, ensure};
+use serde_json::{Value, json};
 
 const SERVICES: [&str; 2] = ["bays", "traslados"];
 
@@ -56,6 +57,26 @@
     .await
 }
 
+fn rollout_status(fleet: &Fleet) -> Option<Value> {
+    let text = fleet.store.edit(|state| state.get("status/rollout/bays"))?;
+    serde_json::from_slice(&text).ok()
+}
+
+fn order_rollout(fleet: &Fleet, duration_s: f64) {
+    let order = json!({"service": "bays", "target_version": "v1", "duration_s": duration_s});
+    fleet.store.edit(|state| state.put("op/rollout/bays", order.to_string().as_bytes()));
+}
+
+async fn wait_until_completed(fleet: &Fleet) -> Result<()> {
+    wait_until("a completed rollout", || async {
+        let status = rollout_status(fleet);
+        let state = status.as_ref().map(|status| &status["state"]);
+        ensure!(state == Some(&json!("completed")), "the status is {status:?}");
+        Ok(())
+    })
+    .await
+}
+
 /// Guards against a change that no node takes after a restoration because its revision was given
 /// out before, and against an older configuration of the copy that comes into force.
 #[tokio::test]
@@ -105,3 +126,32 @@
     ensure!(entries().len() == fleet.nodes.len(), "the store has only {:?}", entries());
     Ok(())
 }
+
+/// Guards against a status that the operator never finds again, and against a rollout that has
+/// ended and starts anew because its order was written again. A later order must still start.
+#[tokio::test]
+async fn rollout_after_restoration() -> Result<()> {
+    let fleet = start().await?;
+    let copy = fleet.store.edit(|state| state.clone());
+    order_rollout(&fleet, 3.0);
+    wait_until_completed(&fleet).await?;
+    restore(&fleet, copy).await;
+    order_rollout(&fleet, 3.0);
+    let restored_at = Instant::now();
+    while restored_at.elapsed() < REWRITE_LIMIT {
+        let status = rollout_status(&fleet);
+        let is_begun = status.is_some_and(|status| status["state"] == "running");
+        ensure!(!is_begun, "the rollout has started anew");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let status = rollout_status(&fleet);
+    ensure!(status.is_some_and(|status| status["state"] == "completed"), "no status");
+    order_rollout(&fleet, 4.0);
+    wait_until("a rollout that has started", || async {
+        let status = rollout_status(&fleet);
+        ensure!(status.as_ref().is_some_and(|s| s["state"] == "running"), "{status:?}");
+        Ok(())
+    })
+    .await?;
+    wait_until_completed(&fleet).await
+}
--- a/crates/wire/src/convert/fleet.rs
+++ b/crates/wire/src/convert/fleet.rs
@@ -7,7 +7,7 @@
     RouteKey, VersionEvidence,
 };
 use almondsail_core::ids::{ConfigVersion, Incarnation};
-use almondsail_core::store::Revision;
+use almondsail_core::store::{Revision, StoreEra, StorePosition};
 use almondsail_core::units::{Millis, UnixMillis};
 use prost::Message;
 
@@ -109,6 +109,7 @@
             service: report.service.to_string(),
             target: report.target.to_string(),
             order: report.order.get(),
+            order_era: report.order_era.map(StoreEra::get),
             duration_ms: report.duration.get(),
             elapsed_ms: report.elapsed.get(),
             is_stopped: report.is_stopped,
@@ -138,6 +139,7 @@
             service: parse("service", &w.service)?,
             target: parse("target", &w.target)?,
             order: Revision::new(w.order),
+            order_era: w.order_era.map(StoreEra::new),
             duration: Millis::new(w.duration_ms),
             elapsed: Millis::new(w.elapsed_ms),
             is_stopped: w.is_stopped,
@@ -209,7 +211,8 @@
         Self {
             service: progress.service.to_string(),
             target: progress.target.to_string(),
-            order: progress.order.get(),
+            order: progress.order.revision.get(),
+            order_era: progress.order.era.get(),
             duration_ms: progress.duration.get(),
             started: progress.started.get(),
             outcome: optional_text(progress.outcome.as_ref()),
@@ -224,7 +227,7 @@
         Ok(Self {
             service: parse("service", &w.service)?,
             target: parse("target", &w.target)?,
-            order: Revision::new(w.order),
+            order: StorePosition::new(StoreEra::new(w.order_era), Revision::new(w.order)),
             duration: Millis::new(w.duration_ms),
             started: UnixMillis::new(w.started),
             outcome: parse_optional("outcome", &w.outcome)?,
--- /dev/null
+++ b/crates/wire/tests/fleet.rs
@@ -0,0 +1,63 @@
+//! Messages between the nodes of a fleet, and the values that they keep in the store.
+
+use almondsail_core::fleet::{Heartbeat, NodeEntry, RolloutProgress, RolloutReport};
+use almondsail_core::ids::{ConfigVersion, Incarnation};
+use almondsail_core::store::{Revision, StoreEra, StorePosition};
+use almondsail_core::units::{Millis, UnixMillis};
+use almondsail_wire::{decode_heartbeat, decode_progress, encode_heartbeat, encode_progress};
+
+fn heartbeat(order_era: Option<StoreEra>) -> Heartbeat {
+    let address = "10.0.0.1:7000".parse().unwrap();
+    let report = RolloutReport {
+        service: "bays".parse().unwrap(),
+        target: "v2".parse().unwrap(),
+        order: Revision::new(60),
+        order_era,
+        duration: Millis::new(15_000),
+        elapsed: Millis::new(10),
+        is_stopped: false,
+        outcome: None,
+        evidence: None,
+    };
+    Heartbeat {
+        entry: NodeEntry {
+            node: "n1".parse().unwrap(),
+            inbound: address,
+            heartbeats: address,
+            data_centre: "dc-a".parse().unwrap(),
+            departed: None,
+        },
+        incarnation: Incarnation::new(1),
+        sequence: 1,
+        config_version: ConfigVersion::new(5),
+        is_store_reached: true,
+        is_leaving: false,
+        backend: None,
+        departures: Vec::new(),
+        rollouts: vec![report],
+    }
+}
+
+/// Guards against an era that is lost on the way, and against one of an earlier build, which names
+/// none, that is taken for the first one.
+#[test]
+fn heartbeat_order_era() {
+    for era in [None, Some(StoreEra::new(0)), Some(StoreEra::new(3))] {
+        let sent = heartbeat(era);
+        assert_eq!(decode_heartbeat(&encode_heartbeat(&sent)).unwrap(), sent);
+    }
+}
+
+/// Guards against an order that is mistaken for one of another era after its progress was read.
+#[test]
+fn progress_order_era() {
+    let written = RolloutProgress {
+        service: "bays".parse().unwrap(),
+        target: "v2".parse().unwrap(),
+        order: StorePosition::new(StoreEra::new(3), Revision::new(60)),
+        duration: Millis::new(15_000),
+        started: UnixMillis::new(1_000_000),
+        outcome: None,
+    };
+    assert_eq!(decode_progress(&encode_progress(&written)).unwrap(), written);
+}
