Stop repeating a write of progress that can't succeed

The operator pays for calls to the store that have no effect: a node that doesn't watch the store repeated the conditional write of a rollout's progress each 0.25 s until the rollout ended.

Cause: such a node never learns that another one has written the progress, so its condition names a state that is gone.

After a conflict, a node that doesn't watch the store takes what it listed for outdated. It writes no progress before it has listed the space again, which it does when it takes over watching.

Before, progress_conflict_not_watching failed: left [(None, None)], right []. It passes now.

--- a/crates/core/src/fleet/rollout_events.rs
+++ b/crates/core/src/fleet/rollout_events.rs
@@ -3,8 +3,8 @@
 use super::calls_view::KnownBackend;
 use super::fleet_control::{FleetControl, RequestPurpose};
 use crate::fleet::{
-    FleetChange, Rollout, RolloutOutcome, RolloutReport, RolloutStep, StoreFailure, StoreReply,
-    StoreRequest, StoreWrite, VersionEvidence, VersionJudge,
+    FleetChange, KeySpace, Rollout, RolloutOutcome, RolloutReport, RolloutStep, StoreFailure,
+    StoreReply, StoreRequest, StoreWrite, VersionEvidence, VersionJudge,
 };
 use crate::ids::{NodeId, ServiceName, VersionName};
 use crate::units::{Instant, Micros, Millis, UnixMillis};
@@ -170,7 +170,14 @@
                 self.mark_changed();
             }
             // After a conflict or a lost answer, the watcher reports what the store holds.
-            _ => rollout.write_failed(now),
+            Err(failure) => {
+                rollout.write_failed(now);
+                let is_watched = self.is_pending(&RequestPurpose::Watch(KeySpace::Nodes));
+                if failure == StoreFailure::Conflict && !is_watched && !self.is_watcher(now) {
+                    self.nodes_watcher.mark_outdated();
+                }
+            }
+            Ok(_) => rollout.write_failed(now),
         }
     }
 }
--- a/crates/core/src/fleet/store_watcher.rs
+++ b/crates/core/src/fleet/store_watcher.rs
@@ -26,7 +26,8 @@
     next_request_at: Instant,
     failures_in_a_row: u32,
     is_listed: bool,
-    /// Whether the key space was known completely since the last restoration of the store.
+    /// Whether the key space was listed since the last restoration of the store, and nothing has
+    /// shown that it has changed without a report.
     is_current: bool,
     /// Whether to wait for changes. The first listing is made in any case.
     is_watching: bool,
@@ -102,7 +103,14 @@
         self.is_listed
     }
 
-    /// Returns whether the key space was known completely since the last restoration of the store.
+    /// Lists the key space again before the next watch, because it has changed without a report.
+    pub fn mark_outdated(&mut self) {
+        self.is_current = false;
+        self.restart_listing();
+    }
+
+    /// Returns whether the key space was listed since the last restoration of the store, and
+    /// nothing has shown that it has changed without a report.
     pub const fn is_current(&self) -> bool {
         self.is_current
     }
--- a/crates/core/tests/fleet_restored_rollout.rs
+++ b/crates/core/tests/fleet_restored_rollout.rs
@@ -9,6 +9,7 @@
 };
 use almondsail_core::store::{Revision, StoreEra, StorePosition};
 use almondsail_core::units::{Millis, UnixMillis};
+use fleet_common::heartbeat;
 use fleet_common::node::{
     Node, config_item, heartbeat_with_backend, node_in_rollout, order_item, order_item_in, report,
 };
@@ -278,3 +279,40 @@
     node.report_change(KeySpace::Operator, order_item(130));
     assert_eq!(target(&rule(&node)), Some("v2"));
 }
+
+/// Lets time pass, in which two nodes with lower ids send heartbeats and watch the store.
+fn advance_beside_watchers(node: &mut Node, ms: u64) {
+    for _ in 0..ms / 500 {
+        for (n, id) in [(4, "m1"), (5, "m2")] {
+            let mut first = heartbeat(n, node.now.get() + 1);
+            first.entry.node = id.parse().unwrap();
+            node.event(FleetEvent::Heartbeat(first));
+        }
+        node.advance(500);
+    }
+}
+
+/// Guards against a node that doesn't watch the store and repeats a conditional write that can't
+/// succeed, and against one that doesn't read the store when it takes over.
+#[test]
+fn progress_conflict_not_watching() {
+    let mut node = Node::started(vec![config_item(5, 50)]);
+    let is_watch = |request: &StoreRequest| matches!(request, StoreRequest::Watch(..));
+    advance_beside_watchers(&mut node, 500);
+    let none = StoreReply::Changes(Vec::new(), Revision::new(100));
+    node.reply(is_watch, Ok(none.clone()));
+    node.reply(is_watch, Ok(none));
+    let heartbeat = heartbeat_with_backend(3, 1, "i-3", "v2");
+    let reports = Heartbeat { rollouts: vec![report(None, false)], ..heartbeat };
+    node.event(FleetEvent::Heartbeat(reports));
+    advance_beside_watchers(&mut node, 1_500);
+    assert_eq!(writes(&node), [(None, None)], "it takes over after a while");
+    node.reply(is_progress, Err(StoreFailure::Conflict));
+    advance_beside_watchers(&mut node, 3_000);
+    assert_eq!(writes(&node), []);
+    node.advance(2_000);
+    assert_eq!(writes(&node), [], "it has not read the store yet");
+    node.list_as_of(KeySpace::Nodes, vec![progress_item(110, None)], 120);
+    advance_with_heartbeats(&mut node, 8_000);
+    assert_eq!(writes(&node), [(Some(RolloutOutcome::Completed), Some(Revision::new(110)))]);
+}
