--- a/crates/node/src/fleet/control_http_client.rs
+++ b/crates/node/src/fleet/control_http_client.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use http::uri::{Authority, Scheme};
-use http::{Request, StatusCode, Uri};
+use http::{Request, Response, Uri};
 use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use tokio::time::timeout;
@@ -48,7 +48,7 @@
         address: SocketAddr,
         request: Request<Bytes>,
         timeouts: RequestTimeouts,
-    ) -> Option<(StatusCode, Bytes)> {
+    ) -> Option<Response<Bytes>> {
         timeout(timeouts.total, self.exchange(address, request, timeouts.head)).await.ok().flatten()
     }
 
@@ -57,7 +57,7 @@
         address: SocketAddr,
         request: Request<Bytes>,
         head_timeout: Duration,
-    ) -> Option<(StatusCode, Bytes)> {
+    ) -> Option<Response<Bytes>> {
         let (mut parts, body) = request.into_parts();
         let mut uri = parts.uri.into_parts();
         uri.scheme = Some(Scheme::HTTP);
@@ -65,8 +65,8 @@
         parts.uri = Uri::from_parts(uri).ok()?;
         let request = Request::from_parts(parts, Full::new(body));
         let response = timeout(head_timeout, self.client.request(request)).await.ok()?.ok()?;
-        let status = response.status();
-        Some((status, read_body(response.into_body()).await?))
+        let (head, body) = response.into_parts();
+        Some(Response::from_parts(head, read_body(body).await?))
     }
 }
 
