Give slow callers the time limit for writing an answer

Cause: the connections of callers had the TCP user timeout of those between nodes, 1.5 s, which also counts while the other side takes no bytes. It is there to find partitions and silent connections, which callers on the node's own host don't have.

The user timeout is now a setting of the listener: the limit for writing an answer for callers, as before for other nodes.

answer_caller_pauses failed before with "24576 bytes, Err(Os { code: 104, kind: ConnectionReset, ... })" and passes now.

--- a/crates/node/src/calls/client_connection.rs
+++ b/crates/node/src/calls/client_connection.rs
@@ -83,7 +83,7 @@
     /// Opens a connection to `addr` within `timeout`.
     pub(crate) async fn connect(addr: SocketAddr, timeout: Duration) -> io::Result<Self> {
         let stream = tokio::time::timeout(timeout, TcpStream::connect(addr)).await??;
-        socket::set_socket_options(&stream)?;
+        socket::set_socket_options(&stream, socket::USER_TIMEOUT)?;
         let written = ByteCounts::default();
         let allowance = ReadAllowance::default();
         let stream =
--- a/crates/node/src/fleet/fleet_node.rs
+++ b/crates/node/src/fleet/fleet_node.rs
@@ -31,7 +31,7 @@
 use crate::fleet::fleet_store_client::FleetStoreClient;
 use crate::fleet::freshness_metrics::{self, SharedLastUpdates};
 use crate::fleet::heartbeat_link::HeartbeatLink;
-use crate::fleet::http1::{Http1Settings, serve};
+use crate::fleet::http1::{Http1Settings, WRITE_TIMEOUT, serve};
 use crate::fleet::local_api::{LocalApi, LocalApiParts};
 use crate::fleet::stop_phase::StopPhase;
 use crate::fleet::traffic::{FleetTraffic, TrafficParts};
@@ -325,8 +325,13 @@
             move || view.load().config.as_ref().map_or_else(Default::default, |c| c.limits);
         let unanswered =
             UnansweredRequests::new("callers", &self.metrics.meter(), self.log.clone());
-        let settings =
-            Http1Settings { limits, max_connections: MAX_CALLER_CONNECTIONS, stop, unanswered };
+        let settings = Http1Settings {
+            limits,
+            max_connections: MAX_CALLER_CONNECTIONS,
+            user_timeout: WRITE_TIMEOUT,
+            stop,
+            unanswered,
+        };
         let traffic = Arc::clone(&self.traffic);
         let make_handler = move || {
             let (traffic, pipeline) = (Arc::clone(&traffic), SharedPipeline::default());
@@ -345,8 +350,13 @@
         let limits =
             || CallerLimits { header: MAX_NODE_HEAD, body: MAX_BODY, ..CallerLimits::default() };
         let unanswered = UnansweredRequests::new("nodes", &self.metrics.meter(), self.log.clone());
-        let settings =
-            Http1Settings { limits, max_connections: MAX_NODE_CONNECTIONS, stop, unanswered };
+        let settings = Http1Settings {
+            limits,
+            max_connections: MAX_NODE_CONNECTIONS,
+            user_timeout: socket::USER_TIMEOUT,
+            stop,
+            unanswered,
+        };
         let (traffic, source) = (Arc::clone(&self.traffic), Arc::clone(&self.source));
         let make_handler = move || {
             let (traffic, source) = (Arc::clone(&traffic), Arc::clone(&source));
--- a/crates/node/src/fleet/http1/connection.rs
+++ b/crates/node/src/fleet/http1/connection.rs
@@ -30,7 +30,7 @@
 /// Space that is reserved in the buffer for each read.
 const READ_SIZE_BYTES: usize = 4 * 1024;
 /// Time limit for writing an answer to a caller that reads slowly.
-const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+pub(crate) const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 /// How long input is still read and discarded after the last answer. Closing a connection with
 /// unread bytes resets it, and the caller may lose the answer.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(300);
--- a/crates/node/src/fleet/http1/mod.rs
+++ b/crates/node/src/fleet/http1/mod.rs
@@ -12,5 +12,5 @@
 mod response_writer;
 mod server;
 
-pub(crate) use connection::Pipelined;
+pub(crate) use connection::{Pipelined, WRITE_TIMEOUT};
 pub(crate) use server::{Http1Settings, serve};
--- a/crates/node/src/fleet/http1/server.rs
+++ b/crates/node/src/fleet/http1/server.rs
@@ -1,6 +1,7 @@
 //! Accepts and serves the connections of a listener.
 
 use std::future::Future;
+use std::time::Duration;
 
 use almondsail_core::fleet::CallerLimits;
 use bytes::Bytes;
@@ -20,6 +21,8 @@
     pub(crate) limits: L,
     /// Number of connections that are open at a time; further ones wait to be accepted.
     pub(crate) max_connections: usize,
+    /// How long sent bytes may stay unacknowledged before a connection counts as broken.
+    pub(crate) user_timeout: Duration,
     /// Current phase of a graceful stop.
     pub(crate) stop: watch::Receiver<StopPhase>,
     /// Records requests whose connection ends before they are answered.
@@ -40,7 +43,7 @@
 {
     let serve_connection = |stream: TcpStream, _| {
         // Setting the options fails only if the caller has already closed the connection.
-        let is_open = socket::set_socket_options(&stream).is_ok();
+        let is_open = socket::set_socket_options(&stream, settings.user_timeout).is_ok();
         let (limits, stop) = (settings.limits.clone(), settings.stop.clone());
         let unanswered = settings.unanswered.clone();
         let connection = Connection::new(stream, make_handler(), limits, stop, unanswered);
--- a/crates/node/src/socket.rs
+++ b/crates/node/src/socket.rs
@@ -9,9 +9,9 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 
-/// How long sent bytes may stay unacknowledged before the connection counts as broken. Only
-/// this detects a partition or a silent connection.
-const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// How long bytes sent to another node, a backend server or the store may stay unacknowledged
+/// before the connection counts as broken. Only this detects a partition or a silent connection.
+pub(crate) const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Idle time of a connection before the first keepalive probe.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
 /// Interval between two keepalive probes.
@@ -27,7 +27,8 @@
     Ok(listener)
 }
 
-/// Makes `connector` set the same keepalive and timeout options as [`set_socket_options`].
+/// Makes `connector` set the same keepalive and timeout options as [`set_socket_options`]
+/// with [`USER_TIMEOUT`].
 pub(crate) fn set_connector_keepalive(connector: &mut HttpConnector) {
     connector.set_keepalive(Some(KEEPALIVE_IDLE));
     connector.set_keepalive_interval(Some(KEEPALIVE_INTERVAL));
@@ -36,8 +37,9 @@
 }
 
 /// Sets `TCP_NODELAY` and the keepalive and timeout options that close connections whose peer
-/// is silent.
-pub(crate) fn set_socket_options(stream: &TcpStream) -> io::Result<()> {
+/// is silent. The connection counts as broken once sent bytes stay unacknowledged, or the peer
+/// takes no further ones, for `user_timeout`.
+pub(crate) fn set_socket_options(stream: &TcpStream, user_timeout: Duration) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
@@ -45,5 +47,5 @@
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(KEEPALIVE_PROBES);
     socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
+    socket.set_tcp_user_timeout(Some(user_timeout))
 }
