Prefer an answer that is there over the end of a stop

At the moment at which a stop ends its calls, a request whose answer had just arrived could still be answered 502: select polls its branches in random order.

The call is polled first. fleet_stop passes.

--- a/crates/node/src/fleet/caller_handler.rs
+++ b/crates/node/src/fleet/caller_handler.rs
@@ -42,6 +42,7 @@
     let started = traffic.clock.now();
     let mut result = CallerResult::new();
     tokio::select! {
+        biased;
         () = route_request(&traffic, &pipeline, started, request, &mut result) => {}
         () = traffic.wait_for_calls_end() => result.abort(),
     }
--- a/crates/node/src/fleet/inbound.rs
+++ b/crates/node/src/fleet/inbound.rs
@@ -35,6 +35,7 @@
     let requirements = call.requirements();
     let (calls_ahead_at_start, _) = traffic.queue.load(&requirements);
     let ran = tokio::select! {
+        biased;
         ran = run(traffic, call, requirements.clone()) => ran,
         () = traffic.wait_for_calls_end() => Err(CallFailure::may_have_run(RefusalReason::Leaving)),
     };
