Move the servers of a node and the result of a request to their files

Servers, with the graceful stop, and CallerResult move to files of their own. Code and names are unchanged but for the visibility of what moved.

--- a/crates/node/src/fleet/call_metrics.rs
+++ b/crates/node/src/fleet/call_metrics.rs
@@ -5,7 +5,7 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Histogram, Meter};
 
-use crate::fleet::caller_handler::CallerResult;
+use crate::fleet::caller_result::CallerResult;
 
 /// Bucket bounds of the histogram of request times, in seconds.
 const BUCKET_BOUNDS: [f64; 12] =
--- a/crates/node/src/fleet/caller_handler.rs
+++ b/crates/node/src/fleet/caller_handler.rs
@@ -7,7 +7,7 @@
     Attempts, CallRecord, CallerPipeline, Endpoint, EndpointChoice, FleetLogEvent, Hedge,
     LoadBalancerContext, MeshRoute, NextAttempt,
 };
-use almondsail_core::ids::{ConfigVersion, ServiceName};
+use almondsail_core::ids::ServiceName;
 use almondsail_core::units::{ByteCount, Instant, Micros};
 use almondsail_core::{RefusalReason, Verdict};
 use almondsail_platform::calls as platform_calls;
@@ -18,13 +18,12 @@
 
 use crate::calls::call_headers;
 use crate::fleet::call_failure::{self, CallFailure};
+use crate::fleet::caller_result::{CallerResult, NO_ENDPOINT_RETRY_AFTER};
 use crate::fleet::forwarded_call::ForwardedCall;
 use crate::fleet::http1::Pipelined;
 use crate::fleet::traffic::FleetTraffic;
 use crate::fleet::{endpoint_client, inbound};
 
-/// Retry delay that a caller is told when the node has no configuration or no endpoint.
-const NO_ENDPOINT_RETRY_AFTER: Micros = Micros::new(300_000);
 /// Time before the deadline after which a call is not retried, so that the verdict still reaches
 /// the caller in time.
 const DEADLINE_MARGIN: Micros = Micros::new(8_000);
@@ -70,42 +69,6 @@
     }
 }
 
-/// Result of a caller's request, with what the log and the metrics record of it.
-#[derive(Debug)]
-pub(crate) struct CallerResult {
-    /// Answer of a backend server, or why there is none.
-    pub(crate) answer: Result<Response<Bytes>, CallFailure>,
-    /// Route that matched the request; `None` if there is no configuration or no matching route.
-    pub(crate) route: Option<Arc<MeshRoute>>,
-    /// Service to which the route sent the request; `None` without a matching route.
-    pub(crate) service: Option<ServiceName>,
-    /// Endpoints to which the request was sent, in order.
-    pub(crate) endpoints_tried: Vec<EndpointChoice>,
-    /// Version of the configuration that routed the request.
-    pub(crate) config: ConfigVersion,
-}
-
-impl CallerResult {
-    /// Creates the result of a request that no configuration has routed yet.
-    fn new() -> Self {
-        Self {
-            answer: Err(CallFailure::refused(RefusalReason::NoConfig, NO_ENDPOINT_RETRY_AFTER)),
-            route: None,
-            service: None,
-            endpoints_tried: Vec::new(),
-            config: ConfigVersion::default(),
-        }
-    }
-
-    /// Records that a graceful stop ended the request before it had an answer.
-    fn abort(&mut self) {
-        self.answer = Err(match self.endpoints_tried.is_empty() {
-            true => CallFailure::refused(RefusalReason::Leaving, NO_ENDPOINT_RETRY_AFTER),
-            false => CallFailure::may_have_run(RefusalReason::Leaving),
-        });
-    }
-}
-
 /// Routes `request` and sends it to endpoints. `result` names them also if the future is dropped.
 async fn route_request(
     traffic: &Arc<FleetTraffic>,
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! Layers, each using only those below it:
 //!
-//! 1. `fleet_node` builds, starts and stops the other modules.
+//! 1. `fleet_node` builds and starts the other modules; `servers` runs and stops the listeners.
 //! 2. `control_loop` owns the control state; `local_api` receives the announcements of the backend
 //!    server; `caller_handler` and `inbound_handler` answer requests.
 //! 3. `inbound` runs calls at the backend server, `endpoint_client` forwards calls to other nodes,
@@ -13,6 +13,7 @@
 mod call_failure;
 mod call_metrics;
 mod caller_handler;
+mod caller_result;
 mod config_source;
 mod control_http_client;
 mod control_loop;
@@ -31,6 +32,7 @@
 mod local_api;
 mod queue_slot;
 mod reported_load;
+mod servers;
 mod slot_queue;
 mod stop_phase;
 mod traffic;
