--- a/crates/testkit/tests/fleet_faulty_worker/repeated_answers.rs
+++ b/crates/testkit/tests/fleet_faulty_worker/repeated_answers.rs
@@ -178,6 +178,20 @@
     Ok(())
 }
 
+// Guards against a request that fails although its server runs and answers it, because an earlier
+// refusal was written once more before its answer.
+#[tokio::test]
+async fn foreign_answer_before_own() -> Result<()> {
+    let (fleet, workers) = start(&["dc-a"]).await?;
+    let client = fleet.caller(0)?;
+    let (_, refusal) = REFUSALS[0];
+    workers[0].set_script(repeat_refusals(Repeat::WhileRun, refusal));
+    send_until_arrived(&client, &workers, "/unsafe/refuse", "").await?;
+    let sent = send_until_arrived(&client, &workers, "/unsafe/run", "").await?;
+    assert_eq!((sent.status, sent.arrivals), (200, 1), "{sent:?}");
+    Ok(())
+}
+
 // Guards against the use of a connection after an answer to another request: the answer that is
 // still to come would be taken for that of the next request.
 #[tokio::test]
