Log by which rule a new version is stopped

VersionJudge now returns a VersionFault with the calls or spreads of both versions. No decision changes.

--- a/crates/core/src/fleet/fleet_change.rs
+++ b/crates/core/src/fleet/fleet_change.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use crate::fleet::{AnnouncementOutcome, RolloutOutcome, StoreFailure};
+use crate::fleet::{AnnouncementOutcome, RolloutOutcome, StoreFailure, VersionFault};
 use crate::ids::{BackendId, ConfigVersion, NodeId, ServiceName, VersionName};
 use crate::store::StoreEra;
 
@@ -64,10 +64,8 @@
         service: ServiceName,
         /// The new version that was found bad.
         target: VersionName,
-        /// The observed calls of the new version.
-        calls: u64,
-        /// The observed calls of the new version that failed.
-        failures: u64,
+        /// Why it was found bad.
+        fault: VersionFault,
     },
     /// The store has recorded the end of a rollout.
     RolloutEnded(ServiceName, VersionName, RolloutOutcome),
@@ -113,8 +111,8 @@
             },
             Self::StoreRestored { era, before } => write!(f, "era {era}, before {before}"),
             Self::RolloutOrdered(service, target) => write!(f, "{service} to {target}"),
-            Self::RolloutStopped { service, target, calls, failures } => {
-                write!(f, "{service} {target}: {failures} of {calls} calls failed")
+            Self::RolloutStopped { service, target, fault } => {
+                write!(f, "{service} {target}: {fault}")
             }
             Self::RolloutEnded(service, target, outcome) => {
                 write!(f, "{service} {target} {outcome}")
--- a/crates/core/src/fleet/rollout_events.rs
+++ b/crates/core/src/fleet/rollout_events.rs
@@ -53,18 +53,11 @@
         let Some(rollout) = self.rollouts.get(service).filter(may_stop) else { return };
         let target = rollout.order().target.clone();
         let (new, old) = self.evidence(now, service, &target);
-        if !VersionJudge::is_bad(&new, &old) {
-            return;
-        }
+        let Some(fault) = VersionJudge::fault(&new, &old) else { return };
         if let Some(rollout) = self.rollouts.get_mut(service) {
             rollout.stop();
         }
-        self.report(FleetChange::RolloutStopped {
-            service: service.clone(),
-            target,
-            calls: new.calls(),
-            failures: new.failures(),
-        });
+        self.report(FleetChange::RolloutStopped { service: service.clone(), target, fault });
         self.mark_changed();
     }
 
--- a/crates/core/src/fleet/version_judge.rs
+++ b/crates/core/src/fleet/version_judge.rs
@@ -1,6 +1,6 @@
 //! Decides whether a new version is worse than the old one.
 
-use crate::fleet::{RouteEvidence, VersionEvidence};
+use crate::fleet::{BadCalls, RouteEvidence, RouteKey, VersionEvidence, VersionFault};
 
 /// Compares a new version with the old one by the calls observed since the rollout order.
 ///
@@ -26,27 +26,32 @@
     /// of 2.8.
     const SPREAD_MARGIN_BUCKETS: usize = 3;
 
-    /// Returns whether `new` is worse than `old`.
-    pub fn is_bad(new: &VersionEvidence, old: &VersionEvidence) -> bool {
+    /// Returns why `new` is worse than `old`; `None` if it isn't.
+    pub fn fault(new: &VersionEvidence, old: &VersionEvidence) -> Option<VersionFault> {
         let mut total = BadCallCounts::default();
         let empty = RouteEvidence::default();
         for (route, new) in &new.routes {
             let old = old.routes.get(route).unwrap_or(&empty);
             let counts = BadCallCounts::of(new, old);
-            if counts.is_bad() || Self::is_bimodal(new, old) {
-                return true;
+            if counts.is_bad() {
+                return Some(counts.fault(Some(*route)));
+            }
+            if let Some((new_spread, old_spread)) = Self::bimodal_spreads(new, old) {
+                let route = *route;
+                return Some(VersionFault::Bimodal { route, new_spread, old_spread });
             }
             total.add(counts);
         }
-        total.is_bad()
+        total.is_bad().then(|| total.fault(None))
     }
 
-    /// Returns whether the answers of the new version fall into fast and slow ones.
-    fn is_bimodal(new: &RouteEvidence, old: &RouteEvidence) -> bool {
+    /// Returns the spreads of both versions if the answers of the new one fall into fast and slow
+    /// ones.
+    fn bimodal_spreads(new: &RouteEvidence, old: &RouteEvidence) -> Option<(usize, usize)> {
         let is_known =
             new.answers() >= Self::MIN_NEW_ANSWERS && old.answers() >= Self::MIN_OLD_ANSWERS;
         let spreads = new.spread().zip(old.spread()).filter(|_| is_known);
-        spreads.is_some_and(|(new, old)| new >= old + Self::SPREAD_MARGIN_BUCKETS)
+        spreads.filter(|(new, old)| *new >= *old + Self::SPREAD_MARGIN_BUCKETS)
     }
 }
 
@@ -92,4 +97,12 @@
             && 100 * self.new_bad_calls
                 > (old_share + VersionJudge::BAD_SHARE_MARGIN_PERCENT) * self.new_calls
     }
+
+    fn fault(self, route: Option<RouteKey>) -> VersionFault {
+        VersionFault::BadCalls {
+            route,
+            new: BadCalls { bad: self.new_bad_calls, all: self.new_calls },
+            old: BadCalls { bad: self.old_bad_calls, all: self.old_calls },
+        }
+    }
 }
--- a/crates/core/tests/fleet_odd_input.rs
+++ b/crates/core/tests/fleet_odd_input.rs
@@ -202,14 +202,14 @@
         let mut sum = evidence(count);
         sum.add(&evidence(count));
         assert!(sum.calls() >= sum.failures(), "{count}");
-        assert!(!VersionJudge::is_bad(&sum, &sum), "{count}: judged against itself");
+        assert!(VersionJudge::fault(&sum, &sum).is_none(), "{count}: judged against itself");
         let mut other = sum.clone();
         other.routes.insert(RouteKey::new(2), RouteEvidence::default());
-        assert!(!VersionJudge::is_bad(&other, &sum), "{count}");
+        assert!(VersionJudge::fault(&other, &sum).is_none(), "{count}");
     }
     let mut failing = evidence(0);
     failing.routes.entry(RouteKey::new(1)).or_default().failures = u32::MAX;
-    assert!(VersionJudge::is_bad(&failing, &VersionEvidence::default()));
+    assert!(VersionJudge::fault(&failing, &VersionEvidence::default()).is_some());
 }
 
 /// Guards against a load reported by another node that overflows when it is compared.
@@ -259,7 +259,7 @@
             let copy = side.clone();
             side.add(&copy);
         }
-        let _verdict = VersionJudge::is_bad(&new, &old);
-        new.calls() >= new.failures() && !VersionJudge::is_bad(&VersionEvidence::default(), &old)
+        let _verdict = VersionJudge::fault(&new, &old).is_some();
+        new.calls() >= new.failures() && VersionJudge::fault(&VersionEvidence::default(), &old).is_none()
     }
 }
--- a/crates/core/tests/fleet_rollouts.rs
+++ b/crates/core/tests/fleet_rollouts.rs
@@ -119,7 +119,10 @@
         let old = evidence(400, 200, 100, 250, seed);
         for (calls, ms) in [(2, 200), (20, 200), (80, 340), (80, 100), (200, 420)] {
             let new = evidence(calls, ms, 100, 50, seed + 1_000);
-            assert!(!VersionJudge::is_bad(&new, &old), "{calls} calls of {ms} ms, seed {seed}");
+            assert!(
+                VersionJudge::fault(&new, &old).is_none(),
+                "{calls} calls of {ms} ms, seed {seed}"
+            );
         }
     }
 }
@@ -138,7 +141,7 @@
             ("all are slow", evidence(24, 200, 1, 0, seed)),
         ];
         for (case, new) in cases {
-            assert!(VersionJudge::is_bad(&new, &old), "{case}, seed {seed}");
+            assert!(VersionJudge::fault(&new, &old).is_some(), "{case}, seed {seed}");
         }
     }
 }
@@ -152,7 +155,7 @@
     (0..4).for_each(|_| bad.record_failure());
     bad.record_answer(micros(200));
     new.routes.insert(RouteKey::new(2), bad);
-    assert!(VersionJudge::is_bad(&new, &old));
+    assert!(VersionJudge::fault(&new, &old).is_some());
 }
 
 fn endpoints_in_shift(started: u64) -> ServiceEndpoints {
