Pass over answers to other requests before the awaited one

Callers got 502 for a call that its server ran and answered, when the server wrote an earlier answer once more on the connection in between. The HTTP client takes the first answer for the awaited one.

AnswerFilter reads the head of an answer before the HTTP client does, and removes whole answers that name another attempt; anything else is passed on as before. The connection is not used again afterwards. What is read stays within the allowance for a head.

--- a/crates/node/src/calls/client_connection.rs
+++ b/crates/node/src/calls/client_connection.rs
@@ -19,6 +19,8 @@
 use tokio::time::Instant;
 
 use crate::byte_counts::ByteCounts;
+use crate::calls::awaited_answer::AwaitedAnswer;
+use crate::calls::filtered_stream::{FilteredStream, SharedFilter};
 use crate::calls::limited_stream::LimitedStream;
 use crate::calls::read_allowance::ReadAllowance;
 use crate::counted_stream::CountedStream;
@@ -42,6 +44,8 @@
     written: ByteCounts,
     /// How much the connection may read.
     allowance: ReadAllowance,
+    /// Removes answers to other requests.
+    filter: SharedFilter,
     /// When the connection was opened or last returned to a pool.
     pub(crate) last_used: Instant,
 }
@@ -49,7 +53,7 @@
 /// A hyper connection, or how it ended, which may be known before the answer is read.
 #[derive(Debug)]
 enum ConnState {
-    Open(Box<Connection<TokioIo<LimitedStream>, Full<Bytes>>>),
+    Open(Box<Connection<TokioIo<FilteredStream>, Full<Bytes>>>),
     Closed,
     /// The next hop sent bytes that belong to no answer.
     Surplus,
@@ -86,8 +90,10 @@
         socket::set_socket_options(&stream, socket::USER_TIMEOUT)?;
         let written = ByteCounts::default();
         let allowance = ReadAllowance::default();
+        let filter = SharedFilter::default();
         let stream =
             LimitedStream::new(CountedStream::new(stream, written.clone()), allowance.clone());
+        let stream = FilteredStream::new(stream, filter.clone());
         let mut builder = Builder::new();
         builder.max_header_size(MAX_ANSWER_HEADER).max_buf_size(MAX_ANSWER_HEADER);
         let (sender, conn) =
@@ -97,16 +103,22 @@
             conn: ConnState::Open(Box::new(conn)),
             written,
             allowance,
+            filter,
             last_used: Instant::now(),
         })
     }
 
-    /// Sends `req` and waits for the head of the answer until `until`.
+    /// Sends `req` and waits for the head of the answer until `until`. Answers that `awaited` shows
+    /// to belong to other requests are passed over.
     pub(crate) async fn send(
         &mut self,
         req: Request<Full<Bytes>>,
+        awaited: Option<AwaitedAnswer>,
         until: Instant,
     ) -> Result<Response<Incoming>, ExchangeError> {
+        if let Some(awaited) = awaited {
+            self.filter.lock().expect(awaited);
+        }
         let before = self.written.sent();
         let result = tokio::time::timeout_at(until, self.send_untimed(req)).await;
         match result.unwrap_or(Err(ExchangeError::TimedOut)) {
@@ -159,6 +171,8 @@
         self.allowance.set(HEAD_ALLOWANCE);
         self.conn.poll(cx);
         match self.conn {
+            // A server that wrote one answer twice may do so again.
+            ConnState::Open(_) if self.filter.lock().has_removed() => AfterAnswer::Closed,
             ConnState::Open(_) if self.sender.is_ready() => AfterAnswer::Reusable,
             ConnState::Open(_) | ConnState::Closed => AfterAnswer::Closed,
             ConnState::Surplus => AfterAnswer::Surplus,
--- a/crates/node/src/calls/connection_pool.rs
+++ b/crates/node/src/calls/connection_pool.rs
@@ -5,11 +5,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::header::HeaderName;
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
+use crate::calls::awaited_answer::AwaitedAnswer;
 use crate::calls::client_connection::{ClientConnection, ExchangeError};
 
 /// Keeps idle connections to one address, the most recently used last.
@@ -17,6 +19,9 @@
 pub(crate) struct ConnectionPool {
     addr: SocketAddr,
     limits: PoolLimits,
+    /// The header that names the request, in the request and in its answer; `None` if answers don't
+    /// name their request.
+    id_header: Option<HeaderName>,
     /// At most `limits.max_idle` connections. The lock is held only to push, pop or expire them.
     idle: Mutex<Vec<ClientConnection>>,
 }
@@ -34,7 +39,14 @@
 
 impl ConnectionPool {
     pub(crate) const fn new(addr: SocketAddr, limits: PoolLimits) -> Self {
-        Self { addr, limits, idle: Mutex::new(Vec::new()) }
+        Self { addr, limits, id_header: None, idle: Mutex::new(Vec::new()) }
+    }
+
+    /// Recognises the answer to a request by the value of `header`, which both have.
+    #[must_use]
+    pub(crate) fn with_id_header(mut self, header: HeaderName) -> Self {
+        self.id_header = Some(header);
+        self
     }
 
     /// Takes an idle connection that can still be used.
@@ -56,7 +68,7 @@
         until: Instant,
     ) -> Result<(Response<Incoming>, ClientConnection), ExchangeError> {
         if let Some(mut connection) = self.take_idle() {
-            match connection.send(request(), until).await {
+            match self.exchange(&mut connection, request(), until).await {
                 Ok(response) => return Ok((response, connection)),
                 // The next hop closed the idle connection; a new one may work.
                 Err(ExchangeError::NotSent) => {}
@@ -67,10 +79,23 @@
         let Ok(Ok(mut connection)) = tokio::time::timeout_at(until, connect).await else {
             return Err(ExchangeError::NotSent);
         };
-        let response = connection.send(request(), until).await?;
+        let response = self.exchange(&mut connection, request(), until).await?;
         Ok((response, connection))
     }
 
+    async fn exchange(
+        &self,
+        connection: &mut ClientConnection,
+        request: Request<Full<Bytes>>,
+        until: Instant,
+    ) -> Result<Response<Incoming>, ExchangeError> {
+        let awaited = self.id_header.as_ref().and_then(|header| {
+            let id = request.headers().get(header)?.clone();
+            Some(AwaitedAnswer { header: header.clone(), id })
+        });
+        connection.send(request, awaited, until).await
+    }
+
     /// Returns a connection to the pool.
     pub(crate) fn release(&self, mut connection: ClientConnection) {
         connection.last_used = Instant::now();
--- a/crates/node/src/calls/mod.rs
+++ b/crates/node/src/calls/mod.rs
@@ -8,11 +8,14 @@
 
 pub(crate) mod answer_body;
 mod answer_end;
+mod answer_filter;
+mod answer_head;
 pub(crate) mod answer_limit;
 mod answer_recorder;
 pub(crate) mod answer_reservation;
 mod answer_stream;
 mod answer_watcher;
+mod awaited_answer;
 mod batch_outcome;
 pub(crate) mod body_bytes;
 mod buffered_body;
@@ -30,6 +33,7 @@
 pub(crate) mod client_connection;
 pub(crate) mod connection_pool;
 mod failure;
+mod filtered_stream;
 mod forward;
 mod forwarded_call;
 mod handover_batch;
--- a/crates/node/src/fleet/traffic.rs
+++ b/crates/node/src/fleet/traffic.rs
@@ -9,6 +9,7 @@
 use almondsail_core::ids::{NodeId, RouteName, ServiceName};
 use almondsail_core::traffic::AnswerBudget;
 use almondsail_core::units::{Instant, Micros};
+use almondsail_platform::calls as platform_calls;
 use arc_swap::ArcSwap;
 use tokio::sync::{mpsc, watch};
 
@@ -75,12 +76,14 @@
             idle_timeout: BACKEND_IDLE_TIMEOUT,
             connect_timeout: BACKEND_CONNECT_TIMEOUT,
         };
+        let backend_pool = ConnectionPool::new(parts.backend, limits)
+            .with_id_header(platform_calls::attempt_id_header());
         let data_centre = parts.view.load().data_centre.clone();
         Arc::new(Self {
             clock: parts.clock,
             service: parts.service,
             queue: Arc::new(SlotQueue::new(parts.clock)),
-            backend_pool: Arc::new(ConnectionPool::new(parts.backend, limits)),
+            backend_pool: Arc::new(backend_pool),
             answer_budget: Arc::default(),
             metrics: parts.metrics,
             log: parts.log,
--- a/crates/testkit/tests/fleet_faulty_worker/repeated_answers.rs
+++ b/crates/testkit/tests/fleet_faulty_worker/repeated_answers.rs
@@ -18,7 +18,7 @@
 /// Number of requests after which the retry budget allows retries.
 const RETRY_BUDGET_REQUESTS: usize = 300;
 
-/// When a worker writes the last refusal of a connection once more.
+/// When a worker writes an earlier answer of a connection once more.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Repeat {
     /// While no request is under way on the connection.
@@ -29,27 +29,27 @@
     WhileRun,
 }
 
-/// Refuses the first arrival of a request whose path contains `refuse` with `refusal`, and runs all
-/// others. Writes the last refusal of a connection again as `repeat` says.
-fn repeat_refusals(
+/// Answers the first arrival of a request whose path contains `first` with `earlier`, and runs all
+/// others. Writes the last earlier answer of a connection again as `repeat` says.
+fn repeat_answers(
     repeat: Repeat,
-    refusal: Refusal,
+    earlier: EarlierAnswer,
 ) -> impl Fn(&RawRequest) -> Vec<RawStep> + Clone + Send + Sync + 'static {
-    let refused: Arc<Mutex<HashSet<String>>> = Arc::default();
-    let refusals: Arc<Mutex<HashMap<(SocketAddr, usize), Bytes>>> = Arc::default();
+    let answered: Arc<Mutex<HashSet<String>>> = Arc::default();
+    let answers: Arc<Mutex<HashMap<(SocketAddr, usize), Bytes>>> = Arc::default();
     move |req| {
-        let mut refusals = refusals.lock().expect("not poisoned");
-        let mut refused = refused.lock().expect("not poisoned");
-        if req.path.contains("refuse") && refused.insert(req.path.clone()) {
-            let refusal = refusal(req);
-            refusals.insert((req.worker, req.connection), refusal.clone());
-            let mut steps = vec![RawStep::ReadBody, RawStep::Write(refusal.clone())];
+        let mut answers = answers.lock().expect("not poisoned");
+        let mut answered = answered.lock().expect("not poisoned");
+        if req.path.contains("first") && answered.insert(req.path.clone()) {
+            let answer = earlier(req);
+            answers.insert((req.worker, req.connection), answer.clone());
+            let mut steps = vec![RawStep::ReadBody, RawStep::Write(answer.clone())];
             if repeat == Repeat::Idle {
-                steps.extend([RawStep::Pause(RUN_TIME / 10), RawStep::Write(refusal)]);
+                steps.extend([RawStep::Pause(RUN_TIME / 10), RawStep::Write(answer)]);
             }
             return steps;
         }
-        let again = refusals.remove(&(req.worker, req.connection)).map(RawStep::Write);
+        let again = answers.remove(&(req.worker, req.connection)).map(RawStep::Write);
         let again = again.filter(|_| repeat != Repeat::Idle);
         let mut steps = match repeat {
             Repeat::WhileRun => vec![RawStep::ReadBody],
@@ -61,11 +61,11 @@
     }
 }
 
-/// A way in which a worker writes that it refuses a request.
-type Refusal = fn(&RawRequest) -> Bytes;
+/// A way in which a worker answers a request or refuses it.
+type EarlierAnswer = fn(&RawRequest) -> Bytes;
 
 /// All kinds of refusals, with and without the attempt's id.
-const REFUSALS: [(&str, Refusal); 6] = [
+const REFUSALS: [(&str, EarlierAnswer); 6] = [
     ("503 with id", |req| req.response("503 Service Unavailable", NOT_EXECUTED, "")),
     ("429 with id", |req| req.response("429 Too Many Requests", NOT_EXECUTED, "")),
     ("421 with id", |req| req.response("421 Misdirected Request", OTHER_INSTANCE, "")),
@@ -74,6 +74,7 @@
     ("421 without id", |_| without_id("421 Misdirected Request", OTHER_INSTANCE)),
 ];
 const NOT_EXECUTED: &str = "Almondsail-Not-Executed: 1\r\n";
+const SIGNED: &str = "Almondsail-Server-Signature: s\r\n";
 const OTHER_INSTANCE: &str = "Almondsail-Instance-Id: i-other\r\n";
 
 fn without_id(status: &str, header: &str) -> Bytes {
@@ -85,6 +86,7 @@
 struct Sent {
     path: String,
     status: u16,
+    body: String,
     arrivals: usize,
 }
 
@@ -95,9 +97,10 @@
     path: String,
     body: &str,
 ) -> Result<Sent> {
-    let status = send(client, &path, &path, body).await?.status.as_u16();
+    let reply = send(client, &path, &path, body).await?;
     let arrivals = workers.iter().map(|worker| worker.arrivals(&path)).sum();
-    Ok(Sent { path, status, arrivals })
+    let body = String::from_utf8_lossy(&reply.body).into_owned();
+    Ok(Sent { path, status: reply.status.as_u16(), body, arrivals })
 }
 
 /// Sends requests on new paths under `prefix`, until one arrives at a worker.
@@ -155,10 +158,10 @@
     for (name, refusal) in REFUSALS {
         for repeat in [Repeat::Idle, Repeat::WhileSent, Repeat::WhileRun] {
             for kind in ["unsafe", "safe"] {
-                let script = repeat_refusals(repeat, refusal);
+                let script = repeat_answers(repeat, refusal);
                 workers.iter().for_each(|worker| worker.set_script(script.clone()));
                 let case = format!("/{kind}/{name}-{repeat:?}").replace(' ', "-");
-                send_until_arrived(&client, &workers, &format!("{case}-refuse"), "").await?;
+                send_until_arrived(&client, &workers, &format!("{case}-first"), "").await?;
                 wait_until_idle(&workers).await?;
                 let body = "x".repeat(if repeat == Repeat::WhileSent { 90_000 } else { 1 });
                 let sent = send_concurrently(&client, &workers, &case, &body).await?;
@@ -178,6 +181,36 @@
     Ok(())
 }
 
+// Guards against a second copy of an answer that arrives when its connection is in use again: the
+// next caller must get its own answer, and not the copy or a failure.
+#[tokio::test]
+async fn answer_repeated() -> Result<()> {
+    const EARLIER: [(&str, EarlierAnswer); 3] = [
+        ("answer", |req| req.response("200 OK", SIGNED, "earlier")),
+        ("failure", |req| req.response("500 Internal Server Error", SIGNED, "earlier")),
+        ("no-content", |req| req.response("204 No Content", SIGNED, "")),
+    ];
+    let (fleet, workers) = start(&["dc-a", "dc-b"]).await?;
+    let client = fleet.caller(0)?;
+    let mut wrong = Vec::new();
+    for (name, earlier) in EARLIER {
+        for repeat in [Repeat::Idle, Repeat::WhileSent, Repeat::WhileRun] {
+            let script = repeat_answers(repeat, earlier);
+            workers.iter().for_each(|worker| worker.set_script(script.clone()));
+            let case = format!("/unsafe/{name}-{repeat:?}");
+            send_until_arrived(&client, &workers, &format!("{case}-first"), "").await?;
+            wait_until_idle(&workers).await?;
+            let body = "x".repeat(if repeat == Repeat::WhileSent { 90_000 } else { 1 });
+            let sent = send_concurrently(&client, &workers, &case, &body).await?;
+            let is_right =
+                |sent: &Sent| (sent.status, sent.body.as_str(), sent.arrivals) == (200, "ran", 1);
+            wrong.extend(sent.into_iter().filter(|sent| sent.arrivals > 0 && !is_right(sent)));
+        }
+    }
+    assert!(wrong.is_empty(), "{wrong:#?}");
+    Ok(())
+}
+
 // Guards against a request that fails although its server runs and answers it, because an earlier
 // refusal was written once more before its answer.
 #[tokio::test]
@@ -185,8 +218,8 @@
     let (fleet, workers) = start(&["dc-a"]).await?;
     let client = fleet.caller(0)?;
     let (_, refusal) = REFUSALS[0];
-    workers[0].set_script(repeat_refusals(Repeat::WhileRun, refusal));
-    send_until_arrived(&client, &workers, "/unsafe/refuse", "").await?;
+    workers[0].set_script(repeat_answers(Repeat::WhileRun, refusal));
+    send_until_arrived(&client, &workers, "/unsafe/first", "").await?;
     let sent = send_until_arrived(&client, &workers, "/unsafe/run", "").await?;
     assert_eq!((sent.status, sent.arrivals), (200, 1), "{sent:?}");
     Ok(())
@@ -200,9 +233,9 @@
     let client = fleet.caller(0)?;
     let mut wrong = Vec::new();
     for (name, refusal) in REFUSALS {
-        workers[0].set_script(repeat_refusals(Repeat::WhileRun, refusal));
+        workers[0].set_script(repeat_answers(Repeat::WhileRun, refusal));
         let case = format!("/unsafe/{name}").replace(' ', "-");
-        send_until_arrived(&client, &workers, &format!("{case}-refuse"), "").await?;
+        send_until_arrived(&client, &workers, &format!("{case}-first"), "").await?;
         let first = send_until_arrived(&client, &workers, &format!("{case}-run"), "").await?;
         let next = send_until_arrived(&client, &workers, &format!("{case}-next"), "").await?;
         if next.status != 200 {
@@ -233,11 +266,11 @@
 async fn refusal_caller_without_id() -> Result<()> {
     let (fleet, workers) = start(&["dc-a"]).await?;
     let client = fleet.caller(0)?;
-    workers[0].set_script(repeat_refusals(Repeat::WhileRun, |_| {
+    workers[0].set_script(repeat_answers(Repeat::WhileRun, |_| {
         without_id("400 Bad Request", NOT_EXECUTED)
     }));
-    let refused = send(&client, "/unsafe/refuse", "", "").await?;
-    assert_eq!((refused.status.as_u16(), workers[0].arrivals("/unsafe/refuse")), (503, 1));
+    let refused = send(&client, "/unsafe/first", "", "").await?;
+    assert_eq!((refused.status.as_u16(), workers[0].arrivals("/unsafe/first")), (503, 1));
     let next = send_until_arrived(&client, &workers, "/unsafe/run", "").await?;
     assert_eq!((next.status, next.arrivals), (200, 1));
     Ok(())
