Test answers that end in their head or body

Operators of similar systems saw a 200 with an empty or short body after a worker stopped in the middle of an answer's head. answer_cut ends answers of all framings at every third byte: each is a 502 after one arrival, so it can't happen here. A new step of the raw worker closes the connection.

--- a/crates/testkit/src/platform/raw_step.rs
+++ b/crates/testkit/src/platform/raw_step.rs
@@ -16,4 +16,6 @@
     /// Writes the bytes again and again, with a pause after each time, until the node closes the
     /// connection.
     Repeat(Bytes, Duration),
+    /// Closes the connection.
+    Close,
 }
--- a/crates/testkit/src/platform/raw_worker.rs
+++ b/crates/testkit/src/platform/raw_worker.rs
@@ -148,6 +148,7 @@
                 }
                 RawStep::Write(bytes) => stream.write_all(&bytes).await?,
                 RawStep::Pause(time) => tokio::time::sleep(time).await,
+                RawStep::Close => return Ok(()),
                 RawStep::Repeat(bytes, pause) => repeat(&mut stream, &bytes, pause).await?,
             }
         }
--- a/crates/testkit/tests/fleet_faulty_worker/main.rs
+++ b/crates/testkit/tests/fleet_faulty_worker/main.rs
@@ -1,5 +1,6 @@
-//! Tests of a fleet whose backend servers write answers again, or bytes without end.
+//! Tests of a fleet whose backend servers write answers again, cut them, or write bytes without end.
 
+mod cut_answers;
 mod endless_answers;
 mod repeated_answers;
 
