--- a/crates/core/src/fleet/config_text.rs
+++ b/crates/core/src/fleet/config_text.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::fleet::MeshConfig;
+use crate::fleet::{MeshConfig, UnknownKind};
 
 /// A configuration with its source text, which is sent on to other nodes.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -11,4 +11,6 @@
     pub config: Arc<MeshConfig>,
     /// The source text, byte by byte as the store holds it.
     pub text: Arc<[u8]>,
+    /// The kinds of routes in the text that this build does not know.
+    pub unknown_kinds: Vec<UnknownKind>,
 }
--- a/crates/core/src/fleet/fleet_change.rs
+++ b/crates/core/src/fleet/fleet_change.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use crate::fleet::{AnnouncementOutcome, RolloutOutcome, StoreFailure, VersionFault};
+use crate::fleet::{AnnouncementOutcome, RolloutOutcome, StoreFailure, UnknownKind, VersionFault};
 use crate::ids::{BackendId, ConfigVersion, NodeId, ServiceName, VersionName};
 use crate::store::StoreEra;
 
@@ -18,6 +18,8 @@
         /// The path by which the configuration came: `store` or `node`.
         source: &'static str,
     },
+    /// The configuration that came into force has routes of an unknown kind.
+    ConfigKindUnknown(UnknownKind),
     /// A configuration was refused as a whole.
     ConfigRefused(String),
     /// An item of the store can't be decoded and is ignored.
@@ -76,6 +78,7 @@
     pub const fn kind(&self) -> &'static str {
         match self {
             Self::ConfigInForce { .. } => "config_in_force",
+            Self::ConfigKindUnknown(_) => "config_kind_unknown",
             Self::ConfigRefused(_) => "config_refused",
             Self::ItemUnreadable(_) => "item_unreadable",
             Self::Backend { .. } => "backend",
@@ -96,6 +99,7 @@
             Self::ConfigInForce { version, before, source } => {
                 write!(f, "version {version} from {source}, before {before}")
             }
+            Self::ConfigKindUnknown(kind) => write!(f, "{kind}"),
             Self::ConfigRefused(problem) | Self::ItemUnreadable(problem) => f.write_str(problem),
             Self::Backend { id, notice, outcome } => write!(f, "{id} {notice}: {outcome:?}"),
             Self::BackendExpired => f.write_str("no announcement in time"),
--- a/crates/core/src/fleet/node_events.rs
+++ b/crates/core/src/fleet/node_events.rs
@@ -34,6 +34,9 @@
     /// time that a node takes to send a configuration over a slow link.
     const FETCH_RETRY_DELAY: Millis = Millis::new(80);
 
+    /// The largest number of unknown kinds of routes that are reported of a configuration.
+    const MAX_REPORTED_KINDS: usize = 8;
+
     pub(super) fn handle_heartbeat(
         &mut self,
         now: Instant,
@@ -86,10 +89,14 @@
         if self.config.is_some() && version <= before {
             return;
         }
+        let unknown_kinds = text.unknown_kinds.clone();
         self.config = Some(text);
         self.config_since = Some(now);
         self.behind_since = None;
         self.report(FleetChange::ConfigInForce { version, before, source });
+        for kind in unknown_kinds.into_iter().take(Self::MAX_REPORTED_KINDS) {
+            self.report(FleetChange::ConfigKindUnknown(kind));
+        }
         self.mark_changed();
     }
 
--- a/crates/core/tests/fleet_common/mod.rs
+++ b/crates/core/tests/fleet_common/mod.rs
@@ -38,7 +38,11 @@
         .route(route("r1", "/x/", "bays"))
         .build()
         .unwrap();
-    ConfigText { config: config.into(), text: format!("version {version}").into_bytes().into() }
+    ConfigText {
+        config: config.into(),
+        text: format!("version {version}").into_bytes().into(),
+        unknown_kinds: Vec::new(),
+    }
 }
 
 /// Returns the announcement `sequence` of the start `started_at` of the server `id`.
