Judge a new version by the old one in the same seconds

Nodes of the old version now also count the calls that began while the new version got some, and tell both counts.

--- a/crates/core/src/fleet/fleet_control.rs
+++ b/crates/core/src/fleet/fleet_control.rs
@@ -126,10 +126,14 @@
                 self.handle_leaving(now, wall, Departure { id, started_at });
             }
             FleetEvent::Answered(route, took) => {
-                self.update_own_rollout(|rollout| rollout.record_answer(route, took));
+                self.update_own_rollout(|rollout, version| {
+                    rollout.record_answer(now, version, route, took);
+                });
             }
             FleetEvent::Failed(route) => {
-                self.update_own_rollout(|rollout| rollout.record_failure(route))
+                self.update_own_rollout(|rollout, version| {
+                    rollout.record_failure(now, version, route);
+                });
             }
             FleetEvent::StopRequested => {
                 self.is_leaving = true;
--- a/crates/core/src/fleet/rollout.rs
+++ b/crates/core/src/fleet/rollout.rs
@@ -1,10 +1,11 @@
 //! The state of a rollout on one node.
 
 use crate::fleet::{
-    OrderHistory, OrderRelation, RolloutClock, RolloutOrder, RolloutOutcome, RolloutPlan,
-    RolloutProgress, RolloutRecord, RolloutReport, RolloutStep, RouteKey, TrafficShift,
-    VersionEvidence, VersionRule,
+    OrderHistory, OrderRelation, RolloutClock, RolloutEvidence, RolloutOrder, RolloutOutcome,
+    RolloutPlan, RolloutProgress, RolloutRecord, RolloutReport, RolloutStep, RouteEvidence,
+    RouteKey, TrafficShift, VersionRule,
 };
+use crate::ids::VersionName;
 use crate::store::Revision;
 use crate::units::{Instant, Micros, Millis, UnixMillis};
 
@@ -24,7 +25,7 @@
     /// Whether the store was restored from a copy since the rollout began.
     is_store_restored: bool,
     /// The calls that this node observed at the backend server beside it.
-    evidence: VersionEvidence,
+    evidence: RolloutEvidence,
     /// Since when a write of the progress has been due.
     due_since: Option<Instant>,
     /// The outcome in the pending write of the progress.
@@ -44,7 +45,7 @@
             progress: None,
             record: RolloutRecord::Missing,
             is_store_restored: false,
-            evidence: VersionEvidence::default(),
+            evidence: RolloutEvidence::default(),
             due_since: None,
             writing: None,
             write_after: now,
@@ -185,24 +186,49 @@
         }
     }
 
-    /// Counts an answer of this node's backend server.
-    pub fn record_answer(&mut self, route: RouteKey, took: Micros) {
-        self.evidence.routes.entry(route).or_default().record_answer(took);
+    /// Counts an answer of this node's backend server, which has `version` and took `took` until
+    /// `now`.
+    pub fn record_answer(
+        &mut self,
+        now: Instant,
+        version: &VersionName,
+        route: RouteKey,
+        took: Micros,
+    ) {
+        let began = Instant::new(now.get().saturating_sub(took.get()));
+        self.record(began, version, route, |evidence| evidence.record_answer(took));
+    }
+
+    /// Counts a failure of this node's backend server, which has `version`, at `now`.
+    pub fn record_failure(&mut self, now: Instant, version: &VersionName, route: RouteKey) {
+        self.record(now, version, route, RouteEvidence::record_failure);
     }
 
-    /// Counts a failure of this node's backend server.
-    pub fn record_failure(&mut self, route: RouteKey) {
-        self.evidence.routes.entry(route).or_default().record_failure();
+    fn record(
+        &mut self,
+        began: Instant,
+        version: &VersionName,
+        route: RouteKey,
+        count: impl Fn(&mut RouteEvidence),
+    ) {
+        let plan = RolloutPlan::new(self.order().duration);
+        let is_old = *version != self.order().target;
+        let is_concurrent = is_old && plan.has_calls_to_new(self.elapsed(began));
+        let RolloutEvidence { all, concurrent } = &mut self.evidence;
+        count(all.routes.entry(route).or_default());
+        if is_concurrent {
+            count(concurrent.routes.entry(route).or_default());
+        }
     }
 
     /// Returns the calls that this node observed at the backend server beside it.
-    pub const fn evidence(&self) -> &VersionEvidence {
+    pub const fn evidence(&self) -> &RolloutEvidence {
         &self.evidence
     }
 
     /// Returns the report to send to other nodes.
     pub fn report(&self, now: Instant) -> RolloutReport {
-        let evidence = self.is_running() && !self.evidence.routes.is_empty();
+        let evidence = self.is_running() && !self.evidence.all.routes.is_empty();
         RolloutReport {
             service: self.order().service.clone(),
             target: self.order().target.clone(),
--- a/crates/core/src/fleet/rollout_events.rs
+++ b/crates/core/src/fleet/rollout_events.rs
@@ -3,8 +3,8 @@
 use super::calls_view::KnownBackend;
 use super::fleet_control::{FleetControl, RequestPurpose};
 use crate::fleet::{
-    FleetChange, KeySpace, Rollout, RolloutOutcome, RolloutReport, RolloutStep, StoreFailure,
-    StoreReply, StoreRequest, StoreWrite, VersionEvidence, VersionJudge,
+    FleetChange, KeySpace, Rollout, RolloutEvidence, RolloutOutcome, RolloutReport, RolloutStep,
+    StoreFailure, StoreReply, StoreRequest, StoreWrite, VersionEvidence, VersionJudge,
 };
 use crate::ids::{NodeId, ServiceName, VersionName};
 use crate::units::{Instant, Micros, Millis, UnixMillis};
@@ -29,11 +29,12 @@
         }
     }
 
-    /// Applies `count` to the rollout of the service of the backend server beside this node.
-    pub(super) fn update_own_rollout(&mut self, count: impl FnOnce(&mut Rollout)) {
-        let service = self.registration.backend().map(|backend| &backend.service);
-        if let Some(rollout) = service.and_then(|service| self.rollouts.get_mut(service)) {
-            count(rollout);
+    /// Applies `count` to the rollout of the service of the backend server beside this node, with
+    /// the server's version.
+    pub(super) fn update_own_rollout(&mut self, count: impl FnOnce(&mut Rollout, &VersionName)) {
+        let Some(backend) = self.registration.backend() else { return };
+        if let Some(rollout) = self.rollouts.get_mut(&backend.service) {
+            count(rollout, &backend.version);
         }
     }
 
@@ -67,11 +68,12 @@
         now: Instant,
         service: &ServiceName,
         target: &VersionName,
-    ) -> (VersionEvidence, VersionEvidence) {
-        let (mut new, mut old) = Default::default();
+    ) -> (VersionEvidence, RolloutEvidence) {
+        let mut new = VersionEvidence::default();
+        let mut old = RolloutEvidence::default();
         let Some(rollout) = self.rollouts.get(service) else { return (new, old) };
-        let mut add = |version: &VersionName, evidence: &VersionEvidence| {
-            if version == target { new.add(evidence) } else { old.add(evidence) }
+        let mut add = |version: &VersionName, evidence: &RolloutEvidence| {
+            if version == target { new.add(&evidence.all) } else { old.add(evidence) }
         };
         if let Some(backend) = self.registration.backend().filter(|b| b.service == *service) {
             add(&backend.version, rollout.evidence());
--- a/crates/core/src/fleet/rollout_plan.rs
+++ b/crates/core/src/fleet/rollout_plan.rs
@@ -59,6 +59,11 @@
         }
     }
 
+    /// Returns whether the new version gets calls `elapsed` after the order.
+    pub fn has_calls_to_new(self, elapsed: Micros) -> bool {
+        self.step(elapsed) > RolloutStep::Canary || Self::burst(elapsed).is_some()
+    }
+
     /// Returns the number, from zero, of the canary burst that runs `elapsed` after the order;
     /// `None` between bursts.
     pub fn burst(elapsed: Micros) -> Option<u64> {
--- a/crates/core/src/fleet/rollout_report.rs
+++ b/crates/core/src/fleet/rollout_report.rs
@@ -1,6 +1,6 @@
 //! The report of a node to others on a rollout.
 
-use crate::fleet::{RolloutOrder, RolloutOutcome, VersionEvidence};
+use crate::fleet::{RolloutEvidence, RolloutOrder, RolloutOutcome};
 use crate::ids::{ServiceName, VersionName};
 use crate::store::{Revision, StoreEra, StorePosition};
 use crate::units::Millis;
@@ -26,7 +26,7 @@
     pub outcome: Option<RolloutOutcome>,
     /// The calls that the sender observed; `None` unless the backend server beside it is of the
     /// service.
-    pub evidence: Option<VersionEvidence>,
+    pub evidence: Option<RolloutEvidence>,
 }
 
 impl RolloutReport {
--- a/crates/wire/src/convert/fleet.rs
+++ b/crates/wire/src/convert/fleet.rs
@@ -1,10 +1,8 @@
 //! Conversions of heartbeats between fleet nodes and of the values that they keep in the store.
 
-use std::collections::BTreeMap;
-
 use almondsail_core::fleet::{
-    BackendStatus, Departure, Heartbeat, NodeEntry, RolloutProgress, RolloutReport, RouteEvidence,
-    RouteKey, VersionEvidence,
+    BackendStatus, Departure, Heartbeat, NodeEntry, RolloutEvidence, RolloutProgress,
+    RolloutReport, RouteEvidence, RouteKey, VersionEvidence,
 };
 use almondsail_core::ids::{ConfigVersion, Incarnation};
 use almondsail_core::store::{Revision, StoreEra, StorePosition};
@@ -107,7 +105,8 @@
 
 impl From<&RolloutReport> for wire::Rollout {
     fn from(report: &RolloutReport) -> Self {
-        let evidence = report.evidence.iter().flat_map(|evidence| &evidence.routes);
+        let evidence = report.evidence.iter().flat_map(|evidence| &evidence.all.routes);
+        let concurrent = report.evidence.iter().flat_map(|evidence| &evidence.concurrent.routes);
         Self {
             service: report.service.to_string(),
             target: report.target.to_string(),
@@ -119,6 +118,7 @@
             outcome: optional_text(report.outcome.as_ref()),
             has_evidence: report.evidence.is_some(),
             evidence: evidence.map(evidence_to_wire).collect(),
+            concurrent: concurrent.map(evidence_to_wire).collect(),
         }
     }
 }
@@ -136,8 +136,13 @@
     type Error = FieldError;
 
     fn try_from(w: wire::Rollout) -> Result<Self, FieldError> {
-        let routes: BTreeMap<RouteKey, RouteEvidence> =
-            w.evidence.iter().map(evidence_from_wire).collect();
+        let version_evidence = |routes: &[wire::RouteEvidence]| VersionEvidence {
+            routes: routes.iter().map(evidence_from_wire).collect(),
+        };
+        let evidence = RolloutEvidence {
+            all: version_evidence(&w.evidence),
+            concurrent: version_evidence(&w.concurrent),
+        };
         Ok(Self {
             service: parse("service", &w.service)?,
             target: parse("target", &w.target)?,
@@ -151,7 +156,7 @@
             elapsed: Millis::new(w.elapsed_ms),
             is_stopped: w.is_stopped,
             outcome: parse_optional("outcome", &w.outcome)?,
-            evidence: w.has_evidence.then_some(VersionEvidence { routes }),
+            evidence: w.has_evidence.then_some(evidence),
         })
     }
 }
