Judge the spread of answers for each server of a new version

The answers of a good version whose servers differ in speed by a factor of three fall into fast and slow ones when they are taken together: the canary gives each server the same share, while the calls of the old version go mostly to its fast servers. The judge stopped such a version.

The spread is now taken of each server of the new version alone, and compared with that of the old one as before.

fault_servers_of_different_speed fails without the change, with spreads of 4 and 1 buckets.

--- a/crates/core/src/fleet/rollout_events.rs
+++ b/crates/core/src/fleet/rollout_events.rs
@@ -62,18 +62,18 @@
         self.mark_changed();
     }
 
-    /// Returns what all nodes observed of the new version and of the others.
+    /// Returns what all nodes observed of the new version, by server, and of the others.
     fn evidence(
         &self,
         now: Instant,
         service: &ServiceName,
         target: &VersionName,
-    ) -> (VersionEvidence, RolloutEvidence) {
-        let mut new = VersionEvidence::default();
+    ) -> (Vec<VersionEvidence>, RolloutEvidence) {
+        let mut new = Vec::new();
         let mut old = RolloutEvidence::default();
         let Some(rollout) = self.rollouts.get(service) else { return (new, old) };
         let mut add = |version: &VersionName, evidence: &RolloutEvidence| {
-            if version == target { new.add(&evidence.all) } else { old.add(evidence) }
+            if version == target { new.push(evidence.all.clone()) } else { old.add(evidence) }
         };
         if let Some(backend) = self.registration.backend().filter(|b| b.service == *service) {
             add(&backend.version, rollout.evidence());
