Time the head and the body of a request apart

A large body that took longer than header_timeout_ms to arrive got 408, although it went on arriving: the time limit of the head ran on during the body. And each byte of an incomplete head began that limit anew, so a caller that sent its head byte by byte was never cut off.

The limit of a head now runs from its first byte. That of a body is the idle time limit and runs from its last byte; in a graceful stop it is the head's, so that a slow body doesn't outlast the stop.

body_slower_than_head_limit (360 KB in 6.75 s) and head_slower_than_limit fail without the change: 408 in place of 200, and 200 in place of 408.

--- a/crates/node/src/fleet/http1/connection.rs
+++ b/crates/node/src/fleet/http1/connection.rs
@@ -136,6 +136,7 @@
         }
         let read_deadline = self.read_deadline();
         let may_read = self.buf.len() < MAX_READ_AHEAD_BYTES;
+        let began_head = !self.buf.is_empty() && !self.parser.has_partial();
         self.buf.reserve(READ_SIZE_BYTES);
         tokio::select! {
             biased;
@@ -145,7 +146,8 @@
                 if !is_open {
                     self.end = read_end(&read);
                 }
-                if is_open && is_idle && !self.parser.has_partial() {
+                // The time limit of a head runs from its first byte, that of a body from its last.
+                if is_open && is_idle && !began_head {
                     self.waiting_since = Instant::now();
                 }
                 is_open.then_some(())
@@ -248,9 +250,11 @@
 
     /// Returns when to give up waiting for bytes of the caller.
     fn read_deadline(&self) -> Instant {
+        let limits = (self.limits)();
         let allowed = match *self.stop.borrow() {
-            _ if self.has_partial_request() => to_std_duration((self.limits)().header_timeout),
-            StopPhase::Serving => to_std_duration((self.limits)().idle_timeout),
+            StopPhase::Serving if self.parser.has_partial() => to_std_duration(limits.idle_timeout),
+            _ if self.has_partial_request() => to_std_duration(limits.header_timeout),
+            StopPhase::Serving => to_std_duration(limits.idle_timeout),
             StopPhase::Draining => DRAIN_IDLE_TIMEOUT,
             StopPhase::Closing => Duration::ZERO,
         };
--- a/crates/testkit/tests/fleet_limits.rs
+++ b/crates/testkit/tests/fleet_limits.rs
@@ -12,6 +12,8 @@
 const SERVICES: [&str; 2] = ["bays", "traslados"];
 /// Limit on the head of a request in the configuration of [`Fleet::configure`].
 const MAX_HEAD_BYTES: usize = 16_384;
+/// Limit on the time for the head of a request in the configuration of [`Fleet::configure`].
+const HEAD_TIMEOUT: Duration = Duration::from_secs(3);
 /// Limit on the body of a request in the configuration of [`Fleet::configure`].
 const MAX_BODY_BYTES: usize = 1_048_576;
 
@@ -107,3 +109,44 @@
     assert_eq!(send(&mut kept, &request("bays", 1_000, 0)).await?, "HTTP/1.1 200 OK");
     Ok(())
 }
+
+/// Sends the parts of `request` with a pause after each. Returns the status line of the answer; an
+/// error if the node closes the connection without one.
+async fn send_slowly(
+    fleet: &Fleet,
+    request: &[u8],
+    parts: usize,
+    pause: Duration,
+) -> Result<String> {
+    let mut stream = connect(fleet).await?;
+    stream.set_nodelay(true)?;
+    for part in request.chunks(request.len().div_ceil(parts)) {
+        // A node that gave up has answered before the end of the request.
+        if stream.write_all(part).await.is_err() {
+            break;
+        }
+        tokio::time::sleep(pause).await;
+    }
+    send(&mut stream, b"").await
+}
+
+// Guards against a large body that is refused because it takes longer over a slow link than a head
+// may take, although it goes on arriving.
+#[tokio::test]
+async fn body_slower_than_head_limit() -> Result<()> {
+    let fleet = start().await?;
+    let upload = request("bays", 1_000, 360_000);
+    let status = send_slowly(&fleet, &upload, 9, HEAD_TIMEOUT / 4).await?;
+    assert_eq!(status, "HTTP/1.1 200 OK");
+    Ok(())
+}
+
+// Guards against a head that arrives byte by byte and holds a connection for as long as it likes.
+#[tokio::test]
+async fn head_slower_than_limit() -> Result<()> {
+    let fleet = start().await?;
+    let head = request("bays", 1_000, 0);
+    let status = send_slowly(&fleet, &head, 9, HEAD_TIMEOUT / 4).await?;
+    assert_eq!(status, "HTTP/1.1 408 Request Timeout");
+    Ok(())
+}
