Limit the memory of all request bodies together

A node held the bodies of all requests that it read or had not answered, each up to max_body_bytes: 2,048 connections with uploads of 360 KB are more than the 160 MB of the smallest host.

The bodies of both listeners now share a budget of 16 MiB, as answers do. A request that exceeds it is refused at once: callers get 503 with Retry-After, and an entry node learns that the call has not run, also when a request between nodes is malformed, too large or too slow, which it took for an answer of the backend server before.

uploads_to_stalled_server sends 400 uploads of 360 KB to a server that stalls: the node stays below a third of the smallest host's memory, and serves uploads afterwards.

--- a/crates/node/src/fleet/caller_handler.rs
+++ b/crates/node/src/fleet/caller_handler.rs
@@ -20,7 +20,7 @@
 use crate::fleet::call_failure::{self, CallFailure};
 use crate::fleet::caller_result::{CallerResult, NO_ENDPOINT_RETRY_AFTER};
 use crate::fleet::forwarded_call::ForwardedCall;
-use crate::fleet::http1::Pipelined;
+use crate::fleet::http1::{Pipelined, RequestError};
 use crate::fleet::traffic::FleetTraffic;
 use crate::fleet::{endpoint_client, inbound};
 
@@ -28,6 +28,10 @@
 /// the caller in time.
 const DEADLINE_MARGIN: Micros = Micros::new(8_000);
 
+/// Retry delay for requests whose bodies the node has no memory for: about the time in which it
+/// passes on and frees others.
+const BODY_MEMORY_RETRY_AFTER: Micros = Micros::new(500_000);
+
 /// Pipelining state of one connection, shared by the handlers of its requests.
 pub(crate) type SharedPipeline = Arc<Mutex<CallerPipeline>>;
 
@@ -352,8 +356,7 @@
     *response.status_mut() = failure_status(failure);
     let headers: &mut HeaderMap = response.headers_mut();
     if has_not_run(failure) {
-        let seconds = failure.retry_after.get() as f64 / 1e6 * rand::rng().random_range(0.8..1.2);
-        call_headers::set(headers, header::RETRY_AFTER, format_args!("{:.3}", seconds.max(0.05)));
+        set_retry_after(headers, failure);
     }
     call_headers::set_failure(headers, failure.verdict, failure.reason);
     if let Some(id) = id {
@@ -362,6 +365,23 @@
     response
 }
 
+/// Tells the caller when to come back, spread so that callers don't come back together.
+fn set_retry_after(headers: &mut HeaderMap, failure: &CallFailure) {
+    let seconds = failure.retry_after.get() as f64 / 1e6 * rand::rng().random_range(0.8..1.2);
+    call_headers::set(headers, header::RETRY_AFTER, format_args!("{:.3}", seconds.max(0.05)));
+}
+
+/// Builds the response to a request that can't be read, and so has not run.
+pub(crate) fn refusal(error: RequestError) -> Response<Bytes> {
+    let mut response = Response::new(Bytes::new());
+    *response.status_mut() = error.status();
+    if error == RequestError::NoMemory {
+        let failure = CallFailure::refused(error.reason(), BODY_MEMORY_RETRY_AFTER);
+        set_retry_after(response.headers_mut(), &failure);
+    }
+    response
+}
+
 /// Returns whether the failure guarantees that the request has not run and never will.
 const fn has_not_run(failure: &CallFailure) -> bool {
     !matches!(failure.verdict, Verdict::MayHaveRun)
--- a/crates/node/src/fleet/http1/body_reader.rs
+++ b/crates/node/src/fleet/http1/body_reader.rs
@@ -1,8 +1,11 @@
 //! Reads request bodies with a known length or in chunks.
 
-use bytes::{Buf as _, Bytes, BytesMut};
+use almondsail_core::units::ByteCount;
+use bytes::{Buf as _, BytesMut};
 use http::header::{self, HeaderMap};
 
+use crate::fleet::http1::body_reservation::BodyReservation;
+use crate::fleet::http1::held_body::HeldBody;
 use crate::fleet::http1::request_error::RequestError;
 
 /// Length limit of the line that begins a chunk.
@@ -15,6 +18,8 @@
 pub(crate) struct BodyReader {
     state: State,
     body: BytesMut,
+    /// Covers the bytes of `body`.
+    reservation: BodyReservation,
     limit: usize,
 }
 
@@ -30,10 +35,22 @@
     Trailer,
 }
 
+/// How far a body was read.
+#[derive(Debug)]
+pub(crate) enum BodyProgress {
+    Complete(HeldBody),
+    /// The reader waits for further bytes.
+    Incomplete(BodyReader),
+}
+
 impl BodyReader {
-    /// Creates a reader of the body that `headers` announce. Fails if the body exceeds `limit`
-    /// bytes or if its length is ambiguous.
-    pub(crate) fn new(headers: &HeaderMap, limit: usize) -> Result<Self, RequestError> {
+    /// Creates a reader of the body that `headers` announce, whose bytes count in `reservation`.
+    /// Fails if the body exceeds `limit` bytes or if its length is ambiguous.
+    pub(crate) fn new(
+        headers: &HeaderMap,
+        limit: usize,
+        reservation: BodyReservation,
+    ) -> Result<Self, RequestError> {
         let state = match (content_length(headers)?, is_chunked(headers)?) {
             (Some(_), true) => return Err(RequestError::Malformed),
             (_, true) => State::ChunkLine,
@@ -44,17 +61,17 @@
         {
             return Err(RequestError::BodyTooLarge);
         }
-        Ok(Self { state, body: BytesMut::new(), limit })
+        Ok(Self { state, body: BytesMut::new(), reservation, limit })
     }
 
-    /// Consumes the bytes of the body that `buf` holds. Returns the whole body once it is complete.
-    pub(crate) fn read(&mut self, buf: &mut BytesMut) -> Result<Option<Bytes>, RequestError> {
+    /// Consumes the bytes of the body that `buf` holds.
+    pub(crate) fn read(mut self, buf: &mut BytesMut) -> Result<BodyProgress, RequestError> {
         loop {
             match self.state {
                 State::Length(left) => {
                     let left = left - self.take(buf, left)?;
                     self.state = State::Length(left);
-                    return Ok((left == 0).then(|| self.body.split().freeze()));
+                    return Ok(if left == 0 { self.complete() } else { self.incomplete() });
                 }
                 State::ChunkLine => match httparse::parse_chunk_size(buf) {
                     Ok(httparse::Status::Complete((line, size))) => {
@@ -62,12 +79,12 @@
                         self.begin_chunk(size)?;
                     }
                     Ok(httparse::Status::Partial) if buf.len() <= MAX_CHUNK_LINE_BYTES => {
-                        return Ok(None);
+                        return Ok(self.incomplete());
                     }
                     _ => return Err(RequestError::Malformed),
                 },
                 State::Chunk(0) => {
-                    let Some(end) = buf.get(..2) else { return Ok(None) };
+                    let Some(end) = buf.get(..2) else { return Ok(self.incomplete()) };
                     if end != b"\r\n" {
                         return Err(RequestError::Malformed);
                     }
@@ -77,7 +94,7 @@
                 State::Chunk(left) => {
                     let taken = self.take(buf, left)?;
                     if taken == 0 {
-                        return Ok(None);
+                        return Ok(self.incomplete());
                     }
                     self.state = State::Chunk(left - taken);
                 }
@@ -86,6 +103,15 @@
         }
     }
 
+    fn complete(self) -> BodyProgress {
+        let Self { body, reservation, .. } = self;
+        BodyProgress::Complete(HeldBody { bytes: body.freeze(), reservation })
+    }
+
+    const fn incomplete(self) -> BodyProgress {
+        BodyProgress::Incomplete(self)
+    }
+
     fn begin_chunk(&mut self, size: u64) -> Result<(), RequestError> {
         let size = usize::try_from(size).map_err(|_| RequestError::BodyTooLarge)?;
         if size > self.limit - self.body.len() {
@@ -95,7 +121,7 @@
         Ok(())
     }
 
-    fn skip_trailer(&mut self, buf: &mut BytesMut) -> Result<Option<Bytes>, RequestError> {
+    fn skip_trailer(self, buf: &mut BytesMut) -> Result<BodyProgress, RequestError> {
         let end = if buf.starts_with(b"\r\n") {
             Some(2)
         } else {
@@ -104,10 +130,10 @@
         match end {
             Some(end) => {
                 buf.advance(end);
-                Ok(Some(self.body.split().freeze()))
+                Ok(self.complete())
             }
             None if buf.len() > MAX_TRAILER_BYTES => Err(RequestError::HeadTooLarge),
-            None => Ok(None),
+            None => Ok(self.incomplete()),
         }
     }
 
@@ -117,6 +143,9 @@
         if n > self.limit - self.body.len() {
             return Err(RequestError::BodyTooLarge);
         }
+        if !self.reservation.try_grow(ByteCount::new(n as u64)) {
+            return Err(RequestError::NoMemory);
+        }
         self.body.unsplit(buf.split_to(n));
         Ok(n)
     }
--- a/crates/node/src/fleet/http1/connection.rs
+++ b/crates/node/src/fleet/http1/connection.rs
@@ -17,9 +17,11 @@
 use tokio::time::{Instant, timeout};
 
 use crate::clock::to_std_duration;
+use crate::fleet::http1::held_body::HeldBody;
 use crate::fleet::http1::request_error::RequestError;
 use crate::fleet::http1::request_parser::{RequestLimits, RequestParser};
 use crate::fleet::http1::response_writer;
+use crate::fleet::http1::server::Http1Settings;
 use crate::fleet::stop_phase::StopPhase;
 use crate::fleet::unanswered_requests::UnansweredRequests;
 
@@ -68,11 +70,13 @@
     limits: L,
     stop: watch::Receiver<StopPhase>,
     unanswered: UnansweredRequests,
+    /// Builds the answer to a request that can't be read.
+    refusal: fn(RequestError) -> Response<Bytes>,
     parser: RequestParser,
     buf: BytesMut,
     in_flight: FuturesOrdered<AnswerFuture>,
     /// A parsed request that may only start once all earlier ones are answered.
-    deferred: Option<Request<Bytes>>,
+    deferred: Option<Request<HeldBody>>,
     /// Whether the requests in flight have safe methods, so that further safe ones may join.
     in_flight_is_safe: bool,
     reading: ReadState,
@@ -86,24 +90,20 @@
 
 impl<L, H, F> Connection<L, H>
 where
-    L: Fn() -> CallerLimits,
+    L: Fn() -> CallerLimits + Clone,
     H: Fn(Request<Bytes>) -> F,
     F: Future<Output = Response<Bytes>> + Send + 'static,
 {
-    pub(crate) fn new(
-        stream: TcpStream,
-        handler: H,
-        limits: L,
-        stop: watch::Receiver<StopPhase>,
-        unanswered: UnansweredRequests,
-    ) -> Self {
+    pub(crate) fn new(stream: TcpStream, handler: H, settings: &Http1Settings<L>) -> Self {
+        let settings = settings.clone();
         Self {
             stream,
             handler,
-            limits,
-            stop,
-            unanswered,
-            parser: RequestParser::default(),
+            limits: settings.limits,
+            stop: settings.stop,
+            unanswered: settings.unanswered,
+            refusal: settings.refusal,
+            parser: RequestParser::new(settings.bodies),
             buf: BytesMut::new(),
             in_flight: FuturesOrdered::new(),
             deferred: None,
@@ -124,8 +124,7 @@
     /// Handles the next event of the connection; `None` once the connection has ended.
     async fn step(&mut self) -> Option<()> {
         if let Err(error) = self.start_requests() {
-            self.reading = ReadState::Ended;
-            self.in_flight.push_back(Box::pin(async move { error_answer(error) }));
+            self.refuse(error);
         }
         if self.parser.take_expects_continue() {
             self.stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await.ok()?;
@@ -194,7 +193,7 @@
         *self.stop.borrow() > StopPhase::Serving
     }
 
-    fn start(&mut self, mut request: Request<Bytes>) {
+    fn start(&mut self, mut request: Request<HeldBody>) {
         if !self.in_flight.is_empty() {
             request.extensions_mut().insert(Pipelined);
         }
@@ -203,9 +202,12 @@
         if wants_close {
             self.reading = ReadState::Ended;
         }
-        let answer = (self.handler)(request);
+        let (head, HeldBody { bytes, reservation }) = request.into_parts();
+        let answer = (self.handler)(Request::from_parts(head, bytes));
         self.in_flight.push_back(Box::pin(async move {
-            HandledRequest { method, wants_close, response: answer.await }
+            let response = answer.await;
+            drop(reservation);
+            HandledRequest { method, wants_close, response }
         }));
     }
 
@@ -270,12 +272,19 @@
         if !self.has_partial_request() {
             return None;
         }
-        self.reading = ReadState::Ended;
-        let error = RequestError::TooSlow;
-        self.in_flight.push_back(Box::pin(async move { error_answer(error) }));
+        self.refuse(RequestError::TooSlow);
         Some(())
     }
 
+    /// Answers a request that can't be read, after the answers to those before it. The connection
+    /// takes no further request.
+    fn refuse(&mut self, error: RequestError) {
+        self.reading = ReadState::Ended;
+        let response = (self.refusal)(error);
+        let handled = HandledRequest { method: Method::GET, wants_close: true, response };
+        self.in_flight.push_back(Box::pin(std::future::ready(handled)));
+    }
+
     fn has_partial_request(&self) -> bool {
         self.parser.has_partial() || !self.buf.is_empty()
     }
@@ -304,12 +313,6 @@
     }
 }
 
-fn error_answer(error: RequestError) -> HandledRequest {
-    let mut response = Response::new(Bytes::new());
-    *response.status_mut() = error.status();
-    HandledRequest { method: Method::GET, wants_close: true, response }
-}
-
 /// Returns whether the connection must close after the answer: for `connection: close` and
 /// HTTP/1.0.
 fn asks_to_close(version: Version, headers: &HeaderMap) -> bool {
--- a/crates/node/src/fleet/http1/mod.rs
+++ b/crates/node/src/fleet/http1/mod.rs
@@ -6,11 +6,14 @@
 //! concurrently, are answered in order, and are cancelled when the caller closes.
 
 mod body_reader;
+mod body_reservation;
 mod connection;
+mod held_body;
 mod request_error;
 mod request_parser;
 mod response_writer;
 mod server;
 
 pub(crate) use connection::{Pipelined, WRITE_TIMEOUT};
+pub(crate) use request_error::RequestError;
 pub(crate) use server::{Http1Settings, serve};
--- a/crates/node/src/fleet/http1/request_error.rs
+++ b/crates/node/src/fleet/http1/request_error.rs
@@ -1,5 +1,6 @@
 //! Errors in reading a request.
 
+use almondsail_core::RefusalReason;
 use http::StatusCode;
 
 /// Why a request can't be read. The connection is closed after the error response.
@@ -13,6 +14,8 @@
     BodyTooLarge,
     /// The request did not arrive completely within its time limit.
     TooSlow,
+    /// The node holds as many bytes of bodies as it may.
+    NoMemory,
 }
 
 impl RequestError {
@@ -23,6 +26,17 @@
             Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::TooSlow => StatusCode::REQUEST_TIMEOUT,
+            Self::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+
+    /// Returns the reason as other nodes and the log name it.
+    pub(crate) const fn reason(self) -> RefusalReason {
+        match self {
+            Self::Malformed | Self::TooSlow => RefusalReason::BadRequest,
+            Self::HeadTooLarge => RefusalReason::HeaderTooLarge,
+            Self::BodyTooLarge => RefusalReason::BodyTooLarge,
+            Self::NoMemory => RefusalReason::BodyMemory,
         }
     }
 }
--- a/crates/node/src/fleet/http1/request_parser.rs
+++ b/crates/node/src/fleet/http1/request_parser.rs
@@ -1,10 +1,15 @@
 //! Parses HTTP/1 requests from a buffer.
 
-use bytes::{Buf as _, Bytes, BytesMut};
+use std::sync::Arc;
+
+use almondsail_core::traffic::BodyBudget;
+use bytes::{Buf as _, BytesMut};
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
 use http::{Method, Request, Uri, Version};
 
-use crate::fleet::http1::body_reader::BodyReader;
+use crate::fleet::http1::body_reader::{BodyProgress, BodyReader};
+use crate::fleet::http1::body_reservation::BodyReservation;
+use crate::fleet::http1::held_body::HeldBody;
 use crate::fleet::http1::request_error::RequestError;
 
 /// Number of headers that a request may have.
@@ -20,8 +25,10 @@
 }
 
 /// Parses requests incrementally from a buffer.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct RequestParser {
+    /// Limits the bodies of all requests of the node together.
+    budget: Arc<BodyBudget>,
     /// A request whose head is parsed and whose body is incomplete.
     partial: Option<(Request<()>, BodyReader)>,
     /// Whether the caller waits for `100 Continue` before it sends the body.
@@ -29,27 +36,32 @@
 }
 
 impl RequestParser {
+    pub(crate) const fn new(budget: Arc<BodyBudget>) -> Self {
+        Self { budget, partial: None, expects_continue: false }
+    }
+
     /// Returns the next request once `buf` holds the rest of it; consumes the bytes that it parses.
     pub(crate) fn next(
         &mut self,
         buf: &mut BytesMut,
         limits: RequestLimits,
-    ) -> Result<Option<Request<Bytes>>, RequestError> {
+    ) -> Result<Option<Request<HeldBody>>, RequestError> {
         if self.partial.is_none() {
             let Some(head) = parse_head(buf, limits.head)? else { return Ok(None) };
-            let body = BodyReader::new(head.headers(), limits.body)?;
+            let reservation = BodyReservation::new(Arc::clone(&self.budget));
+            let body = BodyReader::new(head.headers(), limits.body, reservation)?;
             let expect = head.headers().get(header::EXPECT);
             self.expects_continue =
                 expect.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"100-continue"));
             self.partial = Some((head, body));
         }
-        let Some((head, mut body)) = self.partial.take() else { return Ok(None) };
+        let Some((head, body)) = self.partial.take() else { return Ok(None) };
         match body.read(buf)? {
-            Some(body) => {
+            BodyProgress::Complete(body) => {
                 self.expects_continue = false;
                 Ok(Some(head.map(|()| body)))
             }
-            None => {
+            BodyProgress::Incomplete(body) => {
                 self.partial = Some((head, body));
                 Ok(None)
             }
--- a/crates/node/src/fleet/http1/server.rs
+++ b/crates/node/src/fleet/http1/server.rs
@@ -1,9 +1,11 @@
 //! Accepts and serves the connections of a listener.
 
 use std::future::Future;
+use std::sync::Arc;
 use std::time::Duration;
 
 use almondsail_core::fleet::CallerLimits;
+use almondsail_core::traffic::BodyBudget;
 use bytes::Bytes;
 use http::{Request, Response};
 use tokio::net::{TcpListener, TcpStream};
@@ -11,11 +13,13 @@
 
 use crate::accept;
 use crate::fleet::http1::connection::Connection;
+use crate::fleet::http1::request_error::RequestError;
 use crate::fleet::stop_phase::StopPhase;
 use crate::fleet::unanswered_requests::UnansweredRequests;
 use crate::socket;
 
 /// Settings of a listener and its connections.
+#[derive(Clone)]
 pub(crate) struct Http1Settings<L> {
     /// Returns the limits of callers' requests that apply now.
     pub(crate) limits: L,
@@ -23,6 +27,10 @@
     pub(crate) max_connections: usize,
     /// How long sent bytes may stay unacknowledged before a connection counts as broken.
     pub(crate) user_timeout: Duration,
+    /// Limits the bodies of the requests of all listeners together.
+    pub(crate) bodies: Arc<BodyBudget>,
+    /// Builds the answer to a request that can't be read.
+    pub(crate) refusal: fn(RequestError) -> Response<Bytes>,
     /// Current phase of a graceful stop.
     pub(crate) stop: watch::Receiver<StopPhase>,
     /// Records requests whose connection ends before they are answered.
@@ -44,9 +52,7 @@
     let serve_connection = |stream: TcpStream, _| {
         // Setting the options fails only if the caller has already closed the connection.
         let is_open = socket::set_socket_options(&stream, settings.user_timeout).is_ok();
-        let (limits, stop) = (settings.limits.clone(), settings.stop.clone());
-        let unanswered = settings.unanswered.clone();
-        let connection = Connection::new(stream, make_handler(), limits, stop, unanswered);
+        let connection = Connection::new(stream, make_handler(), &settings);
         async move {
             if is_open {
                 connection.run().await;
--- a/crates/node/src/fleet/inbound_handler.rs
+++ b/crates/node/src/fleet/inbound_handler.rs
@@ -13,6 +13,7 @@
 use crate::fleet::config_source::{ConfigSource, Offer};
 use crate::fleet::forwarded_call::ForwardedCall;
 use crate::fleet::hop::{HOP_HEADER, Hop};
+use crate::fleet::http1::RequestError;
 use crate::fleet::inbound;
 use crate::fleet::reported_load::LOAD_HEADER;
 use crate::fleet::traffic::FleetTraffic;
@@ -41,6 +42,11 @@
     response
 }
 
+/// Builds the response to a request that can't be read, and so has not run.
+pub(crate) fn refusal(error: RequestError) -> Response<Bytes> {
+    failure_response(&CallFailure::refused(error.reason(), Micros::new(0)))
+}
+
 fn failure_response(failure: &CallFailure) -> Response<Bytes> {
     let mut response = empty_response(StatusCode::SERVICE_UNAVAILABLE);
     call_headers::set(response.headers_mut(), FAILURE_HEADER, failure);
--- a/crates/node/src/fleet/servers.rs
+++ b/crates/node/src/fleet/servers.rs
@@ -136,6 +136,8 @@
             limits,
             max_connections: MAX_CALLER_CONNECTIONS,
             user_timeout: WRITE_TIMEOUT,
+            bodies: Arc::clone(&self.traffic.body_budget),
+            refusal: caller_handler::refusal,
             stop,
             unanswered,
         };
@@ -161,6 +163,8 @@
             limits,
             max_connections: MAX_NODE_CONNECTIONS,
             user_timeout: socket::USER_TIMEOUT,
+            bodies: Arc::clone(&self.traffic.body_budget),
+            refusal: inbound_handler::refusal,
             stop,
             unanswered,
         };
--- a/crates/node/src/fleet/traffic.rs
+++ b/crates/node/src/fleet/traffic.rs
@@ -7,8 +7,8 @@
 
 use almondsail_core::fleet::{FleetEvent, FleetView, LoadBalancer, RetryShare};
 use almondsail_core::ids::{NodeId, RouteName, ServiceName};
-use almondsail_core::traffic::AnswerBudget;
-use almondsail_core::units::{Instant, Micros};
+use almondsail_core::traffic::{AnswerBudget, BodyBudget};
+use almondsail_core::units::{ByteCount, Instant, Micros};
 use almondsail_platform::calls as platform_calls;
 use arc_swap::ArcSwap;
 use tokio::sync::{mpsc, watch};
@@ -22,6 +22,9 @@
 
 /// Number of idle connections that are kept open to one other node.
 const MAX_IDLE_CONNECTIONS_PER_ENDPOINT: usize = 8;
+/// Limit on the bodies of all requests together: as for answers, a tenth of the smallest host's
+/// memory.
+const MAX_BODY_MEMORY: ByteCount = ByteCount::new(16 * 1024 * 1024);
 /// How long an idle connection to another node is kept open.
 const ENDPOINT_IDLE_TIMEOUT: Duration = Duration::from_secs(8);
 /// How long an idle connection to the backend server is kept open. Backend servers close idle
@@ -45,6 +48,8 @@
     pub(crate) queue: Arc<SlotQueue>,
     pub(crate) backend_pool: Arc<ConnectionPool>,
     pub(crate) answer_budget: Arc<AnswerBudget>,
+    /// Limits the bodies of the requests that are read or not answered yet.
+    pub(crate) body_budget: Arc<BodyBudget>,
     pub(crate) metrics: CallMetrics,
     pub(crate) log: EventLog,
     pub(crate) view: Arc<ArcSwap<FleetView>>,
@@ -85,6 +90,7 @@
             queue: Arc::new(SlotQueue::new(parts.clock)),
             backend_pool: Arc::new(backend_pool),
             answer_budget: Arc::default(),
+            body_budget: Arc::new(BodyBudget::new(MAX_BODY_MEMORY)),
             metrics: parts.metrics,
             log: parts.log,
             view: parts.view,
--- a/crates/testkit/src/platform/raw_worker.rs
+++ b/crates/testkit/src/platform/raw_worker.rs
@@ -95,6 +95,11 @@
         lock(&self.shared.requests).iter().filter(|req| req.path == path).count()
     }
 
+    /// Returns the paths of the requests that arrived, in the order of their heads.
+    pub fn paths(&self) -> Vec<String> {
+        lock(&self.shared.requests).iter().map(|req| req.path.clone()).collect()
+    }
+
     /// Returns the number of requests whose script has not ended.
     pub fn busy_requests(&self) -> usize {
         self.shared.busy.load(Ordering::Relaxed)
--- a/crates/testkit/tests/fleet_faulty_worker/main.rs
+++ b/crates/testkit/tests/fleet_faulty_worker/main.rs
@@ -1,7 +1,8 @@
-//! Tests of a fleet whose backend servers write answers again, cut them, or write bytes without end.
+//! Tests of a fleet whose backend servers write answers again, too early, cut, or without end.
 
 mod cut_answers;
 mod endless_answers;
+mod large_bodies;
 mod repeated_answers;
 
 use almondsail_testkit::harness::wait_until;
