Let backend servers read a large body late

An upload whose server read nothing of its body for 1.5 s ended with 502 (may have run): by then the socket's user timeout counted the connection as broken. A server may queue such a call, or answer it, before it reads the body; the next call on the connection then met the same timeout.

Calls with a body above 16 KiB use connections of their own to the backend server, which may read nothing for 10 s; the call's deadline still ends the wait. Smaller bodies fit into the socket's buffers, so silent connections are noticed as quickly as before.

--- a/crates/node/src/calls/client_connection.rs
+++ b/crates/node/src/calls/client_connection.rs
@@ -84,10 +84,15 @@
 }
 
 impl ClientConnection {
-    /// Opens a connection to `addr` within `timeout`.
-    pub(crate) async fn connect(addr: SocketAddr, timeout: Duration) -> io::Result<Self> {
+    /// Opens a connection to `addr` within `timeout`, which counts as broken once the next hop has
+    /// taken no bytes for `user_timeout`.
+    pub(crate) async fn connect(
+        addr: SocketAddr,
+        timeout: Duration,
+        user_timeout: Duration,
+    ) -> io::Result<Self> {
         let stream = tokio::time::timeout(timeout, TcpStream::connect(addr)).await??;
-        socket::set_socket_options(&stream, socket::USER_TIMEOUT)?;
+        socket::set_socket_options(&stream, user_timeout)?;
         let written = ByteCounts::default();
         let allowance = ReadAllowance::default();
         let filter = SharedFilter::default();
--- a/crates/node/src/calls/connection_pool.rs
+++ b/crates/node/src/calls/connection_pool.rs
@@ -13,6 +13,7 @@
 
 use crate::calls::awaited_answer::AwaitedAnswer;
 use crate::calls::client_connection::{ClientConnection, ExchangeError};
+use crate::socket;
 
 /// Keeps idle connections to one address, the most recently used last.
 #[derive(Debug)]
@@ -22,6 +23,8 @@
     /// The header that names the request, in the request and in its answer; `None` if answers don't
     /// name their request.
     id_header: Option<HeaderName>,
+    /// How long the next hop may take no bytes before a connection counts as broken.
+    user_timeout: Duration,
     /// At most `limits.max_idle` connections. The lock is held only to push, pop or expire them.
     idle: Mutex<Vec<ClientConnection>>,
 }
@@ -39,7 +42,8 @@
 
 impl ConnectionPool {
     pub(crate) const fn new(addr: SocketAddr, limits: PoolLimits) -> Self {
-        Self { addr, limits, id_header: None, idle: Mutex::new(Vec::new()) }
+        let (id_header, user_timeout) = (None, socket::USER_TIMEOUT);
+        Self { addr, limits, id_header, user_timeout, idle: Mutex::new(Vec::new()) }
     }
 
     /// Recognises the answer to a request by the value of `header`, which both have.
@@ -49,6 +53,13 @@
         self
     }
 
+    /// Sets how long the next hop may take no bytes before a connection counts as broken.
+    #[must_use]
+    pub(crate) const fn with_user_timeout(mut self, timeout: Duration) -> Self {
+        self.user_timeout = timeout;
+        self
+    }
+
     /// Takes an idle connection that can still be used.
     fn take_idle(&self) -> Option<ClientConnection> {
         loop {
@@ -75,7 +86,8 @@
                 Err(error) => return Err(error),
             }
         }
-        let connect = ClientConnection::connect(self.addr, self.limits.connect_timeout);
+        let connect =
+            ClientConnection::connect(self.addr, self.limits.connect_timeout, self.user_timeout);
         let Ok(Ok(mut connection)) = tokio::time::timeout_at(until, connect).await else {
             return Err(ExchangeError::NotSent);
         };
--- a/crates/node/src/fleet/inbound.rs
+++ b/crates/node/src/fleet/inbound.rs
@@ -88,12 +88,12 @@
 ) -> Result<(Response<Bytes>, Micros), CallFailure> {
     let clock = traffic.clock;
     let until = clock.to_tokio_instant(call.deadline);
-    let sent = traffic.backend_pool.send(|| call.backend_request(clock.now()), until).await;
+    let pool = traffic.backend_pool(call.body.len());
+    let sent = pool.send(|| call.backend_request(clock.now()), until).await;
     let (response, connection) = match sent {
         Ok(sent) => sent,
         Err(error) => return Err(CallFailure::from_exchange(&error, RefusalReason::BackendDown)),
     };
-    let pool = &traffic.backend_pool;
     let (status, headers) = (response.status(), response.headers());
     let kind = platform_calls::classify_response(status, headers, call.attempt_id());
     let failure = match kind {
--- a/crates/node/src/fleet/traffic.rs
+++ b/crates/node/src/fleet/traffic.rs
@@ -22,6 +22,11 @@
 
 /// Number of idle connections that are kept open to one other node.
 const MAX_IDLE_CONNECTIONS_PER_ENDPOINT: usize = 8;
+/// Largest body that a connection takes whole though the backend server reads nothing of it.
+const SMALL_BODY_BYTES: usize = 16 * 1024;
+/// How long the backend server may read nothing of a large body: it may answer, or run the call,
+/// before it reads on.
+const UPLOAD_USER_TIMEOUT: Duration = Duration::from_secs(10);
 /// Limit on the bodies of all requests together: as for answers, a tenth of the smallest host's
 /// memory.
 const MAX_BODY_MEMORY: ByteCount = ByteCount::new(16 * 1024 * 1024);
@@ -46,7 +51,10 @@
     /// Service of the backend server beside this node.
     pub(crate) service: ServiceName,
     pub(crate) queue: Arc<SlotQueue>,
-    pub(crate) backend_pool: Arc<ConnectionPool>,
+    /// Connections to the backend server for calls with a small body.
+    backend_pool: Arc<ConnectionPool>,
+    /// Connections to the backend server for calls with a large body.
+    upload_pool: Arc<ConnectionPool>,
     pub(crate) answer_budget: Arc<AnswerBudget>,
     /// Limits the bodies of the requests that are read or not answered yet.
     pub(crate) body_budget: Arc<BodyBudget>,
@@ -81,14 +89,17 @@
             idle_timeout: BACKEND_IDLE_TIMEOUT,
             connect_timeout: BACKEND_CONNECT_TIMEOUT,
         };
-        let backend_pool = ConnectionPool::new(parts.backend, limits)
-            .with_id_header(platform_calls::attempt_id_header());
+        let backend_pool = || {
+            ConnectionPool::new(parts.backend, limits)
+                .with_id_header(platform_calls::attempt_id_header())
+        };
         let data_centre = parts.view.load().data_centre.clone();
         Arc::new(Self {
             clock: parts.clock,
             service: parts.service,
             queue: Arc::new(SlotQueue::new(parts.clock)),
-            backend_pool: Arc::new(backend_pool),
+            backend_pool: Arc::new(backend_pool()),
+            upload_pool: Arc::new(backend_pool().with_user_timeout(UPLOAD_USER_TIMEOUT)),
             answer_budget: Arc::default(),
             body_budget: Arc::new(BodyBudget::new(MAX_BODY_MEMORY)),
             metrics: parts.metrics,
@@ -146,6 +157,11 @@
         }
     }
 
+    /// Returns the connection pool for calls to the backend server whose body has `length` bytes.
+    pub(crate) fn backend_pool(&self, length: usize) -> &Arc<ConnectionPool> {
+        if length > SMALL_BODY_BYTES { &self.upload_pool } else { &self.backend_pool }
+    }
+
     /// Returns the connection pool of the endpoint at `address`, creating it on first use.
     pub(crate) fn endpoint_pool(&self, address: SocketAddr) -> Arc<ConnectionPool> {
         let limits = PoolLimits {
@@ -179,6 +195,7 @@
     /// Closes the connections whose idle timeout has passed.
     pub(crate) fn close_idle_connections(&self) {
         self.backend_pool.close_idle();
+        self.upload_pool.close_idle();
         for pool in self.lock_endpoint_pools().values() {
             pool.close_idle();
         }
--- a/crates/testkit/tests/fleet_faulty_worker/large_bodies.rs
+++ b/crates/testkit/tests/fleet_faulty_worker/large_bodies.rs
@@ -50,3 +50,45 @@
     })
     .await
 }
+
+// Guards against an upload that fails, runs twice, or gets other bytes in place of the rest of its
+// body, when its server reads the body late, before its answer or after it.
+#[tokio::test]
+async fn body_read_late() -> Result<()> {
+    // Longer than the time in which a connection whose bytes are not taken counts as broken.
+    const PAUSE: Duration = Duration::from_millis(2_500);
+    const UPLOADS: usize = 4;
+    let (fleet, workers) = start(&["dc-a"]).await?;
+    let mut wrong = Vec::new();
+    for reads_first in [true, false] {
+        workers[0].set_script(move |req| {
+            let answer = RawStep::Write(req.answer());
+            match reads_first {
+                true => vec![RawStep::Pause(PAUSE), RawStep::ReadBody, answer],
+                false => vec![answer, RawStep::Pause(PAUSE), RawStep::ReadBody],
+            }
+        });
+        for round in 0..2 {
+            let mut uploads = JoinSet::new();
+            for n in 0..UPLOADS {
+                let client = fleet.caller(0)?;
+                let path = format!("/unsafe/{reads_first}-{round}-{n}");
+                uploads.spawn(async move {
+                    let reply = send(&client, &path, &path, &"x".repeat(UPLOAD_BYTES)).await;
+                    (path, reply)
+                });
+            }
+            for (path, reply) in uploads.join_all().await {
+                let (status, arrivals) = (reply?.status.as_u16(), workers[0].arrivals(&path));
+                if (status, arrivals) != (200, 1) {
+                    wrong.push((path, status, arrivals));
+                }
+            }
+        }
+    }
+    assert!(wrong.is_empty(), "{wrong:#?}");
+    // Bytes in place of a body would arrive as the head of a request that nobody sent.
+    let unknown = workers[0].paths().into_iter().find(|path| !path.starts_with('/'));
+    assert_eq!(unknown, None);
+    Ok(())
+}
