--- a/crates/core/src/fleet/fleet_change.rs
+++ b/crates/core/src/fleet/fleet_change.rs
@@ -5,6 +5,7 @@
 use crate::fleet::{AnnouncementOutcome, RolloutOutcome, StoreFailure, UnknownKind, VersionFault};
 use crate::ids::{BackendId, ConfigVersion, NodeId, ServiceName, VersionName};
 use crate::store::StoreEra;
+use crate::units::Micros;
 
 /// A change of a node's state.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -20,6 +21,13 @@
     },
     /// The configuration that came into force has routes of an unknown kind.
     ConfigKindUnknown(UnknownKind),
+    /// Another node did not send its newer configuration: it was busy, silent or too slow.
+    ConfigNotFetched {
+        /// The node that was asked.
+        from: NodeId,
+        /// The time until the failure.
+        took: Micros,
+    },
     /// A configuration was refused as a whole.
     ConfigRefused(String),
     /// An item of the store can't be decoded and is ignored.
@@ -79,6 +87,7 @@
         match self {
             Self::ConfigInForce { .. } => "config_in_force",
             Self::ConfigKindUnknown(_) => "config_kind_unknown",
+            Self::ConfigNotFetched { .. } => "config_not_fetched",
             Self::ConfigRefused(_) => "config_refused",
             Self::ItemUnreadable(_) => "item_unreadable",
             Self::Backend { .. } => "backend",
@@ -100,6 +109,7 @@
                 write!(f, "version {version} from {source}, before {before}")
             }
             Self::ConfigKindUnknown(kind) => write!(f, "{kind}"),
+            Self::ConfigNotFetched { from, took } => write!(f, "from {from} within {took}"),
             Self::ConfigRefused(problem) | Self::ItemUnreadable(problem) => f.write_str(problem),
             Self::Backend { id, notice, outcome } => write!(f, "{id} {notice}: {outcome:?}"),
             Self::BackendExpired => f.write_str("no announcement in time"),
--- a/crates/core/src/fleet/fleet_control.rs
+++ b/crates/core/src/fleet/fleet_control.rs
@@ -56,6 +56,8 @@
     /// No further configuration is requested before this instant, because one may still arrive or
     /// the node that was asked refused.
     pub(super) fetching_until: Instant,
+    /// The node that was last asked for its configuration, and when; `None` after its answer.
+    pub(super) config_fetch: Option<(NodeId, Instant)>,
     /// Whether the node was ready and knew the departures from before its start, as last published.
     pub(super) readiness: (bool, bool),
     /// The nodes that sent a heartbeat recently, as last published.
@@ -99,6 +101,7 @@
             has_update: false,
             behind_since: None,
             fetching_until: now,
+            config_fetch: None,
             readiness: (false, false),
             alive: BTreeSet::new(),
         }
--- a/crates/core/src/fleet/node_events.rs
+++ b/crates/core/src/fleet/node_events.rs
@@ -111,11 +111,16 @@
         };
         match config.filter(is_newer) {
             Some(text) => {
+                self.config_fetch = None;
                 self.fetching_until = now;
                 self.apply_config(now, text, "node");
             }
             // The node was busy, did not answer, or does not have the version that it announced.
             None => {
+                if let Some((from, began)) = self.config_fetch.take() {
+                    let took = now.since(began);
+                    self.report(FleetChange::ConfigNotFetched { from, took });
+                }
                 let pause = Micros::from(Self::FETCH_RETRY_DELAY).get();
                 let pause = rng.random_range(pause / 2..=pause * 3 / 2);
                 self.fetching_until = now + Micros::new(pause);
@@ -143,6 +148,7 @@
             newer.iter().filter(|entry| may_fetch_local && self.is_local(entry)).choose(rng);
         let any = newer.iter().filter(|_| is_overdue).choose(rng);
         if let Some(entry) = local.or(any) {
+            self.config_fetch = Some((entry.node.clone(), now));
             self.fetching_until = now + Self::FETCH_TIMEOUT;
             self.actions.push(FleetAction::FetchConfig(entry.inbound));
         }
