Ask a further node for a configuration while the first may answer

A fetch now runs for up to 1.8 s. After 500 ms without a head a further node is asked, at most three at a time, as the first one may be gone; none while a configuration arrives, which a second copy would slow down.

config_asked_node_silent, config_answer_slow and config_arrives play it in the control state; the first fails without the change, where no second node is asked before 1.9 s.

--- a/crates/core/src/fleet/fleet_control.rs
+++ b/crates/core/src/fleet/fleet_control.rs
@@ -4,6 +4,7 @@
 
 use rand::Rng;
 
+use super::config_fetches::ConfigFetches;
 use super::node_entry_lease::NodeEntryLease;
 use super::peer_directory::Peer;
 use crate::fleet::{
@@ -53,11 +54,7 @@
     pub(super) has_update: bool,
     /// Since when another node has a newer configuration.
     pub(super) behind_since: Option<Instant>,
-    /// No further configuration is requested before this instant, because one may still arrive or
-    /// the node that was asked refused.
-    pub(super) fetching_until: Instant,
-    /// The node that was last asked for its configuration, and when; `None` after its answer.
-    pub(super) config_fetch: Option<(NodeId, Instant)>,
+    pub(super) config_fetches: ConfigFetches,
     /// Whether the node was ready and knew the departures from before its start, as last published.
     pub(super) readiness: (bool, bool),
     /// The nodes that sent a heartbeat recently, as last published.
@@ -100,8 +97,7 @@
             is_changed: false,
             has_update: false,
             behind_since: None,
-            fetching_until: now,
-            config_fetch: None,
+            config_fetches: ConfigFetches::default(),
             readiness: (false, false),
             alive: BTreeSet::new(),
         }
@@ -121,7 +117,10 @@
                 self.handle_store_response(now, wall, id, response, rng);
             }
             FleetEvent::Heartbeat(heartbeat) => self.handle_heartbeat(now, wall, heartbeat),
-            FleetEvent::PeerConfig(config) => self.handle_peer_config(now, config, rng),
+            FleetEvent::PeerConfigBegun(from) => self.config_fetches.record_head(from),
+            FleetEvent::PeerConfig { from, config } => {
+                self.handle_peer_config(now, from, config, rng);
+            }
             FleetEvent::Announced(announcement) => {
                 self.handle_announcement(now, wall, &announcement);
             }
--- a/crates/core/src/fleet/fleet_event.rs
+++ b/crates/core/src/fleet/fleet_event.rs
@@ -1,5 +1,7 @@
 //! Events that the control state handles.
 
+use std::net::SocketAddr;
+
 use crate::fleet::{Announcement, ConfigText, Heartbeat, RouteKey, StoreResponse};
 use crate::ids::BackendId;
 use crate::units::{Micros, UnixMillis};
@@ -18,8 +20,15 @@
     },
     /// Another node sent a heartbeat.
     Heartbeat(Heartbeat),
-    /// Another node sent its configuration; `None` if it could not.
-    PeerConfig(Option<ConfigText>),
+    /// The configuration of the node at the address, which was asked for it, begins to arrive.
+    PeerConfigBegun(SocketAddr),
+    /// A node that was asked for its configuration has answered, or has not in time.
+    PeerConfig {
+        /// The address of the node.
+        from: SocketAddr,
+        /// Its configuration; `None` if it could not send one.
+        config: Option<ConfigText>,
+    },
     /// The backend server beside the node announced itself.
     Announced(Announcement),
     /// The backend server beside the node leaves; holds its id and, if known, when it started.
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -18,6 +18,7 @@
 mod caller_limits;
 mod caller_pipeline;
 mod calls_view;
+mod config_fetches;
 mod config_problem;
 mod config_text;
 mod connection_end;
--- a/crates/core/src/fleet/node_events.rs
+++ b/crates/core/src/fleet/node_events.rs
@@ -28,12 +28,6 @@
     const REMOTE_FETCH_DELAY: Millis = Millis::new(600);
     /// How long heartbeats carry all departures after another node has started.
     const NEWCOMER_TIME: Millis = Millis::new(3_000);
-    /// How long to wait for a configuration after asking a node for it.
-    const FETCH_TIMEOUT: Millis = Millis::new(1_900);
-    /// The mean delay before another node is asked, after one was busy or did not answer: about the
-    /// time that a node takes to send a configuration over a slow link.
-    const FETCH_RETRY_DELAY: Millis = Millis::new(80);
-
     /// The largest number of unknown kinds of routes that are reported of a configuration.
     const MAX_REPORTED_KINDS: usize = 8;
 
@@ -103,6 +97,7 @@
     pub(super) fn handle_peer_config(
         &mut self,
         now: Instant,
+        from: SocketAddr,
         config: Option<ConfigText>,
         rng: &mut impl Rng,
     ) {
@@ -111,19 +106,14 @@
         };
         match config.filter(is_newer) {
             Some(text) => {
-                self.config_fetch = None;
-                self.fetching_until = now;
+                self.config_fetches.clear();
                 self.apply_config(now, text, "node");
             }
             // The node was busy, did not answer, or does not have the version that it announced.
             None => {
-                if let Some((from, began)) = self.config_fetch.take() {
-                    let took = now.since(began);
+                if let Some((from, took)) = self.config_fetches.fail(now, from, rng) {
                     self.report(FleetChange::ConfigNotFetched { from, took });
                 }
-                let pause = Micros::from(Self::FETCH_RETRY_DELAY).get();
-                let pause = rng.random_range(pause / 2..=pause * 3 / 2);
-                self.fetching_until = now + Micros::new(pause);
             }
         }
     }
@@ -133,23 +123,23 @@
     /// random, so that those that have the configuration share the work of spreading it.
     pub(super) fn fetch_newer_config(&mut self, now: Instant, rng: &mut impl Rng) {
         let Some(since) = self.behind_since else { return };
-        if now < self.fetching_until {
+        if !self.config_fetches.may_begin(now) {
             return;
         }
         let is_overdue = now.since(since) >= Self::REMOTE_FETCH_DELAY.into();
         let may_fetch_local =
             is_overdue || self.operator_watcher.is_failing() || !self.is_watcher(now);
-        let newer = self.newer_nodes(now);
+        let mut newer = self.newer_nodes(now);
         if newer.is_empty() {
             self.behind_since = None;
             return;
         }
+        newer.retain(|entry| self.config_fetches.is_idle(entry));
         let local =
             newer.iter().filter(|entry| may_fetch_local && self.is_local(entry)).choose(rng);
         let any = newer.iter().filter(|_| is_overdue).choose(rng);
         if let Some(entry) = local.or(any) {
-            self.config_fetch = Some((entry.node.clone(), now));
-            self.fetching_until = now + Self::FETCH_TIMEOUT;
+            self.config_fetches.begin(now, entry);
             self.actions.push(FleetAction::FetchConfig(entry.inbound));
         }
     }
--- a/crates/core/tests/fleet_common/mod.rs
+++ b/crates/core/tests/fleet_common/mod.rs
@@ -6,7 +6,8 @@
 
 use almondsail_core::fleet::{
     AnnouncedState, Announcement, BackendStatus, CallRequirements, ConfigText, Destination,
-    Endpoint, FleetIdentity, Heartbeat, MeshConfigBuilder, MeshRoute, NodeEntry, ServiceSettings,
+    Endpoint, FleetEvent, FleetIdentity, Heartbeat, MeshConfigBuilder, MeshRoute, NodeEntry,
+    ServiceSettings,
 };
 use almondsail_core::ids::{ConfigVersion, Incarnation};
 use almondsail_core::units::{Instant, Millis, UnixMillis};
@@ -140,3 +141,8 @@
         target_latency: Millis::new(target),
     }
 }
+
+/// Returns the answer of node `n2` to a request for its configuration.
+pub fn peer_config(config: Option<ConfigText>) -> FleetEvent {
+    FleetEvent::PeerConfig { from: entry(2, "dc-a").inbound, config }
+}
--- a/crates/core/tests/fleet_control.rs
+++ b/crates/core/tests/fleet_control.rs
@@ -2,6 +2,8 @@
 
 mod fleet_common;
 
+use std::net::SocketAddr;
+
 use almondsail_core::fleet::{
     ConfigProblem, Departure, FleetAction, FleetEvent, Heartbeat, KeySpace, LeaseId,
     RolloutEvidence, RolloutOutcome, RolloutProgress, RouteEvidence, RouteKey, StoreFailure,
@@ -15,15 +17,15 @@
 use fleet_common::node::{
     Node, config_item, heartbeat_with_backend, node_in_rollout, order_item, report,
 };
-use fleet_common::{announcement, at, config, entry, heartbeat};
+use fleet_common::{announcement, at, config, entry, heartbeat, peer_config};
 
 /// Guards against an older configuration that replaces a newer one, from any source.
 #[test]
 fn config_never_older() {
     let mut node = Node::started(vec![config_item(5, 50)]);
-    node.event(FleetEvent::PeerConfig(Some(config(4))));
+    node.event(peer_config(Some(config(4))));
     assert_eq!(node.version(), 5);
-    node.event(FleetEvent::PeerConfig(Some(config(9))));
+    node.event(peer_config(Some(config(9))));
     assert_eq!(node.version(), 9);
     node.report_change(KeySpace::Operator, config_item(7, 101));
     assert_eq!(node.version(), 9);
@@ -47,7 +49,7 @@
 #[test]
 fn ready_store_away() {
     let mut node = Node::start();
-    node.event(FleetEvent::PeerConfig(Some(config(3))));
+    node.event(peer_config(Some(config(3))));
     assert_eq!(node.version(), 0);
     node.advance(1_000);
     assert_eq!(node.version(), 3);
@@ -89,7 +91,7 @@
     let before = fetches(&node);
     assert!(before > 0);
     for sequence in 2..6 {
-        node.event(FleetEvent::PeerConfig(None));
+        node.event(peer_config(None));
         node.event(newer(sequence));
     }
     assert_eq!(fetches(&node), before, "it asked again at once");
@@ -97,6 +99,72 @@
     assert!(fetches(&node) > before, "it stopped asking");
 }
 
+/// Returns the addresses of the nodes that were asked for their configuration.
+fn asked_nodes(node: &Node) -> Vec<SocketAddr> {
+    let asked = |action: &FleetAction| match action {
+        FleetAction::FetchConfig(from) => Some(*from),
+        _ => None,
+    };
+    node.actions.iter().filter_map(asked).collect()
+}
+
+/// Returns a node with version 5 that knows of version 6 at nodes 2 and 3, and has asked one.
+fn node_behind_two() -> Node {
+    let mut node = Node::started(vec![config_item(5, 50)]);
+    hear_of_newer(&mut node, 1);
+    node.advance(700);
+    assert_eq!(asked_nodes(&node).len(), 1);
+    node
+}
+
+/// Lets `node` hear of version 6 by heartbeats of nodes 2 and 3.
+fn hear_of_newer(node: &mut Node, sequence: u64) {
+    for n in [2, 3] {
+        let config_version = ConfigVersion::new(6);
+        let newer = Heartbeat { config_version, ..heartbeat(n, sequence) };
+        node.event(FleetEvent::Heartbeat(newer));
+    }
+}
+
+/// Guards against a node that waits for the end of one request for the configuration while the
+/// asked node is silent, although another one has it too.
+#[test]
+fn config_asked_node_silent() {
+    let mut node = node_behind_two();
+    node.advance(600);
+    let mut asked = asked_nodes(&node);
+    asked.sort();
+    assert_eq!(asked, [entry(2, "dc-a").inbound, entry(3, "dc-a").inbound]);
+    node.advance(400);
+    assert_eq!(asked_nodes(&node).len(), 2, "no node is asked twice at the same time");
+}
+
+/// Guards against an answer that is given up, and asked for again, because it takes long over the
+/// full link of this node: no later answer would be faster.
+#[test]
+fn config_answer_slow() {
+    let mut node = node_behind_two();
+    let from = asked_nodes(&node)[0];
+    node.advance(900);
+    node.event(FleetEvent::PeerConfig { from, config: Some(config(6)) });
+    assert_eq!(node.version(), 6);
+}
+
+/// Guards against a second copy of a large configuration that slows the first one down.
+#[test]
+fn config_arrives() {
+    let mut node = node_behind_two();
+    let from = asked_nodes(&node)[0];
+    node.advance(300);
+    node.event(FleetEvent::PeerConfigBegun(from));
+    hear_of_newer(&mut node, 2);
+    node.advance(1_100);
+    assert_eq!(asked_nodes(&node), [from]);
+    node.event(FleetEvent::PeerConfig { from, config: None });
+    node.advance(200);
+    assert_eq!(asked_nodes(&node).len(), 2, "it stopped asking");
+}
+
 /// Guards against requests to the store that grow with the nodes of a data centre.
 #[test]
 fn watch_first_two_nodes() {
@@ -343,7 +411,7 @@
                 node.advance(200);
                 node.report_change(KeySpace::Operator, config_item(version, 101 + n as u64));
             } else {
-                node.event(FleetEvent::PeerConfig(Some(config(version))));
+                node.event(peer_config(Some(config(version))));
             }
             newest = newest.max(version);
             node.version() == newest
--- a/crates/core/tests/fleet_odd_input.rs
+++ b/crates/core/tests/fleet_odd_input.rs
@@ -13,7 +13,7 @@
 use almondsail_core::store::{Revision, StoreEra, StorePosition};
 use almondsail_core::units::{Instant, Micros, Millis, UnixMillis};
 use almondsail_seeded::properties;
-use fleet_common::{announcement, at, config, heartbeat, identity};
+use fleet_common::{announcement, at, config, heartbeat, identity, peer_config};
 use rand::SeedableRng as _;
 use rand::rngs::SmallRng;
 
@@ -184,7 +184,7 @@
         let odd = Heartbeat { config_version, ..heartbeat(2, sequence) };
         node.now = node.now + Millis::new(if sequence == 3 { 700 } else { 0 });
         let mut actions = node.event(FleetEvent::Heartbeat(odd));
-        actions.extend(node.event(FleetEvent::PeerConfig(Some(config(5)))));
+        actions.extend(node.event(peer_config(Some(config(5)))));
         fetches += actions.iter().filter(|action| is_fetch(action)).count();
     }
     assert!((1..=2).contains(&fetches), "{fetches} fetches");
--- a/crates/node/src/fleet/control_http_client.rs
+++ b/crates/node/src/fleet/control_http_client.rs
@@ -18,15 +18,6 @@
 /// How long an idle connection is kept open.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Time limits of one request, both counted from its start.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct RequestTimeouts {
-    /// Limit until the head of the answer has arrived.
-    pub(crate) head: Duration,
-    /// Limit until the whole answer has arrived.
-    pub(crate) total: Duration,
-}
-
 /// Sends the control loop's requests to the store and to other nodes. Silent connections are
 /// ended in the same way as those of calls.
 #[derive(Debug, Clone)]
@@ -42,37 +33,38 @@
         Self { client: http_client::client(connector, IDLE_TIMEOUT) }
     }
 
-    /// Sends `request` to `address`. Returns `None` if no whole answer arrives within `timeouts`.
+    /// Sends `request` to `address`. Returns `None` if no whole answer arrives within `limit`.
     pub(crate) async fn call(
         &self,
         address: SocketAddr,
         request: Request<Bytes>,
-        timeouts: RequestTimeouts,
+        limit: Duration,
     ) -> Option<Response<Bytes>> {
-        timeout(timeouts.total, self.exchange(address, request, timeouts.head)).await.ok().flatten()
+        let exchange = async {
+            let (head, body) = self.send(address, request).await?.into_parts();
+            Some(Response::from_parts(head, read_body(body).await?))
+        };
+        timeout(limit, exchange).await.ok().flatten()
     }
 
-    async fn exchange(
+    /// Sends `request` to `address` and waits for the head of the answer.
+    pub(crate) async fn send(
         &self,
         address: SocketAddr,
         request: Request<Bytes>,
-        head_timeout: Duration,
-    ) -> Option<Response<Bytes>> {
+    ) -> Option<Response<Incoming>> {
         let (mut parts, body) = request.into_parts();
         let mut uri = parts.uri.into_parts();
         uri.scheme = Some(Scheme::HTTP);
         uri.authority = Authority::try_from(address.to_string()).ok();
         parts.uri = Uri::from_parts(uri).ok()?;
-        let request = Request::from_parts(parts, Full::new(body));
-        let response = timeout(head_timeout, self.client.request(request)).await.ok()?.ok()?;
-        let (head, body) = response.into_parts();
-        Some(Response::from_parts(head, read_body(body).await?))
+        self.client.request(Request::from_parts(parts, Full::new(body))).await.ok()
     }
 }
 
 /// Reads a body to its end; `None` if it ends early. A body above [`MAX_RESPONSE_BYTES`] counts as
 /// empty: it was answered, and would be again, but nobody can read it.
-async fn read_body(body: Incoming) -> Option<Bytes> {
+pub(crate) async fn read_body(body: Incoming) -> Option<Bytes> {
     match Limited::new(body, MAX_RESPONSE_BYTES).collect().await {
         Ok(body) => Some(body.to_bytes()),
         Err(error) if error.is::<LengthLimitError>() => Some(Bytes::new()),
--- a/crates/node/src/fleet/control_loop.rs
+++ b/crates/node/src/fleet/control_loop.rs
@@ -20,7 +20,7 @@
 
 use crate::clock::Clock;
 use crate::fleet::config_source::ConfigSource;
-use crate::fleet::control_http_client::{ControlHttpClient, RequestTimeouts};
+use crate::fleet::control_http_client::{self, ControlHttpClient};
 use crate::fleet::event_log::EventLog;
 use crate::fleet::fleet_store_client::FleetStoreClient;
 use crate::fleet::freshness_metrics::SharedLastUpdates;
@@ -32,10 +32,6 @@
 /// Time limit for fetching the configuration, of up to a megabyte, from another node over a slow
 /// link that other nodes use as well.
 const CONFIG_FETCH_TIMEOUT: Duration = Duration::from_millis(1_800);
-/// Time limit for the response head when the configuration is fetched from another node. A node
-/// that is cut off never answers, and other nodes can be asked instead.
-const CONFIG_FETCH_HEAD_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// An event whose sender waits until its effect is published.
 #[derive(Debug)]
 pub(crate) struct ControlRequest {
@@ -126,8 +122,8 @@
     fn start_config_fetch(&self, from: SocketAddr, result_tx: &mpsc::Sender<FleetEvent>) {
         let (node_client, result_tx) = (self.node_client.clone(), result_tx.clone());
         tokio::task::spawn_local(async move {
-            let config = fetch_config(&node_client, from).await;
-            let _ = result_tx.send(FleetEvent::PeerConfig(config)).await;
+            let config = fetch_config(&node_client, from, &result_tx).await;
+            let _ = result_tx.send(FleetEvent::PeerConfig { from, config }).await;
         });
     }
 
@@ -149,17 +145,23 @@
     }
 }
 
+/// Fetches the configuration of the node at `from`. Sends an event once it begins to arrive.
 async fn fetch_config(
     node_client: &ControlHttpClient,
     from: SocketAddr,
+    result_tx: &mpsc::Sender<FleetEvent>,
 ) -> Option<almondsail_core::fleet::ConfigText> {
     let request = Request::builder().uri(CONFIG_PATH).body(Bytes::new()).ok()?;
-    let timeouts = RequestTimeouts { head: CONFIG_FETCH_HEAD_TIMEOUT, total: CONFIG_FETCH_TIMEOUT };
-    let response = node_client.call(from, request, timeouts).await?;
-    if !response.status().is_success() {
-        return None;
-    }
-    almondsail_platform::config::decode(response.body()).ok()
+    let answer = async {
+        let response = node_client.send(from, request).await?;
+        if !response.status().is_success() {
+            return None;
+        }
+        let _ = result_tx.send(FleetEvent::PeerConfigBegun(from)).await;
+        control_http_client::read_body(response.into_body()).await
+    };
+    let text = tokio::time::timeout(CONFIG_FETCH_TIMEOUT, answer).await.ok().flatten()?;
+    almondsail_platform::config::decode(&text).ok()
 }
 
 /// Withdraws the node from the callers and from the backend server if the control thread panics:
--- a/crates/node/src/fleet/fleet_store_client.rs
+++ b/crates/node/src/fleet/fleet_store_client.rs
@@ -7,7 +7,7 @@
 use almondsail_platform::store as codec;
 
 use crate::clock::to_std_duration;
-use crate::fleet::control_http_client::{ControlHttpClient, RequestTimeouts};
+use crate::fleet::control_http_client::ControlHttpClient;
 
 /// Sends requests to the store over HTTP.
 #[derive(Debug, Clone)]
@@ -39,8 +39,7 @@
         let Ok(sent) = codec::encode(request) else {
             return StoreResponse::failed(StoreFailure::Unreadable);
         };
-        let timeouts = RequestTimeouts { head: timeout, total: timeout };
-        match self.client.call(self.address, sent, timeouts).await {
+        match self.client.call(self.address, sent, timeout).await {
             Some(response) => {
                 let (head, body) = response.into_parts();
                 codec::decode(request, head.status, &head.headers, &body)
