Let late uploads leave their data centre

The cost of bytes between data centres grows with the size of a call without a limit.

The cost of one call's bytes is now at most half of the call's value, below that of a late answer. Calls of the other sites, of 2 to 10 KB, are not changed by the limit.

choose_other_data_centre_for_late_uploads fails without it; large answers still stay when the gain is small.

--- a/crates/core/src/fleet/load_balancer.rs
+++ b/crates/core/src/fleet/load_balancer.rs
@@ -34,6 +34,9 @@
 impl LoadBalancer {
     /// The cost of a kilobyte sent to another data centre, as a fraction of a call's value.
     const CROSS_DATA_CENTRE_COST_PER_KILOBYTE: f64 = 0.035;
+    /// The largest cost of the bytes of a call to another data centre. Less than that of a late
+    /// answer, so that large calls leave a data centre whose own servers are too slow for them.
+    const MAX_CROSS_DATA_CENTRE_COST: f64 = 0.5;
     /// The bytes of a call besides its bodies: two heads and their packets.
     const HEADER_BYTES: f64 = 1_000.0;
     /// The cost of an answer after the target latency, as a fraction of a call's value.
@@ -213,8 +216,12 @@
         let is_remote = endpoint.data_centre != self.data_centre;
         let kilobytes =
             self.mean_kilobytes.get(&route.name).copied().unwrap_or(Self::HEADER_BYTES / 1_000.0);
-        let transfer_cost =
-            if is_remote { Self::CROSS_DATA_CENTRE_COST_PER_KILOBYTE * kilobytes } else { 0.0 };
+        let transfer_cost = if is_remote {
+            let cost = Self::CROSS_DATA_CENTRE_COST_PER_KILOBYTE * kilobytes;
+            cost.min(Self::MAX_CROSS_DATA_CENTRE_COST)
+        } else {
+            0.0
+        };
         Self::LATE_COST * Self::probability_above(estimate, call.target_left)
             + Self::DEADLINE_MISS_COST * Self::probability_above(estimate, call.deadline_left)
             + Self::LATENCY_COST_PER_TARGET * estimate / target.max(1.0)
--- a/crates/core/tests/fleet_calls.rs
+++ b/crates/core/tests/fleet_calls.rs
@@ -152,6 +152,21 @@
     assert_eq!(choose(&load_balancer, at(2), &route, &endpoints), "near");
 }
 
+/// Guards against uploads that are late at the full servers of their own data centre while servers
+/// of another one are free: two of five servers got 110% of what their links carry.
+#[test]
+fn choose_other_data_centre_for_late_uploads() {
+    let route = route("r", "/", "bays");
+    let mut load_balancer = LoadBalancer::new("dc-a".parse().unwrap());
+    let endpoints = endpoints(&[("near", "dc-a"), ("far", "dc-b")]);
+    for _ in 0..50 {
+        load_balancer.record_size(&route.name, ByteCount::new(65_000));
+    }
+    record_load(&mut load_balancer, "near", &route, 900, 0);
+    record_load(&mut load_balancer, "far", &route, 150, 0);
+    assert_eq!(choose(&load_balancer, at(2), &route, &endpoints), "far");
+}
+
 /// Guards against calls to an endpoint that can't be reached or that fails them.
 #[test]
 fn choose_avoids_failures() {
