Count the way to an endpoint in its expected time

Uploads went to the fastest servers, whose links were full of them: a node reports the run time and the calls at its server, but not how long a call of 60 KB waits in the link before.

The node of an endpoint now also reports how long it held a call. The entry node takes the rest of the time for the way, and counts it with the run time of the route at that endpoint. Answers of earlier builds, which don't report it, are read as before.

choose_full_link plays twenty entry nodes and a fast server behind a link that carries one upload in 50 ms: at most 2% are late, over 20% if the way does not count.

--- a/crates/core/src/fleet/endpoint_load.rs
+++ b/crates/core/src/fleet/endpoint_load.rs
@@ -17,7 +17,7 @@
     in_flight: u32,
     /// The mean run time of a call, as the endpoint last reported it.
     mean_run_time: Option<Micros>,
-    /// The observed run times of each route's calls at the endpoint.
+    /// The observed times of each route's calls at the endpoint and on their way.
     times: ServiceTimes,
     /// The moving mean of failures, from 0 to 1, in which the newest call weighs most.
     failure_share: f64,
@@ -79,12 +79,15 @@
         self.mean_run_time = mean.or(self.mean_run_time);
     }
 
-    /// Records that a call of `route` was answered and had run for `took`.
-    pub fn record_run_time(&mut self, route: &RouteName, took: Micros) {
-        self.times.record(route, took);
+    /// Records that a call of `route` was answered and had run for `run_time`, and how long it and
+    /// its answer were on their way. A large call takes long to reach an endpoint whose link is
+    /// full, however fast its server is.
+    pub fn record_run_time(&mut self, route: &RouteName, run_time: Micros, way: Micros) {
+        self.times.record(route, Micros::new(run_time.get().saturating_add(way.get())));
     }
 
-    /// Returns the expected run time of a call of `route`; `None` before the first answer.
+    /// Returns the expected time of a call of `route`, run time and way together; `None` before the
+    /// first answer.
     pub fn expected(&self, route: &RouteName) -> Option<Micros> {
         self.times.route_mean(route)
     }
--- a/crates/core/tests/fleet_calls.rs
+++ b/crates/core/tests/fleet_calls.rs
@@ -54,7 +54,7 @@
 ) {
     let took = Micros::from(Millis::new(ms));
     let load = load_balancer.load(&node.parse().unwrap());
-    load.record_run_time(&route.name, took);
+    load.record_run_time(&route.name, took, Micros::new(0));
     load.record_report(at(1), &route.name, calls_ahead, Some(took));
 }
 
@@ -167,6 +167,64 @@
     assert_eq!(choose(&load_balancer, at(2), &route, &endpoints), "far");
 }
 
+/// An answer on its way to an entry node, with the times of its call.
+struct Answer {
+    arrives: Instant,
+    entry: usize,
+    endpoint: String,
+    run_time: Micros,
+    way: Micros,
+}
+
+/// Returns the share of late uploads, in percent, that twenty nodes send to two endpoints: a server
+/// that runs them in 80 ms behind a link that carries one upload in 50 ms, and a server that takes
+/// 240 ms and has a link to itself. An upload arrives every 40 ms.
+fn late_uploads(is_way_recorded: bool) -> usize {
+    const UPLOADS: usize = 1_000;
+    const ENTRIES: usize = 20;
+    const LINK_TIME: Micros = Micros::new(50_000);
+    let route = route("r", "/", "bays");
+    let mut load_balancers: Vec<LoadBalancer> =
+        (0..ENTRIES).map(|_| LoadBalancer::new("dc-a".parse().unwrap())).collect();
+    let endpoints = endpoints(&[("fast", "dc-a"), ("slow", "dc-a")]);
+    let mut link_free_at = at(0);
+    let mut answers: Vec<Answer> = Vec::new();
+    let mut late = 0;
+    for n in 0..UPLOADS {
+        let now = at(40 * n as u64);
+        for answer in answers.extract_if(.., |answer| answer.arrives <= now) {
+            let load = load_balancers[answer.entry].load(&answer.endpoint.parse().unwrap());
+            load.record_run_time(&route.name, answer.run_time, answer.way);
+            load.record_report(answer.arrives, &route.name, 0, Some(answer.run_time));
+            load.record_end();
+        }
+        let entry = n % ENTRIES;
+        let endpoint = choose(&load_balancers[entry], now, &route, &endpoints);
+        load_balancers[entry].load(&endpoint.parse().unwrap()).record_sent();
+        let (reached, run_time) = match endpoint.as_str() {
+            "fast" => {
+                link_free_at = link_free_at.max(now) + LINK_TIME;
+                (link_free_at, Micros::new(80_000))
+            }
+            _ => (now, Micros::new(240_000)),
+        };
+        let way = if is_way_recorded { reached.since(now) } else { Micros::new(0) };
+        let arrives = reached + run_time;
+        late += usize::from(arrives > now + route.target_latency);
+        answers.push(Answer { arrives, entry, endpoint, run_time, way });
+    }
+    100 * late / UPLOADS
+}
+
+/// Guards against uploads that all go to a fast server behind a full link: its node reports short
+/// run times and few calls, while the uploads wait in the link.
+#[test]
+fn choose_full_link() {
+    let (late, late_without) = (late_uploads(true), late_uploads(false));
+    assert!(late <= 2, "{late}% late");
+    assert!(late_without > 20, "{late_without}% late if the way does not count");
+}
+
 /// Guards against calls to an endpoint that can't be reached or that fails them.
 #[test]
 fn choose_avoids_failures() {
--- a/crates/node/src/fleet/caller_handler.rs
+++ b/crates/node/src/fleet/caller_handler.rs
@@ -306,7 +306,8 @@
     let sent = InFlightCall::new(traffic, target);
     let result = if target.node == traffic.view.load().node {
         let (result, load) = inbound::serve(traffic, call).await;
-        traffic.record_load(&target.node, &call.route, load);
+        let took = load.held.unwrap_or_default();
+        traffic.record_load(&target.node, &call.route, load, took);
         result
     } else {
         endpoint_client::send(traffic, &target.node, target.address, call).await
--- a/crates/node/src/fleet/endpoint_client.rs
+++ b/crates/node/src/fleet/endpoint_client.rs
@@ -25,6 +25,7 @@
     call: &ForwardedCall,
 ) -> Result<Response<Bytes>, CallFailure> {
     let clock = traffic.clock;
+    let started = clock.now();
     let pool = traffic.endpoint_pool(address);
     let until = clock.to_tokio_instant(call.deadline);
     let (response, connection) = pool
@@ -36,7 +37,7 @@
             .await
             .map_err(|_| CallFailure::may_have_run(RefusalReason::BrokenExchange))?;
     if let Some(load) = take::<ReportedLoad>(response.headers_mut(), &LOAD_HEADER) {
-        traffic.record_load(node, &call.route, load);
+        traffic.record_load(node, &call.route, load, clock.now().since(started));
     }
     if response.headers().contains_key(FAILURE_HEADER) {
         let bad = CallFailure::may_have_run(RefusalReason::BadAnswer);
--- a/crates/node/src/fleet/inbound.rs
+++ b/crates/node/src/fleet/inbound.rs
@@ -45,7 +45,8 @@
     };
     log_call(traffic, call, started, calls_ahead_at_start, result.as_ref());
     let (calls_ahead, mean_time) = traffic.queue.load(&requirements);
-    (result, ReportedLoad { calls_ahead, mean_time, run_time })
+    let held = Some(traffic.clock.now().since(started));
+    (result, ReportedLoad { calls_ahead, mean_time, run_time, held })
 }
 
 /// Queues `call` for a slot and runs it. Returns the answer and the run time.
--- a/crates/node/src/fleet/reported_load.rs
+++ b/crates/node/src/fleet/reported_load.rs
@@ -18,12 +18,15 @@
     pub(crate) mean_time: Option<Micros>,
     /// How long the answered call ran; `None` if it did not run to its end.
     pub(crate) run_time: Option<Micros>,
+    /// How long the node held the call, from its arrival to its answer; `None` from earlier builds.
+    pub(crate) held: Option<Micros>,
 }
 
 impl fmt::Display for ReportedLoad {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let number = |span: Option<Micros>| span.map_or(0, Micros::get);
-        write!(f, "{} {} {}", self.calls_ahead, number(self.mean_time), number(self.run_time))
+        let Self { calls_ahead, mean_time, run_time, held } = self;
+        write!(f, "{calls_ahead} {} {} {}", number(*mean_time), number(*run_time), number(*held))
     }
 }
 
@@ -34,7 +37,9 @@
         let mut parts = s.split(' ');
         let mut next = || parts.next().unwrap_or_default();
         let calls_ahead = next().parse()?;
-        let mut span = || next().parse().map(|span: u64| (span > 0).then(|| Micros::new(span)));
-        Ok(Self { calls_ahead, mean_time: span()?, run_time: span()? })
+        let span = |text: &str| text.parse().map(|n: u64| (n > 0).then(|| Micros::new(n)));
+        let (mean_time, run_time, held) = (span(next())?, span(next())?, next());
+        let held = if held.is_empty() { None } else { span(held)? };
+        Ok(Self { calls_ahead, mean_time, run_time, held })
     }
 }
--- a/crates/node/src/fleet/traffic.rs
+++ b/crates/node/src/fleet/traffic.rs
@@ -118,13 +118,22 @@
         self.load_balancer.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Records the load that `node` reported when a call of `route` ended there.
-    pub(crate) fn record_load(&self, node: &NodeId, route: &RouteName, load: ReportedLoad) {
+    /// Records the load that `node` reported when a call of `route` ended there, `took` after it was
+    /// sent.
+    pub(crate) fn record_load(
+        &self,
+        node: &NodeId,
+        route: &RouteName,
+        load: ReportedLoad,
+        took: Micros,
+    ) {
         let mut load_balancer = self.load_balancer();
         let endpoint = load_balancer.load(node);
         endpoint.record_report(self.clock.now(), route, load.calls_ahead, load.mean_time);
         if let Some(run_time) = load.run_time {
-            endpoint.record_run_time(route, run_time);
+            let held = load.held.unwrap_or(took);
+            let way = Micros::new(took.get().saturating_sub(held.get()));
+            endpoint.record_run_time(route, run_time, way);
         }
     }
 
