Pass over only answers to earlier requests of the connection

path_lost_and_wrong_answers fails since the filter of foreign answers: a server that answers with the id of a request that it never got was waited for until the deadline of the call, 15 s, in place of a 502 at once.

An answer that names any other request ends the call as before, and one with the awaited id is never removed.

path_lost_and_wrong_answers, foreign_answer_before_own and answer_repeated pass.

--- a/crates/node/src/calls/answer_head.rs
+++ b/crates/node/src/calls/answer_head.rs
@@ -1,9 +1,7 @@
 //! What the head of an answer says about the request that it belongs to.
 
 use http::StatusCode;
-use http::header::{CONTENT_LENGTH, HeaderName, TRANSFER_ENCODING};
-
-use crate::calls::awaited_answer::AwaitedAnswer;
+use http::header::{CONTENT_LENGTH, HeaderName, HeaderValue, TRANSFER_ENCODING};
 
 /// The largest number of headers of a head that is understood.
 const MAX_HEADERS: usize = 128;
@@ -11,8 +9,8 @@
 /// What the head of an answer says about the request that it belongs to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum AnswerHead {
-    /// An answer to another request, of a known length.
-    Foreign { body_length: u64 },
+    /// An answer to an earlier request, of a known length.
+    Earlier { body_length: u64 },
     /// An informational response, which another head follows.
     Informational,
     /// The awaited answer, or bytes that can't be attributed to a request.
@@ -20,7 +18,13 @@
 }
 
 impl AnswerHead {
-    pub(crate) fn parse(head: &[u8], awaited: &AwaitedAnswer) -> Self {
+    /// Parses `head`, in which `id_header` names the request. `earlier` are the ids of the
+    /// connection's requests before the awaited one.
+    pub(crate) fn parse<'a>(
+        head: &[u8],
+        id_header: &HeaderName,
+        mut earlier: impl Iterator<Item = &'a HeaderValue>,
+    ) -> Self {
         let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
         let mut response = httparse::Response::new(&mut headers);
         if !matches!(response.parse(head), Ok(httparse::Status::Complete(_))) {
@@ -36,16 +40,16 @@
                 |header: &&httparse::Header<'_>| header.name.eq_ignore_ascii_case(name.as_str());
             response.headers.iter().filter(is_named).map(|header| header.value).collect::<Vec<_>>()
         };
-        let ids = values(&awaited.header);
-        if ids.is_empty() || ids.contains(&awaited.id.as_bytes()) {
+        let ids = values(id_header);
+        if ids.len() != 1 || !earlier.any(|id| id.as_bytes() == ids[0]) {
             return Self::Other;
         }
         let has_no_body = matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
         match values(&CONTENT_LENGTH)[..] {
             _ if !values(&TRANSFER_ENCODING).is_empty() => Self::Other,
-            _ if has_no_body => Self::Foreign { body_length: 0 },
+            _ if has_no_body => Self::Earlier { body_length: 0 },
             [length] => parse_length(length)
-                .map_or(Self::Other, |body_length| Self::Foreign { body_length }),
+                .map_or(Self::Other, |body_length| Self::Earlier { body_length }),
             _ => Self::Other,
         }
     }
--- a/crates/node/src/calls/client_connection.rs
+++ b/crates/node/src/calls/client_connection.rs
@@ -10,6 +10,7 @@
 
 use almondsail_core::units::ByteCount;
 use bytes::Bytes;
+use http::header::HeaderName;
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -19,7 +20,6 @@
 use tokio::time::Instant;
 
 use crate::byte_counts::ByteCounts;
-use crate::calls::awaited_answer::AwaitedAnswer;
 use crate::calls::filtered_stream::{FilteredStream, SharedFilter};
 use crate::calls::limited_stream::LimitedStream;
 use crate::calls::read_allowance::ReadAllowance;
@@ -44,7 +44,7 @@
     written: ByteCounts,
     /// How much the connection may read.
     allowance: ReadAllowance,
-    /// Removes answers to other requests.
+    /// Removes answers to earlier requests.
     filter: SharedFilter,
     /// When the connection was opened or last returned to a pool.
     pub(crate) last_used: Instant,
@@ -113,16 +113,18 @@
         })
     }
 
-    /// Sends `req` and waits for the head of the answer until `until`. Answers that `awaited` shows
-    /// to belong to other requests are passed over.
+    /// Sends `req` and waits for the head of the answer until `until`. Answers whose `id_header`
+    /// names an earlier request of the connection are passed over.
     pub(crate) async fn send(
         &mut self,
         req: Request<Full<Bytes>>,
-        awaited: Option<AwaitedAnswer>,
+        id_header: Option<&HeaderName>,
         until: Instant,
     ) -> Result<Response<Incoming>, ExchangeError> {
-        if let Some(awaited) = awaited {
-            self.filter.lock().expect(awaited);
+        if let Some((header, id)) =
+            id_header.and_then(|name| Some((name, req.headers().get(name)?)))
+        {
+            self.filter.lock().expect(header.clone(), id.clone());
         }
         let before = self.written.sent();
         let result = tokio::time::timeout_at(until, self.send_untimed(req)).await;
--- a/crates/node/src/calls/connection_pool.rs
+++ b/crates/node/src/calls/connection_pool.rs
@@ -11,7 +11,6 @@
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
-use crate::calls::awaited_answer::AwaitedAnswer;
 use crate::calls::client_connection::{ClientConnection, ExchangeError};
 use crate::socket;
 
@@ -46,7 +45,8 @@
         Self { addr, limits, id_header, user_timeout, idle: Mutex::new(Vec::new()) }
     }
 
-    /// Recognises the answer to a request by the value of `header`, which both have.
+    /// Recognises answers to earlier requests by the value of `header`, which an answer has from its
+    /// request.
     #[must_use]
     pub(crate) fn with_id_header(mut self, header: HeaderName) -> Self {
         self.id_header = Some(header);
@@ -79,7 +79,7 @@
         until: Instant,
     ) -> Result<(Response<Incoming>, ClientConnection), ExchangeError> {
         if let Some(mut connection) = self.take_idle() {
-            match self.exchange(&mut connection, request(), until).await {
+            match connection.send(request(), self.id_header.as_ref(), until).await {
                 Ok(response) => return Ok((response, connection)),
                 // The next hop closed the idle connection; a new one may work.
                 Err(ExchangeError::NotSent) => {}
@@ -91,23 +91,10 @@
         let Ok(Ok(mut connection)) = tokio::time::timeout_at(until, connect).await else {
             return Err(ExchangeError::NotSent);
         };
-        let response = self.exchange(&mut connection, request(), until).await?;
+        let response = connection.send(request(), self.id_header.as_ref(), until).await?;
         Ok((response, connection))
     }
 
-    async fn exchange(
-        &self,
-        connection: &mut ClientConnection,
-        request: Request<Full<Bytes>>,
-        until: Instant,
-    ) -> Result<Response<Incoming>, ExchangeError> {
-        let awaited = self.id_header.as_ref().and_then(|header| {
-            let id = request.headers().get(header)?.clone();
-            Some(AwaitedAnswer { header: header.clone(), id })
-        });
-        connection.send(request, awaited, until).await
-    }
-
     /// Returns a connection to the pool.
     pub(crate) fn release(&self, mut connection: ClientConnection) {
         connection.last_used = Instant::now();
--- a/crates/node/src/calls/filtered_stream.rs
+++ b/crates/node/src/calls/filtered_stream.rs
@@ -1,4 +1,4 @@
-//! A stream without answers to other requests.
+//! A stream without answers to earlier requests.
 
 use std::io::{self, IoSlice};
 use std::pin::Pin;
--- a/crates/node/src/calls/mod.rs
+++ b/crates/node/src/calls/mod.rs
@@ -15,7 +15,6 @@
 pub(crate) mod answer_reservation;
 mod answer_stream;
 mod answer_watcher;
-mod awaited_answer;
 mod batch_outcome;
 pub(crate) mod body_bytes;
 mod buffered_body;
