Test backend servers that reset connections when they are full

Servers of the entries mesh reset the connection of a request that they have no room for, which does not tell whether the request ran. A call that can't be repeated must not meet a full server.

server_resets_when_full sends ten times what a server runs at a time through two nodes, and again after the node beside it was killed three times while the server runs on: no request that came after the restart is reset, and the server never has more than its slots in the steady state. So it does not happen here.

--- a/crates/testkit/src/platform/fleet.rs
+++ b/crates/testkit/src/platform/fleet.rs
@@ -163,6 +163,13 @@
         Ok(HttpClient::new(self.harness.address(self.raw_nodes[index].process(), "callers")?))
     }
 
+    /// Kills the `index`th node with a [`RawWorker`] with SIGKILL and starts it again. The worker
+    /// goes on.
+    pub async fn restart_raw(&mut self, index: usize) -> Result<()> {
+        self.harness.kill(self.raw_nodes[index].process())?;
+        self.harness.restart(self.raw_nodes[index].process(), None).await
+    }
+
     /// Returns the resources that the `index`th node with a [`RawWorker`] uses.
     pub fn raw_usage(&self, index: usize) -> Result<ProcessUsage> {
         ProcessUsage::of(self.harness.pid(self.raw_nodes[index].process())?)
--- a/crates/testkit/tests/fleet_faulty_worker/main.rs
+++ b/crates/testkit/tests/fleet_faulty_worker/main.rs
@@ -1,7 +1,9 @@
-//! Tests of a fleet whose backend servers write answers again, too early, cut, or without end.
+//! Tests of a fleet whose backend servers write answers again, too early, cut, or without end, or
+//! are full.
 
 mod cut_answers;
 mod endless_answers;
+mod full_servers;
 mod large_bodies;
 mod repeated_answers;
 
