Send small configurations to all nodes that ask

A node sent the configuration to two others at a time, whatever its size, and the rest asked again every 80 ms, on hosts of a tenth of a core.

--- a/crates/core/tests/fleet_transfer.rs
+++ b/crates/core/tests/fleet_transfer.rs
@@ -1,13 +1,16 @@
 //! Spreading a configuration from node to node over slow links.
 
 use almondsail_core::fleet::TransferLimiter;
+use almondsail_core::units::ByteCount;
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
 
 /// The number of nodes of a data centre, of which one has the configuration at first.
 const NODES: usize = 16;
-/// The size of a configuration of 800 routes, in bytes.
-const CONFIG_BYTES: f64 = 160_000.0;
+/// The size of a configuration of 800 routes.
+const LARGE: ByteCount = ByteCount::new(160_000);
+/// The size of a configuration of 20 routes.
+const SMALL: ByteCount = ByteCount::new(4_000);
 /// The free half of a link of 10 Mbit/s, in bytes per millisecond.
 const LINK_BYTES_PER_MS: f64 = 625.0;
 /// The time that a node waits for an answer, in milliseconds.
@@ -22,8 +25,14 @@
     Complete,
 }
 
-/// Returns the milliseconds until all nodes have the configuration, at most 5,000.
-fn time_to_spread(seed: u64, may_begin: impl Fn(&mut TransferLimiter) -> bool) -> u64 {
+/// Returns the milliseconds until all nodes have the configuration of `size`, at most 5,000, and
+/// how many requests were refused.
+fn spread(
+    seed: u64,
+    size: ByteCount,
+    may_begin: impl Fn(&mut TransferLimiter) -> bool,
+) -> (u64, usize) {
+    let mut refused = 0;
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut states = [State::Asking(0); NODES];
     let mut limiters = [TransferLimiter::default(); NODES];
@@ -32,7 +41,7 @@
         let holders: Vec<usize> =
             (0..NODES).filter(|n| matches!(states[*n], State::Complete)).collect();
         if holders.len() == NODES {
-            return now;
+            return (now, refused);
         }
         let mut receivers = [0_u32; NODES];
         for state in states {
@@ -46,16 +55,19 @@
                     let from = holders[rng.random_range(0..holders.len())];
                     match may_begin(&mut limiters[from]) {
                         true => State::Receiving(from, now, 0.0),
-                        false => State::Asking(now + rng.random_range(40..=120)),
+                        false => {
+                            refused += 1;
+                            State::Asking(now + rng.random_range(40..=120))
+                        }
                     }
                 }
                 State::Receiving(from, since, bytes) => {
                     let bytes = bytes + LINK_BYTES_PER_MS / f64::from(receivers[from].max(1));
-                    if bytes >= CONFIG_BYTES {
-                        limiters[from].end();
+                    if bytes >= size.get() as f64 {
+                        limiters[from].end(size);
                         State::Complete
                     } else if now - since >= FETCH_TIMEOUT_MS {
-                        limiters[from].end();
+                        limiters[from].end(size);
                         State::Asking(now + rng.random_range(40..=120))
                     } else {
                         State::Receiving(from, since, bytes)
@@ -65,7 +77,7 @@
             };
         }
     }
-    5_000
+    (5_000, refused)
 }
 
 /// Guards against nodes that all fetch a configuration from the first one that has it, so that none
@@ -75,9 +87,20 @@
 #[test]
 fn spread_over_slow_links() {
     for seed in 0..20 {
-        let limited = time_to_spread(seed, TransferLimiter::begin);
+        let (limited, _) = spread(seed, LARGE, |limiter| limiter.begin(LARGE));
         assert!(limited <= 1_900, "seed {seed}: {limited} ms");
-        let unlimited = time_to_spread(seed, |_| true);
+        let (unlimited, _) = spread(seed, LARGE, |_| true);
         assert!(unlimited > 1_900, "seed {seed}: {unlimited} ms without a bound");
     }
 }
+
+/// Guards against nodes that are refused a small configuration and ask again and again: on a calm
+/// day of 91 nodes 2,000 of 2,138 failed requests were refusals.
+#[test]
+fn spread_small_configuration() {
+    for seed in 0..20 {
+        let (took, refused) = spread(seed, SMALL, |limiter| limiter.begin(SMALL));
+        assert_eq!(refused, 0, "seed {seed}");
+        assert!(took <= 250, "seed {seed}: {took} ms");
+    }
+}
--- a/crates/node/src/fleet/config_source.rs
+++ b/crates/node/src/fleet/config_source.rs
@@ -3,6 +3,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use almondsail_core::fleet::TransferLimiter;
+use almondsail_core::units::ByteCount;
 use arc_swap::ArcSwapOption;
 use bytes::Bytes;
 
@@ -16,7 +17,10 @@
 
 /// A transfer to another node, which ends when this guard is dropped.
 #[derive(Debug)]
-pub(crate) struct Transfer(Arc<ConfigSource>);
+pub(crate) struct Transfer {
+    source: Arc<ConfigSource>,
+    size: ByteCount,
+}
 
 /// Reply to a node that asks for the configuration.
 #[derive(Debug)]
@@ -38,10 +42,11 @@
     /// Begins a transfer to another node, unless the limit of concurrent transfers is reached.
     pub(crate) fn offer(self: &Arc<Self>) -> Offer {
         let Some(text) = self.text.load_full() else { return Offer::Nothing };
-        if !self.limiter().begin() {
+        let size = ByteCount::new(text.len() as u64);
+        if !self.limiter().begin(size) {
             return Offer::Busy;
         }
-        Offer::Text(Bytes::clone(&text), Arc::new(Transfer(Arc::clone(self))))
+        Offer::Text(Bytes::clone(&text), Arc::new(Transfer { source: Arc::clone(self), size }))
     }
 
     fn limiter(&self) -> MutexGuard<'_, TransferLimiter> {
@@ -51,6 +56,6 @@
 
 impl Drop for Transfer {
     fn drop(&mut self) {
-        self.0.limiter().end();
+        self.source.limiter().end(self.size);
     }
 }
