Send watches again that a silent store may have lost

Cause: a watch that is lost looks like one that waits for a change. It was waited for for 15.9 s, although renewals of the lease on other connections failed and succeeded again meanwhile. The node told the others that it reached the store, so no other node watched in its place.

Change: a request without an answer casts doubt on the pending watches, and the next answer of the store sends them again. A renewal goes with each watch, so that a silence which swallows the watch also swallows a request with a short timeout. Requests other than watches count for whether a node reaches the store. Among nodes of which none reaches it, only the first ones of a data centre watch, so that a store that responds again gets no watch of every node.

--- a/crates/core/src/fleet/fleet_action.rs
+++ b/crates/core/src/fleet/fleet_action.rs
@@ -14,6 +14,8 @@
         /// The read, write or lease operation to perform.
         request: StoreRequest,
     },
+    /// Give up the request to the store with this number. Its reply is no longer wanted.
+    CancelStore(u64),
     /// Send a heartbeat to the nodes at these addresses.
     Heartbeat(Box<Heartbeat>, Vec<SocketAddr>),
     /// Ask the node whose inbound listener is at the address for its configuration.
--- a/crates/core/src/fleet/fleet_change.rs
+++ b/crates/core/src/fleet/fleet_change.rs
@@ -2,7 +2,9 @@
 
 use std::fmt;
 
-use crate::fleet::{AnnouncementOutcome, RolloutOutcome, StoreFailure, UnknownKind, VersionFault};
+use crate::fleet::{
+    AnnouncementOutcome, KeySpace, RolloutOutcome, StoreFailure, UnknownKind, VersionFault,
+};
 use crate::ids::{BackendId, ConfigVersion, NodeId, ServiceName, VersionName};
 use crate::store::StoreEra;
 use crate::units::Micros;
@@ -59,6 +61,13 @@
         /// Why the last request failed, if the store does not answer.
         failure: Option<StoreFailure>,
     },
+    /// A watch was sent again, because the store gave no response while it was pending.
+    WatchRepeated {
+        /// The watched part of the store's keys.
+        space: KeySpace,
+        /// The time since the watch was sent.
+        pending_for: Micros,
+    },
     /// The store was restored from an earlier copy and is read anew.
     StoreRestored {
         /// The era that the store names now.
@@ -94,6 +103,7 @@
             Self::BackendExpired => "backend_expired",
             Self::Peer { .. } => "peer",
             Self::Store { .. } => "store",
+            Self::WatchRepeated { .. } => "watch_repeated",
             Self::StoreRestored { .. } => "store_restored",
             Self::RolloutOrdered(..) => "rollout_ordered",
             Self::RolloutStopped { .. } => "rollout_stopped",
@@ -123,6 +133,9 @@
                 Some(failure) => write!(f, "does not answer: {failure}"),
                 None => f.write_str("does not answer"),
             },
+            Self::WatchRepeated { space, pending_for } => {
+                write!(f, "{space:?} keys, pending for {pending_for}")
+            }
             Self::StoreRestored { era, before } => write!(f, "era {era}, before {before}"),
             Self::RolloutOrdered(service, target) => write!(f, "{service} to {target}"),
             Self::RolloutStopped { service, target, fault } => {
--- a/crates/core/src/fleet/fleet_control.rs
+++ b/crates/core/src/fleet/fleet_control.rs
@@ -7,6 +7,8 @@
 use super::config_fetches::ConfigFetches;
 use super::node_entry_lease::NodeEntryLease;
 use super::peer_directory::Peer;
+use super::pending_request::{PendingRequest, RequestPurpose};
+use super::store_contact::StoreContact;
 use crate::fleet::{
     AnnouncedState, Announcement, AnnouncementOutcome, ConfigText, Departure, FleetAction,
     FleetChange, FleetEvent, FleetIdentity, KeySpace, LastUpdates, PeerDirectory, Registration,
@@ -31,9 +33,9 @@
     pub(super) lease: NodeEntryLease,
     pub(super) operator_watcher: StoreWatcher,
     pub(super) nodes_watcher: StoreWatcher,
-    pub(super) pending_requests: BTreeMap<u64, RequestPurpose>,
+    pub(super) pending_requests: BTreeMap<u64, PendingRequest>,
     pub(super) next_request: u64,
-    pub(super) is_store_reached: bool,
+    pub(super) store_contact: StoreContact,
     /// The latest era that the store named; `None` before its first answer. Pending requests were
     /// sent in this era.
     pub(super) store_era: Option<StoreEra>,
@@ -61,14 +63,6 @@
     pub(super) alive: BTreeSet<NodeId>,
 }
 
-/// What a pending request to the store is for.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(super) enum RequestPurpose {
-    Watch(KeySpace),
-    Lease,
-    Rollout(ServiceName),
-}
-
 impl FleetControl {
     /// Creates the state of a node that starts at `now`.
     pub fn new(identity: FleetIdentity, now: Instant) -> Self {
@@ -84,7 +78,7 @@
             nodes_watcher: StoreWatcher::new(KeySpace::Nodes),
             pending_requests: BTreeMap::new(),
             next_request: 0,
-            is_store_reached: true,
+            store_contact: StoreContact::default(),
             store_era: None,
             last_store_reply: None,
             config_since: None,
@@ -152,6 +146,11 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Returns the identity of the node.
+    pub const fn identity(&self) -> &FleetIdentity {
+        &self.identity
+    }
+
     /// Returns the configuration in force with its text; `None` before one is known.
     pub const fn config(&self) -> Option<&ConfigText> {
         self.config.as_ref()
@@ -163,6 +162,7 @@
             config_version: self.config_version(),
             config: self.config_since,
             store: self.last_store_reply,
+            watch: self.pending_watch(KeySpace::Operator).map(|pending| pending.sent),
             peers: self.peers.alive(now).count(),
             oldest_peer: self.peers.alive(now).map(Peer::last_seen).min(),
         }
@@ -262,7 +262,7 @@
             if !self.is_pending(&RequestPurpose::Watch(space))
                 && let Some(request) = self.watcher(space).request(now)
             {
-                self.request(RequestPurpose::Watch(space), request);
+                self.request(now, RequestPurpose::Watch(space), request);
             }
         }
         // The entry of an earlier start names its last departure, which must be read before the
@@ -272,7 +272,7 @@
             && !self.is_pending(&RequestPurpose::Lease)
             && let Some(request) = self.lease.request(now)
         {
-            self.request(RequestPurpose::Lease, request);
+            self.request(now, RequestPurpose::Lease, request);
         }
     }
 
@@ -284,13 +284,25 @@
     }
 
     pub(super) fn is_pending(&self, purpose: &RequestPurpose) -> bool {
-        self.pending_requests.values().any(|pending| pending == purpose)
+        self.pending_requests.values().any(|pending| pending.purpose == *purpose)
     }
 
-    pub(super) fn request(&mut self, purpose: RequestPurpose, request: StoreRequest) {
+    fn pending_watch(&self, space: KeySpace) -> Option<&PendingRequest> {
+        let is_watch = |pending: &&PendingRequest| {
+            pending.is_long_poll && pending.purpose == RequestPurpose::Watch(space)
+        };
+        self.pending_requests.values().find(is_watch)
+    }
+
+    pub(super) fn request(&mut self, now: Instant, purpose: RequestPurpose, request: StoreRequest) {
         let id = self.next_request;
         self.next_request += 1;
-        self.pending_requests.insert(id, purpose);
+        let is_long_poll = matches!(request, StoreRequest::Watch(..));
+        if is_long_poll {
+            self.lease.renew_now(now);
+        }
+        let pending = PendingRequest { purpose, sent: now, is_long_poll, is_doubtful: false };
+        self.pending_requests.insert(id, pending);
         self.actions.push(FleetAction::Store { id, request });
     }
 
--- a/crates/core/src/fleet/last_updates.rs
+++ b/crates/core/src/fleet/last_updates.rs
@@ -12,6 +12,8 @@
     pub config: Option<Instant>,
     /// When the store last answered a request; `None` if it never did.
     pub store: Option<Instant>,
+    /// When the pending watch of the operator's keys was sent; `None` if none is pending.
+    pub watch: Option<Instant>,
     /// The number of other nodes that sent a heartbeat recently.
     pub peers: usize,
     /// When the live node that has been silent for longest last sent a heartbeat; `None` without
--- a/crates/core/src/fleet/node_entry_lease.rs
+++ b/crates/core/src/fleet/node_entry_lease.rs
@@ -12,6 +12,8 @@
     state: State,
     /// No request is sent before this instant.
     next_request_at: Instant,
+    /// Whether the last request failed, so that the next one is delayed.
+    is_failing: bool,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -30,7 +32,7 @@
     const RETRY_DELAY: Millis = Millis::new(600);
 
     pub(super) const fn new(entry: NodeEntry) -> Self {
-        Self { entry, state: State::NoLease, next_request_at: Instant::new(0) }
+        Self { entry, state: State::NoLease, next_request_at: Instant::new(0), is_failing: false }
     }
 
     /// Returns the next request if it is due at `now`.
@@ -49,6 +51,7 @@
 
     /// Handles the reply to the last request.
     pub(super) fn reply(&mut self, now: Instant, reply: &Result<StoreReply, StoreFailure>) {
+        self.is_failing = !matches!(reply, Ok(_) | Err(StoreFailure::NoLease));
         match (reply, self.state) {
             (Ok(StoreReply::Lease(lease)), State::NoLease) => {
                 self.state = State::EntryPending(*lease);
@@ -92,6 +95,13 @@
         self.next_request_at = self.next_request_at.min(now + Self::RETRY_DELAY);
     }
 
+    /// Makes the next request due, as a sign whether the store answers. A failure still delays it.
+    pub(super) fn renew_now(&mut self, now: Instant) {
+        if !self.is_failing {
+            self.next_request_at = self.next_request_at.min(now);
+        }
+    }
+
     /// Writes the entry again under a new lease, because it was removed although the node is alive.
     pub(super) fn entry_removed(&mut self, now: Instant) {
         if let State::EntryWritten(_) = self.state {
--- a/crates/core/src/fleet/node_events.rs
+++ b/crates/core/src/fleet/node_events.rs
@@ -153,16 +153,19 @@
     }
 
     /// Returns whether this node watches the store for its data centre: it is among the first, by
-    /// id, of the nodes that reach the store. The others learn of changes from these, so that the
-    /// requests to the store grow with the data centres and not with the nodes.
+    /// id, of the nodes that reach the store, or of all nodes while none reaches it. The others
+    /// learn of changes from these, so that the requests to the store grow with the data centres
+    /// and not with the nodes, also when a silent store responds again.
     pub(super) fn is_watcher(&self, now: Instant) -> bool {
-        let own_id = &self.identity.entry.node;
-        let reaches = |heartbeat: &Heartbeat| heartbeat.is_store_reached && !heartbeat.is_leaving;
-        let before = self.peers.alive(now).filter(|peer| {
-            peer.is_local
-                && peer.entry.node < *own_id
-                && peer.heartbeat.as_ref().is_some_and(reaches)
-        });
+        let own_rank = (!self.store_contact.is_reached(), &self.identity.entry.node);
+        let is_before = |heartbeat: &Heartbeat| {
+            let rank = (!heartbeat.is_store_reached, &heartbeat.entry.node);
+            !heartbeat.is_leaving && rank < own_rank
+        };
+        let before = self
+            .peers
+            .alive(now)
+            .filter(|peer| peer.is_local && peer.heartbeat.as_ref().is_some_and(is_before));
         let local_nodes = self.peers.alive(now).filter(|peer| peer.is_local).count() + 1;
         before.count() < Self::MIN_WATCHERS.max(local_nodes / Self::NODES_PER_WATCHER)
     }
@@ -196,7 +199,7 @@
             incarnation: self.identity.incarnation,
             sequence: self.sequence,
             config_version: self.config_version(),
-            is_store_reached: self.is_store_reached,
+            is_store_reached: self.store_contact.is_reached(),
             is_leaving: self.is_leaving,
             backend: self.backend(now).cloned(),
             departures: self.registration.departures(now, now < self.newcomer_until),
--- a/crates/core/src/fleet/rollout_events.rs
+++ b/crates/core/src/fleet/rollout_events.rs
@@ -1,7 +1,8 @@
 //! Judges rollouts and writes their progress to the store.
 
 use super::calls_view::KnownBackend;
-use super::fleet_control::{FleetControl, RequestPurpose};
+use super::fleet_control::FleetControl;
+use super::pending_request::RequestPurpose;
 use crate::fleet::{
     FleetChange, KeySpace, Rollout, RolloutEvidence, RolloutOutcome, RolloutReport, RolloutStep,
     StoreFailure, StoreReply, StoreRequest, StoreWrite, VersionEvidence, VersionJudge,
@@ -116,7 +117,7 @@
         }
         let progress = rollout.to_progress(now, wall, outcome);
         let write = StoreWrite::Progress(progress, rollout.progress());
-        self.request(purpose, StoreRequest::Write(write));
+        self.request(now, purpose, StoreRequest::Write(write));
     }
 
     /// Returns the progress that is due: the start of the rollout (`Some(None)`) or an outcome.
--- /dev/null
+++ b/crates/core/src/fleet/store_contact.rs
@@ -0,0 +1,35 @@
+//! Whether the store answers a node.
+
+use crate::fleet::StoreFailure;
+
+/// Whether the store answers a node, by the ends of the node's requests.
+#[derive(Debug, Default)]
+pub(super) struct StoreContact {
+    /// Why the last request of the watcher of the operator's keys failed; `None` if it didn't.
+    watch_failure: Option<StoreFailure>,
+    /// Whether the last request that is answered without a wait had no answer. The watcher shows
+    /// this only when the wait for changes is over.
+    is_silent: bool,
+}
+
+impl StoreContact {
+    /// Returns why the store is not reached; `None` if it is.
+    pub(super) const fn failure(&self) -> Option<StoreFailure> {
+        if self.is_silent { Some(StoreFailure::Unanswered) } else { self.watch_failure }
+    }
+
+    /// Returns whether the store is reached.
+    pub(super) const fn is_reached(&self) -> bool {
+        self.failure().is_none()
+    }
+
+    /// Records the end of a request of the watcher of the operator's keys.
+    pub(super) fn record_watch(&mut self, failure: Option<StoreFailure>) {
+        self.watch_failure = failure.filter(|failure| *failure != StoreFailure::HistoryLost);
+    }
+
+    /// Records whether a request that is answered without a wait had no answer.
+    pub(super) const fn record_silence(&mut self, is_silent: bool) {
+        self.is_silent = is_silent;
+    }
+}
--- a/crates/core/src/fleet/store_events.rs
+++ b/crates/core/src/fleet/store_events.rs
@@ -2,10 +2,11 @@
 
 use rand::Rng;
 
-use super::fleet_control::{FleetControl, RequestPurpose};
+use super::fleet_control::FleetControl;
+use super::pending_request::{PendingRequest, RequestPurpose};
 use crate::fleet::{
-    FleetChange, ItemChange, KeySpace, Rollout, RolloutOrder, RolloutProgress, StoreFailure,
-    StoreItem, StoreKey, StoreReply, StoreResponse, StoredValue,
+    FleetAction, FleetChange, ItemChange, KeySpace, Rollout, RolloutOrder, RolloutProgress,
+    StoreFailure, StoreItem, StoreKey, StoreReply, StoreResponse, StoredValue,
 };
 use crate::store::{Revision, StoreEra};
 use crate::units::{Instant, UnixMillis};
@@ -19,14 +20,16 @@
         response: StoreResponse,
         rng: &mut impl Rng,
     ) {
-        let Some(purpose) = self.pending_requests.remove(&id) else { return };
-        if !matches!(response.reply, Err(StoreFailure::Unanswered)) {
+        let Some(request) = self.pending_requests.remove(&id) else { return };
+        let failure = response.reply.as_ref().err().copied();
+        if failure != Some(StoreFailure::Unanswered) {
             self.last_store_reply = Some(now);
+            self.repeat_doubtful_watches(now);
         }
         let Some(reply) = self.reply_of_known_era(now, response) else { return };
-        match purpose {
+        self.update_store_contact(&request.purpose, reply.as_ref().err().copied());
+        match request.purpose {
             RequestPurpose::Watch(space) => {
-                self.update_store_state(space, reply.as_ref().err().copied());
                 if matches!(reply, Err(StoreFailure::Unanswered)) {
                     self.lease.renew_early(now);
                 }
@@ -35,7 +38,10 @@
                     self.apply_item_change(now, wall, change);
                 }
             }
-            RequestPurpose::Lease => self.lease.reply(now, &reply),
+            RequestPurpose::Lease => {
+                self.lease.reply(now, &reply);
+                self.confirm_later_watches(now, request.sent);
+            }
             RequestPurpose::Rollout(service) => self.handle_progress_reply(now, &service, reply),
         }
     }
@@ -73,15 +79,59 @@
         self.report(FleetChange::StoreRestored { era, before });
     }
 
-    /// Updates whether the store answers, by the requests of the watcher of the operator's keys.
-    fn update_store_state(&mut self, space: KeySpace, failure: Option<StoreFailure>) {
-        let is_reached = matches!(failure, None | Some(StoreFailure::HistoryLost));
-        if space == KeySpace::Operator && is_reached != self.is_store_reached {
-            self.is_store_reached = is_reached;
+    /// Updates whether the store answers, by the end of a request.
+    fn update_store_contact(&mut self, purpose: &RequestPurpose, failure: Option<StoreFailure>) {
+        let was_reached = self.store_contact.is_reached();
+        match purpose {
+            RequestPurpose::Watch(KeySpace::Operator) => self.store_contact.record_watch(failure),
+            RequestPurpose::Watch(KeySpace::Nodes) => {}
+            RequestPurpose::Lease | RequestPurpose::Rollout(_) => {
+                let is_silent = failure == Some(StoreFailure::Unanswered);
+                self.store_contact.record_silence(is_silent);
+                if is_silent {
+                    self.doubt_watches();
+                }
+            }
+        }
+        let is_reached = self.store_contact.is_reached();
+        if is_reached != was_reached {
+            let failure = self.store_contact.failure();
             self.report(FleetChange::Store { is_reached, failure });
         }
     }
 
+    /// Marks the pending watches, because another request had no answer while they were pending.
+    fn doubt_watches(&mut self) {
+        for pending in self.pending_requests.values_mut().filter(|pending| pending.is_long_poll) {
+            pending.is_doubtful = true;
+        }
+    }
+
+    /// Gives up the watches that may be lost, because the store has just answered. If this node
+    /// still watches, the next ones are sent from the same revisions.
+    fn repeat_doubtful_watches(&mut self, now: Instant) {
+        let is_doubtful = |(_, pending): &(&u64, &PendingRequest)| pending.is_doubtful;
+        let doubtful = self.pending_requests.iter().filter(is_doubtful);
+        let doubtful: Vec<u64> = doubtful.map(|(id, _)| *id).collect();
+        for id in doubtful {
+            self.actions.push(FleetAction::CancelStore(id));
+            let Some(pending) = self.pending_requests.remove(&id) else { continue };
+            if let RequestPurpose::Watch(space) = pending.purpose {
+                let pending_for = now.since(pending.sent);
+                self.report(FleetChange::WatchRepeated { space, pending_for });
+            }
+        }
+    }
+
+    /// Makes the next renewal of the lease due if a watch was sent after the one that was sent at
+    /// `renewed`, whose answer tells nothing of that watch.
+    fn confirm_later_watches(&mut self, now: Instant, renewed: Instant) {
+        let is_later = |pending: &PendingRequest| pending.is_long_poll && pending.sent > renewed;
+        if self.pending_requests.values().any(is_later) {
+            self.lease.renew_now(now);
+        }
+    }
+
     fn apply_item_change(&mut self, now: Instant, wall: UnixMillis, change: ItemChange) {
         match change {
             ItemChange::Put(StoreItem { key, revision, value }) => {
--- a/crates/core/tests/fleet_common/mod.rs
+++ b/crates/core/tests/fleet_common/mod.rs
@@ -3,6 +3,8 @@
 #![allow(dead_code)]
 
 pub mod node;
+pub mod simulated_fleet;
+pub mod simulated_store;
 
 use almondsail_core::fleet::{
     AnnouncedState, Announcement, BackendStatus, CallRequirements, ConfigText, Destination,
--- /dev/null
+++ b/crates/core/tests/fleet_common/simulated_store.rs
@@ -0,0 +1,151 @@
+//! A store that a simulated fleet talks to, which falls silent for given times.
+
+use std::collections::BTreeMap;
+use std::ops::Range;
+
+use almondsail_core::fleet::{
+    ItemChange, KeySpace, LeaseId, StoreItem, StoreKey, StoreReply, StoreRequest, StoreWrite,
+    StoredValue,
+};
+use almondsail_core::store::Revision;
+use almondsail_core::units::Instant;
+use rand::Rng as _;
+use rand::rngs::SmallRng;
+
+use super::node::config_item;
+
+/// A request whose reply has a receiver: the node and the number of its request.
+pub type Receiver = (usize, u64);
+
+/// The store of a [`SimulatedFleet`](super::simulated_fleet::SimulatedFleet).
+#[derive(Debug, Default)]
+pub struct SimulatedStore {
+    /// The times in which the store gives no response, to new requests and to waiting watches.
+    pub silences: Vec<Range<Instant>>,
+    /// The time in which each response is lost with a probability.
+    pub losses: Option<(Range<Instant>, f64)>,
+    /// The number of requests of each kind that arrived.
+    pub calls: BTreeMap<&'static str, u64>,
+    revision: u64,
+    items: BTreeMap<StoreKey, StoreItem>,
+    history: Vec<ItemChange>,
+    watches: Vec<(Receiver, KeySpace, u64)>,
+    leases: u64,
+}
+
+impl SimulatedStore {
+    /// Returns whether the store gives no response at `now`.
+    pub fn is_silent(&self, now: Instant) -> bool {
+        self.silences.iter().any(|silence| silence.contains(&now))
+    }
+
+    /// Returns the reply to a request that arrives at `now`; `None` if it never comes or if it is a
+    /// watch that waits for changes.
+    pub fn request(
+        &mut self,
+        now: Instant,
+        rng: &mut SmallRng,
+        receiver: Receiver,
+        request: &StoreRequest,
+    ) -> Option<StoreReply> {
+        *self.calls.entry(kind(request)).or_default() += 1;
+        if self.is_silent(now) {
+            return None;
+        }
+        let reply = match request {
+            StoreRequest::List(space, _) => {
+                let in_space = |item: &&StoreItem| space_of(&item.key) == *space;
+                let items = self.items.values().filter(in_space).cloned().collect();
+                StoreReply::Items { items, next: None, as_of: Revision::new(self.revision) }
+            }
+            StoreRequest::Watch(space, after) => match self.changes(*space, after.get()) {
+                Some(changes) => changes,
+                None => {
+                    self.watches.push((receiver, *space, after.get()));
+                    return None;
+                }
+            },
+            StoreRequest::OpenLease(_) => {
+                self.leases += 1;
+                StoreReply::Lease(LeaseId::new(self.leases))
+            }
+            StoreRequest::KeepLease(lease) => StoreReply::Lease(*lease),
+            StoreRequest::Write(StoreWrite::Node(entry, _)) => {
+                self.revision += 1;
+                let revision = Revision::new(self.revision);
+                let key = StoreKey::Node(entry.node.clone());
+                let value = StoredValue::Node(entry.clone());
+                self.put(StoreItem { key, revision, value });
+                StoreReply::Written(revision)
+            }
+            StoreRequest::Write(StoreWrite::Progress(..)) => unreachable!("no rollouts"),
+        };
+        (!self.is_lost(now, rng)).then_some(reply)
+    }
+
+    /// Puts `version` of the configuration in the store.
+    pub fn put_config(&mut self, version: u64) {
+        self.revision += 1;
+        self.put(config_item(version, self.revision));
+    }
+
+    /// Returns the watches that have changes now, with their replies. A reply that falls into a
+    /// silence is lost with its watch.
+    pub fn due_watches(&mut self, now: Instant, rng: &mut SmallRng) -> Vec<(Receiver, StoreReply)> {
+        let mut due = Vec::new();
+        for (receiver, space, after) in std::mem::take(&mut self.watches) {
+            match self.changes(space, after) {
+                None => self.watches.push((receiver, space, after)),
+                Some(_) if self.is_silent(now) || self.is_lost(now, rng) => {}
+                Some(reply) => due.push((receiver, reply)),
+            }
+        }
+        due
+    }
+
+    /// Ends the watch of `receiver`, whose waiting time is over, with the reply to it; `None` if it
+    /// doesn't wait or the reply is lost.
+    pub fn end_watch(&mut self, now: Instant, receiver: Receiver) -> Option<StoreReply> {
+        let at = self.watches.iter().position(|(waiting, ..)| *waiting == receiver)?;
+        self.watches.remove(at);
+        let none = StoreReply::Changes(Vec::new(), Revision::new(self.revision));
+        (!self.is_silent(now)).then_some(none)
+    }
+
+    fn put(&mut self, item: StoreItem) {
+        self.history.push(ItemChange::Put(item.clone()));
+        self.items.insert(item.key.clone(), item);
+    }
+
+    /// Returns the changes of `space` after a revision; `None` if there are none.
+    fn changes(&self, space: KeySpace, after: u64) -> Option<StoreReply> {
+        let is_due = |change: &&ItemChange| match change {
+            ItemChange::Put(item) => space_of(&item.key) == space && item.revision.get() > after,
+            ItemChange::Removed(..) => false,
+        };
+        let changes: Vec<ItemChange> = self.history.iter().filter(is_due).cloned().collect();
+        let as_of = Revision::new(self.revision);
+        (!changes.is_empty()).then_some(StoreReply::Changes(changes, as_of))
+    }
+
+    fn is_lost(&self, now: Instant, rng: &mut SmallRng) -> bool {
+        let losses = self.losses.as_ref().filter(|(time, _)| time.contains(&now));
+        losses.is_some_and(|(_, probability)| rng.random_bool(*probability))
+    }
+}
+
+fn space_of(key: &StoreKey) -> KeySpace {
+    match key {
+        StoreKey::Config | StoreKey::Order(_) => KeySpace::Operator,
+        _ => KeySpace::Nodes,
+    }
+}
+
+const fn kind(request: &StoreRequest) -> &'static str {
+    match request {
+        StoreRequest::List(..) => "list",
+        StoreRequest::Watch(..) => "watch",
+        StoreRequest::OpenLease(_) | StoreRequest::KeepLease(_) => "lease",
+        StoreRequest::Write(_) => "write",
+    }
+}
--- a/crates/core/tests/fleet_control.rs
+++ b/crates/core/tests/fleet_control.rs
@@ -189,6 +189,68 @@
     );
 }
 
+/// Guards against a watch that is waited for although a later request had no answer, and one that
+/// is repeated before the store answers.
+#[test]
+fn watch_repeated_after_unanswered_renewal() {
+    let mut node = Node::started(vec![config_item(5, 50)]);
+    let is_keep = |request: &StoreRequest| matches!(request, StoreRequest::KeepLease(_));
+    let is_open = |request: &StoreRequest| matches!(request, StoreRequest::OpenLease(_));
+    let is_entry =
+        |request: &StoreRequest| matches!(request, StoreRequest::Write(StoreWrite::Node(..)));
+    node.reply(is_open, Ok(StoreReply::Lease(LeaseId::new(1))));
+    node.reply(is_entry, Ok(StoreReply::Written(Revision::new(101))));
+    node.event(FleetEvent::Heartbeat(heartbeat(2, 1)));
+    node.advance(2_600);
+    node.reply(is_keep, Err(StoreFailure::Unanswered));
+    assert!(!is_heard_reached(&mut node), "the others don't learn that the store is silent");
+    node.advance(1_000);
+    let cancelled = |node: &Node| {
+        let is_cancelled = |action: &&FleetAction| matches!(action, FleetAction::CancelStore(_));
+        node.actions.iter().filter(is_cancelled).count()
+    };
+    assert_eq!(cancelled(&node), 0, "a watch is sent into the silence");
+    node.reply(is_keep, Ok(StoreReply::Lease(LeaseId::new(1))));
+    assert_eq!(cancelled(&node), 2);
+    assert!(is_heard_reached(&mut node));
+}
+
+/// Returns whether the node tells the others that it reaches the store.
+fn is_heard_reached(node: &mut Node) -> bool {
+    node.advance(400);
+    let heartbeats = node.actions.iter().rev().filter_map(|action| match action {
+        FleetAction::Heartbeat(heartbeat, _) => Some(heartbeat.is_store_reached),
+        _ => None,
+    });
+    heartbeats.take(1).all(|is_reached| is_reached)
+}
+
+/// Guards against all nodes of a data centre that watch a silent store, and send their watches at
+/// the same time when it responds again.
+#[test]
+fn watch_none_reaches_store() {
+    let mut node = Node::started(vec![config_item(5, 50)]);
+    let unreached = |n: u8, id: &str| {
+        let mut heartbeat = heartbeat(n, 1);
+        heartbeat.entry.node = id.parse().unwrap();
+        heartbeat.is_store_reached = false;
+        FleetEvent::Heartbeat(heartbeat)
+    };
+    node.event(unreached(2, "m1"));
+    node.event(unreached(3, "m2"));
+    let is_watch = |request: &StoreRequest| matches!(request, StoreRequest::Watch(..));
+    let none = StoreReply::Changes(Vec::new(), Revision::new(100));
+    node.reply(is_watch, Ok(none.clone()));
+    node.reply(is_watch, Ok(none));
+    node.advance(500);
+    let watches = |node: &Node| node.open_requests.iter().filter(|(_, r)| is_watch(r)).count();
+    assert_eq!(watches(&node), 2, "a node that reaches the store watches in place of the others");
+    node.reply(is_watch, Err(StoreFailure::Unanswered));
+    node.reply(is_watch, Err(StoreFailure::Unanswered));
+    node.advance(500);
+    assert_eq!(watches(&node), 0, "the store is silent for all, and the others are the first");
+}
+
 /// Guards against an entry that stays missing after its lease lapsed in an outage of the store.
 #[test]
 fn lease_lapsed_in_outage() {
--- a/crates/node/src/fleet/control_loop.rs
+++ b/crates/node/src/fleet/control_loop.rs
@@ -16,6 +16,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::AbortHandle;
 use tokio::time::MissedTickBehavior;
 
 use crate::clock::Clock;
@@ -26,6 +27,7 @@
 use crate::fleet::freshness_metrics::SharedLastUpdates;
 use crate::fleet::heartbeat_link::HeartbeatLink;
 use crate::fleet::inbound_handler::CONFIG_PATH;
+use crate::fleet::store_requests::StoreRequests;
 
 /// Interval of the tick events, which bound the time between two events of the control state.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -66,6 +68,7 @@
         mut evidence_rx: mpsc::Receiver<FleetEvent>,
     ) {
         let (result_tx, mut result_rx) = mpsc::channel(256);
+        let mut store_requests = StoreRequests::default();
         let heartbeats = self.heartbeats.clone();
         tokio::task::spawn_local(heartbeats.receive(result_tx.clone()));
         let mut rng = SmallRng::from_os_rng();
@@ -84,9 +87,12 @@
                     (FleetEvent::Tick, None)
                 }
             };
+            if let FleetEvent::Store { id, .. } = &event {
+                store_requests.remove(*id);
+            }
             let actions = self.control.handle(self.clock.now(), self.clock.wall(), event, &mut rng);
             for action in actions {
-                self.perform(action, &result_tx);
+                self.perform(action, &mut store_requests, &result_tx);
             }
             if let Some(done) = done {
                 // The requester may have stopped waiting.
@@ -95,9 +101,17 @@
         }
     }
 
-    fn perform(&self, action: FleetAction, result_tx: &mpsc::Sender<FleetEvent>) {
+    fn perform(
+        &self,
+        action: FleetAction,
+        store_requests: &mut StoreRequests,
+        result_tx: &mpsc::Sender<FleetEvent>,
+    ) {
         match action {
-            FleetAction::Store { id, request } => self.send_store_request(id, request, result_tx),
+            FleetAction::Store { id, request } => {
+                store_requests.insert(id, self.send_store_request(id, request, result_tx));
+            }
+            FleetAction::CancelStore(id) => store_requests.cancel(id),
             FleetAction::Heartbeat(heartbeat, to) => self.heartbeats.send(&heartbeat, &to),
             FleetAction::FetchConfig(from) => self.start_config_fetch(from, result_tx),
             FleetAction::Publish => self.publish(),
@@ -110,13 +124,14 @@
         id: u64,
         request: StoreRequest,
         result_tx: &mpsc::Sender<FleetEvent>,
-    ) {
+    ) -> AbortHandle {
         let (store_client, result_tx) = (self.store_client.clone(), result_tx.clone());
-        tokio::task::spawn_local(async move {
+        let task = tokio::task::spawn_local(async move {
             let response = store_client.call(&request).await;
             // Sending fails only after the control loop has ended.
             let _ = result_tx.send(FleetEvent::Store { id, response }).await;
         });
+        task.abort_handle()
     }
 
     fn start_config_fetch(&self, from: SocketAddr, result_tx: &mpsc::Sender<FleetEvent>) {
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -35,6 +35,7 @@
 mod servers;
 mod slot_queue;
 mod stop_phase;
+mod store_requests;
 mod traffic;
 mod unanswered_requests;
 mod whole_answer;
--- a/crates/seeded/src/lib.rs
+++ b/crates/seeded/src/lib.rs
@@ -15,6 +15,8 @@
 #![deny(missing_docs, unsafe_code, rust_2018_idioms, unreachable_pub)]
 #![deny(clippy::all)]
 
+use std::ops::Range;
+
 pub use quickcheck;
 use quickcheck::{Gen, QuickCheck};
 
@@ -37,6 +39,14 @@
         .min_tests_passed(cases)
 }
 
+/// Returns the seeds of `cases` cases of a test that generates its cases itself.
+///
+/// `ALMONDSAIL_CASES` overrides `cases`, and `ALMONDSAIL_SEED` the first seed.
+pub fn seeds(cases: u64) -> Range<u64> {
+    let first = env_or("ALMONDSAIL_SEED", DEFAULT_SEED);
+    first..first.saturating_add(env_or("ALMONDSAIL_CASES", cases))
+}
+
 fn env_or(name: &str, default: u64) -> u64 {
     std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
 }
