Let one node of the fleet end its watches within a second

A watch is lost without a sign if the change that it would tell of is made in a silence that is too short for a renewal of the lease to fall into it, or if the store loses single answers.

Change: the first node of the fleet, by id among those that reach the store, watches the operator's keys for 1 s at a time. It finds out a lost watch within 1.9 s, and the others hear of the change from it. A node that takes the lead repeats its long watch; a leader that loses the store tells the others at once. An answered request clears the failure of a watch that had no answer, so that a node that stepped out may lead again. The cost is one watch and a tenth of a call a second for the whole fleet, whatever its size.

--- a/crates/core/src/fleet/fleet_control.rs
+++ b/crates/core/src/fleet/fleet_control.rs
@@ -255,9 +255,14 @@
     }
 
     fn send_due_requests(&mut self, now: Instant) {
-        let is_watcher = self.is_watcher(now);
-        self.operator_watcher.set_watching(is_watcher);
-        self.nodes_watcher.set_watching(is_watcher);
+        let watch_time = self.is_watcher(now).then_some(StoreWatcher::WATCH_TIME);
+        self.nodes_watcher.set_watch_time(watch_time);
+        if self.is_leader(now) {
+            self.operator_watcher.set_watch_time(Some(StoreWatcher::LEADER_WATCH_TIME));
+            self.doubt_long_watch(now);
+        } else {
+            self.operator_watcher.set_watch_time(watch_time);
+        }
         for space in [KeySpace::Operator, KeySpace::Nodes] {
             if !self.is_pending(&RequestPurpose::Watch(space))
                 && let Some(request) = self.watcher(space).request(now)
@@ -289,7 +294,7 @@
 
     fn pending_watch(&self, space: KeySpace) -> Option<&PendingRequest> {
         let is_watch = |pending: &&PendingRequest| {
-            pending.is_long_poll && pending.purpose == RequestPurpose::Watch(space)
+            pending.watch_time.is_some() && pending.purpose == RequestPurpose::Watch(space)
         };
         self.pending_requests.values().find(is_watch)
     }
@@ -297,11 +302,14 @@
     pub(super) fn request(&mut self, now: Instant, purpose: RequestPurpose, request: StoreRequest) {
         let id = self.next_request;
         self.next_request += 1;
-        let is_long_poll = matches!(request, StoreRequest::Watch(..));
-        if is_long_poll {
+        let watch_time = match request {
+            StoreRequest::Watch(_, _, time) => Some(time),
+            _ => None,
+        };
+        if watch_time.is_some() {
             self.lease.renew_now(now);
         }
-        let pending = PendingRequest { purpose, sent: now, is_long_poll, is_doubtful: false };
+        let pending = PendingRequest { purpose, sent: now, watch_time, is_doubtful: false };
         self.pending_requests.insert(id, pending);
         self.actions.push(FleetAction::Store { id, request });
     }
--- a/crates/core/src/fleet/node_events.rs
+++ b/crates/core/src/fleet/node_events.rs
@@ -6,6 +6,7 @@
 use rand::seq::IteratorRandom;
 
 use super::fleet_control::FleetControl;
+use super::peer_directory::Peer;
 use crate::fleet::{ConfigText, FleetAction, FleetChange, Heartbeat};
 use crate::units::{Instant, Micros, Millis, UnixMillis};
 
@@ -157,17 +158,25 @@
     /// learn of changes from these, so that the requests to the store grow with the data centres
     /// and not with the nodes, also when a silent store responds again.
     pub(super) fn is_watcher(&self, now: Instant) -> bool {
+        let before = self.nodes_before(now).filter(|peer| peer.is_local);
+        let local_nodes = self.peers.alive(now).filter(|peer| peer.is_local).count() + 1;
+        before.count() < Self::MIN_WATCHERS.max(local_nodes / Self::NODES_PER_WATCHER)
+    }
+
+    /// Returns whether this node leads the watchers of all data centres that it hears of.
+    pub(super) fn is_leader(&self, now: Instant) -> bool {
+        !self.is_leaving && self.nodes_before(now).next().is_none()
+    }
+
+    /// Returns the live nodes that precede this one: those that reach the store come first, by id.
+    fn nodes_before(&self, now: Instant) -> impl Iterator<Item = &Peer> {
         let own_rank = (!self.store_contact.is_reached(), &self.identity.entry.node);
-        let is_before = |heartbeat: &Heartbeat| {
+        let is_before = move |heartbeat: &Heartbeat| {
             let rank = (!heartbeat.is_store_reached, &heartbeat.entry.node);
             !heartbeat.is_leaving && rank < own_rank
         };
-        let before = self
-            .peers
-            .alive(now)
-            .filter(|peer| peer.is_local && peer.heartbeat.as_ref().is_some_and(is_before));
-        let local_nodes = self.peers.alive(now).filter(|peer| peer.is_local).count() + 1;
-        before.count() < Self::MIN_WATCHERS.max(local_nodes / Self::NODES_PER_WATCHER)
+        let alive = self.peers.alive(now);
+        alive.filter(move |peer| peer.heartbeat.as_ref().is_some_and(&is_before))
     }
 
     pub(super) fn is_local(&self, entry: &crate::fleet::NodeEntry) -> bool {
--- a/crates/core/src/fleet/pending_request.rs
+++ b/crates/core/src/fleet/pending_request.rs
@@ -2,16 +2,16 @@
 
 use crate::fleet::KeySpace;
 use crate::ids::ServiceName;
-use crate::units::Instant;
+use crate::units::{Instant, Millis};
 
 /// A request to the store that has neither been answered nor failed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct PendingRequest {
     pub(super) purpose: RequestPurpose,
     pub(super) sent: Instant,
-    /// Whether the store answers only when something changes, so that a lost request looks like one
-    /// that waits.
-    pub(super) is_long_poll: bool,
+    /// How long the store holds a watch that finds no changes, in which a lost one looks like one
+    /// that waits; `None` for all other requests.
+    pub(super) watch_time: Option<Millis>,
     /// Whether another request had no answer while this one was pending, so that this one or its
     /// answer may be lost as well.
     pub(super) is_doubtful: bool,
--- a/crates/core/src/fleet/store_contact.rs
+++ b/crates/core/src/fleet/store_contact.rs
@@ -28,8 +28,12 @@
         self.watch_failure = failure.filter(|failure| *failure != StoreFailure::HistoryLost);
     }
 
-    /// Records whether a request that is answered without a wait had no answer.
-    pub(super) const fn record_silence(&mut self, is_silent: bool) {
+    /// Records whether a request that is answered without a wait had no answer. An answer shows that
+    /// a watch without one would be answered now.
+    pub(super) fn record_silence(&mut self, is_silent: bool) {
         self.is_silent = is_silent;
+        if !is_silent && self.watch_failure == Some(StoreFailure::Unanswered) {
+            self.watch_failure = None;
+        }
     }
 }
--- a/crates/core/src/fleet/store_events.rs
+++ b/crates/core/src/fleet/store_events.rs
@@ -6,7 +6,7 @@
 use super::pending_request::{PendingRequest, RequestPurpose};
 use crate::fleet::{
     FleetAction, FleetChange, ItemChange, KeySpace, Rollout, RolloutOrder, RolloutProgress,
-    StoreFailure, StoreItem, StoreKey, StoreReply, StoreResponse, StoredValue,
+    StoreFailure, StoreItem, StoreKey, StoreReply, StoreResponse, StoreWatcher, StoredValue,
 };
 use crate::store::{Revision, StoreEra};
 use crate::units::{Instant, UnixMillis};
@@ -27,7 +27,7 @@
             self.repeat_doubtful_watches(now);
         }
         let Some(reply) = self.reply_of_known_era(now, response) else { return };
-        self.update_store_contact(&request.purpose, reply.as_ref().err().copied());
+        self.update_store_contact(now, &request.purpose, reply.as_ref().err().copied());
         match request.purpose {
             RequestPurpose::Watch(space) => {
                 if matches!(reply, Err(StoreFailure::Unanswered)) {
@@ -80,8 +80,14 @@
     }
 
     /// Updates whether the store answers, by the end of a request.
-    fn update_store_contact(&mut self, purpose: &RequestPurpose, failure: Option<StoreFailure>) {
+    fn update_store_contact(
+        &mut self,
+        now: Instant,
+        purpose: &RequestPurpose,
+        failure: Option<StoreFailure>,
+    ) {
         let was_reached = self.store_contact.is_reached();
+        let was_leader = self.is_leader(now);
         match purpose {
             RequestPurpose::Watch(KeySpace::Operator) => self.store_contact.record_watch(failure),
             RequestPurpose::Watch(KeySpace::Nodes) => {}
@@ -95,6 +101,8 @@
         }
         let is_reached = self.store_contact.is_reached();
         if is_reached != was_reached {
+            // The next node in order leads once it hears of this.
+            self.has_update |= was_leader;
             let failure = self.store_contact.failure();
             self.report(FleetChange::Store { is_reached, failure });
         }
@@ -102,11 +110,27 @@
 
     /// Marks the pending watches, because another request had no answer while they were pending.
     fn doubt_watches(&mut self) {
-        for pending in self.pending_requests.values_mut().filter(|pending| pending.is_long_poll) {
+        for pending in
+            self.pending_requests.values_mut().filter(|pending| pending.watch_time.is_some())
+        {
             pending.is_doubtful = true;
         }
     }
 
+    /// Marks a watch of the operator's keys from before this node led, which waits for too long, and
+    /// asks for the answer that repeats it.
+    pub(super) fn doubt_long_watch(&mut self, now: Instant) {
+        let is_long = |pending: &&mut PendingRequest| {
+            pending.purpose == RequestPurpose::Watch(KeySpace::Operator)
+                && pending.watch_time > Some(StoreWatcher::LEADER_WATCH_TIME)
+                && !pending.is_doubtful
+        };
+        if let Some(pending) = self.pending_requests.values_mut().find(is_long) {
+            pending.is_doubtful = true;
+            self.lease.renew_now(now);
+        }
+    }
+
     /// Gives up the watches that may be lost, because the store has just answered. If this node
     /// still watches, the next ones are sent from the same revisions.
     fn repeat_doubtful_watches(&mut self, now: Instant) {
@@ -126,7 +150,8 @@
     /// Makes the next renewal of the lease due if a watch was sent after the one that was sent at
     /// `renewed`, whose answer tells nothing of that watch.
     fn confirm_later_watches(&mut self, now: Instant, renewed: Instant) {
-        let is_later = |pending: &PendingRequest| pending.is_long_poll && pending.sent > renewed;
+        let is_later =
+            |pending: &PendingRequest| pending.watch_time.is_some() && pending.sent > renewed;
         if self.pending_requests.values().any(is_later) {
             self.lease.renew_now(now);
         }
--- a/crates/core/src/fleet/store_request.rs
+++ b/crates/core/src/fleet/store_request.rs
@@ -9,8 +9,9 @@
 pub enum StoreRequest {
     /// Read a page of the items of a key space, after a key if there is one.
     List(KeySpace, Option<StoreKey>),
-    /// Wait for changes of a key space after a revision.
-    Watch(KeySpace, Revision),
+    /// Wait for changes of a key space after a revision. Without one, the store answers after the
+    /// time.
+    Watch(KeySpace, Revision, Millis),
     /// Open a lease that lapses after this time without a renewal.
     OpenLease(Millis),
     /// Renew a lease before it lapses.
--- a/crates/core/src/fleet/store_watcher.rs
+++ b/crates/core/src/fleet/store_watcher.rs
@@ -30,8 +30,9 @@
     /// Whether the key space was listed since the last restoration of the store, and nothing has
     /// shown that it has changed without a report.
     is_current: bool,
-    /// Whether to wait for changes. The first listing is made in any case.
-    is_watching: bool,
+    /// How long a watch waits for changes; `None` to send none. The first listing is made in any
+    /// case.
+    watch_time: Option<Millis>,
 }
 
 #[derive(Debug)]
@@ -53,6 +54,11 @@
     /// The delay after a watch that returned changes, so that changes which follow closely arrive
     /// with one request.
     pub const BATCH_DELAY: Millis = Millis::new(150);
+    /// How long the store holds a watch without changes.
+    pub const WATCH_TIME: Millis = Millis::new(15_000);
+    /// How long the store holds a watch of the leading node. A watch whose answer is lost is found
+    /// out within this time and a request's timeout, also if nothing else shows the loss.
+    pub const LEADER_WATCH_TIME: Millis = Millis::new(1_000);
     /// The longest delay after a failure. Less than the two seconds within which lapsed entries
     /// must be written again.
     const MAX_RETRY_DELAY: Millis = Millis::new(800);
@@ -70,24 +76,27 @@
             failures_in_a_row: 0,
             is_listed: false,
             is_current: false,
-            is_watching: true,
+            watch_time: Some(Self::WATCH_TIME),
         }
     }
 
     /// Returns the next request if it is due at `now`.
     pub fn request(&self, now: Instant) -> Option<StoreRequest> {
-        if now < self.next_request_at || (self.is_listed && !self.is_watching) {
+        if now < self.next_request_at || (self.is_listed && self.watch_time.is_none()) {
             return None;
         }
-        Some(match &self.state {
-            State::Listing { after, .. } => StoreRequest::List(self.space, after.clone()),
-            State::Watching(revision) => StoreRequest::Watch(self.space, *revision),
-        })
+        match &self.state {
+            State::Listing { after, .. } => Some(StoreRequest::List(self.space, after.clone())),
+            State::Watching(revision) => {
+                self.watch_time.map(|time| StoreRequest::Watch(self.space, *revision, time))
+            }
+        }
     }
 
-    /// Sets whether to wait for changes. A pending watch is not cancelled.
-    pub fn set_watching(&mut self, is_watching: bool) {
-        self.is_watching = is_watching;
+    /// Sets how long the next watches wait for changes; `None` to send none. A pending watch is not
+    /// cancelled.
+    pub fn set_watch_time(&mut self, watch_time: Option<Millis>) {
+        self.watch_time = watch_time;
     }
 
     /// Lists the key space again, because the store was restored and is now in `era`.
--- a/crates/core/tests/fleet_common/node.rs
+++ b/crates/core/tests/fleet_common/node.rs
@@ -91,7 +91,7 @@
     pub fn report_change(&mut self, space: KeySpace, item: StoreItem) {
         let revision = item.revision;
         let reply = StoreReply::Changes(vec![ItemChange::Put(item)], revision);
-        self.reply(|r| matches!(r, StoreRequest::Watch(s, _) if *s == space), Ok(reply));
+        self.reply(|r| matches!(r, StoreRequest::Watch(s, ..) if *s == space), Ok(reply));
     }
 
     pub fn version(&self) -> u64 {
--- a/crates/core/tests/fleet_common/simulated_fleet.rs
+++ b/crates/core/tests/fleet_common/simulated_fleet.rs
@@ -17,8 +17,6 @@
 
 /// Time limit of a request to the store.
 const REQUEST_TIMEOUT: Millis = Millis::new(900);
-/// How long the store holds a watch without changes.
-const WATCH_TIME: Millis = Millis::new(15_000);
 const TICK_INTERVAL: Millis = Millis::new(100);
 /// How long another node takes to send its configuration.
 const FETCH_TIME: Millis = Millis::new(30);
@@ -64,6 +62,7 @@
             next_event: 0,
             open_requests: BTreeSet::new(),
         };
+        fleet.store.silent_nodes = 0..fleet.nodes.len();
         fleet.store.put_config(1);
         for node in 0..fleet.nodes.len() {
             let first = fleet.rng.random_range(0..=TICK_INTERVAL.get());
@@ -106,8 +105,8 @@
             Event::StoreRequest(node, id, request) => {
                 let receiver = (node, id);
                 let reply = self.store.request(self.now, &mut self.rng, receiver, &request);
-                if matches!(request, StoreRequest::Watch(..)) && reply.is_none() {
-                    self.schedule(self.now + WATCH_TIME, Event::WatchEnd(node, id));
+                if let (StoreRequest::Watch(_, _, time), None) = (&request, &reply) {
+                    self.schedule(self.now + *time, Event::WatchEnd(node, id));
                 }
                 if let Some(reply) = reply {
                     self.schedule_delayed(Event::StoreReply(node, id, Ok(reply)));
@@ -155,7 +154,7 @@
             FleetAction::Store { id, request } => {
                 self.open_requests.insert((node, id));
                 let timeout = match request {
-                    StoreRequest::Watch(..) => REQUEST_TIMEOUT.get() + WATCH_TIME.get(),
+                    StoreRequest::Watch(_, _, time) => REQUEST_TIMEOUT.get() + time.get(),
                     StoreRequest::List(..) => 2 * REQUEST_TIMEOUT.get(),
                     _ => REQUEST_TIMEOUT.get(),
                 };
--- a/crates/core/tests/fleet_common/simulated_store.rs
+++ b/crates/core/tests/fleet_common/simulated_store.rs
@@ -22,6 +22,8 @@
 pub struct SimulatedStore {
     /// The times in which the store gives no response, to new requests and to waiting watches.
     pub silences: Vec<Range<Instant>>,
+    /// The nodes to which the store is silent in these times.
+    pub silent_nodes: Range<usize>,
     /// The time in which each response is lost with a probability.
     pub losses: Option<(Range<Instant>, f64)>,
     /// The number of requests of each kind that arrived.
@@ -34,9 +36,10 @@
 }
 
 impl SimulatedStore {
-    /// Returns whether the store gives no response at `now`.
-    pub fn is_silent(&self, now: Instant) -> bool {
-        self.silences.iter().any(|silence| silence.contains(&now))
+    /// Returns whether the store gives no response to `node` at `now`.
+    fn is_silent(&self, now: Instant, node: usize) -> bool {
+        self.silent_nodes.contains(&node)
+            && self.silences.iter().any(|silence| silence.contains(&now))
     }
 
     /// Returns the reply to a request that arrives at `now`; `None` if it never comes or if it is a
@@ -49,7 +52,7 @@
         request: &StoreRequest,
     ) -> Option<StoreReply> {
         *self.calls.entry(kind(request)).or_default() += 1;
-        if self.is_silent(now) {
+        if self.is_silent(now, receiver.0) {
             return None;
         }
         let reply = match request {
@@ -58,7 +61,7 @@
                 let items = self.items.values().filter(in_space).cloned().collect();
                 StoreReply::Items { items, next: None, as_of: Revision::new(self.revision) }
             }
-            StoreRequest::Watch(space, after) => match self.changes(*space, after.get()) {
+            StoreRequest::Watch(space, after, _) => match self.changes(*space, after.get()) {
                 Some(changes) => changes,
                 None => {
                     self.watches.push((receiver, *space, after.get()));
@@ -96,7 +99,7 @@
         for (receiver, space, after) in std::mem::take(&mut self.watches) {
             match self.changes(space, after) {
                 None => self.watches.push((receiver, space, after)),
-                Some(_) if self.is_silent(now) || self.is_lost(now, rng) => {}
+                Some(_) if self.is_silent(now, receiver.0) || self.is_lost(now, rng) => {}
                 Some(reply) => due.push((receiver, reply)),
             }
         }
@@ -109,7 +112,7 @@
         let at = self.watches.iter().position(|(waiting, ..)| *waiting == receiver)?;
         self.watches.remove(at);
         let none = StoreReply::Changes(Vec::new(), Revision::new(self.revision));
-        (!self.is_silent(now)).then_some(none)
+        (!self.is_silent(now, receiver.0)).then_some(none)
     }
 
     fn put(&mut self, item: StoreItem) {
--- a/crates/core/tests/fleet_restored_rollout.rs
+++ b/crates/core/tests/fleet_restored_rollout.rs
@@ -97,7 +97,7 @@
 fn begin_restoration(node: &mut Node) {
     node.advance(200);
     node.era = RESTORED;
-    let is_watch = |r: &StoreRequest| matches!(r, StoreRequest::Watch(KeySpace::Operator, _));
+    let is_watch = |r: &StoreRequest| matches!(r, StoreRequest::Watch(KeySpace::Operator, ..));
     node.reply(is_watch, Err(StoreFailure::HistoryLost));
     // Replies to requests of the earlier era don't come.
     let is_listing = |request: &StoreRequest| matches!(request, StoreRequest::List(..));
--- a/crates/core/tests/fleet_restored_store.rs
+++ b/crates/core/tests/fleet_restored_store.rs
@@ -3,7 +3,8 @@
 mod fleet_common;
 
 use almondsail_core::fleet::{
-    ItemChange, KeySpace, LeaseId, StoreFailure, StoreKey, StoreReply, StoreRequest, StoreWrite,
+    ItemChange, KeySpace, LeaseId, StoreFailure, StoreKey, StoreReply, StoreRequest, StoreWatcher,
+    StoreWrite,
 };
 use almondsail_core::store::{Revision, StoreEra};
 use fleet_common::node::{Node, config_item};
@@ -11,7 +12,7 @@
 const SPACES: [KeySpace; 2] = [KeySpace::Operator, KeySpace::Nodes];
 
 fn is_watch(request: &StoreRequest) -> bool {
-    matches!(request, StoreRequest::Watch(KeySpace::Operator, _))
+    matches!(request, StoreRequest::Watch(KeySpace::Operator, ..))
 }
 
 fn is_renewal(request: &StoreRequest) -> bool {
@@ -87,12 +88,11 @@
     node.era = StoreEra::new(0);
     let removed = ItemChange::Removed(StoreKey::Config, Revision::new(400));
     let changes = Ok(StoreReply::Changes(vec![removed], Revision::new(400)));
-    node.open_requests.retain(|(_, request)| {
-        !is_watch(request) || *request == StoreRequest::Watch(KeySpace::Operator, Revision::new(60))
-    });
+    let time = StoreWatcher::LEADER_WATCH_TIME;
+    let watch = StoreRequest::Watch(KeySpace::Operator, Revision::new(60), time);
+    node.open_requests.retain(|(_, request)| !is_watch(request) || *request == watch);
     node.reply(is_watch, changes);
     node.advance(1_000);
-    let watch = StoreRequest::Watch(KeySpace::Operator, Revision::new(60));
     assert!(node.open_requests.iter().any(|(_, request)| *request == watch));
 }
 
--- a/crates/core/tests/fleet_silent_store.rs
+++ b/crates/core/tests/fleet_silent_store.rs
@@ -66,3 +66,84 @@
         assert!(late.is_empty(), "seed {seed}, {silence:?}, change {change}: {:?}", late[0]);
     }
 }
+/// Guards against a lost watch that nothing shows: the silence is too short for a renewal of the lease
+/// to fall into it, and the change that the watches would have told of is made in it.
+#[test]
+fn config_change_in_short_silence() {
+    for seed in seeds(40) {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let start = rng.random_range(4_000..20_000);
+        let silence = start..start + rng.random_range(100..2_500);
+        let changes = [start + rng.random_range(0..200), silence.end + rng.random_range(0..4_000)];
+        let late = late_times(std::slice::from_ref(&silence), &changes, None, seed);
+        assert!(late.is_empty(), "seed {seed}, {silence:?}, changes {changes:?}: {:?}", late[0]);
+    }
+}
+
+/// Guards against a watch that is repeated into a second silence, and watches that are lost in a
+/// storm of changes.
+#[test]
+fn config_change_storm_and_two_silences() {
+    for seed in seeds(40) {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let start = rng.random_range(4_000..20_000);
+        let first = start..start + rng.random_range(100..6_500);
+        let start = first.end + rng.random_range(50..4_000);
+        let second = start..start + rng.random_range(100..6_500);
+        let storm = (0..20).map(|n| first.start - 1_000 + n * 300);
+        let last = second.end + rng.random_range(0..4_000);
+        let changes: Vec<u64> = storm.chain([last]).collect();
+        let late = late_times(&[first.clone(), second.clone()], &changes, None, seed);
+        assert!(late.is_empty(), "seed {seed}, {first:?}, {second:?}, last {last}: {:?}", late[0]);
+    }
+}
+
+/// Guards against a change whose news is lost at all nodes that watch, one by one.
+#[test]
+fn config_change_while_answers_are_lost() {
+    const LOST_SHARE: f64 = 0.35;
+    for seed in seeds(40) {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let start = rng.random_range(4_000..20_000);
+        let time = start..start + rng.random_range(2_000..6_500);
+        let mut changes: Vec<u64> = (0..4).map(|_| start + rng.random_range(0..5_500)).collect();
+        changes.sort_unstable();
+        let late = late_times(&[], &changes, Some((time.clone(), LOST_SHARE)), seed);
+        assert!(late.is_empty(), "seed {seed}, {time:?}, changes {changes:?}: {:?}", late[0]);
+    }
+}
+
+/// Guards against nodes that don't hear of changes because the store is silent for all nodes that
+/// watch, and for no other.
+#[test]
+fn config_change_watchers_alone_in_silence() {
+    for seed in seeds(40) {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let start = rng.random_range(4_000..20_000);
+        let mut fleet = SimulatedFleet::start(NODES, seed);
+        fleet.store.silences = vec![at(start)..at(start + 20_000)];
+        fleet.store.silent_nodes = 0..4;
+        // Longer than a renewal interval and the timeout of a renewal: others have taken over.
+        let change = start + rng.random_range(4_000..15_000);
+        fleet.put_config_at(at(change), 2);
+        let due = at(change) + APPLY_LIMIT;
+        fleet.run(at(change + 6_000), |now, versions| {
+            let is_late = now >= due && versions.contains(&1);
+            assert!(!is_late, "seed {seed}, silence from {start}, change {change}: {versions:?}");
+        });
+    }
+}
+
+/// Guards against a calm store that is asked more often the more nodes there are.
+#[test]
+fn calls_on_calm_day_any_fleet() {
+    let watches = |nodes| {
+        let mut fleet = SimulatedFleet::start(nodes, 1);
+        fleet.run(at(10_000), |_, _| {});
+        let before = fleet.store.calls["watch"];
+        fleet.run(at(70_000), |_, _| {});
+        fleet.store.calls["watch"] - before
+    };
+    let (few, many) = (watches(8), watches(24));
+    assert!(many <= few + 4, "{few} watches a minute of 8 nodes, {many} of 24");
+}
--- a/crates/core/tests/fleet_store_watcher.rs
+++ b/crates/core/tests/fleet_store_watcher.rs
@@ -45,7 +45,7 @@
     assert_eq!(watcher.request(at(1)), Some(StoreRequest::List(KeySpace::Nodes, Some(after))));
     let changes = reply(&mut watcher, at(2), Ok(page(vec![item(2, 6)], None, 9)));
     assert_eq!(changes, vec![ItemChange::Put(item(1, 3)), ItemChange::Put(item(2, 6))]);
-    let watch = StoreRequest::Watch(KeySpace::Nodes, Revision::new(5));
+    let watch = StoreRequest::Watch(KeySpace::Nodes, Revision::new(5), StoreWatcher::WATCH_TIME);
     assert_eq!(watcher.request(at(2)), Some(watch));
 }
 
@@ -80,7 +80,8 @@
     for n in 1..=20 {
         let listed = reply(&mut watcher, now, Ok(page(vec![item(1, n)], None, n)));
         assert_eq!(listed, vec![ItemChange::Put(item(1, n))]);
-        let watch = StoreRequest::Watch(KeySpace::Operator, Revision::new(n));
+        let watch =
+            StoreRequest::Watch(KeySpace::Operator, Revision::new(n), StoreWatcher::WATCH_TIME);
         assert_eq!(watcher.request(now), Some(watch));
         assert!(reply(&mut watcher, now, Err(StoreFailure::Unreadable)).is_empty());
         let later = now + Millis::new(900);
@@ -109,11 +110,11 @@
 #[test]
 fn request_not_watching() {
     let mut watcher = StoreWatcher::new(KeySpace::Operator);
-    watcher.set_watching(false);
+    watcher.set_watch_time(None);
     assert!(watcher.request(at(0)).is_some(), "the first listing is made in any case");
     reply(&mut watcher, at(0), Ok(page(Vec::new(), None, 1)));
     assert_eq!(watcher.request(at(5_000)), None);
-    watcher.set_watching(true);
+    watcher.set_watch_time(Some(StoreWatcher::WATCH_TIME));
     assert!(watcher.request(at(5_000)).is_some());
 }
 
--- a/crates/node/src/fleet/fleet_store_client.rs
+++ b/crates/node/src/fleet/fleet_store_client.rs
@@ -31,7 +31,7 @@
     /// Sends `request` and decodes the reply.
     pub(crate) async fn call(&self, request: &StoreRequest) -> StoreResponse {
         let timeout = match request {
-            StoreRequest::Watch(..) => self.timeout + to_std_duration(codec::WATCH_TIMEOUT),
+            StoreRequest::Watch(_, _, time) => self.timeout + to_std_duration(*time),
             // A page can be a megabyte, which takes most of a second over a slow link.
             StoreRequest::List(..) => 2 * self.timeout,
             _ => self.timeout,
