Report bodies above the size limit as an error

Cause: the control client turned a body above 4 MiB into an empty one. A caller that does not look at the body takes it for a result: a renewal of the lease succeeded with any body.

Change: reading a body returns AnswerError, and the store client maps a body that is too large to StoreFailure::Unreadable for every request. A configuration of another node that is too large counts as not sent.

--- a/crates/node/src/fleet/control_http_client.rs
+++ b/crates/node/src/fleet/control_http_client.rs
@@ -18,6 +18,15 @@
 /// How long an idle connection is kept open.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Why a request has no answer that can be used.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum AnswerError {
+    /// No whole answer came in time. The request may have taken effect.
+    Unanswered,
+    /// The body is above the size limit. The same request would be answered in the same way.
+    TooLarge,
+}
+
 /// Sends the control loop's requests to the store and to other nodes. Silent connections are
 /// ended in the same way as those of calls.
 #[derive(Debug, Clone)]
@@ -33,18 +42,19 @@
         Self { client: http_client::client(connector, IDLE_TIMEOUT) }
     }
 
-    /// Sends `request` to `address`. Returns `None` if no whole answer arrives within `limit`.
+    /// Sends `request` to `address` and reads the whole answer, which must arrive within `limit`.
     pub(crate) async fn call(
         &self,
         address: SocketAddr,
         request: Request<Bytes>,
         limit: Duration,
-    ) -> Option<Response<Bytes>> {
+    ) -> Result<Response<Bytes>, AnswerError> {
         let exchange = async {
-            let (head, body) = self.send(address, request).await?.into_parts();
-            Some(Response::from_parts(head, read_body(body).await?))
+            let response = self.send(address, request).await.ok_or(AnswerError::Unanswered)?;
+            let (head, body) = response.into_parts();
+            Ok(Response::from_parts(head, read_body(body).await?))
         };
-        timeout(limit, exchange).await.ok().flatten()
+        timeout(limit, exchange).await.unwrap_or(Err(AnswerError::Unanswered))
     }
 
     /// Sends `request` to `address` and waits for the head of the answer.
@@ -62,12 +72,11 @@
     }
 }
 
-/// Reads a body to its end; `None` if it ends early. A body above [`MAX_RESPONSE_BYTES`] counts as
-/// empty: it was answered, and would be again, but nobody can read it.
-pub(crate) async fn read_body(body: Incoming) -> Option<Bytes> {
+/// Reads a body of up to [`MAX_RESPONSE_BYTES`] to its end.
+pub(crate) async fn read_body(body: Incoming) -> Result<Bytes, AnswerError> {
     match Limited::new(body, MAX_RESPONSE_BYTES).collect().await {
-        Ok(body) => Some(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Some(Bytes::new()),
-        Err(_) => None,
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(AnswerError::TooLarge),
+        Err(_) => Err(AnswerError::Unanswered),
     }
 }
--- a/crates/node/src/fleet/control_loop.rs
+++ b/crates/node/src/fleet/control_loop.rs
@@ -173,7 +173,7 @@
             return None;
         }
         let _ = result_tx.send(FleetEvent::PeerConfigBegun(from)).await;
-        control_http_client::read_body(response.into_body()).await
+        control_http_client::read_body(response.into_body()).await.ok()
     };
     let text = tokio::time::timeout(CONFIG_FETCH_TIMEOUT, answer).await.ok().flatten()?;
     almondsail_platform::config::decode(&text).ok()
--- a/crates/node/src/fleet/fleet_store_client.rs
+++ b/crates/node/src/fleet/fleet_store_client.rs
@@ -7,7 +7,7 @@
 use almondsail_platform::store as codec;
 
 use crate::clock::to_std_duration;
-use crate::fleet::control_http_client::ControlHttpClient;
+use crate::fleet::control_http_client::{AnswerError, ControlHttpClient};
 
 /// Sends requests to the store over HTTP.
 #[derive(Debug, Clone)]
@@ -40,11 +40,12 @@
             return StoreResponse::failed(StoreFailure::Unreadable);
         };
         match self.client.call(self.address, sent, timeout).await {
-            Some(response) => {
+            Ok(response) => {
                 let (head, body) = response.into_parts();
                 codec::decode(request, head.status, &head.headers, &body)
             }
-            None => StoreResponse::failed(StoreFailure::Unanswered),
+            Err(AnswerError::TooLarge) => StoreResponse::failed(StoreFailure::Unreadable),
+            Err(AnswerError::Unanswered) => StoreResponse::failed(StoreFailure::Unanswered),
         }
     }
 }
