Count answers against the memory limit until they are sent

Cause: the budget of answers was given back as soon as an answer had been read whole. Answers that wait for an earlier answer of their connection, or for a caller that reads slowly, were held without a limit, up to 16 on each connection; writing one copied it once more.

Change: the body of an answer owns its reservation and gives it back when it is dropped. The writer sends head and body without a copy.

--- a/crates/node/src/calls/answer_body.rs
+++ b/crates/node/src/calls/answer_body.rs
@@ -14,6 +14,7 @@
 
 use crate::calls::answer_end::AnswerEnd;
 use crate::calls::answer_limit::AnswerLimit;
+use crate::calls::answer_reservation::AnswerReservation;
 use crate::calls::answer_stream::{AnswerStream, StreamError};
 use crate::calls::answer_watcher::AnswerWatcher;
 use crate::calls::client_connection::ClientConnection;
@@ -94,6 +95,14 @@
         Ok(())
     }
 
+    /// Takes the memory that the body occupies; `None` if it is not kept in memory.
+    pub(crate) fn take_reservation(&mut self) -> Option<AnswerReservation> {
+        match &mut self.source {
+            Source::Recorded(_) => None,
+            Source::Stream(stream) => stream.take_reservation(),
+        }
+    }
+
     /// Reads a body of at most 16 KiB to its end, so that its connection can be reused. A longer
     /// body is dropped, which closes the connection.
     pub(crate) async fn discard(mut self) {
--- a/crates/node/src/calls/answer_limit.rs
+++ b/crates/node/src/calls/answer_limit.rs
@@ -31,6 +31,15 @@
         Self::Held { reservation, data: 0 }
     }
 
+    /// Takes the memory of a body that was read to its end; `None` if the body is passed on as it
+    /// arrives.
+    pub(crate) fn take_reservation(&mut self) -> Option<AnswerReservation> {
+        match std::mem::replace(self, Self::Streamed) {
+            Self::Streamed => None,
+            Self::Held { reservation, .. } => Some(reservation),
+        }
+    }
+
     /// Records that `bytes` of data were read. Returns whether a new [`AnswerLimit::STEP`] begins.
     pub(crate) const fn record_data(&mut self, bytes: usize) -> bool {
         match self {
--- a/crates/node/src/calls/answer_reservation.rs
+++ b/crates/node/src/calls/answer_reservation.rs
@@ -18,6 +18,11 @@
         Self { budget, held: ByteCount::new(0) }
     }
 
+    /// Returns whether no memory is reserved.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.held == ByteCount::new(0)
+    }
+
     /// Reserves further `bytes`. Returns `false` if the answer has become too long.
     pub(crate) fn try_grow(&mut self, bytes: ByteCount) -> bool {
         let may_grow = self.budget.try_grow(self.held, bytes);
--- a/crates/node/src/calls/answer_stream.rs
+++ b/crates/node/src/calls/answer_stream.rs
@@ -12,6 +12,7 @@
 
 use crate::calls::answer_end::AnswerEnd;
 use crate::calls::answer_limit::AnswerLimit;
+use crate::calls::answer_reservation::AnswerReservation;
 use crate::calls::client_connection::{AfterAnswer, ClientConnection};
 use crate::calls::connection_pool::ConnectionPool;
 
@@ -55,6 +56,11 @@
         self.remaining == Some(0) && self.connection.is_none()
     }
 
+    /// Takes the memory that the body occupies; `None` if it is not kept in memory.
+    pub(crate) fn take_reservation(&mut self) -> Option<AnswerReservation> {
+        self.limit.take_reservation()
+    }
+
     /// Polls the next bytes; `None` at the end of a complete answer.
     pub(crate) fn poll_frame(
         &mut self,
--- a/crates/node/src/calls/held_answer.rs
+++ b/crates/node/src/calls/held_answer.rs
@@ -15,6 +15,9 @@
     /// Returns `bytes` as a body that gives `reservation` back when it is dropped, which may be long
     /// after it was read: a slow caller takes it in small pieces.
     pub(crate) fn into_bytes(bytes: Bytes, reservation: AnswerReservation) -> Bytes {
+        if reservation.is_empty() {
+            return bytes;
+        }
         Bytes::from_owner(Self { bytes, _reservation: reservation })
     }
 }
--- a/crates/node/src/calls/mod.rs
+++ b/crates/node/src/calls/mod.rs
@@ -36,6 +36,7 @@
 mod forward;
 mod forwarded_call;
 mod handover_batch;
+pub(crate) mod held_answer;
 mod in_flight;
 mod inbound;
 mod inbound_server;
--- a/crates/node/src/fleet/http1/connection.rs
+++ b/crates/node/src/fleet/http1/connection.rs
@@ -215,10 +215,9 @@
         let HandledRequest { method, wants_close, response } = handled;
         let is_last = self.in_flight.is_empty();
         let close = wants_close || (self.is_stopping() && is_last);
-        let mut out = BytesMut::with_capacity(512 + response.body().len());
-        response_writer::write(&mut out, &method, &response, close);
+        let mut out = response_writer::encode(&method, response, close);
         self.is_writing = true;
-        let written = timeout(WRITE_TIMEOUT, self.stream.write_all(&out)).await;
+        let written = timeout(WRITE_TIMEOUT, self.stream.write_all_buf(&mut out)).await;
         if !matches!(written, Ok(Ok(()))) {
             self.end = ConnectionEnd::WriteFailed;
             return None;
--- a/crates/node/src/fleet/http1/response_writer.rs
+++ b/crates/node/src/fleet/http1/response_writer.rs
@@ -1,16 +1,31 @@
 //! Serializes HTTP/1.1 responses for the callers of a node.
 
-use bytes::{BufMut as _, Bytes, BytesMut};
+use bytes::buf::Chain;
+use bytes::{Buf as _, BufMut as _, Bytes, BytesMut};
 use http::header::{self, HeaderName};
 use http::{Method, Response, StatusCode};
 
+/// Size of the buffer for a head. It grows for a larger one.
+const HEAD_CAPACITY_BYTES: usize = 512;
 /// Headers that the connection sets itself, whatever the response has.
 const FRAMING_HEADERS: [HeaderName; 3] =
     [header::CONTENT_LENGTH, header::CONNECTION, header::TRANSFER_ENCODING];
 
-/// Appends `response` to `out`. `method` is that of the request; `close` announces that the
-/// connection closes after the response.
-pub(crate) fn write(out: &mut BytesMut, method: &Method, response: &Response<Bytes>, close: bool) {
+/// Returns `response` as it is sent, without a copy of its body. `method` is that of the request;
+/// `close` announces that the connection closes after the response.
+pub(crate) fn encode(
+    method: &Method,
+    response: Response<Bytes>,
+    close: bool,
+) -> Chain<Bytes, Bytes> {
+    let mut out = BytesMut::with_capacity(HEAD_CAPACITY_BYTES);
+    let has_body = *method != Method::HEAD && has_body(response.status());
+    write_head(&mut out, &response, has_body, close);
+    let body = if has_body { response.into_body() } else { Bytes::new() };
+    out.freeze().chain(body)
+}
+
+fn write_head(out: &mut BytesMut, response: &Response<Bytes>, has_body: bool, close: bool) {
     let status = response.status();
     out.put_slice(b"HTTP/1.1 ");
     out.put_slice(status.as_str().as_bytes());
@@ -22,7 +37,6 @@
             write_header(out, name.as_str().as_bytes(), value.as_bytes());
         }
     }
-    let has_body = *method != Method::HEAD && has_body(status);
     if has_body {
         write_header(out, b"content-length", response.body().len().to_string().as_bytes());
     } else if let Some(length) = response.headers().get(header::CONTENT_LENGTH) {
@@ -32,9 +46,6 @@
         write_header(out, b"connection", b"close");
     }
     out.put_slice(b"\r\n");
-    if has_body {
-        out.put_slice(response.body());
-    }
 }
 
 /// Returns whether a response with `status` has a body (RFC 9112, section 6.3).
--- a/crates/node/src/fleet/whole_answer.rs
+++ b/crates/node/src/fleet/whole_answer.rs
@@ -15,13 +15,14 @@
 use crate::calls::body_bytes::BodyBytes;
 use crate::calls::client_connection::ClientConnection;
 use crate::calls::connection_pool::ConnectionPool;
+use crate::calls::held_answer::HeldAnswer;
 
 /// Error for an answer that broke off, timed out or exceeded the size limit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct IncompleteAnswer;
 
 /// Reads the body of `response`, which arrives over `connection`, until the time `until` and within
-/// `budget`. The connection returns to `pool` if it can be reused.
+/// `budget`, which gives the memory back once the returned body is dropped. The connection returns to `pool` if it can be reused.
 pub(crate) async fn read(
     response: Response<Incoming>,
     connection: ClientConnection,
@@ -41,7 +42,12 @@
         let frame = frame.map_err(|_| IncompleteAnswer)?;
         bytes.push(frame.into_data().unwrap_or_default());
     }
-    Ok(Response::from_parts(parts, bytes.into_bytes()))
+    let bytes = bytes.into_bytes();
+    let bytes = match body.take_reservation() {
+        Some(reservation) => HeldAnswer::into_bytes(bytes, reservation),
+        None => bytes,
+    };
+    Ok(Response::from_parts(parts, bytes))
 }
 
 /// Returns `connection` to `pool` if the body of `response` has arrived, and closes it otherwise.
--- a/crates/testkit/src/platform/fleet.rs
+++ b/crates/testkit/src/platform/fleet.rs
@@ -175,6 +175,11 @@
         ProcessUsage::of(self.harness.pid(self.raw_nodes[index].process())?)
     }
 
+    /// Returns the resources that a node uses.
+    pub fn usage(&self, node: usize) -> Result<ProcessUsage> {
+        ProcessUsage::of(self.harness.pid(self.nodes[node].process)?)
+    }
+
     /// Returns a client for the address on which a node accepts calls.
     pub fn caller(&self, node: usize) -> Result<HttpClient> {
         Ok(HttpClient::new(self.address(node, "callers")?))
--- a/crates/testkit/tests/fleet_faulty_worker/endless_answers.rs
+++ b/crates/testkit/tests/fleet_faulty_worker/endless_answers.rs
@@ -7,6 +7,7 @@
 use almondsail_testkit::platform::{Fleet, RawRequest, RawStep, RawWorker};
 use bytes::Bytes;
 use eyre::{Result, ensure};
+use http::Method;
 use tokio::task::JoinSet;
 
 use crate::{send, start};
@@ -133,3 +134,38 @@
     assert_eq!(statuses, [200; SLOTS]);
     Ok(())
 }
+
+// Guards against endless answers, at more requests than the worker has slots, that take the memory
+// of the node beside it or of the entry node, or fail calls to other servers.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn calls_beside_endless_answers() -> Result<()> {
+    const REQUESTS: usize = 60;
+    let (fleet, workers) = start(&["dc-a"]).await?;
+    for (name, start, rest) in ENDLESS {
+        let rest = Bytes::from(rest.repeat(64 * 1024 / rest.len()));
+        workers[0].set_script(move |req| {
+            let start = RawStep::Write(endless_start(req, start));
+            vec![start, RawStep::Repeat(rest.clone(), Duration::ZERO)]
+        });
+        let mut endless = JoinSet::new();
+        for n in 0..REQUESTS {
+            let client = if n % 2 == 0 { fleet.caller(0)? } else { fleet.raw_caller(0)? };
+            let path = format!("/unsafe/{name}-{n}").replace(' ', "-");
+            endless.spawn(async move { send(&client, &path, &path, "").await });
+        }
+        for n in 0..20 {
+            let client = if n % 2 == 0 { fleet.caller(0)? } else { fleet.raw_caller(0)? };
+            let id = format!("beside-{name}-{n}").replace(' ', "-");
+            let headers = [("host", "traslados.example"), ("almondsail-attempt-id", id.as_str())];
+            let reply = client.send(Method::GET, "/safe/beside", Bytes::new(), &headers).await?;
+            assert_eq!(reply.status, 200, "{id}");
+        }
+        for reply in endless.join_all().await {
+            let status = reply?.status.as_u16();
+            assert!(matches!(status, 502..=504), "{name}: {status}");
+        }
+    }
+    let memory = [fleet.usage(0)?.peak_memory, fleet.raw_usage(0)?.peak_memory];
+    assert!(memory.iter().all(|memory| *memory < NODE_MEMORY), "peaks {memory:?}");
+    Ok(())
+}
--- a/crates/testkit/tests/fleet_faulty_worker/main.rs
+++ b/crates/testkit/tests/fleet_faulty_worker/main.rs
@@ -6,6 +6,7 @@
 mod full_servers;
 mod large_bodies;
 mod repeated_answers;
+mod slow_callers;
 
 use almondsail_testkit::harness::wait_until;
 use almondsail_testkit::http::{HttpClient, Reply};
