--- a/crates/testkit/src/platform/kv_server.rs
+++ b/crates/testkit/src/platform/kv_server.rs
@@ -26,6 +26,8 @@
     Down,
     /// Rejects every call with status 503.
     Busy,
+    /// Accepts calls and never answers them, also not later.
+    Silent,
 }
 
 /// A test double of the platform's metadata store that runs in this process.
@@ -71,7 +73,8 @@
         result
     }
 
-    /// Sets how the store responds; any mode but [`KvMode::Up`] closes waiting watches.
+    /// Sets how the store responds. [`KvMode::Down`] and [`KvMode::Busy`] close waiting watches;
+    /// [`KvMode::Silent`] leaves them without an answer.
     pub fn set_mode(&self, mode: KvMode) {
         self.shared.with(|(_, current, _)| *current = mode);
         self.shared.changed.send_replace(());
@@ -110,6 +113,7 @@
         KvMode::Up => {}
         KvMode::Down => return Handled::Close,
         KvMode::Busy => return reply(503, &Value::Null),
+        KvMode::Silent => return std::future::pending().await,
     }
     let (parts, body) = req.into_parts();
     let Ok(body) = body.collect().await else { return Handled::Close };
@@ -153,8 +157,10 @@
         let (mode, changes, as_of) =
             shared.with(|(state, mode, _)| (*mode, state.changes(prefix, after), state.revision()));
         let Some(changes) = changes else { return reply(410, &Value::Null) };
-        if mode != KvMode::Up {
-            return Handled::Close;
+        match mode {
+            KvMode::Up => {}
+            KvMode::Silent => return std::future::pending().await,
+            KvMode::Down | KvMode::Busy => return Handled::Close,
         }
         let is_over = tokio::time::Instant::now() >= until;
         if !changes.is_empty() || is_over {
