Test that a store is not flooded when it responds again

Cause: watch_none_reaches_store shows the order of the nodes for one node only, not what a fleet sends to a store after a silence.

Change: calls_after_silence_any_fleet counts the watches and listings of 8 and of 24 nodes from the beginning of a silence of 8 s to 6 s after it.

--- a/crates/core/tests/fleet_silent_store.rs
+++ b/crates/core/tests/fleet_silent_store.rs
@@ -147,3 +147,19 @@
     let (few, many) = (watches(8), watches(24));
     assert!(many <= few + 4, "{few} watches a minute of 8 nodes, {many} of 24");
 }
+
+/// Guards against a store that gets watches and listings of every node when it responds again.
+#[test]
+fn calls_after_silence_any_fleet() {
+    let calls = |nodes| {
+        let mut fleet = SimulatedFleet::start(nodes, 1);
+        fleet.store.silences = vec![at(10_000)..at(18_000)];
+        let reads = |fleet: &SimulatedFleet| fleet.store.calls["watch"] + fleet.store.calls["list"];
+        fleet.run(at(10_000), |_, _| {});
+        let before = reads(&fleet);
+        fleet.run(at(24_000), |_, _| {});
+        reads(&fleet) - before
+    };
+    let (few, many) = (calls(8), calls(24));
+    assert!(many <= few + few / 2, "{few} watches and listings of 8 nodes, {many} of 24");
+}
