Let a watch end whose answer has begun to arrive

Cause, suspected: a large answer takes long over a slow link and delays the answers to renewals beside it. A renewal without an answer made the watch doubtful, and the next answer cancelled it in the middle of its body, which was sent again from the beginning. The leader's watch also ended 1.9 s after it was sent, whether its body was arriving or not.

Change: the head of the answer to a watch is reported to the control state, which never gives up a watch after it.

Measured: watch_answer_begins_to_arrive fails without the mark.

--- a/crates/core/src/fleet/fleet_control.rs
+++ b/crates/core/src/fleet/fleet_control.rs
@@ -110,6 +110,7 @@
             FleetEvent::Store { id, response } => {
                 self.handle_store_response(now, wall, id, response, rng);
             }
+            FleetEvent::StoreBegun(id) => self.record_store_head(id),
             FleetEvent::Heartbeat(heartbeat) => self.handle_heartbeat(now, wall, heartbeat),
             FleetEvent::PeerConfigBegun(from) => self.config_fetches.record_head(from),
             FleetEvent::PeerConfig { from, config } => {
@@ -309,7 +310,8 @@
         if watch_time.is_some() {
             self.lease.renew_now(now);
         }
-        let pending = PendingRequest { purpose, sent: now, watch_time, is_doubtful: false };
+        let pending =
+            PendingRequest { purpose, sent: now, watch_time, is_doubtful: false, has_head: false };
         self.pending_requests.insert(id, pending);
         self.actions.push(FleetAction::Store { id, request });
     }
--- a/crates/core/src/fleet/fleet_event.rs
+++ b/crates/core/src/fleet/fleet_event.rs
@@ -18,6 +18,8 @@
         /// What came back.
         response: StoreResponse,
     },
+    /// The answer to the request to the store with this number begins to arrive.
+    StoreBegun(u64),
     /// Another node sent a heartbeat.
     Heartbeat(Heartbeat),
     /// The configuration of the node at the address, which was asked for it, begins to arrive.
--- a/crates/core/src/fleet/pending_request.rs
+++ b/crates/core/src/fleet/pending_request.rs
@@ -15,6 +15,9 @@
     /// Whether another request had no answer while this one was pending, so that this one or its
     /// answer may be lost as well.
     pub(super) is_doubtful: bool,
+    /// Whether the answer has begun to arrive, which is never doubtful: a large one delays the
+    /// answers to other requests on a slow link.
+    pub(super) has_head: bool,
 }
 
 /// What a pending request to the store is for.
--- a/crates/core/src/fleet/store_events.rs
+++ b/crates/core/src/fleet/store_events.rs
@@ -108,11 +108,19 @@
         }
     }
 
+    /// Records that the answer to a request begins to arrive.
+    pub(super) fn record_store_head(&mut self, id: u64) {
+        if let Some(pending) = self.pending_requests.get_mut(&id) {
+            pending.has_head = true;
+            pending.is_doubtful = false;
+        }
+    }
+
     /// Marks the pending watches, because another request had no answer while they were pending.
     fn doubt_watches(&mut self) {
-        for pending in
-            self.pending_requests.values_mut().filter(|pending| pending.watch_time.is_some())
-        {
+        let may_be_lost =
+            |pending: &&mut PendingRequest| pending.watch_time.is_some() && !pending.has_head;
+        for pending in self.pending_requests.values_mut().filter(may_be_lost) {
             pending.is_doubtful = true;
         }
     }
@@ -124,6 +132,7 @@
             pending.purpose == RequestPurpose::Watch(KeySpace::Operator)
                 && pending.watch_time > Some(StoreWatcher::LEADER_WATCH_TIME)
                 && !pending.is_doubtful
+                && !pending.has_head
         };
         if let Some(pending) = self.pending_requests.values_mut().find(is_long) {
             pending.is_doubtful = true;
--- a/crates/core/tests/fleet_control.rs
+++ b/crates/core/tests/fleet_control.rs
@@ -215,6 +215,30 @@
     assert!(is_heard_reached(&mut node));
 }
 
+/// Guards against a watch that is cancelled while its answer arrives: a large configuration takes long
+/// over a slow link, delays the answers to renewals, and would have to be sent again.
+#[test]
+fn watch_answer_begins_to_arrive() {
+    let mut node = Node::started(vec![config_item(5, 50)]);
+    let is_keep = |request: &StoreRequest| matches!(request, StoreRequest::KeepLease(_));
+    let is_open = |request: &StoreRequest| matches!(request, StoreRequest::OpenLease(_));
+    let is_entry =
+        |request: &StoreRequest| matches!(request, StoreRequest::Write(StoreWrite::Node(..)));
+    node.reply(is_open, Ok(StoreReply::Lease(LeaseId::new(1))));
+    node.reply(is_entry, Ok(StoreReply::Written(Revision::new(101))));
+    node.advance(2_600);
+    let is_watch =
+        |request: &StoreRequest| matches!(request, StoreRequest::Watch(KeySpace::Operator, ..));
+    let watch = node.open_requests.iter().find(|(_, request)| is_watch(request)).unwrap().0;
+    node.event(FleetEvent::StoreBegun(watch));
+    node.reply(is_keep, Err(StoreFailure::Unanswered));
+    node.advance(1_000);
+    node.reply(is_keep, Ok(StoreReply::Lease(LeaseId::new(1))));
+    assert!(!node.actions.contains(&FleetAction::CancelStore(watch)));
+    node.report_change(KeySpace::Operator, config_item(6, 102));
+    assert_eq!(node.version(), 6);
+}
+
 /// Returns whether the node tells the others that it reaches the store.
 fn is_heard_reached(node: &mut Node) -> bool {
     node.advance(400);
--- a/crates/node/src/fleet/control_http_client.rs
+++ b/crates/node/src/fleet/control_http_client.rs
@@ -42,19 +42,15 @@
         Self { client: http_client::client(connector, IDLE_TIMEOUT) }
     }
 
-    /// Sends `request` to `address` and reads the whole answer, which must arrive within `limit`.
-    pub(crate) async fn call(
+    /// Sends `request` to `address` and waits for the head of the answer until `limit` is over.
+    pub(crate) async fn send_within(
         &self,
         address: SocketAddr,
         request: Request<Bytes>,
         limit: Duration,
-    ) -> Result<Response<Bytes>, AnswerError> {
-        let exchange = async {
-            let response = self.send(address, request).await.ok_or(AnswerError::Unanswered)?;
-            let (head, body) = response.into_parts();
-            Ok(Response::from_parts(head, read_body(body).await?))
-        };
-        timeout(limit, exchange).await.unwrap_or(Err(AnswerError::Unanswered))
+    ) -> Result<Response<Incoming>, AnswerError> {
+        let head = timeout(limit, self.send(address, request)).await;
+        head.ok().flatten().ok_or(AnswerError::Unanswered)
     }
 
     /// Sends `request` to `address` and waits for the head of the answer.
@@ -72,6 +68,16 @@
     }
 }
 
+/// Reads the body of `response`, of up to [`MAX_RESPONSE_BYTES`], until `limit` is over.
+pub(crate) async fn read_within(
+    response: Response<Incoming>,
+    limit: Duration,
+) -> Result<Response<Bytes>, AnswerError> {
+    let (head, body) = response.into_parts();
+    let body = timeout(limit, read_body(body)).await.unwrap_or(Err(AnswerError::Unanswered))?;
+    Ok(Response::from_parts(head, body))
+}
+
 /// Reads a body of up to [`MAX_RESPONSE_BYTES`] to its end.
 pub(crate) async fn read_body(body: Incoming) -> Result<Bytes, AnswerError> {
     match Limited::new(body, MAX_RESPONSE_BYTES).collect().await {
--- a/crates/node/src/fleet/control_loop.rs
+++ b/crates/node/src/fleet/control_loop.rs
@@ -127,8 +127,9 @@
     ) -> AbortHandle {
         let (store_client, result_tx) = (self.store_client.clone(), result_tx.clone());
         let task = tokio::task::spawn_local(async move {
-            let response = store_client.call(&request).await;
             // Sending fails only after the control loop has ended.
+            let on_head = async || drop(result_tx.send(FleetEvent::StoreBegun(id)).await);
+            let response = store_client.call(&request, on_head).await;
             let _ = result_tx.send(FleetEvent::Store { id, response }).await;
         });
         task.abort_handle()
