Let a node watch again after the store refused its watch

Cause, partly shown: a node whose watch was refused (503, 429) counted as one that does not reach the store until it watched again, and it did not watch as others reached the store.

Change: a success of any other request clears the failure of the watch, not only a success after a watch without an answer.

Measured: renewal_after_refused_watch fails without the change.

--- a/crates/core/src/fleet/store_contact.rs
+++ b/crates/core/src/fleet/store_contact.rs
@@ -28,11 +28,11 @@
         self.watch_failure = failure.filter(|failure| *failure != StoreFailure::HistoryLost);
     }
 
-    /// Records whether a request that is answered without a wait had no answer. An answer shows that
-    /// a watch without one would be answered now.
-    pub(super) fn record_silence(&mut self, is_silent: bool) {
-        self.is_silent = is_silent;
-        if !is_silent && self.watch_failure == Some(StoreFailure::Unanswered) {
+    /// Records the end of a request that is answered without a wait. A success shows that a watch
+    /// would be answered now, whatever the last one met.
+    pub(super) fn record_request(&mut self, failure: Option<StoreFailure>) {
+        self.is_silent = failure == Some(StoreFailure::Unanswered);
+        if failure.is_none() {
             self.watch_failure = None;
         }
     }
--- a/crates/core/src/fleet/store_events.rs
+++ b/crates/core/src/fleet/store_events.rs
@@ -92,9 +92,8 @@
             RequestPurpose::Watch(KeySpace::Operator) => self.store_contact.record_watch(failure),
             RequestPurpose::Watch(KeySpace::Nodes) => {}
             RequestPurpose::Lease | RequestPurpose::Rollout(_) => {
-                let is_silent = failure == Some(StoreFailure::Unanswered);
-                self.store_contact.record_silence(is_silent);
-                if is_silent {
+                self.store_contact.record_request(failure);
+                if failure == Some(StoreFailure::Unanswered) {
                     self.doubt_watches();
                 }
             }
--- a/crates/core/tests/fleet_control.rs
+++ b/crates/core/tests/fleet_control.rs
@@ -239,6 +239,27 @@
     assert_eq!(node.version(), 6);
 }
 
+/// Guards against a node that never watches again after the store refused its watch for a while, so
+/// that fewer nodes of a data centre have a new configuration at first.
+#[test]
+fn renewal_after_refused_watch() {
+    let mut node = Node::started(vec![config_item(5, 50)]);
+    let is_keep = |request: &StoreRequest| matches!(request, StoreRequest::KeepLease(_));
+    let is_open = |request: &StoreRequest| matches!(request, StoreRequest::OpenLease(_));
+    let is_entry =
+        |request: &StoreRequest| matches!(request, StoreRequest::Write(StoreWrite::Node(..)));
+    node.reply(is_open, Ok(StoreReply::Lease(LeaseId::new(1))));
+    node.reply(is_entry, Ok(StoreReply::Written(Revision::new(101))));
+    node.event(FleetEvent::Heartbeat(heartbeat(2, 1)));
+    let is_watch =
+        |request: &StoreRequest| matches!(request, StoreRequest::Watch(KeySpace::Operator, ..));
+    node.reply(is_watch, Err(StoreFailure::Refused));
+    assert!(!is_heard_reached(&mut node));
+    node.advance(2_500);
+    node.reply(is_keep, Ok(StoreReply::Lease(LeaseId::new(1))));
+    assert!(is_heard_reached(&mut node));
+}
+
 /// Returns whether the node tells the others that it reaches the store.
 fn is_heard_reached(node: &mut Node) -> bool {
     node.advance(400);
