--- a/crates/core/tests/fleet_common/mod.rs
+++ b/crates/core/tests/fleet_common/mod.rs
@@ -6,6 +6,8 @@
 pub mod simulated_fleet;
 pub mod simulated_store;
 
+use std::net::SocketAddr;
+
 use almondsail_core::fleet::{
     AnnouncedState, Announcement, BackendStatus, CallRequirements, ConfigText, Destination,
     Endpoint, FleetEvent, FleetIdentity, Heartbeat, MeshConfigBuilder, MeshRoute, NodeEntry,
@@ -65,11 +67,13 @@
 }
 
 /// Returns the entry of the node `nN` in a data centre.
-pub fn entry(n: u8, data_centre: &str) -> NodeEntry {
+pub fn entry(n: u16, data_centre: &str) -> NodeEntry {
+    let [high, low] = n.to_be_bytes();
+    let address: SocketAddr = format!("10.0.{high}.{low}:7000").parse().unwrap();
     NodeEntry {
         node: format!("n{n}").parse().unwrap(),
-        inbound: format!("10.0.0.{n}:7000").parse().unwrap(),
-        heartbeats: format!("10.0.0.{n}:7000").parse().unwrap(),
+        inbound: address,
+        heartbeats: address,
         data_centre: data_centre.parse().unwrap(),
         departed: None,
     }
@@ -98,7 +102,7 @@
 }
 
 /// Returns the heartbeat `sequence` of the node `nN` in `dc-a`.
-pub fn heartbeat(n: u8, sequence: u64) -> Heartbeat {
+pub fn heartbeat(n: u16, sequence: u64) -> Heartbeat {
     Heartbeat {
         entry: entry(n, "dc-a"),
         incarnation: Incarnation::new(1),
--- a/crates/core/tests/fleet_common/node.rs
+++ b/crates/core/tests/fleet_common/node.rs
@@ -130,7 +130,7 @@
     StoreItem { key, revision, value: StoredValue::Order(order) }
 }
 
-pub fn heartbeat_with_backend(n: u8, sequence: u64, id: &str, version: &str) -> Heartbeat {
+pub fn heartbeat_with_backend(n: u16, sequence: u64, id: &str, version: &str) -> Heartbeat {
     Heartbeat { backend: Some(backend(id, version)), ..heartbeat(n, sequence) }
 }
 
--- a/crates/core/tests/fleet_common/simulated_fleet.rs
+++ b/crates/core/tests/fleet_common/simulated_fleet.rs
@@ -1,14 +1,15 @@
 //! A fleet of nodes and their store in simulated time.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::net::SocketAddr;
 
 use almondsail_core::fleet::{
-    FleetAction, FleetControl, FleetEvent, FleetIdentity, StoreFailure, StoreReply, StoreRequest,
-    StoreResponse,
+    FleetAction, FleetControl, FleetEvent, FleetIdentity, Heartbeat, StoreFailure, StoreReply,
+    StoreRequest, StoreResponse,
 };
 use almondsail_core::ids::Incarnation;
 use almondsail_core::store::StoreEra;
-use almondsail_core::units::{Instant, Micros, Millis, UnixMillis};
+use almondsail_core::units::{ByteCount, Instant, Micros, Millis, PerMille, UnixMillis};
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
 
@@ -18,15 +19,59 @@
 /// Time limit of a request to the store.
 const REQUEST_TIMEOUT: Millis = Millis::new(900);
 const TICK_INTERVAL: Millis = Millis::new(100);
+/// The longest time that a datagram waits for a link.
+const MAX_LINK_WAIT: Millis = Millis::new(100);
+const SENDING: usize = 0;
+const RECEIVING: usize = 1;
 /// How long another node takes to send its configuration.
 const FETCH_TIME: Millis = Millis::new(30);
 
-/// Nodes in two data centres and their store, in simulated time.
+/// The size of a simulated fleet, and what its nodes can do in a second.
+#[derive(Debug, Clone, Copy)]
+pub struct FleetShape {
+    pub nodes: u16,
+    /// The nodes are in these by turns.
+    pub data_centres: u16,
+    /// `None` if events cost no time.
+    pub cost: Option<EventCost>,
+    /// The part of the datagrams that are lost.
+    pub loss: PerMille,
+    /// The bytes a second that a node's link carries in each direction. A datagram that would wait
+    /// for longer than `MAX_LINK_WAIT` is lost. `None` for links that carry everything at once.
+    pub link: Option<ByteCount>,
+}
+
+impl FleetShape {
+    /// Returns a fleet whose events cost no time and whose datagrams all arrive.
+    pub const fn new(nodes: u16, data_centres: u16) -> Self {
+        Self { nodes, data_centres, cost: None, loss: PerMille::ZERO, link: None }
+    }
+}
+
+/// The time that events cost. While a node is busy, further events wait in a queue.
+#[derive(Debug, Clone, Copy)]
+pub struct EventCost {
+    /// The time on a whole core to send or receive a datagram, or to handle any other event.
+    pub datagram: Micros,
+    /// The share of a core that a node has.
+    pub share: PerMille,
+}
+
+impl EventCost {
+    /// Returns how long a node is busy with `units` datagrams or events.
+    fn time(self, units: u64) -> Micros {
+        Micros::new(units * self.datagram.get() * 1_000 / u64::from(self.share.get()))
+    }
+}
+
+/// Nodes in some data centres and their store, in simulated time.
 pub struct SimulatedFleet {
     pub store: SimulatedStore,
+    shape: FleetShape,
     now: Instant,
     rng: SmallRng,
-    nodes: Vec<FleetControl>,
+    nodes: Vec<SimulatedNode>,
+    by_address: HashMap<SocketAddr, usize>,
     /// The events to come, in the order of their times.
     queue: BTreeMap<(Instant, u64), Event>,
     next_event: u64,
@@ -34,9 +79,32 @@
     open_requests: BTreeSet<(usize, u64)>,
 }
 
+struct SimulatedNode {
+    control: FleetControl,
+    /// When the process started, which is the zero of its clock.
+    started: Instant,
+    /// Distinguishes the starts of the node.
+    start: u64,
+    is_dead: bool,
+    /// When the node has handled the events that it began with.
+    busy_until: Instant,
+    /// The events that wait because the node is busy, and when they arrived.
+    waiting: VecDeque<(Instant, FleetEvent)>,
+    /// The number of datagrams that the node has sent.
+    sent: u64,
+    /// The number of bytes in these datagrams.
+    sent_bytes: u64,
+    /// When the node's link has sent, and has received, what was passed to it.
+    link_until: [Instant; 2],
+    /// The longest time that an event has waited.
+    longest_wait: Micros,
+}
+
 enum Event {
-    Tick(usize),
+    Tick(usize, u64),
     Deliver(usize, FleetEvent),
+    Resume(usize),
+    Restart(usize),
     StoreRequest(usize, u64, StoreRequest),
     StoreReply(usize, u64, Result<StoreReply, StoreFailure>),
     WatchEnd(usize, u64),
@@ -46,31 +114,87 @@
 impl SimulatedFleet {
     /// Creates `nodes` nodes that start at the same time, by turns in two data centres. The store
     /// holds version 1 of the configuration.
-    pub fn start(nodes: u8, seed: u64) -> Self {
-        let identity = |n| FleetIdentity {
-            entry: entry(n, if n % 2 == 0 { "dc-a" } else { "dc-b" }),
-            incarnation: Incarnation::new(1),
-            service: "bays".parse().unwrap(),
-            backend: format!("10.0.0.{n}:80").parse().unwrap(),
-        };
+    pub fn start(nodes: u16, seed: u64) -> Self {
+        Self::start_shaped(FleetShape::new(nodes, 2), seed)
+    }
+
+    /// Creates nodes that start at the same time. The store holds version 1 of the configuration.
+    pub fn start_shaped(shape: FleetShape, seed: u64) -> Self {
         let mut fleet = Self {
             store: SimulatedStore::default(),
+            shape,
             now: at(0),
             rng: SmallRng::seed_from_u64(seed),
-            nodes: (1..=nodes).map(|n| FleetControl::new(identity(n), at(0))).collect(),
+            nodes: Vec::new(),
+            by_address: HashMap::new(),
             queue: BTreeMap::new(),
             next_event: 0,
             open_requests: BTreeSet::new(),
         };
+        for n in 1..=shape.nodes {
+            let node = SimulatedNode::start(identity(shape, n, 1), at(0), 1);
+            let address = node.control.identity().entry.heartbeats;
+            fleet.by_address.insert(address, fleet.nodes.len());
+            fleet.nodes.push(node);
+        }
         fleet.store.silent_nodes = 0..fleet.nodes.len();
         fleet.store.put_config(1);
         for node in 0..fleet.nodes.len() {
-            let first = fleet.rng.random_range(0..=TICK_INTERVAL.get());
-            fleet.schedule(at(first), Event::Tick(node));
+            fleet.schedule_first_tick(node);
         }
         fleet
     }
 
+    fn schedule_first_tick(&mut self, node: usize) {
+        let first = Micros::new(self.rng.random_range(0..=TICK_INTERVAL.get()) * 1_000);
+        let start = self.nodes[node].start;
+        self.schedule(self.now + first, Event::Tick(node, start));
+    }
+
+    /// Ends the process of `node` at `time` and starts it again at once.
+    pub fn restart_at(&mut self, time: Instant, node: usize) {
+        self.schedule(time, Event::Restart(node));
+    }
+
+    /// Ends the process of `node` for good.
+    pub fn kill(&mut self, node: usize) {
+        self.nodes[node].start = 0;
+        self.nodes[node].is_dead = true;
+    }
+
+    /// Returns the numbers of datagrams that the nodes have sent.
+    pub fn sent_datagrams(&self) -> Vec<u64> {
+        self.nodes.iter().map(|node| node.sent).collect()
+    }
+
+    /// Returns the numbers of bytes that the nodes have sent in datagrams.
+    pub fn sent_bytes(&self) -> Vec<u64> {
+        self.nodes.iter().map(|node| node.sent_bytes).collect()
+    }
+
+    /// Returns the longest time that an event of any node waited while the node was busy.
+    pub fn longest_wait(&self) -> Micros {
+        self.nodes.iter().map(|node| node.longest_wait).max().unwrap_or_default()
+    }
+
+    /// Returns how many other nodes each node takes for alive.
+    pub fn live_peers(&self) -> Vec<usize> {
+        let peers =
+            |node: &SimulatedNode| node.control.last_updates(node.local_time(self.now)).peers;
+        self.nodes.iter().map(peers).collect()
+    }
+
+    /// Delivers an event to `node` now, beside those of the simulation.
+    pub fn deliver(&mut self, node: usize, event: FleetEvent) {
+        self.node_event(node, event);
+    }
+
+    /// Returns the state of `node` and the present time of its process.
+    pub fn node(&self, node: usize) -> (&FleetControl, Instant) {
+        let node = &self.nodes[node];
+        (&node.control, node.local_time(self.now))
+    }
+
     /// Puts `version` of the configuration in the store at `time`.
     pub fn put_config_at(&mut self, time: Instant, version: u64) {
         self.schedule(time, Event::ConfigPut(version));
@@ -88,20 +212,21 @@
             self.handle(event);
             if time >= next_check {
                 next_check = time + TICK_INTERVAL;
-                let version =
-                    |node: &FleetControl| node.config().map_or(0, |text| text.config.version.get());
-                check(time, &self.nodes.iter().map(version).collect::<Vec<_>>());
+                check(time, &self.nodes.iter().map(SimulatedNode::version).collect::<Vec<_>>());
             }
         }
     }
 
     fn handle(&mut self, event: Event) {
         match event {
-            Event::Tick(node) => {
-                self.schedule(self.now + TICK_INTERVAL, Event::Tick(node));
+            Event::Tick(node, start) if start == self.nodes[node].start => {
+                self.schedule(self.now + TICK_INTERVAL, Event::Tick(node, start));
                 self.node_event(node, FleetEvent::Tick);
             }
+            Event::Tick(..) => {}
             Event::Deliver(node, event) => self.node_event(node, event),
+            Event::Resume(node) => self.resume(node),
+            Event::Restart(node) => self.restart(node),
             Event::StoreRequest(node, id, request) => {
                 let receiver = (node, id);
                 let reply = self.store.request(self.now, &mut self.rng, receiver, &request);
@@ -141,12 +266,60 @@
         }
     }
 
+    fn restart(&mut self, node: usize) {
+        let start = self.nodes[node].start + 1;
+        let number = u16::try_from(node + 1).unwrap();
+        let (sent, sent_bytes) = (self.nodes[node].sent, self.nodes[node].sent_bytes);
+        self.nodes[node] =
+            SimulatedNode::start(identity(self.shape, number, start), self.now, start);
+        self.nodes[node].sent = sent;
+        self.nodes[node].sent_bytes = sent_bytes;
+        self.open_requests.retain(|(sender, _)| *sender != node);
+        self.schedule_first_tick(node);
+    }
+
+    /// Passes an event to a node, or lets it wait while the node is busy.
     fn node_event(&mut self, node: usize, event: FleetEvent) {
+        let state = &mut self.nodes[node];
+        if state.is_dead {
+            return;
+        }
+        let is_idle = state.waiting.is_empty() && state.busy_until <= self.now;
+        if self.shape.cost.is_none() || is_idle {
+            self.handle_event(node, event);
+        } else {
+            state.waiting.push_back((self.now, event));
+            if state.waiting.len() == 1 {
+                let resume = state.busy_until;
+                self.schedule(resume, Event::Resume(node));
+            }
+        }
+    }
+
+    fn resume(&mut self, node: usize) {
+        let Some((arrived, event)) = self.nodes[node].waiting.pop_front() else { return };
+        let waited = self.now.since(arrived);
+        self.nodes[node].longest_wait = self.nodes[node].longest_wait.max(waited);
+        self.handle_event(node, event);
+        if !self.nodes[node].waiting.is_empty() {
+            let resume = self.nodes[node].busy_until;
+            self.schedule(resume, Event::Resume(node));
+        }
+    }
+
+    fn handle_event(&mut self, node: usize, event: FleetEvent) {
         let wall = UnixMillis::new(1_000_000 + self.now.get() / 1_000);
-        let actions = self.nodes[node].handle(self.now, wall, event, &mut self.rng);
+        let state = &mut self.nodes[node];
+        let sent_before = state.sent;
+        let now = state.local_time(self.now);
+        let actions = state.control.handle(now, wall, event, &mut self.rng);
         for action in actions {
             self.perform(node, action);
         }
+        if let Some(cost) = self.shape.cost {
+            let state = &mut self.nodes[node];
+            state.busy_until = self.now + cost.time(1 + state.sent - sent_before);
+        }
     }
 
     fn perform(&mut self, node: usize, action: FleetAction) {
@@ -163,19 +336,29 @@
                 self.schedule_delayed(Event::StoreRequest(node, id, request));
             }
             FleetAction::Heartbeat(heartbeat, addresses) => {
+                let receivers = addresses.len() as u64;
+                self.nodes[node].sent += receivers;
+                self.nodes[node].sent_bytes += receivers * datagram_bytes(&heartbeat);
+                let bytes = datagram_bytes(&heartbeat);
                 for address in addresses {
-                    let to = self.nodes.iter().position(|node| {
-                        let to = node.identity();
-                        to.entry.heartbeats == address
-                    });
+                    let is_lost = self.rng.random_range(0..1_000) < self.shape.loss.get();
+                    let Some(to) = self.by_address.get(&address).copied().filter(|_| !is_lost)
+                    else {
+                        continue;
+                    };
+                    let Some(sent) = self.transfer(node, SENDING, self.now, bytes) else {
+                        continue;
+                    };
+                    let Some(received) = self.transfer(to, RECEIVING, sent, bytes) else {
+                        continue;
+                    };
+                    let delay = Micros::new(self.rng.random_range(500..=5_000));
                     let event = FleetEvent::Heartbeat(heartbeat.as_ref().clone());
-                    if let Some(to) = to {
-                        self.schedule_delayed(Event::Deliver(to, event));
-                    }
+                    self.schedule(received + delay, Event::Deliver(to, event));
                 }
             }
             FleetAction::FetchConfig(from) => {
-                let asked = self.nodes.iter().find(|node| node.identity().entry.inbound == from);
+                let asked = self.by_address.get(&from).map(|asked| &self.nodes[*asked].control);
                 let config = asked.and_then(|node| node.config().cloned());
                 let event = FleetEvent::PeerConfig { from, config };
                 self.schedule(self.now + FETCH_TIME, Event::Deliver(node, event));
@@ -187,6 +370,24 @@
         }
     }
 
+    /// Passes `bytes` to a direction of a node's link at `time`. Returns when the link has carried
+    /// them; `None` if too many are waiting.
+    fn transfer(
+        &mut self,
+        node: usize,
+        direction: usize,
+        time: Instant,
+        bytes: u64,
+    ) -> Option<Instant> {
+        let Some(link) = self.shape.link else { return Some(time) };
+        let until = &mut self.nodes[node].link_until[direction];
+        if until.since(time) > MAX_LINK_WAIT.into() {
+            return None;
+        }
+        *until = (*until).max(time) + Micros::new(bytes * 1_000_000 / link.get());
+        Some(*until)
+    }
+
     /// Schedules `event` after the delay of the network.
     fn schedule_delayed(&mut self, event: Event) {
         let delay = Micros::new(self.rng.random_range(500..=5_000));
@@ -198,3 +399,52 @@
         self.next_event += 1;
     }
 }
+
+impl SimulatedNode {
+    fn start(identity: FleetIdentity, now: Instant, start: u64) -> Self {
+        Self {
+            control: FleetControl::new(identity, at(0)),
+            started: now,
+            start,
+            is_dead: false,
+            busy_until: now,
+            waiting: VecDeque::new(),
+            sent: 0,
+            sent_bytes: 0,
+            link_until: [now; 2],
+            longest_wait: Micros::default(),
+        }
+    }
+
+    fn local_time(&self, now: Instant) -> Instant {
+        Instant::new(now.since(self.started).get())
+    }
+
+    fn version(&self) -> u64 {
+        self.control.config().map_or(0, |text| text.config.version.get())
+    }
+}
+
+/// Returns the identity of a start of the node `n`.
+fn identity(shape: FleetShape, n: u16, start: u64) -> FleetIdentity {
+    let data_centre = match shape.data_centres {
+        2 => if n.is_multiple_of(2) { "dc-a" } else { "dc-b" }.to_owned(),
+        data_centres => format!("dc-{}", n % data_centres),
+    };
+    let entry = entry(n, &data_centre);
+    FleetIdentity {
+        backend: SocketAddr::new(entry.inbound.ip(), 80),
+        entry,
+        incarnation: Incarnation::new(start),
+        service: "bays".parse().unwrap(),
+    }
+}
+
+/// Returns about how many bytes a heartbeat has with the headers of its datagram.
+fn datagram_bytes(heartbeat: &Heartbeat) -> u64 {
+    const PLAIN: usize = 160;
+    const DEPARTURE: usize = 30;
+    const ROLLOUT: usize = 60;
+    let own = PLAIN + DEPARTURE * heartbeat.departures.len() + ROLLOUT * heartbeat.rollouts.len();
+    own as u64
+}
--- a/crates/core/tests/fleet_control.rs
+++ b/crates/core/tests/fleet_control.rs
@@ -275,7 +275,7 @@
 #[test]
 fn watch_none_reaches_store() {
     let mut node = Node::started(vec![config_item(5, 50)]);
-    let unreached = |n: u8, id: &str| {
+    let unreached = |n: u16, id: &str| {
         let mut heartbeat = heartbeat(n, 1);
         heartbeat.entry.node = id.parse().unwrap();
         heartbeat.is_store_reached = false;
--- a/crates/core/tests/fleet_silent_store.rs
+++ b/crates/core/tests/fleet_silent_store.rs
@@ -16,7 +16,7 @@
 /// How long after a silence of the store changes may be late.
 const RECOVERY_LIMIT: Millis = Millis::new(3_000);
 /// The number of nodes, by turns in two data centres.
-const NODES: u8 = 8;
+const NODES: u16 = 8;
 
 /// Returns the times at which a node has an older version than it must have.
 fn late_times(
--- a/crates/core/tests/fleet_store_watcher.rs
+++ b/crates/core/tests/fleet_store_watcher.rs
@@ -12,7 +12,7 @@
 use rand::SeedableRng as _;
 use rand::rngs::SmallRng;
 
-fn item(n: u8, revision: u64) -> StoreItem {
+fn item(n: u16, revision: u64) -> StoreItem {
     let entry: NodeEntry = entry(n, "dc-a");
     StoreItem {
         key: StoreKey::Node(entry.node.clone()),
@@ -21,7 +21,7 @@
     }
 }
 
-fn page(items: Vec<StoreItem>, next: Option<u8>, as_of: u64) -> StoreReply {
+fn page(items: Vec<StoreItem>, next: Option<u16>, as_of: u64) -> StoreReply {
     let next = next.map(|n| StoreKey::Node(entry(n, "dc-a").node));
     StoreReply::Items { items, next, as_of: Revision::new(as_of) }
 }
