Send the heartbeats of a large fleet along links

Cause: each node sent its heartbeats to all others, with all departures of the last minute while any node had started within 3 s. That filled links of 20 Mbit/s, so datagrams were lost and nodes took five of six others for dead. Each event also walked all known nodes several times.

Change: above 80 nodes a node sends to its links on the ring of its data centre, four nodes of each ring to the other rings, and nodes pass on changes, say which heartbeats are the newest, and ask for what they lack. A heartbeat carries at most 32 departures. PeerDirectory keeps indexes of what decisions ask for. Views and judgements that look at all nodes are made at most each 0.1 s in a large fleet. Departures beyond the limit push out the oldest one instead of being dropped.

--- a/crates/core/src/fleet/calls_view.rs
+++ b/crates/core/src/fleet/calls_view.rs
@@ -39,7 +39,7 @@
             services: self.services(now),
             backend,
             is_leaving: self.is_leaving,
-            nodes: u32::try_from(self.alive.len()).unwrap_or(u32::MAX) + 1,
+            nodes: u32::try_from(self.peers.live_count()).unwrap_or(u32::MAX) + 1,
             wants_evidence,
         }
     }
--- a/crates/core/src/fleet/departures.rs
+++ b/crates/core/src/fleet/departures.rs
@@ -29,18 +29,26 @@
     pub const RETENTION: Millis = Millis::new(60_000);
     /// How long a departure is sent to other nodes after this node has recorded it.
     const ANNOUNCEMENT_TIME: Millis = Millis::new(3_000);
-    /// The largest number of departures that are remembered. Bounds the memory of a node.
-    const MAX_DEPARTURES: usize = 512;
+    /// The largest number of departures that are remembered. Bounds the memory of a node; beyond it
+    /// the oldest ones are forgotten.
+    const MAX_DEPARTURES: usize = 4_096;
+    /// The largest number of departures in a heartbeat. Several nodes tell a node that has just
+    /// started, each of other departures at first.
+    const MAX_ANNOUNCED: usize = 32;
 
     /// Records a departure. Returns whether it is new.
     pub fn record(&mut self, now: Instant, departure: &Departure) -> bool {
         let known = self.known.get(&departure.id).map(|(started_at, _)| *started_at);
-        if known.is_some_and(|started_at| started_at >= departure.started_at)
-            || self.known.len() >= Self::MAX_DEPARTURES
-        {
+        if known.is_some_and(|started_at| started_at >= departure.started_at) {
             return false;
         }
         self.known.insert(departure.id.clone(), (departure.started_at, now));
+        if self.known.len() > Self::MAX_DEPARTURES {
+            let oldest = self.known.iter().min_by_key(|(_, (_, recorded_at))| *recorded_at);
+            if let Some(oldest) = oldest.map(|(id, _)| id.clone()) {
+                self.known.remove(&oldest);
+            }
+        }
         true
     }
 
@@ -49,17 +57,24 @@
         self.known.get(id).is_some_and(|(left, _)| left.is_none_or(|left| started_at <= left))
     }
 
-    /// Returns the departures to send to other nodes: recent ones, or all if `include_old`, which a
-    /// node that has just started needs.
-    pub fn to_announce(&self, now: Instant, include_old: bool) -> Vec<Departure> {
+    /// Returns departures to send to other nodes: recent ones, or all if `include_old`, which a
+    /// node that has just started needs. Those that don't fit into a heartbeat follow in the next
+    /// `turn`s.
+    pub fn to_announce(&self, now: Instant, include_old: bool, turn: u64) -> Vec<Departure> {
         let is_announced = |recorded_at: Instant| {
             include_old || now.since(recorded_at) < Self::ANNOUNCEMENT_TIME.into()
         };
-        self.known
-            .iter()
-            .filter(|(_, (_, recorded_at))| is_announced(*recorded_at))
-            .map(|(id, (started_at, _))| Departure { id: id.clone(), started_at: *started_at })
-            .collect()
+        let announced = self.known.iter().filter(|(_, (_, at))| is_announced(*at));
+        let announced: Vec<(&BackendId, Option<UnixMillis>)> =
+            announced.map(|(id, (started_at, _))| (id, *started_at)).collect();
+        let parts = announced.len().div_ceil(Self::MAX_ANNOUNCED).max(1);
+        let part = usize::try_from(turn % parts as u64).unwrap_or_default();
+        let in_part = announced.iter().skip(part * Self::MAX_ANNOUNCED).take(Self::MAX_ANNOUNCED);
+        let departure = |(id, started_at): &(&BackendId, Option<UnixMillis>)| Departure {
+            id: (*id).clone(),
+            started_at: *started_at,
+        };
+        in_part.map(departure).collect()
     }
 
     /// Forgets departures older than [`Self::RETENTION`].
--- a/crates/core/src/fleet/fleet_control.rs
+++ b/crates/core/src/fleet/fleet_control.rs
@@ -1,22 +1,25 @@
 //! The control state of a node of a fleet.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use rand::Rng;
 
 use super::config_fetches::ConfigFetches;
+use super::heartbeat_targets::HeartbeatTargets;
+use super::heartbeats::HeartbeatContent;
 use super::node_entry_lease::NodeEntryLease;
-use super::peer_directory::Peer;
+use super::peer::Peer;
 use super::pending_request::{PendingRequest, RequestPurpose};
+use super::relays::Relays;
 use super::store_contact::StoreContact;
 use crate::fleet::{
     AnnouncedState, Announcement, AnnouncementOutcome, ConfigText, Departure, FleetAction,
-    FleetChange, FleetEvent, FleetIdentity, KeySpace, LastUpdates, PeerDirectory, Registration,
-    Rollout, StoreRequest, StoreWatcher,
+    FleetChange, FleetEvent, FleetIdentity, KeySpace, LastUpdates, NodeKey, PeerDirectory,
+    Registration, Rollout, StoreRequest, StoreWatcher,
 };
-use crate::ids::{BackendId, ConfigVersion, NodeId, ServiceName};
+use crate::ids::{BackendId, ConfigVersion, ServiceName};
 use crate::store::StoreEra;
-use crate::units::{Instant, UnixMillis};
+use crate::units::{Instant, Millis, UnixMillis};
 
 /// The control state of a node of a fleet.
 ///
@@ -44,31 +47,55 @@
     /// When the configuration in force took effect.
     pub(super) config_since: Option<Instant>,
     pub(super) actions: Vec<FleetAction>,
+    /// The key by which other nodes name this start.
+    pub(super) own_key: NodeKey,
+    pub(super) targets: HeartbeatTargets,
+    pub(super) relays: Relays,
     pub(super) sequence: u64,
+    /// The sequence number of the first heartbeat with `last_content`.
+    pub(super) revision: u64,
+    pub(super) last_content: Option<HeartbeatContent>,
     pub(super) next_heartbeat: Instant,
     pub(super) next_remote_heartbeat: Instant,
+    /// No heartbeat is sent for a change before this instant.
+    pub(super) next_update: Instant,
     /// Heartbeats carry all departures until this instant, because a node has started recently.
     pub(super) newcomer_until: Instant,
     pub(super) is_leaving: bool,
     /// Whether the view for calls must be published again.
     pub(super) is_changed: bool,
+    /// Whether the view for calls lacks changes of other nodes, which may wait until
+    /// `next_peers_view`.
+    pub(super) are_peers_changed: bool,
+    next_peers_view: Instant,
+    /// Running rollouts are not judged again before this instant.
+    pub(super) next_judgement: Instant,
     /// Whether other nodes must get a heartbeat at once.
     pub(super) has_update: bool,
+    /// Whether other nodes must get departures at once.
+    pub(super) has_new_departures: bool,
     /// Since when another node has a newer configuration.
     pub(super) behind_since: Option<Instant>,
     pub(super) config_fetches: ConfigFetches,
     /// Whether the node was ready and knew the departures from before its start, as last published.
     pub(super) readiness: (bool, bool),
-    /// The nodes that sent a heartbeat recently, as last published.
-    pub(super) alive: BTreeSet<NodeId>,
 }
 
 impl FleetControl {
+    /// The shortest time between two walks over all nodes of a large fleet for the same purpose.
+    pub(super) const WALK_INTERVAL: Millis = Millis::new(100);
+
     /// Creates the state of a node that starts at `now`.
     pub fn new(identity: FleetIdentity, now: Instant) -> Self {
         let lease = NodeEntryLease::new(identity.entry.clone());
         Self {
             peers: PeerDirectory::new(identity.entry.data_centre.clone()),
+            own_key: NodeKey::of(&identity.entry.node, identity.incarnation),
+            targets: HeartbeatTargets::new(
+                &identity.entry.node,
+                identity.entry.data_centre.clone(),
+            ),
+            relays: Relays::new(&identity.entry.node),
             identity,
             config: None,
             registration: Registration::default(),
@@ -84,16 +111,22 @@
             config_since: None,
             actions: Vec::new(),
             sequence: 0,
+            revision: 0,
+            last_content: None,
             next_heartbeat: now,
             next_remote_heartbeat: now,
+            next_update: now,
             newcomer_until: now,
             is_leaving: false,
             is_changed: false,
+            are_peers_changed: false,
+            next_peers_view: now,
+            next_judgement: now,
             has_update: false,
+            has_new_departures: false,
             behind_since: None,
             config_fetches: ConfigFetches::default(),
             readiness: (false, false),
-            alive: BTreeSet::new(),
         }
     }
 
@@ -140,13 +173,26 @@
         self.drive_rollouts(now, wall);
         self.send_due_requests(now);
         self.fetch_newer_config(now, rng);
-        self.send_heartbeat(now, rng);
-        if std::mem::take(&mut self.is_changed) {
-            self.actions.push(FleetAction::Publish);
-        }
+        self.send_heartbeats(now, rng);
+        self.publish_changes(now);
         std::mem::take(&mut self.actions)
     }
 
+    /// Publishes the view for calls if it has changed. In a large fleet, changes of other nodes that
+    /// follow closely are published together, because a view holds all of them.
+    fn publish_changes(&mut self, now: Instant) {
+        let are_peers_due = self.are_peers_changed && now >= self.next_peers_view;
+        if !self.is_changed && !are_peers_due {
+            return;
+        }
+        self.is_changed = false;
+        self.are_peers_changed = false;
+        if self.peers.has_relays() {
+            self.next_peers_view = now + Self::WALK_INTERVAL;
+        }
+        self.actions.push(FleetAction::Publish);
+    }
+
     /// Returns the identity of the node.
     pub const fn identity(&self) -> &FleetIdentity {
         &self.identity
@@ -158,14 +204,14 @@
     }
 
     /// Returns when the parts of the state were last updated.
-    pub fn last_updates(&self, now: Instant) -> LastUpdates {
+    pub fn last_updates(&self) -> LastUpdates {
         LastUpdates {
             config_version: self.config_version(),
             config: self.config_since,
             store: self.last_store_reply,
             watch: self.pending_watch(KeySpace::Operator).map(|pending| pending.sent),
-            peers: self.peers.alive(now).count(),
-            oldest_peer: self.peers.alive(now).map(Peer::last_seen).min(),
+            peers: self.peers.live_count(),
+            oldest_peer: self.peers.live().map(Peer::last_seen).min(),
         }
     }
 
@@ -177,13 +223,8 @@
             }
             self.mark_changed();
         }
-        let alive: BTreeSet<NodeId> =
-            self.peers.alive(now).map(|peer| peer.entry.node.clone()).collect();
+        self.are_peers_changed |= self.peers.take_changed();
         let readiness = (self.is_ready(now), self.knows_departures(now));
-        if alive != self.alive {
-            self.alive = alive;
-            self.is_changed = true;
-        }
         if readiness != self.readiness {
             self.readiness = readiness;
             self.mark_changed();
@@ -203,6 +244,7 @@
         {
             let started_at = Some(announcement.started_at);
             self.lease.record_departure(now, Departure { id: id.clone(), started_at });
+            self.has_new_departures = true;
         }
         self.report_backend(id, "announced itself", outcome);
     }
@@ -224,6 +266,7 @@
         let outcome = self.registration.leave(now, &id, departure.started_at);
         self.lease.record_departure(now, departure);
         self.has_update = true;
+        self.has_new_departures = true;
         self.report_backend(id, "leaves", outcome);
     }
 
@@ -234,10 +277,18 @@
         wall: UnixMillis,
         departure: &Departure,
     ) {
-        if is_possible_departure(departure, wall)
-            && self.registration.depart(now, departure) == AnnouncementOutcome::Changed
-        {
-            self.mark_changed();
+        if !is_possible_departure(departure, wall) {
+            return;
+        }
+        match self.registration.depart(now, departure) {
+            AnnouncementOutcome::Changed => self.mark_changed(),
+            // The nodes that told of it may not reach all others.
+            AnnouncementOutcome::Renewed if self.peers.has_relays() => {
+                self.has_update = true;
+                self.has_new_departures = true;
+            }
+            AnnouncementOutcome::Renewed => {}
+            AnnouncementOutcome::Outdated => {}
         }
     }
 
@@ -256,9 +307,9 @@
     }
 
     fn send_due_requests(&mut self, now: Instant) {
-        let watch_time = self.is_watcher(now).then_some(StoreWatcher::WATCH_TIME);
+        let watch_time = self.is_watcher().then_some(StoreWatcher::WATCH_TIME);
         self.nodes_watcher.set_watch_time(watch_time);
-        if self.is_leader(now) {
+        if self.is_leader() {
             self.operator_watcher.set_watch_time(Some(StoreWatcher::LEADER_WATCH_TIME));
             self.doubt_long_watch(now);
         } else {
--- a/crates/core/src/fleet/heartbeat.rs
+++ b/crates/core/src/fleet/heartbeat.rs
@@ -1,9 +1,9 @@
 //! The message that nodes send each other.
 
-use crate::fleet::{BackendStatus, Departure, NodeEntry, RolloutReport};
+use crate::fleet::{BackendStatus, Departure, NodeDigest, NodeEntry, RolloutReport};
 use crate::ids::{ConfigVersion, Incarnation};
 
-/// The message that a node sends to all others, at intervals and after each change.
+/// The message that a node sends to others, at intervals and after each change.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Heartbeat {
     /// The id and addresses of the sender.
@@ -12,6 +12,9 @@
     pub incarnation: Incarnation,
     /// Increases with each heartbeat of one start of the sender.
     pub sequence: u64,
+    /// The sequence number of the sender's first heartbeat with this entry, backend server and state
+    /// of leaving and of the store; at most `sequence`.
+    pub revision: u64,
     /// The version of the sender's configuration in force; zero if there is none.
     pub config_version: ConfigVersion,
     /// Whether the store answered the sender's last request.
@@ -24,4 +27,14 @@
     pub departures: Vec<Departure>,
     /// The state of the rollouts that the sender knows.
     pub rollouts: Vec<RolloutReport>,
+    /// What the sender passes on about other nodes; `None` if nothing.
+    pub digest: Option<Box<NodeDigest>>,
+}
+
+impl Heartbeat {
+    /// Returns how many heartbeats the sender has sent since its entry, backend server or state of
+    /// leaving or of the store changed.
+    pub const fn content_age(&self) -> u64 {
+        self.sequence.saturating_sub(self.revision)
+    }
 }
--- a/crates/core/src/fleet/node_events.rs
+++ b/crates/core/src/fleet/node_events.rs
@@ -6,16 +6,12 @@
 use rand::seq::IteratorRandom;
 
 use super::fleet_control::FleetControl;
-use super::peer_directory::Peer;
-use crate::fleet::{ConfigText, FleetAction, FleetChange, Heartbeat};
-use crate::units::{Instant, Micros, Millis, UnixMillis};
+use super::live_nodes::Rank;
+use super::peer_directory::HeartbeatPath;
+use crate::fleet::{ConfigText, FleetAction, FleetChange, Heartbeat, NodeDigest, NodeEntry};
+use crate::units::{Instant, Millis, UnixMillis};
 
 impl FleetControl {
-    /// The time between two heartbeats to nodes of the same data centre.
-    const HEARTBEAT_INTERVAL: Millis = Millis::new(300);
-    /// The time between two heartbeats to nodes of other data centres, where bytes are expensive.
-    /// Changes are sent at once.
-    const REMOTE_HEARTBEAT_INTERVAL: Millis = Millis::new(1_000);
     /// The smallest number of nodes of a data centre that watch the store. A second one covers the
     /// time until a dead or frozen first one is noticed.
     const MIN_WATCHERS: usize = 2;
@@ -29,6 +25,8 @@
     const REMOTE_FETCH_DELAY: Millis = Millis::new(600);
     /// How long heartbeats carry all departures after another node has started.
     const NEWCOMER_TIME: Millis = Millis::new(3_000);
+    /// The age of a change, in heartbeats of the node that changed, up to which it is passed on.
+    const MAX_RELAYED_AGE: u64 = 12;
     /// The largest number of unknown kinds of routes that are reported of a configuration.
     const MAX_REPORTED_KINDS: usize = 8;
 
@@ -36,39 +34,20 @@
         &mut self,
         now: Instant,
         wall: UnixMillis,
-        heartbeat: Heartbeat,
+        mut heartbeat: Heartbeat,
     ) {
         if heartbeat.entry.node == self.identity.entry.node {
             return;
         }
-        let version = heartbeat.config_version;
+        let from = heartbeat.entry.heartbeats;
+        let digest = heartbeat.digest.take();
         let rollouts = heartbeat.rollouts.clone();
-        let departures = heartbeat.departures.clone();
-        let change = FleetChange::Peer {
-            node: heartbeat.entry.node.clone(),
-            is_leaving: heartbeat.is_leaving,
-            backend: heartbeat.backend.as_ref().map(|backend| backend.id.clone()),
-        };
-        let is_newcomer = self.peers.is_newcomer(&heartbeat);
-        if is_newcomer {
+        let departures = std::mem::take(&mut heartbeat.departures);
+        if self.peers.is_newcomer(&heartbeat) {
             self.newcomer_until = now + Self::NEWCOMER_TIME;
         }
-        match self.peers.record_heartbeat(now, heartbeat) {
-            None => return,
-            Some(false) => {}
-            Some(true) => {
-                self.is_changed = true;
-                self.report(change);
-            }
-        }
-        if version <= self.config_version() {
-            let newest = self.peers.alive(now).filter_map(|peer| peer.heartbeat.as_ref());
-            if newest.map(|heartbeat| heartbeat.config_version).max() <= Some(self.config_version())
-            {
-                self.behind_since = None;
-            }
-        } else {
-            self.behind_since.get_or_insert(now);
+        if !self.record_heartbeat(now, heartbeat, HeartbeatPath::Direct) {
+            return;
         }
         for departure in departures {
             self.record_departure(now, wall, &departure);
@@ -76,6 +55,63 @@
         for report in rollouts {
             self.handle_rollout_report(now, &report);
         }
+        if let Some(digest) = digest {
+            self.handle_digest(now, from, *digest);
+        }
+        self.update_behind(now);
+    }
+
+    /// Records a heartbeat. Returns whether it is newer than the known one of its sender.
+    fn record_heartbeat(
+        &mut self,
+        now: Instant,
+        heartbeat: Heartbeat,
+        path: HeartbeatPath,
+    ) -> bool {
+        let node = heartbeat.entry.node.clone();
+        let is_local = self.is_local(&heartbeat.entry);
+        let is_leaving = heartbeat.is_leaving;
+        // A node that has just started learns of many others, which its links know already.
+        let is_recent = heartbeat.content_age() <= Self::MAX_RELAYED_AGE;
+        let backend = heartbeat.backend.as_ref().map(|backend| backend.id.clone());
+        let Some(is_new) = self.peers.record_heartbeat(now, heartbeat, path) else {
+            return false;
+        };
+        if is_new {
+            self.are_peers_changed = true;
+            if is_recent && self.peers.has_relays() {
+                let is_gateway = self.targets.is_gateway(&self.peers);
+                self.relays.add(&node, is_local && is_gateway);
+            }
+            self.report(FleetChange::Peer { node, is_leaving, backend });
+        }
+        true
+    }
+
+    /// Handles what the node at `from` passes on about other nodes.
+    fn handle_digest(&mut self, now: Instant, from: SocketAddr, digest: NodeDigest) {
+        for heartbeat in digest.changed {
+            if heartbeat.entry.node != self.identity.entry.node {
+                self.record_heartbeat(now, heartbeat, HeartbeatPath::PassedOn);
+            }
+        }
+        for latest in &digest.latest {
+            if latest.key != self.own_key && self.peers.record_latest(now, latest) {
+                self.relays.want(latest.key, from);
+            }
+        }
+        if !digest.wanted.is_empty() {
+            self.answer_question(now, from, &digest.wanted);
+        }
+    }
+
+    /// Updates whether another node has a newer configuration.
+    fn update_behind(&mut self, now: Instant) {
+        if self.peers.newer_nodes(self.config_version()).next().is_none() {
+            self.behind_since = None;
+        } else {
+            self.behind_since.get_or_insert(now);
+        }
     }
 
     /// Puts `text` in force if its version is newer.
@@ -129,97 +165,47 @@
         }
         let is_overdue = now.since(since) >= Self::REMOTE_FETCH_DELAY.into();
         let may_fetch_local =
-            is_overdue || self.operator_watcher.is_failing() || !self.is_watcher(now);
-        let mut newer = self.newer_nodes(now);
-        if newer.is_empty() {
+            is_overdue || self.operator_watcher.is_failing() || !self.is_watcher();
+        if !may_fetch_local {
+            return;
+        }
+        let version = self.config_version();
+        let mut newer = self.peers.newer_nodes(version).map(|peer| &peer.entry).peekable();
+        if newer.peek().is_none() {
             self.behind_since = None;
             return;
         }
-        newer.retain(|entry| self.config_fetches.is_idle(entry));
-        let local =
-            newer.iter().filter(|entry| may_fetch_local && self.is_local(entry)).choose(rng);
-        let any = newer.iter().filter(|_| is_overdue).choose(rng);
+        let idle: Vec<&NodeEntry> =
+            newer.filter(|entry| self.config_fetches.is_idle(entry)).collect();
+        let local = idle.iter().filter(|entry| self.is_local(entry)).choose(rng);
+        let any = idle.iter().filter(|_| is_overdue).choose(rng);
         if let Some(entry) = local.or(any) {
             self.config_fetches.begin(now, entry);
             self.actions.push(FleetAction::FetchConfig(entry.inbound));
         }
     }
 
-    /// Returns the nodes that have a newer configuration.
-    pub(super) fn newer_nodes(&self, now: Instant) -> Vec<crate::fleet::NodeEntry> {
-        let own_version = self.config_version();
-        let alive = self.peers.alive(now).filter_map(|peer| peer.heartbeat.as_ref());
-        let newer = alive.filter(|heartbeat| heartbeat.config_version > own_version);
-        newer.map(|heartbeat| heartbeat.entry.clone()).collect()
-    }
-
     /// Returns whether this node watches the store for its data centre: it is among the first, by
     /// id, of the nodes that reach the store, or of all nodes while none reaches it. The others
     /// learn of changes from these, so that the requests to the store grow with the data centres
     /// and not with the nodes, also when a silent store responds again.
-    pub(super) fn is_watcher(&self, now: Instant) -> bool {
-        let before = self.nodes_before(now).filter(|peer| peer.is_local);
-        let local_nodes = self.peers.alive(now).filter(|peer| peer.is_local).count() + 1;
-        before.count() < Self::MIN_WATCHERS.max(local_nodes / Self::NODES_PER_WATCHER)
+    pub(super) fn is_watcher(&self) -> bool {
+        let local_nodes = self.peers.local_live_count() + 1;
+        let watchers = Self::MIN_WATCHERS.max(local_nodes / Self::NODES_PER_WATCHER);
+        self.peers.local_ranked_before(&self.own_rank()).take(watchers).count() < watchers
     }
 
     /// Returns whether this node leads the watchers of all data centres that it hears of.
-    pub(super) fn is_leader(&self, now: Instant) -> bool {
-        !self.is_leaving && self.nodes_before(now).next().is_none()
+    pub(super) fn is_leader(&self) -> bool {
+        !self.is_leaving && self.peers.ranked_before(&self.own_rank()).next().is_none()
     }
 
-    /// Returns the live nodes that precede this one: those that reach the store come first, by id.
-    fn nodes_before(&self, now: Instant) -> impl Iterator<Item = &Peer> {
-        let own_rank = (!self.store_contact.is_reached(), &self.identity.entry.node);
-        let is_before = move |heartbeat: &Heartbeat| {
-            let rank = (!heartbeat.is_store_reached, &heartbeat.entry.node);
-            !heartbeat.is_leaving && rank < own_rank
-        };
-        let alive = self.peers.alive(now);
-        alive.filter(move |peer| peer.heartbeat.as_ref().is_some_and(&is_before))
+    /// Returns the place of this node in the order in which nodes take over work.
+    pub(super) fn own_rank(&self) -> Rank {
+        Rank::new(self.store_contact.is_reached(), self.identity.entry.node.clone())
     }
 
-    pub(super) fn is_local(&self, entry: &crate::fleet::NodeEntry) -> bool {
+    pub(super) fn is_local(&self, entry: &NodeEntry) -> bool {
         entry.data_centre == self.identity.entry.data_centre
     }
-
-    pub(super) fn send_heartbeat(&mut self, now: Instant, rng: &mut impl Rng) {
-        let has_update = std::mem::take(&mut self.has_update);
-        let mut addresses: Vec<SocketAddr> = Vec::new();
-        if has_update || now >= self.next_heartbeat {
-            self.next_heartbeat = next_heartbeat_time(now, Self::HEARTBEAT_INTERVAL, rng);
-            addresses.extend(self.peers.addresses(true));
-        }
-        if has_update || now >= self.next_remote_heartbeat {
-            self.next_remote_heartbeat =
-                next_heartbeat_time(now, Self::REMOTE_HEARTBEAT_INTERVAL, rng);
-            addresses.extend(self.peers.addresses(false));
-        }
-        if !addresses.is_empty() {
-            let heartbeat = Box::new(self.heartbeat(now));
-            self.actions.push(FleetAction::Heartbeat(heartbeat, addresses));
-        }
-    }
-
-    pub(super) fn heartbeat(&mut self, now: Instant) -> Heartbeat {
-        self.sequence += 1;
-        Heartbeat {
-            entry: self.identity.entry.clone(),
-            incarnation: self.identity.incarnation,
-            sequence: self.sequence,
-            config_version: self.config_version(),
-            is_store_reached: self.store_contact.is_reached(),
-            is_leaving: self.is_leaving,
-            backend: self.backend(now).cloned(),
-            departures: self.registration.departures(now, now < self.newcomer_until),
-            rollouts: self.rollouts.values().map(|rollout| rollout.report(now)).collect(),
-        }
-    }
-}
-
-/// Returns the time of the next heartbeat, up to a tenth of `period` early, so that nodes don't
-/// send in step.
-fn next_heartbeat_time(now: Instant, period: Millis, rng: &mut impl Rng) -> Instant {
-    let period = Micros::from(period).get();
-    now + Micros::new(rng.random_range(period * 9 / 10..=period))
 }
--- a/crates/core/src/fleet/registration.rs
+++ b/crates/core/src/fleet/registration.rs
@@ -110,9 +110,10 @@
         if is_new { AnnouncementOutcome::Renewed } else { AnnouncementOutcome::Outdated }
     }
 
-    /// Returns the departures to send to other nodes: recent ones, or all if `include_old`.
-    pub fn departures(&self, now: Instant, include_old: bool) -> Vec<Departure> {
-        self.departures.to_announce(now, include_old)
+    /// Returns departures to send to other nodes: recent ones, or all if `include_old`, of which
+    /// each heartbeat carries those of its `turn`.
+    pub fn departures(&self, now: Instant, include_old: bool, turn: u64) -> Vec<Departure> {
+        self.departures.to_announce(now, include_old, turn)
     }
 
     /// Forgets a server that has been silent for too long, and ends a cold start. Returns whether
--- a/crates/core/src/fleet/rollout_events.rs
+++ b/crates/core/src/fleet/rollout_events.rs
@@ -14,6 +14,8 @@
     /// How long a node waits for each node with a lower id before it writes progress itself. Covers
     /// a lost answer of the store.
     const TAKEOVER_DELAY: Millis = Millis::new(400);
+    /// The largest number of nodes that a node waits for.
+    const MAX_TAKEOVER_RANK: usize = 5;
     /// How long before its deadline a rollout without a backend server of the new version is rolled
     /// back.
     const MISSING_SERVER_ROLLBACK_LEAD: Millis = Millis::new(800);
@@ -41,6 +43,12 @@
 
     /// Judges the running rollouts and writes the progress that is due.
     pub(super) fn drive_rollouts(&mut self, now: Instant, wall: UnixMillis) {
+        if now < self.next_judgement {
+            return;
+        }
+        if self.peers.has_relays() {
+            self.next_judgement = now + Self::WALK_INTERVAL;
+        }
         let is_driven = |rollout: &Rollout| rollout.is_running() || rollout.is_outcome_lost();
         let driven = self.rollouts.iter().filter(|(_, rollout)| is_driven(rollout));
         let driven: Vec<ServiceName> = driven.map(|(service, _)| service.clone()).collect();
@@ -51,6 +59,9 @@
     }
 
     fn stop_if_bad(&mut self, now: Instant, service: &ServiceName) {
+        if !self.is_judge() {
+            return;
+        }
         let may_stop = |rollout: &&Rollout| rollout.is_running() && !rollout.is_stopped();
         let Some(rollout) = self.rollouts.get(service).filter(may_stop) else { return };
         let target = rollout.order().target.clone();
@@ -103,9 +114,9 @@
             }
             return;
         };
-        let own_id = &self.identity.entry.node;
-        let rank = self.peers.alive(now).filter(|peer| peer.entry.node < *own_id).count();
-        let takeover_delay = Micros::from(Self::TAKEOVER_DELAY).get() * rank.min(5) as u64;
+        let before = self.peers.live.ids.range::<NodeId, _>(..&self.identity.entry.node);
+        let rank = before.take(Self::MAX_TAKEOVER_RANK).count();
+        let takeover_delay = Micros::from(Self::TAKEOVER_DELAY).get() * rank as u64;
         let purpose = RequestPurpose::Rollout(service.clone());
         let is_pending = self.is_pending(&purpose);
         let Some(rollout) = self.rollouts.get_mut(service) else { return };
@@ -169,7 +180,7 @@
             Err(failure) => {
                 rollout.write_failed(now);
                 let is_watched = self.is_pending(&RequestPurpose::Watch(KeySpace::Nodes));
-                if failure == StoreFailure::Conflict && !is_watched && !self.is_watcher(now) {
+                if failure == StoreFailure::Conflict && !is_watched && !self.is_watcher() {
                     self.nodes_watcher.mark_outdated();
                 }
             }
--- a/crates/core/src/fleet/store_events.rs
+++ b/crates/core/src/fleet/store_events.rs
@@ -27,7 +27,7 @@
             self.repeat_doubtful_watches(now);
         }
         let Some(reply) = self.reply_of_known_era(now, response) else { return };
-        self.update_store_contact(now, &request.purpose, reply.as_ref().err().copied());
+        self.update_store_contact(&request.purpose, reply.as_ref().err().copied());
         match request.purpose {
             RequestPurpose::Watch(space) => {
                 if matches!(reply, Err(StoreFailure::Unanswered)) {
@@ -80,14 +80,9 @@
     }
 
     /// Updates whether the store answers, by the end of a request.
-    fn update_store_contact(
-        &mut self,
-        now: Instant,
-        purpose: &RequestPurpose,
-        failure: Option<StoreFailure>,
-    ) {
+    fn update_store_contact(&mut self, purpose: &RequestPurpose, failure: Option<StoreFailure>) {
         let was_reached = self.store_contact.is_reached();
-        let was_leader = self.is_leader(now);
+        let was_leader = self.is_leader();
         match purpose {
             RequestPurpose::Watch(KeySpace::Operator) => self.store_contact.record_watch(failure),
             RequestPurpose::Watch(KeySpace::Nodes) => {}
@@ -201,7 +196,8 @@
                 }
                 if entry.node != self.identity.entry.node {
                     self.peers.add_listed(now, entry);
-                    self.has_update = true;
+                    // In a large fleet the links of the new node tell it of the others.
+                    self.has_update |= !self.peers.has_relays();
                 }
             }
             StoredValue::Unreadable(problem) => {
--- a/crates/core/tests/fleet_common/mod.rs
+++ b/crates/core/tests/fleet_common/mod.rs
@@ -107,12 +107,14 @@
         entry: entry(n, "dc-a"),
         incarnation: Incarnation::new(1),
         sequence,
+        revision: sequence,
         config_version: ConfigVersion::default(),
         is_store_reached: true,
         is_leaving: false,
         backend: None,
         departures: Vec::new(),
         rollouts: Vec::new(),
+        digest: None,
     }
 }
 
--- a/crates/core/tests/fleet_common/simulated_fleet.rs
+++ b/crates/core/tests/fleet_common/simulated_fleet.rs
@@ -177,11 +177,14 @@
         self.nodes.iter().map(|node| node.longest_wait).max().unwrap_or_default()
     }
 
+    /// Returns the versions of the nodes' configurations.
+    pub fn versions(&self) -> Vec<u64> {
+        self.nodes.iter().map(SimulatedNode::version).collect()
+    }
+
     /// Returns how many other nodes each node takes for alive.
     pub fn live_peers(&self) -> Vec<usize> {
-        let peers =
-            |node: &SimulatedNode| node.control.last_updates(node.local_time(self.now)).peers;
-        self.nodes.iter().map(peers).collect()
+        self.nodes.iter().map(|node| node.control.last_updates().peers).collect()
     }
 
     /// Delivers an event to `node` now, beside those of the simulation.
@@ -445,6 +448,11 @@
     const PLAIN: usize = 160;
     const DEPARTURE: usize = 30;
     const ROLLOUT: usize = 60;
+    const LATEST: usize = 17;
+    const WANTED: usize = 8;
     let own = PLAIN + DEPARTURE * heartbeat.departures.len() + ROLLOUT * heartbeat.rollouts.len();
-    own as u64
+    let digest = heartbeat.digest.as_ref().map_or(0, |digest| {
+        PLAIN * digest.changed.len() + LATEST * digest.latest.len() + WANTED * digest.wanted.len()
+    });
+    (own + digest) as u64
 }
--- a/crates/core/tests/fleet_registration.rs
+++ b/crates/core/tests/fleet_registration.rs
@@ -97,9 +97,9 @@
     let departure = Departure { id: "i-1".parse().unwrap(), started_at: Some(UnixMillis::new(5)) };
     assert_eq!(registration.depart(at(2), &departure), AnnouncementOutcome::Changed);
     assert!(registration.backend().is_none());
-    assert_eq!(registration.departures(at(3), false), vec![departure.clone()]);
-    assert_eq!(registration.departures(at(20_000), false), Vec::new());
-    assert_eq!(registration.departures(at(20_000), true), vec![departure]);
+    assert_eq!(registration.departures(at(3), false, 0), vec![departure.clone()]);
+    assert_eq!(registration.departures(at(20_000), false, 0), Vec::new());
+    assert_eq!(registration.departures(at(20_000), true, 0), vec![departure]);
 }
 
 /// Guards against calls to a server that crashed without announcing that it leaves.
--- a/crates/node/src/fleet/control_loop.rs
+++ b/crates/node/src/fleet/control_loop.rs
@@ -83,7 +83,7 @@
                 Some(event) = result_rx.recv() => (event, None),
                 Some(event) = evidence_rx.recv() => (event, None),
                 _ = tick.tick() => {
-                    self.last_updates.store(Arc::new(self.control.last_updates(self.clock.now())));
+                    self.last_updates.store(Arc::new(self.control.last_updates()));
                     (FleetEvent::Tick, None)
                 }
             };
--- a/crates/wire/src/convert/fleet.rs
+++ b/crates/wire/src/convert/fleet.rs
@@ -1,8 +1,8 @@
 //! Conversions of heartbeats between fleet nodes and of the values that they keep in the store.
 
 use almondsail_core::fleet::{
-    BackendStatus, Departure, Heartbeat, NodeEntry, RolloutEvidence, RolloutProgress,
-    RolloutReport, RouteEvidence, RouteKey, VersionEvidence,
+    BackendStatus, Departure, Heartbeat, LatestHeartbeat, NodeDigest, NodeEntry, NodeKey,
+    RolloutEvidence, RolloutProgress, RolloutReport, RouteEvidence, RouteKey, VersionEvidence,
 };
 use almondsail_core::ids::{ConfigVersion, Incarnation};
 use almondsail_core::store::{Revision, StoreEra, StorePosition};
@@ -197,6 +197,8 @@
             backend: heartbeat.backend.as_ref().map(Into::into),
             rollouts: to_wire(&heartbeat.rollouts),
             departures: to_wire(&heartbeat.departures),
+            digest: heartbeat.digest.as_deref().map(Into::into),
+            revision: heartbeat.revision,
         }
     }
 }
@@ -215,6 +217,61 @@
             backend: w.backend.map(TryInto::try_into).transpose()?,
             rollouts: convert_each("rollouts", w.rollouts)?,
             departures: convert_each("departures", w.departures)?,
+            digest: w.digest.map(TryInto::try_into).transpose()?.map(Box::new),
+            revision: revision(w.revision, w.sequence)?,
+        })
+    }
+}
+
+/// Converts the revision of the heartbeat `sequence`.
+fn revision(w: u64, sequence: u64) -> Result<u64, FieldError> {
+    if w <= sequence {
+        Ok(w)
+    } else {
+        Err(FieldError::new("revision", format_args!("{w} is above the sequence {sequence}")))
+    }
+}
+
+impl From<&LatestHeartbeat> for wire::LatestHeartbeat {
+    fn from(latest: &LatestHeartbeat) -> Self {
+        Self { key: latest.key.get(), sequence: latest.sequence, revision: latest.revision }
+    }
+}
+
+impl TryFrom<wire::LatestHeartbeat> for LatestHeartbeat {
+    type Error = FieldError;
+
+    fn try_from(w: wire::LatestHeartbeat) -> Result<Self, FieldError> {
+        Ok(Self {
+            key: NodeKey::new(w.key),
+            sequence: counter("sequence", w.sequence)?,
+            revision: revision(w.revision, w.sequence)?,
+        })
+    }
+}
+
+impl From<&NodeDigest> for wire::NodeDigest {
+    fn from(digest: &NodeDigest) -> Self {
+        Self {
+            changed: to_wire(&digest.changed),
+            latest: to_wire(&digest.latest),
+            wanted: digest.wanted.iter().map(|key| key.get()).collect(),
+        }
+    }
+}
+
+impl TryFrom<wire::NodeDigest> for NodeDigest {
+    type Error = FieldError;
+
+    fn try_from(w: wire::NodeDigest) -> Result<Self, FieldError> {
+        let has_digest = |heartbeat: &wire::Heartbeat| heartbeat.digest.is_some();
+        if w.changed.iter().any(has_digest) {
+            return Err(FieldError::new("changed", "a heartbeat that is passed on has a digest"));
+        }
+        Ok(Self {
+            changed: convert_each("changed", w.changed)?,
+            latest: convert_each("latest", w.latest)?,
+            wanted: w.wanted.into_iter().map(NodeKey::new).collect(),
         })
     }
 }
--- a/crates/wire/tests/fleet.rs
+++ b/crates/wire/tests/fleet.rs
@@ -1,6 +1,8 @@
 //! Messages between the nodes of a fleet, and the values that they keep in the store.
 
-use almondsail_core::fleet::{Heartbeat, NodeEntry, RolloutProgress, RolloutReport};
+use almondsail_core::fleet::{
+    Heartbeat, LatestHeartbeat, NodeDigest, NodeEntry, NodeKey, RolloutProgress, RolloutReport,
+};
 use almondsail_core::ids::{ConfigVersion, Incarnation};
 use almondsail_core::store::{Revision, StoreEra, StorePosition};
 use almondsail_core::units::{Millis, UnixMillis};
@@ -28,13 +30,15 @@
             departed: None,
         },
         incarnation: Incarnation::new(1),
-        sequence: 1,
+        sequence: 7,
+        revision: 3,
         config_version: ConfigVersion::new(5),
         is_store_reached: true,
         is_leaving: false,
         backend: None,
         departures: Vec::new(),
         rollouts: vec![report],
+        digest: None,
     }
 }
 
@@ -61,3 +65,16 @@
     };
     assert_eq!(decode_progress(&encode_progress(&written)).unwrap(), written);
 }
+
+/// Guards against a digest of other nodes that is lost or mixed up on the way.
+#[test]
+fn heartbeat_digest() {
+    let mut sent = heartbeat(None);
+    let key = NodeKey::new(u64::MAX);
+    sent.digest = Some(Box::new(NodeDigest {
+        changed: vec![Heartbeat { rollouts: Vec::new(), ..heartbeat(None) }],
+        latest: vec![LatestHeartbeat { key, sequence: 9, revision: 4 }],
+        wanted: vec![NodeKey::new(5), NodeKey::new(6)],
+    }));
+    assert_eq!(decode_heartbeat(&encode_heartbeat(&sent)).unwrap(), sent);
+}
--- a/crates/wire/tests/fleet_odd_messages.rs
+++ b/crates/wire/tests/fleet_odd_messages.rs
@@ -31,12 +31,14 @@
         entry: node_entry(),
         incarnation: Incarnation::new(1),
         sequence: 1,
+        revision: 1,
         config_version: ConfigVersion::new(1),
         is_store_reached: true,
         is_leaving: false,
         backend: None,
         departures: Vec::new(),
         rollouts: Vec::new(),
+        digest: None,
     };
     let mut heartbeat = wire::Heartbeat::decode(&*encode_heartbeat(&heartbeat)).unwrap();
     let text = |text: &str| text.to_owned();
@@ -53,14 +55,32 @@
     heartbeat
 }
 
+/// Returns the first entry of the digest of `heartbeat`.
+fn latest(heartbeat: &mut wire::Heartbeat) -> &mut wire::LatestHeartbeat {
+    let digest = heartbeat.digest.get_or_insert_default();
+    digest.latest = vec![wire::LatestHeartbeat { key: 1, sequence: 1, revision: 1 }];
+    &mut digest.latest[0]
+}
+
+/// Lets `heartbeat` pass on a heartbeat that passes on others in turn.
+fn nest_digest(heartbeat: &mut wire::Heartbeat) {
+    latest(heartbeat);
+    let nested = heartbeat.clone();
+    heartbeat.digest.get_or_insert_default().changed.push(nested);
+}
+
 /// Guards against a heartbeat with a number out of range that is accepted and then shuts out later
 /// ones or names a server without slots.
 #[test]
 fn decode_heartbeat_out_of_range() {
     assert!(decode_heartbeat(&heartbeat().encode_to_vec()).is_ok());
-    let edits: [(&str, Edit); 11] = [
+    let edits: [(&str, Edit); 15] = [
         ("incarnation", |h| h.incarnation = TOO_LARGE),
         ("sequence", |h| h.sequence = TOO_LARGE),
+        ("revision", |h| h.revision = 2),
+        ("latest[0].sequence", |h| latest(h).sequence = TOO_LARGE),
+        ("latest[0].revision", |h| latest(h).revision = 2),
+        ("changed", |h| nest_digest(h)),
         ("config_version", |h| h.config_version = u64::MAX),
         ("departures[0].born", |h| h.departures[0].born = Some(TOO_LARGE)),
         ("slots", |h| h.backend.as_mut().unwrap().slots = 0),
