Let nodes that started together find each other

What was seen: in the simulation, nodes of fleets from 8 to 60 never heard of some others: at least 40 of 100 fleets, up to 7 of 29 others missing at a node. Each lists the store before the other has written its entry, no longer watches it once it hears of two others, and gets no heartbeat from a node that does not know it either.

Change: in a small fleet each regular heartbeat tells one other node which nodes the sender hears. A node that learns of an unknown one sends it heartbeats.

--- a/crates/core/src/fleet/heartbeat_targets.rs
+++ b/crates/core/src/fleet/heartbeat_targets.rs
@@ -11,7 +11,7 @@
 
 /// Chooses the nodes to which a node sends its heartbeats.
 ///
-/// In a small fleet these are all. In a larger one they are the node's links on the ring of its data
+/// In a small fleet these are all, and one at a time is told of the others. In a larger one they are the node's links on the ring of its data
 /// centre, whose number grows with the logarithm of the nodes, and for the first few nodes of a ring
 /// the first ones of each other ring.
 #[derive(Debug)]
@@ -19,6 +19,9 @@
     data_centre: DataCentre,
     /// The place of this node on the ring of its data centre.
     place: (u64, NodeId),
+    /// The nodes that are told of others in a small fleet.
+    told_local_turn: Rotation,
+    told_remote_turn: Rotation,
     silent_local_turn: Rotation,
     silent_remote_turn: Rotation,
 }
@@ -45,6 +48,8 @@
         Self {
             data_centre,
             place: (hash_text(own.as_str()), own.clone()),
+            told_local_turn: Rotation::after(own.clone()),
+            told_remote_turn: Rotation::after(own.clone()),
             silent_local_turn: Rotation::after(own.clone()),
             silent_remote_turn: Rotation::after(own.clone()),
         }
@@ -53,8 +58,12 @@
     /// Returns the targets in the same data centre. They include some silent nodes if `with_silent`.
     pub(super) fn local(&mut self, peers: &PeerDirectory, with_silent: bool) -> Addresses {
         let is_mesh = peers.is_mesh();
-        let linked: BTreeSet<NodeId> =
-            if peers.has_relays() { self.links(peers) } else { BTreeSet::new() };
+        let linked: BTreeSet<NodeId> = if peers.has_relays() {
+            self.links(peers)
+        } else {
+            let told = usize::from(with_silent);
+            self.told_local_turn.next(&peers.live.local, told).into_iter().collect()
+        };
         let mut others = Vec::new();
         if is_mesh {
             others.extend(peers.live.local.iter().chain(&peers.unheard_local).cloned());
@@ -69,8 +78,14 @@
     /// Returns the targets in other data centres. They include some silent nodes if `with_silent`.
     pub(super) fn remote(&mut self, peers: &PeerDirectory, with_silent: bool) -> Addresses {
         let (is_mesh, is_gateway) = (peers.is_mesh(), self.is_gateway(peers));
-        let linked =
-            if peers.has_relays() && is_gateway { self.gateways(peers) } else { BTreeSet::new() };
+        let linked: BTreeSet<NodeId> = if !peers.has_relays() {
+            let told = usize::from(with_silent);
+            self.told_remote_turn.next(&peers.live.remote, told).into_iter().collect()
+        } else if is_gateway {
+            self.gateways(peers)
+        } else {
+            BTreeSet::new()
+        };
         let mut others = Vec::new();
         if is_mesh {
             others.extend(peers.live.remote.iter().chain(&peers.unheard_remote).cloned());
--- a/crates/core/src/fleet/node_events.rs
+++ b/crates/core/src/fleet/node_events.rs
@@ -91,8 +91,14 @@
     /// Handles what the node at `from` passes on about other nodes.
     fn handle_digest(&mut self, now: Instant, from: SocketAddr, digest: NodeDigest) {
         for heartbeat in digest.changed {
-            if heartbeat.entry.node != self.identity.entry.node {
+            if heartbeat.entry.node == self.identity.entry.node {
+                continue;
+            }
+            if self.peers.has_relays() {
                 self.record_heartbeat(now, heartbeat, HeartbeatPath::PassedOn);
+            } else if self.peers.get(&heartbeat.entry.node).is_none() {
+                // Nodes that start at the same time don't find each other in the store.
+                self.peers.add_listed(now, heartbeat.entry);
             }
         }
         for latest in &digest.latest {
--- a/crates/core/src/fleet/peer_directory.rs
+++ b/crates/core/src/fleet/peer_directory.rs
@@ -149,9 +149,15 @@
     }
 
     /// Records that another node knows of a heartbeat. Returns whether this node lacks its content.
+    /// In a small fleet only a node that is not known at all is lacking.
     pub fn record_latest(&mut self, now: Instant, latest: &LatestHeartbeat) -> bool {
         let node = self.by_key.get(&latest.key);
+        let has_relays = self.has_relays();
         let Some(peer) = node.and_then(|node| self.peers.get_mut(node)) else { return true };
+        if !has_relays {
+            // Its own heartbeats tell whether this node reaches it.
+            return false;
+        }
         let has_content =
             peer.heartbeat.as_ref().is_some_and(|known| known.sequence >= latest.revision);
         peer.latest_revision = peer.latest_revision.max(latest.revision);
--- a/crates/core/tests/fleet_size.rs
+++ b/crates/core/tests/fleet_size.rs
@@ -212,6 +212,24 @@
     }
 }
 
+/// Guards against nodes that never hear of each other because they started at the same time, before
+/// either was listed in the store.
+#[test]
+fn live_peers_started_together() {
+    for nodes in [2, 8, 16, 30, 60, 70, 91] {
+        for seed in seeds(5) {
+            let mut fleet = SimulatedFleet::start_shaped(FleetShape::new(nodes, 4), seed);
+            fleet.run(SETTLED, |_, _| {});
+            let live = fleet.live_peers();
+            let others = usize::from(nodes) - 1;
+            assert!(
+                live.iter().all(|peers| *peers == others),
+                "{nodes} nodes, seed {seed}: {live:?}"
+            );
+        }
+    }
+}
+
 /// Guards against a dead node that others keep alive by telling each other of it.
 #[test]
 fn live_peers_dead_node() {
