Handle the own events of a node before heartbeats, and show a late node

A node with more events than processor time handled heartbeats of others before replies of the store, announcements and stop requests, by chance, and nothing showed that it was late. Now the events of the node, the store and the clock go first, and 64 heartbeats wait at most; the socket drops the rest. The ages for metrics are updated each second, as they look at all nodes.

--- a/crates/core/src/fleet/fleet_log_event.rs
+++ b/crates/core/src/fleet/fleet_log_event.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use crate::fleet::{CallRecord, ConnectionEnd, FleetChange, InboundCallRecord, LogClass};
+use crate::units::Micros;
 
 /// An event that a node of a fleet writes to its log.
 #[derive(Debug, Clone, PartialEq)]
@@ -48,6 +49,11 @@
         /// The message of the error that occurred.
         problem: String,
     },
+    /// The control state handled a tick so late that it acts on old state.
+    ControlLate {
+        /// The time since the tick was due.
+        delay: Micros,
+    },
     /// A caller's request ended.
     Call(CallRecord),
     /// A call to the backend server beside this node ended. It came from another node or from a
@@ -78,6 +84,7 @@
             Self::AnnouncementRefused { .. } => "announcement refused",
             Self::HeartbeatRefused { .. } => "heartbeat refused",
             Self::HeartbeatFailed { .. } => "heartbeat failed",
+            Self::ControlLate { .. } => "control state is late",
             Self::Call(_) => "call",
             Self::InboundCall(_) => "door",
             Self::Unanswered { .. } => "unanswered",
@@ -93,7 +100,7 @@
             | Self::CallsAborted
             | Self::Stopped
             | Self::SettingsChanged => LogClass::Lifecycle,
-            Self::Change(_) => LogClass::Change,
+            Self::Change(_) | Self::ControlLate { .. } => LogClass::Change,
             Self::AnnouncementRefused { .. }
             | Self::HeartbeatRefused { .. }
             | Self::HeartbeatFailed { .. } => LogClass::BadInput,
--- a/crates/node/src/fleet/control_loop.rs
+++ b/crates/node/src/fleet/control_loop.rs
@@ -21,6 +21,7 @@
 
 use crate::clock::Clock;
 use crate::fleet::config_source::ConfigSource;
+use crate::fleet::control_delay::ControlDelay;
 use crate::fleet::control_http_client::{self, ControlHttpClient};
 use crate::fleet::event_log::EventLog;
 use crate::fleet::fleet_store_client::FleetStoreClient;
@@ -34,6 +35,12 @@
 /// Time limit for fetching the configuration, of up to a megabyte, from another node over a slow
 /// link that other nodes use as well.
 const CONFIG_FETCH_TIMEOUT: Duration = Duration::from_millis(1_800);
+/// Number of received heartbeats that wait for the control state. Further ones wait in the socket,
+/// which drops what it can't hold: a later heartbeat supersedes them.
+const MAX_WAITING_HEARTBEATS: usize = 64;
+/// Number of ticks between two updates of the times that metrics show.
+const TICKS_PER_UPDATE: u32 = 10;
+
 /// An event whose sender waits until its effect is published.
 #[derive(Debug)]
 pub(crate) struct ControlRequest {
@@ -54,38 +61,49 @@
     pub(crate) source: Arc<ConfigSource>,
     /// Notified after each published view.
     pub(crate) view_changed_tx: watch::Sender<()>,
-    /// Update times of the control state, replaced with each tick.
+    /// Update times of the control state, replaced each second.
     pub(crate) last_updates: SharedLastUpdates,
+    pub(crate) delay: ControlDelay,
     pub(crate) changes: Counter<u64>,
     pub(crate) log: EventLog,
 }
 
 impl ControlLoop {
     /// Runs until all senders of control requests are dropped.
+    ///
+    /// When more events arrive than can be handled, those of this node, the store and the clock go
+    /// before the reports of other nodes and of calls, of which later ones supersede earlier ones.
     pub(crate) async fn run(
         mut self,
         mut control_rx: mpsc::Receiver<ControlRequest>,
         mut evidence_rx: mpsc::Receiver<FleetEvent>,
     ) {
         let (result_tx, mut result_rx) = mpsc::channel(256);
+        let (heartbeat_tx, mut heartbeat_rx) = mpsc::channel(MAX_WAITING_HEARTBEATS);
         let mut store_requests = StoreRequests::default();
         let heartbeats = self.heartbeats.clone();
-        tokio::task::spawn_local(heartbeats.receive(result_tx.clone()));
+        tokio::task::spawn_local(heartbeats.receive(heartbeat_tx));
         let mut rng = SmallRng::from_os_rng();
         let mut tick = tokio::time::interval(TICK_INTERVAL);
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut ticks = 0_u32;
         loop {
             let (event, done) = tokio::select! {
+                biased;
                 request = control_rx.recv() => match request {
                     Some(request) => (request.event, Some(request.done)),
                     None => return,
                 },
                 Some(event) = result_rx.recv() => (event, None),
-                Some(event) = evidence_rx.recv() => (event, None),
-                _ = tick.tick() => {
-                    self.last_updates.store(Arc::new(self.control.last_updates()));
+                due = tick.tick() => {
+                    if ticks.is_multiple_of(TICKS_PER_UPDATE) {
+                        self.last_updates.store(Arc::new(self.control.last_updates()));
+                    }
+                    ticks = ticks.wrapping_add(1);
+                    self.delay.record(due.elapsed());
                     (FleetEvent::Tick, None)
                 }
+                event = next_report(&mut heartbeat_rx, &mut evidence_rx) => (event, None),
             };
             if let FleetEvent::Store { id, .. } = &event {
                 store_requests.remove(*id);
@@ -161,6 +179,18 @@
     }
 }
 
+/// Returns the next heartbeat or observed call, whichever of them there is.
+async fn next_report(
+    heartbeat_rx: &mut mpsc::Receiver<FleetEvent>,
+    evidence_rx: &mut mpsc::Receiver<FleetEvent>,
+) -> FleetEvent {
+    tokio::select! {
+        Some(event) = heartbeat_rx.recv() => event,
+        Some(event) = evidence_rx.recv() => event,
+        else => std::future::pending().await,
+    }
+}
+
 /// Fetches the configuration of the node at `from`. Sends an event once it begins to arrive.
 async fn fetch_config(
     node_client: &ControlHttpClient,
--- a/crates/node/src/fleet/event_log.rs
+++ b/crates/node/src/fleet/event_log.rs
@@ -90,6 +90,7 @@
                 out.emit_str("problem", problem)
             }
             FleetLogEvent::HeartbeatFailed { problem } => out.emit_str("problem", problem),
+            FleetLogEvent::ControlLate { delay } => out.emit_u64("delay_us", delay.get()),
             FleetLogEvent::Call(call) => call_fields(call, out),
             FleetLogEvent::InboundCall(call) => inbound_call_fields(call, out),
             FleetLogEvent::Unanswered { listener, end, requests } => {
--- a/crates/node/src/fleet/fleet_node.rs
+++ b/crates/node/src/fleet/fleet_node.rs
@@ -20,6 +20,7 @@
 use crate::clock::{Clock, to_std_duration};
 use crate::fleet::call_metrics::CallMetrics;
 use crate::fleet::config_source::ConfigSource;
+use crate::fleet::control_delay::ControlDelay;
 use crate::fleet::control_http_client::ControlHttpClient;
 use crate::fleet::control_loop::{ControlLoop, ControlRequest};
 use crate::fleet::event_log::EventLog;
@@ -205,6 +206,7 @@
             source: self.source,
             view_changed_tx: self.view_changed_tx,
             last_updates: self.last_updates,
+            delay: ControlDelay::new(&self.metrics.meter(), self.log.clone()),
             changes,
             log: self.log,
         })
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -15,6 +15,7 @@
 mod caller_handler;
 mod caller_result;
 mod config_source;
+mod control_delay;
 mod control_http_client;
 mod control_loop;
 mod endpoint_client;
