Let two nodes of a data centre watch the entries of nodes

A sixth of the nodes of a data centre watched the entries of all nodes beside the operator's keys: on 295 hosts each node that started ended 48 watches. Nodes hear of each other by heartbeats, so two watchers are enough. Fleets of up to 17 nodes in a data centre are as before.

--- a/crates/core/src/fleet/fleet_control.rs
+++ b/crates/core/src/fleet/fleet_control.rs
@@ -308,7 +308,8 @@
 
     fn send_due_requests(&mut self, now: Instant) {
         let watch_time = self.is_watcher().then_some(StoreWatcher::WATCH_TIME);
-        self.nodes_watcher.set_watch_time(watch_time);
+        let entry_watch_time = self.is_entry_watcher().then_some(StoreWatcher::WATCH_TIME);
+        self.nodes_watcher.set_watch_time(entry_watch_time);
         if self.is_leader() {
             self.operator_watcher.set_watch_time(Some(StoreWatcher::LEADER_WATCH_TIME));
             self.doubt_long_watch(now);
--- a/crates/core/src/fleet/node_events.rs
+++ b/crates/core/src/fleet/node_events.rs
@@ -197,8 +197,18 @@
     /// and not with the nodes, also when a silent store responds again.
     pub(super) fn is_watcher(&self) -> bool {
         let local_nodes = self.peers.local_live_count() + 1;
-        let watchers = Self::MIN_WATCHERS.max(local_nodes / Self::NODES_PER_WATCHER);
-        self.peers.local_ranked_before(&self.own_rank()).take(watchers).count() < watchers
+        self.is_among_first(Self::MIN_WATCHERS.max(local_nodes / Self::NODES_PER_WATCHER))
+    }
+
+    /// Returns whether this node watches the entries of nodes. These are small, and other nodes
+    /// hear of each other by heartbeats, so their watchers don't grow with the data centre.
+    pub(super) fn is_entry_watcher(&self) -> bool {
+        self.is_among_first(Self::MIN_WATCHERS)
+    }
+
+    /// Returns whether this node is among the first `count` of its data centre.
+    fn is_among_first(&self, count: usize) -> bool {
+        self.peers.local_ranked_before(&self.own_rank()).take(count).count() < count
     }
 
     /// Returns whether this node leads the watchers of all data centres that it hears of.
--- a/crates/core/src/fleet/rollout_events.rs
+++ b/crates/core/src/fleet/rollout_events.rs
@@ -180,7 +180,7 @@
             Err(failure) => {
                 rollout.write_failed(now);
                 let is_watched = self.is_pending(&RequestPurpose::Watch(KeySpace::Nodes));
-                if failure == StoreFailure::Conflict && !is_watched && !self.is_watcher() {
+                if failure == StoreFailure::Conflict && !is_watched && !self.is_entry_watcher() {
                     self.nodes_watcher.mark_outdated();
                 }
             }
--- a/crates/core/tests/fleet_size.rs
+++ b/crates/core/tests/fleet_size.rs
@@ -212,6 +212,25 @@
     }
 }
 
+/// Guards against watches of the nodes' entries that grow with the data centre: each node that starts
+/// ends all of them.
+#[test]
+fn store_calls_nodes_restart() {
+    const RESTARTS: u64 = 20;
+    let mut fleet = SimulatedFleet::start_shaped(FleetShape::new(295, 6), 1);
+    fleet.run(SETTLED, |_, _| {});
+    let before = fleet.store.calls.get("watch").copied().unwrap_or_default();
+    for n in 0..RESTARTS {
+        fleet.restart_at(SETTLED + Millis::new(500 * n), 10 + 7 * usize::try_from(n).unwrap());
+    }
+    fleet.run(SETTLED + Millis::new(500 * RESTARTS), |_, _| {});
+    let watches = fleet.store.calls.get("watch").copied().unwrap_or_default() - before;
+    // Two watchers in each of six data centres for each restart, and two watches of the node that
+    // has started. A watch of the leader ends each second, and the others within the time once.
+    let bound = RESTARTS * (2 * 6 + 2) + 10 + 2 * 8 * 6;
+    assert!(watches <= bound, "{watches} watches, {bound} allowed");
+}
+
 /// Guards against nodes that never hear of each other because they started at the same time, before
 /// either was listed in the store.
 #[test]
