Wait in a test until a started node knows the others

The raw node is ready once it has read the store, and hears nodes of other data centres up to a second later. The fixture waited for the calls of the other node only.

--- a/crates/testkit/src/platform/fleet.rs
+++ b/crates/testkit/src/platform/fleet.rs
@@ -198,16 +198,13 @@
 
     /// Waits until a worker of `service` answers a request that is sent through `node`.
     pub async fn wait_until_served(&self, node: usize, service: &str) -> Result<()> {
-        let client = self.caller(node)?;
-        let host = format!("{service}.example");
-        wait_until("an answer", || async {
-            let headers = [("host", host.as_str()), ("almondsail-attempt-id", "probe")];
-            let reply = client.send(http::Method::GET, "/safe/", Default::default(), &headers);
-            let reply = reply.await?;
-            ensure!(reply.status == 200, "the node answers {}", reply.status);
-            Ok(())
-        })
-        .await
+        wait_until_served(&self.caller(node)?, service).await
+    }
+
+    /// Waits until a worker of `service` answers a request that is sent through the `index`th node
+    /// with a [`RawWorker`].
+    pub async fn wait_until_raw_serves(&self, index: usize, service: &str) -> Result<()> {
+        wait_until_served(&self.raw_caller(index)?, service).await
     }
 
     /// Waits until each node hears all other nodes and can send calls to the workers of all.
@@ -284,6 +281,19 @@
     Ok(node)
 }
 
+/// Waits until a worker of `service` answers a request of `client`.
+async fn wait_until_served(client: &HttpClient, service: &str) -> Result<()> {
+    let host = format!("{service}.example");
+    wait_until("an answer", || async {
+        let headers = [("host", host.as_str()), ("almondsail-attempt-id", "probe")];
+        let reply = client.send(http::Method::GET, "/safe/", Default::default(), &headers);
+        let reply = reply.await?;
+        ensure!(reply.status == 200, "the node answers {}", reply.status);
+        Ok(())
+    })
+    .await
+}
+
 fn node_name(data_centre: &str, service: &str) -> String {
     format!("{data_centre}-{service}")
 }
--- a/crates/testkit/tests/fleet_faulty_worker/main.rs
+++ b/crates/testkit/tests/fleet_faulty_worker/main.rs
@@ -31,6 +31,12 @@
     for service in SERVICES {
         fleet.wait_until_served(0, service).await?;
     }
+    // A node that was just started hears the nodes of other data centres up to a second later.
+    for (node, _) in workers.iter().enumerate() {
+        for service in SERVICES {
+            fleet.wait_until_raw_serves(node, service).await?;
+        }
+    }
     wait_until("requests at all raw workers", || async {
         let path = "/safe/start";
         ensure!(send(&fleet.caller(0)?, path, "start", "").await?.status == 200);
