Answer a node that has just started at once

What callers saw: 503 with the reason no_backend from a node that is ready, for up to a second after its start, when the service runs only in other data centres: heartbeats between data centres are a second apart, and a node sent nothing to one that appeared.

Change: a node answers the first heartbeat of a start of another node with its own. Result: newcomer_is_answered fails before and passes now.

--- a/crates/core/src/fleet/heartbeats.rs
+++ b/crates/core/src/fleet/heartbeats.rs
@@ -78,6 +78,13 @@
         }
     }
 
+    /// Sends a heartbeat to a node that has just started, which would wait for the next one without
+    /// knowing the backend server beside this node.
+    pub(super) fn greet(&mut self, now: Instant, to: SocketAddr) {
+        let heartbeat = Heartbeat { departures: self.departures(now), ..self.heartbeat(now) };
+        self.actions.push(FleetAction::Heartbeat(Box::new(heartbeat), vec![to]));
+    }
+
     /// Sends the heartbeats of other nodes that the node at `to` asked for.
     pub(super) fn answer_question(&mut self, now: Instant, to: SocketAddr, wanted: &[NodeKey]) {
         let known = wanted.iter().filter_map(|key| self.peers.by_key(*key));
--- a/crates/core/src/fleet/node_events.rs
+++ b/crates/core/src/fleet/node_events.rs
@@ -43,7 +43,8 @@
         let digest = heartbeat.digest.take();
         let rollouts = heartbeat.rollouts.clone();
         let departures = std::mem::take(&mut heartbeat.departures);
-        if self.peers.is_newcomer(&heartbeat) {
+        let is_newcomer = self.peers.is_newcomer(&heartbeat);
+        if is_newcomer {
             self.newcomer_until = now + Self::NEWCOMER_TIME;
         }
         if !self.record_heartbeat(now, heartbeat, HeartbeatPath::Direct) {
@@ -58,6 +59,9 @@
         if let Some(digest) = digest {
             self.handle_digest(now, from, *digest);
         }
+        if is_newcomer {
+            self.greet(now, from);
+        }
         self.update_behind(now);
     }
 
--- a/crates/core/tests/fleet_control.rs
+++ b/crates/core/tests/fleet_control.rs
@@ -314,6 +314,27 @@
     assert!(node.open_requests.iter().any(|(_, request)| is_entry(request)));
 }
 
+/// Guards against a node that was just started and refuses calls, because it does not know the servers
+/// beside the others before their next heartbeats, which follow a second later between data centres.
+#[test]
+fn newcomer_is_answered() {
+    let mut node = Node::started(vec![config_item(5, 50)]);
+    node.event(FleetEvent::Announced(announcement("i-1", 5, 1)));
+    node.advance(400);
+    node.actions.clear();
+    let mut started = heartbeat(2, 1);
+    started.entry = entry(2, "dc-b");
+    let address = started.entry.heartbeats;
+    node.event(FleetEvent::Heartbeat(started.clone()));
+    let answers = |node: &Node| {
+        let is_answer = |action: &&FleetAction| matches!(action, FleetAction::Heartbeat(heartbeat, to) if heartbeat.backend.is_some() && *to == [address]);
+        node.actions.iter().filter(is_answer).count()
+    };
+    assert_eq!(answers(&node), 1);
+    node.event(FleetEvent::Heartbeat(Heartbeat { sequence: 2, ..started }));
+    assert_eq!(answers(&node), 1, "a node that is known is answered again");
+}
+
 /// Guards against calls to a server that left while the node beside it was down. The store and the
 /// other nodes remember the departure.
 #[test]
