Let the turns of digests follow the size of the fleet

In a simulated fleet of 1,412 nodes a node took as few as 533 of 1,411 live nodes for alive: a digest named 32 of the nodes of other data centres, so each was named too rarely. A digest now names a quarter of its data centre, an eighth of the others and, between gateways, half of the data centre, with the old numbers as the least. Nothing changes up to 96 nodes in a data centre and 256 outside it, or 64 for gateways.

--- a/crates/core/src/fleet/relays.rs
+++ b/crates/core/src/fleet/relays.rs
@@ -29,13 +29,30 @@
     gateway_turn: Rotation,
 }
 
+/// How many nodes a digest names in one turn.
+#[derive(Debug, Clone, Copy)]
+struct Turns {
+    all_within: usize,
+    min_nodes: usize,
+}
+
+impl Turns {
+    /// Returns the number of nodes to name out of `all`.
+    fn nodes(self, all: usize) -> usize {
+        all.div_ceil(self.all_within).max(self.min_nodes)
+    }
+}
+
 impl Relays {
     /// The time between two datagrams that pass on changes, and between two questions.
     const INTERVAL: Millis = Millis::new(100);
-    /// The number of nodes of the same data centre whose newest heartbeats a digest names.
-    const LOCAL_LATEST: usize = 24;
-    /// The number of nodes of other data centres whose newest heartbeats a digest names.
-    const REMOTE_LATEST: usize = 32;
+    /// The nodes of the same data centre whose newest heartbeats a digest names: the number of turns
+    /// after which it has named all, and the smallest number of nodes.
+    const LOCAL_LATEST: Turns = Turns { all_within: 4, min_nodes: 24 };
+    /// The same for nodes of other data centres.
+    const REMOTE_LATEST: Turns = Turns { all_within: 8, min_nodes: 32 };
+    /// The same for what a gateway tells other data centres, which are sent fewer digests.
+    const GATEWAY_LATEST: Turns = Turns { all_within: 2, min_nodes: 32 };
 
     /// Creates the state of the node `own`.
     pub(super) fn new(own: &NodeId) -> Self {
@@ -101,8 +118,9 @@
         let changed = take_changed(&mut self.local, peers);
         let mut latest = Vec::new();
         if with_latest {
-            latest.extend(self.local_turn.next(&peers.live.local, Self::LOCAL_LATEST));
-            latest.extend(self.remote_turn.next(&peers.live.remote, Self::REMOTE_LATEST));
+            let (local, remote) = (&peers.live.local, &peers.live.remote);
+            latest.extend(self.local_turn.next(local, Self::LOCAL_LATEST.nodes(local.len())));
+            latest.extend(self.remote_turn.next(remote, Self::REMOTE_LATEST.nodes(remote.len())));
         }
         digest(peers, changed, &latest)
     }
@@ -116,8 +134,9 @@
     ) -> NodeDigest {
         self.next_change_at = now + Self::INTERVAL;
         let changed = take_changed(&mut self.remote, peers);
+        let local = &peers.live.local;
         let latest = if with_latest {
-            self.gateway_turn.next(&peers.live.local, Self::REMOTE_LATEST)
+            self.gateway_turn.next(local, Self::GATEWAY_LATEST.nodes(local.len()))
         } else {
             Vec::new()
         };
--- a/crates/core/tests/fleet_size.rs
+++ b/crates/core/tests/fleet_size.rs
@@ -30,6 +30,11 @@
 const SMALL_HOST: EventCost =
     EventCost { datagram: Micros::new(40), share: PerMille::new(100).unwrap() };
 
+/// Returns the number of nodes of the largest fleet, for longer runs than those of CI.
+fn fleet_nodes() -> u16 {
+    std::env::var("ALMONDSAIL_NODES").ok().and_then(|text| text.parse().ok()).unwrap_or(295)
+}
+
 /// Returns a fleet of `nodes` in six data centres on small hosts.
 fn small_hosts(nodes: u16) -> FleetShape {
     FleetShape { cost: Some(SMALL_HOST), ..FleetShape::new(nodes, 6) }
@@ -193,21 +198,23 @@
 /// the same time, and against nodes that don't find each other.
 #[test]
 fn live_peers_after_restarts() {
+    let nodes = fleet_nodes();
+    let others = usize::from(nodes) - 1;
     for seed in seeds(2) {
         let mut rng = SmallRng::seed_from_u64(seed);
-        let shape = FleetShape { loss: PerMille::new(20).unwrap(), ..FleetShape::new(295, 6) };
+        let shape = FleetShape { loss: PerMille::new(20).unwrap(), ..FleetShape::new(nodes, 6) };
         let mut fleet = SimulatedFleet::start_shaped(shape, seed);
         for _ in 0..140 {
-            fleet.restart_at(SETTLED + Millis::new(1), rng.random_range(0..295));
+            fleet.restart_at(SETTLED + Millis::new(1), rng.random_range(0..usize::from(nodes)));
         }
         fleet.run(SETTLED, |_, _| {});
         let live = fleet.live_peers();
-        assert!(live.iter().all(|peers| *peers == 294), "seed {seed}, at first: {live:?}");
+        assert!(live.iter().all(|peers| *peers == others), "seed {seed}, at first: {live:?}");
         fleet.run(SETTLED + Millis::new(4_000), |_, _| {});
         for n in 0..20 {
             fleet.run(SETTLED + Millis::new(4_000 + n * 250), |_, _| {});
             let live = fleet.live_peers();
-            assert!(live.iter().all(|peers| *peers == 294), "seed {seed}, later: {live:?}");
+            assert!(live.iter().all(|peers| *peers == others), "seed {seed}, later: {live:?}");
         }
     }
 }
