Ask for all nodes but the restarted ones in the test of slow links

config_rolling_restart_slow_links allowed 44 of 294 live nodes to be taken for dead; now none but the 20 that restart.

--- a/crates/core/tests/fleet_size.rs
+++ b/crates/core/tests/fleet_size.rs
@@ -40,8 +40,8 @@
     FleetShape { cost: Some(SMALL_HOST), ..FleetShape::new(nodes, 6) }
 }
 
-/// Puts 31 versions into the store, 160 ms apart, and returns the times at which a node has an older
-/// version than it must have, and what nodes have then.
+/// Puts 31 versions into the store, 160 ms apart. Returns the first time at which a node has an older
+/// version than it must have, with the version that is due and the oldest one.
 fn storm(fleet: &mut SimulatedFleet) -> Option<(Instant, u64, u64)> {
     const GAP: Millis = Millis::new(160);
     let puts: Vec<Instant> =
@@ -185,7 +185,7 @@
             .min_by_key(|(_, peers)| **peers)
             .unwrap();
         assert!(
-            *lowest.1 >= 250,
+            *lowest.1 >= 294 - (FIRST_NOT_RESTARTED - FIRST_RESTARTED),
             "at step {step} node {} takes {} others for alive",
             lowest.0,
             lowest.1
