--- a/crates/core/src/fleet/heartbeat_targets.rs
+++ b/crates/core/src/fleet/heartbeat_targets.rs
@@ -11,9 +11,9 @@
 
 /// Chooses the nodes to which a node sends its heartbeats.
 ///
-/// In a small fleet these are all, and one at a time is told of the others. In a larger one they are the node's links on the ring of its data
-/// centre, whose number grows with the logarithm of the nodes, and for the first few nodes of a ring
-/// the first ones of each other ring.
+/// In a small fleet these are all, and one at a time is told of the others. In a larger one they are
+/// the node's links on the ring of its data centre, whose number grows with the logarithm of the
+/// nodes, and for the first few nodes of a ring the first ones of each other ring.
 #[derive(Debug)]
 pub(super) struct HeartbeatTargets {
     data_centre: DataCentre,
@@ -55,31 +55,32 @@
         }
     }
 
-    /// Returns the targets in the same data centre. They include some silent nodes if `with_silent`.
-    pub(super) fn local(&mut self, peers: &PeerDirectory, with_silent: bool) -> Addresses {
+    /// Returns the targets in the same data centre. A regular heartbeat goes to some silent nodes as
+    /// well, and in a small fleet it tells one node of the others.
+    pub(super) fn local(&mut self, peers: &PeerDirectory, is_regular: bool) -> Addresses {
         let is_mesh = peers.is_mesh();
         let linked: BTreeSet<NodeId> = if peers.has_relays() {
             self.links(peers)
         } else {
-            let told = usize::from(with_silent);
+            let told = usize::from(is_regular);
             self.told_local_turn.next(&peers.live.local, told).into_iter().collect()
         };
         let mut others = Vec::new();
         if is_mesh {
             others.extend(peers.live.local.iter().chain(&peers.unheard_local).cloned());
         }
-        if is_mesh || with_silent {
+        if is_mesh || is_regular {
             let count = if is_mesh { Self::SILENT_IN_MESH } else { Self::SILENT };
             others.extend(self.silent_local_turn.next(&peers.silent_local, count));
         }
         Addresses::of(peers, &linked, &others)
     }
 
-    /// Returns the targets in other data centres. They include some silent nodes if `with_silent`.
-    pub(super) fn remote(&mut self, peers: &PeerDirectory, with_silent: bool) -> Addresses {
+    /// Returns the targets in other data centres, as [`Self::local`] does.
+    pub(super) fn remote(&mut self, peers: &PeerDirectory, is_regular: bool) -> Addresses {
         let (is_mesh, is_gateway) = (peers.is_mesh(), self.is_gateway(peers));
         let linked: BTreeSet<NodeId> = if !peers.has_relays() {
-            let told = usize::from(with_silent);
+            let told = usize::from(is_regular);
             self.told_remote_turn.next(&peers.live.remote, told).into_iter().collect()
         } else if is_gateway {
             self.gateways(peers)
@@ -92,7 +93,7 @@
         } else if is_gateway {
             others.extend(peers.unheard_remote.iter().take(Self::SILENT).cloned());
         }
-        if is_mesh || (is_gateway && with_silent) {
+        if is_mesh || (is_gateway && is_regular) {
             let count = if is_mesh { Self::SILENT_IN_MESH } else { Self::SILENT };
             others.extend(self.silent_remote_turn.next(&peers.silent_remote, count));
         }
--- a/crates/core/src/fleet/heartbeats.rs
+++ b/crates/core/src/fleet/heartbeats.rs
@@ -52,9 +52,9 @@
             }
         }
         let has_new_departures = is_update && std::mem::take(&mut self.has_new_departures);
-        let is_regular = has_new_departures || is_local_due || is_remote_due;
-        let is_regular = is_regular || !self.peers.has_relays();
-        let departures = if is_regular { self.departures(now) } else { Vec::new() };
+        let tells_departures =
+            has_new_departures || is_local_due || is_remote_due || !self.peers.has_relays();
+        let departures = if tells_departures { self.departures(now) } else { Vec::new() };
         let heartbeat = Heartbeat { departures, ..self.heartbeat(now) };
         if tells_local {
             let mut to = self.targets.local(&self.peers, is_local_due);
