Write down the timeline of the late changes, and show who watches the store

A node answered 404 for a route 2.6 s and more after the acknowledgement, while the store was silent to 55 of 61 nodes. The logs could not tell whether nobody watched the store or whether fetches between nodes were slow.

New: the change and gauge store_role (follower, watcher, leader), the time that a node knew of a newer configuration in the line config_in_force, the counter fleet_config_offers by outcome. No decision changes.

--- a/crates/core/src/fleet/fleet_change.rs
+++ b/crates/core/src/fleet/fleet_change.rs
@@ -3,7 +3,8 @@
 use std::fmt;
 
 use crate::fleet::{
-    AnnouncementOutcome, KeySpace, RolloutOutcome, StoreFailure, UnknownKind, VersionFault,
+    AnnouncementOutcome, KeySpace, RolloutOutcome, StoreFailure, StoreRole, UnknownKind,
+    VersionFault,
 };
 use crate::ids::{BackendId, ConfigVersion, NodeId, ServiceName, VersionName};
 use crate::store::StoreEra;
@@ -20,6 +21,8 @@
         before: ConfigVersion,
         /// The path by which the configuration came: `store` or `node`.
         source: &'static str,
+        /// The time since another node was first heard of with a newer configuration.
+        behind_for: Micros,
     },
     /// The configuration that came into force has routes of an unknown kind.
     ConfigKindUnknown(UnknownKind),
@@ -61,6 +64,8 @@
         /// Why the last request failed, if the store does not answer.
         failure: Option<StoreFailure>,
     },
+    /// The node does something else than before to follow the operator's keys of the store.
+    StoreRole(StoreRole),
     /// A watch was sent again, because the store gave no response while it was pending.
     WatchRepeated {
         /// The watched part of the store's keys.
@@ -103,6 +108,7 @@
             Self::BackendExpired => "backend_expired",
             Self::Peer { .. } => "peer",
             Self::Store { .. } => "store",
+            Self::StoreRole(_) => "store_role",
             Self::WatchRepeated { .. } => "watch_repeated",
             Self::StoreRestored { .. } => "store_restored",
             Self::RolloutOrdered(..) => "rollout_ordered",
@@ -115,8 +121,8 @@
 impl fmt::Display for FleetChange {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::ConfigInForce { version, before, source } => {
-                write!(f, "version {version} from {source}, before {before}")
+            Self::ConfigInForce { version, before, source, behind_for } => {
+                write!(f, "version {version} from {source}, before {before}, behind {behind_for}")
             }
             Self::ConfigKindUnknown(kind) => write!(f, "{kind}"),
             Self::ConfigNotFetched { from, took } => write!(f, "from {from} within {took}"),
@@ -133,6 +139,7 @@
                 Some(failure) => write!(f, "does not answer: {failure}"),
                 None => f.write_str("does not answer"),
             },
+            Self::StoreRole(role) => write!(f, "{role}"),
             Self::WatchRepeated { space, pending_for } => {
                 write!(f, "{space:?} keys, pending for {pending_for}")
             }
--- a/crates/core/src/fleet/fleet_control.rs
+++ b/crates/core/src/fleet/fleet_control.rs
@@ -15,7 +15,7 @@
 use crate::fleet::{
     AnnouncedState, Announcement, AnnouncementOutcome, ConfigText, Departure, FleetAction,
     FleetChange, FleetEvent, FleetIdentity, KeySpace, LastUpdates, NodeKey, PeerDirectory,
-    Registration, Rollout, StoreRequest, StoreWatcher,
+    Registration, Rollout, StoreRequest, StoreRole, StoreWatcher,
 };
 use crate::ids::{BackendId, ConfigVersion, ServiceName};
 use crate::store::StoreEra;
@@ -39,6 +39,8 @@
     pub(super) pending_requests: BTreeMap<u64, PendingRequest>,
     pub(super) next_request: u64,
     pub(super) store_contact: StoreContact,
+    /// What this node does to follow the operator's keys, as last reported.
+    pub(super) store_role: StoreRole,
     /// The latest era that the store named; `None` before its first answer. Pending requests were
     /// sent in this era.
     pub(super) store_era: Option<StoreEra>,
@@ -106,6 +108,7 @@
             pending_requests: BTreeMap::new(),
             next_request: 0,
             store_contact: StoreContact::default(),
+            store_role: StoreRole::default(),
             store_era: None,
             last_store_reply: None,
             config_since: None,
@@ -210,6 +213,7 @@
             config: self.config_since,
             store: self.last_store_reply,
             watch: self.pending_watch(KeySpace::Operator).map(|pending| pending.sent),
+            store_role: self.store_role,
             peers: self.peers.live_count(),
             oldest_peer: self.peers.live().map(Peer::last_seen).min(),
         }
@@ -307,14 +311,17 @@
     }
 
     fn send_due_requests(&mut self, now: Instant) {
-        let watch_time = self.is_watcher().then_some(StoreWatcher::WATCH_TIME);
         let entry_watch_time = self.is_entry_watcher().then_some(StoreWatcher::WATCH_TIME);
         self.nodes_watcher.set_watch_time(entry_watch_time);
-        if self.is_leader() {
-            self.operator_watcher.set_watch_time(Some(StoreWatcher::LEADER_WATCH_TIME));
+        self.update_store_role();
+        let watch_time = match self.store_role {
+            StoreRole::Leader => Some(StoreWatcher::LEADER_WATCH_TIME),
+            StoreRole::Watcher => Some(StoreWatcher::WATCH_TIME),
+            StoreRole::Follower => None,
+        };
+        self.operator_watcher.set_watch_time(watch_time);
+        if self.store_role == StoreRole::Leader {
             self.doubt_long_watch(now);
-        } else {
-            self.operator_watcher.set_watch_time(watch_time);
         }
         for space in [KeySpace::Operator, KeySpace::Nodes] {
             if !self.is_pending(&RequestPurpose::Watch(space))
@@ -334,6 +341,14 @@
         }
     }
 
+    fn update_store_role(&mut self) {
+        let role = self.store_role();
+        if role != self.store_role {
+            self.store_role = role;
+            self.report(FleetChange::StoreRole(role));
+        }
+    }
+
     pub(super) const fn watcher(&mut self, space: KeySpace) -> &mut StoreWatcher {
         match space {
             KeySpace::Operator => &mut self.operator_watcher,
--- a/crates/core/src/fleet/last_updates.rs
+++ b/crates/core/src/fleet/last_updates.rs
@@ -1,5 +1,6 @@
 //! When the parts of a node's state were last updated.
 
+use crate::fleet::StoreRole;
 use crate::ids::ConfigVersion;
 use crate::units::Instant;
 
@@ -14,6 +15,8 @@
     pub store: Option<Instant>,
     /// When the pending watch of the operator's keys was sent; `None` if none is pending.
     pub watch: Option<Instant>,
+    /// What the node does to follow the operator's keys.
+    pub store_role: StoreRole,
     /// The number of other nodes that sent a heartbeat recently.
     pub peers: usize,
     /// When the live node that has been silent for longest last sent a heartbeat; `None` without
--- a/crates/core/src/fleet/node_events.rs
+++ b/crates/core/src/fleet/node_events.rs
@@ -8,8 +8,10 @@
 use super::fleet_control::FleetControl;
 use super::live_nodes::Rank;
 use super::peer_directory::HeartbeatPath;
-use crate::fleet::{ConfigText, FleetAction, FleetChange, Heartbeat, NodeDigest, NodeEntry};
-use crate::units::{Instant, Millis, UnixMillis};
+use crate::fleet::{
+    ConfigText, FleetAction, FleetChange, Heartbeat, NodeDigest, NodeEntry, StoreRole,
+};
+use crate::units::{Instant, Micros, Millis, UnixMillis};
 
 impl FleetControl {
     /// The smallest number of nodes of a data centre that watch the store. A second one covers the
@@ -131,10 +133,11 @@
             return;
         }
         let unknown_kinds = text.unknown_kinds.clone();
+        let behind_for =
+            self.behind_since.take().map_or(Micros::default(), |since| now.since(since));
         self.config = Some(text);
         self.config_since = Some(now);
-        self.behind_since = None;
-        self.report(FleetChange::ConfigInForce { version, before, source });
+        self.report(FleetChange::ConfigInForce { version, before, source, behind_for });
         for kind in unknown_kinds.into_iter().take(Self::MAX_REPORTED_KINDS) {
             self.report(FleetChange::ConfigKindUnknown(kind));
         }
@@ -220,6 +223,17 @@
         !self.is_leaving && self.peers.ranked_before(&self.own_rank()).next().is_none()
     }
 
+    /// Returns what this node does to follow the operator's keys.
+    pub(super) fn store_role(&self) -> StoreRole {
+        if self.is_leader() {
+            StoreRole::Leader
+        } else if self.is_watcher() {
+            StoreRole::Watcher
+        } else {
+            StoreRole::Follower
+        }
+    }
+
     /// Returns the place of this node in the order in which nodes take over work.
     pub(super) fn own_rank(&self) -> Rank {
         Rank::new(self.store_contact.is_reached(), self.identity.entry.node.clone())
--- a/crates/node/src/fleet/fleet_node.rs
+++ b/crates/node/src/fleet/fleet_node.rs
@@ -99,7 +99,7 @@
     let log = EventLog::new(log, clock, &metrics.meter());
     let control = FleetControl::new(identity(settings, &addresses, clock), clock.now());
     let view = Arc::new(ArcSwap::from_pointee(control.view(clock.now())));
-    let source = Arc::new(ConfigSource::default());
+    let source = Arc::new(ConfigSource::new(&metrics.meter()));
     let (control_tx, control_rx) = mpsc::channel(MAX_QUEUED_CONTROL_REQUESTS);
     let (evidence_tx, evidence_rx) = mpsc::channel(MAX_QUEUED_EVIDENCE);
     let (view_changed_tx, view_changed_rx) = watch::channel(());
--- a/crates/node/src/fleet/freshness_metrics.rs
+++ b/crates/node/src/fleet/freshness_metrics.rs
@@ -23,6 +23,12 @@
         .with_callback(move |gauge| gauge.observe(shared.load().config_version.get(), &[]))
         .build();
     let shared = Arc::clone(updates);
+    meter
+        .u64_observable_gauge("fleet_store_role")
+        .with_description("0: hears of changes from others; 1: watches the store; 2: leads")
+        .with_callback(move |gauge| gauge.observe(shared.load().store_role as u64, &[]))
+        .build();
+    let shared = Arc::clone(updates);
     meter
         .u64_observable_gauge("fleet_peers")
         .with_description("Other nodes that were heard lately")
