Show that changes come late while the store is silent to some nodes

The simulated store can be silent to any set of nodes or refuse them, nodes can stand still, and configurations take their time on the links between nodes.

--- a/crates/core/tests/fleet_common/simulated_fleet.rs
+++ b/crates/core/tests/fleet_common/simulated_fleet.rs
@@ -2,10 +2,11 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
+use std::ops::Range;
 
 use almondsail_core::fleet::{
-    FleetAction, FleetControl, FleetEvent, FleetIdentity, Heartbeat, StoreFailure, StoreReply,
-    StoreRequest, StoreResponse,
+    ConfigText, FleetAction, FleetControl, FleetEvent, FleetIdentity, Heartbeat, StoreFailure,
+    StoreReply, StoreRequest, StoreResponse, TransferLimiter,
 };
 use almondsail_core::ids::Incarnation;
 use almondsail_core::store::StoreEra;
@@ -23,8 +24,10 @@
 const MAX_LINK_WAIT: Millis = Millis::new(100);
 const SENDING: usize = 0;
 const RECEIVING: usize = 1;
-/// How long another node takes to send its configuration.
+/// How long another node takes to send its configuration, unless the links are simulated.
 const FETCH_TIME: Millis = Millis::new(30);
+/// Time limit for fetching a configuration from another node.
+const FETCH_TIMEOUT: Millis = Millis::new(1_800);
 
 /// The size of a simulated fleet, and what its nodes can do in a second.
 #[derive(Debug, Clone, Copy)]
@@ -39,12 +42,15 @@
     /// The bytes a second that a node's link carries in each direction. A datagram that would wait
     /// for longer than `MAX_LINK_WAIT` is lost. `None` for links that carry everything at once.
     pub link: Option<ByteCount>,
+    /// The size of a configuration on its way between nodes.
+    pub config: ByteCount,
 }
 
 impl FleetShape {
     /// Returns a fleet whose events cost no time and whose datagrams all arrive.
     pub const fn new(nodes: u16, data_centres: u16) -> Self {
-        Self { nodes, data_centres, cost: None, loss: PerMille::ZERO, link: None }
+        let config = ByteCount::new(0);
+        Self { nodes, data_centres, cost: None, loss: PerMille::ZERO, link: None, config }
     }
 }
 
@@ -94,8 +100,13 @@
     sent: u64,
     /// The number of bytes in these datagrams.
     sent_bytes: u64,
-    /// When the node's link has sent, and has received, what was passed to it.
+    /// When the node's link has sent, and has received, the datagrams that were passed to it.
     link_until: [Instant; 2],
+    /// The same for configurations, which share the link fairly with datagrams.
+    transfers_until: [Instant; 2],
+    limiter: TransferLimiter,
+    /// When the process stands still. Its events wait until the end.
+    frozen: Range<Instant>,
     /// The longest time that an event has waited.
     longest_wait: Micros,
 }
@@ -105,6 +116,8 @@
     Deliver(usize, FleetEvent),
     Resume(usize),
     Restart(usize),
+    FetchRequest(usize, SocketAddr),
+    TransferEnd(usize),
     StoreRequest(usize, u64, StoreRequest),
     StoreReply(usize, u64, Result<StoreReply, StoreFailure>),
     WatchEnd(usize, u64),
@@ -137,7 +150,7 @@
             fleet.by_address.insert(address, fleet.nodes.len());
             fleet.nodes.push(node);
         }
-        fleet.store.silent_nodes = 0..fleet.nodes.len();
+        fleet.store.silent_nodes = (0..fleet.nodes.len()).collect();
         fleet.store.put_config(1);
         for node in 0..fleet.nodes.len() {
             fleet.schedule_first_tick(node);
@@ -156,6 +169,11 @@
         self.schedule(time, Event::Restart(node));
     }
 
+    /// Lets the process of `node` stand still for some time.
+    pub fn freeze(&mut self, node: usize, time: Range<Instant>) {
+        self.nodes[node].frozen = time;
+    }
+
     /// Ends the process of `node` for good.
     pub fn kill(&mut self, node: usize) {
         self.nodes[node].start = 0;
@@ -230,6 +248,8 @@
             Event::Deliver(node, event) => self.node_event(node, event),
             Event::Resume(node) => self.resume(node),
             Event::Restart(node) => self.restart(node),
+            Event::FetchRequest(node, from) => self.send_config(node, from),
+            Event::TransferEnd(node) => self.nodes[node].limiter.end(self.shape.config),
             Event::StoreRequest(node, id, request) => {
                 let receiver = (node, id);
                 let reply = self.store.request(self.now, &mut self.rng, receiver, &request);
@@ -237,7 +257,7 @@
                     self.schedule(self.now + *time, Event::WatchEnd(node, id));
                 }
                 if let Some(reply) = reply {
-                    self.schedule_delayed(Event::StoreReply(node, id, Ok(reply)));
+                    self.schedule_delayed(Event::StoreReply(node, id, reply));
                 }
                 self.deliver_changes();
             }
@@ -287,6 +307,10 @@
         if state.is_dead {
             return;
         }
+        if state.frozen.contains(&self.now) {
+            let end = state.frozen.end;
+            return self.schedule(end, Event::Deliver(node, event));
+        }
         let is_idle = state.waiting.is_empty() && state.busy_until <= self.now;
         if self.shape.cost.is_none() || is_idle {
             self.handle_event(node, event);
@@ -361,10 +385,7 @@
                 }
             }
             FleetAction::FetchConfig(from) => {
-                let asked = self.by_address.get(&from).map(|asked| &self.nodes[*asked].control);
-                let config = asked.and_then(|node| node.config().cloned());
-                let event = FleetEvent::PeerConfig { from, config };
-                self.schedule(self.now + FETCH_TIME, Event::Deliver(node, event));
+                self.schedule_delayed(Event::FetchRequest(node, from));
             }
             FleetAction::CancelStore(id) => {
                 self.open_requests.remove(&(node, id));
@@ -373,6 +394,49 @@
         }
     }
 
+    /// Sends the configuration of the node at `from` to `node`, unless that node is busy with others
+    /// or stands still. An answer that is not complete in time is lost.
+    fn send_config(&mut self, node: usize, from: SocketAddr) {
+        let Some(asked) = self.by_address.get(&from).copied() else { return };
+        let timeout = self.now + FETCH_TIMEOUT;
+        let state = &mut self.nodes[asked];
+        if state.is_dead || state.frozen.contains(&self.now) {
+            return self.schedule_config(timeout, node, from, None);
+        }
+        let config = state.control.config().cloned();
+        if self.shape.link.is_none() {
+            return self.schedule_config(self.now + FETCH_TIME, node, from, config);
+        }
+        if !state.limiter.begin(self.shape.config) {
+            return self.schedule_config(self.now + Millis::new(1), node, from, None);
+        }
+        let sent = self.transfer_config(asked, SENDING, self.now);
+        let received = self.transfer_config(node, RECEIVING, sent);
+        self.schedule(sent, Event::TransferEnd(asked));
+        let config = config.filter(|_| received <= timeout);
+        self.schedule_config(received.min(timeout), node, from, config);
+    }
+
+    fn schedule_config(
+        &mut self,
+        time: Instant,
+        node: usize,
+        from: SocketAddr,
+        config: Option<ConfigText>,
+    ) {
+        let event = FleetEvent::PeerConfig { from, config };
+        self.schedule(time, Event::Deliver(node, event));
+    }
+
+    /// Passes a configuration to a direction of a node's link at `time`, behind those before it.
+    /// Returns when the link has carried it.
+    fn transfer_config(&mut self, node: usize, direction: usize, time: Instant) -> Instant {
+        let link = self.shape.link.map_or(u64::MAX, ByteCount::get);
+        let until = &mut self.nodes[node].transfers_until[direction];
+        *until = (*until).max(time) + Micros::new(self.shape.config.get() * 1_000_000 / link);
+        *until
+    }
+
     /// Passes `bytes` to a direction of a node's link at `time`. Returns when the link has carried
     /// them; `None` if too many are waiting.
     fn transfer(
@@ -415,6 +479,9 @@
             sent: 0,
             sent_bytes: 0,
             link_until: [now; 2],
+            transfers_until: [now; 2],
+            limiter: TransferLimiter::default(),
+            frozen: at(0)..at(0),
             longest_wait: Micros::default(),
         }
     }
--- a/crates/core/tests/fleet_common/simulated_store.rs
+++ b/crates/core/tests/fleet_common/simulated_store.rs
@@ -1,11 +1,11 @@
-//! A store that a simulated fleet talks to, which falls silent for given times.
+//! A store that a simulated fleet talks to, which gives some nodes no answer for given times.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Range;
 
 use almondsail_core::fleet::{
-    ItemChange, KeySpace, LeaseId, StoreItem, StoreKey, StoreReply, StoreRequest, StoreWrite,
-    StoredValue,
+    ItemChange, KeySpace, LeaseId, StoreFailure, StoreItem, StoreKey, StoreReply, StoreRequest,
+    StoreWrite, StoredValue,
 };
 use almondsail_core::store::Revision;
 use almondsail_core::units::Instant;
@@ -23,7 +23,10 @@
     /// The times in which the store gives no response, to new requests and to waiting watches.
     pub silences: Vec<Range<Instant>>,
     /// The nodes to which the store is silent in these times.
-    pub silent_nodes: Range<usize>,
+    pub silent_nodes: BTreeSet<usize>,
+    /// Whether the store refuses their requests instead of keeping silent. It still keeps silent to
+    /// watches that wait.
+    pub refuses: bool,
     /// The time in which each response is lost with a probability.
     pub losses: Option<(Range<Instant>, f64)>,
     /// The number of requests of each kind that arrived.
@@ -42,18 +45,18 @@
             && self.silences.iter().any(|silence| silence.contains(&now))
     }
 
-    /// Returns the reply to a request that arrives at `now`; `None` if it never comes or if it is a
-    /// watch that waits for changes.
+    /// Returns what comes back for a request that arrives at `now`; `None` if it never comes or if it
+    /// is a watch that waits for changes.
     pub fn request(
         &mut self,
         now: Instant,
         rng: &mut SmallRng,
         receiver: Receiver,
         request: &StoreRequest,
-    ) -> Option<StoreReply> {
+    ) -> Option<Result<StoreReply, StoreFailure>> {
         *self.calls.entry(kind(request)).or_default() += 1;
         if self.is_silent(now, receiver.0) {
-            return None;
+            return self.refuses.then_some(Err(StoreFailure::Refused));
         }
         let reply = match request {
             StoreRequest::List(space, _) => {
@@ -83,7 +86,7 @@
             }
             StoreRequest::Write(StoreWrite::Progress(..)) => unreachable!("no rollouts"),
         };
-        (!self.is_lost(now, rng)).then_some(reply)
+        (!self.is_lost(now, rng)).then_some(Ok(reply))
     }
 
     /// Puts `version` of the configuration in the store.
--- a/crates/core/tests/fleet_silent_store.rs
+++ b/crates/core/tests/fleet_silent_store.rs
@@ -122,7 +122,7 @@
         let start = rng.random_range(4_000..20_000);
         let mut fleet = SimulatedFleet::start(NODES, seed);
         fleet.store.silences = vec![at(start)..at(start + 20_000)];
-        fleet.store.silent_nodes = 0..4;
+        fleet.store.silent_nodes = (0..4).collect();
         // Longer than a renewal interval and the timeout of a renewal: others have taken over.
         let change = start + rng.random_range(4_000..15_000);
         fleet.put_config_at(at(change), 2);
--- a/crates/testkit/src/platform/fleet.rs
+++ b/crates/testkit/src/platform/fleet.rs
@@ -120,6 +120,22 @@
         services: &[&str],
         max_body_bytes: usize,
         idle_timeout: Duration,
+    ) {
+        self.write_config(version, services, max_body_bytes, idle_timeout, 0);
+    }
+
+    /// Writes the configuration of [`Self::configure`] with `unused` further routes that nobody calls.
+    pub fn configure_unused_routes(&self, version: u32, services: &[&str], unused: usize) {
+        self.write_config(version, services, MAX_BODY_BYTES, IDLE_TIMEOUT, unused);
+    }
+
+    fn write_config(
+        &self,
+        version: u32,
+        services: &[&str],
+        max_body_bytes: usize,
+        idle_timeout: Duration,
+        unused: usize,
     ) {
         let route = |service: &str, kind: &str| {
             json!({
@@ -148,6 +164,15 @@
         for service in services {
             resources.extend([route(service, "safe"), route(service, "unsafe"), settings(service)]);
         }
+        // Texts that don't repeat, as in a real configuration.
+        let word =
+            |n: usize| format!("{:016x}", (n as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15));
+        resources.extend((0..unused).map(|n| {
+            let mut unused = route(services[n % services.len()], "safe");
+            unused["metadata"]["name"] = word(n).into();
+            unused["spec"]["prefix"] = format!("/{}/", &word(n)[..8]).into();
+            unused
+        }));
         let config = json!({"version": format!("{version:08x}"), "resources": resources});
         self.store.edit(|state| state.put("op/config", config.to_string().as_bytes()));
     }
--- /dev/null
+++ b/crates/testkit/tests/fleet_config_transfers.rs
@@ -0,0 +1,51 @@
+//! Tests of the transfers of a configuration from node to node.
+
+use std::net::SocketAddr;
+
+use almondsail_testkit::platform::Fleet;
+use eyre::{Result, eyre};
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+
+const SERVICES: [&str; 1] = ["bays"];
+/// The number of nodes that ask for the configuration at the same time.
+const NODES: usize = 32;
+/// The number of routes, of which the text of the configuration has 230 bytes each.
+const ROUTES: usize = 3_000;
+/// The largest number of bytes that may be on their way at the same time, a tenth of a second of a
+/// link of 10 Mbit/s, besides one transfer.
+const MAX_BYTES: usize = 128 * 1024;
+
+/// Asks the node at `address` for its configuration, and reads nothing but the head of the answer.
+/// Returns the length of the body, which is zero if the node refuses to send it.
+async fn ask(address: SocketAddr) -> Result<(TcpStream, usize)> {
+    let mut stream = TcpStream::connect(address).await?;
+    stream.write_all(b"GET /fleet/config HTTP/1.1\r\nhost: node\r\n\r\n").await?;
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await?);
+    }
+    let head = String::from_utf8(head)?.to_ascii_lowercase();
+    let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
+    Ok((stream, length.ok_or_else(|| eyre!("no length: {head}"))?.parse()?))
+}
+
+/// Guards against a node that sends its configuration to all others at the same time, so that a slow
+/// link carries it to none of them before they give up.
+#[tokio::test]
+async fn config_asked_by_many() -> Result<()> {
+    let fleet = Fleet::start(&["dc-a"], &SERVICES).await?;
+    fleet.configure_unused_routes(1, &SERVICES, ROUTES);
+    fleet.wait_until_ready(0).await?;
+    let address = fleet.address(0, "nodes")?;
+    let requests: JoinSet<Result<(TcpStream, usize)>> = (0..NODES).map(|_| ask(address)).collect();
+    let answers: Vec<(TcpStream, usize)> =
+        requests.join_all().await.into_iter().collect::<Result<_>>()?;
+    let lengths: Vec<usize> = answers.iter().map(|(_, length)| *length).collect();
+    let largest = lengths.iter().max().copied().unwrap_or_default();
+    let sum: usize = lengths.iter().sum();
+    assert!(largest > 0, "nobody gets the configuration");
+    assert!(sum <= MAX_BYTES + largest, "{sum} bytes are sent at the same time: {lengths:?}");
+    Ok(())
+}
