Limit the transfers of a configuration by the time that the link needs

Callers got 404 for routes that were added, because a configuration reached the last nodes 2.6 to 3.1 s after the first one.

Cause: a node counted a transfer as ended when the head of its answer was encoded, before a byte was written, so the limit of concurrent transfers never held. All nodes of a fleet got their 160 KB at the same time over a link of 10 Mbit/s and gave up after 1.8 s; what was sent filled the link for nothing. A guard that ends with the write would not help either: the system takes the bytes long before the link has carried them.

Change: the limiter goes by the time that the bytes need on half of a link of 10 Mbit/s. A node that asks while more than 0.1 s of earlier transfers are on their way is refused.

--- a/crates/core/src/fleet/transfer_limiter.rs
+++ b/crates/core/src/fleet/transfer_limiter.rs
@@ -1,8 +1,8 @@
-//! Limits concurrent transfers of the configuration to other nodes.
+//! Limits the transfers of the configuration to other nodes.
 
-use crate::units::ByteCount;
+use crate::units::{ByteCount, Instant, Micros, Millis};
 
-/// Limits how many nodes a node sends its configuration to at a time.
+/// Limits how fast a node sends its configuration to other nodes.
 ///
 /// All nodes of a data centre may ask the first one that has a new configuration at once, over a
 /// slow link. A large one, sent to all together, would reach none completely before the requests
@@ -10,49 +10,52 @@
 /// those that were served can pass the configuration on. Small configurations are sent to all that
 /// ask: a refusal would take longer than they do.
 ///
+/// What the system has taken from the process may still wait for the link, so the limiter goes by
+/// the time that the bytes need.
+///
 /// ```
 /// use almondsail_core::fleet::TransferLimiter;
-/// use almondsail_core::units::ByteCount;
+/// use almondsail_core::units::{ByteCount, Instant, Millis};
 ///
-/// let large = ByteCount::new(200_000);
+/// let (start, large) = (Instant::new(0), ByteCount::new(200_000));
 /// let mut limiter = TransferLimiter::default();
-/// assert!(limiter.begin(large) && limiter.begin(large));
-/// assert!(!limiter.begin(large));
-/// limiter.end(large);
-/// assert!(limiter.begin(large));
+/// assert!(limiter.begin(start, large));
+/// assert!(!limiter.begin(start, large));
+/// assert!(limiter.begin(start + Millis::new(300), large));
 /// ```
-#[derive(Debug, Default, Clone, Copy)]
+#[derive(Debug, Clone, Copy)]
 pub struct TransferLimiter {
-    /// The number of current transfers.
-    active: u32,
-    /// The bytes of the current transfers; at most [`Self::MAX_BYTES`] with more than
-    /// [`Self::MIN_TRANSFERS`] of them.
-    bytes: ByteCount,
+    /// When the link has carried all that was sent. At most [`Self::MAX_BACKLOG`] and the time of
+    /// one transfer after the last one began.
+    idle_at: Instant,
+}
+
+impl Default for TransferLimiter {
+    fn default() -> Self {
+        Self { idle_at: Instant::new(0) }
+    }
 }
 
 impl TransferLimiter {
-    /// The number of concurrent transfers of any size. Two, so that a receiver that is slow or gone
-    /// does not block the others.
-    pub const MIN_TRANSFERS: u32 = 2;
-    /// The bytes of all concurrent transfers if there are more: a tenth of a second of a link of
-    /// 10 Mbit/s.
-    pub const MAX_BYTES: ByteCount = ByteCount::new(128 * 1024);
+    /// The bytes that transfers take of a link in a second: half of one of 10 Mbit/s, the rest of
+    /// which is for calls.
+    pub const BYTES_PER_SECOND: ByteCount = ByteCount::new(625_000);
+    /// The time for which earlier transfers may still need the link when a further one begins.
+    pub const MAX_BACKLOG: Millis = Millis::new(100);
 
-    /// Begins a transfer of `size`. Returns false if the limit is reached and the other node must
-    /// ask elsewhere.
-    pub const fn begin(&mut self, size: ByteCount) -> bool {
-        let bytes = self.bytes.get().saturating_add(size.get());
-        let has_capacity = self.active < Self::MIN_TRANSFERS || bytes <= Self::MAX_BYTES.get();
+    /// Begins a transfer of `size` at `now`. Returns false if too many bytes are on their way and
+    /// the other node must ask elsewhere.
+    pub fn begin(&mut self, now: Instant, size: ByteCount) -> bool {
+        let idle_at = self.idle_at.max(now);
+        let has_capacity = idle_at.since(now) <= Micros::from(Self::MAX_BACKLOG);
         if has_capacity {
-            self.active += 1;
-            self.bytes = ByteCount::new(bytes);
+            self.idle_at = idle_at + Self::transfer_time(size);
         }
         has_capacity
     }
 
-    /// Ends a transfer of `size`, complete or not.
-    pub const fn end(&mut self, size: ByteCount) {
-        self.active = self.active.saturating_sub(1);
-        self.bytes = ByteCount::new(self.bytes.get().saturating_sub(size.get()));
+    fn transfer_time(size: ByteCount) -> Micros {
+        let time = u128::from(size.get()) * 1_000_000 / u128::from(Self::BYTES_PER_SECOND.get());
+        Micros::new(u64::try_from(time).unwrap_or(u64::MAX))
     }
 }
--- a/crates/core/tests/fleet_common/simulated_fleet.rs
+++ b/crates/core/tests/fleet_common/simulated_fleet.rs
@@ -117,7 +117,6 @@
     Resume(usize),
     Restart(usize),
     FetchRequest(usize, SocketAddr),
-    TransferEnd(usize),
     StoreRequest(usize, u64, StoreRequest),
     StoreReply(usize, u64, Result<StoreReply, StoreFailure>),
     WatchEnd(usize, u64),
@@ -249,7 +248,6 @@
             Event::Resume(node) => self.resume(node),
             Event::Restart(node) => self.restart(node),
             Event::FetchRequest(node, from) => self.send_config(node, from),
-            Event::TransferEnd(node) => self.nodes[node].limiter.end(self.shape.config),
             Event::StoreRequest(node, id, request) => {
                 let receiver = (node, id);
                 let reply = self.store.request(self.now, &mut self.rng, receiver, &request);
@@ -407,12 +405,11 @@
         if self.shape.link.is_none() {
             return self.schedule_config(self.now + FETCH_TIME, node, from, config);
         }
-        if !state.limiter.begin(self.shape.config) {
+        if !state.limiter.begin(self.now, self.shape.config) {
             return self.schedule_config(self.now + Millis::new(1), node, from, None);
         }
         let sent = self.transfer_config(asked, SENDING, self.now);
         let received = self.transfer_config(node, RECEIVING, sent);
-        self.schedule(sent, Event::TransferEnd(asked));
         let config = config.filter(|_| received <= timeout);
         self.schedule_config(received.min(timeout), node, from, config);
     }
--- a/crates/core/tests/fleet_transfer.rs
+++ b/crates/core/tests/fleet_transfer.rs
@@ -1,7 +1,7 @@
 //! Spreading a configuration from node to node over slow links.
 
 use almondsail_core::fleet::TransferLimiter;
-use almondsail_core::units::ByteCount;
+use almondsail_core::units::{ByteCount, Instant};
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
 
@@ -30,7 +30,7 @@
 fn spread(
     seed: u64,
     size: ByteCount,
-    may_begin: impl Fn(&mut TransferLimiter) -> bool,
+    may_begin: impl Fn(&mut TransferLimiter, Instant) -> bool,
 ) -> (u64, usize) {
     let mut refused = 0;
     let mut rng = SmallRng::seed_from_u64(seed);
@@ -53,7 +53,7 @@
             *state = match *state {
                 State::Asking(at) if at <= now => {
                     let from = holders[rng.random_range(0..holders.len())];
-                    match may_begin(&mut limiters[from]) {
+                    match may_begin(&mut limiters[from], Instant::new(now * 1_000)) {
                         true => State::Receiving(from, now, 0.0),
                         false => {
                             refused += 1;
@@ -64,10 +64,8 @@
                 State::Receiving(from, since, bytes) => {
                     let bytes = bytes + LINK_BYTES_PER_MS / f64::from(receivers[from].max(1));
                     if bytes >= size.get() as f64 {
-                        limiters[from].end(size);
                         State::Complete
                     } else if now - since >= FETCH_TIMEOUT_MS {
-                        limiters[from].end(size);
                         State::Asking(now + rng.random_range(40..=120))
                     } else {
                         State::Receiving(from, since, bytes)
@@ -87,9 +85,9 @@
 #[test]
 fn spread_over_slow_links() {
     for seed in 0..20 {
-        let (limited, _) = spread(seed, LARGE, |limiter| limiter.begin(LARGE));
+        let (limited, _) = spread(seed, LARGE, |limiter, now| limiter.begin(now, LARGE));
         assert!(limited <= 1_900, "seed {seed}: {limited} ms");
-        let (unlimited, _) = spread(seed, LARGE, |_| true);
+        let (unlimited, _) = spread(seed, LARGE, |_, _| true);
         assert!(unlimited > 1_900, "seed {seed}: {unlimited} ms without a bound");
     }
 }
@@ -98,7 +96,7 @@
 #[test]
 fn spread_small_configuration() {
     for seed in 0..20 {
-        let (took, refused) = spread(seed, SMALL, |limiter| limiter.begin(SMALL));
+        let (took, refused) = spread(seed, SMALL, |limiter, now| limiter.begin(now, SMALL));
         assert_eq!(refused, 0, "seed {seed}");
         assert!(took <= 250, "seed {seed}: {took} ms");
     }
--- a/crates/node/src/fleet/inbound_handler.rs
+++ b/crates/node/src/fleet/inbound_handler.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use almondsail_core::RefusalReason;
-use almondsail_core::units::Micros;
+use almondsail_core::units::{Instant, Micros};
 use bytes::Bytes;
 use http::header::HeaderValue;
 use http::{Request, Response, StatusCode};
@@ -29,7 +29,7 @@
     request: Request<Bytes>,
 ) -> Response<Bytes> {
     let Some(hop) = request.headers().get(HOP_HEADER).cloned() else {
-        return config_response(&source, &request);
+        return config_response(&source, traffic.clock.now(), &request);
     };
     let hop = hop.to_str().ok().and_then(|hop| hop.parse::<Hop>().ok());
     let Some(hop) = hop else {
@@ -53,17 +53,16 @@
     response
 }
 
-fn config_response(source: &Arc<ConfigSource>, request: &Request<Bytes>) -> Response<Bytes> {
+fn config_response(
+    source: &ConfigSource,
+    now: Instant,
+    request: &Request<Bytes>,
+) -> Response<Bytes> {
     if request.uri().path() != CONFIG_PATH {
         return empty_response(StatusCode::NOT_FOUND);
     }
-    match source.offer() {
-        Offer::Text(text, transfer) => {
-            let mut response = Response::new(text);
-            // The connection drops the response, and with it the guard, once it is written.
-            response.extensions_mut().insert(transfer);
-            response
-        }
+    match source.offer(now) {
+        Offer::Text(text) => Response::new(text),
         Offer::Busy => empty_response(StatusCode::SERVICE_UNAVAILABLE),
         Offer::Nothing => empty_response(StatusCode::NOT_FOUND),
     }
