Ask the store when nobody confirms the operator's keys

Callers got 404 for routes that were added up to 4.9 s before, at nodes that the store answered all the time, while it was silent to most others.

Cause: whether the store is watched was known to the watching nodes alone. A watch into a silence looks like one that waits; the leader found out after 1 s and a time limit of 0.9 s, and the next nodes in order took over one after the other, each with the same time limits. What others could see, that no answer of the store came any more, was not told.

Change: heartbeats carry when the store last showed, to any node, that the operator's keys are known, and up to which position. The leader's watch lasts 0.85 s, and it tells the others at once of each answer and of an answer that is 0.3 s overdue. A node that has no confirmation for 1.35 s, or hears that the leader lost the store, renews its lease (a tenth of a call) after a random delay; if that is answered and nothing was confirmed meanwhile, it reads the changes and tells all others. A node that begins to watch starts from the confirmed position, so it needs no listing. A position that the store has not reached makes the watcher list its keys.

Two tests of fleet_control answer the watch that follows a regained store, because one without an answer now counts as lost after 0.3 s; the fixture drops cancelled requests.

--- a/crates/core/src/fleet/fleet_control.rs
+++ b/crates/core/src/fleet/fleet_control.rs
@@ -5,6 +5,7 @@
 use rand::Rng;
 
 use super::config_fetches::ConfigFetches;
+use super::freshness::Freshness;
 use super::heartbeat_targets::HeartbeatTargets;
 use super::heartbeats::HeartbeatContent;
 use super::node_entry_lease::NodeEntryLease;
@@ -44,6 +45,7 @@
     /// The latest era that the store named; `None` before its first answer. Pending requests were
     /// sent in this era.
     pub(super) store_era: Option<StoreEra>,
+    pub(super) freshness: Freshness,
     /// When the store last answered a request.
     pub(super) last_store_reply: Option<Instant>,
     /// When the configuration in force took effect.
@@ -110,6 +112,7 @@
             store_contact: StoreContact::default(),
             store_role: StoreRole::default(),
             store_era: None,
+            freshness: Freshness::default(),
             last_store_reply: None,
             config_since: None,
             actions: Vec::new(),
@@ -146,7 +149,7 @@
             FleetEvent::Store { id, response } => {
                 self.handle_store_response(now, wall, id, response, rng);
             }
-            FleetEvent::StoreBegun(id) => self.record_store_head(id),
+            FleetEvent::StoreBegun(id) => self.record_store_head(now, id),
             FleetEvent::Heartbeat(heartbeat) => self.handle_heartbeat(now, wall, heartbeat),
             FleetEvent::PeerConfigBegun(from) => self.config_fetches.record_head(from),
             FleetEvent::PeerConfig { from, config } => {
@@ -174,7 +177,7 @@
             }
         }
         self.drive_rollouts(now, wall);
-        self.send_due_requests(now);
+        self.send_due_requests(now, rng);
         self.fetch_newer_config(now, rng);
         self.send_heartbeats(now, rng);
         self.publish_changes(now);
@@ -213,6 +216,7 @@
             config: self.config_since,
             store: self.last_store_reply,
             watch: self.pending_watch(KeySpace::Operator).map(|pending| pending.sent),
+            confirmed: self.freshness.confirmed_at(),
             store_role: self.store_role,
             peers: self.peers.live_count(),
             oldest_peer: self.peers.live().map(Peer::last_seen).min(),
@@ -310,9 +314,10 @@
         self.report(FleetChange::Backend { id, notice, outcome });
     }
 
-    fn send_due_requests(&mut self, now: Instant) {
+    fn send_due_requests(&mut self, now: Instant, rng: &mut impl Rng) {
         let entry_watch_time = self.is_entry_watcher().then_some(StoreWatcher::WATCH_TIME);
         self.nodes_watcher.set_watch_time(entry_watch_time);
+        self.check_overdue_watch(now);
         self.update_store_role();
         let watch_time = match self.store_role {
             StoreRole::Leader => Some(StoreWatcher::LEADER_WATCH_TIME),
@@ -320,9 +325,7 @@
             StoreRole::Follower => None,
         };
         self.operator_watcher.set_watch_time(watch_time);
-        if self.store_role == StoreRole::Leader {
-            self.doubt_long_watch(now);
-        }
+        self.poll_if_stale(now, rng);
         for space in [KeySpace::Operator, KeySpace::Nodes] {
             if !self.is_pending(&RequestPurpose::Watch(space))
                 && let Some(request) = self.watcher(space).request(now)
@@ -343,9 +346,15 @@
 
     fn update_store_role(&mut self) {
         let role = self.store_role();
-        if role != self.store_role {
-            self.store_role = role;
-            self.report(FleetChange::StoreRole(role));
+        if role == self.store_role {
+            return;
+        }
+        self.store_role = role;
+        self.report(FleetChange::StoreRole(role));
+        let may_watch = self.store_contact.is_reached() && !self.is_operator_answer_arriving();
+        if role == StoreRole::Leader && may_watch {
+            // The pending watch may be lost, and waits for longer than that of a leader.
+            self.cancel_watch(KeySpace::Operator);
         }
     }
 
@@ -370,15 +379,22 @@
     pub(super) fn request(&mut self, now: Instant, purpose: RequestPurpose, request: StoreRequest) {
         let id = self.next_request;
         self.next_request += 1;
-        let watch_time = match request {
-            StoreRequest::Watch(_, _, time) => Some(time),
-            _ => None,
+        let (after, watch_time) = match request {
+            StoreRequest::Watch(_, after, time) => (Some(after), Some(time)),
+            _ => (None, None),
         };
-        if watch_time.is_some() {
+        // A long watch that is lost looks like one that waits.
+        if watch_time > Some(StoreWatcher::LEADER_WATCH_TIME) {
             self.lease.renew_now(now);
         }
-        let pending =
-            PendingRequest { purpose, sent: now, watch_time, is_doubtful: false, has_head: false };
+        let pending = PendingRequest {
+            purpose,
+            sent: now,
+            watch_time,
+            after,
+            is_doubtful: false,
+            head: None,
+        };
         self.pending_requests.insert(id, pending);
         self.actions.push(FleetAction::Store { id, request });
     }
--- a/crates/core/src/fleet/heartbeats.rs
+++ b/crates/core/src/fleet/heartbeats.rs
@@ -8,7 +8,8 @@
 use super::heartbeat_targets::Addresses;
 use super::relays;
 use crate::fleet::{
-    BackendStatus, Departure, FleetAction, Heartbeat, NodeDigest, NodeEntry, NodeKey, RolloutReport,
+    BackendStatus, Departure, FleetAction, Heartbeat, NodeDigest, NodeEntry, NodeKey,
+    RolloutReport, StoreRole,
 };
 use crate::units::{Instant, Micros, Millis};
 
@@ -65,7 +66,8 @@
         if tells_remote {
             let to = self.targets.remote(&self.peers, is_remote_due);
             let digest = self.relays.remote_digest(now, &self.peers, is_remote_due);
-            self.push_heartbeats(&heartbeat, digest, to);
+            let confirmation = heartbeat.confirmation.filter(|_| self.confirms_remote(is_update));
+            self.push_heartbeats(&Heartbeat { confirmation, ..heartbeat }, digest, to);
         }
         // In a small fleet an update is as good as the next heartbeat.
         let counts = is_update && !self.peers.has_relays();
@@ -106,6 +108,12 @@
         }
     }
 
+    /// Returns whether a heartbeat to other data centres confirms the operator's keys. In a small fleet
+    /// all nodes hear the leader itself, and those of a data centre tell each other.
+    fn confirms_remote(&self, is_update: bool) -> bool {
+        is_update || self.peers.has_relays() || self.store_role == StoreRole::Leader
+    }
+
     fn push_heartbeats(&mut self, heartbeat: &Heartbeat, digest: NodeDigest, to: Addresses) {
         if !to.linked.is_empty() {
             let digest = Some(Box::new(digest)).filter(|digest| !digest.is_empty());
@@ -171,6 +179,7 @@
             backend: content.backend,
             departures: Vec::new(),
             rollouts: self.rollouts.values().map(|rollout| rollout.report(now)).collect(),
+            confirmation: self.freshness.confirmation(now),
             digest: None,
         }
     }
--- a/crates/core/src/fleet/last_updates.rs
+++ b/crates/core/src/fleet/last_updates.rs
@@ -15,6 +15,9 @@
     pub store: Option<Instant>,
     /// When the pending watch of the operator's keys was sent; `None` if none is pending.
     pub watch: Option<Instant>,
+    /// When the store last confirmed that the operator's keys are known completely, to any node;
+    /// `None` before the first time.
+    pub confirmed: Option<Instant>,
     /// What the node does to follow the operator's keys.
     pub store_role: StoreRole,
     /// The number of other nodes that sent a heartbeat recently.
--- a/crates/core/src/fleet/live_nodes.rs
+++ b/crates/core/src/fleet/live_nodes.rs
@@ -34,6 +34,10 @@
         Self { is_store_unreached: !is_store_reached, node }
     }
 
+    pub(super) const fn is_store_reached(&self) -> bool {
+        !self.is_store_unreached
+    }
+
     pub(super) const fn node(&self) -> &NodeId {
         &self.node
     }
--- a/crates/core/src/fleet/node_events.rs
+++ b/crates/core/src/fleet/node_events.rs
@@ -43,8 +43,10 @@
         }
         let from = heartbeat.entry.heartbeats;
         let digest = heartbeat.digest.take();
+        let confirmation = heartbeat.confirmation.take();
         let rollouts = heartbeat.rollouts.clone();
         let departures = std::mem::take(&mut heartbeat.departures);
+        let config_version = heartbeat.config_version;
         let is_newcomer = self.peers.is_newcomer(&heartbeat);
         if is_newcomer {
             self.newcomer_until = now + Self::NEWCOMER_TIME;
@@ -58,6 +60,9 @@
         for report in rollouts {
             self.handle_rollout_report(now, &report);
         }
+        if let Some(confirmation) = confirmation {
+            self.confirm_by_peer(now, config_version, confirmation);
+        }
         if let Some(digest) = digest {
             self.handle_digest(now, from, *digest);
         }
@@ -77,12 +82,17 @@
         let node = heartbeat.entry.node.clone();
         let is_local = self.is_local(&heartbeat.entry);
         let is_leaving = heartbeat.is_leaving;
+        let loses_store =
+            !heartbeat.is_store_reached && self.leading_peer().as_ref() == Some(&node);
         // A node that has just started learns of many others, which its links know already.
         let is_recent = heartbeat.content_age() <= Self::MAX_RELAYED_AGE;
         let backend = heartbeat.backend.as_ref().map(|backend| backend.id.clone());
         let Some(is_new) = self.peers.record_heartbeat(now, heartbeat, path) else {
             return false;
         };
+        if loses_store {
+            self.freshness.doubt(now);
+        }
         if is_new {
             self.are_peers_changed = true;
             if is_recent && self.peers.has_relays() {
--- a/crates/core/src/fleet/pending_request.rs
+++ b/crates/core/src/fleet/pending_request.rs
@@ -2,6 +2,7 @@
 
 use crate::fleet::KeySpace;
 use crate::ids::ServiceName;
+use crate::store::Revision;
 use crate::units::{Instant, Millis};
 
 /// A request to the store that has neither been answered nor failed.
@@ -12,12 +13,14 @@
     /// How long the store holds a watch that finds no changes, in which a lost one looks like one
     /// that waits; `None` for all other requests.
     pub(super) watch_time: Option<Millis>,
+    /// The revision after which a watch waits for changes; `None` for all other requests.
+    pub(super) after: Option<Revision>,
     /// Whether another request had no answer while this one was pending, so that this one or its
     /// answer may be lost as well.
     pub(super) is_doubtful: bool,
-    /// Whether the answer has begun to arrive, which is never doubtful: a large one delays the
-    /// answers to other requests on a slow link.
-    pub(super) has_head: bool,
+    /// When the answer began to arrive, which is never doubtful from then on: a large one delays the
+    /// answers to other requests on a slow link. `None` before.
+    pub(super) head: Option<Instant>,
 }
 
 /// What a pending request to the store is for.
--- a/crates/core/src/fleet/store_events.rs
+++ b/crates/core/src/fleet/store_events.rs
@@ -4,9 +4,10 @@
 
 use super::fleet_control::FleetControl;
 use super::pending_request::{PendingRequest, RequestPurpose};
+use super::store_contact::StoreContact;
 use crate::fleet::{
     FleetAction, FleetChange, ItemChange, KeySpace, Rollout, RolloutOrder, RolloutProgress,
-    StoreFailure, StoreItem, StoreKey, StoreReply, StoreResponse, StoreWatcher, StoredValue,
+    StoreFailure, StoreItem, StoreKey, StoreReply, StoreResponse, StoredValue,
 };
 use crate::store::{Revision, StoreEra};
 use crate::units::{Instant, UnixMillis};
@@ -27,13 +28,23 @@
             self.repeat_doubtful_watches(now);
         }
         let Some(reply) = self.reply_of_known_era(now, response) else { return };
-        self.update_store_contact(&request.purpose, reply.as_ref().err().copied());
+        self.update_store_contact(now, &request.purpose, reply.as_ref().err().copied());
         match request.purpose {
             RequestPurpose::Watch(space) => {
                 if matches!(reply, Err(StoreFailure::Unanswered)) {
                     self.lease.renew_early(now);
                 }
+                let is_ahead = is_before(&reply, request.after);
                 let update = self.watcher(space).reply(now, reply, rng);
+                if is_ahead {
+                    self.watcher(space).mark_outdated();
+                }
+                if space == KeySpace::Operator && failure.is_none() {
+                    let is_watch = request.watch_time.is_some();
+                    let answered =
+                        if is_watch { request.head.unwrap_or(now) } else { request.sent };
+                    self.confirm_operator_keys(now, answered);
+                }
                 for change in update.changes {
                     self.apply_item_change(now, wall, change);
                 }
@@ -79,20 +90,40 @@
         self.report(FleetChange::StoreRestored { era, before });
     }
 
+    /// Records the confirmation that an answer of the store at `answered` gives, if the operator's
+    /// keys are listed.
+    fn confirm_operator_keys(&mut self, now: Instant, answered: Instant) {
+        if let Some(position) = self.operator_watcher.position() {
+            self.confirm_by_store(now, answered, position);
+        }
+    }
+
     /// Updates whether the store answers, by the end of a request.
-    fn update_store_contact(&mut self, purpose: &RequestPurpose, failure: Option<StoreFailure>) {
-        let was_reached = self.store_contact.is_reached();
-        let was_leader = self.is_leader();
+    fn update_store_contact(
+        &mut self,
+        now: Instant,
+        purpose: &RequestPurpose,
+        failure: Option<StoreFailure>,
+    ) {
         match purpose {
-            RequestPurpose::Watch(KeySpace::Operator) => self.store_contact.record_watch(failure),
+            RequestPurpose::Watch(KeySpace::Operator) => {
+                self.record_store_contact(|contact| contact.record_watch(failure));
+            }
             RequestPurpose::Watch(KeySpace::Nodes) => {}
             RequestPurpose::Lease | RequestPurpose::Rollout(_) => {
-                self.store_contact.record_request(failure);
+                self.record_store_contact(|contact| contact.record_request(now, failure));
                 if failure == Some(StoreFailure::Unanswered) {
                     self.doubt_watches();
                 }
             }
         }
+    }
+
+    /// Changes whether the store answers, and reports it.
+    pub(super) fn record_store_contact(&mut self, record: impl FnOnce(&mut StoreContact)) {
+        let was_reached = self.store_contact.is_reached();
+        let was_leader = self.is_leader();
+        record(&mut self.store_contact);
         let is_reached = self.store_contact.is_reached();
         if is_reached != was_reached {
             // The next node in order leads once it hears of this.
@@ -103,9 +134,9 @@
     }
 
     /// Records that the answer to a request begins to arrive.
-    pub(super) fn record_store_head(&mut self, id: u64) {
+    pub(super) fn record_store_head(&mut self, now: Instant, id: u64) {
         if let Some(pending) = self.pending_requests.get_mut(&id) {
-            pending.has_head = true;
+            pending.head = Some(now);
             pending.is_doubtful = false;
         }
     }
@@ -113,27 +144,12 @@
     /// Marks the pending watches, because another request had no answer while they were pending.
     fn doubt_watches(&mut self) {
         let may_be_lost =
-            |pending: &&mut PendingRequest| pending.watch_time.is_some() && !pending.has_head;
+            |pending: &&mut PendingRequest| pending.watch_time.is_some() && pending.head.is_none();
         for pending in self.pending_requests.values_mut().filter(may_be_lost) {
             pending.is_doubtful = true;
         }
     }
 
-    /// Marks a watch of the operator's keys from before this node led, which waits for too long, and
-    /// asks for the answer that repeats it.
-    pub(super) fn doubt_long_watch(&mut self, now: Instant) {
-        let is_long = |pending: &&mut PendingRequest| {
-            pending.purpose == RequestPurpose::Watch(KeySpace::Operator)
-                && pending.watch_time > Some(StoreWatcher::LEADER_WATCH_TIME)
-                && !pending.is_doubtful
-                && !pending.has_head
-        };
-        if let Some(pending) = self.pending_requests.values_mut().find(is_long) {
-            pending.is_doubtful = true;
-            self.lease.renew_now(now);
-        }
-    }
-
     /// Gives up the watches that may be lost, because the store has just answered. If this node
     /// still watches, the next ones are sent from the same revisions.
     fn repeat_doubtful_watches(&mut self, now: Instant) {
@@ -239,3 +255,9 @@
         }
     }
 }
+
+/// Returns whether the store has not reached the revision `after`, which another writer may have
+/// made up.
+fn is_before(reply: &Result<StoreReply, StoreFailure>, after: Option<Revision>) -> bool {
+    matches!(reply, Ok(StoreReply::Changes(_, as_of)) if after.is_some_and(|after| *as_of < after))
+}
--- a/crates/core/src/fleet/store_watcher.rs
+++ b/crates/core/src/fleet/store_watcher.rs
@@ -55,10 +55,12 @@
     /// with one request.
     pub const BATCH_DELAY: Millis = Millis::new(150);
     /// How long the store holds a watch without changes.
-    pub const WATCH_TIME: Millis = Millis::new(15_000);
+    pub const WATCH_TIME: Millis = Millis::new(28_000);
     /// How long the store holds a watch of the leading node. A watch whose answer is lost is found
     /// out within this time and a request's timeout, also if nothing else shows the loss.
-    pub const LEADER_WATCH_TIME: Millis = Millis::new(1_000);
+    pub const LEADER_WATCH_TIME: Millis = Millis::new(850);
+    /// How long the store holds a watch that only asks for the changes until now.
+    pub const POLL_TIME: Millis = Millis::new(1);
     /// The longest delay after a failure. Less than the two seconds within which lapsed entries
     /// must be written again.
     const MAX_RETRY_DELAY: Millis = Millis::new(800);
@@ -108,6 +110,24 @@
         self.failures_in_a_row = 0;
     }
 
+    /// Returns the position up to which the key space is known completely; `None` before it is listed
+    /// or while it must be listed again.
+    pub const fn position(&self) -> Option<StorePosition> {
+        match &self.state {
+            State::Watching(revision) => Some(StorePosition::new(self.era, *revision)),
+            State::Listing { .. } => None,
+        }
+    }
+
+    /// Lets the next watch begin at `position`, because other nodes have told all changes before it.
+    pub fn skip_to(&mut self, position: StorePosition) {
+        if let State::Watching(revision) = &mut self.state
+            && position.era == self.era
+        {
+            *revision = (*revision).max(position.revision);
+        }
+    }
+
     /// Returns whether the key space was known completely at least once.
     pub const fn is_listed(&self) -> bool {
         self.is_listed
--- a/crates/core/tests/fleet_common/mod.rs
+++ b/crates/core/tests/fleet_common/mod.rs
@@ -114,6 +114,7 @@
         backend: None,
         departures: Vec::new(),
         rollouts: Vec::new(),
+        confirmation: None,
         digest: None,
     }
 }
--- a/crates/core/tests/fleet_common/node.rs
+++ b/crates/core/tests/fleet_common/node.rs
@@ -51,8 +51,12 @@
     pub fn event(&mut self, event: FleetEvent) {
         let wall = UnixMillis::new(1_000_000 + self.now.get() / 1_000);
         for action in self.control.handle(self.now, wall, event, &mut self.rng) {
-            if let FleetAction::Store { id, request } = &action {
-                self.open_requests.push((*id, request.clone()));
+            match &action {
+                FleetAction::Store { id, request } => {
+                    self.open_requests.push((*id, request.clone()));
+                }
+                FleetAction::CancelStore(id) => self.open_requests.retain(|(open, _)| open != id),
+                _ => {}
             }
             self.actions.push(action);
         }
--- a/crates/core/tests/fleet_common/simulated_fleet.rs
+++ b/crates/core/tests/fleet_common/simulated_fleet.rs
@@ -509,7 +509,7 @@
 
 /// Returns about how many bytes a heartbeat has with the headers of its datagram.
 fn datagram_bytes(heartbeat: &Heartbeat) -> u64 {
-    const PLAIN: usize = 160;
+    const PLAIN: usize = 168;
     const DEPARTURE: usize = 30;
     const ROLLOUT: usize = 60;
     const LATEST: usize = 17;
--- /dev/null
+++ b/crates/core/tests/fleet_confirmations.rs
@@ -0,0 +1,141 @@
+//! Confirmations that a node knows the operator's keys, and polls of the store without them.
+
+mod fleet_common;
+
+use almondsail_core::fleet::{
+    Confirmation, FleetEvent, Heartbeat, KeySpace, LeaseId, StoreFailure, StoreReply, StoreRequest,
+    StoreWatcher, StoreWrite,
+};
+use almondsail_core::store::{Revision, StoreEra, StorePosition};
+use almondsail_core::units::Millis;
+use fleet_common::heartbeat;
+use fleet_common::node::{Node, config_item};
+
+fn is_operator_watch(request: &StoreRequest) -> bool {
+    matches!(request, StoreRequest::Watch(KeySpace::Operator, ..))
+}
+
+fn is_renewal(request: &StoreRequest) -> bool {
+    matches!(request, StoreRequest::KeepLease(_))
+}
+
+fn is_poll(request: &StoreRequest) -> bool {
+    matches!(request, StoreRequest::Watch(KeySpace::Operator, _, StoreWatcher::POLL_TIME))
+}
+
+/// Returns heartbeat `sequence` of the node `id`, which watches the store instead of this one and
+/// has heard of it `age` ago up to `revision`.
+fn watcher(n: u16, id: &str, sequence: u64, revision: u64, age: u64) -> Heartbeat {
+    let mut heartbeat = heartbeat(n, sequence);
+    heartbeat.entry.node = id.parse().unwrap();
+    let position = StorePosition::new(StoreEra::default(), Revision::new(revision));
+    heartbeat.confirmation = Some(Confirmation { position, age: Millis::new(age) });
+    heartbeat
+}
+
+/// Returns a node with a lease that leaves the watches to two others.
+fn follower() -> Node {
+    let mut node = Node::started(vec![config_item(5, 50)]);
+    node.reply(
+        |request| matches!(request, StoreRequest::OpenLease(_)),
+        Ok(StoreReply::Lease(LeaseId::new(1))),
+    );
+    node.reply(
+        |request| matches!(request, StoreRequest::Write(StoreWrite::Node(..))),
+        Ok(StoreReply::Written(Revision::new(101))),
+    );
+    node.event(FleetEvent::Heartbeat(watcher(2, "m1", 1, 100, 0)));
+    node.event(FleetEvent::Heartbeat(watcher(3, "m2", 1, 100, 0)));
+    node.reply(is_operator_watch, Ok(StoreReply::Changes(Vec::new(), Revision::new(100))));
+    node
+}
+
+fn count(node: &Node, is_counted: impl Fn(&StoreRequest) -> bool) -> usize {
+    node.open_requests.iter().filter(|(_, request)| is_counted(request)).count()
+}
+
+/// Lets the leader of the watchers say that the store does not answer it.
+fn lose_leader(node: &mut Node) {
+    let lost = Heartbeat { is_store_reached: false, ..watcher(2, "m1", 2, 100, 1_000) };
+    node.event(FleetEvent::Heartbeat(lost));
+}
+
+/// Guards against a node that asks the store although others have confirmed what it knows.
+#[test]
+fn poll_confirmed_by_others() {
+    let mut node = follower();
+    for sequence in 2..20 {
+        node.advance(300);
+        node.event(FleetEvent::Heartbeat(watcher(2, "m1", sequence, 100, 0)));
+        node.event(FleetEvent::Heartbeat(watcher(3, "m2", sequence, 100, 300)));
+        assert_eq!(count(&node, is_operator_watch), 0);
+    }
+}
+
+/// Guards against a node that reaches the store and waits for watchers that don't.
+#[test]
+fn poll_leader_lost() {
+    let mut node = follower();
+    lose_leader(&mut node);
+    node.advance(200);
+    assert_eq!(count(&node, is_poll), 0, "it does not know whether the store answers");
+    node.reply(is_renewal, Ok(StoreReply::Lease(LeaseId::new(1))));
+    assert_eq!(count(&node, is_poll), 1);
+    node.report_change(KeySpace::Operator, config_item(6, 102));
+    assert_eq!(node.version(), 6);
+}
+
+/// Guards against nodes that all send polls to a store that answers none of them.
+#[test]
+fn poll_store_silent() {
+    for failure in [StoreFailure::Unanswered, StoreFailure::Refused] {
+        let mut node = follower();
+        lose_leader(&mut node);
+        node.advance(200);
+        node.reply(is_renewal, Err(failure));
+        node.advance(500);
+        assert_eq!(count(&node, is_poll), 0, "{failure}");
+    }
+}
+
+/// Guards against a node that goes on trusting a leader that no longer says anything.
+#[test]
+fn poll_leader_frozen() {
+    let mut node = follower();
+    for sequence in 2..8 {
+        node.advance(300);
+        // The other watcher lives, and has nothing newer to tell.
+        node.event(FleetEvent::Heartbeat(watcher(3, "m2", sequence, 100, 300 * (sequence - 1))));
+    }
+    assert_eq!(count(&node, is_renewal), 1);
+    node.reply(is_renewal, Ok(StoreReply::Lease(LeaseId::new(1))));
+    assert_eq!(count(&node, is_poll), 1);
+}
+
+/// Guards against a node that takes a confirmation of a configuration that it does not have for one of
+/// its own, and passes it on.
+#[test]
+fn confirmation_of_newer_config() {
+    let mut node = follower();
+    let mut newer = watcher(2, "m1", 2, 105, 0);
+    newer.config_version = almondsail_core::ids::ConfigVersion::new(6);
+    node.advance(500);
+    node.event(FleetEvent::Heartbeat(newer));
+    let confirmed = node.control.last_updates().confirmed.unwrap();
+    assert!(node.now.since(confirmed) >= Millis::new(500).into());
+}
+
+/// Guards against a position that another writer has made up, after which the node skips the changes
+/// of the store for ever.
+#[test]
+fn confirmation_position_too_large() {
+    let mut node = follower();
+    node.event(FleetEvent::Heartbeat(watcher(3, "m2", 2, 1 << 40, 0)));
+    lose_leader(&mut node);
+    node.advance(2_000);
+    node.reply(is_renewal, Ok(StoreReply::Lease(LeaseId::new(1))));
+    node.reply(is_operator_watch, Ok(StoreReply::Changes(Vec::new(), Revision::new(102))));
+    node.advance(2_000);
+    node.list_as_of(KeySpace::Operator, vec![config_item(6, 102)], 102);
+    assert_eq!(node.version(), 6);
+}
--- a/crates/core/tests/fleet_control.rs
+++ b/crates/core/tests/fleet_control.rs
@@ -212,6 +212,9 @@
     assert_eq!(cancelled(&node), 0, "a watch is sent into the silence");
     node.reply(is_keep, Ok(StoreReply::Lease(LeaseId::new(1))));
     assert_eq!(cancelled(&node), 2);
+    let is_watch =
+        |request: &StoreRequest| matches!(request, StoreRequest::Watch(KeySpace::Operator, ..));
+    node.reply(is_watch, Ok(StoreReply::Changes(Vec::new(), Revision::new(101))));
     assert!(is_heard_reached(&mut node));
 }
 
@@ -257,6 +260,7 @@
     assert!(!is_heard_reached(&mut node));
     node.advance(2_500);
     node.reply(is_keep, Ok(StoreReply::Lease(LeaseId::new(1))));
+    node.reply(is_watch, Ok(StoreReply::Changes(Vec::new(), Revision::new(101))));
     assert!(is_heard_reached(&mut node));
 }
 
--- a/crates/core/tests/fleet_partial_silence.rs
+++ b/crates/core/tests/fleet_partial_silence.rs
@@ -135,3 +135,22 @@
         assert!(late.is_empty(), "seed {seed}, from {start}, change {change}: {:?}", late[0]);
     }
 }
+
+/// Guards against a store that gets a request of every node whenever it is silent to some of them.
+#[test]
+fn calls_silent_to_some() {
+    // A node that does not watch sends nothing but renewals, which are cheap.
+    const MAX_READS: u64 = 60;
+    for share in [0.35, 0.9] {
+        let mut rng = SmallRng::seed_from_u64(1);
+        let mut fleet = fleet(1);
+        fleet.store.silent_nodes = with_leader(share, &mut rng);
+        fleet.store.silences = vec![at(10_000)..at(15_000)];
+        let reads = |fleet: &SimulatedFleet| fleet.store.calls["watch"] + fleet.store.calls["list"];
+        fleet.run(at(10_000), |_, _| {});
+        let before = reads(&fleet);
+        fleet.run(at(15_000), |_, _| {});
+        let reads = reads(&fleet) - before;
+        assert!(reads <= MAX_READS, "{reads} watches and listings in 5 s, silent to {share}");
+    }
+}
--- a/crates/node/src/fleet/freshness_metrics.rs
+++ b/crates/node/src/fleet/freshness_metrics.rs
@@ -54,6 +54,14 @@
     );
     let text = "Time since the store last answered";
     age_gauge(meter, clock, "fleet_store_age_seconds", text, last_update(|updates| updates.store));
+    let text = "Time since the store last confirmed the operator's keys, to any node";
+    age_gauge(
+        meter,
+        clock,
+        "fleet_confirmed_age_seconds",
+        text,
+        last_update(|updates| updates.confirmed),
+    );
     let text = "Time since the pending watch of the operator's keys was sent";
     age_gauge(meter, clock, "fleet_watch_age_seconds", text, last_update(|updates| updates.watch));
     let text = "Time since the most silent of the nodes heard lately was heard";
--- a/crates/wire/src/convert/fleet.rs
+++ b/crates/wire/src/convert/fleet.rs
@@ -1,8 +1,9 @@
 //! Conversions of heartbeats between fleet nodes and of the values that they keep in the store.
 
 use almondsail_core::fleet::{
-    BackendStatus, Departure, Heartbeat, LatestHeartbeat, NodeDigest, NodeEntry, NodeKey,
-    RolloutEvidence, RolloutProgress, RolloutReport, RouteEvidence, RouteKey, VersionEvidence,
+    BackendStatus, Confirmation, Departure, Heartbeat, LatestHeartbeat, NodeDigest, NodeEntry,
+    NodeKey, RolloutEvidence, RolloutProgress, RolloutReport, RouteEvidence, RouteKey,
+    VersionEvidence,
 };
 use almondsail_core::ids::{ConfigVersion, Incarnation};
 use almondsail_core::store::{Revision, StoreEra, StorePosition};
@@ -185,6 +186,27 @@
     }
 }
 
+impl From<&Confirmation> for wire::Confirmation {
+    fn from(confirmation: &Confirmation) -> Self {
+        Self {
+            revision: confirmation.position.revision.get(),
+            era: confirmation.position.era.get(),
+            age_ms: u32::try_from(confirmation.age.get()).unwrap_or(u32::MAX),
+        }
+    }
+}
+
+impl TryFrom<wire::Confirmation> for Confirmation {
+    type Error = FieldError;
+
+    fn try_from(w: wire::Confirmation) -> Result<Self, FieldError> {
+        let era = StoreEra::new(counter("confirmation.era", w.era)?);
+        let position =
+            StorePosition::new(era, Revision::new(counter("confirmation.revision", w.revision)?));
+        Ok(Self { position, age: Millis::new(w.age_ms.into()) })
+    }
+}
+
 impl From<&Heartbeat> for wire::Heartbeat {
     fn from(heartbeat: &Heartbeat) -> Self {
         Self {
@@ -199,6 +221,7 @@
             departures: to_wire(&heartbeat.departures),
             digest: heartbeat.digest.as_deref().map(Into::into),
             revision: heartbeat.revision,
+            confirmation: heartbeat.confirmation.as_ref().map(Into::into),
         }
     }
 }
@@ -219,6 +242,7 @@
             departures: convert_each("departures", w.departures)?,
             digest: w.digest.map(TryInto::try_into).transpose()?.map(Box::new),
             revision: revision(w.revision, w.sequence)?,
+            confirmation: w.confirmation.map(TryInto::try_into).transpose()?,
         })
     }
 }
--- a/crates/wire/tests/fleet.rs
+++ b/crates/wire/tests/fleet.rs
@@ -1,7 +1,8 @@
 //! Messages between the nodes of a fleet, and the values that they keep in the store.
 
 use almondsail_core::fleet::{
-    Heartbeat, LatestHeartbeat, NodeDigest, NodeEntry, NodeKey, RolloutProgress, RolloutReport,
+    Confirmation, Heartbeat, LatestHeartbeat, NodeDigest, NodeEntry, NodeKey, RolloutProgress,
+    RolloutReport,
 };
 use almondsail_core::ids::{ConfigVersion, Incarnation};
 use almondsail_core::store::{Revision, StoreEra, StorePosition};
@@ -38,6 +39,7 @@
         backend: None,
         departures: Vec::new(),
         rollouts: vec![report],
+        confirmation: None,
         digest: None,
     }
 }
@@ -66,6 +68,15 @@
     assert_eq!(decode_progress(&encode_progress(&written)).unwrap(), written);
 }
 
+/// Guards against a proof of the operator's keys that is lost or refers to another era on the way.
+#[test]
+fn heartbeat_confirmation() {
+    let position = StorePosition::new(StoreEra::new(3), Revision::new(60));
+    let confirmation = Some(Confirmation { position, age: Millis::new(740) });
+    let sent = Heartbeat { confirmation, ..heartbeat(None) };
+    assert_eq!(decode_heartbeat(&encode_heartbeat(&sent)).unwrap(), sent);
+}
+
 /// Guards against a digest of other nodes that is lost or mixed up on the way.
 #[test]
 fn heartbeat_digest() {
--- a/crates/wire/tests/fleet_odd_messages.rs
+++ b/crates/wire/tests/fleet_odd_messages.rs
@@ -38,6 +38,7 @@
         backend: None,
         departures: Vec::new(),
         rollouts: Vec::new(),
+        confirmation: None,
         digest: None,
     };
     let mut heartbeat = wire::Heartbeat::decode(&*encode_heartbeat(&heartbeat)).unwrap();
@@ -62,6 +63,10 @@
     &mut digest.latest[0]
 }
 
+fn confirmation(heartbeat: &mut wire::Heartbeat) -> &mut wire::Confirmation {
+    heartbeat.confirmation.get_or_insert_default()
+}
+
 /// Lets `heartbeat` pass on a heartbeat that passes on others in turn.
 fn nest_digest(heartbeat: &mut wire::Heartbeat) {
     latest(heartbeat);
@@ -74,13 +79,15 @@
 #[test]
 fn decode_heartbeat_out_of_range() {
     assert!(decode_heartbeat(&heartbeat().encode_to_vec()).is_ok());
-    let edits: [(&str, Edit); 15] = [
+    let edits: [(&str, Edit); 17] = [
         ("incarnation", |h| h.incarnation = TOO_LARGE),
         ("sequence", |h| h.sequence = TOO_LARGE),
         ("revision", |h| h.revision = 2),
         ("latest[0].sequence", |h| latest(h).sequence = TOO_LARGE),
         ("latest[0].revision", |h| latest(h).revision = 2),
         ("changed", |h| nest_digest(h)),
+        ("confirmation.revision", |h| confirmation(h).revision = TOO_LARGE),
+        ("confirmation.era", |h| confirmation(h).era = TOO_LARGE),
         ("config_version", |h| h.config_version = u64::MAX),
         ("departures[0].born", |h| h.departures[0].born = Some(TOO_LARGE)),
         ("slots", |h| h.backend.as_mut().unwrap().slots = 0),
