Let the first nodes of a data centre fetch a configuration early from another one

A data centre in which no node hears of a change from the store waited for 0.6 s before any of its nodes asked another data centre, and then all of them asked. The first two nodes in the order in which nodes take over work now ask after 0.2 s, and the others find the configuration in their own data centre; they still ask elsewhere after 0.6 s.

--- a/crates/core/src/fleet/node_events.rs
+++ b/crates/core/src/fleet/node_events.rs
@@ -25,6 +25,10 @@
     /// it, which costs bytes between data centres. Most changes arrive earlier, from the store or
     /// from the same data centre.
     const REMOTE_FETCH_DELAY: Millis = Millis::new(600);
+    /// The same for the first nodes of a data centre, from which the others then fetch it.
+    const FIRST_REMOTE_FETCH_DELAY: Millis = Millis::new(200);
+    /// The number of these nodes.
+    const FIRST_REMOTE_FETCHERS: usize = 2;
     /// How long heartbeats carry all departures after another node has started.
     const NEWCOMER_TIME: Millis = Millis::new(3_000);
     /// The age of a change, in heartbeats of the node that changed, up to which it is passed on.
@@ -186,7 +190,7 @@
         if !self.config_fetches.may_begin(now) {
             return;
         }
-        let is_overdue = now.since(since) >= Self::REMOTE_FETCH_DELAY.into();
+        let is_overdue = now.since(since) >= self.remote_fetch_delay().into();
         let may_fetch_local =
             is_overdue || self.operator_watcher.is_failing() || !self.is_watcher();
         if !may_fetch_local {
@@ -208,6 +212,14 @@
         }
     }
 
+    fn remote_fetch_delay(&self) -> Millis {
+        if self.is_among_first(Self::FIRST_REMOTE_FETCHERS) {
+            Self::FIRST_REMOTE_FETCH_DELAY
+        } else {
+            Self::REMOTE_FETCH_DELAY
+        }
+    }
+
     /// Returns whether this node watches the store for its data centre: it is among the first, by
     /// id, of the nodes that reach the store, or of all nodes while none reaches it. The others
     /// learn of changes from these, so that the requests to the store grow with the data centres
--- a/crates/core/tests/fleet_transfer.rs
+++ b/crates/core/tests/fleet_transfer.rs
@@ -1,7 +1,12 @@
 //! Spreading a configuration from node to node over slow links.
 
-use almondsail_core::fleet::TransferLimiter;
+mod fleet_common;
+
+use almondsail_core::fleet::{FleetAction, FleetEvent, Heartbeat, TransferLimiter};
+use almondsail_core::ids::ConfigVersion;
 use almondsail_core::units::{ByteCount, Instant};
+use fleet_common::node::{Node, config_item};
+use fleet_common::{entry, heartbeat};
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
 
@@ -101,3 +106,33 @@
         assert!(took <= 250, "seed {seed}: {took} ms");
     }
 }
+
+/// Returns whether a node asks one of another data centre within `ms`, with `others` further nodes
+/// in its own that take over work before it.
+fn asks_within(ms: u64, others: u16) -> bool {
+    let mut node = Node::started(vec![config_item(5, 50)]);
+    for n in 0..others {
+        let mut first = heartbeat(n + 2, 1);
+        first.entry.node = format!("m{n}").parse().unwrap();
+        first.config_version = ConfigVersion::new(5);
+        node.event(FleetEvent::Heartbeat(first));
+    }
+    let remote = entry(20, "dc-b");
+    let version = ConfigVersion::new(6);
+    let newer = Heartbeat { entry: remote.clone(), config_version: version, ..heartbeat(20, 1) };
+    node.event(FleetEvent::Heartbeat(newer));
+    node.advance(ms);
+    node.actions.contains(&FleetAction::FetchConfig(remote.inbound))
+}
+
+/// Guards against data centres that have a change late because none of their nodes asks another data
+/// centre soon, and against all nodes of a data centre that ask another one.
+#[test]
+fn fetch_from_other_data_centre() {
+    for others in [0, 1] {
+        assert!(!asks_within(100, others), "the store may answer first");
+        assert!(asks_within(300, others));
+    }
+    assert!(!asks_within(500, 2));
+    assert!(asks_within(700, 2));
+}
