Refuse unknown routes for the moment while another node has a newer configuration

Callers got 404 for a route that was there, from a node that knew that another node had a newer configuration and was fetching it. A 404 is final: callers don't come back.

Such a node now refuses the request as not run (503, reason outdated_config, Retry-After about 0.3 s). Calls on known routes go on as before.

Measured: unknown_route_outdated_config fails before (404) and passes; view_outdated_config passes.

--- a/crates/core/src/fleet/calls_view.rs
+++ b/crates/core/src/fleet/calls_view.rs
@@ -36,6 +36,7 @@
             node: self.identity.entry.node.clone(),
             data_centre: self.identity.entry.data_centre.clone(),
             config: config.filter(|_| self.is_ready(now) || self.is_leaving),
+            is_outdated: self.behind_since.is_some(),
             services: self.services(now),
             backend,
             is_leaving: self.is_leaving,
--- a/crates/core/src/fleet/fleet_view.rs
+++ b/crates/core/src/fleet/fleet_view.rs
@@ -15,6 +15,8 @@
     pub data_centre: DataCentre,
     /// The configuration in force; `None` while the node can't serve.
     pub config: Option<Arc<MeshConfig>>,
+    /// Whether another node has a newer configuration, which may have routes that `config` lacks.
+    pub is_outdated: bool,
     /// The endpoints of each service that has any.
     pub services: HashMap<ServiceName, ServiceEndpoints>,
     /// The backend server beside this node; `None` while none takes calls.
--- a/crates/core/src/fleet/node_events.rs
+++ b/crates/core/src/fleet/node_events.rs
@@ -133,11 +133,13 @@
 
     /// Updates whether another node has a newer configuration.
     fn update_behind(&mut self, now: Instant) {
+        let was_behind = self.behind_since.is_some();
         if self.peers.newer_nodes(self.config_version()).next().is_none() {
             self.behind_since = None;
         } else {
             self.behind_since.get_or_insert(now);
         }
+        self.is_changed |= self.behind_since.is_some() != was_behind;
     }
 
     /// Puts `text` in force if its version is newer.
@@ -200,6 +202,7 @@
         let mut newer = self.peers.newer_nodes(version).map(|peer| &peer.entry).peekable();
         if newer.peek().is_none() {
             self.behind_since = None;
+            self.is_changed = true;
             return;
         }
         let idle: Vec<&NodeEntry> =
--- a/crates/core/src/refusal_reason.rs
+++ b/crates/core/src/refusal_reason.rs
@@ -10,6 +10,8 @@
 pub enum RefusalReason {
     /// The node holds no configuration yet, for example right after its first start.
     NoConfig,
+    /// No route of the node's configuration matches, and another node has a newer configuration.
+    OutdatedConfig,
     /// No route matches the request's path.
     UnknownRoute,
     /// The caller's request is malformed.
@@ -54,8 +56,9 @@
 
 impl RefusalReason {
     /// Every reason, in the order of declaration.
-    pub const ALL: [Self; 21] = [
+    pub const ALL: [Self; 22] = [
         Self::NoConfig,
+        Self::OutdatedConfig,
         Self::UnknownRoute,
         Self::BadRequest,
         Self::HeaderTooLarge,
@@ -82,6 +85,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::NoConfig => "no_config",
+            Self::OutdatedConfig => "outdated_config",
             Self::UnknownRoute => "unknown_route",
             Self::BadRequest => "bad_request",
             Self::HeaderTooLarge => "header_too_large",
--- a/crates/core/src/report/call_counts.rs
+++ b/crates/core/src/report/call_counts.rs
@@ -70,6 +70,7 @@
                 | RefusalReason::BrokenExchange
                 | RefusalReason::BadAnswer => Self::Unknown,
                 RefusalReason::NoConfig
+                | RefusalReason::OutdatedConfig
                 | RefusalReason::UnknownRoute
                 | RefusalReason::BadRequest
                 | RefusalReason::HeaderTooLarge
--- a/crates/core/src/rollout/call_outcome.rs
+++ b/crates/core/src/rollout/call_outcome.rs
@@ -30,6 +30,7 @@
             | RefusalReason::QueueFull
             | RefusalReason::DeadlineTooNear => Some(Self::Refused),
             RefusalReason::NoConfig
+            | RefusalReason::OutdatedConfig
             | RefusalReason::UnknownRoute
             | RefusalReason::BadRequest
             | RefusalReason::HeaderTooLarge
--- a/crates/core/src/traffic/retry_policy.rs
+++ b/crates/core/src/traffic/retry_policy.rs
@@ -51,7 +51,8 @@
         | R::DeadlineTooNear
         | R::BackendShed
         | R::BodyMemory
-        | R::NoConfig => Some(RetryReason::RefusedUnrun),
+        | R::NoConfig
+        | R::OutdatedConfig => Some(RetryReason::RefusedUnrun),
         R::UnknownRoute
         | R::BadRequest
         | R::HeaderTooLarge
--- a/crates/core/tests/fleet_confirmations.rs
+++ b/crates/core/tests/fleet_confirmations.rs
@@ -3,13 +3,14 @@
 mod fleet_common;
 
 use almondsail_core::fleet::{
-    Confirmation, FleetEvent, Heartbeat, KeySpace, LeaseId, StoreFailure, StoreReply, StoreRequest,
-    StoreWatcher, StoreWrite,
+    Confirmation, FleetAction, FleetEvent, Heartbeat, KeySpace, LeaseId, StoreFailure, StoreReply,
+    StoreRequest, StoreWatcher, StoreWrite,
 };
+use almondsail_core::ids::ConfigVersion;
 use almondsail_core::store::{Revision, StoreEra, StorePosition};
 use almondsail_core::units::Millis;
-use fleet_common::heartbeat;
 use fleet_common::node::{Node, config_item};
+use fleet_common::{config, heartbeat, peer_config};
 
 fn is_operator_watch(request: &StoreRequest) -> bool {
     matches!(request, StoreRequest::Watch(KeySpace::Operator, ..))
@@ -118,7 +119,7 @@
 fn confirmation_of_newer_config() {
     let mut node = follower();
     let mut newer = watcher(2, "m1", 2, 105, 0);
-    newer.config_version = almondsail_core::ids::ConfigVersion::new(6);
+    newer.config_version = ConfigVersion::new(6);
     node.advance(500);
     node.event(FleetEvent::Heartbeat(newer));
     let confirmed = node.control.last_updates().confirmed.unwrap();
@@ -139,3 +140,19 @@
     node.list_as_of(KeySpace::Operator, vec![config_item(6, 102)], 102);
     assert_eq!(node.version(), 6);
 }
+
+/// Guards against callers that are told that a route does not exist by a node that waits for a newer
+/// configuration, and against a node that says so for ever.
+#[test]
+fn view_outdated_config() {
+    let mut node = follower();
+    let mut newer = watcher(2, "m1", 2, 105, 0);
+    newer.config_version = ConfigVersion::new(6);
+    assert!(!node.control.view(node.now).is_outdated);
+    node.actions.clear();
+    node.event(FleetEvent::Heartbeat(newer));
+    assert!(node.control.view(node.now).is_outdated);
+    assert!(node.actions.contains(&FleetAction::Publish));
+    node.event(peer_config(Some(config(6))));
+    assert!(!node.control.view(node.now).is_outdated);
+}
--- a/crates/core/tests/traffic_retry.rs
+++ b/crates/core/tests/traffic_retry.rs
@@ -133,7 +133,8 @@
             | R::DeadlineTooNear
             | R::BackendShed
             | R::BodyMemory
-            | R::NoConfig,
+            | R::NoConfig
+            | R::OutdatedConfig,
         ) => Some(RetryReason::RefusedUnrun),
         _ => None,
     }
--- a/crates/node/src/calls/failure.rs
+++ b/crates/node/src/calls/failure.rs
@@ -62,6 +62,7 @@
             R::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
             R::BrokenExchange | R::BadAnswer => StatusCode::BAD_GATEWAY,
             R::NoConfig
+            | R::OutdatedConfig
             | R::BodyMemory
             | R::KeyRegistrarUnreachable
             | R::NoBackend
--- a/crates/node/src/fleet/caller_handler.rs
+++ b/crates/node/src/fleet/caller_handler.rs
@@ -32,6 +32,10 @@
 /// passes on and frees others.
 const BODY_MEMORY_RETRY_AFTER: Micros = Micros::new(500_000);
 
+/// Retry delay for requests that a newer configuration may have a route for: about the time in which
+/// the node gets it.
+const CONFIG_RETRY_AFTER: Micros = Micros::new(300_000);
+
 /// Pipelining state of one connection, shared by the handlers of its requests.
 pub(crate) type SharedPipeline = Arc<Mutex<CallerPipeline>>;
 
@@ -86,7 +90,7 @@
     result.config = config.version;
     let host = request.headers().get(header::HOST).and_then(|host| host.to_str().ok());
     let Some(route) = config.route(host.unwrap_or_default(), request.uri().path()) else {
-        result.answer = Err(CallFailure::refused(RefusalReason::UnknownRoute, Micros::new(0)));
+        result.answer = Err(missing_route(view.is_outdated));
         return;
     };
     let draw = rand::rng().random_range(0..route.weight());
@@ -99,6 +103,16 @@
     result.answer = send_with_retries(traffic, route, &mut call, &mut result.endpoints_tried).await;
 }
 
+/// Returns the failure of a request without a route. A node that waits for a newer configuration
+/// can't say that there is none.
+const fn missing_route(is_outdated: bool) -> CallFailure {
+    if is_outdated {
+        CallFailure::refused(RefusalReason::OutdatedConfig, CONFIG_RETRY_AFTER)
+    } else {
+        CallFailure::refused(RefusalReason::UnknownRoute, Micros::new(0))
+    }
+}
+
 fn lock(pipeline: &SharedPipeline) -> MutexGuard<'_, CallerPipeline> {
     // A poisoned state is still valid: no update of it can panic halfway.
     pipeline.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/testkit/tests/fleet_config_transfers.rs
+++ b/crates/testkit/tests/fleet_config_transfers.rs
@@ -1,12 +1,17 @@
 //! Tests of the transfers of a configuration from node to node.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 
+use almondsail_core::fleet::{Heartbeat, NodeEntry};
+use almondsail_core::ids::{ConfigVersion, Incarnation};
 use almondsail_testkit::harness::wait_until;
 use almondsail_testkit::platform::Fleet;
-use eyre::{Result, ensure, eyre};
+use almondsail_wire::encode_heartbeat;
+use eyre::{Report, Result, ensure, eyre};
+use http::Method;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
-use tokio::net::TcpStream;
+use tokio::net::{TcpStream, UdpSocket};
 use tokio::task::JoinSet;
 
 const SERVICES: [&str; 1] = ["bays"];
@@ -80,3 +85,54 @@
     assert!(body == text, "the text is not that of the store");
     Ok(())
 }
+
+/// Returns a heartbeat of a node that has a newer configuration and can't be asked for it.
+fn newer_node(sequence: u64) -> Heartbeat {
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    Heartbeat {
+        entry: NodeEntry {
+            node: "newer".parse().expect("a name"),
+            inbound: address,
+            heartbeats: address,
+            data_centre: "dc-a".parse().expect("a name"),
+            departed: None,
+        },
+        incarnation: Incarnation::new(1),
+        sequence,
+        revision: 1,
+        config_version: ConfigVersion::new(9),
+        is_store_reached: true,
+        is_leaving: false,
+        backend: None,
+        departures: Vec::new(),
+        rollouts: Vec::new(),
+        confirmation: None,
+        digest: None,
+    }
+}
+
+/// Guards against a node that tells a caller that a route does not exist although it knows that another
+/// node has a newer configuration.
+#[tokio::test]
+async fn unknown_route_outdated_config() -> Result<()> {
+    let fleet = Fleet::start(&["dc-a"], &SERVICES).await?;
+    fleet.configure(1, &SERVICES);
+    fleet.wait_until_ready(0).await?;
+    let client = fleet.caller(0)?;
+    let headers = [("host", "bays.example"), ("almondsail-attempt-id", "probe")];
+    let status = async || {
+        let reply = client.send(Method::GET, "/missing/", Default::default(), &headers).await?;
+        Ok::<_, Report>(reply.status.as_u16())
+    };
+    assert_eq!(status().await?, 404);
+    let socket = UdpSocket::bind("127.0.0.1:0").await?;
+    let sequence = AtomicU64::new(1);
+    wait_until("a refusal that may be repeated", async || {
+        let heartbeat = newer_node(sequence.fetch_add(1, Ordering::Relaxed));
+        socket.send_to(&encode_heartbeat(&heartbeat), fleet.address(0, "nodes")?).await?;
+        let status = status().await?;
+        ensure!(status == 503, "{status}");
+        Ok(())
+    })
+    .await
+}
