Split the control state's backend events and the callers' failure responses off

What the backend server beside a node says, with departures, is backend_events.rs; the responses to requests without an answer are failure_response.rs. Nothing else changes.

--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 mod admission;
 mod announcement;
 mod attempts;
+mod backend_events;
 mod backend_status;
 mod bad_calls;
 mod call_outcome;
--- a/crates/node/src/fleet/caller_handler.rs
+++ b/crates/node/src/fleet/caller_handler.rs
@@ -12,26 +12,22 @@
 use almondsail_core::{RefusalReason, Verdict};
 use almondsail_platform::calls as platform_calls;
 use bytes::Bytes;
-use http::header::{self, HeaderMap, HeaderValue};
-use http::{Request, Response, StatusCode};
+use http::header;
+use http::{Request, Response};
 use rand::Rng as _;
 
 use crate::calls::call_headers;
 use crate::fleet::call_failure::{self, CallFailure};
 use crate::fleet::caller_result::{CallerResult, NO_ENDPOINT_RETRY_AFTER};
 use crate::fleet::forwarded_call::ForwardedCall;
-use crate::fleet::http1::{Pipelined, RequestError};
+use crate::fleet::http1::Pipelined;
 use crate::fleet::traffic::FleetTraffic;
-use crate::fleet::{endpoint_client, inbound};
+use crate::fleet::{endpoint_client, failure_response, inbound};
 
 /// Time before the deadline after which a call is not retried, so that the verdict still reaches
 /// the caller in time.
 const DEADLINE_MARGIN: Micros = Micros::new(8_000);
 
-/// Retry delay for requests whose bodies the node has no memory for: about the time in which it
-/// passes on and frees others.
-const BODY_MEMORY_RETRY_AFTER: Micros = Micros::new(500_000);
-
 /// Retry delay for requests that a newer configuration may have a route for: about the time in which
 /// the node gets it.
 const CONFIG_RETRY_AFTER: Micros = Micros::new(300_000);
@@ -73,7 +69,7 @@
     });
     match result.answer {
         Ok(response) => response,
-        Err(failure) => failure_response(&failure, id.as_ref()),
+        Err(failure) => failure_response::unanswered(&failure, id.as_ref()),
     }
 }
 
@@ -364,50 +360,3 @@
         self.traffic.load_balancer().load(&self.endpoint.node).record_end();
     }
 }
-
-/// Builds the response to a request that has no answer from a backend server.
-fn failure_response(failure: &CallFailure, id: Option<&HeaderValue>) -> Response<Bytes> {
-    let mut response = Response::new(Bytes::new());
-    *response.status_mut() = failure_status(failure);
-    let headers: &mut HeaderMap = response.headers_mut();
-    if has_not_run(failure) {
-        set_retry_after(headers, failure);
-    }
-    call_headers::set_failure(headers, failure.verdict, failure.reason);
-    if let Some(id) = id {
-        platform_calls::set_attempt_id(headers, id);
-    }
-    response
-}
-
-/// Tells the caller when to come back, spread so that callers don't come back together.
-fn set_retry_after(headers: &mut HeaderMap, failure: &CallFailure) {
-    let seconds = failure.retry_after.get() as f64 / 1e6 * rand::rng().random_range(0.8..1.2);
-    call_headers::set(headers, header::RETRY_AFTER, format_args!("{:.3}", seconds.max(0.05)));
-}
-
-/// Builds the response to a request that can't be read, and so has not run.
-pub(crate) fn refusal(error: RequestError) -> Response<Bytes> {
-    let mut response = Response::new(Bytes::new());
-    *response.status_mut() = error.status();
-    if error == RequestError::NoMemory {
-        let failure = CallFailure::refused(error.reason(), BODY_MEMORY_RETRY_AFTER);
-        set_retry_after(response.headers_mut(), &failure);
-    }
-    response
-}
-
-/// Returns whether the failure guarantees that the request has not run and never will.
-const fn has_not_run(failure: &CallFailure) -> bool {
-    !matches!(failure.verdict, Verdict::MayHaveRun)
-}
-
-/// Maps a failure to its status. 503 guarantees that the request has not run and never will.
-const fn failure_status(failure: &CallFailure) -> StatusCode {
-    match (failure.verdict, failure.reason) {
-        (_, RefusalReason::UnknownRoute) => StatusCode::NOT_FOUND,
-        (Verdict::NotSent | Verdict::RefusedUnrun, _) => StatusCode::SERVICE_UNAVAILABLE,
-        (Verdict::MayHaveRun, RefusalReason::DeadlinePassed) => StatusCode::GATEWAY_TIMEOUT,
-        (Verdict::MayHaveRun, _) => StatusCode::BAD_GATEWAY,
-    }
-}
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -20,6 +20,7 @@
 mod control_loop;
 mod endpoint_client;
 mod event_log;
+mod failure_response;
 mod fleet_node;
 mod fleet_settings;
 mod fleet_store_client;
--- a/crates/node/src/fleet/servers.rs
+++ b/crates/node/src/fleet/servers.rs
@@ -22,7 +22,7 @@
 use crate::fleet::stop_phase::StopPhase;
 use crate::fleet::traffic::FleetTraffic;
 use crate::fleet::unanswered_requests::UnansweredRequests;
-use crate::fleet::{caller_handler, inbound_handler};
+use crate::fleet::{caller_handler, failure_response, inbound_handler};
 use crate::http_server;
 use crate::metrics::Metrics;
 use crate::socket;
@@ -137,7 +137,7 @@
             max_connections: MAX_CALLER_CONNECTIONS,
             user_timeout: WRITE_TIMEOUT,
             bodies: Arc::clone(&self.traffic.body_budget),
-            refusal: caller_handler::refusal,
+            refusal: failure_response::refusal,
             stop,
             unanswered,
         };
