--- a/crates/core/tests/fleet_partial_silence.rs
+++ b/crates/core/tests/fleet_partial_silence.rs
@@ -154,3 +154,26 @@
         assert!(reads <= MAX_READS, "{reads} watches and listings in 5 s, silent to {share}");
     }
 }
+
+/// Guards against nodes that go on with what they knew before they stood still, the leader of the
+/// watchers among them, and against others that wait for these.
+#[test]
+fn config_change_some_frozen() {
+    for seed in seeds(10) {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let start = rng.random_range(SETTLED..SETTLED + 10_000);
+        let end = start + rng.random_range(500..8_000);
+        let mut fleet = fleet(seed);
+        let frozen = with_leader(0.1, &mut rng);
+        for node in &frozen {
+            fleet.freeze(*node, at(start)..at(end));
+        }
+        let changes = [rng.random_range(start..end), end + rng.random_range(0..1_000)];
+        let late = late_times(&mut fleet, &changes, &frozen);
+        assert!(late.is_empty(), "seed {seed}, frozen from {start} to {end}: {:?}", late[0]);
+        let versions = fleet.versions();
+        let is_old = |node: &&usize| versions[**node] < 3;
+        let old: Vec<&usize> = frozen.iter().filter(is_old).collect();
+        assert!(old.is_empty(), "seed {seed}: {old:?} don't follow after {end}");
+    }
+}
