Confirm no position beyond an item that the node could not read

A configuration that one node refuses was skipped by others that had no watch pending at that moment: the refusing node told a position behind it, with the same version in force, and they began their next watch there. A node of a later build, which could read it, would have missed it; so would each node miss an order that one of them can't read.

A node now names the position before such an item until a newer configuration is in force, and for good if the item is an order.

Measured: confirmation_config_refused and confirmation_item_unreadable hold with the change; without the limit the node tells the positions 105 and 108, where 100 is due each time.

--- a/crates/core/src/fleet/freshness.rs
+++ b/crates/core/src/fleet/freshness.rs
@@ -19,6 +19,11 @@
     doubted_at: Option<Instant>,
     /// When to ask the store; `None` while the knowledge is fresh.
     poll_at: Option<Instant>,
+    /// The position before a configuration that this node refused, until it has a newer one. Another
+    /// build may read it.
+    before_refused: Option<StorePosition>,
+    /// The position before the first other item that this node could not read.
+    before_unreadable: Option<StorePosition>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -52,11 +57,29 @@
         self.confirmed.map(|known| known.at)
     }
 
-    /// Returns the last confirmation for a heartbeat at `now`.
+    /// Records that a configuration after `position` was refused.
+    pub(super) fn record_refused(&mut self, position: StorePosition) {
+        self.before_refused.get_or_insert(position);
+    }
+
+    /// Records that another item after `position` can't be read.
+    pub(super) fn record_unreadable(&mut self, position: StorePosition) {
+        self.before_unreadable.get_or_insert(position);
+    }
+
+    /// Records that a newer configuration than the refused one is in force.
+    pub(super) fn forget_refused(&mut self) {
+        self.before_refused = None;
+    }
+
+    /// Returns the last confirmation for a heartbeat at `now`. Its position lies before what this node
+    /// could not read, so that no other node skips that.
     pub(super) fn confirmation(&self, now: Instant) -> Option<Confirmation> {
         let known = self.confirmed?;
         let age = Millis::new(now.since(known.at).get().div_ceil(1_000));
-        Some(Confirmation { position: known.position, age })
+        let limits = [self.before_refused, self.before_unreadable];
+        let position = limits.into_iter().flatten().fold(known.position, StorePosition::min);
+        Some(Confirmation { position, age })
     }
 
     /// Returns whether nothing has confirmed the knowledge within `max_age`, or since it was
--- a/crates/core/src/fleet/node_events.rs
+++ b/crates/core/src/fleet/node_events.rs
@@ -153,6 +153,7 @@
             self.behind_since.take().map_or(Micros::default(), |since| now.since(since));
         self.config = Some(text);
         self.config_since = Some(now);
+        self.freshness.forget_refused();
         self.report(FleetChange::ConfigInForce { version, before, source, behind_for });
         for kind in unknown_kinds.into_iter().take(Self::MAX_REPORTED_KINDS) {
             self.report(FleetChange::ConfigKindUnknown(kind));
--- a/crates/core/src/fleet/store_events.rs
+++ b/crates/core/src/fleet/store_events.rs
@@ -9,7 +9,7 @@
     FleetAction, FleetChange, ItemChange, KeySpace, Rollout, RolloutOrder, RolloutProgress,
     StoreFailure, StoreItem, StoreKey, StoreReply, StoreResponse, StoredValue,
 };
-use crate::store::{Revision, StoreEra};
+use crate::store::{Revision, StoreEra, StorePosition};
 use crate::units::{Instant, UnixMillis};
 
 impl FleetControl {
@@ -35,6 +35,7 @@
                     self.lease.renew_early(now);
                 }
                 let is_ahead = is_before(&reply, request.after);
+                let before = self.watcher(space).position().unwrap_or_default();
                 let update = self.watcher(space).reply(now, reply, rng);
                 if is_ahead {
                     self.watcher(space).mark_outdated();
@@ -46,6 +47,9 @@
                     self.confirm_operator_keys(now, answered);
                 }
                 for change in update.changes {
+                    if space == KeySpace::Operator {
+                        self.record_unreadable_item(before, &change);
+                    }
                     self.apply_item_change(now, wall, change);
                 }
             }
@@ -90,6 +94,16 @@
         self.report(FleetChange::StoreRestored { era, before });
     }
 
+    /// Keeps other nodes from skipping `change`, which came after `before`, if it can't be read.
+    fn record_unreadable_item(&mut self, before: StorePosition, change: &ItemChange) {
+        let ItemChange::Put(item) = change else { return };
+        match item.value {
+            StoredValue::Config(Err(_)) => self.freshness.record_refused(before),
+            StoredValue::Unreadable(_) => self.freshness.record_unreadable(before),
+            _ => {}
+        }
+    }
+
     /// Records the confirmation that an answer of the store at `answered` gives, if the operator's
     /// keys are listed.
     fn confirm_operator_keys(&mut self, now: Instant, answered: Instant) {
--- a/crates/core/tests/fleet_confirmations.rs
+++ b/crates/core/tests/fleet_confirmations.rs
@@ -3,8 +3,9 @@
 mod fleet_common;
 
 use almondsail_core::fleet::{
-    Confirmation, FleetAction, FleetEvent, Heartbeat, KeySpace, LeaseId, StoreFailure, StoreReply,
-    StoreRequest, StoreWatcher, StoreWrite,
+    ConfigProblem, Confirmation, FleetAction, FleetEvent, Heartbeat, KeySpace, LeaseId,
+    StoreFailure, StoreItem, StoreKey, StoreReply, StoreRequest, StoreWatcher, StoreWrite,
+    StoredValue,
 };
 use almondsail_core::ids::ConfigVersion;
 use almondsail_core::store::{Revision, StoreEra, StorePosition};
@@ -156,3 +157,43 @@
     node.event(peer_config(Some(config(6))));
     assert!(!node.control.view(node.now).is_outdated);
 }
+
+/// Returns the position that `node` tells others in its next heartbeat.
+fn told_position(node: &mut Node) -> u64 {
+    node.advance(400);
+    let told = node.actions.iter().rev().find_map(|action| match action {
+        FleetAction::Heartbeat(heartbeat, _) => heartbeat.confirmation,
+        _ => None,
+    });
+    told.map_or(0, |confirmation| confirmation.position.revision.get())
+}
+
+/// Guards against a configuration that no node reads because one that can't read it has told the others
+/// that it knows all of the store: they may be of a build that can.
+#[test]
+fn confirmation_config_refused() {
+    let mut node = Node::started(vec![config_item(5, 50)]);
+    node.event(FleetEvent::Heartbeat(heartbeat(2, 1)));
+    let refused = StoredValue::Config(Err(ConfigProblem::Unreadable("unknown word".into())));
+    let revision = Revision::new(105);
+    let item = StoreItem { key: StoreKey::Config, revision, value: refused };
+    node.advance(100);
+    node.report_change(KeySpace::Operator, item);
+    assert_eq!(told_position(&mut node), 100);
+    node.report_change(KeySpace::Operator, config_item(7, 108));
+    assert_eq!(told_position(&mut node), 108);
+}
+
+/// Guards against an order that no node reads because one could not, and later changes hide it.
+#[test]
+fn confirmation_item_unreadable() {
+    let mut node = Node::started(vec![config_item(5, 50)]);
+    node.event(FleetEvent::Heartbeat(heartbeat(2, 1)));
+    let key = StoreKey::Order("bays".parse().unwrap());
+    let value = StoredValue::Unreadable("unknown word".into());
+    let revision = Revision::new(105);
+    node.report_change(KeySpace::Operator, StoreItem { key, revision, value });
+    node.advance(400);
+    node.report_change(KeySpace::Operator, config_item(7, 108));
+    assert_eq!(told_position(&mut node), 100);
+}
