--- a/crates/core/tests/fleet_confirmations.rs
+++ b/crates/core/tests/fleet_confirmations.rs
@@ -197,3 +197,17 @@
     node.report_change(KeySpace::Operator, config_item(7, 108));
     assert_eq!(told_position(&mut node), 100);
 }
+
+/// Guards against a leader of the watchers that keeps a silence of the store to itself until its
+/// request has timed out.
+#[test]
+fn watch_of_leader_overdue() {
+    let mut node = Node::started(vec![config_item(5, 50)]);
+    node.event(FleetEvent::Heartbeat(heartbeat(2, 1)));
+    node.advance(1_250);
+    let told = node.actions.iter().rev().find_map(|action| match action {
+        FleetAction::Heartbeat(heartbeat, _) => Some(heartbeat.is_store_reached),
+        _ => None,
+    });
+    assert_eq!(told, Some(false));
+}
