--- a/crates/core/benches/fleet.rs
+++ b/crates/core/benches/fleet.rs
@@ -157,7 +157,7 @@
 }
 
 fn config(version: u64) -> ConfigText {
-    let bays = ServiceSettings { connections: 130 };
+    let bays = ServiceSettings { connections: 130, ..Default::default() };
     let config = MeshConfigBuilder::new(ConfigVersion::new(version))
         .service("bays".parse().expect("a name"), bays)
         .build()
--- a/crates/core/examples/queue_experiment.rs
+++ b/crates/core/examples/queue_experiment.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::process::ExitCode;
 
-use almondsail_core::fleet::{Admission, CallQueue, CallRequirements, QueueTicket};
+use almondsail_core::fleet::{Admission, CallQueue, CallRank, CallRequirements, QueueTicket};
 use almondsail_core::units::{Instant, Millis};
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
@@ -233,7 +233,8 @@
 fn call(now: u64, index: usize, class: &Class, work: u64) -> Call {
     let requirements = CallRequirements {
         route: class.name.parse().expect("a valid name"),
-        priority: class.priority,
+        rank: CallRank { team: 0, route: class.priority },
+        team: None,
         target: at(now + class.target),
         deadline: at(now + class.deadline),
         target_latency: Millis::new(class.target),
--- a/crates/core/src/fleet/call_queue.rs
+++ b/crates/core/src/fleet/call_queue.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 
 use crate::RefusalReason;
-use crate::fleet::{Admission, CallRequirements, QueueWakeup, ServiceTimes};
+use crate::fleet::{Admission, CallRank, CallRequirements, QueueWakeup, ServiceTimes};
 use crate::ids::RouteName;
 use crate::units::{Instant, Micros, Millis};
 
@@ -13,7 +13,7 @@
 
 /// Queues calls for one backend server, which runs no more calls at a time than it has slots.
 ///
-/// Handles more calls than the server can run. Calls run by priority, then by the earliest target:
+/// Handles more calls than the server can run. Calls run by rank, then by the earliest target:
 /// calls that a running call makes have short targets and so overtake new work, which would only
 /// wait for them. A call is refused on arrival if it would be late and the queue is not short, so
 /// that admitted calls are answered in time. The expected wait includes calls that arrive later and
@@ -44,7 +44,7 @@
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct QueuePosition {
-    priority: u8,
+    rank: CallRank,
     target: Instant,
     ticket: QueueTicket,
 }
@@ -98,7 +98,7 @@
             return Admission::Run;
         }
         let position = QueuePosition {
-            priority: requirements.priority,
+            rank: requirements.rank,
             target: requirements.target,
             ticket: QueueTicket(self.next_ticket),
         };
@@ -153,7 +153,7 @@
     /// `requirements`.
     pub fn calls_ahead(&self, requirements: &CallRequirements) -> u32 {
         let position = QueuePosition {
-            priority: requirements.priority,
+            rank: requirements.rank,
             target: requirements.target,
             ticket: QueueTicket(self.next_ticket),
         };
--- a/crates/core/src/fleet/config_problem.rs
+++ b/crates/core/src/fleet/config_problem.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::sync::Arc;
 
-use crate::ids::{RouteName, ServiceName};
+use crate::ids::{RouteName, ServiceName, TeamName};
 
 /// The reason why a configuration is refused as a whole.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -22,6 +22,10 @@
     NoTimeout(RouteName),
     /// Two routes have the same host and prefix.
     DuplicateRoute(RouteName, RouteName),
+    /// Two teams have the same name.
+    DuplicateTeam(TeamName),
+    /// Two teams have the same credential.
+    SharedCredential(TeamName, TeamName),
 }
 
 impl fmt::Display for ConfigProblem {
@@ -42,6 +46,10 @@
             Self::DuplicateRoute(first, second) => {
                 write!(f, "routes {first} and {second} have the same host and prefix")
             }
+            Self::DuplicateTeam(team) => write!(f, "two teams have the name {team}"),
+            Self::SharedCredential(first, second) => {
+                write!(f, "teams {first} and {second} have the same credential")
+            }
         }
     }
 }
--- a/crates/core/src/fleet/mesh_config.rs
+++ b/crates/core/src/fleet/mesh_config.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
-use crate::fleet::{CallerLimits, MeshRoute, ServiceSettings};
+use crate::fleet::{CallerLimits, MeshRoute, ServiceSettings, Teams};
 use crate::ids::{ConfigVersion, ServiceName};
 
 /// A checked configuration: every service that a route leads to is defined.
@@ -15,6 +15,8 @@
     pub limits: CallerLimits,
     /// The settings of each service that routes may lead to.
     pub services: BTreeMap<ServiceName, ServiceSettings>,
+    /// The teams whose callers send credentials; empty if calls need none.
+    pub teams: Teams,
     /// The routes by host, then by path prefix.
     pub(super) hosts: HashMap<Arc<str>, HashMap<Arc<str>, Arc<MeshRoute>>>,
 }
@@ -36,10 +38,11 @@
     ///     target_latency: Millis::new(200),
     ///     priority: 1,
     ///     max_attempts: 2,
+    ///     is_public: false,
     ///     destinations: vec![Destination { service: "bays".parse()?, weight: 1 }],
     /// };
     /// let config = MeshConfigBuilder::new(ConfigVersion::new(1))
-    ///     .service("bays".parse()?, ServiceSettings { connections: 130 })
+    ///     .service("bays".parse()?, ServiceSettings { connections: 130, ..Default::default() })
     ///     .route(route)
     ///     .build()?;
     /// assert!(config.route("A.example:80", "/x/y?z=/q/").is_some());
--- a/crates/core/src/fleet/mesh_config_builder.rs
+++ b/crates/core/src/fleet/mesh_config_builder.rs
@@ -4,7 +4,10 @@
 use std::sync::Arc;
 
 use super::mesh_config::host_name;
-use crate::fleet::{CallerLimits, ConfigProblem, MeshConfig, MeshRoute, ServiceSettings};
+use crate::fleet::{
+    CallerLimits, ConfigProblem, CredentialDigest, MeshConfig, MeshRoute, ServiceSettings, Team,
+    Teams,
+};
 use crate::ids::{ConfigVersion, ServiceName};
 
 /// Collects the parts of a [`MeshConfig`] and checks them together.
@@ -14,13 +17,15 @@
     limits: CallerLimits,
     services: BTreeMap<ServiceName, ServiceSettings>,
     routes: Vec<MeshRoute>,
+    teams: Vec<(Team, Vec<CredentialDigest>)>,
 }
 
 impl MeshConfigBuilder {
     /// Starts with no routes and the default limits.
     pub fn new(version: ConfigVersion) -> Self {
         let limits = CallerLimits::default();
-        Self { version, limits, services: BTreeMap::new(), routes: Vec::new() }
+        let (services, routes, teams) = (BTreeMap::new(), Vec::new(), Vec::new());
+        Self { version, limits, services, routes, teams }
     }
 
     /// Sets the limits on the requests of callers.
@@ -44,9 +49,16 @@
         self
     }
 
-    /// Checks all routes and builds the configuration. Returns the first problem found.
+    /// Adds a team with its credentials, which [`Self::build`] checks.
+    #[must_use]
+    pub fn team(mut self, team: Team, credentials: Vec<CredentialDigest>) -> Self {
+        self.teams.push((team, credentials));
+        self
+    }
+
+    /// Checks all routes and teams and builds the configuration. Returns the first problem found.
     pub fn build(self) -> Result<MeshConfig, ConfigProblem> {
-        let Self { version, limits, services, routes } = self;
+        let Self { version, limits, services, routes, teams } = self;
         let mut hosts: HashMap<Arc<str>, HashMap<Arc<str>, Arc<MeshRoute>>> = HashMap::new();
         for mut route in routes {
             check_route(&route, &services)?;
@@ -57,7 +69,11 @@
             }
             prefixes.insert(route.prefix.clone(), Arc::new(route));
         }
-        Ok(MeshConfig { version, limits, services, hosts })
+        let mut checked_teams = Teams::default();
+        for (team, credentials) in teams {
+            checked_teams.add(team, credentials)?;
+        }
+        Ok(MeshConfig { version, limits, services, teams: checked_teams, hosts })
     }
 }
 
--- a/crates/core/src/fleet/mesh_route.rs
+++ b/crates/core/src/fleet/mesh_route.rs
@@ -25,6 +25,8 @@
     pub priority: u8,
     /// The largest number of backend servers at which one call may arrive; at least 1.
     pub max_attempts: u32,
+    /// Whether calls of the route need no credential.
+    pub is_public: bool,
     /// The services that share the calls: at least one, with a sum of weights above zero.
     pub destinations: Vec<Destination>,
 }
--- a/crates/core/src/fleet/store_key.rs
+++ b/crates/core/src/fleet/store_key.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::ids::{NodeId, ServiceName};
+use crate::ids::{DataCentre, NodeId, ServiceName};
 
 /// A part of the store's keys that a node watches as a whole.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -20,6 +20,8 @@
     Config,
     /// The order to move a service to a version.
     Order(ServiceName),
+    /// The order that no call is sent to the backend servers of a data centre.
+    Evacuation(DataCentre),
     /// The state of a rollout for the operator to read.
     Status(ServiceName),
     /// The entry of a node, under its lease.
--- a/crates/core/src/refusal_reason.rs
+++ b/crates/core/src/refusal_reason.rs
@@ -10,12 +10,18 @@
 pub enum RefusalReason {
     /// The node holds no configuration yet, for example right after its first start.
     NoConfig,
-    /// No route of the node's configuration matches, and another node has a newer configuration.
+    /// The node's configuration lacks the route or the credential, and another node has a newer one.
     OutdatedConfig,
     /// No route matches the request's path.
     UnknownRoute,
     /// The caller's request is malformed.
     BadRequest,
+    /// The request carries no credential that a team holds, and its route requires one.
+    UnknownCredential,
+    /// The team of the caller has used up its quota.
+    QuotaExceeded,
+    /// The node that keeps the quota of the caller's team did not answer.
+    QuotaUnknown,
     /// The request's header exceeds the node's size limit.
     HeaderTooLarge,
     /// The request's body exceeds the node's size limit.
@@ -30,12 +36,19 @@
     NoBackend,
     /// The backend server accepts no connections.
     BackendDown,
+    /// The operator has ordered all calls away from the data centre of the backend server.
+    Evacuated,
+    /// The backend server is cold and takes no more calls at the moment.
+    ColdServer,
     /// The backend server or a node on the call's path is shutting down.
     Leaving,
     /// The backend server's version carries a stop mark.
     StoppedVersion,
     /// The queue of calls that wait for admission is full.
     QueueFull,
+    /// The call waited and was refused without having run, in favour of calls that it is worth more
+    /// to serve.
+    Displaced,
     /// The call was refused because it could not finish before its deadline.
     DeadlineTooNear,
     /// The deadline passed before the answer arrived.
@@ -56,11 +69,14 @@
 
 impl RefusalReason {
     /// Every reason, in the order of declaration.
-    pub const ALL: [Self; 22] = [
+    pub const ALL: [Self; 28] = [
         Self::NoConfig,
         Self::OutdatedConfig,
         Self::UnknownRoute,
         Self::BadRequest,
+        Self::UnknownCredential,
+        Self::QuotaExceeded,
+        Self::QuotaUnknown,
         Self::HeaderTooLarge,
         Self::BodyTooLarge,
         Self::BodyMemory,
@@ -68,9 +84,12 @@
         Self::RepeatInDoubt,
         Self::NoBackend,
         Self::BackendDown,
+        Self::Evacuated,
+        Self::ColdServer,
         Self::Leaving,
         Self::StoppedVersion,
         Self::QueueFull,
+        Self::Displaced,
         Self::DeadlineTooNear,
         Self::DeadlinePassed,
         Self::BackendShed,
@@ -88,6 +107,9 @@
             Self::OutdatedConfig => "outdated_config",
             Self::UnknownRoute => "unknown_route",
             Self::BadRequest => "bad_request",
+            Self::UnknownCredential => "unknown_credential",
+            Self::QuotaExceeded => "quota_exceeded",
+            Self::QuotaUnknown => "quota_unknown",
             Self::HeaderTooLarge => "header_too_large",
             Self::BodyTooLarge => "body_too_large",
             Self::BodyMemory => "body_memory",
@@ -95,9 +117,12 @@
             Self::RepeatInDoubt => "repeat_in_doubt",
             Self::NoBackend => "no_backend",
             Self::BackendDown => "backend_down",
+            Self::Evacuated => "evacuated",
+            Self::ColdServer => "cold_server",
             Self::Leaving => "leaving",
             Self::StoppedVersion => "stopped_version",
             Self::QueueFull => "queue_full",
+            Self::Displaced => "displaced",
             Self::DeadlineTooNear => "deadline_too_near",
             Self::DeadlinePassed => "deadline_passed",
             Self::BackendShed => "backend_shed",
--- a/crates/core/src/report/call_counts.rs
+++ b/crates/core/src/report/call_counts.rs
@@ -73,15 +73,21 @@
                 | RefusalReason::OutdatedConfig
                 | RefusalReason::UnknownRoute
                 | RefusalReason::BadRequest
+                | RefusalReason::UnknownCredential
+                | RefusalReason::QuotaExceeded
+                | RefusalReason::QuotaUnknown
                 | RefusalReason::HeaderTooLarge
                 | RefusalReason::BodyTooLarge
                 | RefusalReason::BodyMemory
                 | RefusalReason::KeyRegistrarUnreachable
                 | RefusalReason::NoBackend
                 | RefusalReason::BackendDown
+                | RefusalReason::Evacuated
+                | RefusalReason::ColdServer
                 | RefusalReason::Leaving
                 | RefusalReason::StoppedVersion
                 | RefusalReason::QueueFull
+                | RefusalReason::Displaced
                 | RefusalReason::DeadlineTooNear
                 | RefusalReason::BackendShed
                 | RefusalReason::ConnectFailed
--- a/crates/core/src/rollout/call_outcome.rs
+++ b/crates/core/src/rollout/call_outcome.rs
@@ -28,17 +28,23 @@
             RefusalReason::BackendShed
             | RefusalReason::BackendDown
             | RefusalReason::QueueFull
+            | RefusalReason::Displaced
             | RefusalReason::DeadlineTooNear => Some(Self::Refused),
             RefusalReason::NoConfig
             | RefusalReason::OutdatedConfig
             | RefusalReason::UnknownRoute
             | RefusalReason::BadRequest
+            | RefusalReason::UnknownCredential
+            | RefusalReason::QuotaExceeded
+            | RefusalReason::QuotaUnknown
             | RefusalReason::HeaderTooLarge
             | RefusalReason::BodyTooLarge
             | RefusalReason::BodyMemory
             | RefusalReason::KeyRegistrarUnreachable
             | RefusalReason::RepeatInDoubt
             | RefusalReason::NoBackend
+            | RefusalReason::Evacuated
+            | RefusalReason::ColdServer
             | RefusalReason::Leaving
             | RefusalReason::StoppedVersion
             | RefusalReason::ConnectFailed
--- a/crates/core/src/traffic/retry_policy.rs
+++ b/crates/core/src/traffic/retry_policy.rs
@@ -47,7 +47,10 @@
         R::NoBackend
         | R::BackendDown
         | R::StoppedVersion
+        | R::Evacuated
+        | R::ColdServer
         | R::QueueFull
+        | R::Displaced
         | R::DeadlineTooNear
         | R::BackendShed
         | R::BodyMemory
@@ -55,6 +58,9 @@
         | R::OutdatedConfig => Some(RetryReason::RefusedUnrun),
         R::UnknownRoute
         | R::BadRequest
+        | R::UnknownCredential
+        | R::QuotaExceeded
+        | R::QuotaUnknown
         | R::HeaderTooLarge
         | R::BodyTooLarge
         | R::KeyRegistrarUnreachable
--- a/crates/core/src/units/mod.rs
+++ b/crates/core/src/units/mod.rs
@@ -1,6 +1,7 @@
 //! Newtypes for sizes, rates, shares and times that carry their unit.
 
 mod byte_count;
+mod call_rate;
 mod calls_per_second;
 mod instant;
 mod micros;
@@ -10,6 +11,7 @@
 mod unix_millis;
 
 pub use byte_count::ByteCount;
+pub use call_rate::CallRate;
 pub use calls_per_second::CallsPerSecond;
 pub use instant::Instant;
 pub use micros::Micros;
--- a/crates/core/tests/fleet_common/mod.rs
+++ b/crates/core/tests/fleet_common/mod.rs
@@ -9,9 +9,9 @@
 use std::net::SocketAddr;
 
 use almondsail_core::fleet::{
-    AnnouncedState, Announcement, BackendStatus, CallRequirements, ConfigText, Destination,
-    Endpoint, FleetEvent, FleetIdentity, Heartbeat, MeshConfigBuilder, MeshRoute, NodeEntry,
-    ServiceSettings,
+    AnnouncedState, Announcement, BackendStatus, CallRank, CallRequirements, ConfigText,
+    Destination, Endpoint, FleetEvent, FleetIdentity, Heartbeat, MeshConfigBuilder, MeshRoute,
+    NodeEntry, ServiceSettings,
 };
 use almondsail_core::ids::{ConfigVersion, Incarnation};
 use almondsail_core::units::{Instant, Millis, UnixMillis};
@@ -32,6 +32,7 @@
         target_latency: Millis::new(500),
         priority: 2,
         max_attempts: 2,
+        is_public: false,
         destinations: vec![Destination { service: service.parse().unwrap(), weight: 1 }],
     }
 }
@@ -39,7 +40,10 @@
 /// Returns a configuration with one route to the service `bays`.
 pub fn config(version: u64) -> ConfigText {
     let config = MeshConfigBuilder::new(ConfigVersion::new(version))
-        .service("bays".parse().unwrap(), ServiceSettings { connections: 130 })
+        .service(
+            "bays".parse().unwrap(),
+            ServiceSettings { connections: 130, ..Default::default() },
+        )
         .route(route("r1", "/x/", "bays"))
         .build()
         .unwrap();
@@ -144,7 +148,8 @@
 ) -> CallRequirements {
     CallRequirements {
         route: route.parse().unwrap(),
-        priority,
+        rank: CallRank { team: 0, route: priority },
+        team: None,
         target: now + Millis::new(target),
         deadline: now + Millis::new(deadline),
         target_latency: Millis::new(target),
--- a/crates/core/tests/fleet_common/simulated_store.rs
+++ b/crates/core/tests/fleet_common/simulated_store.rs
@@ -142,7 +142,7 @@
 
 fn space_of(key: &StoreKey) -> KeySpace {
     match key {
-        StoreKey::Config | StoreKey::Order(_) => KeySpace::Operator,
+        StoreKey::Config | StoreKey::Order(_) | StoreKey::Evacuation(_) => KeySpace::Operator,
         _ => KeySpace::Nodes,
     }
 }
--- a/crates/core/tests/fleet_config.rs
+++ b/crates/core/tests/fleet_config.rs
@@ -12,7 +12,7 @@
 
 fn build(routes: impl IntoIterator<Item = MeshRoute>) -> Result<MeshConfig, ConfigProblem> {
     let builder = MeshConfigBuilder::new(ConfigVersion::new(1))
-        .service("bays".parse().unwrap(), ServiceSettings { connections: 1 });
+        .service("bays".parse().unwrap(), ServiceSettings { connections: 1, ..Default::default() });
     routes.into_iter().fold(builder, MeshConfigBuilder::route).build()
 }
 
--- a/crates/core/tests/round_trip.rs
+++ b/crates/core/tests/round_trip.rs
@@ -13,7 +13,7 @@
 use almondsail_core::report::Minute;
 use almondsail_core::store::Revision;
 use almondsail_core::units::{
-    ByteCount, CallsPerSecond, Instant, Micros, Millis, PerMille, UnixMillis,
+    ByteCount, CallRate, CallsPerSecond, Instant, Micros, Millis, PerMille, UnixMillis,
 };
 use almondsail_core::{RefusalReason, RetryReason, Verdict};
 use almondsail_seeded::properties;
@@ -41,6 +41,7 @@
             && round_trips(RequestId::new(n))
             && round_trips(ByteCount::new(n))
             && round_trips(CallsPerSecond::new(n))
+            && round_trips(CallRate::from_milli(n))
             && round_trips(Millis::new(n))
             && round_trips(Micros::new(n))
             && round_trips(Instant::new(n))
--- a/crates/node/src/calls/failure.rs
+++ b/crates/node/src/calls/failure.rs
@@ -57,19 +57,25 @@
             R::BadRequest => StatusCode::BAD_REQUEST,
             R::HeaderTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             R::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            R::UnknownCredential => StatusCode::UNAUTHORIZED,
             R::PeerUnauthorized => StatusCode::FORBIDDEN,
+            R::QuotaExceeded => StatusCode::TOO_MANY_REQUESTS,
             R::RepeatInDoubt => StatusCode::CONFLICT,
             R::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
             R::BrokenExchange | R::BadAnswer => StatusCode::BAD_GATEWAY,
             R::NoConfig
             | R::OutdatedConfig
+            | R::QuotaUnknown
             | R::BodyMemory
             | R::KeyRegistrarUnreachable
             | R::NoBackend
             | R::BackendDown
+            | R::Evacuated
+            | R::ColdServer
             | R::Leaving
             | R::StoppedVersion
             | R::QueueFull
+            | R::Displaced
             | R::DeadlineTooNear
             | R::BackendShed
             | R::ConnectFailed
--- a/crates/node/src/fleet/caller_handler.rs
+++ b/crates/node/src/fleet/caller_handler.rs
@@ -4,8 +4,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use almondsail_core::fleet::{
-    Attempts, CallRecord, CallerPipeline, Endpoint, EndpointChoice, FleetLogEvent, Hedge,
-    LoadBalancerContext, MeshRoute, NextAttempt,
+    Attempts, CallRank, CallRecord, CallerIdentity, CallerPipeline, Endpoint, EndpointChoice,
+    FleetLogEvent, Hedge, LoadBalancerContext, MeshRoute, NextAttempt,
 };
 use almondsail_core::ids::ServiceName;
 use almondsail_core::units::{ByteCount, Instant, Micros};
@@ -86,26 +86,33 @@
     result.config = config.version;
     let host = request.headers().get(header::HOST).and_then(|host| host.to_str().ok());
     let Some(route) = config.route(host.unwrap_or_default(), request.uri().path()) else {
-        result.answer = Err(missing_route(view.is_outdated));
+        result.answer = Err(unknown(RefusalReason::UnknownRoute, view.is_outdated));
         return;
     };
+    let sent = platform_calls::sent_credential(request.headers());
+    let identity = CallerIdentity::of(config, route, sent);
+    if identity == CallerIdentity::Unknown {
+        result.answer = Err(unknown(RefusalReason::UnknownCredential, view.is_outdated));
+        return;
+    }
     let draw = rand::rng().random_range(0..route.weight());
     result.route = Some(Arc::clone(route));
     result.service = Some(route.destination(draw).clone());
     let is_pipelined = request.extensions().get::<Pipelined>().is_some();
     let target = lock(pipeline).target(started, route.target_latency, is_pipelined);
-    let mut call = forwarded_call(traffic, started, route, route.destination(draw), request);
+    let mut call =
+        forwarded_call(traffic, started, route, route.destination(draw), &identity, request);
     call.answer_by = started + subtract_travel_time(target);
     result.answer = send_with_retries(traffic, route, &mut call, &mut result.endpoints_tried).await;
 }
 
-/// Returns the failure of a request without a route. A node that waits for a newer configuration
-/// can't say that there is none.
-const fn missing_route(is_outdated: bool) -> CallFailure {
+/// Returns the failure of a request whose route or credential the configuration lacks, as `reason`
+/// says. A node that waits for a newer configuration can't say that there is none.
+const fn unknown(reason: RefusalReason, is_outdated: bool) -> CallFailure {
     if is_outdated {
         CallFailure::refused(RefusalReason::OutdatedConfig, CONFIG_RETRY_AFTER)
     } else {
-        CallFailure::refused(RefusalReason::UnknownRoute, Micros::new(0))
+        CallFailure::refused(reason, Micros::new(0))
     }
 }
 
@@ -119,6 +126,7 @@
     started: Instant,
     route: &MeshRoute,
     service: &ServiceName,
+    identity: &CallerIdentity,
     request: Request<Bytes>,
 ) -> ForwardedCall {
     let (parts, body) = request.into_parts();
@@ -126,11 +134,16 @@
     let requested = platform_calls::caller_timeout(&headers);
     let limit = requested.map_or(route.timeout, |requested| requested.min(route.timeout));
     call_headers::remove_connection_headers(&mut headers);
+    let team = identity.team();
+    if *identity != CallerIdentity::WithoutTeams {
+        platform_calls::replace_credential(&mut headers, team.map(|team| &team.name));
+    }
     ForwardedCall {
         service: service.clone(),
         backend: "none".parse().expect("a valid name"),
         route: route.name.clone(),
-        priority: route.priority,
+        rank: CallRank { team: team.map_or(0, |team| team.priority), route: route.priority },
+        team: team.map(|team| team.name.clone()),
         deadline: traffic.limit_deadline(started + limit),
         target: started + subtract_travel_time(route.target_latency.into()),
         answer_by: started + subtract_travel_time(route.target_latency.into()),
--- a/crates/node/src/fleet/failure_response.rs
+++ b/crates/node/src/fleet/failure_response.rs
@@ -57,6 +57,8 @@
 const fn failure_status(failure: &CallFailure) -> StatusCode {
     match (failure.verdict, failure.reason) {
         (_, RefusalReason::UnknownRoute) => StatusCode::NOT_FOUND,
+        (_, RefusalReason::UnknownCredential) => StatusCode::UNAUTHORIZED,
+        (_, RefusalReason::QuotaExceeded) => StatusCode::TOO_MANY_REQUESTS,
         (Verdict::NotSent | Verdict::RefusedUnrun, _) => StatusCode::SERVICE_UNAVAILABLE,
         (Verdict::MayHaveRun, RefusalReason::DeadlinePassed) => StatusCode::GATEWAY_TIMEOUT,
         (Verdict::MayHaveRun, _) => StatusCode::BAD_GATEWAY,
--- a/crates/node/src/fleet/forwarded_call.rs
+++ b/crates/node/src/fleet/forwarded_call.rs
@@ -1,7 +1,7 @@
 //! A call that is forwarded to a backend server.
 
-use almondsail_core::fleet::CallRequirements;
-use almondsail_core::ids::{BackendId, RouteName, ServiceName};
+use almondsail_core::fleet::{CallRank, CallRequirements};
+use almondsail_core::ids::{BackendId, RouteName, ServiceName, TeamName};
 use almondsail_core::units::{Instant, Micros, Millis};
 use almondsail_platform::calls as platform_calls;
 use bytes::Bytes;
@@ -20,8 +20,10 @@
     pub(crate) backend: BackendId,
     /// Name of the route that matched the call.
     pub(crate) route: RouteName,
-    /// Priority of the route, which orders the slot queue.
-    pub(crate) priority: u8,
+    /// Rank of the call, which orders the slot queue.
+    pub(crate) rank: CallRank,
+    /// Team that the call belongs to; `None` without one.
+    pub(crate) team: Option<TeamName>,
     /// Time after which the caller has no use for an answer.
     pub(crate) deadline: Instant,
     /// Time by which an answer must leave the entry node to meet the route's target latency.
@@ -49,11 +51,14 @@
         let (parts, body) = request.into_parts();
         let mut headers = parts.headers;
         headers.remove(HOP_HEADER);
+        let (team, team_priority) = hop.team.unzip();
+        let rank = CallRank { team: team_priority.unwrap_or_default(), route: hop.priority };
         Self {
             service: hop.service,
             backend: hop.backend,
             route: hop.route,
-            priority: hop.priority,
+            rank,
+            team,
             deadline: now + hop.deadline_left,
             target: now + hop.target_left,
             answer_by: now + hop.target_left,
@@ -72,11 +77,12 @@
             service: self.service.clone(),
             backend: self.backend.clone(),
             route: self.route.clone(),
-            priority: self.priority,
+            priority: self.rank.route,
             deadline_left: millis(self.deadline.since(now)),
             target_left: millis(self.target.since(now)),
             target_latency: self.target_latency,
             caller: self.caller.clone(),
+            team: self.team.clone().map(|team| (team, self.rank.team)),
         };
         let mut request = self.copy_request();
         if let Ok(value) = HeaderValue::try_from(hop.to_string()) {
@@ -102,7 +108,8 @@
     pub(crate) fn requirements(&self) -> CallRequirements {
         CallRequirements {
             route: self.route.clone(),
-            priority: self.priority,
+            rank: self.rank,
+            team: self.team.clone(),
             target: self.target,
             deadline: self.deadline,
             target_latency: self.target_latency,
--- a/crates/node/src/fleet/hop.rs
+++ b/crates/node/src/fleet/hop.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::str::FromStr;
 
-use almondsail_core::ids::{BackendId, RouteName, ServiceName};
+use almondsail_core::ids::{BackendId, RouteName, ServiceName, TeamName};
 use almondsail_core::units::Millis;
 use http::header::HeaderName;
 
@@ -29,6 +29,9 @@
     pub(crate) target_latency: Millis,
     /// Service that made the call: that of the backend server beside the entry node.
     pub(crate) caller: ServiceName,
+    /// Team that the call belongs to, with its priority. Left out for a call without a team, so
+    /// that nodes of earlier builds can read it.
+    pub(crate) team: Option<(TeamName, u8)>,
 }
 
 impl fmt::Display for Hop {
@@ -44,7 +47,8 @@
             self.target_left.get(),
             self.target_latency.get(),
             self.caller
-        )
+        )?;
+        self.team.as_ref().map_or(Ok(()), |(team, priority)| write!(f, " {team} {priority}"))
     }
 }
 
@@ -63,7 +67,7 @@
         }
         let mut parts = s.split(' ');
         let parts = &mut parts;
-        let hop = Self {
+        let mut hop = Self {
             service: next(parts)?,
             backend: next(parts)?,
             route: next(parts)?,
@@ -72,7 +76,11 @@
             target_left: Millis::new(next(parts)?),
             target_latency: Millis::new(next(parts)?),
             caller: next(parts)?,
+            team: None,
         };
+        if let Some(team) = parts.next() {
+            hop.team = Some((team.parse().map_err(|_| ParseHopError)?, next(parts)?));
+        }
         if parts.next().is_some() { Err(ParseHopError) } else { Ok(hop) }
     }
 }
