Test answers of a server whose status is no final one

Cause: nobody had checked what a caller gets when a server in trouble writes a status such as 000. Change: tests with a raw server for 14 statuses, with and without a signature and a refusal header.

--- a/crates/testkit/tests/fleet_faulty_worker/main.rs
+++ b/crates/testkit/tests/fleet_faulty_worker/main.rs
@@ -1,10 +1,11 @@
 //! Tests of a fleet whose backend servers write answers again, too early, cut, or without end, or
-//! are full.
+//! are full, or with odd statuses.
 
 mod cut_answers;
 mod endless_answers;
 mod full_servers;
 mod large_bodies;
+mod odd_statuses;
 mod repeated_answers;
 mod slow_callers;
 
