Refuse answers whose status is none of a final answer

Cause: the HTTP client accepts every number from 100 to 999, and the classification of answers looked at the signature alone. A signed 101, 600 or 999 reached the caller; with the header of a refusal it became a 503. Change: an exchange fails as malformed unless the status lies in 200 to 599, the classification of the platform believes no such head, and the writer of responses replaces what is left by a 502.

--- a/crates/node/src/calls/client_connection.rs
+++ b/crates/node/src/calls/client_connection.rs
@@ -24,6 +24,7 @@
 use crate::calls::limited_stream::LimitedStream;
 use crate::calls::read_allowance::ReadAllowance;
 use crate::counted_stream::CountedStream;
+use crate::final_status::is_final;
 use crate::socket;
 
 /// The largest header of an answer, in bytes, and the size of the read buffer.
@@ -66,7 +67,7 @@
     NotSent,
     /// The connection broke after at least one byte was written.
     Broken,
-    /// The answer is malformed.
+    /// The answer is malformed, or its status is none of a final answer.
     BadAnswer,
     /// The head of the answer did not arrive in time.
     TimedOut,
@@ -153,9 +154,10 @@
             }
         })
         .await;
-        result.ok_or(ExchangeError::BadAnswer)?.map_err(|error| {
+        let response = result.ok_or(ExchangeError::BadAnswer)?.map_err(|error| {
             if error.error().is_parse() { ExchangeError::BadAnswer } else { ExchangeError::Broken }
-        })
+        })?;
+        if is_final(response.status()) { Ok(response) } else { Err(ExchangeError::BadAnswer) }
     }
 
     /// Reads and writes as much as is possible without blocking.
--- a/crates/node/src/fleet/http1/response_writer.rs
+++ b/crates/node/src/fleet/http1/response_writer.rs
@@ -5,6 +5,8 @@
 use http::header::{self, HeaderName};
 use http::{Method, Response, StatusCode};
 
+use crate::final_status::is_final;
+
 /// Size of the buffer for a head. It grows for a larger one.
 const HEAD_CAPACITY_BYTES: usize = 512;
 /// Headers that the connection sets itself, whatever the response has.
@@ -12,12 +14,14 @@
     [header::CONTENT_LENGTH, header::CONNECTION, header::TRANSFER_ENCODING];
 
 /// Returns `response` as it is sent, without a copy of its body. `method` is that of the request;
-/// `close` announces that the connection closes after the response.
+/// `close` announces that the connection closes after the response. A response whose status is none
+/// of a final answer is replaced by an empty 502, which says that the request may have run.
 pub(crate) fn encode(
     method: &Method,
     response: Response<Bytes>,
     close: bool,
 ) -> Chain<Bytes, Bytes> {
+    let response = if is_final(response.status()) { response } else { bad_gateway() };
     let mut out = BytesMut::with_capacity(HEAD_CAPACITY_BYTES);
     let has_body = *method != Method::HEAD && has_body(response.status());
     write_head(&mut out, &response, has_body, close);
@@ -25,6 +29,12 @@
     out.freeze().chain(body)
 }
 
+fn bad_gateway() -> Response<Bytes> {
+    let mut response = Response::new(Bytes::new());
+    *response.status_mut() = StatusCode::BAD_GATEWAY;
+    response
+}
+
 fn write_head(out: &mut BytesMut, response: &Response<Bytes>, has_body: bool, close: bool) {
     let status = response.status();
     out.put_slice(b"HTTP/1.1 ");
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod clock;
 pub mod control;
 mod counted_stream;
+mod final_status;
 pub mod fleet;
 mod http_client;
 pub mod http_server;
