--- a/crates/node/src/fleet/caller_handler.rs
+++ b/crates/node/src/fleet/caller_handler.rs
@@ -5,7 +5,7 @@
 
 use almondsail_core::fleet::{
     Attempts, CallRank, CallRecord, CallerIdentity, CallerPipeline, Endpoint, EndpointChoice,
-    FleetLogEvent, Hedge, LoadBalancerContext, MeshRoute, NextAttempt,
+    FleetLogEvent, FleetView, Hedge, LoadBalancerContext, MeshConfig, MeshRoute, NextAttempt,
 };
 use almondsail_core::ids::ServiceName;
 use almondsail_core::units::{ByteCount, Instant, Micros};
@@ -20,7 +20,7 @@
 use crate::fleet::call_failure::{self, CallFailure};
 use crate::fleet::caller_result::{CallerResult, NO_ENDPOINT_RETRY_AFTER};
 use crate::fleet::forwarded_call::ForwardedCall;
-use crate::fleet::http1::Pipelined;
+use crate::fleet::http1::{Pipelined, RefusedHead};
 use crate::fleet::traffic::FleetTraffic;
 use crate::fleet::{endpoint_client, failure_response, inbound};
 
@@ -81,18 +81,21 @@
     request: Request<Bytes>,
     result: &mut CallerResult,
 ) {
+    if let Some(RefusedHead(reason)) = request.extensions().get() {
+        result.answer = Err(refuse(*reason));
+        return;
+    }
     let view = traffic.view.load_full();
     let Some(config) = &view.config else { return };
     result.config = config.version;
-    let host = request.headers().get(header::HOST).and_then(|host| host.to_str().ok());
-    let Some(route) = config.route(host.unwrap_or_default(), request.uri().path()) else {
-        result.answer = Err(unknown(RefusalReason::UnknownRoute, view.is_outdated));
+    let Some(route) = route_of(config, &request) else {
+        result.answer = Err(refuse(unknown(RefusalReason::UnknownRoute, &view)));
         return;
     };
     let sent = platform_calls::sent_credential(request.headers());
     let identity = CallerIdentity::of(config, route, sent);
     if identity == CallerIdentity::Unknown {
-        result.answer = Err(unknown(RefusalReason::UnknownCredential, view.is_outdated));
+        result.answer = Err(refuse(unknown(RefusalReason::UnknownCredential, &view)));
         return;
     }
     let draw = rand::rng().random_range(0..route.weight());
@@ -106,14 +109,32 @@
     result.answer = send_with_retries(traffic, route, &mut call, &mut result.endpoints_tried).await;
 }
 
-/// Returns the failure of a request whose route or credential the configuration lacks, as `reason`
-/// says. A node that waits for a newer configuration can't say that there is none.
-const fn unknown(reason: RefusalReason, is_outdated: bool) -> CallFailure {
-    if is_outdated {
-        CallFailure::refused(RefusalReason::OutdatedConfig, CONFIG_RETRY_AFTER)
-    } else {
-        CallFailure::refused(reason, Micros::new(0))
-    }
+/// Returns why a request with `head` is refused whatever its body is: for its credential.
+pub(crate) fn check_head(view: &FleetView, head: &Request<()>) -> Option<RefusalReason> {
+    let config = view.config.as_ref()?;
+    let route = route_of(config, head)?;
+    let sent = platform_calls::sent_credential(head.headers());
+    let is_unknown = CallerIdentity::of(config, route, sent) == CallerIdentity::Unknown;
+    is_unknown.then(|| unknown(RefusalReason::UnknownCredential, view))
+}
+
+fn route_of<'a, T>(config: &'a MeshConfig, request: &Request<T>) -> Option<&'a Arc<MeshRoute>> {
+    let host = request.headers().get(header::HOST).and_then(|host| host.to_str().ok());
+    config.route(host.unwrap_or_default(), request.uri().path())
+}
+
+/// Returns the reason for the refusal of a request whose route or credential the configuration
+/// lacks, as `reason` says. A node that waits for a newer configuration can't say that there is none.
+const fn unknown(reason: RefusalReason, view: &FleetView) -> RefusalReason {
+    if view.is_outdated { RefusalReason::OutdatedConfig } else { reason }
+}
+
+const fn refuse(reason: RefusalReason) -> CallFailure {
+    let retry_after = match reason {
+        RefusalReason::OutdatedConfig => CONFIG_RETRY_AFTER,
+        _ => Micros::new(0),
+    };
+    CallFailure::refused(reason, retry_after)
 }
 
 fn lock(pipeline: &SharedPipeline) -> MutexGuard<'_, CallerPipeline> {
--- a/crates/node/src/fleet/http1/body_reader.rs
+++ b/crates/node/src/fleet/http1/body_reader.rs
@@ -64,6 +64,14 @@
         Ok(Self { state, body: BytesMut::new(), reservation, limit })
     }
 
+    /// Returns the number of bytes that the body has at least, by its framing so far.
+    pub(crate) fn min_length(&self) -> usize {
+        match self.state {
+            State::Length(left) | State::Chunk(left) => self.body.len() + left,
+            State::ChunkLine | State::Trailer => self.body.len(),
+        }
+    }
+
     /// Consumes the bytes of the body that `buf` holds.
     pub(crate) fn read(mut self, buf: &mut BytesMut) -> Result<BodyProgress, RequestError> {
         loop {
--- a/crates/node/src/fleet/http1/connection.rs
+++ b/crates/node/src/fleet/http1/connection.rs
@@ -17,6 +17,7 @@
 use tokio::time::{Instant, timeout};
 
 use crate::clock::to_std_duration;
+use crate::fleet::http1::head_check::RefusedHead;
 use crate::fleet::http1::held_body::HeldBody;
 use crate::fleet::http1::request_error::RequestError;
 use crate::fleet::http1::request_parser::{RequestLimits, RequestParser};
@@ -103,7 +104,7 @@
             stop: settings.stop,
             unanswered: settings.unanswered,
             refusal: settings.refusal,
-            parser: RequestParser::new(settings.bodies),
+            parser: RequestParser::new(settings.bodies, settings.check_head),
             buf: BytesMut::new(),
             in_flight: FuturesOrdered::new(),
             deferred: None,
@@ -198,7 +199,9 @@
             request.extensions_mut().insert(Pipelined);
         }
         let method = request.method().clone();
-        let wants_close = asks_to_close(request.version(), request.headers());
+        // The rest of a body that was not read can't be told from the next request.
+        let is_unread = request.extensions().get::<RefusedHead>().is_some();
+        let wants_close = is_unread || asks_to_close(request.version(), request.headers());
         if wants_close {
             self.reading = ReadState::Ended;
         }
--- a/crates/node/src/fleet/http1/mod.rs
+++ b/crates/node/src/fleet/http1/mod.rs
@@ -8,6 +8,7 @@
 mod body_reader;
 mod body_reservation;
 mod connection;
+mod head_check;
 mod held_body;
 mod request_error;
 mod request_parser;
@@ -15,5 +16,6 @@
 mod server;
 
 pub(crate) use connection::{Pipelined, WRITE_TIMEOUT};
+pub(crate) use head_check::RefusedHead;
 pub(crate) use request_error::RequestError;
 pub(crate) use server::{Http1Settings, serve};
--- a/crates/node/src/fleet/http1/request_parser.rs
+++ b/crates/node/src/fleet/http1/request_parser.rs
@@ -2,19 +2,25 @@
 
 use std::sync::Arc;
 
+use almondsail_core::RefusalReason;
 use almondsail_core::traffic::BodyBudget;
-use bytes::{Buf as _, BytesMut};
+use bytes::{Buf as _, Bytes, BytesMut};
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
 use http::{Method, Request, Uri, Version};
 
 use crate::fleet::http1::body_reader::{BodyProgress, BodyReader};
 use crate::fleet::http1::body_reservation::BodyReservation;
+use crate::fleet::http1::head_check::{HeadCheck, RefusedHead};
 use crate::fleet::http1::held_body::HeldBody;
 use crate::fleet::http1::request_error::RequestError;
 
 /// Number of headers that a request may have.
 const MAX_HEADERS: usize = 100;
 
+/// Length of a body up to which it is read even if the head is refused, so that the connection stays
+/// open for the next request.
+const MAX_REFUSED_BODY_BYTES: usize = 16 * 1024;
+
 /// Size limits of one request.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct RequestLimits {
@@ -25,8 +31,11 @@
 }
 
 /// Parses requests incrementally from a buffer.
-#[derive(Debug)]
 pub(crate) struct RequestParser {
+    /// Checks the heads of requests with large bodies.
+    check_head: HeadCheck,
+    /// Whether `check_head` has accepted the head of `partial`.
+    is_head_checked: bool,
     /// Limits the bodies of all requests of the node together.
     budget: Arc<BodyBudget>,
     /// A request whose head is parsed and whose body is incomplete.
@@ -36,11 +45,13 @@
 }
 
 impl RequestParser {
-    pub(crate) const fn new(budget: Arc<BodyBudget>) -> Self {
-        Self { budget, partial: None, expects_continue: false }
+    pub(crate) const fn new(budget: Arc<BodyBudget>, check_head: HeadCheck) -> Self {
+        Self { check_head, is_head_checked: false, budget, partial: None, expects_continue: false }
     }
 
     /// Returns the next request once `buf` holds the rest of it; consumes the bytes that it parses.
+    /// A request with a large body whose head is refused is returned at once, without its body and
+    /// with a [`RefusedHead`].
     pub(crate) fn next(
         &mut self,
         buf: &mut BytesMut,
@@ -53,9 +64,14 @@
             let expect = head.headers().get(header::EXPECT);
             self.expects_continue =
                 expect.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"100-continue"));
+            self.is_head_checked = false;
             self.partial = Some((head, body));
         }
         let Some((head, body)) = self.partial.take() else { return Ok(None) };
+        if let Some(reason) = self.refuse_head(&head, &body) {
+            self.expects_continue = false;
+            return Ok(Some(self.without_body(head, reason)));
+        }
         match body.read(buf)? {
             BodyProgress::Complete(body) => {
                 self.expects_continue = false;
@@ -68,6 +84,21 @@
         }
     }
 
+    /// Checks `head` once its body is known to be large.
+    fn refuse_head(&mut self, head: &Request<()>, body: &BodyReader) -> Option<RefusalReason> {
+        if self.is_head_checked || body.min_length() <= MAX_REFUSED_BODY_BYTES {
+            return None;
+        }
+        self.is_head_checked = true;
+        (self.check_head)(head)
+    }
+
+    fn without_body(&self, mut head: Request<()>, reason: RefusalReason) -> Request<HeldBody> {
+        head.extensions_mut().insert(RefusedHead(reason));
+        let reservation = BodyReservation::new(Arc::clone(&self.budget));
+        head.map(|()| HeldBody { bytes: Bytes::new(), reservation })
+    }
+
     /// Returns whether a request's head is parsed and its body is incomplete.
     pub(crate) const fn has_partial(&self) -> bool {
         self.partial.is_some()
--- a/crates/node/src/fleet/http1/server.rs
+++ b/crates/node/src/fleet/http1/server.rs
@@ -13,6 +13,7 @@
 
 use crate::accept;
 use crate::fleet::http1::connection::Connection;
+use crate::fleet::http1::head_check::HeadCheck;
 use crate::fleet::http1::request_error::RequestError;
 use crate::fleet::stop_phase::StopPhase;
 use crate::fleet::unanswered_requests::UnansweredRequests;
@@ -29,6 +30,8 @@
     pub(crate) user_timeout: Duration,
     /// Limits the bodies of the requests of all listeners together.
     pub(crate) bodies: Arc<BodyBudget>,
+    /// Checks the heads of requests with large bodies before these are read.
+    pub(crate) check_head: HeadCheck,
     /// Builds the answer to a request that can't be read.
     pub(crate) refusal: fn(RequestError) -> Response<Bytes>,
     /// Current phase of a graceful stop.
--- a/crates/node/src/fleet/servers.rs
+++ b/crates/node/src/fleet/servers.rs
@@ -7,6 +7,7 @@
 use almondsail_core::fleet::{CallerLimits, FleetEvent, FleetLogEvent, FleetView};
 use almondsail_core::units::ByteCount;
 use arc_swap::ArcSwap;
+use http::Request;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -130,6 +131,8 @@
         let view = Arc::clone(&self.view);
         let limits =
             move || view.load().config.as_ref().map_or_else(Default::default, |c| c.limits);
+        let view = Arc::clone(&self.view);
+        let check_head = move |head: &Request<()>| caller_handler::check_head(&view.load(), head);
         let unanswered =
             UnansweredRequests::new("callers", &self.metrics.meter(), self.log.clone());
         let settings = Http1Settings {
@@ -137,6 +140,7 @@
             max_connections: MAX_CALLER_CONNECTIONS,
             user_timeout: WRITE_TIMEOUT,
             bodies: Arc::clone(&self.traffic.body_budget),
+            check_head: Arc::new(check_head),
             refusal: failure_response::refusal,
             stop,
             unanswered,
@@ -164,6 +168,7 @@
             max_connections: MAX_NODE_CONNECTIONS,
             user_timeout: socket::USER_TIMEOUT,
             bodies: Arc::clone(&self.traffic.body_budget),
+            check_head: Arc::new(|_| None),
             refusal: inbound_handler::refusal,
             stop,
             unanswered,
--- a/crates/testkit/src/harness/launch.rs
+++ b/crates/testkit/src/harness/launch.rs
@@ -13,12 +13,14 @@
     pub name: String,
     /// The command-line arguments, without the name of the program.
     pub args: Vec<OsString>,
+    /// Whether stdout is kept in a `NAME.stdout` file.
+    pub keeps_stdout: bool,
 }
 
 impl Launch {
     /// Creates a command that starts `binary` without arguments.
     pub fn new(binary: Binary, name: impl Into<String>) -> Self {
-        Self { binary, name: name.into(), args: Vec::new() }
+        Self { binary, name: name.into(), args: Vec::new(), keeps_stdout: false }
     }
 
     /// Sets the option `--NAME VALUE`, replacing an earlier value unless the option
@@ -34,6 +36,11 @@
         self
     }
 
+    /// Keeps stdout in a `NAME.stdout` file, including that of earlier starts.
+    pub fn keeping_stdout(self) -> Self {
+        Self { keeps_stdout: true, ..self }
+    }
+
     /// Adds a positional argument.
     pub fn with_argument(mut self, value: impl Into<OsString>) -> Self {
         self.args.push(value.into());
--- a/crates/testkit/src/harness/process.rs
+++ b/crates/testkit/src/harness/process.rs
@@ -1,7 +1,7 @@
 //! A child process with its output.
 
 use std::fs::File;
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Write as _};
 use std::path::Path;
 use std::process::{Child, ChildStdout, Command, ExitStatus, Stdio};
 use std::sync::Arc;
@@ -41,8 +41,15 @@
             .spawn()
             .wrap_err_with(|| format!("{} cannot be started", launch.name))?;
         let is_reading = Arc::new(AtomicBool::new(true));
+        let kept = match launch.keeps_stdout {
+            true => {
+                let path = folder.join(format!("{}.stdout", launch.name));
+                Some(File::options().create(true).append(true).open(path)?)
+            }
+            false => None,
+        };
         let first_line =
-            child.stdout.take().map(|stdout| read_stdout(stdout, Arc::clone(&is_reading)));
+            child.stdout.take().map(|stdout| read_stdout(stdout, kept, Arc::clone(&is_reading)));
         let mut process = Self { child, addresses: BoundAddresses::default(), is_reading };
         let line = first_line.ok_or_else(|| eyre!("{} has no stdout", launch.name))?;
         let line = tokio::time::timeout(WAIT_TIMEOUT, line)
@@ -109,13 +116,25 @@
 }
 
 /// Reads stdout in a thread, so that the process never blocks on a full pipe, and
-/// sends the first line to the receiver. Pauses while `is_reading` is false.
-fn read_stdout(stdout: ChildStdout, is_reading: Arc<AtomicBool>) -> oneshot::Receiver<String> {
+/// sends the first line to the receiver. Writes all lines to `kept`. Pauses while `is_reading` is
+/// false.
+fn read_stdout(
+    stdout: ChildStdout,
+    mut kept: Option<File>,
+    is_reading: Arc<AtomicBool>,
+) -> oneshot::Receiver<String> {
     let (tx, rx) = oneshot::channel();
+    let mut keep = move |line: &str| {
+        // Without room on the disk the rest is lost, which the reader of the file sees.
+        let _full = kept.as_mut().map(|file| writeln!(file, "{line}"));
+    };
     std::thread::spawn(move || {
         let mut lines = BufReader::new(stdout).lines();
-        let _waiting = tx.send(lines.next().and_then(Result::ok).unwrap_or_default());
-        while lines.next().is_some_and(|line| line.is_ok()) {
+        let first = lines.next().and_then(Result::ok).unwrap_or_default();
+        keep(&first);
+        let _waiting = tx.send(first);
+        while let Some(Ok(line)) = lines.next() {
+            keep(&line);
             while !is_reading.load(Ordering::Relaxed) {
                 std::thread::sleep(PAUSED_POLL_INTERVAL);
             }
--- a/crates/testkit/src/harness/process_set.rs
+++ b/crates/testkit/src/harness/process_set.rs
@@ -77,6 +77,14 @@
         std::fs::read_to_string(self.folder().join(&name)).wrap_err(name)
     }
 
+    /// Returns what a process that [keeps](Launch::keeping_stdout) its stdout has written to it,
+    /// including earlier starts.
+    pub fn stdout(&self, id: ProcessId) -> Result<String> {
+        let name = format!("{}.stdout", self.managed(id)?.launch.name);
+        let bytes = std::fs::read(self.folder().join(&name)).wrap_err(name)?;
+        Ok(String::from_utf8_lossy(&bytes).into_owned())
+    }
+
     /// Starts a process and waits until it has printed its addresses.
     pub async fn start(&mut self, launch: Launch) -> Result<ProcessId> {
         let process = Process::start(&launch, self.folder.path()).await?;
--- a/crates/testkit/src/http/client.rs
+++ b/crates/testkit/src/http/client.rs
@@ -5,13 +5,11 @@
 
 use bytes::Bytes;
 use eyre::{Result, WrapErr};
-use http::{HeaderName, HeaderValue, Method, Request};
-use http_body_util::{BodyExt, Full};
-use hyper::client::conn::http1;
-use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
+use http::{Method, Request};
+use http_body_util::Full;
 
 use super::Reply;
+use super::kept_connection::{KeptConnection, request};
 
 /// An HTTP/1.1 client that opens a new connection for each request, so that a
 /// fault in one request can't affect the next.
@@ -69,12 +67,7 @@
         headers: &[(&str, &str)],
     ) -> Result<Reply> {
         let what = format!("{method} {}{target}", self.address);
-        let mut req = Request::builder().method(method).uri(target).body(Full::new(body))?;
-        let host = HeaderValue::try_from(self.address.to_string())?;
-        req.headers_mut().insert(http::header::HOST, host);
-        for (name, value) in headers {
-            req.headers_mut().insert(HeaderName::try_from(*name)?, HeaderValue::try_from(*value)?);
-        }
+        let req = request(self.address, method, target, body, headers)?;
         tokio::time::timeout(self.timeout, self.exchange(req))
             .await
             .wrap_err_with(|| format!("{what}: no answer within {:?}", self.timeout))?
@@ -82,22 +75,6 @@
     }
 
     async fn exchange(&self, req: Request<Full<Bytes>>) -> Result<Reply> {
-        let stream = TcpStream::connect(self.address).await?;
-        stream.set_nodelay(true)?;
-        let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-        let driver = AbortOnDrop(tokio::spawn(connection));
-        let (parts, body) = sender.send_request(req).await?.into_parts();
-        let body = body.collect().await?.to_bytes();
-        drop(driver);
-        Ok(Reply { status: parts.status, headers: parts.headers, body })
-    }
-}
-
-/// Closes the connection when dropped, also if the request is cancelled.
-struct AbortOnDrop(tokio::task::JoinHandle<hyper::Result<()>>);
-
-impl Drop for AbortOnDrop {
-    fn drop(&mut self) {
-        self.0.abort();
+        KeptConnection::connect(self.address).await?.exchange(req).await
     }
 }
--- a/crates/testkit/src/platform/fleet.rs
+++ b/crates/testkit/src/platform/fleet.rs
@@ -7,17 +7,13 @@
 use serde_json::json;
 
 use super::raw_node::RawNode;
-use super::{KvServer, RawWorker, Worker, WorkerOptions};
+use super::{ConfigDocument, KvServer, RawWorker, Worker, WorkerOptions};
 use crate::harness::{Binary, Harness, Launch, ProcessId, wait_until};
 use crate::http::HttpClient;
 use crate::mesh::{Metrics, ProcessUsage};
 
 /// Slots of a [`RawWorker`], as many as a worker of the platform has.
 const RAW_SLOTS: u32 = 12;
-/// Limit on the body of a request, unless a test sets another one.
-const MAX_BODY_BYTES: usize = 1_048_576;
-/// How long a caller's connection may stay idle, unless a test sets another limit.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Grace period of a node, unless a test sets another one.
 const GRACE: Duration = Duration::from_secs(6);
 
@@ -106,75 +102,15 @@
         Ok(worker)
     }
 
-    /// Writes a configuration in which each service has the host `SERVICE.example`, an
-    /// idempotent route `/safe/` and a non-idempotent route `/unsafe/`.
+    /// Writes the configuration of [`ConfigDocument::new`].
     pub fn configure(&self, version: u32, services: &[&str]) {
-        self.configure_limits(version, services, MAX_BODY_BYTES, IDLE_TIMEOUT);
+        self.write_config(&ConfigDocument::new(version, services));
     }
 
-    /// Writes the configuration of [`Self::configure`] with other limits on the body of a request and on
-    /// the time that a connection may stay idle.
-    pub fn configure_limits(
-        &self,
-        version: u32,
-        services: &[&str],
-        max_body_bytes: usize,
-        idle_timeout: Duration,
-    ) {
-        self.write_config(version, services, max_body_bytes, idle_timeout, 0);
-    }
-
-    /// Writes the configuration of [`Self::configure`] with `unused` further routes that nobody calls.
-    pub fn configure_unused_routes(&self, version: u32, services: &[&str], unused: usize) {
-        self.write_config(version, services, MAX_BODY_BYTES, IDLE_TIMEOUT, unused);
-    }
-
-    fn write_config(
-        &self,
-        version: u32,
-        services: &[&str],
-        max_body_bytes: usize,
-        idle_timeout: Duration,
-        unused: usize,
-    ) {
-        let route = |service: &str, kind: &str| {
-            json!({
-                "type": "routes",
-                "metadata": {"name": format!("{service}-{kind}")},
-                "spec": {
-                    "host": format!("{service}.example"), "prefix": format!("/{kind}/"),
-                    "kind": kind, "timeout_ms": 20_000, "target_latency_ms": 2_000,
-                    "priority": 1, "service": service, "max_attempts": 2,
-                },
-            })
-        };
-        let settings = |service: &str| {
-            json!({
-                "type": "services", "metadata": {"name": service},
-                "spec": {"health_path": "/healthz", "max_connections": 50},
-            })
-        };
-        let mut resources = vec![json!({
-            "type": "limits", "metadata": {},
-            "spec": {
-                "max_header_bytes": 16_384, "max_body_bytes": max_body_bytes,
-                "header_timeout_ms": 3_000, "idle_timeout_ms": idle_timeout.as_millis(),
-            },
-        })];
-        for service in services {
-            resources.extend([route(service, "safe"), route(service, "unsafe"), settings(service)]);
-        }
-        // Texts that don't repeat, as in a real configuration.
-        let word =
-            |n: usize| format!("{:016x}", (n as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15));
-        resources.extend((0..unused).map(|n| {
-            let mut unused = route(services[n % services.len()], "safe");
-            unused["metadata"]["name"] = word(n).into();
-            unused["spec"]["prefix"] = format!("/{}/", &word(n)[..8]).into();
-            unused
-        }));
-        let config = json!({"version": format!("{version:08x}"), "resources": resources});
-        self.store.edit(|state| state.put("op/config", config.to_string().as_bytes()));
+    /// Writes a configuration.
+    pub fn write_config(&self, document: &ConfigDocument) {
+        let text = document.to_json().to_string();
+        self.store.edit(|state| state.put("op/config", text.as_bytes()));
     }
 
     /// Returns the address that a node printed under `purpose`, such as `callers`.
@@ -274,6 +210,21 @@
         self.harness.stderr(self.nodes[node].process)
     }
 
+    /// Returns what a node has written to its log, including earlier starts.
+    pub fn log(&self, node: usize) -> Result<String> {
+        self.harness.stdout(self.nodes[node].process)
+    }
+
+    /// Suspends a node with SIGSTOP until it is resumed.
+    pub fn suspend(&self, node: usize) -> Result<()> {
+        self.harness.suspend(self.nodes[node].process)
+    }
+
+    /// Resumes a suspended node with SIGCONT.
+    pub fn resume(&self, node: usize) -> Result<()> {
+        self.harness.resume(self.nodes[node].process)
+    }
+
     /// Sends SIGHUP to a node.
     pub fn request_reload(&self, node: usize) -> Result<()> {
         self.harness.request_reload(self.nodes[node].process)
@@ -363,6 +314,8 @@
     }});
     let file = format!("{name}.jsonc");
     harness.write_file(&file, &settings.to_string())?;
-    let process = harness.start(Launch::new(Binary::Node, &name).with_argument(file)).await?;
+    let process = harness
+        .start(Launch::new(Binary::Node, &name).with_argument(file).keeping_stdout())
+        .await?;
     Ok((process, announcements))
 }
--- a/crates/testkit/src/platform/worker.rs
+++ b/crates/testkit/src/platform/worker.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use eyre::Result;
+use http::header::{AUTHORIZATION, HeaderMap};
 use http::{Request, Response};
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
@@ -94,6 +95,11 @@
     pub caller: String,
     /// The time until the deadline on arrival, in milliseconds; zero if absent.
     pub deadline_ms: u64,
+    /// The team that the call belongs to, according to its headers, joined by commas if there are
+    /// several; empty if absent.
+    pub team: String,
+    /// Whether the request carries a credential.
+    pub has_credential: bool,
 }
 
 impl Worker {
@@ -160,6 +166,11 @@
     }
 }
 
+fn all_values(headers: &HeaderMap, name: &str) -> String {
+    let values = headers.get_all(name).iter().map(|value| value.to_str().unwrap_or("?"));
+    values.collect::<Vec<_>>().join(",")
+}
+
 async fn run(shared: Arc<Shared>, req: Request<Incoming>) -> Handled {
     let header = |name: &str| {
         let value = req.headers().get(name).and_then(|value| value.to_str().ok());
@@ -182,6 +193,8 @@
         id: id.clone(),
         caller: header("almondsail-caller-service"),
         deadline_ms: header("almondsail-deadline-ms").parse().unwrap_or(0),
+        team: all_values(req.headers(), "almondsail-tenant"),
+        has_credential: req.headers().contains_key(AUTHORIZATION),
     };
     shared.executed.lock().unwrap_or_else(PoisonError::into_inner).push(request);
     let _running = RunningRequest::new(&shared);
--- a/crates/testkit/tests/fleet_config_transfers.rs
+++ b/crates/testkit/tests/fleet_config_transfers.rs
@@ -6,7 +6,7 @@
 use almondsail_core::fleet::{Heartbeat, NodeEntry};
 use almondsail_core::ids::{ConfigVersion, Incarnation};
 use almondsail_testkit::harness::wait_until;
-use almondsail_testkit::platform::Fleet;
+use almondsail_testkit::platform::{ConfigDocument, Fleet};
 use almondsail_wire::encode_heartbeat;
 use eyre::{Report, Result, ensure, eyre};
 use http::Method;
@@ -48,7 +48,7 @@
 #[tokio::test]
 async fn config_asked_by_many() -> Result<()> {
     let fleet = Fleet::start(&["dc-a"], &SERVICES).await?;
-    fleet.configure_unused_routes(1, &SERVICES, ROUTES);
+    fleet.write_config(&ConfigDocument::new(1, &SERVICES).unused_routes(ROUTES));
     fleet.wait_until_ready(0).await?;
     let address = fleet.address(0, "nodes")?;
     let requests: JoinSet<Result<(TcpStream, usize)>> =
@@ -68,7 +68,7 @@
 #[tokio::test]
 async fn config_text_compressed() -> Result<()> {
     let fleet = Fleet::start(&["dc-a"], &SERVICES).await?;
-    fleet.configure_unused_routes(1, &SERVICES, ROUTES);
+    fleet.write_config(&ConfigDocument::new(1, &SERVICES).unused_routes(ROUTES));
     fleet.wait_until_ready(0).await?;
     let address = fleet.address(0, "nodes")?;
     let text = fleet.store.edit(|state| state.get("op/config")).unwrap_or_default();
--- a/crates/testkit/tests/fleet_limits.rs
+++ b/crates/testkit/tests/fleet_limits.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use almondsail_testkit::harness::wait_until;
-use almondsail_testkit::platform::Fleet;
+use almondsail_testkit::platform::{ConfigDocument, Fleet};
 use eyre::{Result, ensure};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
@@ -73,7 +73,8 @@
     max_body_bytes: usize,
     idle_timeout: Duration,
 ) -> Result<()> {
-    fleet.configure_limits(version, &SERVICES, max_body_bytes, idle_timeout);
+    let document = ConfigDocument::new(version, &SERVICES);
+    fleet.write_config(&document.max_body_bytes(max_body_bytes).idle_timeout(idle_timeout));
     let largest = request("bays", 1_000, max_body_bytes);
     wait_until("the changed limits", || async {
         let status = send(&mut connect(fleet).await?, &largest).await?;
