Queue calls by fair share of their teams and shed load by value

Where the configuration has teams, or the setting load_shedding is "value", the queue now plans at each event when every waiting call starts. It orders calls by rank, then by start-time fair queueing among teams, then by target; refuses at once what can't meet its deadline; and refuses late calls while calls of their rank or a better one bring more work than the slots can do. Calls beyond the usual work of a surging team go last, calls of running calls first (up to 70% of the work), and kinds and teams that are served far less often than others go before the rest. CallValue also decides on retries and hedges. Without teams and without the setting, order and admission are the earlier ones.

--- a/crates/core/src/fleet/call_queue.rs
+++ b/crates/core/src/fleet/call_queue.rs
@@ -3,7 +3,8 @@
 use crate::RefusalReason;
 use crate::fleet::server_slots::ServerSlots;
 use crate::fleet::target_queue::TargetQueue;
-use crate::fleet::{Admission, CallRequirements, QueueTicket, QueueWakeup};
+use crate::fleet::value_queue::ValueQueue;
+use crate::fleet::{Admission, CallRequirements, CallValue, QueuePolicy, QueueTicket, QueueWakeup};
 use crate::units::{Instant, Micros};
 
 /// Queues calls for one backend server, which runs no more calls at a time than it has slots.
@@ -13,7 +14,20 @@
 pub struct CallQueue {
     server: ServerSlots,
     next_ticket: u64,
-    waiting: TargetQueue,
+    waiting: Waiting,
+}
+
+/// The waiting calls, ordered as the policy says.
+#[derive(Debug)]
+enum Waiting {
+    ByTarget(TargetQueue),
+    ByValue(Box<ValueQueue>),
+}
+
+impl Default for Waiting {
+    fn default() -> Self {
+        Self::ByTarget(TargetQueue::default())
+    }
 }
 
 impl CallQueue {
@@ -25,6 +39,29 @@
         Self::default()
     }
 
+    /// Sets the order of the calls and the rule by which they are refused. Waiting calls stay.
+    pub fn set_policy(&mut self, now: Instant, policy: QueuePolicy) {
+        let has_teams = policy == QueuePolicy::TeamValue;
+        match (policy, &mut self.waiting) {
+            (QueuePolicy::Target, Waiting::ByTarget(_)) => {}
+            (QueuePolicy::Target, Waiting::ByValue(old)) => {
+                let mut new = TargetQueue::default();
+                for (ticket, requirements) in old.take_all() {
+                    new.readmit(now, &self.server, ticket, requirements);
+                }
+                self.waiting = Waiting::ByTarget(new);
+            }
+            (_, Waiting::ByValue(queue)) => queue.set_has_teams(has_teams),
+            (_, Waiting::ByTarget(old)) => {
+                let mut new = ValueQueue::new(has_teams);
+                for (ticket, requirements) in old.take_all() {
+                    new.readmit(ticket, requirements);
+                }
+                self.waiting = Waiting::ByValue(Box::new(new));
+            }
+        }
+    }
+
     /// Sets the number of calls that the server runs at a time. Returns the waiting calls that now
     /// run or are refused.
     pub fn set_slots(&mut self, now: Instant, slots: u32) -> Vec<QueueWakeup> {
@@ -34,18 +71,38 @@
 
     /// Decides whether a call that arrives runs, waits or is refused.
     pub fn admit(&mut self, now: Instant, requirements: CallRequirements) -> Admission {
+        if let Waiting::ByValue(queue) = &mut self.waiting {
+            queue.record_arrival(now, &self.server, &requirements);
+        }
         if self.server.has_free() && self.waiting.len() == 0 {
+            if let Waiting::ByValue(queue) = &mut self.waiting {
+                queue.record_start(now, &self.server, &requirements);
+            }
             self.server.running += 1;
             return Admission::Run;
         }
         let ticket = QueueTicket::new(self.next_ticket);
         self.next_ticket += 1;
-        self.waiting.admit(now, &self.server, ticket, requirements)
+        match &mut self.waiting {
+            Waiting::ByTarget(queue) => queue.admit(now, &self.server, ticket, requirements),
+            Waiting::ByValue(queue) => queue.admit(now, &self.server, ticket, requirements),
+        }
+    }
+
+    /// Returns the waiting calls that were refused in favour of calls admitted since the last time.
+    pub fn take_displaced(&mut self) -> Vec<QueueWakeup> {
+        match &mut self.waiting {
+            Waiting::ByTarget(_) => Vec::new(),
+            Waiting::ByValue(queue) => queue.take_displaced(),
+        }
     }
 
     /// Removes a waiting call. Returns false if it no longer waits.
     pub fn cancel(&mut self, ticket: QueueTicket) -> bool {
-        self.waiting.cancel(ticket)
+        match &mut self.waiting {
+            Waiting::ByTarget(queue) => queue.cancel(ticket),
+            Waiting::ByValue(queue) => queue.cancel(ticket),
+        }
     }
 
     /// Ends a running call, with its run time if it ran to its end. Returns the waiting calls that
@@ -66,14 +123,21 @@
     /// Refuses every waiting call and returns the wakeups that tell them so.
     pub fn refuse_all(&mut self, reason: RefusalReason) -> Vec<QueueWakeup> {
         let refuse = |(ticket, _)| QueueWakeup { ticket, refused: Some((reason, Micros::new(0))) };
-        self.waiting.take_all().into_iter().map(refuse).collect()
+        let waiting = match &mut self.waiting {
+            Waiting::ByTarget(queue) => queue.take_all(),
+            Waiting::ByValue(queue) => queue.take_all(),
+        };
+        waiting.into_iter().map(refuse).collect()
     }
 
     /// Returns the number of running calls and of waiting calls that run before a call like
     /// `requirements`.
     pub fn calls_ahead(&self, requirements: &CallRequirements) -> u32 {
         let next_ticket = QueueTicket::new(self.next_ticket);
-        let waiting = self.waiting.calls_ahead(requirements, next_ticket);
+        let waiting = match &self.waiting {
+            Waiting::ByTarget(queue) => queue.calls_ahead(requirements, next_ticket),
+            Waiting::ByValue(queue) => queue.calls_ahead(&self.server, requirements, next_ticket),
+        };
         self.server.running + u32::try_from(waiting).unwrap_or(u32::MAX)
     }
 
@@ -82,7 +146,26 @@
         self.server.times.mean()
     }
 
-    /// Gives free slots to waiting calls and refuses those that would miss their deadline.
+    /// Returns the latest time at which a waiting call with `requirements` may get a slot.
+    pub fn latest_start(&self, requirements: &CallRequirements) -> Instant {
+        match &self.waiting {
+            Waiting::ByTarget(_) => requirements.deadline,
+            Waiting::ByValue(_) => {
+                let run_time = self.server.expected_run_time(&requirements.route);
+                CallValue::latest_start(run_time, requirements.deadline)
+            }
+        }
+    }
+
+    /// Returns the number of teams that are told apart at the moment.
+    pub fn teams_known(&self) -> usize {
+        match &self.waiting {
+            Waiting::ByTarget(_) => 0,
+            Waiting::ByValue(queue) => queue.accounts(),
+        }
+    }
+
+    /// Gives free slots to waiting calls and refuses those that are not worth their place.
     fn fill_slots(&mut self, now: Instant) -> Vec<QueueWakeup> {
         let mut wakeups = Vec::new();
         while self.server.has_free() {
@@ -90,6 +173,26 @@
             self.server.running += u32::from(wakeup.refused.is_none());
             wakeups.push(wakeup);
         }
+        if let Waiting::ByValue(queue) = &mut self.waiting {
+            queue.refuse_hopeless(now, &self.server);
+            wakeups.extend(queue.take_displaced());
+        }
         wakeups
     }
 }
+
+impl Waiting {
+    fn len(&self) -> usize {
+        match self {
+            Self::ByTarget(queue) => queue.len(),
+            Self::ByValue(queue) => queue.len(),
+        }
+    }
+
+    fn pop(&mut self, now: Instant, server: &ServerSlots) -> Option<QueueWakeup> {
+        match self {
+            Self::ByTarget(queue) => queue.pop(now, server),
+            Self::ByValue(queue) => queue.pop(now, server),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/fleet/retry_spread.rs
@@ -0,0 +1,40 @@
+//! Spreads the return of refused calls.
+
+use crate::fleet::decaying_sum::DecayingSum;
+use crate::units::{Instant, Micros, Millis};
+
+/// Spreads the return of refused calls over the time in which a server can run them.
+#[derive(Debug, Default)]
+pub(super) struct RetrySpread {
+    /// The work of the calls that were refused lately, in microseconds.
+    refused: DecayingSum,
+    /// The place of the next refusal in the spread, from 0 to 1.
+    place: f64,
+}
+
+impl RetrySpread {
+    /// The time over which refused work is counted.
+    const COUNTED_TIME: Millis = Millis::new(2_000);
+    /// The longest time over which refused calls are spread.
+    const MAX_SPREAD: Millis = Millis::new(5_000);
+    /// Multiples of this fraction, without their whole part, are evenly spread however many there
+    /// are.
+    const GOLDEN_RATIO_FRACTION: f64 = 0.618_033_988_749_895;
+
+    /// Returns when a refused call with the run time `work` should come back to a server with
+    /// `slots`, whose waiting calls will have got their slots after `drain_time`.
+    pub(super) fn retry_after(
+        &mut self,
+        now: Instant,
+        slots: u32,
+        drain_time: Micros,
+        work: Micros,
+    ) -> Micros {
+        self.refused.add(now, Self::COUNTED_TIME.into(), work.get() as f64);
+        self.place = (self.place + Self::GOLDEN_RATIO_FRACTION).fract();
+        let refused = self.refused.at(now, Self::COUNTED_TIME.into());
+        let spread =
+            (refused / f64::from(slots.max(1))).min(Micros::from(Self::MAX_SPREAD).get() as f64);
+        Micros::new(drain_time.get().saturating_add((spread * self.place) as u64))
+    }
+}
--- a/crates/core/src/fleet/target_queue.rs
+++ b/crates/core/src/fleet/target_queue.rs
@@ -94,6 +94,18 @@
         Admission::Wait(ticket)
     }
 
+    /// Adds a call that waited under another policy.
+    pub(super) fn readmit(
+        &mut self,
+        now: Instant,
+        server: &ServerSlots,
+        ticket: QueueTicket,
+        requirements: CallRequirements,
+    ) {
+        let expected_wait = self.expected_wait(server, QueuePosition::new(&requirements, ticket));
+        self.insert(now, ticket, requirements, expected_wait);
+    }
+
     /// Removes a waiting call. Returns false if it no longer waits.
     pub(super) fn cancel(&mut self, ticket: QueueTicket) -> bool {
         let Some(position) = self.positions.remove(&ticket) else { return false };
--- a/crates/node/src/fleet/caller_handler.rs
+++ b/crates/node/src/fleet/caller_handler.rs
@@ -4,8 +4,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use almondsail_core::fleet::{
-    Attempts, CallRank, CallRecord, CallerIdentity, CallerPipeline, Endpoint, EndpointChoice,
-    FleetLogEvent, Hedge, LoadBalancerContext, MeshRoute, NextAttempt,
+    Attempts, CallRank, CallRecord, CallValue, CallerIdentity, CallerPipeline, Endpoint,
+    EndpointChoice, FleetLogEvent, Hedge, LoadBalancerContext, MeshRoute, NextAttempt, QueuePolicy,
 };
 use almondsail_core::ids::ServiceName;
 use almondsail_core::units::{ByteCount, Instant, Micros};
@@ -201,7 +201,8 @@
         if failed.has_arrived && attempts.is_first_arrival() {
             traffic.retry_budget().first_arrival(now, &call.service);
         }
-        let is_too_late = call.deadline <= now + DEADLINE_MARGIN;
+        let is_too_late = call.deadline <= now + DEADLINE_MARGIN
+            || !is_retry_worthwhile(traffic, route, call, &attempts);
         let next = attempts.next_after_failure(
             now,
             failed.as_failed_attempt(),
@@ -216,6 +217,29 @@
     }
 }
 
+/// Returns whether a retry is worth its place at the endpoint that would be chosen. Where load is
+/// not shed by value, each retry is.
+fn is_retry_worthwhile(
+    traffic: &FleetTraffic,
+    route: &MeshRoute,
+    call: &ForwardedCall,
+    attempts: &Attempts,
+) -> bool {
+    let is_worth = |choice: EndpointChoice| is_worth_attempt(traffic, call, &choice);
+    !sheds_by_value(traffic)
+        || choose_endpoint(traffic, route, call, attempts).is_some_and(is_worth)
+}
+
+/// Returns whether `call` is worth its place at the endpoint of `choice`.
+fn is_worth_attempt(traffic: &FleetTraffic, call: &ForwardedCall, choice: &EndpointChoice) -> bool {
+    let now = traffic.clock.now();
+    CallValue::new(now, choice.expected, call.answer_by, call.deadline).is_worth_attempt()
+}
+
+fn sheds_by_value(traffic: &FleetTraffic) -> bool {
+    traffic.queue_policy(&traffic.view.load()) != QueuePolicy::Target
+}
+
 /// Sends an idempotent call to the endpoint of `choice`, and to a second one if the answer is slow.
 /// Returns the first successful answer.
 async fn send_hedged(
@@ -269,7 +293,8 @@
 ) -> Option<EndpointChoice> {
     let choice = choose_endpoint(traffic, route, call, attempts)?;
     let is_worthwhile = !choice.endpoint.is_silent
-        && hedge.is_worthwhile(waited, choice.expected, choice.calls_ahead, choice.endpoint.slots);
+        && hedge.is_worthwhile(waited, choice.expected, choice.calls_ahead, choice.endpoint.slots)
+        && (!sheds_by_value(traffic) || is_worth_attempt(traffic, call, &choice));
     let now = traffic.clock.now();
     let may = is_worthwhile && attempts.may_hedge(now, &call.service, &mut traffic.retry_budget());
     may.then_some(choice)
--- a/crates/node/src/fleet/fleet_node.rs
+++ b/crates/node/src/fleet/fleet_node.rs
@@ -28,6 +28,7 @@
 use crate::fleet::fleet_store_client::FleetStoreClient;
 use crate::fleet::freshness_metrics::{self, SharedLastUpdates};
 use crate::fleet::heartbeat_link::HeartbeatLink;
+use crate::fleet::refusal_metrics::RefusalMetrics;
 use crate::fleet::servers::Servers;
 use crate::fleet::traffic::{FleetTraffic, TrafficParts};
 use crate::log;
@@ -115,6 +116,8 @@
         ),
         evidence_tx,
         metrics: CallMetrics::new(&metrics.meter()),
+        refusals: RefusalMetrics::new(&metrics.meter()),
+        load_shedding: settings.load_shedding,
         log: log.clone(),
     });
     let last_updates = SharedLastUpdates::default();
--- a/crates/node/src/fleet/fleet_settings.rs
+++ b/crates/node/src/fleet/fleet_settings.rs
@@ -5,6 +5,7 @@
 use almondsail_core::ids::{DataCentre, NodeId, ServiceName};
 use almondsail_core::units::{Millis, PerMille};
 
+use crate::fleet::load_shedding::LoadShedding;
 use crate::settings::{Fields, InvalidField, SettingsError, read_section};
 
 /// Settings of a node of a fleet, read from the section `fleet` of a settings file.
@@ -33,6 +34,8 @@
     pub retry_allowance: u32,
     /// Window over which the retry budget is counted, from 1 s to 600 s.
     pub retry_window: Millis,
+    /// When calls are refused by what serving them is worth.
+    pub load_shedding: LoadShedding,
 }
 
 /// The addresses on which a node of a fleet listens.
@@ -90,6 +93,7 @@
         let allowance =
             fields.decimal_or("retry_allowance", Self::DEFAULT_RETRY_ALLOWANCE, 0.0..=1e6);
         let window = fields.decimal_or("retry_window_s", Self::DEFAULT_RETRY_WINDOW_S, 1.0..=600.0);
+        let load_shedding = fields.string_or("load_shedding", LoadShedding::default());
         Some(Self {
             id: id?,
             data_centre: data_centre?,
@@ -102,6 +106,7 @@
             retry_ratio: PerMille::new((ratio? * 1_000.0) as u16)?,
             retry_allowance: allowance? as u32,
             retry_window: seconds(window?),
+            load_shedding: load_shedding?,
         })
     }
 }
--- a/crates/node/src/fleet/inbound.rs
+++ b/crates/node/src/fleet/inbound.rs
@@ -2,11 +2,11 @@
 
 use std::sync::Arc;
 
-use almondsail_core::RefusalReason;
 use almondsail_core::fleet::{
     CallRequirements, FleetEvent, FleetLogEvent, FleetView, InboundCallRecord, RouteKey,
 };
 use almondsail_core::units::{Instant, Micros};
+use almondsail_core::{RefusalReason, Verdict};
 use almondsail_platform::calls::{self as platform_calls, ResponseKind};
 use bytes::Bytes;
 use http::Response;
@@ -43,6 +43,12 @@
         Ok((response, took)) => (Ok(response), Some(took)),
         Err(failure) => (Err(failure), None),
     };
+    if let Err(failure) = &result
+        && failure.verdict == Verdict::RefusedUnrun
+        && !failure.has_arrived
+    {
+        traffic.refusals.count(failure.reason, &requirements);
+    }
     log_call(traffic, call, started, calls_ahead_at_start, result.as_ref());
     let (calls_ahead, mean_time) = traffic.queue.load(&requirements);
     let held = Some(traffic.clock.now().since(started));
--- a/crates/node/src/fleet/slot_queue.rs
+++ b/crates/node/src/fleet/slot_queue.rs
@@ -4,7 +4,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use almondsail_core::RefusalReason;
-use almondsail_core::fleet::{Admission, CallQueue, CallRequirements, QueueTicket, QueueWakeup};
+use almondsail_core::fleet::{
+    Admission, CallQueue, CallRequirements, QueuePolicy, QueueTicket, QueueWakeup,
+};
 use almondsail_core::units::{Instant, Micros};
 use tokio::sync::oneshot;
 
@@ -34,14 +36,18 @@
         Self { clock, state: Mutex::new(State::default()) }
     }
 
-    /// Waits for a slot until the deadline of the call; fails if the queue refuses the call.
+    /// Waits for a slot as long as the call can meet its deadline; fails if the queue refuses the
+    /// call.
     pub(crate) async fn acquire(
         self: &Arc<Self>,
         requirements: CallRequirements,
     ) -> Result<QueueSlot, CallFailure> {
         let waiting = {
             let mut state = self.lock();
-            match state.queue.admit(self.clock.now(), requirements.clone()) {
+            let admission = state.queue.admit(self.clock.now(), requirements.clone());
+            let displaced = state.queue.take_displaced();
+            state.wake(displaced);
+            match admission {
                 Admission::Run => None,
                 Admission::Refused { reason, retry_after } => {
                     return Err(CallFailure::refused(reason, retry_after));
@@ -49,16 +55,21 @@
                 Admission::Wait(ticket) => {
                     let (tx, rx) = oneshot::channel();
                     state.waiters.insert(ticket, tx);
-                    Some((ticket, rx))
+                    Some((ticket, rx, state.queue.latest_start(&requirements)))
                 }
             }
         };
-        if let Some((ticket, rx)) = waiting {
-            self.wait(&requirements, ticket, rx).await?;
+        if let Some((ticket, rx, latest_start)) = waiting {
+            self.wait(&requirements, ticket, rx, latest_start).await?;
         }
         Ok(QueueSlot::new(Arc::clone(self), requirements, self.clock.now()))
     }
 
+    /// Sets the order of the calls and the rule by which they are refused.
+    pub(crate) fn set_policy(&self, policy: QueuePolicy) {
+        self.lock().queue.set_policy(self.clock.now(), policy);
+    }
+
     /// Sets the number of calls that may run at a time, and wakes calls that got a new slot.
     pub(crate) fn set_slots(&self, slots: u32) {
         let mut state = self.lock();
@@ -105,9 +116,10 @@
         requirements: &CallRequirements,
         ticket: QueueTicket,
         rx: oneshot::Receiver<Option<(RefusalReason, Micros)>>,
+        latest_start: Instant,
     ) -> Result<(), CallFailure> {
         let mut wait_guard = WaitGuard { queue: self, requirements, ticket, rx };
-        let until = self.clock.to_tokio_instant(requirements.deadline);
+        let until = self.clock.to_tokio_instant(latest_start);
         match tokio::time::timeout_at(until, &mut wait_guard.rx).await {
             Ok(Ok(None)) => Ok(()),
             Ok(Ok(Some((reason, retry_after)))) => Err(CallFailure::refused(reason, retry_after)),
--- a/crates/node/src/fleet/traffic.rs
+++ b/crates/node/src/fleet/traffic.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use almondsail_core::fleet::{FleetEvent, FleetView, LoadBalancer, RetryShare};
+use almondsail_core::fleet::{FleetEvent, FleetView, LoadBalancer, QueuePolicy, RetryShare};
 use almondsail_core::ids::{NodeId, RouteName, ServiceName};
 use almondsail_core::traffic::{AnswerBudget, BodyBudget};
 use almondsail_core::units::{ByteCount, Instant, Micros};
@@ -17,6 +17,8 @@
 use crate::clock::Clock;
 use crate::fleet::call_metrics::CallMetrics;
 use crate::fleet::event_log::EventLog;
+use crate::fleet::load_shedding::LoadShedding;
+use crate::fleet::refusal_metrics::RefusalMetrics;
 use crate::fleet::reported_load::ReportedLoad;
 use crate::fleet::slot_queue::SlotQueue;
 
@@ -59,6 +61,8 @@
     /// Limits the bodies of the requests that are read or not answered yet.
     pub(crate) body_budget: Arc<BodyBudget>,
     pub(crate) metrics: CallMetrics,
+    pub(crate) refusals: RefusalMetrics,
+    load_shedding: LoadShedding,
     pub(crate) log: EventLog,
     pub(crate) view: Arc<ArcSwap<FleetView>>,
     /// Load estimates of the endpoints. Locked for single decisions, never across an `await`.
@@ -79,6 +83,8 @@
     pub(crate) retry_budget: RetryShare,
     pub(crate) evidence_tx: mpsc::Sender<FleetEvent>,
     pub(crate) metrics: CallMetrics,
+    pub(crate) refusals: RefusalMetrics,
+    pub(crate) load_shedding: LoadShedding,
     pub(crate) log: EventLog,
 }
 
@@ -103,6 +109,8 @@
             answer_budget: Arc::default(),
             body_budget: Arc::new(BodyBudget::new(MAX_BODY_MEMORY)),
             metrics: parts.metrics,
+            refusals: parts.refusals,
+            load_shedding: parts.load_shedding,
             log: parts.log,
             view: parts.view,
             load_balancer: Mutex::new(LoadBalancer::new(data_centre)),
@@ -183,10 +191,17 @@
         Arc::clone(pool.or_insert_with(|| Arc::new(ConnectionPool::new(address, limits))))
     }
 
-    /// Adapts slots, retry budget and connection pools to a newly published view. Queued calls are
+    /// Returns how the queue orders calls and which ones it refuses while `view` applies.
+    pub(crate) fn queue_policy(&self, view: &FleetView) -> QueuePolicy {
+        let has_teams = view.config.as_ref().is_some_and(|config| !config.teams.is_empty());
+        self.load_shedding.policy(has_teams)
+    }
+
+    /// Adapts queue policy, slots, retry budget and connection pools to a newly published view. Queued calls are
     /// refused when the backend server is gone or the node is leaving.
     pub(crate) fn apply_view(&self, view: &FleetView) {
         let backend = view.backend.as_ref();
+        self.queue.set_policy(self.queue_policy(view));
         self.queue.set_slots(backend.map_or(0, |backend| backend.slots));
         if backend.is_none() || view.is_leaving {
             self.queue.refuse_all(almondsail_core::RefusalReason::Leaving);
--- a/crates/node/src/settings/fields.rs
+++ b/crates/node/src/settings/fields.rs
@@ -54,6 +54,18 @@
         self.parse(&self.field_path(name), &value)
     }
 
+    /// Reads a string and parses it as `T`, or returns `default` if the field is absent.
+    pub(crate) fn string_or<T>(&mut self, name: &str, default: T) -> Option<T>
+    where
+        T: FromStr,
+        T::Err: fmt::Display,
+    {
+        let Some(value) = self.values.remove(name) else {
+            return Some(default);
+        };
+        self.parse(&self.field_path(name), &value)
+    }
+
     /// Reads an integer in `range`, or returns `default` if the field is absent.
     pub(crate) fn number_or(
         &mut self,
--- a/crates/node/tests/fleet_settings.rs
+++ b/crates/node/tests/fleet_settings.rs
@@ -47,3 +47,16 @@
         assert!(errors.iter().any(|error| error.contains(place)), "{place} is not in {errors:?}");
     }
 }
+
+/// Guards against a misspelt kind of load shedding that is taken for the default.
+#[test]
+fn parse_load_shedding() {
+    use almondsail_node::fleet::LoadShedding;
+    let parse = |kind: &str| {
+        let field = format!("\"load_shedding\": \"{kind}\"");
+        FleetSettings::parse(&sample().replace("\"load_shedding\": \"teams\"", &field))
+    };
+    assert_eq!(parse("teams").unwrap().load_shedding, LoadShedding::default());
+    assert_eq!(parse("value").unwrap().load_shedding, LoadShedding::Value);
+    assert!(parse("worth").is_err());
+}
