Replay load patterns with teams of three priorities

The replays had teams of one priority, so that nothing showed whether a kind or a team is starved where a team's priority goes before that of its route.

--- a/crates/core/tests/queue_replay/replay.rs
+++ b/crates/core/tests/queue_replay/replay.rs
@@ -71,6 +71,7 @@
                 let rate = kind.rate * pattern.load(&kind, utilization) * surge;
                 if rng.random_bool((rate / 1_000.0).min(1.0)) {
                     let team = (!kind.is_made).then(|| draw(&mut rng, &weights)).flatten();
+                    let team = team.map(|team| (team, self.site.team_priority(team)));
                     let tail = if rng.random_bool(kind.tail) { Kind::TAIL_FACTOR } else { 1.0 };
                     let spread = rng.random_range(0.5..1.5);
                     let work = kind.work * pattern.slowness() * tail * spread;
