Limit the calls of teams with quotas over all nodes

Cause: the configuration names a rate and a burst for each team, and nothing kept them.

Change: each team has one owner node by rendezvous hashing, with a token bucket; entry nodes ask it for tokens by datagrams on the heartbeat socket and spend one for each call, before an endpoint is chosen. Decisions are in core/quota. Settings quota_window_s, quota_overage and quota_tolerance are optional. Datagrams about quotas are answered while the control loop takes no heartbeats.

--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -64,6 +64,7 @@
 mod peer_directory;
 mod pending_request;
 mod quota;
+mod quota_view;
 mod registration;
 mod relays;
 mod retry_share;
--- a/crates/core/src/fleet/peer_directory.rs
+++ b/crates/core/src/fleet/peer_directory.rs
@@ -261,7 +261,7 @@
         self.live.ids.len() + self.unheard_local.len() + self.unheard_remote.len() + 1
     }
 
-    fn timeout(&self, is_local: bool) -> Millis {
+    pub(super) fn timeout(&self, is_local: bool) -> Millis {
         let (direct, relay) = if is_local {
             (Self::HEARTBEAT_TIMEOUT, Self::RELAY_TIME)
         } else {
--- /dev/null
+++ b/crates/core/src/fleet/quota_view.rs
@@ -0,0 +1,74 @@
+//! The view of the other nodes by which quotas are kept.
+
+use super::fleet_control::FleetControl;
+use super::peer::Peer;
+use super::peer_directory::PeerDirectory;
+use crate::ids::ConfigVersion;
+use crate::quota::{QuotaMembers, QuotaNode};
+use crate::units::{Instant, Micros, Millis};
+
+impl FleetControl {
+    /// Returns the nodes that keep quotas and share them, or `None` if no team has a quota. `now` is
+    /// the time of the control state, and `time` that of quotas, which includes suspended time.
+    ///
+    /// Looks at every node; to be called at most about ten times a second.
+    pub fn quota_members(
+        &self,
+        now: Instant,
+        time: Instant,
+        known: &QuotaMembers,
+    ) -> Option<QuotaMembers> {
+        let config = self.config.as_ref().map(|text| &text.config);
+        if !config.is_some_and(|config| config.teams.has_quotas()) {
+            return None;
+        }
+        let mut candidates: Vec<QuotaNode> = self
+            .peers
+            .live()
+            .filter(|peer| !is_leaving(peer) && peer.config_version() > ConfigVersion::default())
+            .map(|peer| self.quota_node(peer))
+            .collect();
+        if self.is_ready(now) {
+            let entry = &self.identity.entry;
+            let own = QuotaNode::new(entry.node.clone(), entry.heartbeats, Micros::default());
+            candidates.push(own);
+        }
+        let staying = || self.peers.iter().filter(|peer| !is_leaving(peer));
+        let is_fresh =
+            |peer: &&Peer| now.since(peer.last_seen()) <= self.peers.quota_time(peer.is_local);
+        let fresh = staying().filter(|peer| peer.heartbeat.is_some()).filter(is_fresh).count() + 1;
+        let count = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
+        Some(known.update(time, candidates, count(fresh), count(staying().count() + 1)))
+    }
+
+    fn quota_node(&self, peer: &Peer) -> QuotaNode {
+        let counted_for = self.peers.quota_time(peer.is_local);
+        QuotaNode::at_position(
+            peer.position,
+            peer.node().clone(),
+            peer.entry.heartbeats,
+            counted_for,
+        )
+    }
+}
+
+impl PeerDirectory {
+    /// How much earlier than the heartbeat timeout a node of the same data centre stops to count. A
+    /// little more than the time between two heartbeats, by which two nodes notice the loss of each
+    /// other at different times.
+    const LOCAL_QUOTA_MARGIN: Millis = Millis::new(600);
+    /// The same for a node of another data centre.
+    const REMOTE_QUOTA_MARGIN: Millis = Millis::new(2_000);
+
+    /// Returns how long after its last heartbeat a node counts among those that share the quotas of
+    /// this one. Shorter than the heartbeat timeout, so that a node that chooses another owner after
+    /// the timeout counts here no longer.
+    fn quota_time(&self, is_local: bool) -> Micros {
+        let margin = if is_local { Self::LOCAL_QUOTA_MARGIN } else { Self::REMOTE_QUOTA_MARGIN };
+        Millis::new(self.timeout(is_local).get() - margin.get()).into()
+    }
+}
+
+fn is_leaving(peer: &Peer) -> bool {
+    peer.heartbeat.as_ref().is_some_and(|heartbeat| heartbeat.is_leaving)
+}
--- a/crates/core/src/fleet/teams.rs
+++ b/crates/core/src/fleet/teams.rs
@@ -13,6 +13,8 @@
     by_name: HashMap<TeamName, Arc<Team>>,
     /// Each credential belongs to one team; a team may have several or none.
     by_credential: HashMap<CredentialDigest, Arc<Team>>,
+    /// Whether any team has a quota.
+    has_quotas: bool,
 }
 
 impl Teams {
@@ -23,6 +25,7 @@
         team: Team,
         credentials: impl IntoIterator<Item = CredentialDigest>,
     ) -> Result<(), ConfigProblem> {
+        self.has_quotas |= team.quota.is_some();
         let team = Arc::new(team);
         if self.by_name.insert(team.name.clone(), Arc::clone(&team)).is_some() {
             return Err(ConfigProblem::DuplicateTeam(team.name.clone()));
@@ -46,6 +49,11 @@
         self.by_name.is_empty()
     }
 
+    /// Returns whether any team has a quota.
+    pub const fn has_quotas(&self) -> bool {
+        self.has_quotas
+    }
+
     /// Returns the team with the name `name`.
     pub fn get(&self, name: &str) -> Option<&Arc<Team>> {
         self.by_name.get(name)
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod ids;
 pub mod operators;
 pub mod peers;
+pub mod quota;
 pub mod report;
 pub mod rollout;
 pub mod store;
--- a/crates/core/src/peers/mod.rs
+++ b/crates/core/src/peers/mod.rs
@@ -20,3 +20,4 @@
 pub use peer_status::PeerStatus;
 pub use peer_table::{BUCKET_COUNT, PeerTable};
 pub use rendezvous::rank;
+pub(crate) use rendezvous::rank_positions;
--- /dev/null
+++ b/crates/core/src/quota/members.rs
@@ -0,0 +1,149 @@
+//! The nodes among which the owners of quotas are chosen.
+
+use std::net::SocketAddr;
+
+use crate::ids::NodeId;
+use crate::peers::hash::hash_text;
+use crate::peers::rank_positions;
+use crate::units::{Instant, Micros};
+
+/// A node that can own quotas.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct QuotaNode {
+    /// The id of the node.
+    pub node: NodeId,
+    /// The address to which requests go.
+    pub address: SocketAddr,
+    /// How long after it last heard this node the other one still counts it among those that share
+    /// the quotas that it owns.
+    pub counted_for: Micros,
+    /// The position by which the nodes are ranked.
+    position: u64,
+}
+
+impl QuotaNode {
+    /// Creates a node that can own quotas.
+    pub fn new(node: NodeId, address: SocketAddr, counted_for: Micros) -> Self {
+        Self::at_position(hash_text(node.as_str()), node, address, counted_for)
+    }
+
+    /// Creates a node like [`Self::new`], from its known position.
+    pub(crate) const fn at_position(
+        position: u64,
+        node: NodeId,
+        address: SocketAddr,
+        counted_for: Micros,
+    ) -> Self {
+        Self { node, address, counted_for, position }
+    }
+}
+
+/// What a node has to do with the quota of a team.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum QuotaRole {
+    /// The node keeps the quota.
+    Owner,
+    /// The node is the next one to keep the quota, and grants a few tokens to nodes that the owner
+    /// doesn't answer.
+    Deputy,
+    /// Other nodes keep the quota.
+    Other,
+}
+
+/// The nodes among which the owners of quotas are chosen, as one node knows them.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct QuotaMembers {
+    /// The id of this node.
+    pub own: NodeId,
+    /// When this was last updated. A node whose view is old doesn't grant tokens.
+    pub updated: Instant,
+    /// The number of nodes that this one has heard so lately that they don't use their local shares,
+    /// itself included.
+    pub fresh: u32,
+    /// The number of nodes that are known and have not left, this one included; at least `fresh`.
+    pub known: u32,
+    /// Since when this node has been up and has known the present candidates.
+    pub unchanged_since: Instant,
+    /// When this node last went on after a pause.
+    pub resumed: Instant,
+    /// Changes with the candidates.
+    pub version: u64,
+    /// The live nodes that don't leave and have a configuration, in the order of their ids.
+    candidates: Vec<QuotaNode>,
+}
+
+impl QuotaMembers {
+    /// The time after which a view that was not updated is old.
+    pub const MAX_AGE: Micros = Micros::new(500_000);
+
+    /// Creates the view of a node that starts at `now` and knows no candidates.
+    pub const fn new(own: NodeId, now: Instant) -> Self {
+        Self {
+            own,
+            updated: now,
+            fresh: 1,
+            known: 1,
+            unchanged_since: now,
+            resumed: now,
+            version: 0,
+            candidates: Vec::new(),
+        }
+    }
+
+    /// Returns the view at `now` with other candidates and counts.
+    #[must_use]
+    pub fn update(
+        &self,
+        now: Instant,
+        mut candidates: Vec<QuotaNode>,
+        fresh: u32,
+        known: u32,
+    ) -> Self {
+        candidates.sort_unstable_by(|a, b| a.node.cmp(&b.node));
+        let is_paused = now.since(self.updated) > Self::MAX_AGE;
+        let is_same = candidates == self.candidates;
+        Self {
+            own: self.own.clone(),
+            updated: now,
+            fresh,
+            known: known.max(fresh).max(1),
+            unchanged_since: if is_same && !is_paused { self.unchanged_since } else { now },
+            resumed: if is_paused { now } else { self.resumed },
+            version: self.version + u64::from(!is_same),
+            candidates,
+        }
+    }
+
+    /// Returns whether this view is too old for granting tokens.
+    pub fn is_old(&self, now: Instant) -> bool {
+        now.since(self.updated) > Self::MAX_AGE
+    }
+
+    /// Returns the share of the known nodes that this one has heard lately.
+    pub fn fresh_share(&self) -> f64 {
+        f64::from(self.fresh) / f64::from(self.known.max(1))
+    }
+
+    /// Returns the owner of the quota of `team` and its deputy.
+    pub fn keepers(&self, team: &str) -> Vec<&QuotaNode> {
+        let positions = self.candidates.iter().map(|node| (node.position, &node.node));
+        let ranked = rank_positions(team, positions, 2);
+        let find = |id: &NodeId| {
+            self.candidates
+                .binary_search_by(|node| node.node.cmp(id))
+                .ok()
+                .map(|i| &self.candidates[i])
+        };
+        ranked.into_iter().filter_map(find).collect()
+    }
+
+    /// Returns what this node has to do with the quota of `team`.
+    pub fn role(&self, team: &str) -> QuotaRole {
+        let keepers = self.keepers(team);
+        match keepers.iter().position(|node| node.node == self.own) {
+            Some(0) => QuotaRole::Owner,
+            Some(_) => QuotaRole::Deputy,
+            None => QuotaRole::Other,
+        }
+    }
+}
--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant as StdInstant, SystemTime, UNIX_EPOCH};
 
 use almondsail_core::units::{Instant, Micros, UnixMillis};
+use rustix::time::{ClockId, clock_gettime};
 
 /// The monotonic clock, which starts at zero, and the wall clock of the process.
 #[derive(Debug, Clone, Copy)]
@@ -22,6 +23,14 @@
         Instant::new(u64::try_from(micros).unwrap_or(u64::MAX))
     }
 
+    /// Returns the time since the host's start, in microseconds, including the time for which the
+    /// host was suspended. Not comparable with [`Self::now`].
+    pub fn now_with_suspended(self) -> Instant {
+        let time = clock_gettime(ClockId::Boottime);
+        let span = Duration::try_from(time).unwrap_or_default();
+        Instant::new(u64::try_from(span.as_micros()).unwrap_or(u64::MAX))
+    }
+
     /// Returns the wall-clock time, or zero if the host's clock is before 1970.
     pub fn wall(self) -> UnixMillis {
         let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
--- a/crates/node/src/fleet/caller_handler.rs
+++ b/crates/node/src/fleet/caller_handler.rs
@@ -21,6 +21,7 @@
 use crate::fleet::caller_result::{CallerResult, NO_ENDPOINT_RETRY_AFTER};
 use crate::fleet::forwarded_call::ForwardedCall;
 use crate::fleet::http1::Pipelined;
+use crate::fleet::quota_token::QuotaToken;
 use crate::fleet::traffic::FleetTraffic;
 use crate::fleet::{endpoint_client, failure_response, inbound};
 
@@ -103,7 +104,33 @@
     let mut call =
         forwarded_call(traffic, started, route, route.destination(draw), &identity, request);
     call.answer_by = started + subtract_travel_time(target);
+    let token = match take_token(traffic, &identity, &call).await {
+        Ok(token) => token,
+        Err(failure) => {
+            result.answer = Err(failure);
+            return;
+        }
+    };
     result.answer = send_with_retries(traffic, route, &mut call, &mut result.endpoints_tried).await;
+    // An earlier attempt may have arrived although the last one did not.
+    let has_not_arrived = result.endpoints_tried.len() <= 1
+        && result.answer.as_ref().is_err_and(|failure| !failure.has_arrived);
+    if let Some(token) = token
+        && has_not_arrived
+    {
+        token.give_back();
+    }
+}
+
+/// Takes a token for a call of a team with a quota. Returns `None` for other calls.
+async fn take_token(
+    traffic: &FleetTraffic,
+    identity: &CallerIdentity,
+    call: &ForwardedCall,
+) -> Result<Option<QuotaToken>, CallFailure> {
+    let Some(team) = identity.team().filter(|team| team.quota.is_some()) else { return Ok(None) };
+    let time_left = call.answer_by.min(call.deadline).since(traffic.clock.now());
+    traffic.quota.acquire(team, time_left).await.map(Some)
 }
 
 /// Returns the failure of a request whose route or credential the configuration lacks, as `reason`
--- a/crates/node/src/fleet/control_loop.rs
+++ b/crates/node/src/fleet/control_loop.rs
@@ -28,6 +28,7 @@
 use crate::fleet::freshness_metrics::SharedLastUpdates;
 use crate::fleet::heartbeat_link::HeartbeatLink;
 use crate::fleet::inbound_handler::{CONFIG_PATH, DEFLATE};
+use crate::fleet::quota_link::QuotaLink;
 use crate::fleet::store_requests::StoreRequests;
 
 /// Interval of the tick events, which bound the time between two events of the control state.
@@ -57,6 +58,7 @@
     pub(crate) store_client: FleetStoreClient,
     pub(crate) node_client: ControlHttpClient,
     pub(crate) heartbeats: HeartbeatLink,
+    pub(crate) quota: Arc<QuotaLink>,
     pub(crate) view: Arc<ArcSwap<FleetView>>,
     pub(crate) source: Arc<ConfigSource>,
     /// Notified after each published view.
@@ -101,6 +103,7 @@
                     }
                     ticks = ticks.wrapping_add(1);
                     self.delay.record(due.elapsed());
+                    self.quota.update_members(&self.control);
                     (FleetEvent::Tick, None)
                 }
                 event = next_report(&mut heartbeat_rx, &mut evidence_rx) => (event, None),
@@ -170,6 +173,7 @@
             self.source.set(compressed.map(Bytes::from_owner));
         }
         self.view.store(Arc::new(view));
+        self.quota.update_members(&self.control);
         self.view_changed_tx.send_replace(());
     }
 
--- a/crates/node/src/fleet/fleet_node.rs
+++ b/crates/node/src/fleet/fleet_node.rs
@@ -28,6 +28,7 @@
 use crate::fleet::fleet_store_client::FleetStoreClient;
 use crate::fleet::freshness_metrics::{self, SharedLastUpdates};
 use crate::fleet::heartbeat_link::HeartbeatLink;
+use crate::fleet::quota_link::QuotaLink;
 use crate::fleet::servers::Servers;
 use crate::fleet::traffic::{FleetTraffic, TrafficParts};
 use crate::log;
@@ -103,8 +104,13 @@
     let (control_tx, control_rx) = mpsc::channel(MAX_QUEUED_CONTROL_REQUESTS);
     let (evidence_tx, evidence_rx) = mpsc::channel(MAX_QUEUED_EVIDENCE);
     let (view_changed_tx, view_changed_rx) = watch::channel(());
+    let quota_socket = listeners.heartbeats.try_clone()?;
+    let quota =
+        QuotaLink::new(clock, quota_socket, Arc::clone(&view), settings.quota, &metrics.meter())?;
+    let quota = Arc::new(quota);
     let traffic = FleetTraffic::new(TrafficParts {
         clock,
+        quota: Arc::clone(&quota),
         service: settings.service.clone(),
         backend: settings.backend,
         view: Arc::clone(&view),
@@ -124,6 +130,7 @@
         control,
         clock,
         heartbeats: listeners.heartbeats,
+        quota,
         view: Arc::clone(&view),
         source: Arc::clone(&source),
         view_changed_tx,
@@ -163,6 +170,7 @@
     control: FleetControl,
     clock: Clock,
     heartbeats: StdUdpSocket,
+    quota: Arc<QuotaLink>,
     view: Arc<ArcSwap<FleetView>>,
     source: Arc<ConfigSource>,
     view_changed_tx: watch::Sender<()>,
@@ -196,12 +204,14 @@
             .u64_counter("fleet_changes")
             .with_description("Changes of what the node believes, by kind")
             .build();
+        let heartbeats = UdpSocket::from_std(self.heartbeats)?;
         Ok(ControlLoop {
             control: self.control,
             clock: self.clock,
             store_client: FleetStoreClient::new(self.settings.store, store_timeout, client.clone()),
             node_client: client,
-            heartbeats: HeartbeatLink::new(UdpSocket::from_std(self.heartbeats)?, self.log.clone()),
+            heartbeats: HeartbeatLink::new(heartbeats, Arc::clone(&self.quota), self.log.clone()),
+            quota: self.quota,
             view: self.view,
             source: self.source,
             view_changed_tx: self.view_changed_tx,
--- a/crates/node/src/fleet/fleet_settings.rs
+++ b/crates/node/src/fleet/fleet_settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use almondsail_core::ids::{DataCentre, NodeId, ServiceName};
+use almondsail_core::quota::QuotaSettings;
 use almondsail_core::units::{Millis, PerMille};
 
 use crate::settings::{Fields, InvalidField, SettingsError, read_section};
@@ -33,6 +34,8 @@
     pub retry_allowance: u32,
     /// Window over which the retry budget is counted, from 1 s to 600 s.
     pub retry_window: Millis,
+    /// How exactly the quotas of teams are kept.
+    pub quota: QuotaSettings,
 }
 
 /// The addresses on which a node of a fleet listens.
@@ -90,6 +93,7 @@
         let allowance =
             fields.decimal_or("retry_allowance", Self::DEFAULT_RETRY_ALLOWANCE, 0.0..=1e6);
         let window = fields.decimal_or("retry_window_s", Self::DEFAULT_RETRY_WINDOW_S, 1.0..=600.0);
+        let quota = read_quota(fields);
         Some(Self {
             id: id?,
             data_centre: data_centre?,
@@ -102,6 +106,7 @@
             retry_ratio: PerMille::new((ratio? * 1_000.0) as u16)?,
             retry_allowance: allowance? as u32,
             retry_window: seconds(window?),
+            quota: quota?,
         })
     }
 }
@@ -126,6 +131,20 @@
     }
 }
 
+fn read_quota(fields: &mut Fields<'_>) -> Option<QuotaSettings> {
+    let default = QuotaSettings::default();
+    let default_window = default.window.get() as f64 / 1e3;
+    let default_overage = f64::from(default.overage.get()) / 1e3;
+    let window = fields.decimal_or("quota_window_s", default_window, 1.0..=600.0);
+    let overage = fields.decimal_or("quota_overage", default_overage, 0.0..=1.0);
+    let tolerance = fields.decimal_or("quota_tolerance", default.tolerance.into(), 0.0..=1e6);
+    Some(QuotaSettings {
+        window: seconds(window?),
+        overage: PerMille::new((overage? * 1_000.0) as u16)?,
+        tolerance: tolerance? as u32,
+    })
+}
+
 fn seconds(n: f64) -> Millis {
     Millis::new((n * 1_000.0) as u64)
 }
--- a/crates/node/src/fleet/heartbeat_link.rs
+++ b/crates/node/src/fleet/heartbeat_link.rs
@@ -1,30 +1,37 @@
 //! Exchanges heartbeats between nodes as UDP datagrams.
 
+use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use almondsail_core::fleet::{FleetEvent, FleetLogEvent, Heartbeat};
-use almondsail_wire::{decode_heartbeat, encode_heartbeat};
+use almondsail_wire::{decode_heartbeat, encode_heartbeat, is_quota_datagram};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
 use crate::fleet::event_log::EventLog;
+use crate::fleet::quota_link::QuotaLink;
 
 /// Size limit of a received heartbeat.
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
+/// Number of received heartbeats that wait while the control loop takes none. Further ones are
+/// dropped.
+const MAX_BACKLOG: usize = 512;
 
 /// Sends and receives heartbeats. A lost datagram is not sent again, since the next heartbeat
 /// makes up for it.
 #[derive(Debug, Clone)]
 pub(crate) struct HeartbeatLink {
     socket: Arc<UdpSocket>,
+    /// Handles the datagrams about quotas.
+    quota: Arc<QuotaLink>,
     log: EventLog,
 }
 
 impl HeartbeatLink {
-    pub(crate) fn new(socket: UdpSocket, log: EventLog) -> Self {
-        Self { socket: Arc::new(socket), log }
+    pub(crate) fn new(socket: UdpSocket, quota: Arc<QuotaLink>, log: EventLog) -> Self {
+        Self { socket: Arc::new(socket), quota, log }
     }
 
     /// Sends `heartbeat` to each address without blocking; failures are logged.
@@ -41,28 +48,42 @@
         self.log.write(&FleetLogEvent::HeartbeatFailed { problem: error.to_string() });
     }
 
-    /// Forwards received heartbeats to `events` until the control loop drops its receiver.
+    /// Forwards received heartbeats to `events` until the control loop drops its receiver. Datagrams
+    /// about quotas are answered at once, also while the control loop takes no heartbeats.
     pub(crate) async fn receive(self, events: mpsc::Sender<FleetEvent>) {
         let mut buf = vec![0; MAX_DATAGRAM_BYTES];
+        let mut backlog = VecDeque::new();
         loop {
-            let (length, from) = match self.socket.recv_from(&mut buf).await {
-                Ok(received) => received,
-                // An ICMP refusal of a datagram sent earlier surfaces as a receive error.
-                Err(error) => {
-                    self.log_failure(&error);
-                    continue;
-                }
-            };
-            match decode_heartbeat(&buf[..length]) {
-                Ok(heartbeat) => {
-                    if events.send(FleetEvent::Heartbeat(heartbeat)).await.is_err() {
-                        return;
+            tokio::select! {
+                permit = events.reserve(), if !backlog.is_empty() => {
+                    let Ok(permit) = permit else { return };
+                    if let Some(event) = backlog.pop_front() {
+                        permit.send(event);
                     }
                 }
-                Err(problem) => {
-                    let problem = problem.to_string();
-                    self.log.write(&FleetLogEvent::HeartbeatRefused { from, problem });
-                }
+                received = self.socket.recv_from(&mut buf) => match received {
+                    Ok((length, from)) => self.handle(&buf[..length], from, &mut backlog),
+                    // An ICMP refusal of a datagram sent earlier surfaces as a receive error.
+                    Err(error) => self.log_failure(&error),
+                },
+                () = events.closed() => return,
+            }
+        }
+    }
+
+    fn handle(&self, datagram: &[u8], from: SocketAddr, backlog: &mut VecDeque<FleetEvent>) {
+        if is_quota_datagram(datagram) {
+            self.quota.receive(datagram, from);
+            return;
+        }
+        match decode_heartbeat(datagram) {
+            Ok(heartbeat) if backlog.len() < MAX_BACKLOG => {
+                backlog.push_back(FleetEvent::Heartbeat(heartbeat));
+            }
+            Ok(_) => {}
+            Err(problem) => {
+                let problem = problem.to_string();
+                self.log.write(&FleetLogEvent::HeartbeatRefused { from, problem });
             }
         }
     }
--- a/crates/node/src/fleet/traffic.rs
+++ b/crates/node/src/fleet/traffic.rs
@@ -17,6 +17,7 @@
 use crate::clock::Clock;
 use crate::fleet::call_metrics::CallMetrics;
 use crate::fleet::event_log::EventLog;
+use crate::fleet::quota_link::QuotaLink;
 use crate::fleet::reported_load::ReportedLoad;
 use crate::fleet::slot_queue::SlotQueue;
 
@@ -51,6 +52,8 @@
     /// Service of the backend server beside this node.
     pub(crate) service: ServiceName,
     pub(crate) queue: Arc<SlotQueue>,
+    /// Grants the tokens for calls of teams with quotas.
+    pub(crate) quota: Arc<QuotaLink>,
     /// Connections to the backend server for calls with a small body.
     backend_pool: Arc<ConnectionPool>,
     /// Connections to the backend server for calls with a large body.
@@ -73,6 +76,7 @@
 /// The clock, addresses and shared state from which [`FleetTraffic::new`] builds the call path.
 pub(crate) struct TrafficParts {
     pub(crate) clock: Clock,
+    pub(crate) quota: Arc<QuotaLink>,
     pub(crate) service: ServiceName,
     pub(crate) backend: SocketAddr,
     pub(crate) view: Arc<ArcSwap<FleetView>>,
@@ -98,6 +102,7 @@
             clock: parts.clock,
             service: parts.service,
             queue: Arc::new(SlotQueue::new(parts.clock)),
+            quota: parts.quota,
             backend_pool: Arc::new(backend_pool()),
             upload_pool: Arc::new(backend_pool().with_user_timeout(UPLOAD_USER_TIMEOUT)),
             answer_budget: Arc::default(),
--- a/crates/wire/src/convert/mod.rs
+++ b/crates/wire/src/convert/mod.rs
@@ -12,6 +12,7 @@
 mod operator_query;
 mod operator_report;
 mod peer;
+mod quota;
 mod report;
 
 pub use codec::{
@@ -21,3 +22,4 @@
     decode_heartbeat, decode_node_entry, decode_progress, encode_heartbeat, encode_node_entry,
     encode_progress,
 };
+pub use quota::{decode_quota_message, encode_quota_message, is_quota_datagram};
