--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -74,6 +74,7 @@
 mod queue_policy;
 mod queue_ticket;
 mod quota;
+mod quota_view;
 mod registration;
 mod relays;
 mod retry_share;
