Count the calls at a backend server by what it tells, and scale times by its rate

Cause: servers of the new customers never answer a call that they can't queue, so that it held a slot until its deadline; a new process of a node took a busy server for an idle one; and times were expected as if a server were always equally fast.

Change: the node reads the load of each response (`ServerLoad`). `ServerOccupancy` finds calls that two responses leave out, frees their slots, and starts beside a busy server with the calls that it tells. `ServiceRate` keeps the relative service time with its age; `CallQueue` and `LoadBalancer` learn usual times and scale expected ones by it, and `ReportedLoad` carries it as a further figure that earlier builds ignore. Servers that tell nothing are handled as before, but for the first moments of a process.

--- a/crates/core/src/fleet/call_queue.rs
+++ b/crates/core/src/fleet/call_queue.rs
@@ -3,9 +3,9 @@
 use std::collections::{BTreeMap, HashMap};
 
 use crate::RefusalReason;
-use crate::fleet::{Admission, CallRank, CallRequirements, QueueWakeup, ServiceTimes};
+use crate::fleet::{Admission, CallRank, CallRequirements, QueueWakeup, ServiceRate, ServiceTimes};
 use crate::ids::RouteName;
-use crate::units::{Instant, Micros, Millis};
+use crate::units::{Instant, Micros, Millis, Percent};
 
 /// Identifies a call that waits in a [`CallQueue`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -22,11 +22,17 @@
 #[derive(Debug)]
 pub struct CallQueue {
     slots: u32,
+    /// The largest number of calls that may run now, hanging ones included.
+    limit: u32,
+    /// The number of calls that were started and not ended, hanging ones included.
     running: u32,
+    /// The server's current service time relative to its usual one; `None` if it does not tell it.
+    rate: Option<ServiceRate>,
     /// The waiting calls, in the order in which they run.
     waiting: BTreeMap<QueuePosition, WaitingCall>,
     positions: BTreeMap<QueueTicket, QueuePosition>,
     next_ticket: u64,
+    /// The usual run times: those of a server that tells its rate are normalised to 100%.
     times: ServiceTimes,
     /// For each route, the mean ratio of the actual wait to the wait expected on arrival, which
     /// overtaking calls lengthen. Starts at 1, so that one unusual first wait has little effect.
@@ -75,7 +81,9 @@
     pub fn new() -> Self {
         Self {
             slots: 0,
+            limit: 0,
             running: 0,
+            rate: None,
             waiting: BTreeMap::new(),
             positions: BTreeMap::new(),
             next_ticket: 0,
@@ -87,13 +95,26 @@
     /// Sets the number of calls that the server runs at a time. Returns the waiting calls that now
     /// run or are refused.
     pub fn set_slots(&mut self, now: Instant, slots: u32) -> Vec<QueueWakeup> {
+        self.set_capacity(now, slots, slots)
+    }
+
+    /// Sets the number of calls that the server runs at a time, like [`Self::set_slots`], and the
+    /// number of calls that may run now. They differ while calls hang, or while calls other than
+    /// those of this queue hold slots. Returns the waiting calls that now run or are refused.
+    pub fn set_capacity(&mut self, now: Instant, slots: u32, limit: u32) -> Vec<QueueWakeup> {
         self.slots = slots;
+        self.limit = limit;
         self.fill_slots(now)
     }
 
+    /// Records the server's current service time relative to its usual one.
+    pub fn record_rate(&mut self, now: Instant, service_time: Percent) {
+        self.rate = Some(ServiceRate::new(service_time, now));
+    }
+
     /// Decides whether a call that arrives runs, waits or is refused.
     pub fn admit(&mut self, now: Instant, requirements: CallRequirements) -> Admission {
-        if self.running < self.slots && self.waiting.is_empty() {
+        if self.running < self.limit && self.waiting.is_empty() {
             self.running += 1;
             return Admission::Run;
         }
@@ -103,11 +124,12 @@
             ticket: QueueTicket(self.next_ticket),
         };
         let expected_wait = self.time_until_slot(
+            now,
             self.waiting.range(..position).map(|(_, waiting)| &waiting.requirements),
         );
         let wait = self.wait_with_overtaking(&requirements.route, expected_wait);
         let refuse =
-            |reason| Admission::Refused { reason, retry_after: self.time_until_queue_drains() };
+            |reason| Admission::Refused { reason, retry_after: self.time_until_queue_drains(now) };
         if self.waiting.len() >= Self::MAX_WAITING {
             return refuse(RefusalReason::QueueFull);
         }
@@ -135,7 +157,8 @@
         took: Option<Micros>,
     ) -> Vec<QueueWakeup> {
         if let Some(took) = took {
-            self.times.record(&requirements.route, took);
+            let usual = Micros::new((took.get() as f64 / self.rate_factor(now)) as u64);
+            self.times.record(&requirements.route, usual);
         }
         self.running = self.running.saturating_sub(1);
         self.fill_slots(now)
@@ -160,7 +183,13 @@
         self.running + u32::try_from(self.waiting.range(..position).count()).unwrap_or(u32::MAX)
     }
 
-    /// Returns the mean run time of a call; `None` before the first one has ended.
+    /// Returns the server's current service time relative to its usual one; `None` if it does not
+    /// tell it.
+    pub fn service_time(&self, now: Instant) -> Option<Percent> {
+        self.rate.map(|rate| rate.percent(now))
+    }
+
+    /// Returns the usual mean run time of a call; `None` before the first one has ended.
     pub fn mean_time(&self) -> Option<Micros> {
         self.times.mean()
     }
@@ -168,15 +197,15 @@
     /// Gives free slots to waiting calls and refuses those that would miss their deadline.
     fn fill_slots(&mut self, now: Instant) -> Vec<QueueWakeup> {
         let mut wakeups = Vec::new();
-        while self.running < self.slots {
+        while self.running < self.limit {
             let Some((position, waiting)) = self.waiting.pop_first() else { break };
             self.positions.remove(&position.ticket);
             self.record_overtaking(now, &waiting);
             let requirements = waiting.requirements;
             let misses_deadline =
-                now + half(self.expected_run_time(&requirements)) > requirements.deadline;
+                now + half(self.expected_run_time(now, &requirements)) > requirements.deadline;
             let refused = misses_deadline
-                .then(|| (RefusalReason::DeadlineTooNear, self.time_until_queue_drains()));
+                .then(|| (RefusalReason::DeadlineTooNear, self.time_until_queue_drains(now)));
             if !misses_deadline {
                 self.running += 1;
             }
@@ -187,7 +216,7 @@
 
     /// Returns whether a call that gets a slot after `wait` should wait for it.
     fn should_wait(&self, now: Instant, wait: Micros, requirements: &CallRequirements) -> bool {
-        let expected = self.expected_run_time(requirements);
+        let expected = self.expected_run_time(now, requirements);
         let start = now + wait;
         let run_time = Micros::new((expected.get() as f64 * Self::RUN_TIME_MARGIN_FACTOR) as u64);
         let short_wait =
@@ -232,22 +261,32 @@
     /// Returns the expected time until a slot is free after each of `calls_ahead` got one.
     fn time_until_slot<'a>(
         &self,
+        now: Instant,
         calls_ahead: impl Iterator<Item = &'a CallRequirements>,
     ) -> Micros {
-        let mean_run_time = self.times.mean().map_or(0, Micros::get);
+        let mean_run_time = self.times.mean().map_or(0, |mean| self.scaled(now, mean).get());
         let calls_ahead: u64 =
-            calls_ahead.map(|requirements| self.expected_run_time(requirements).get()).sum();
+            calls_ahead.map(|requirements| self.expected_run_time(now, requirements).get()).sum();
         Micros::new((mean_run_time + calls_ahead) / u64::from(self.slots.max(1)))
     }
 
     /// Returns the expected time until a slot is free after all waiting calls got one.
-    fn time_until_queue_drains(&self) -> Micros {
-        self.time_until_slot(self.waiting.values().map(|waiting| &waiting.requirements))
+    fn time_until_queue_drains(&self, now: Instant) -> Micros {
+        self.time_until_slot(now, self.waiting.values().map(|waiting| &waiting.requirements))
     }
 
     /// Returns the expected run time of a call; zero before the first call has ended.
-    fn expected_run_time(&self, requirements: &CallRequirements) -> Micros {
-        self.times.expected(&requirements.route).unwrap_or_default()
+    fn expected_run_time(&self, now: Instant, requirements: &CallRequirements) -> Micros {
+        self.scaled(now, self.times.expected(&requirements.route).unwrap_or_default())
+    }
+
+    /// Scales a usual time by the server's current rate.
+    fn scaled(&self, now: Instant, usual: Micros) -> Micros {
+        Micros::new((usual.get() as f64 * self.rate_factor(now)) as u64)
+    }
+
+    fn rate_factor(&self, now: Instant) -> f64 {
+        self.rate.map_or(1.0, |rate| rate.factor(now))
     }
 }
 
--- a/crates/core/src/fleet/endpoint_load.rs
+++ b/crates/core/src/fleet/endpoint_load.rs
@@ -2,9 +2,9 @@
 
 use std::collections::HashMap;
 
-use crate::fleet::ServiceTimes;
+use crate::fleet::{ServiceRate, ServiceTimes};
 use crate::ids::RouteName;
-use crate::units::{Instant, Micros, Millis};
+use crate::units::{Instant, Micros, Millis, Percent};
 
 /// The load and failures of an endpoint as this node observes them.
 #[derive(Debug, Default)]
@@ -17,8 +17,14 @@
     in_flight: u32,
     /// The mean run time of a call, as the endpoint last reported it.
     mean_run_time: Option<Micros>,
-    /// The observed times of each route's calls at the endpoint and on their way.
+    /// The observed times of each route's calls at the endpoint and on their way. The run times of
+    /// a server that tells its rate are normalised to 100%.
     times: ServiceTimes,
+    /// The times on the way of the calls of a server that tells its rate, which does not change
+    /// them.
+    ways: ServiceTimes,
+    /// The server's rate as it was last reported; `None` if the server does not tell it.
+    rate: Option<ServiceRate>,
     /// The moving mean of failures, from 0 to 1, in which the newest call weighs most.
     failure_share: f64,
     /// When the last failure occurred, from which the share of failures decays.
@@ -79,6 +85,52 @@
         self.mean_run_time = mean.or(self.mean_run_time);
     }
 
+    /// Records the server's current service time relative to its usual one.
+    pub fn record_rate(&mut self, now: Instant, service_time: Percent) {
+        self.rate = Some(ServiceRate::new(service_time, now));
+    }
+
+    /// Returns the factor by which the server's run times at `now` are expected to exceed the usual
+    /// ones; `None` if it does not tell its rate.
+    pub fn rate_factor(&self, now: Instant) -> Option<f64> {
+        self.rate.map(|rate| rate.factor(now))
+    }
+
+    /// Records that a call of `route` was answered at `now`, like [`Self::record_run_time`], after
+    /// the rate of a server that tells it was recorded.
+    pub fn record_run_time_at(
+        &mut self,
+        now: Instant,
+        route: &RouteName,
+        run_time: Micros,
+        way: Micros,
+    ) {
+        let Some(factor) = self.rate_factor(now) else {
+            return self.record_run_time(route, run_time, way);
+        };
+        self.ways.record(route, way);
+        let usual = Micros::new((run_time.get() as f64 / factor) as u64);
+        self.record_run_time(route, usual, way);
+    }
+
+    /// Returns the expected time of a call of `route` that is sent at `now`, by the server's current
+    /// rate; `None` before the first answer.
+    pub fn expected_at(&self, now: Instant, route: &RouteName) -> Option<Micros> {
+        let usual = self.times.route_mean(route)?;
+        let Some(factor) = self.rate_factor(now) else { return Some(usual) };
+        let way = self.ways.route_mean(route).unwrap_or_default().min(usual);
+        let run_time = usual.get() - way.get();
+        Some(Micros::new(way.get().saturating_add((run_time as f64 * factor) as u64)))
+    }
+
+    /// Returns the mean run time of a call that is sent at `now`, by the server's current rate;
+    /// `None` if the endpoint has not reported it.
+    pub fn mean_at(&self, now: Instant) -> Option<Micros> {
+        let usual = self.mean_run_time?;
+        let factor = self.rate_factor(now).unwrap_or(1.0);
+        Some(Micros::new((usual.get() as f64 * factor) as u64))
+    }
+
     /// Records that a call of `route` was answered and had run for `run_time`, and how long it and
     /// its answer were on their way. A large call takes long to reach an endpoint whose link is
     /// full, however fast its server is.
--- a/crates/core/src/fleet/load_balancer.rs
+++ b/crates/core/src/fleet/load_balancer.rs
@@ -238,11 +238,12 @@
     ) -> f64 {
         let target = Micros::from(route.target_latency).get() as f64;
         let default_run_time = Self::DEFAULT_RUN_TIME_FRACTION * target;
-        let run_time =
-            load.expected(&route.name).map_or(default_run_time, |run_time| run_time.get() as f64);
+        let run_time = load
+            .expected_at(now, &route.name)
+            .map_or(default_run_time, |run_time| run_time.get() as f64);
         let run_time =
             if endpoint.is_cold { Self::COLD_RUN_TIME_FACTOR * run_time } else { run_time };
-        let mean = load.mean().map_or(run_time, |mean| mean.get() as f64);
+        let mean = load.mean_at(now).map_or(run_time, |mean| mean.get() as f64);
         let slots = f64::from(endpoint.slots.max(1));
         let queued = (f64::from(load.calls_ahead(now, &route.name)) + 1.0 - slots).max(0.0);
         run_time + Self::WAIT_WEIGHT * queued * mean / slots
--- a/crates/core/src/units/mod.rs
+++ b/crates/core/src/units/mod.rs
@@ -8,6 +8,7 @@
 mod millis;
 mod parse_unit_error;
 mod per_mille;
+mod percent;
 mod unix_millis;
 
 pub use byte_count::ByteCount;
@@ -18,4 +19,5 @@
 pub use millis::Millis;
 pub use parse_unit_error::ParseUnitError;
 pub use per_mille::PerMille;
+pub use percent::Percent;
 pub use unix_millis::UnixMillis;
--- a/crates/node/src/fleet/fleet_node.rs
+++ b/crates/node/src/fleet/fleet_node.rs
@@ -28,6 +28,7 @@
 use crate::fleet::fleet_store_client::FleetStoreClient;
 use crate::fleet::freshness_metrics::{self, SharedLastUpdates};
 use crate::fleet::heartbeat_link::HeartbeatLink;
+use crate::fleet::server_metrics::{self, ServerMetrics};
 use crate::fleet::servers::Servers;
 use crate::fleet::traffic::{FleetTraffic, TrafficParts};
 use crate::log;
@@ -115,10 +116,12 @@
         ),
         evidence_tx,
         metrics: CallMetrics::new(&metrics.meter()),
+        server_metrics: ServerMetrics::new(&metrics.meter()),
         log: log.clone(),
     });
     let last_updates = SharedLastUpdates::default();
     freshness_metrics::export(&metrics.meter(), &last_updates, &traffic);
+    server_metrics::export(&metrics.meter(), &traffic);
     let control_thread = ControlThread {
         settings: settings.clone(),
         control,
--- a/crates/node/src/fleet/inbound.rs
+++ b/crates/node/src/fleet/inbound.rs
@@ -10,13 +10,16 @@
 use almondsail_platform::calls::{self as platform_calls, ResponseKind};
 use bytes::Bytes;
 use http::Response;
+use http::header::HeaderMap;
 
 use crate::calls::call_headers;
+use crate::calls::client_connection::ExchangeError;
 use crate::fleet::call_failure::{self, CallFailure, FAILURE_HEADER};
 use crate::fleet::forwarded_call::ForwardedCall;
 use crate::fleet::queue_slot::QueueSlot;
 use crate::fleet::reported_load::ReportedLoad;
-use crate::fleet::traffic::FleetTraffic;
+use crate::fleet::slot_queue::QueueLoad;
+use crate::fleet::traffic::{FleetTraffic, is_large_body};
 use crate::fleet::whole_answer;
 
 /// Retry delay for refusals for which no wait can be estimated.
@@ -33,7 +36,7 @@
 ) -> (Result<Response<Bytes>, CallFailure>, ReportedLoad) {
     let started = traffic.clock.now();
     let requirements = call.requirements();
-    let (calls_ahead_at_start, _) = traffic.queue.load(&requirements);
+    let calls_ahead_at_start = traffic.queue.load(&requirements).calls_ahead;
     let ran = tokio::select! {
         biased;
         ran = run(traffic, call, requirements.clone()) => ran,
@@ -44,9 +47,9 @@
         Err(failure) => (Err(failure), None),
     };
     log_call(traffic, call, started, calls_ahead_at_start, result.as_ref());
-    let (calls_ahead, mean_time) = traffic.queue.load(&requirements);
+    let QueueLoad { calls_ahead, mean_time, service_time } = traffic.queue.load(&requirements);
     let held = Some(traffic.clock.now().since(started));
-    (result, ReportedLoad { calls_ahead, mean_time, run_time, held })
+    (result, ReportedLoad { calls_ahead, mean_time, run_time, held, service_time })
 }
 
 /// Queues `call` for a slot and runs it. Returns the answer and the run time.
@@ -56,9 +59,12 @@
     requirements: CallRequirements,
 ) -> Result<(Response<Bytes>, Micros), CallFailure> {
     check_backend(&traffic.view.load(), call)?;
-    let slot = traffic.queue.acquire(requirements).await?;
+    let slot = traffic.queue.acquire(requirements, is_large_body(call.body.len())).await?;
     // The backend server may have left or been replaced while the call waited.
-    check_backend(&traffic.view.load(), call)?;
+    if let Err(failure) = check_backend(&traffic.view.load(), call) {
+        slot.release();
+        return Err(failure);
+    }
     let result = exchange(traffic, call, slot).await;
     let view = traffic.view.load();
     if view.wants_evidence {
@@ -90,13 +96,32 @@
     let clock = traffic.clock;
     let until = clock.to_tokio_instant(call.deadline);
     let pool = traffic.backend_pool(call.body.len());
-    let sent = pool.send(|| call.backend_request(clock.now()), until).await;
+    let request = || {
+        slot.record_sent();
+        call.backend_request(clock.now())
+    };
+    let sent = tokio::select! {
+        biased;
+        sent = pool.send(request, until) => sent,
+        // Dropping the exchange closes its connection.
+        () = wait_until_movable(traffic, call, &slot) => {
+            return Err(CallFailure::may_have_run(RefusalReason::BrokenExchange));
+        }
+    };
     let (response, connection) = match sent {
         Ok(sent) => sent,
-        Err(error) => return Err(CallFailure::from_exchange(&error, RefusalReason::BackendDown)),
+        Err(error) => {
+            if matches!(error, ExchangeError::NotSent | ExchangeError::Broken) {
+                slot.release();
+            }
+            return Err(CallFailure::from_exchange(&error, RefusalReason::BackendDown));
+        }
     };
     let (status, headers) = (response.status(), response.headers());
     let kind = platform_calls::classify_response(status, headers, call.attempt_id());
+    if kind != ResponseKind::Unverified {
+        record_server_load(traffic, &slot, headers, kind == ResponseKind::Ran);
+    }
     let failure = match kind {
         ResponseKind::Ran => {
             let answer =
@@ -128,6 +153,34 @@
     Err(failure)
 }
 
+/// Waits until `call` is found hanging, if it may then be sent to another server. A call that may not
+/// be repeated waits for its answer until its deadline.
+async fn wait_until_movable(traffic: &FleetTraffic, call: &ForwardedCall, slot: &QueueSlot) {
+    slot.wait_until_hanging().await;
+    let view = traffic.view.load_full();
+    let routes = view.config.iter().flat_map(|config| config.routes());
+    let is_idempotent = routes.filter(|route| route.name == call.route).any(|r| r.idempotent);
+    if !is_idempotent {
+        std::future::pending().await
+    }
+}
+
+/// Records the load that the backend server tells with the response to the call of `slot`.
+fn record_server_load(
+    traffic: &FleetTraffic,
+    slot: &QueueSlot,
+    headers: &HeaderMap,
+    has_run: bool,
+) {
+    match platform_calls::server_load(headers) {
+        Ok(load) => slot.record_response(load, has_run),
+        Err(_) => {
+            slot.record_unreadable_load();
+            traffic.server_metrics.count_ignored_load();
+        }
+    }
+}
+
 /// Logs the result of `call`, which arrived at `started` with `calls_ahead` calls running or queued
 /// ahead of it.
 fn log_call(
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -34,6 +34,7 @@
 mod local_api;
 mod queue_slot;
 mod reported_load;
+mod server_metrics;
 mod servers;
 mod slot_queue;
 mod stop_phase;
--- a/crates/node/src/fleet/reported_load.rs
+++ b/crates/node/src/fleet/reported_load.rs
@@ -3,7 +3,8 @@
 use std::fmt;
 use std::str::FromStr;
 
-use almondsail_core::units::Micros;
+use almondsail_core::fleet::ServerLoad;
+use almondsail_core::units::{Micros, Percent};
 use http::header::HeaderName;
 
 /// Header in which a node reports its load to the node that forwarded a call.
@@ -20,13 +21,17 @@
     pub(crate) run_time: Option<Micros>,
     /// How long the node held the call, from its arrival to its answer; `None` from earlier builds.
     pub(crate) held: Option<Micros>,
+    /// Current service time of the backend server relative to its usual one; `None` if the server
+    /// does not tell it. Left out then, and ignored by earlier builds.
+    pub(crate) service_time: Option<Percent>,
 }
 
 impl fmt::Display for ReportedLoad {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let number = |span: Option<Micros>| span.map_or(0, Micros::get);
-        let Self { calls_ahead, mean_time, run_time, held } = self;
-        write!(f, "{calls_ahead} {} {} {}", number(*mean_time), number(*run_time), number(*held))
+        let Self { calls_ahead, mean_time, run_time, held, service_time } = self;
+        write!(f, "{calls_ahead} {} {} {}", number(*mean_time), number(*run_time), number(*held))?;
+        service_time.map_or(Ok(()), |service_time| write!(f, " {}", service_time.get()))
     }
 }
 
@@ -40,6 +45,9 @@
         let span = |text: &str| text.parse().map(|n: u64| (n > 0).then(|| Micros::new(n)));
         let (mean_time, run_time, held) = (span(next())?, span(next())?, next());
         let held = if held.is_empty() { None } else { span(held)? };
-        Ok(Self { calls_ahead, mean_time, run_time, held })
+        // A later build may send more figures, or other ones, after the first four.
+        let service_time =
+            next().parse().ok().map(Percent::new).filter(ServerLoad::is_plausible_service_time);
+        Ok(Self { calls_ahead, mean_time, run_time, held, service_time })
     }
 }
--- a/crates/node/src/fleet/slot_queue.rs
+++ b/crates/node/src/fleet/slot_queue.rs
@@ -4,13 +4,17 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use almondsail_core::RefusalReason;
-use almondsail_core::fleet::{Admission, CallQueue, CallRequirements, QueueTicket, QueueWakeup};
-use almondsail_core::units::{Instant, Micros};
-use tokio::sync::oneshot;
+use almondsail_core::fleet::{
+    Admission, CallEnd, CallQueue, CallRequirements, QueueTicket, QueueWakeup, SentCall,
+    ServerLoad, ServerOccupancy,
+};
+use almondsail_core::units::{Instant, Micros, Percent};
+use tokio::sync::{oneshot, watch};
 
 use crate::clock::Clock;
 use crate::fleet::call_failure::CallFailure;
 use crate::fleet::queue_slot::QueueSlot;
+use crate::fleet::server_metrics::ServerStatus;
 
 /// Queues calls until the backend server has a free slot.
 ///
@@ -24,6 +28,12 @@
 #[derive(Debug, Default)]
 struct State {
     queue: CallQueue,
+    /// The number of calls that the server runs at a time.
+    slots: u32,
+    /// The calls that hold slots, by which `queue` limits their number.
+    occupancy: ServerOccupancy,
+    /// Channels that tell running calls that they hang.
+    running: HashMap<SentCall, watch::Sender<bool>>,
     /// Channels that wake the waiting calls, with the same tickets as in `queue`. A call gets
     /// `None` for a slot, or the reason of its refusal and the time after which to retry.
     waiters: HashMap<QueueTicket, oneshot::Sender<Option<(RefusalReason, Micros)>>>,
@@ -34,36 +44,78 @@
         Self { clock, state: Mutex::new(State::default()) }
     }
 
-    /// Waits for a slot until the deadline of the call; fails if the queue refuses the call.
+    /// Waits for a slot until the deadline of the call; fails if the queue refuses the call. A call
+    /// whose body `is_large` may be counted late by the server.
     pub(crate) async fn acquire(
         self: &Arc<Self>,
         requirements: CallRequirements,
+        is_large: bool,
     ) -> Result<QueueSlot, CallFailure> {
-        let waiting = {
+        let now = self.clock.now();
+        let (ticket, rx) = {
             let mut state = self.lock();
-            match state.queue.admit(self.clock.now(), requirements.clone()) {
-                Admission::Run => None,
+            state.refresh(now);
+            match state.queue.admit(now, requirements.clone()) {
+                Admission::Run => return Ok(self.begin(&mut state, requirements, is_large)),
                 Admission::Refused { reason, retry_after } => {
                     return Err(CallFailure::refused(reason, retry_after));
                 }
                 Admission::Wait(ticket) => {
                     let (tx, rx) = oneshot::channel();
                     state.waiters.insert(ticket, tx);
-                    Some((ticket, rx))
+                    (ticket, rx)
                 }
             }
         };
-        if let Some((ticket, rx)) = waiting {
-            self.wait(&requirements, ticket, rx).await?;
-        }
-        Ok(QueueSlot::new(Arc::clone(self), requirements, self.clock.now()))
+        self.wait(&requirements, ticket, rx).await?;
+        Ok(self.begin(&mut self.lock(), requirements, is_large))
     }
 
     /// Sets the number of calls that may run at a time, and wakes calls that got a new slot.
     pub(crate) fn set_slots(&self, slots: u32) {
         let mut state = self.lock();
-        let wakeups = state.queue.set_slots(self.clock.now(), slots);
-        state.wake(wakeups);
+        state.slots = slots;
+        state.refresh(self.clock.now());
+    }
+
+    /// Records that `call` is written to a connection.
+    pub(crate) fn record_sent(&self, call: SentCall) {
+        self.lock().occupancy.record_sent(self.clock.now(), call);
+    }
+
+    /// Records the head of the response to `call` with the load that it tells; `has_run` is false
+    /// for a refusal. Tells the calls that are now found hanging, and fills their slots.
+    pub(crate) fn record_response(&self, call: SentCall, load: Option<ServerLoad>, has_run: bool) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        if let Some(service_time) = load.and_then(|load| load.service_time) {
+            state.queue.record_rate(now, service_time);
+        }
+        for hanging in state.occupancy.record_response(now, call, load, has_run) {
+            if let Some(running) = state.running.get(&hanging) {
+                running.send_replace(true);
+            }
+        }
+        state.refresh(now);
+    }
+
+    /// Records the head of a response to `call` whose load could not be read.
+    pub(crate) fn record_unreadable_load(&self, call: SentCall) {
+        let mut state = self.lock();
+        state.occupancy.record_unreadable_load(call);
+        state.refresh(self.clock.now());
+    }
+
+    /// Returns what is known of the calls at the backend server.
+    pub(crate) fn server_status(&self) -> ServerStatus {
+        let now = self.clock.now();
+        let state = self.lock();
+        ServerStatus {
+            counted: state.occupancy.counted(now),
+            told: state.occupancy.told(),
+            service_time: state.queue.service_time(now),
+            hanging_calls: state.occupancy.hanging_calls(),
+        }
     }
 
     /// Refuses all waiting calls with `reason`.
@@ -73,11 +125,17 @@
         state.wake(wakeups);
     }
 
-    /// Returns the number of calls that run or are ahead of a new call with `requirements`, and the
-    /// mean run time of a call.
-    pub(crate) fn load(&self, requirements: &CallRequirements) -> (u32, Option<Micros>) {
+    /// Returns the load to report for a new call with `requirements`.
+    pub(crate) fn load(&self, requirements: &CallRequirements) -> QueueLoad {
+        let now = self.clock.now();
         let state = self.lock();
-        (state.queue.calls_ahead(requirements), state.queue.mean_time())
+        let queued = state.queue.calls_ahead(requirements);
+        let at_server = queued.saturating_sub(state.occupancy.hanging());
+        QueueLoad {
+            calls_ahead: at_server.saturating_add(state.occupancy.others(now)),
+            mean_time: state.queue.mean_time(),
+            service_time: state.queue.service_time(now),
+        }
     }
 
     /// Returns the mean run time of a call; `None` until one has completed.
@@ -92,14 +150,33 @@
         requirements: &CallRequirements,
         started: Instant,
         has_completed: bool,
+        call: SentCall,
+        end: CallEnd,
     ) {
         let now = self.clock.now();
         let took = has_completed.then(|| now.since(started));
         let mut state = self.lock();
+        state.running.remove(&call);
+        state.occupancy.end(now, call, end);
+        state.refresh(now);
         let wakeups = state.queue.end(now, requirements, took);
         state.wake(wakeups);
     }
 
+    /// Begins a call that got a slot.
+    fn begin(
+        self: &Arc<Self>,
+        state: &mut State,
+        requirements: CallRequirements,
+        is_large: bool,
+    ) -> QueueSlot {
+        let now = self.clock.now();
+        let call = state.occupancy.begin(now, requirements.deadline, is_large);
+        let (tx, rx) = watch::channel(false);
+        state.running.insert(call, tx);
+        QueueSlot::new(Arc::clone(self), requirements, now, call, rx)
+    }
+
     async fn wait(
         self: &Arc<Self>,
         requirements: &CallRequirements,
@@ -108,7 +185,15 @@
     ) -> Result<(), CallFailure> {
         let mut wait_guard = WaitGuard { queue: self, requirements, ticket, rx };
         let until = self.clock.to_tokio_instant(requirements.deadline);
-        match tokio::time::timeout_at(until, &mut wait_guard.rx).await {
+        let result = loop {
+            let next = self.next_change().map(|next| self.clock.to_tokio_instant(next));
+            let pause = next.map_or(until, |next| next.min(until));
+            match tokio::time::timeout_at(pause, &mut wait_guard.rx).await {
+                Err(_) if pause < until => self.lock().refresh(self.clock.now()),
+                result => break result,
+            }
+        };
+        match result {
             Ok(Ok(None)) => Ok(()),
             Ok(Ok(Some((reason, retry_after)))) => Err(CallFailure::refused(reason, retry_after)),
             Ok(Err(_)) => Err(CallFailure::refused(RefusalReason::Leaving, Micros::new(0))),
@@ -116,6 +201,11 @@
         }
     }
 
+    /// Returns when a waiting call may get a slot without a further event.
+    fn next_change(&self) -> Option<Instant> {
+        self.lock().occupancy.next_change(self.clock.now())
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -144,7 +234,25 @@
     }
 }
 
+/// Load of the queue and of the backend server behind it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct QueueLoad {
+    /// Number of calls that run or are ahead of a new call.
+    pub(crate) calls_ahead: u32,
+    /// Usual mean run time of a call; `None` until one has completed.
+    pub(crate) mean_time: Option<Micros>,
+    /// Current service time relative to the usual one; `None` if the server does not tell it.
+    pub(crate) service_time: Option<Percent>,
+}
+
 impl State {
+    /// Lets as many calls run as the calls at the server permit at `now`.
+    fn refresh(&mut self, now: Instant) {
+        let limit = self.occupancy.limit(now, self.slots);
+        let wakeups = self.queue.set_capacity(now, self.slots, limit);
+        self.wake(wakeups);
+    }
+
     fn wake(&mut self, wakeups: Vec<QueueWakeup>) {
         for wakeup in wakeups {
             if let Some(waiter) = self.waiters.remove(&wakeup.ticket) {
--- a/crates/node/src/fleet/traffic.rs
+++ b/crates/node/src/fleet/traffic.rs
@@ -18,6 +18,7 @@
 use crate::fleet::call_metrics::CallMetrics;
 use crate::fleet::event_log::EventLog;
 use crate::fleet::reported_load::ReportedLoad;
+use crate::fleet::server_metrics::ServerMetrics;
 use crate::fleet::slot_queue::SlotQueue;
 
 /// Number of idle connections that are kept open to one other node.
@@ -43,6 +44,12 @@
 /// Time limit for opening a connection to the backend server, which is on the same host.
 const BACKEND_CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Returns whether the backend server may begin to run a call before it has read the whole body of
+/// `length` bytes, or run it late for that reason.
+pub(crate) const fn is_large_body(length: usize) -> bool {
+    length > SMALL_BODY_BYTES
+}
+
 /// State that the calls of a node share: connection pools, slot queue, load estimates and the
 /// retry budget.
 #[derive(Debug)]
@@ -59,6 +66,7 @@
     /// Limits the bodies of the requests that are read or not answered yet.
     pub(crate) body_budget: Arc<BodyBudget>,
     pub(crate) metrics: CallMetrics,
+    pub(crate) server_metrics: ServerMetrics,
     pub(crate) log: EventLog,
     pub(crate) view: Arc<ArcSwap<FleetView>>,
     /// Load estimates of the endpoints. Locked for single decisions, never across an `await`.
@@ -79,6 +87,7 @@
     pub(crate) retry_budget: RetryShare,
     pub(crate) evidence_tx: mpsc::Sender<FleetEvent>,
     pub(crate) metrics: CallMetrics,
+    pub(crate) server_metrics: ServerMetrics,
     pub(crate) log: EventLog,
 }
 
@@ -98,6 +107,7 @@
             clock: parts.clock,
             service: parts.service,
             queue: Arc::new(SlotQueue::new(parts.clock)),
+            server_metrics: parts.server_metrics,
             backend_pool: Arc::new(backend_pool()),
             upload_pool: Arc::new(backend_pool().with_user_timeout(UPLOAD_USER_TIMEOUT)),
             answer_budget: Arc::default(),
@@ -129,11 +139,15 @@
     ) {
         let mut load_balancer = self.load_balancer();
         let endpoint = load_balancer.load(node);
-        endpoint.record_report(self.clock.now(), route, load.calls_ahead, load.mean_time);
+        let now = self.clock.now();
+        endpoint.record_report(now, route, load.calls_ahead, load.mean_time);
+        if let Some(service_time) = load.service_time {
+            endpoint.record_rate(now, service_time);
+        }
         if let Some(run_time) = load.run_time {
             let held = load.held.unwrap_or(took);
             let way = Micros::new(took.get().saturating_sub(held.get()));
-            endpoint.record_run_time(route, run_time, way);
+            endpoint.record_run_time_at(now, route, run_time, way);
         }
     }
 
@@ -168,7 +182,7 @@
 
     /// Returns the connection pool for calls to the backend server whose body has `length` bytes.
     pub(crate) fn backend_pool(&self, length: usize) -> &Arc<ConnectionPool> {
-        if length > SMALL_BODY_BYTES { &self.upload_pool } else { &self.backend_pool }
+        if is_large_body(length) { &self.upload_pool } else { &self.backend_pool }
     }
 
     /// Returns the connection pool of the endpoint at `address`, creating it on first use.
