--- a/crates/testkit/src/platform/fleet.rs
+++ b/crates/testkit/src/platform/fleet.rs
@@ -195,6 +195,13 @@
         self.harness.restart(self.raw_nodes[index].process(), None).await
     }
 
+    /// Returns the metrics of the `index`th node with a [`RawWorker`].
+    pub async fn raw_metrics(&self, index: usize) -> Result<Metrics> {
+        let address = self.harness.address(self.raw_nodes[index].process(), "metrics")?;
+        let reply = HttpClient::new(address).get("/metrics").await?;
+        Metrics::parse(&String::from_utf8_lossy(&reply.body))
+    }
+
     /// Returns the resources that the `index`th node with a [`RawWorker`] uses.
     pub fn raw_usage(&self, index: usize) -> Result<ProcessUsage> {
         ProcessUsage::of(self.harness.pid(self.raw_nodes[index].process())?)
--- a/crates/testkit/src/platform/mod.rs
+++ b/crates/testkit/src/platform/mod.rs
@@ -14,6 +14,6 @@
 pub use kv_server::{KvMode, KvServer};
 pub use kv_state::KvState;
 pub use raw_request::RawRequest;
-pub use raw_step::RawStep;
+pub use raw_step::{LateBytes, RawStep};
 pub use raw_worker::RawWorker;
 pub use worker::{Worker, WorkerFault, WorkerOptions};
--- a/crates/testkit/src/platform/raw_worker.rs
+++ b/crates/testkit/src/platform/raw_worker.rs
@@ -152,6 +152,7 @@
                     has_read_body = true;
                 }
                 RawStep::Write(bytes) => stream.write_all(&bytes).await?,
+                RawStep::WriteLate(bytes) => stream.write_all(&bytes.decide()).await?,
                 RawStep::Pause(time) => tokio::time::sleep(time).await,
                 RawStep::Close => return Ok(()),
                 RawStep::Repeat(bytes, pause) => repeat(&mut stream, &bytes, pause).await?,
--- a/crates/testkit/tests/fleet_faulty_worker/main.rs
+++ b/crates/testkit/tests/fleet_faulty_worker/main.rs
@@ -1,9 +1,10 @@
 //! Tests of a fleet whose backend servers write answers again, too early, cut, or without end, or
-//! are full.
+//! are full or hang.
 
 mod cut_answers;
 mod endless_answers;
 mod full_servers;
+mod hanging_servers;
 mod large_bodies;
 mod repeated_answers;
 mod slow_callers;
