--- a/crates/core/src/fleet/call_queue.rs
+++ b/crates/core/src/fleet/call_queue.rs
@@ -5,7 +5,7 @@
 use crate::fleet::target_queue::TargetQueue;
 use crate::fleet::value_queue::ValueQueue;
 use crate::fleet::{Admission, CallRequirements, CallValue, QueuePolicy, QueueTicket, QueueWakeup};
-use crate::units::{Instant, Micros};
+use crate::units::{Instant, Micros, Percent};
 
 /// Queues calls for one backend server, which runs no more calls at a time than it has slots.
 ///
@@ -65,12 +65,26 @@
     /// Sets the number of calls that the server runs at a time. Returns the waiting calls that now
     /// run or are refused.
     pub fn set_slots(&mut self, now: Instant, slots: u32) -> Vec<QueueWakeup> {
+        self.set_capacity(now, slots, slots)
+    }
+
+    /// Sets the number of calls that the server runs at a time, like [`Self::set_slots`], and the
+    /// number of calls that may run now. They differ while calls hang, or while calls other than
+    /// those of this queue hold slots. Returns the waiting calls that now run or are refused.
+    pub fn set_capacity(&mut self, now: Instant, slots: u32, limit: u32) -> Vec<QueueWakeup> {
         self.server.slots = slots;
+        self.server.limit = limit;
         self.fill_slots(now)
     }
 
+    /// Records the server's current service time relative to its usual one.
+    pub fn record_rate(&mut self, now: Instant, service_time: Percent) {
+        self.server.record_rate(now, service_time);
+    }
+
     /// Decides whether a call that arrives runs, waits or is refused.
     pub fn admit(&mut self, now: Instant, requirements: CallRequirements) -> Admission {
+        self.server.refresh(now);
         if let Waiting::ByValue(queue) = &mut self.waiting {
             queue.record_arrival(now, &self.server, &requirements);
         }
@@ -114,7 +128,8 @@
         took: Option<Micros>,
     ) -> Vec<QueueWakeup> {
         if let Some(took) = took {
-            self.server.times.record(&requirements.route, took);
+            self.server.refresh(now);
+            self.server.record_time(&requirements.route, took);
         }
         self.server.running = self.server.running.saturating_sub(1);
         self.fill_slots(now)
@@ -141,9 +156,15 @@
         self.server.running + u32::try_from(waiting).unwrap_or(u32::MAX)
     }
 
-    /// Returns the mean run time of a call; `None` before the first one has ended.
+    /// Returns the server's current service time relative to its usual one; `None` if it does not
+    /// tell it.
+    pub fn service_time(&self, now: Instant) -> Option<Percent> {
+        self.server.service_time(now)
+    }
+
+    /// Returns the usual mean run time of a call; `None` before the first one has ended.
     pub fn mean_time(&self) -> Option<Micros> {
-        self.server.times.mean()
+        self.server.usual_mean()
     }
 
     /// Returns the latest time at which a waiting call with `requirements` may get a slot.
@@ -167,6 +188,7 @@
 
     /// Gives free slots to waiting calls and refuses those that are not worth their place.
     fn fill_slots(&mut self, now: Instant) -> Vec<QueueWakeup> {
+        self.server.refresh(now);
         let mut wakeups = Vec::new();
         while self.server.has_free() {
             let Some(wakeup) = self.waiting.pop(now, &self.server) else { break };
--- a/crates/core/src/fleet/target_queue.rs
+++ b/crates/core/src/fleet/target_queue.rs
@@ -179,7 +179,6 @@
 
     fn is_short_call(server: &ServerSlots, requirements: &CallRequirements) -> bool {
         server
-            .times
             .relative_slot_time(&requirements.route)
             .is_some_and(|part| part <= Self::SHORT_CALL_FRACTION)
     }
--- a/crates/core/src/fleet/value_queue.rs
+++ b/crates/core/src/fleet/value_queue.rs
@@ -263,7 +263,7 @@
         b: &PlannedCall<'_>,
     ) -> std::cmp::Ordering {
         let exceeds_share = |call: &PlannedCall<'_>| {
-            let slack = Self::SHARE_SLACK_CALLS * server.times.mean().map_or(0, Micros::get);
+            let slack = Self::SHARE_SLACK_CALLS * server.mean_run_time().get();
             let rank = call.precedence.shared_rank();
             rank.is_some_and(|rank| call.tag > self.shares.virtual_time(rank) + slack)
         };
--- a/crates/node/src/fleet/fleet_node.rs
+++ b/crates/node/src/fleet/fleet_node.rs
@@ -30,6 +30,7 @@
 use crate::fleet::heartbeat_link::HeartbeatLink;
 use crate::fleet::quota_link::QuotaLink;
 use crate::fleet::refusal_metrics::RefusalMetrics;
+use crate::fleet::server_metrics::{self, ServerMetrics};
 use crate::fleet::servers::Servers;
 use crate::fleet::traffic::{FleetTraffic, TrafficParts};
 use crate::log;
@@ -124,10 +125,12 @@
         metrics: CallMetrics::new(&metrics.meter()),
         refusals: RefusalMetrics::new(&metrics.meter()),
         load_shedding: settings.load_shedding,
+        server_metrics: ServerMetrics::new(&metrics.meter()),
         log: log.clone(),
     });
     let last_updates = SharedLastUpdates::default();
     freshness_metrics::export(&metrics.meter(), &last_updates, &traffic);
+    server_metrics::export(&metrics.meter(), &traffic);
     let control_thread = ControlThread {
         settings: settings.clone(),
         control,
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -39,6 +39,7 @@
 mod quota_token;
 mod refusal_metrics;
 mod reported_load;
+mod server_metrics;
 mod servers;
 mod slot_queue;
 mod stop_phase;
--- a/crates/node/src/fleet/traffic.rs
+++ b/crates/node/src/fleet/traffic.rs
@@ -21,6 +21,7 @@
 use crate::fleet::quota_link::QuotaLink;
 use crate::fleet::refusal_metrics::RefusalMetrics;
 use crate::fleet::reported_load::ReportedLoad;
+use crate::fleet::server_metrics::ServerMetrics;
 use crate::fleet::slot_queue::SlotQueue;
 
 /// Number of idle connections that are kept open to one other node.
@@ -46,6 +47,12 @@
 /// Time limit for opening a connection to the backend server, which is on the same host.
 const BACKEND_CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Returns whether the backend server may begin to run a call before it has read the whole body of
+/// `length` bytes, or run it late for that reason.
+pub(crate) const fn is_large_body(length: usize) -> bool {
+    length > SMALL_BODY_BYTES
+}
+
 /// State that the calls of a node share: connection pools, slot queue, load estimates and the
 /// retry budget.
 #[derive(Debug)]
@@ -66,6 +73,7 @@
     pub(crate) metrics: CallMetrics,
     pub(crate) refusals: RefusalMetrics,
     load_shedding: LoadShedding,
+    pub(crate) server_metrics: ServerMetrics,
     pub(crate) log: EventLog,
     pub(crate) view: Arc<ArcSwap<FleetView>>,
     /// Load estimates of the endpoints. Locked for single decisions, never across an `await`.
@@ -89,6 +97,7 @@
     pub(crate) metrics: CallMetrics,
     pub(crate) refusals: RefusalMetrics,
     pub(crate) load_shedding: LoadShedding,
+    pub(crate) server_metrics: ServerMetrics,
     pub(crate) log: EventLog,
 }
 
@@ -109,6 +118,7 @@
             service: parts.service,
             queue: Arc::new(SlotQueue::new(parts.clock)),
             quota: parts.quota,
+            server_metrics: parts.server_metrics,
             backend_pool: Arc::new(backend_pool()),
             upload_pool: Arc::new(backend_pool().with_user_timeout(UPLOAD_USER_TIMEOUT)),
             answer_budget: Arc::default(),
@@ -142,11 +152,15 @@
     ) {
         let mut load_balancer = self.load_balancer();
         let endpoint = load_balancer.load(node);
-        endpoint.record_report(self.clock.now(), route, load.calls_ahead, load.mean_time);
+        let now = self.clock.now();
+        endpoint.record_report(now, route, load.calls_ahead, load.mean_time);
+        if let Some(service_time) = load.service_time {
+            endpoint.record_rate(now, service_time);
+        }
         if let Some(run_time) = load.run_time {
             let held = load.held.unwrap_or(took);
             let way = Micros::new(took.get().saturating_sub(held.get()));
-            endpoint.record_run_time(route, run_time, way);
+            endpoint.record_run_time_at(now, route, run_time, way);
         }
     }
 
@@ -181,7 +195,7 @@
 
     /// Returns the connection pool for calls to the backend server whose body has `length` bytes.
     pub(crate) fn backend_pool(&self, length: usize) -> &Arc<ConnectionPool> {
-        if length > SMALL_BODY_BYTES { &self.upload_pool } else { &self.backend_pool }
+        if is_large_body(length) { &self.upload_pool } else { &self.backend_pool }
     }
 
     /// Returns the connection pool of the endpoint at `address`, creating it on first use.
