--- a/crates/core/benches/fleet.rs
+++ b/crates/core/benches/fleet.rs
@@ -136,6 +136,7 @@
         }),
         departures: Vec::new(),
         rollouts: Vec::new(),
+        evacuations: None,
         confirmation: None,
         digest: None,
     }
--- a/crates/core/src/fleet/backend_events.rs
+++ b/crates/core/src/fleet/backend_events.rs
@@ -16,6 +16,9 @@
         announcement: &Announcement,
     ) {
         let id = announcement.id.clone();
+        if announcement.cold > Registration::MAX_COLD_TIME {
+            self.report(FleetChange::ColdTimeTooLong(id.clone(), announcement.cold));
+        }
         let is_possible = Registration::is_possible_start(announcement.started_at, wall);
         let outcome = if is_possible && self.is_from_local_backend(announcement) {
             self.registration.announce(now, announcement)
--- a/crates/core/src/fleet/call_queue.rs
+++ b/crates/core/src/fleet/call_queue.rs
@@ -3,7 +3,10 @@
 use std::collections::{BTreeMap, HashMap};
 
 use crate::RefusalReason;
-use crate::fleet::{Admission, CallRank, CallRequirements, QueueWakeup, ServiceTimes};
+use crate::fleet::{
+    Admission, BackendWarmth, CallRank, CallRequirements, ColdLimiter, ColdRule, QueueWakeup,
+    ServiceTimes,
+};
 use crate::ids::RouteName;
 use crate::units::{Instant, Micros, Millis};
 
@@ -28,6 +31,8 @@
     positions: BTreeMap<QueueTicket, QueuePosition>,
     next_ticket: u64,
     times: ServiceTimes,
+    /// Limits the calls while the server is cold.
+    cold: ColdLimiter,
     /// For each route, the mean ratio of the actual wait to the wait expected on arrival, which
     /// overtaking calls lengthen. Starts at 1, so that one unusual first wait has little effect.
     overtaking_factors: HashMap<RouteName, f64>,
@@ -80,6 +85,7 @@
             positions: BTreeMap::new(),
             next_ticket: 0,
             times: ServiceTimes::default(),
+            cold: ColdLimiter::default(),
             overtaking_factors: HashMap::new(),
         }
     }
@@ -93,7 +99,7 @@
 
     /// Decides whether a call that arrives runs, waits or is refused.
     pub fn admit(&mut self, now: Instant, requirements: CallRequirements) -> Admission {
-        if self.running < self.slots && self.waiting.is_empty() {
+        if self.running < self.slots && self.waiting.is_empty() && self.cold.try_admit(now) {
             self.running += 1;
             return Admission::Run;
         }
@@ -105,6 +111,8 @@
         let expected_wait = self.time_until_slot(
             self.waiting.range(..position).map(|(_, waiting)| &waiting.requirements),
         );
+        let cold_wait = self.cold_wait(now, self.waiting.range(..position).count());
+        let expected_wait = expected_wait.max(cold_wait);
         let wait = self.wait_with_overtaking(&requirements.route, expected_wait);
         let refuse =
             |reason| Admission::Refused { reason, retry_after: self.time_until_queue_drains() };
@@ -112,6 +120,12 @@
             return refuse(RefusalReason::QueueFull);
         }
         if !self.should_wait(now, wait, &requirements) {
+            if cold_wait.get() > 0 {
+                return Admission::Refused {
+                    reason: RefusalReason::ColdServer,
+                    retry_after: self.cold_wait(now, self.waiting.len()),
+                };
+            }
             return refuse(RefusalReason::DeadlineTooNear);
         }
         self.next_ticket += 1;
@@ -120,6 +134,43 @@
         Admission::Wait(position.ticket)
     }
 
+    /// Updates the limit on the calls of a cold server and what is known of the server's warmth.
+    /// Returns the waiting calls that now run or are refused.
+    pub fn set_cold(
+        &mut self,
+        now: Instant,
+        rule: ColdRule,
+        warmth: Option<BackendWarmth>,
+    ) -> Vec<QueueWakeup> {
+        self.cold.update(now, rule, warmth);
+        self.fill_slots(now)
+    }
+
+    /// Records that the server may have restarted at `now`. Returns whether this limits its calls,
+    /// and the waiting calls that are refused.
+    pub fn doubt_server(&mut self, now: Instant) -> (bool, Vec<QueueWakeup>) {
+        (self.cold.doubt(now), self.fill_slots(now))
+    }
+
+    /// Returns since when the server may have restarted without an announcement, if its calls are
+    /// limited.
+    pub fn doubted_at(&self) -> Option<Instant> {
+        self.cold.doubted_at()
+    }
+
+    /// Gives the calls to waiting calls that a cold server admits by now.
+    pub fn admit_waiting(&mut self, now: Instant) -> Vec<QueueWakeup> {
+        self.fill_slots(now)
+    }
+
+    /// Returns the time until a cold server admits the first waiting call; `None` if no call waits
+    /// for that.
+    pub fn next_cold_admission(&self, now: Instant) -> Option<Micros> {
+        let waits_for_cold =
+            !self.waiting.is_empty() && self.running < self.slots && self.cold.is_limiting();
+        waits_for_cold.then(|| self.cold.wait(now, 0)).flatten()
+    }
+
     /// Removes a waiting call. Returns false if it no longer waits.
     pub fn cancel(&mut self, ticket: QueueTicket) -> bool {
         let Some(position) = self.positions.remove(&ticket) else { return false };
@@ -167,8 +218,12 @@
 
     /// Gives free slots to waiting calls and refuses those that would miss their deadline.
     fn fill_slots(&mut self, now: Instant) -> Vec<QueueWakeup> {
-        let mut wakeups = Vec::new();
-        while self.running < self.slots {
+        let mut wakeups = self.refuse_late_for_cold(now);
+        while self.running < self.slots && !self.waiting.is_empty() {
+            let is_admitted = self.cold.wait(now, 0) == Some(Micros::new(0));
+            if !is_admitted {
+                break;
+            }
             let Some((position, waiting)) = self.waiting.pop_first() else { break };
             self.positions.remove(&position.ticket);
             self.record_overtaking(now, &waiting);
@@ -178,6 +233,7 @@
             let refused = misses_deadline
                 .then(|| (RefusalReason::DeadlineTooNear, self.time_until_queue_drains()));
             if !misses_deadline {
+                self.cold.try_admit(now);
                 self.running += 1;
             }
             wakeups.push(QueueWakeup { ticket: position.ticket, refused });
@@ -185,6 +241,36 @@
         wakeups
     }
 
+    /// Refuses the waiting calls that a cold server admits too late for their deadlines.
+    fn refuse_late_for_cold(&mut self, now: Instant) -> Vec<QueueWakeup> {
+        if !self.cold.is_limiting() {
+            return Vec::new();
+        }
+        let mut late = Vec::new();
+        for (place, (position, waiting)) in self.waiting.iter().enumerate() {
+            let ahead = place - late.len();
+            let start = now + self.cold_wait(now, ahead);
+            let run_time = half(self.expected_run_time(&waiting.requirements));
+            if start + run_time > waiting.requirements.deadline {
+                late.push(*position);
+            }
+        }
+        let retry_after = self.cold_wait(now, self.waiting.len() - late.len());
+        let refuse = |position: QueuePosition| {
+            self.waiting.remove(&position);
+            self.positions.remove(&position.ticket);
+            let refused = Some((RefusalReason::ColdServer, retry_after));
+            QueueWakeup { ticket: position.ticket, refused }
+        };
+        late.into_iter().map(refuse).collect()
+    }
+
+    /// Returns how long a call with `ahead` others before it waits because the server is cold. While
+    /// the limit is not known, a call may wait in vain until its deadline.
+    fn cold_wait(&self, now: Instant, ahead: usize) -> Micros {
+        self.cold.wait(now, ahead).unwrap_or_default()
+    }
+
     /// Returns whether a call that gets a slot after `wait` should wait for it.
     fn should_wait(&self, now: Instant, wait: Micros, requirements: &CallRequirements) -> bool {
         let expected = self.expected_run_time(requirements);
--- a/crates/core/src/fleet/calls_view.rs
+++ b/crates/core/src/fleet/calls_view.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 
 use super::fleet_control::FleetControl;
-use crate::fleet::{BackendStatus, Endpoint, FleetView, ServiceEndpoints, VersionRule};
+use crate::fleet::{
+    BackendStatus, Endpoint, FleetView, ServiceEndpoints, TrafficPolicy, TrafficRamp, VersionRule,
+};
 use crate::ids::ServiceName;
 use crate::units::{Instant, Millis};
 
@@ -38,6 +40,9 @@
             config: config.filter(|_| self.is_ready(now) || self.is_leaving),
             is_outdated: self.behind_since.is_some(),
             services: self.services(now),
+            warmth: self.registration.warmth().filter(|_| backend.is_some()),
+            cold_rule: self.cold_rule(),
+            ramp: self.evacuations.ramp(&self.identity.entry.data_centre),
             backend,
             is_leaving: self.is_leaving,
             nodes: u32::try_from(self.peers.live_count()).unwrap_or(u32::MAX) + 1,
@@ -59,15 +64,16 @@
 
     /// Returns the known backend servers with the nodes beside them.
     pub(super) fn backends(&self, now: Instant) -> Vec<KnownBackend<'_>> {
-        let own = self.backend(now).filter(|_| !self.is_leaving);
+        let own = TrafficPolicy::open_backend(self.is_leaving, self.backend(now));
         let own = own.map(|status| KnownBackend {
             entry: &self.identity.entry,
             status,
             is_silent: false,
         });
         let others = self.peers.iter().filter_map(|peer| {
-            let heartbeat = peer.heartbeat.as_ref().filter(|heartbeat| !heartbeat.is_leaving)?;
-            let status = heartbeat.backend.as_ref()?;
+            let heartbeat = peer.heartbeat.as_ref()?;
+            let status =
+                TrafficPolicy::open_backend(heartbeat.is_leaving, heartbeat.backend.as_ref())?;
             Some(KnownBackend { entry: &peer.entry, status, is_silent: peer.is_silent(now) })
         });
         own.into_iter().chain(others).collect()
@@ -80,7 +86,13 @@
         }
         let endpoints = |(service, known): (&ServiceName, Vec<KnownBackend<'_>>)| {
             let rule = self.rule(service, &known);
-            let endpoints = known.iter().map(KnownBackend::endpoint).collect();
+            let cold_rate = self.cold_limit(service).map(|limit| limit.rate);
+            let endpoint = |known: &KnownBackend<'_>| Endpoint {
+                cold_rate: cold_rate.filter(|_| known.status.is_cold),
+                ramp: self.evacuations.ramp(&known.entry.data_centre),
+                ..known.endpoint()
+            };
+            let endpoints = known.iter().map(endpoint).collect();
             (service.clone(), ServiceEndpoints { endpoints, rule })
         };
         by_service.into_iter().map(endpoints).collect()
@@ -111,6 +123,7 @@
 }
 
 impl KnownBackend<'_> {
+    /// Returns the endpoint without limits.
     fn endpoint(&self) -> Endpoint {
         Endpoint {
             node: self.entry.node.clone(),
@@ -120,6 +133,8 @@
             version: self.status.version.clone(),
             slots: self.status.slots,
             is_cold: self.status.is_cold,
+            cold_rate: None,
+            ramp: TrafficRamp::OPEN,
             is_silent: self.is_silent,
         }
     }
--- a/crates/core/src/fleet/endpoint_load.rs
+++ b/crates/core/src/fleet/endpoint_load.rs
@@ -25,6 +25,8 @@
     failed_at: Option<Instant>,
     /// The endpoint is ejected until this instant: calls prefer all others.
     ejected_until: Instant,
+    /// The endpoint refuses further calls until this instant, because its server is cold.
+    cold_until: Instant,
 }
 
 /// The calls ahead of a call of a route when the endpoint answered one.
@@ -49,6 +51,12 @@
     /// How long an endpoint is ejected after it refused a call, unless no other is left.
     const REFUSAL_EJECTION_TIME: Millis = Millis::new(100);
 
+    /// The shortest and the longest time without calls after an endpoint refused one because its
+    /// server is cold. The longest one bounds the time in which a server that is warm again gets no
+    /// calls.
+    const MIN_COLD_DELAY: Micros = Micros::new(50_000);
+    const MAX_COLD_DELAY: Micros = Micros::new(1_000_000);
+
     /// Records that a call was sent to the endpoint.
     pub fn record_sent(&mut self) {
         self.in_flight += 1;
@@ -115,6 +123,18 @@
         self.ejected_until = self.ejected_until.max(now + Self::REFUSAL_EJECTION_TIME);
     }
 
+    /// Records that the endpoint refused a call because its server is cold, and when it may admit
+    /// the next one.
+    pub fn record_cold_refusal(&mut self, now: Instant, retry_after: Micros) {
+        let retry_after = retry_after.clamp(Self::MIN_COLD_DELAY, Self::MAX_COLD_DELAY);
+        self.cold_until = self.cold_until.max(now + retry_after);
+    }
+
+    /// Returns the time until the endpoint may admit further calls though its server is cold.
+    pub fn cold_retry_after(&self, now: Instant) -> Micros {
+        self.cold_until.since(now)
+    }
+
     /// Returns whether the endpoint is ejected at `now`.
     pub fn is_ejected(&self, now: Instant) -> bool {
         now < self.ejected_until
--- a/crates/core/src/fleet/fleet_change.rs
+++ b/crates/core/src/fleet/fleet_change.rs
@@ -6,9 +6,9 @@
     AnnouncementOutcome, KeySpace, RolloutOutcome, StoreFailure, StoreRole, UnknownKind,
     VersionFault,
 };
-use crate::ids::{BackendId, ConfigVersion, NodeId, ServiceName, VersionName};
-use crate::store::StoreEra;
-use crate::units::Micros;
+use crate::ids::{BackendId, ConfigVersion, DataCentre, NodeId, ServiceName, VersionName};
+use crate::store::{StoreEra, StorePosition};
+use crate::units::{Micros, Millis};
 
 /// A change of a node's state.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -48,6 +48,33 @@
     },
     /// The backend server beside the node sent no announcement in time and counts as gone.
     BackendExpired,
+    /// The backend server beside the node became cold or may have restarted, or is warm again. Only
+    /// reported if the calls of a cold server are limited.
+    BackendCold {
+        /// The id of the server.
+        id: BackendId,
+        /// Whether the server counts as cold.
+        is_cold: bool,
+    },
+    /// A backend server announced that it is cold for longer than a day, which counts as a day.
+    ColdTimeTooLong(BackendId, Millis),
+    /// The evacuation of a data centre was ordered or withdrawn.
+    Evacuation {
+        /// The data centre whose backend servers get no calls, or get calls again.
+        data_centre: DataCentre,
+        /// Whether the evacuation was ordered.
+        is_ordered: bool,
+        /// The position of the store at which the node knows of it.
+        position: StorePosition,
+        /// The path by which the node learned of it: `store` or `node`.
+        source: &'static str,
+    },
+    /// An evacuation order can't be followed, because too many data centres are evacuated.
+    EvacuationsTooMany(DataCentre),
+    /// An evacuation order names a data centre in which no known node is.
+    EvacuationWithoutNodes(DataCentre),
+    /// All calls have been moved away from the data centre of the node, or may come again.
+    Evacuated(bool),
     /// Another node appeared or changed its state.
     Peer {
         /// The id of the other node.
@@ -106,6 +133,12 @@
             Self::ItemUnreadable(_) => "item_unreadable",
             Self::Backend { .. } => "backend",
             Self::BackendExpired => "backend_expired",
+            Self::BackendCold { .. } => "backend_cold",
+            Self::ColdTimeTooLong(..) => "cold_time_too_long",
+            Self::Evacuation { .. } => "evacuation",
+            Self::EvacuationsTooMany(_) => "evacuations_too_many",
+            Self::EvacuationWithoutNodes(_) => "evacuation_without_nodes",
+            Self::Evacuated(_) => "evacuated",
             Self::Peer { .. } => "peer",
             Self::Store { .. } => "store",
             Self::StoreRole(_) => "store_role",
@@ -129,6 +162,20 @@
             Self::ConfigRefused(problem) | Self::ItemUnreadable(problem) => f.write_str(problem),
             Self::Backend { id, notice, outcome } => write!(f, "{id} {notice}: {outcome:?}"),
             Self::BackendExpired => f.write_str("no announcement in time"),
+            Self::BackendCold { id, is_cold: true } => write!(f, "{id} is cold or was restarted"),
+            Self::BackendCold { id, .. } => write!(f, "{id} is warm"),
+            Self::ColdTimeTooLong(id, cold) => write!(f, "{id} is cold for {cold}"),
+            Self::Evacuation { data_centre, is_ordered, position, source } => {
+                let state = if *is_ordered { "ordered" } else { "withdrawn" };
+                let StorePosition { era, revision } = position;
+                write!(f, "{data_centre} {state} at {revision} of era {era} from {source}")
+            }
+            Self::EvacuationsTooMany(data_centre) => {
+                write!(f, "{data_centre} is not evacuated: too many orders")
+            }
+            Self::EvacuationWithoutNodes(data_centre) => write!(f, "no node is in {data_centre}"),
+            Self::Evacuated(true) => f.write_str("the node refuses calls"),
+            Self::Evacuated(false) => f.write_str("the node takes calls"),
             Self::Peer { node, is_leaving, backend } => {
                 let state = if *is_leaving { "leaving" } else { "alive" };
                 write!(f, "{node} {state}")?;
--- a/crates/core/src/fleet/fleet_control.rs
+++ b/crates/core/src/fleet/fleet_control.rs
@@ -14,11 +14,11 @@
 use super::relays::Relays;
 use super::store_contact::StoreContact;
 use crate::fleet::{
-    ConfigText, Departure, FleetAction, FleetChange, FleetEvent, FleetIdentity, KeySpace,
-    LastUpdates, NodeKey, PeerDirectory, Registration, Rollout, StoreRequest, StoreRole,
+    ConfigText, Departure, Evacuations, FleetAction, FleetChange, FleetEvent, FleetIdentity,
+    KeySpace, LastUpdates, NodeKey, PeerDirectory, Registration, Rollout, StoreRequest, StoreRole,
     StoreWatcher,
 };
-use crate::ids::{ConfigVersion, ServiceName};
+use crate::ids::{BackendId, ConfigVersion, ServiceName};
 use crate::store::StoreEra;
 use crate::units::{Instant, Millis, UnixMillis};
 
@@ -34,6 +34,9 @@
     pub(super) registration: Registration,
     pub(super) peers: PeerDirectory,
     pub(super) rollouts: BTreeMap<ServiceName, Rollout>,
+    pub(super) evacuations: Evacuations,
+    /// Whether the data centre of this node was evacuated, as last published.
+    pub(super) is_evacuated: bool,
     pub(super) lease: NodeEntryLease,
     pub(super) operator_watcher: StoreWatcher,
     pub(super) nodes_watcher: StoreWatcher,
@@ -81,6 +84,8 @@
     /// Since when another node has a newer configuration.
     pub(super) behind_since: Option<Instant>,
     pub(super) config_fetches: ConfigFetches,
+    /// The backend server that was reported as cold.
+    pub(super) reported_cold: Option<BackendId>,
     /// Whether the node was ready and knew the departures from before its start, as last published.
     pub(super) readiness: (bool, bool),
 }
@@ -104,6 +109,8 @@
             config: None,
             registration: Registration::default(),
             rollouts: BTreeMap::new(),
+            evacuations: Evacuations::default(),
+            is_evacuated: false,
             lease,
             operator_watcher: StoreWatcher::new(KeySpace::Operator),
             nodes_watcher: StoreWatcher::new(KeySpace::Nodes),
@@ -132,6 +139,7 @@
             has_new_departures: false,
             behind_since: None,
             config_fetches: ConfigFetches::default(),
+            reported_cold: None,
             readiness: (false, false),
         }
     }
@@ -171,11 +179,13 @@
                     rollout.record_failure(now, version, route);
                 });
             }
+            FleetEvent::BackendDoubted(at) => self.handle_doubt(now, at),
             FleetEvent::StopRequested => {
                 self.is_leaving = true;
                 self.mark_changed();
             }
         }
+        self.report_warmth();
         self.drive_rollouts(now, wall);
         self.send_due_requests(now, rng);
         self.fetch_newer_config(now, rng);
@@ -209,6 +219,11 @@
         self.config.as_ref()
     }
 
+    /// Returns the evacuation orders that the node knows.
+    pub const fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
     /// Returns when the parts of the state were last updated.
     pub fn last_updates(&self) -> LastUpdates {
         LastUpdates {
@@ -231,6 +246,7 @@
             }
             self.mark_changed();
         }
+        self.tick_evacuations(now);
         self.are_peers_changed |= self.peers.take_changed();
         let readiness = (self.is_ready(now), self.knows_departures(now));
         if readiness != self.readiness {
--- a/crates/core/src/fleet/fleet_event.rs
+++ b/crates/core/src/fleet/fleet_event.rs
@@ -4,7 +4,7 @@
 
 use crate::fleet::{Announcement, ConfigText, Heartbeat, RouteKey, StoreResponse};
 use crate::ids::BackendId;
-use crate::units::{Micros, UnixMillis};
+use crate::units::{Instant, Micros, UnixMillis};
 
 /// An event that the control state handles.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -39,6 +39,9 @@
     Answered(RouteKey, Micros),
     /// A call of a route to the backend server beside the node failed.
     Failed(RouteKey),
+    /// The backend server beside the node refused or reset a connection at this time, so it may
+    /// have restarted.
+    BackendDoubted(Instant),
     /// The node was told to stop.
     StopRequested,
 }
--- a/crates/core/src/fleet/fleet_view.rs
+++ b/crates/core/src/fleet/fleet_view.rs
@@ -3,7 +3,9 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use crate::fleet::{BackendStatus, MeshConfig, ServiceEndpoints};
+use crate::fleet::{
+    BackendStatus, BackendWarmth, ColdRule, MeshConfig, ServiceEndpoints, TrafficRamp,
+};
 use crate::ids::{DataCentre, NodeId, ServiceName};
 
 /// A snapshot of a node's state by which calls are handled. Each call reads one snapshot.
@@ -21,6 +23,12 @@
     pub services: HashMap<ServiceName, ServiceEndpoints>,
     /// The backend server beside this node; `None` while none takes calls.
     pub backend: Option<BackendStatus>,
+    /// What is known of the warmth of that server; `None` without one.
+    pub warmth: Option<BackendWarmth>,
+    /// Whether the calls of that server are limited while it is cold.
+    pub cold_rule: ColdRule,
+    /// The share of its calls that the data centre of this node may take.
+    pub ramp: TrafficRamp,
     /// Whether this node is about to stop.
     pub is_leaving: bool,
     /// The number of nodes that share the retry budget, this one included.
--- a/crates/core/src/fleet/heartbeat.rs
+++ b/crates/core/src/fleet/heartbeat.rs
@@ -1,6 +1,8 @@
 //! The message that nodes send each other.
 
-use crate::fleet::{BackendStatus, Confirmation, Departure, NodeDigest, NodeEntry, RolloutReport};
+use crate::fleet::{
+    BackendStatus, Confirmation, Departure, EvacuationDigest, NodeDigest, NodeEntry, RolloutReport,
+};
 use crate::ids::{ConfigVersion, Incarnation};
 
 /// The message that a node sends to others, at intervals and after each change.
@@ -27,6 +29,8 @@
     pub departures: Vec<Departure>,
     /// The state of the rollouts that the sender knows.
     pub rollouts: Vec<RolloutReport>,
+    /// The evacuation orders and withdrawals that the sender knows; `None` if there were none.
+    pub evacuations: Option<Box<EvacuationDigest>>,
     /// The last proof that the operator's keys are known completely; `None` if the sender knows of
     /// none.
     pub confirmation: Option<Confirmation>,
--- a/crates/core/src/fleet/heartbeats.rs
+++ b/crates/core/src/fleet/heartbeats.rs
@@ -179,6 +179,7 @@
             backend: content.backend,
             departures: Vec::new(),
             rollouts: self.rollouts.values().map(|rollout| rollout.report(now)).collect(),
+            evacuations: self.evacuations.digest().map(Box::new),
             confirmation: self.freshness.confirmation(now),
             digest: None,
         }
--- a/crates/core/src/fleet/load_balancer.rs
+++ b/crates/core/src/fleet/load_balancer.rs
@@ -4,10 +4,11 @@
 
 use rand::Rng;
 
-use crate::fleet::{Endpoint, EndpointLoad, MeshRoute, ServiceEndpoints, VersionRule};
+use crate::RefusalReason;
+use crate::fleet::{ColdChoice, Endpoint, EndpointLoad, MeshRoute, ServiceEndpoints, VersionRule};
 use crate::ids::{DataCentre, NodeId, RouteName, ServiceName};
 use crate::store::StorePosition;
-use crate::units::{ByteCount, Instant, Micros};
+use crate::units::{ByteCount, Instant, Micros, PerMille};
 
 /// Chooses the endpoint of each call by the load and failures that this node observed.
 ///
@@ -62,6 +63,9 @@
     /// One in this many idempotent calls goes to an endpoint that was never called, if there is
     /// one: the speed of a new server is known only from calls.
     const CALLS_PER_EXPLORATION: u32 = 16;
+    /// The time after which a call may be tried again that no endpoint may take: about the time in
+    /// which an evacuation can end, or a cold server admits further calls.
+    const RETRY_AFTER: Micros = Micros::new(1_000_000);
     /// The weight of the newest call in the mean size of a route's calls.
     const NEWEST_SIZE_WEIGHT: f64 = 0.1;
 
@@ -124,17 +128,18 @@
         endpoints: &'a ServiceEndpoints,
         rng: &mut impl Rng,
     ) -> Option<&'a Endpoint> {
+        let limits = &CallLimits::draw(self, now, call, endpoints, rng);
         if call.to_new
             && let Some(burst) = canary_burst(now, endpoints)
-            && let Some(endpoint) = canary_endpoint(endpoints, burst)
+            && let Some(endpoint) = canary_endpoint(now, endpoints, burst)
             && !call.tried_nodes.contains(&endpoint.node)
+            && limits.allow(endpoint, call.to_new)
         {
             return Some(endpoint);
         }
         let allowed = |to_new: bool| {
             let may_take = move |endpoint: &&Endpoint| {
-                !call.tried_nodes.contains(&endpoint.node)
-                    && endpoints.rule.allows(&endpoint.version, to_new)
+                !call.tried_nodes.contains(&endpoint.node) && limits.allow(endpoint, to_new)
             };
             endpoints.endpoints.iter().filter(may_take)
         };
@@ -147,12 +152,70 @@
         }
         let is_shift = matches!(endpoints.rule, VersionRule::Shift(_));
         let preferred = self.cheapest(now, call, allowed(call.to_new), rng);
-        preferred.or_else(|| {
+        let preferred = preferred.or_else(|| {
             let has_substitute = is_shift && call.to_new;
             has_substitute.then(|| self.cheapest(now, call, allowed(false), rng)).flatten()
+        });
+        preferred.or_else(|| {
+            // The endpoint's own node decides about calls that have no other endpoint.
+            let last_resort = |to_new| {
+                self.open_endpoints(now, call, endpoints, to_new)
+                    .filter(|endpoint| !self.has_refused_as_cold(now, endpoint))
+            };
+            let preferred = self.cheapest(now, call, last_resort(call.to_new), rng);
+            preferred.or_else(|| self.cheapest(now, call, last_resort(false), rng))
+        })
+    }
+
+    /// Returns why no endpoint may take `call`, and after which time to try again.
+    pub fn refusal(
+        &self,
+        now: Instant,
+        call: &LoadBalancerContext<'_>,
+        endpoints: &ServiceEndpoints,
+    ) -> Option<(RefusalReason, Micros)> {
+        let mut open = self.open_endpoints(now, call, endpoints, call.to_new).peekable();
+        if open.peek().is_some() {
+            let retry = open.map(|endpoint| self.cold_retry_after(now, endpoint)).min();
+            return Some((RefusalReason::ColdServer, retry.unwrap_or(Self::RETRY_AFTER)));
+        }
+        let is_evacuated = |endpoint: &Endpoint| endpoint.ramp.is_closed(now);
+        let is_refused = endpoints.endpoints.iter().any(is_evacuated);
+        is_refused.then_some((RefusalReason::Evacuated, Self::RETRY_AFTER))
+    }
+
+    /// Returns the endpoints that were not tried and may take a part of the calls like `call`.
+    fn open_endpoints<'a>(
+        &self,
+        now: Instant,
+        call: &LoadBalancerContext<'_>,
+        endpoints: &'a ServiceEndpoints,
+        to_new: bool,
+    ) -> impl Iterator<Item = &'a Endpoint> {
+        let tried_nodes = call.tried_nodes;
+        endpoints.endpoints.iter().filter(move |endpoint| {
+            !tried_nodes.contains(&endpoint.node)
+                && endpoints.policy(now, to_new).share(endpoint) > PerMille::ZERO
         })
     }
 
+    fn has_refused_as_cold(&self, now: Instant, endpoint: &Endpoint) -> bool {
+        endpoint.cold_rate.is_some() && self.cold_retry_after(now, endpoint).get() > 0
+    }
+
+    fn cold_retry_after(&self, now: Instant, endpoint: &Endpoint) -> Micros {
+        let load = self.loads.get(&endpoint.node);
+        load.map_or(Micros::default(), |load| load.cold_retry_after(now))
+    }
+
+    /// Returns the rate of calls like `call`, per second, that `endpoint` takes while it is warm.
+    fn warm_rate(&self, call: &LoadBalancerContext<'_>, endpoint: &Endpoint) -> f64 {
+        let target = Micros::from(call.route.target_latency).get() as f64;
+        let mean = self.loads.get(&endpoint.node).and_then(EndpointLoad::mean);
+        let mean = mean.map_or(Self::DEFAULT_RUN_TIME_FRACTION * target, |mean| mean.get() as f64);
+        f64::from(endpoint.slots.max(1)) * 1e6 / mean.max(1.0)
+    }
+
     /// Returns the expected latency of a call of `route` at `endpoint`, and the number of calls
     /// that run or wait ahead of it.
     pub fn estimate(&self, now: Instant, route: &MeshRoute, endpoint: &Endpoint) -> (Micros, u32) {
@@ -272,6 +335,57 @@
     pub tried_nodes: &'a [NodeId],
 }
 
+/// Which endpoints a call may go to, by the version rule of its service, evacuations and cold limits.
+/// Shares below the whole are drawn once for each call.
+#[derive(Debug)]
+struct CallLimits<'a> {
+    now: Instant,
+    endpoints: &'a ServiceEndpoints,
+    /// Endpoints whose share is above this may take the call.
+    ramp_draw: u16,
+    /// The cold endpoint that may take the call.
+    cold_node: Option<&'a NodeId>,
+}
+
+impl<'a> CallLimits<'a> {
+    /// Draws no numbers if no endpoint is limited.
+    fn draw(
+        load_balancer: &LoadBalancer,
+        now: Instant,
+        call: &LoadBalancerContext<'_>,
+        endpoints: &'a ServiceEndpoints,
+        rng: &mut impl Rng,
+    ) -> Self {
+        let all = &endpoints.endpoints;
+        let is_limited = |endpoint: &Endpoint| endpoint.ramp.share(now) < PerMille::MAX;
+        let ramp_draw =
+            if all.iter().any(is_limited) { rng.random_range(0..PerMille::MAX.get()) } else { 0 };
+        let mut limits = Self { now, endpoints, ramp_draw, cold_node: None };
+        if all.iter().any(|endpoint| endpoint.cold_rate.is_some()) {
+            let mut cold = ColdChoice::default();
+            let may_take = |endpoint: &&Endpoint| {
+                limits.is_open(endpoint, call.to_new)
+                    && !load_balancer.has_refused_as_cold(now, endpoint)
+            };
+            for endpoint in all.iter().filter(may_take) {
+                cold.add(endpoint, load_balancer.warm_rate(call, endpoint));
+            }
+            limits.cold_node = cold.drawn(rng.random());
+        }
+        limits
+    }
+
+    fn allow(&self, endpoint: &Endpoint, to_new: bool) -> bool {
+        let is_drawn = endpoint.cold_rate.is_none() || self.cold_node == Some(&endpoint.node);
+        is_drawn && self.is_open(endpoint, to_new)
+    }
+
+    /// Returns whether `endpoint` may take the call if it is warm.
+    fn is_open(&self, endpoint: &Endpoint, to_new: bool) -> bool {
+        self.endpoints.policy(self.now, to_new).share(endpoint).get() > self.ramp_draw
+    }
+}
+
 fn canary_burst(now: Instant, endpoints: &ServiceEndpoints) -> Option<u64> {
     match &endpoints.rule {
         VersionRule::Shift(shift) => shift.burst(now),
@@ -280,9 +394,12 @@
 }
 
 /// Returns the endpoint that takes all calls of a canary burst. Every node chooses the same one.
-fn canary_endpoint(endpoints: &ServiceEndpoints, burst: u64) -> Option<&Endpoint> {
+fn canary_endpoint(now: Instant, endpoints: &ServiceEndpoints, burst: u64) -> Option<&Endpoint> {
     let VersionRule::Shift(shift) = &endpoints.rule else { return None };
-    let is_new = |endpoint: &&Endpoint| endpoint.version == shift.target && !endpoint.is_silent;
+    let is_new = |endpoint: &&Endpoint| {
+        let share = endpoints.policy(now, true).share(endpoint);
+        endpoint.version == shift.target && !endpoint.is_silent && share > PerMille::ZERO
+    };
     let mut new: Vec<&Endpoint> = endpoints.endpoints.iter().filter(is_new).collect();
     new.sort_by(|a, b| a.node.cmp(&b.node));
     let count = u64::try_from(new.len()).ok().filter(|count| *count > 0)?;
--- a/crates/core/src/fleet/node_events.rs
+++ b/crates/core/src/fleet/node_events.rs
@@ -50,6 +50,7 @@
         let confirmation = heartbeat.confirmation.take();
         let rollouts = heartbeat.rollouts.clone();
         let departures = std::mem::take(&mut heartbeat.departures);
+        let evacuations = heartbeat.evacuations.take();
         let config_version = heartbeat.config_version;
         let is_newcomer = self.peers.is_newcomer(&heartbeat);
         if is_newcomer {
@@ -64,6 +65,9 @@
         for report in rollouts {
             self.handle_rollout_report(now, &report);
         }
+        for notice in evacuations.iter().flat_map(|digest| &digest.notices) {
+            self.record_peer_evacuation(now, notice);
+        }
         if let Some(confirmation) = confirmation {
             self.confirm_by_peer(now, config_version, confirmation);
         }
--- a/crates/core/src/fleet/registration.rs
+++ b/crates/core/src/fleet/registration.rs
@@ -1,6 +1,8 @@
 //! The registration of the backend server beside a node.
 
-use crate::fleet::{AnnouncedState, Announcement, BackendStatus, Departure, Departures};
+use crate::fleet::{
+    AnnouncedState, Announcement, BackendStatus, BackendWarmth, ColdLimiter, Departure, Departures,
+};
 use crate::ids::BackendId;
 use crate::units::{Instant, Millis, UnixMillis};
 
@@ -36,12 +38,16 @@
     sequence: u64,
     last_seen: Instant,
     cold_until: Instant,
+    /// Since when the server may have restarted without an announcement.
+    doubted_at: Option<Instant>,
 }
 
 impl Registration {
     /// A server without announcements for this long counts as gone: three missed heartbeats and
     /// their usual delay.
     pub const ANNOUNCEMENT_TIMEOUT: Millis = Millis::new(6_000);
+    /// The longest time for which a server can announce that it is cold.
+    pub const MAX_COLD_TIME: Millis = Millis::new(24 * 3_600_000);
     /// How far ahead of the time of day a start may lie. Covers a clock that was set back since.
     const MAX_START_LEAD: Millis = Millis::new(24 * 3_600_000);
 
@@ -64,19 +70,24 @@
             let (id, started_at) = (announcement.id.clone(), Some(announcement.started_at));
             return self.depart(now, &Departure { id, started_at });
         }
+        let cold = announcement.cold.min(Self::MAX_COLD_TIME);
+        // The former process of a server that has just restarted may have sent the announcement.
+        let doubted_at = self.current.as_ref().and_then(|current| current.doubted_at);
+        let doubted_at = doubted_at.filter(|at| now < *at + ColdLimiter::SETTLE_TIME);
         let status = BackendStatus {
             id: announcement.id.clone(),
             started_at: announcement.started_at,
             service: announcement.service.clone(),
             version: announcement.version.clone(),
             slots: announcement.slots,
-            is_cold: announcement.cold.get() > 0,
+            is_cold: cold.get() > 0 || doubted_at.is_some(),
         };
         let current = RegisteredBackend {
             status,
             sequence: announcement.sequence,
             last_seen: now,
-            cold_until: now + announcement.cold,
+            cold_until: now + cold,
+            doubted_at,
         };
         let is_changed = self.current.as_ref().is_none_or(|old| old.status != current.status);
         self.current = Some(current);
@@ -128,13 +139,30 @@
             self.current = None;
             return true;
         }
-        if current.status.is_cold && current.cold_until <= now {
+        let is_doubted = current.doubted_at.is_some();
+        if current.status.is_cold && !is_doubted && current.cold_until <= now {
             current.status.is_cold = false;
             return true;
         }
         false
     }
 
+    /// Records that the server may have restarted at `at` without an announcement. It counts as cold
+    /// until the next one.
+    pub fn doubt(&mut self, at: Instant) {
+        let Some(current) = &mut self.current else { return };
+        if current.last_seen < at + ColdLimiter::SETTLE_TIME {
+            current.doubted_at = current.doubted_at.max(Some(at));
+            current.status.is_cold = true;
+        }
+    }
+
+    /// Returns what is known of the registered server's warmth; `None` if none takes calls.
+    pub fn warmth(&self) -> Option<BackendWarmth> {
+        let current = self.current.as_ref()?;
+        Some(BackendWarmth { is_cold: current.status.is_cold, announced_at: current.last_seen })
+    }
+
     /// Returns the registered server; `None` if none takes calls.
     pub fn backend(&self) -> Option<&BackendStatus> {
         self.current.as_ref().map(|current| &current.status)
--- a/crates/core/src/fleet/relays.rs
+++ b/crates/core/src/fleet/relays.rs
@@ -178,6 +178,7 @@
         backend: heartbeat.backend.clone(),
         departures: Vec::new(),
         rollouts: Vec::new(),
+        evacuations: None,
         confirmation: None,
         digest: None,
         ..*heartbeat
--- a/crates/core/src/fleet/service_endpoints.rs
+++ b/crates/core/src/fleet/service_endpoints.rs
@@ -2,9 +2,9 @@
 
 use std::net::SocketAddr;
 
-use crate::fleet::VersionRule;
+use crate::fleet::{TrafficPolicy, TrafficRamp, VersionRule};
 use crate::ids::{BackendId, DataCentre, NodeId, VersionName};
-use crate::units::Instant;
+use crate::units::{CallRate, Instant};
 
 /// The endpoints of a service and the versions that may take calls.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -33,11 +33,21 @@
     pub slots: u32,
     /// Whether the backend server still runs slowly after its start.
     pub is_cold: bool,
+    /// The rate of calls that the backend server bears now because it is cold; `None` if it is warm
+    /// or its service has no limit.
+    pub cold_rate: Option<CallRate>,
+    /// The share of its calls that the endpoint may take by the evacuation of its data centre.
+    pub ramp: TrafficRamp,
     /// Whether the endpoint's node sent no heartbeat recently.
     pub is_silent: bool,
 }
 
 impl ServiceEndpoints {
+    /// Returns the policy for calls at `now` that go to the new version of a rollout or not.
+    pub const fn policy(&self, now: Instant, to_new: bool) -> TrafficPolicy<'_> {
+        TrafficPolicy { now, rule: &self.rule, to_new }
+    }
+
     /// Returns whether a rollout sends all calls to its new version at `now`.
     pub fn is_full_shift(&self, now: Instant) -> bool {
         matches!(&self.rule, VersionRule::Shift(shift) if shift.is_full(now))
--- a/crates/core/src/fleet/store_events.rs
+++ b/crates/core/src/fleet/store_events.rs
@@ -74,7 +74,11 @@
                 None
             }
             (Some(era), Some(known)) if era < known => Some(Err(StoreFailure::Outdated)),
-            (Some(era), _) => {
+            (Some(era), known) => {
+                if known.is_none() {
+                    self.operator_watcher.begin_era(era);
+                    self.nodes_watcher.begin_era(era);
+                }
                 self.store_era = Some(era);
                 Some(response.reply)
             }
@@ -201,6 +205,9 @@
                     self.lease.entry_removed(now);
                 }
             }
+            ItemChange::Removed(StoreKey::Evacuation(data_centre), revision) => {
+                self.record_store_evacuation(now, data_centre, revision, false);
+            }
             ItemChange::Removed(..) => {}
         }
     }
@@ -219,6 +226,11 @@
                 self.report(FleetChange::ConfigRefused(problem.to_string()));
             }
             StoredValue::Order(order) => self.record_order(now, order),
+            StoredValue::Evacuation => {
+                if let StoreKey::Evacuation(data_centre) = key {
+                    self.record_store_evacuation(now, data_centre.clone(), revision, true);
+                }
+            }
             StoredValue::Progress(progress) => self.record_progress(now, wall, &progress, revision),
             StoredValue::Node(entry) => {
                 if let Some(departure) = &entry.departed {
--- a/crates/core/src/fleet/store_key.rs
+++ b/crates/core/src/fleet/store_key.rs
@@ -7,7 +7,8 @@
 /// A part of the store's keys that a node watches as a whole.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum KeySpace {
-    /// The keys that the operator writes: the configuration and the orders of rollouts.
+    /// The keys that the operator writes: the configuration, and the orders of rollouts and
+    /// evacuations.
     Operator,
     /// The keys that the nodes write: their entries and the progress of rollouts.
     Nodes,
--- a/crates/core/src/fleet/store_watcher.rs
+++ b/crates/core/src/fleet/store_watcher.rs
@@ -27,6 +27,8 @@
     next_request_at: Instant,
     failures_in_a_row: u32,
     is_listed: bool,
+    /// The position at which the key space was last listed; `None` before.
+    listed_at: Option<StorePosition>,
     /// Whether the key space was listed since the last restoration of the store, and nothing has
     /// shown that it has changed without a report.
     is_current: bool,
@@ -77,6 +79,7 @@
             next_request_at: Instant::new(0),
             failures_in_a_row: 0,
             is_listed: false,
+            listed_at: None,
             is_current: false,
             watch_time: Some(Self::WATCH_TIME),
         }
@@ -101,6 +104,24 @@
         self.watch_time = watch_time;
     }
 
+    /// Sets the era of the store at its first answer.
+    pub const fn begin_era(&mut self, era: StoreEra) {
+        self.era = era;
+    }
+
+    /// Records that the item `key` at `position` is known from another node, so that a listing
+    /// without it is reported as its removal.
+    pub fn add_known(&mut self, key: StoreKey, position: StorePosition) {
+        let known = self.known.entry(key).or_insert(position);
+        *known = position.max(*known);
+    }
+
+    /// Returns whether the item `key` at `position` has been removed, because a later listing did
+    /// not contain it.
+    pub fn is_removed(&self, key: &StoreKey, position: StorePosition) -> bool {
+        self.listed_at.is_some_and(|listed| position <= listed) && !self.known.contains_key(key)
+    }
+
     /// Lists the key space again, because the store was restored and is now in `era`.
     pub fn restart(&mut self, now: Instant, era: StoreEra) {
         self.era = era;
@@ -211,6 +232,7 @@
         let listed = std::mem::take(listed);
         self.state = State::Watching(as_of);
         self.is_listed = true;
+        self.listed_at = Some(StorePosition::new(self.era, as_of));
         self.is_current = true;
         WatchUpdate { changes: self.diff(listed, as_of), is_listed: true }
     }
@@ -241,6 +263,11 @@
                 self.known.insert(key.clone(), position);
                 true
             }
+            // Other nodes may have told of the item, and of the keys up to a later position.
+            ItemChange::Removed(StoreKey::Evacuation(_), _) => {
+                self.known.remove(key);
+                true
+            }
             ItemChange::Removed(..) => self.known.remove(key).is_some(),
         }
     }
--- a/crates/core/src/fleet/stored_value.rs
+++ b/crates/core/src/fleet/stored_value.rs
@@ -11,6 +11,8 @@
     Config(Result<ConfigText, ConfigProblem>),
     /// An order to move a service to a version.
     Order(RolloutOrder),
+    /// An order to evacuate the data centre that the key names.
+    Evacuation,
     /// The progress of a rollout.
     Progress(RolloutProgress),
     /// The entry by which other nodes find a node.
--- a/crates/core/tests/fleet_common/mod.rs
+++ b/crates/core/tests/fleet_common/mod.rs
@@ -11,7 +11,7 @@
 use almondsail_core::fleet::{
     AnnouncedState, Announcement, BackendStatus, CallRank, CallRequirements, ConfigText,
     Destination, Endpoint, FleetEvent, FleetIdentity, Heartbeat, MeshConfigBuilder, MeshRoute,
-    NodeEntry, ServiceSettings,
+    NodeEntry, ServiceSettings, TrafficRamp,
 };
 use almondsail_core::ids::{ConfigVersion, Incarnation};
 use almondsail_core::units::{Instant, Millis, UnixMillis};
@@ -118,6 +118,7 @@
         backend: None,
         departures: Vec::new(),
         rollouts: Vec::new(),
+        evacuations: None,
         confirmation: None,
         digest: None,
     }
@@ -133,6 +134,8 @@
         version: version.parse().unwrap(),
         slots: 12,
         is_cold: false,
+        cold_rate: None,
+        ramp: TrafficRamp::OPEN,
         is_silent: false,
     }
 }
--- a/crates/core/tests/fleet_common/simulated_fleet.rs
+++ b/crates/core/tests/fleet_common/simulated_fleet.rs
@@ -121,6 +121,7 @@
     StoreReply(usize, u64, Result<StoreReply, StoreFailure>),
     WatchEnd(usize, u64),
     ConfigPut(u64),
+    EvacuationPut(&'static str, bool),
 }
 
 impl SimulatedFleet {
@@ -220,6 +221,26 @@
         self.schedule(time, Event::ConfigPut(version));
     }
 
+    /// Writes or removes the order to evacuate `data_centre` in the store at `time`.
+    pub fn put_evacuation_at(
+        &mut self,
+        time: Instant,
+        data_centre: &'static str,
+        is_ordered: bool,
+    ) {
+        self.schedule(time, Event::EvacuationPut(data_centre, is_ordered));
+    }
+
+    /// Returns the nodes that know other orders to evacuate `data_centre` than `is_ordered` says.
+    pub fn nodes_without(&self, data_centre: &str, is_ordered: bool) -> Vec<usize> {
+        let data_centre = data_centre.parse().unwrap();
+        let is_wrong = |node: &SimulatedNode| {
+            node.control.evacuations().is_ordered(&data_centre) != is_ordered
+        };
+        let nodes = self.nodes.iter().enumerate();
+        nodes.filter(|(_, node)| !node.is_dead && is_wrong(node)).map(|(node, _)| node).collect()
+    }
+
     /// Runs until `end`. Calls `check` every 100 ms with the versions of the nodes.
     pub fn run(&mut self, end: Instant, mut check: impl FnMut(Instant, &[u64])) {
         let mut next_check = self.now;
@@ -274,6 +295,10 @@
                     self.schedule_delayed(Event::StoreReply(node, id, Ok(reply)));
                 }
             }
+            Event::EvacuationPut(data_centre, is_ordered) => {
+                self.store.put_evacuation(data_centre, is_ordered);
+                self.deliver_changes();
+            }
             Event::ConfigPut(version) => {
                 self.store.put_config(version);
                 self.deliver_changes();
--- a/crates/core/tests/fleet_common/simulated_store.rs
+++ b/crates/core/tests/fleet_common/simulated_store.rs
@@ -95,6 +95,19 @@
         self.put(config_item(version, self.revision));
     }
 
+    /// Writes or removes the order to evacuate `data_centre`.
+    pub fn put_evacuation(&mut self, data_centre: &str, is_ordered: bool) {
+        self.revision += 1;
+        let revision = Revision::new(self.revision);
+        let key = StoreKey::Evacuation(data_centre.parse().unwrap());
+        if is_ordered {
+            self.put(StoreItem { key, revision, value: StoredValue::Evacuation });
+        } else {
+            self.items.remove(&key);
+            self.history.push(ItemChange::Removed(key, revision));
+        }
+    }
+
     /// Returns the watches that have changes now, with their replies. A reply that falls into a
     /// silence is lost with its watch.
     pub fn due_watches(&mut self, now: Instant, rng: &mut SmallRng) -> Vec<(Receiver, StoreReply)> {
@@ -127,7 +140,7 @@
     fn changes(&self, space: KeySpace, after: u64) -> Option<StoreReply> {
         let is_due = |change: &&ItemChange| match change {
             ItemChange::Put(item) => space_of(&item.key) == space && item.revision.get() > after,
-            ItemChange::Removed(..) => false,
+            ItemChange::Removed(key, revision) => space_of(key) == space && revision.get() > after,
         };
         let changes: Vec<ItemChange> = self.history.iter().filter(is_due).cloned().collect();
         let as_of = Revision::new(self.revision);
--- a/crates/node/src/calls/client_connection.rs
+++ b/crates/node/src/calls/client_connection.rs
@@ -72,6 +72,13 @@
     TimedOut,
 }
 
+impl ExchangeError {
+    /// Returns whether the next hop did not take the connection, or closed or reset it.
+    pub(crate) const fn ends_connection(&self) -> bool {
+        matches!(self, Self::NotSent | Self::Broken)
+    }
+}
+
 /// The state of a connection after an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum AfterAnswer {
--- a/crates/node/src/calls/connection_pool.rs
+++ b/crates/node/src/calls/connection_pool.rs
@@ -1,6 +1,7 @@
 //! Pools of idle connections to a next hop.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
@@ -26,6 +27,8 @@
     user_timeout: Duration,
     /// At most `limits.max_idle` connections. The lock is held only to push, pop or expire them.
     idle: Mutex<Vec<ClientConnection>>,
+    /// Whether the next hop has closed an idle connection before its idle timeout.
+    has_lost: AtomicBool,
 }
 
 /// Limits on the connections of a pool.
@@ -42,7 +45,14 @@
 impl ConnectionPool {
     pub(crate) const fn new(addr: SocketAddr, limits: PoolLimits) -> Self {
         let (id_header, user_timeout) = (None, socket::USER_TIMEOUT);
-        Self { addr, limits, id_header, user_timeout, idle: Mutex::new(Vec::new()) }
+        Self {
+            addr,
+            limits,
+            id_header,
+            user_timeout,
+            idle: Mutex::new(Vec::new()),
+            has_lost: AtomicBool::new(false),
+        }
     }
 
     /// Recognises answers to earlier requests by the value of `header`, which an answer has from its
@@ -64,10 +74,13 @@
     fn take_idle(&self) -> Option<ClientConnection> {
         loop {
             let mut connection = self.lock().pop()?;
-            if connection.last_used.elapsed() < self.limits.idle_timeout && connection.is_reusable()
-            {
+            if connection.last_used.elapsed() >= self.limits.idle_timeout {
+                continue;
+            }
+            if connection.is_reusable() {
                 return Some(connection);
             }
+            self.has_lost.store(true, Ordering::Relaxed);
         }
     }
 
@@ -82,7 +95,7 @@
             match connection.send(request(), self.id_header.as_ref(), until).await {
                 Ok(response) => return Ok((response, connection)),
                 // The next hop closed the idle connection; a new one may work.
-                Err(ExchangeError::NotSent) => {}
+                Err(ExchangeError::NotSent) => self.has_lost.store(true, Ordering::Relaxed),
                 Err(error) => return Err(error),
             }
         }
@@ -95,6 +108,12 @@
         Ok((response, connection))
     }
 
+    /// Returns whether the next hop has closed an idle connection before its idle timeout since the
+    /// last call.
+    pub(crate) fn take_lost(&self) -> bool {
+        self.has_lost.swap(false, Ordering::Relaxed)
+    }
+
     /// Returns a connection to the pool.
     pub(crate) fn release(&self, mut connection: ClientConnection) {
         connection.last_used = Instant::now();
--- a/crates/node/src/fleet/caller_handler.rs
+++ b/crates/node/src/fleet/caller_handler.rs
@@ -175,9 +175,12 @@
     let mut attempts = Attempts::new(route.idempotent, route.max_attempts);
     let mut last: Option<Result<Response<Bytes>, CallFailure>> = None;
     loop {
-        let Some(choice) = choose_endpoint(traffic, route, call, &attempts) else {
-            let none = CallFailure::refused(RefusalReason::NoBackend, NO_ENDPOINT_RETRY_AFTER);
-            return last.unwrap_or(Err(none)).map_err(|failure| final_failure(failure, &attempts));
+        let choice = match choose_endpoint(traffic, route, call, &attempts) {
+            Ok(choice) => choice,
+            Err(none) => {
+                let failed = last.unwrap_or(Err(none));
+                return failed.map_err(|failure| final_failure(failure, &attempts));
+            }
         };
         call.backend = choice.endpoint.backend.clone();
         attempts.tried_nodes.push(choice.endpoint.node.clone());
@@ -267,7 +270,7 @@
     call: &ForwardedCall,
     attempts: &mut Attempts,
 ) -> Option<EndpointChoice> {
-    let choice = choose_endpoint(traffic, route, call, attempts)?;
+    let choice = choose_endpoint(traffic, route, call, attempts).ok()?;
     let is_worthwhile = !choice.endpoint.is_silent
         && hedge.is_worthwhile(waited, choice.expected, choice.calls_ahead, choice.endpoint.slots);
     let now = traffic.clock.now();
@@ -284,15 +287,18 @@
     CallFailure { verdict: attempts.verdict(last.verdict), ..last }
 }
 
+/// Chooses the endpoint for the next attempt of `call`. Fails with the reason for which no endpoint
+/// may take it.
 fn choose_endpoint(
     traffic: &FleetTraffic,
     route: &MeshRoute,
     call: &ForwardedCall,
     attempts: &Attempts,
-) -> Option<EndpointChoice> {
+) -> Result<EndpointChoice, CallFailure> {
     let now = traffic.clock.now();
     let view = traffic.view.load();
-    let endpoints = view.services.get(&call.service)?;
+    let no_backend = CallFailure::refused(RefusalReason::NoBackend, NO_ENDPOINT_RETRY_AFTER);
+    let endpoints = view.services.get(&call.service).ok_or(no_backend)?;
     let mut load_balancer = traffic.load_balancer();
     let is_first = attempts.tried_nodes.is_empty();
     let to_new = match is_first {
@@ -307,11 +313,15 @@
         to_new,
         tried_nodes: &attempts.tried_nodes,
     };
-    let endpoint = load_balancer.choose(now, &context, endpoints, &mut rand::rng())?;
+    let Some(endpoint) = load_balancer.choose(now, &context, endpoints, &mut rand::rng()) else {
+        let refusal = load_balancer.refusal(now, &context, endpoints);
+        let refused = |(reason, retry_after)| CallFailure::refused(reason, retry_after);
+        return Err(refusal.map_or(no_backend, refused));
+    };
     let (expected, calls_ahead) = load_balancer.estimate(now, route, endpoint);
     let load_age = load_balancer.report_age(now, &endpoint.node);
     let is_judged = endpoints.is_judged(endpoint);
-    Some(EndpointChoice {
+    Ok(EndpointChoice {
         endpoint: endpoint.clone(),
         calls_ahead,
         load_age,
@@ -348,7 +358,12 @@
         Ok(_) => load.record_answer(),
         Err(failure) => match failure.verdict {
             Verdict::NotSent => load.record_unreachable(now),
-            Verdict::RefusedUnrun => load.record_refusal(now),
+            Verdict::RefusedUnrun => {
+                load.record_refusal(now);
+                if failure.reason == RefusalReason::ColdServer {
+                    load.record_cold_refusal(now, failure.retry_after);
+                }
+            }
             Verdict::MayHaveRun => load.record_failure(now),
         },
     }
--- a/crates/node/src/fleet/inbound.rs
+++ b/crates/node/src/fleet/inbound.rs
@@ -21,6 +21,9 @@
 
 /// Retry delay for refusals for which no wait can be estimated.
 const DEFAULT_RETRY_AFTER: Micros = Micros::new(200_000);
+/// Retry delay for calls to a data centre that is evacuated: about the time in which a short
+/// evacuation ends.
+const EVACUATED_RETRY_AFTER: Micros = Micros::new(1_000_000);
 
 /// Runs `call` at the backend server beside this node and logs its result. Returns the result, and
 /// the load to report to the node that forwarded the call.
@@ -55,10 +58,10 @@
     call: &ForwardedCall,
     requirements: CallRequirements,
 ) -> Result<(Response<Bytes>, Micros), CallFailure> {
-    check_backend(&traffic.view.load(), call)?;
-    let slot = traffic.queue.acquire(requirements).await?;
+    check_backend(&traffic.view.load(), traffic.clock.now(), call)?;
+    let slot = traffic.queue.acquire(requirements).await.map_err(with_evacuated_delay)?;
     // The backend server may have left or been replaced while the call waited.
-    check_backend(&traffic.view.load(), call)?;
+    check_backend(&traffic.view.load(), traffic.clock.now(), call)?;
     let result = exchange(traffic, call, slot).await;
     let view = traffic.view.load();
     if view.wants_evidence {
@@ -69,8 +72,9 @@
     result
 }
 
-/// Checks that the node is not leaving and that its backend server is the one that `call` asks for.
-fn check_backend(view: &FleetView, call: &ForwardedCall) -> Result<(), CallFailure> {
+/// Checks at `now` that the node is not leaving, that its backend server is the one that `call` asks
+/// for, and that its data centre is not evacuated.
+fn check_backend(view: &FleetView, now: Instant, call: &ForwardedCall) -> Result<(), CallFailure> {
     let refuse = |reason| Err(CallFailure::refused(reason, DEFAULT_RETRY_AFTER));
     if view.is_leaving {
         return refuse(RefusalReason::Leaving);
@@ -79,9 +83,20 @@
     if backend.id != call.backend || backend.service != call.service {
         return refuse(RefusalReason::BackendDown);
     }
+    if view.ramp.is_closed(now) {
+        return refuse(RefusalReason::Evacuated).map_err(with_evacuated_delay);
+    }
     Ok(())
 }
 
+/// Sets the retry delay of a call that was refused because of an evacuation.
+fn with_evacuated_delay(failure: CallFailure) -> CallFailure {
+    match failure.reason {
+        RefusalReason::Evacuated => CallFailure { retry_after: EVACUATED_RETRY_AFTER, ..failure },
+        _ => failure,
+    }
+}
+
 async fn exchange(
     traffic: &Arc<FleetTraffic>,
     call: &ForwardedCall,
@@ -93,8 +108,16 @@
     let sent = pool.send(|| call.backend_request(clock.now()), until).await;
     let (response, connection) = match sent {
         Ok(sent) => sent,
-        Err(error) => return Err(CallFailure::from_exchange(&error, RefusalReason::BackendDown)),
+        Err(error) => {
+            if error.ends_connection() && clock.now() < call.deadline {
+                traffic.doubt_backend();
+            }
+            return Err(CallFailure::from_exchange(&error, RefusalReason::BackendDown));
+        }
     };
+    if pool.take_lost() {
+        traffic.doubt_backend();
+    }
     let (status, headers) = (response.status(), response.headers());
     let kind = platform_calls::classify_response(status, headers, call.attempt_id());
     let failure = match kind {
@@ -102,6 +125,7 @@
             let answer =
                 whole_answer::read(response, connection, pool, until, &traffic.answer_budget).await;
             let Ok(mut response) = answer else {
+                traffic.doubt_backend();
                 return Err(CallFailure::may_have_run(RefusalReason::BrokenExchange));
             };
             call_headers::remove_connection_headers(response.headers_mut());
--- a/crates/node/src/fleet/servers.rs
+++ b/crates/node/src/fleet/servers.rs
@@ -179,7 +179,8 @@
     }
 }
 
-/// Applies each published view to `traffic` and closes idle connections periodically.
+/// Applies each published view to `traffic`. Periodically closes idle connections, and repeats a doubt
+/// about the backend server that the control loop did not learn of.
 async fn apply_views(traffic: Arc<FleetTraffic>, mut view_changed_rx: watch::Receiver<()>) {
     let mut idle_check = tokio::time::interval(IDLE_CHECK_INTERVAL);
     loop {
@@ -191,7 +192,10 @@
                 let view = traffic.view.load_full();
                 traffic.apply_view(&view);
             }
-            _ = idle_check.tick() => traffic.close_idle_connections(),
+            _ = idle_check.tick() => {
+                traffic.close_idle_connections();
+                traffic.repeat_doubt();
+            }
         }
     }
 }
--- a/crates/node/src/fleet/slot_queue.rs
+++ b/crates/node/src/fleet/slot_queue.rs
@@ -4,8 +4,11 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use almondsail_core::RefusalReason;
-use almondsail_core::fleet::{Admission, CallQueue, CallRequirements, QueueTicket, QueueWakeup};
+use almondsail_core::fleet::{
+    Admission, CallQueue, CallRequirements, FleetView, QueueTicket, QueueWakeup,
+};
 use almondsail_core::units::{Instant, Micros};
+use tokio::runtime::Handle;
 use tokio::sync::oneshot;
 
 use crate::clock::Clock;
@@ -27,6 +30,8 @@
     /// Channels that wake the waiting calls, with the same tickets as in `queue`. A call gets
     /// `None` for a slot, or the reason of its refusal and the time after which to retry.
     waiters: HashMap<QueueTicket, oneshot::Sender<Option<(RefusalReason, Micros)>>>,
+    /// When a task wakes the calls that a cold server then admits; `None` if none is pending.
+    wakes_at: Option<Instant>,
 }
 
 impl SlotQueue {
@@ -49,6 +54,7 @@
                 Admission::Wait(ticket) => {
                     let (tx, rx) = oneshot::channel();
                     state.waiters.insert(ticket, tx);
+                    self.schedule_wakeup(&mut state);
                     Some((ticket, rx))
                 }
             }
@@ -59,11 +65,58 @@
         Ok(QueueSlot::new(Arc::clone(self), requirements, self.clock.now()))
     }
 
-    /// Sets the number of calls that may run at a time, and wakes calls that got a new slot.
-    pub(crate) fn set_slots(&self, slots: u32) {
+    /// Sets the number of calls that may run at a time and the limit on the calls of a cold server,
+    /// and wakes calls that now run or are refused.
+    pub(crate) fn apply_view(self: &Arc<Self>, view: &FleetView) {
+        let now = self.clock.now();
+        let slots = view.backend.as_ref().map_or(0, |backend| backend.slots);
+        let mut state = self.lock();
+        let mut wakeups = state.queue.set_cold(now, view.cold_rule, view.warmth);
+        wakeups.extend(state.queue.set_slots(now, slots));
+        state.wake(wakeups);
+        self.schedule_wakeup(&mut state);
+    }
+
+    /// Lets the backend server count as cold until its next announcement, because it may have
+    /// restarted. Returns whether this limits its calls.
+    pub(crate) fn doubt_server(self: &Arc<Self>) -> bool {
         let mut state = self.lock();
-        let wakeups = state.queue.set_slots(self.clock.now(), slots);
+        let (is_limited, wakeups) = state.queue.doubt_server(self.clock.now());
         state.wake(wakeups);
+        self.schedule_wakeup(&mut state);
+        is_limited
+    }
+
+    /// Returns since when the backend server may have restarted without an announcement, if its
+    /// calls are limited.
+    pub(crate) fn doubted_at(&self) -> Option<Instant> {
+        self.lock().queue.doubted_at()
+    }
+
+    /// Wakes the next waiting call when a cold server admits it.
+    fn schedule_wakeup(self: &Arc<Self>, state: &mut State) {
+        let now = self.clock.now();
+        let Some(wait) = state.queue.next_cold_admission(now) else { return };
+        let at = now + wait;
+        if state.wakes_at.is_some_and(|wakes_at| wakes_at <= at) {
+            return;
+        }
+        // The last calls may end with the runtime.
+        let Ok(runtime) = Handle::try_current() else { return };
+        state.wakes_at = Some(at);
+        let queue = Arc::clone(self);
+        runtime.spawn(async move {
+            tokio::time::sleep_until(queue.clock.to_tokio_instant(at)).await;
+            queue.wake_due();
+        });
+    }
+
+    fn wake_due(self: &Arc<Self>) {
+        let mut state = self.lock();
+        state.wakes_at = None;
+        let wakeups = state.queue.admit_waiting(self.clock.now());
+        state.wake(wakeups);
+        self.schedule_wakeup(&mut state);
     }
 
     /// Refuses all waiting calls with `reason`.
@@ -88,7 +141,7 @@
     /// Frees the slot of a call that began at `started`, and wakes the next call. The run time
     /// counts towards the mean only if the call has completed.
     pub(crate) fn free(
-        &self,
+        self: &Arc<Self>,
         requirements: &CallRequirements,
         started: Instant,
         has_completed: bool,
@@ -98,6 +151,7 @@
         let mut state = self.lock();
         let wakeups = state.queue.end(now, requirements, took);
         state.wake(wakeups);
+        self.schedule_wakeup(&mut state);
     }
 
     async fn wait(
@@ -140,6 +194,7 @@
         if let Ok(None) = self.rx.try_recv() {
             let wakeups = state.queue.end(self.queue.clock.now(), self.requirements, None);
             state.wake(wakeups);
+            self.queue.schedule_wakeup(&mut state);
         }
     }
 }
--- a/crates/node/src/fleet/traffic.rs
+++ b/crates/node/src/fleet/traffic.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use almondsail_core::RefusalReason;
 use almondsail_core::fleet::{FleetEvent, FleetView, LoadBalancer, RetryShare};
 use almondsail_core::ids::{NodeId, RouteName, ServiceName};
 use almondsail_core::traffic::{AnswerBudget, BodyBudget};
@@ -183,13 +184,15 @@
         Arc::clone(pool.or_insert_with(|| Arc::new(ConnectionPool::new(address, limits))))
     }
 
-    /// Adapts slots, retry budget and connection pools to a newly published view. Queued calls are
-    /// refused when the backend server is gone or the node is leaving.
+    /// Adapts slots, the limit on a cold server, retry budget and connection pools to a newly
+    /// published view. Queued calls are refused when the backend server is gone, the node is leaving
+    /// or its data centre is evacuated.
     pub(crate) fn apply_view(&self, view: &FleetView) {
-        let backend = view.backend.as_ref();
-        self.queue.set_slots(backend.map_or(0, |backend| backend.slots));
-        if backend.is_none() || view.is_leaving {
-            self.queue.refuse_all(almondsail_core::RefusalReason::Leaving);
+        self.queue.apply_view(view);
+        if view.backend.is_none() || view.is_leaving {
+            self.queue.refuse_all(RefusalReason::Leaving);
+        } else if view.ramp.is_closed(self.clock.now()) {
+            self.queue.refuse_all(RefusalReason::Evacuated);
         }
         self.retry_budget().set_nodes(view.nodes);
         let is_known = |address: &SocketAddr| {
@@ -201,6 +204,22 @@
         self.lock_endpoint_pools().retain(|address, _| is_known(address));
     }
 
+    /// Lets the backend server count as cold until its next announcement, because it refused or
+    /// closed a connection and may have restarted.
+    pub(crate) fn doubt_backend(&self) {
+        if self.queue.doubt_server() {
+            self.send_evidence(FleetEvent::BackendDoubted(self.clock.now()));
+        }
+    }
+
+    /// Tells the control loop again that the backend server may have restarted, in case it did not
+    /// learn of it.
+    pub(crate) fn repeat_doubt(&self) {
+        if let Some(at) = self.queue.doubted_at() {
+            self.send_evidence(FleetEvent::BackendDoubted(at));
+        }
+    }
+
     /// Closes the connections whose idle timeout has passed.
     pub(crate) fn close_idle_connections(&self) {
         self.backend_pool.close_idle();
--- a/crates/testkit/tests/fleet_config_transfers.rs
+++ b/crates/testkit/tests/fleet_config_transfers.rs
@@ -106,6 +106,7 @@
         backend: None,
         departures: Vec::new(),
         rollouts: Vec::new(),
+        evacuations: None,
         confirmation: None,
         digest: None,
     }
--- a/crates/wire/src/convert/fleet.rs
+++ b/crates/wire/src/convert/fleet.rs
@@ -1,9 +1,9 @@
 //! Conversions of heartbeats between fleet nodes and of the values that they keep in the store.
 
 use almondsail_core::fleet::{
-    BackendStatus, Confirmation, Departure, Heartbeat, LatestHeartbeat, NodeDigest, NodeEntry,
-    NodeKey, RolloutEvidence, RolloutProgress, RolloutReport, RouteEvidence, RouteKey,
-    VersionEvidence,
+    BackendStatus, Confirmation, Departure, EvacuationDigest, EvacuationNotice, Evacuations,
+    Heartbeat, LatestHeartbeat, NodeDigest, NodeEntry, NodeKey, RolloutEvidence, RolloutProgress,
+    RolloutReport, RouteEvidence, RouteKey, VersionEvidence,
 };
 use almondsail_core::ids::{ConfigVersion, Incarnation};
 use almondsail_core::store::{Revision, StoreEra, StorePosition};
@@ -207,6 +207,31 @@
     }
 }
 
+impl From<&EvacuationNotice> for wire::Evacuation {
+    fn from(notice: &EvacuationNotice) -> Self {
+        Self {
+            data_centre: notice.data_centre.to_string(),
+            is_ordered: notice.is_ordered,
+            revision: notice.position.revision.get(),
+            era: notice.position.era.get(),
+        }
+    }
+}
+
+impl TryFrom<wire::Evacuation> for EvacuationNotice {
+    type Error = FieldError;
+
+    fn try_from(w: wire::Evacuation) -> Result<Self, FieldError> {
+        let era = StoreEra::new(counter("evacuation.era", w.era)?);
+        let revision = Revision::new(counter("evacuation.revision", w.revision)?);
+        Ok(Self {
+            data_centre: parse("data_centre", &w.data_centre)?,
+            is_ordered: w.is_ordered,
+            position: StorePosition::new(era, revision),
+        })
+    }
+}
+
 impl From<&Heartbeat> for wire::Heartbeat {
     fn from(heartbeat: &Heartbeat) -> Self {
         Self {
@@ -221,6 +246,10 @@
             departures: to_wire(&heartbeat.departures),
             digest: heartbeat.digest.as_deref().map(Into::into),
             revision: heartbeat.revision,
+            evacuations: heartbeat
+                .evacuations
+                .as_deref()
+                .map_or_else(Vec::new, |digest| to_wire(&digest.notices)),
             confirmation: heartbeat.confirmation.as_ref().map(Into::into),
         }
     }
@@ -242,11 +271,22 @@
             departures: convert_each("departures", w.departures)?,
             digest: w.digest.map(TryInto::try_into).transpose()?.map(Box::new),
             revision: revision(w.revision, w.sequence)?,
+            evacuations: evacuations(w.evacuations)?,
             confirmation: w.confirmation.map(TryInto::try_into).transpose()?,
         })
     }
 }
 
+/// Converts the evacuation orders and withdrawals of a heartbeat, which may be too many to be those of
+/// a proper node.
+fn evacuations(w: Vec<wire::Evacuation>) -> Result<Option<Box<EvacuationDigest>>, FieldError> {
+    if w.len() > Evacuations::MAX_KNOWN {
+        return Err(FieldError::new("evacuations", format_args!("{} entries", w.len())));
+    }
+    let notices: Vec<EvacuationNotice> = convert_each("evacuations", w)?;
+    Ok((!notices.is_empty()).then(|| Box::new(EvacuationDigest { notices })))
+}
+
 /// Converts the revision of the heartbeat `sequence`.
 fn revision(w: u64, sequence: u64) -> Result<u64, FieldError> {
     if w <= sequence {
--- a/crates/wire/tests/fleet.rs
+++ b/crates/wire/tests/fleet.rs
@@ -39,6 +39,7 @@
         backend: None,
         departures: Vec::new(),
         rollouts: vec![report],
+        evacuations: None,
         confirmation: None,
         digest: None,
     }
--- a/crates/wire/tests/fleet_odd_messages.rs
+++ b/crates/wire/tests/fleet_odd_messages.rs
@@ -38,6 +38,7 @@
         backend: None,
         departures: Vec::new(),
         rollouts: Vec::new(),
+        evacuations: None,
         confirmation: None,
         digest: None,
     };
