--- a/crates/core/examples/balance_experiment.rs
+++ b/crates/core/examples/balance_experiment.rs
@@ -11,7 +11,7 @@
 
 use almondsail_core::fleet::{
     Admission, CallQueue, CallRank, CallRequirements, Destination, Endpoint, LoadBalancer,
-    LoadBalancerContext, MeshRoute, QueueTicket, ServiceEndpoints, VersionRule,
+    LoadBalancerContext, MeshRoute, QueueTicket, ServiceEndpoints, TrafficRamp, VersionRule,
 };
 use almondsail_core::ids::NodeId;
 use almondsail_core::units::{ByteCount, Instant, Micros, Millis, Percent};
@@ -214,6 +214,8 @@
             slots: SLOTS,
             is_cold: false,
             is_silent: false,
+            cold_rate: None,
+            ramp: TrafficRamp::OPEN,
         };
         let endpoints = (0..count).map(endpoint).collect();
         let balancer =
--- a/crates/core/src/fleet/call_queue.rs
+++ b/crates/core/src/fleet/call_queue.rs
@@ -4,7 +4,10 @@
 use crate::fleet::server_slots::ServerSlots;
 use crate::fleet::target_queue::TargetQueue;
 use crate::fleet::value_queue::ValueQueue;
-use crate::fleet::{Admission, CallRequirements, CallValue, QueuePolicy, QueueTicket, QueueWakeup};
+use crate::fleet::{
+    Admission, BackendWarmth, CallRequirements, CallValue, ColdLimiter, ColdRule, QueuePolicy,
+    QueueTicket, QueueWakeup,
+};
 use crate::units::{Instant, Micros, Percent};
 
 /// Queues calls for one backend server, which runs no more calls at a time than it has slots.
@@ -13,6 +16,8 @@
 #[derive(Debug, Default)]
 pub struct CallQueue {
     server: ServerSlots,
+    /// Limits the calls while the server is cold.
+    cold: ColdLimiter,
     next_ticket: u64,
     waiting: Waiting,
 }
@@ -88,13 +93,16 @@
         if let Waiting::ByValue(queue) = &mut self.waiting {
             queue.record_arrival(now, &self.server, &requirements);
         }
-        if self.server.has_free() && self.waiting.len() == 0 {
+        if self.server.has_free() && self.waiting.len() == 0 && self.cold.try_admit(now) {
             if let Waiting::ByValue(queue) = &mut self.waiting {
                 queue.record_start(now, &self.server, &requirements);
             }
             self.server.running += 1;
             return Admission::Run;
         }
+        if let Some(refused) = self.refused_for_cold(now, &requirements) {
+            return refused;
+        }
         let ticket = QueueTicket::new(self.next_ticket);
         self.next_ticket += 1;
         match &mut self.waiting {
@@ -103,6 +111,43 @@
         }
     }
 
+    /// Updates the limit on the calls of a cold server and what is known of the server's warmth.
+    /// Returns the waiting calls that now run or are refused.
+    pub fn set_cold(
+        &mut self,
+        now: Instant,
+        rule: ColdRule,
+        warmth: Option<BackendWarmth>,
+    ) -> Vec<QueueWakeup> {
+        self.cold.update(now, rule, warmth);
+        self.fill_slots(now)
+    }
+
+    /// Records that the server may have restarted at `now`. Returns whether this limits its calls,
+    /// and the waiting calls that are refused.
+    pub fn doubt_server(&mut self, now: Instant) -> (bool, Vec<QueueWakeup>) {
+        (self.cold.doubt(now), self.fill_slots(now))
+    }
+
+    /// Returns since when the server may have restarted without an announcement, if its calls are
+    /// limited.
+    pub fn doubted_at(&self) -> Option<Instant> {
+        self.cold.doubted_at()
+    }
+
+    /// Gives the calls to waiting calls that a cold server admits by now.
+    pub fn admit_waiting(&mut self, now: Instant) -> Vec<QueueWakeup> {
+        self.fill_slots(now)
+    }
+
+    /// Returns the time until a cold server admits the first waiting call; `None` if no call waits
+    /// for that.
+    pub fn next_cold_admission(&self, now: Instant) -> Option<Micros> {
+        let waits_for_cold =
+            self.waiting.len() > 0 && self.server.has_free() && self.cold.is_limiting();
+        waits_for_cold.then(|| self.cold.wait(now, 0)).flatten()
+    }
+
     /// Returns the waiting calls that were refused in favour of calls admitted since the last time.
     pub fn take_displaced(&mut self) -> Vec<QueueWakeup> {
         match &mut self.waiting {
@@ -148,12 +193,8 @@
     /// Returns the number of running calls and of waiting calls that run before a call like
     /// `requirements`.
     pub fn calls_ahead(&self, requirements: &CallRequirements) -> u32 {
-        let next_ticket = QueueTicket::new(self.next_ticket);
-        let waiting = match &self.waiting {
-            Waiting::ByTarget(queue) => queue.calls_ahead(requirements, next_ticket),
-            Waiting::ByValue(queue) => queue.calls_ahead(&self.server, requirements, next_ticket),
-        };
-        self.server.running + u32::try_from(waiting).unwrap_or(u32::MAX)
+        let waiting = u32::try_from(self.waiting_ahead(requirements)).unwrap_or(u32::MAX);
+        self.server.running.saturating_add(waiting)
     }
 
     /// Returns the server's current service time relative to its usual one; `None` if it does not
@@ -189,10 +230,13 @@
     /// Gives free slots to waiting calls and refuses those that are not worth their place.
     fn fill_slots(&mut self, now: Instant) -> Vec<QueueWakeup> {
         self.server.refresh(now);
-        let mut wakeups = Vec::new();
-        while self.server.has_free() {
+        let mut wakeups = self.refuse_late_for_cold(now);
+        while self.server.has_free() && self.cold.wait(now, 0) == Some(Micros::new(0)) {
             let Some(wakeup) = self.waiting.pop(now, &self.server) else { break };
-            self.server.running += u32::from(wakeup.refused.is_none());
+            if wakeup.refused.is_none() {
+                self.cold.try_admit(now);
+                self.server.running += 1;
+            }
             wakeups.push(wakeup);
         }
         if let Waiting::ByValue(queue) = &mut self.waiting {
@@ -201,9 +245,75 @@
         }
         wakeups
     }
+
+    /// Refuses a call on arrival that a cold server admits too late for its target, unless no other
+    /// call waits: one waiting call takes the next turn.
+    fn refused_for_cold(&self, now: Instant, requirements: &CallRequirements) -> Option<Admission> {
+        if !self.cold.is_limiting() {
+            return None;
+        }
+        let ahead = self.waiting_ahead(requirements);
+        let wait = self.cold_wait(now, ahead);
+        let answered = now + wait + self.server.expected_run_time(&requirements.route);
+        let latest = if ahead == 0 { requirements.deadline } else { requirements.target };
+        (answered > latest).then(|| Admission::Refused {
+            reason: RefusalReason::ColdServer,
+            retry_after: self.cold_wait(now, self.waiting.len()),
+        })
+    }
+
+    /// Refuses the waiting calls that a cold server admits too late for their deadlines.
+    fn refuse_late_for_cold(&mut self, now: Instant) -> Vec<QueueWakeup> {
+        if !self.cold.is_limiting() {
+            return Vec::new();
+        }
+        let mut late = Vec::new();
+        for (place, (ticket, requirements)) in
+            self.waiting.in_order(now, &self.server).into_iter().enumerate()
+        {
+            let start = now + self.cold_wait(now, place - late.len());
+            let run_time = self.server.expected_run_time(&requirements.route);
+            if start + Micros::new(run_time.get() / 2) > requirements.deadline {
+                late.push(ticket);
+            }
+        }
+        let retry_after = self.cold_wait(now, self.waiting.len() - late.len());
+        let refused = Some((RefusalReason::ColdServer, retry_after));
+        for ticket in &late {
+            self.cancel(*ticket);
+        }
+        late.into_iter().map(|ticket| QueueWakeup { ticket, refused }).collect()
+    }
+
+    /// Returns how long a call with `ahead` others before it waits because the server is cold. While
+    /// the limit is not known, a call may wait in vain until its deadline.
+    fn cold_wait(&self, now: Instant, ahead: usize) -> Micros {
+        self.cold.wait(now, ahead).unwrap_or_default()
+    }
+
+    /// Returns the number of waiting calls that run before a new call with `requirements`.
+    fn waiting_ahead(&self, requirements: &CallRequirements) -> usize {
+        let next_ticket = QueueTicket::new(self.next_ticket);
+        match &self.waiting {
+            Waiting::ByTarget(queue) => queue.calls_ahead(requirements, next_ticket),
+            Waiting::ByValue(queue) => queue.calls_ahead(&self.server, requirements, next_ticket),
+        }
+    }
 }
 
 impl Waiting {
+    /// Returns the waiting calls in the order in which they run.
+    fn in_order(
+        &self,
+        now: Instant,
+        server: &ServerSlots,
+    ) -> Vec<(QueueTicket, &CallRequirements)> {
+        match self {
+            Self::ByTarget(queue) => queue.in_order(),
+            Self::ByValue(queue) => queue.in_order(now, server),
+        }
+    }
+
     fn len(&self) -> usize {
         match self {
             Self::ByTarget(queue) => queue.len(),
--- a/crates/core/src/fleet/target_queue.rs
+++ b/crates/core/src/fleet/target_queue.rs
@@ -133,6 +133,12 @@
         Some(QueueWakeup { ticket: position.ticket, refused })
     }
 
+    /// Returns the waiting calls in the order in which they run.
+    pub(super) fn in_order(&self) -> Vec<(QueueTicket, &CallRequirements)> {
+        let waiting = self.waiting.iter();
+        waiting.map(|(position, call)| (position.ticket, &call.requirements)).collect()
+    }
+
     /// Returns the number of waiting calls that run before a new call with `requirements`.
     pub(super) fn calls_ahead(
         &self,
--- a/crates/core/src/fleet/value_queue.rs
+++ b/crates/core/src/fleet/value_queue.rs
@@ -172,6 +172,16 @@
         self.displace(now, server, &refusals);
     }
 
+    /// Returns the waiting calls in the order in which they are expected to run.
+    pub(super) fn in_order(
+        &self,
+        now: Instant,
+        server: &ServerSlots,
+    ) -> Vec<(QueueTicket, &CallRequirements)> {
+        let plan = self.plan(now, server, None).into_iter();
+        plan.map(|PlannedCall { call, .. }| (call.ticket, &call.requirements)).collect()
+    }
+
     /// Returns the number of waiting calls that run before a new call with `requirements`.
     pub(super) fn calls_ahead(
         &self,
--- a/crates/node/src/fleet/inbound.rs
+++ b/crates/node/src/fleet/inbound.rs
@@ -24,6 +24,9 @@
 
 /// Retry delay for refusals for which no wait can be estimated.
 const DEFAULT_RETRY_AFTER: Micros = Micros::new(200_000);
+/// Retry delay for calls to a data centre that is evacuated: about the time in which a short
+/// evacuation ends.
+const EVACUATED_RETRY_AFTER: Micros = Micros::new(1_000_000);
 
 /// Runs `call` at the backend server beside this node and logs its result. Returns the result, and
 /// the load to report to the node that forwarded the call.
@@ -64,10 +67,11 @@
     call: &ForwardedCall,
     requirements: CallRequirements,
 ) -> Result<(Response<Bytes>, Micros), CallFailure> {
-    check_backend(&traffic.view.load(), call)?;
-    let slot = traffic.queue.acquire(requirements, is_large_body(call.body.len())).await?;
+    check_backend(&traffic.view.load(), traffic.clock.now(), call)?;
+    let is_large = is_large_body(call.body.len());
+    let slot = traffic.queue.acquire(requirements, is_large).await.map_err(with_evacuated_delay)?;
     // The backend server may have left or been replaced while the call waited.
-    if let Err(failure) = check_backend(&traffic.view.load(), call) {
+    if let Err(failure) = check_backend(&traffic.view.load(), traffic.clock.now(), call) {
         slot.release();
         return Err(failure);
     }
@@ -81,8 +85,9 @@
     result
 }
 
-/// Checks that the node is not leaving and that its backend server is the one that `call` asks for.
-fn check_backend(view: &FleetView, call: &ForwardedCall) -> Result<(), CallFailure> {
+/// Checks at `now` that the node is not leaving, that its backend server is the one that `call` asks
+/// for, and that its data centre is not evacuated.
+fn check_backend(view: &FleetView, now: Instant, call: &ForwardedCall) -> Result<(), CallFailure> {
     let refuse = |reason| Err(CallFailure::refused(reason, DEFAULT_RETRY_AFTER));
     if view.is_leaving {
         return refuse(RefusalReason::Leaving);
@@ -91,9 +96,20 @@
     if backend.id != call.backend || backend.service != call.service {
         return refuse(RefusalReason::BackendDown);
     }
+    if view.ramp.is_closed(now) {
+        return refuse(RefusalReason::Evacuated).map_err(with_evacuated_delay);
+    }
     Ok(())
 }
 
+/// Sets the retry delay of a call that was refused because of an evacuation.
+fn with_evacuated_delay(failure: CallFailure) -> CallFailure {
+    match failure.reason {
+        RefusalReason::Evacuated => CallFailure { retry_after: EVACUATED_RETRY_AFTER, ..failure },
+        _ => failure,
+    }
+}
+
 async fn exchange(
     traffic: &Arc<FleetTraffic>,
     call: &ForwardedCall,
@@ -120,9 +136,15 @@
             if matches!(error, ExchangeError::NotSent | ExchangeError::Broken) {
                 slot.release();
             }
+            if error.ends_connection() && clock.now() < call.deadline {
+                traffic.doubt_backend();
+            }
             return Err(CallFailure::from_exchange(&error, RefusalReason::BackendDown));
         }
     };
+    if pool.take_lost() {
+        traffic.doubt_backend();
+    }
     let (status, headers) = (response.status(), response.headers());
     let kind = platform_calls::classify_response(status, headers, call.attempt_id());
     if kind != ResponseKind::Unverified {
@@ -133,6 +155,7 @@
             let answer =
                 whole_answer::read(response, connection, pool, until, &traffic.answer_budget).await;
             let Ok(mut response) = answer else {
+                traffic.doubt_backend();
                 return Err(CallFailure::may_have_run(RefusalReason::BrokenExchange));
             };
             call_headers::remove_connection_headers(response.headers_mut());
