Soak a fleet of processes under faults drawn from seeds

Cause: faults were tested one at a time, and promises that several break together were not. Change: testkit::soak draws a plan from a seed, puts a proxy between each node and the store, sends signals to the processes that it started, and checks each call from what its caller and the servers saw. Workers can be replaced at their address and report runs with server and time; a fleet can start behind proxies.

--- a/crates/testkit/src/harness/process.rs
+++ b/crates/testkit/src/harness/process.rs
@@ -99,6 +99,11 @@
         .await
     }
 
+    /// Returns the status of the process if it has exited by now.
+    pub(super) fn try_exit(&mut self) -> Result<Option<ExitStatus>> {
+        Ok(self.child.try_wait()?)
+    }
+
     /// Returns an error if the process has exited.
     pub(super) fn check_running(&mut self) -> Result<()> {
         let ended = self.child.try_wait()?;
--- a/crates/testkit/src/harness/process_set.rs
+++ b/crates/testkit/src/harness/process_set.rs
@@ -168,6 +168,17 @@
         Ok(status)
     }
 
+    /// Returns the status of a process that has exited by now.
+    pub fn try_exit(&mut self, id: ProcessId) -> Result<Option<ExitStatus>> {
+        let managed = self.managed_mut(id)?;
+        let process = managed.process.as_mut().ok_or_else(|| eyre!("{id} is not running"))?;
+        let status = process.try_exit()?;
+        if status.is_some() {
+            managed.process = None;
+        }
+        Ok(status)
+    }
+
     /// Returns an error with the name of a process that exited unexpectedly, if any.
     pub fn check_running(&mut self) -> Result<()> {
         for ManagedProcess { launch, process } in &mut self.processes {
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod http;
 pub mod mesh;
 pub mod platform;
+pub mod soak;
 pub mod store;
 pub mod traffic;
 
--- a/crates/testkit/src/platform/fleet.rs
+++ b/crates/testkit/src/platform/fleet.rs
@@ -56,6 +56,18 @@
         }
     }
 
+    /// Lets another worker with this id take the place of this one, and announces it periodically.
+    pub fn replace_worker(&mut self, id: &str) {
+        self.stop_announcing();
+        self.worker.replace(id);
+        self.start_announcing();
+    }
+
+    /// Returns the address at which the node accepts announcements.
+    pub const fn announcements(&self) -> SocketAddr {
+        self.announcements
+    }
+
     fn start_announcing(&mut self) {
         self.announcer = Some(self.worker.announce_repeatedly(self.announcements));
     }
@@ -74,12 +86,38 @@
         services: &[&str],
         grace: Duration,
     ) -> Result<Self> {
-        let mut harness = Harness::new()?;
+        let harness = Harness::new()?;
         let store = KvServer::start(harness.any_port()).await?;
+        let address = store.address();
+        Self::start_nodes(harness, store, |_| address, data_centres, services, grace).await
+    }
+
+    /// Starts a fleet like [`Self::start_with_grace`] on a store that runs already. Each node reaches
+    /// it at the address that `store_address` returns for the number of the node.
+    pub async fn start_behind(
+        store: KvServer,
+        store_address: impl Fn(usize) -> SocketAddr,
+        data_centres: &[&str],
+        services: &[&str],
+        grace: Duration,
+    ) -> Result<Self> {
+        Self::start_nodes(Harness::new()?, store, store_address, data_centres, services, grace)
+            .await
+    }
+
+    async fn start_nodes(
+        mut harness: Harness,
+        store: KvServer,
+        store_address: impl Fn(usize) -> SocketAddr,
+        data_centres: &[&str],
+        services: &[&str],
+        grace: Duration,
+    ) -> Result<Self> {
         let mut nodes = Vec::new();
         for data_centre in data_centres {
             for service in services {
-                nodes.push(start_node(&mut harness, &store, data_centre, service, grace).await?);
+                let store = store_address(nodes.len());
+                nodes.push(start_node(&mut harness, store, data_centre, service, grace).await?);
             }
         }
         Ok(Self { store, nodes, harness, raw_nodes: Vec::new() })
@@ -91,7 +129,7 @@
         let worker = RawWorker::start(self.harness.any_port(), options).await?;
         let started = start_process(
             &mut self.harness,
-            &self.store,
+            self.store.address(),
             data_centre,
             service,
             worker.address(),
@@ -235,6 +273,11 @@
         self.harness.stop_reading(self.nodes[node].process)
     }
 
+    /// Returns the status of a node that has exited by now.
+    pub fn try_exit(&mut self, node: usize) -> Result<Option<std::process::ExitStatus>> {
+        self.harness.try_exit(self.nodes[node].process)
+    }
+
     /// Waits for a node to exit and returns its status.
     pub async fn wait_for_exit(&mut self, node: usize) -> Result<std::process::ExitStatus> {
         self.harness.wait_for_exit(self.nodes[node].process).await
@@ -243,7 +286,7 @@
 
 async fn start_node(
     harness: &mut Harness,
-    store: &KvServer,
+    store: SocketAddr,
     data_centre: &str,
     service: &str,
     grace: Duration,
@@ -289,7 +332,7 @@
 /// the node's address for announcements.
 async fn start_process(
     harness: &mut Harness,
-    store: &KvServer,
+    store: SocketAddr,
     data_centre: &str,
     service: &str,
     backend: SocketAddr,
@@ -307,7 +350,7 @@
             "callers": any, "nodes": nodes.to_string(), "ready": any, "metrics": any,
             "announcements": announcements.to_string(),
         },
-        "store": store.address().to_string(),
+        "store": store.to_string(),
         "backend": backend.to_string(),
         "service": service,
         "grace_s": grace.as_secs_f64(),
--- a/crates/testkit/src/platform/worker.rs
+++ b/crates/testkit/src/platform/worker.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use eyre::Result;
 use http::header::{AUTHORIZATION, HeaderMap};
@@ -61,7 +61,6 @@
 
 #[derive(Debug)]
 struct Shared {
-    options: WorkerOptions,
     fault: Mutex<WorkerFault>,
     run_time: Mutex<Duration>,
     /// The requests that were executed or are running, in the order of their start.
@@ -100,6 +99,10 @@
     pub team: String,
     /// Whether the request carries a credential.
     pub has_credential: bool,
+    /// The id that the worker had.
+    pub server: String,
+    /// When the request arrived.
+    pub arrived: Instant,
 }
 
 impl Worker {
@@ -109,19 +112,18 @@
         let address = server.address()?;
         let fault = Mutex::new(WorkerFault::None);
         let shared = Arc::new(Shared {
-            options: options.clone(),
             fault,
             run_time: Mutex::new(options.run_time),
             executed: Mutex::default(),
             running: AtomicUsize::new(0),
         });
         let (stop, stopped) = watch::channel(false);
+        let announcements = WorkerAnnouncements::new(address, options);
         let handler = {
-            let shared = Arc::clone(&shared);
-            move |req| run(Arc::clone(&shared), req)
+            let (shared, announcements) = (Arc::clone(&shared), announcements.clone());
+            move |req| run(Arc::clone(&shared), announcements.clone(), req)
         };
         tokio::spawn(server.serve(handler, stopped));
-        let announcements = WorkerAnnouncements::new(address, options);
         Ok(Self { announcements, shared, _stop: Arc::new(stop) })
     }
 
@@ -145,6 +147,21 @@
         self.shared.executed.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// Returns the requests from the `first`th on, like [`Self::executed_requests`].
+    pub fn executed_since(&self, first: usize) -> Vec<ExecutedRequest> {
+        self.shared.executed.lock().unwrap_or_else(PoisonError::into_inner)[first..].to_vec()
+    }
+
+    /// Returns the id under which the worker announces itself.
+    pub fn id(&self) -> String {
+        self.announcements.id()
+    }
+
+    /// Lets another worker with this id take the place of this one, at the same address.
+    pub fn replace(&self, id: &str) {
+        self.announcements.replace(id);
+    }
+
     /// Returns the number of requests that are running.
     pub fn running_requests(&self) -> usize {
         self.shared.running.load(Ordering::Relaxed)
@@ -171,7 +188,11 @@
     values.collect::<Vec<_>>().join(",")
 }
 
-async fn run(shared: Arc<Shared>, req: Request<Incoming>) -> Handled {
+async fn run(
+    shared: Arc<Shared>,
+    announcements: WorkerAnnouncements,
+    req: Request<Incoming>,
+) -> Handled {
     let header = |name: &str| {
         let value = req.headers().get(name).and_then(|value| value.to_str().ok());
         value.unwrap_or_default().to_owned()
@@ -181,7 +202,8 @@
     let answer = |response: http::response::Builder, body: String| {
         response.body(ReplyBody::complete(body)).map_or(Handled::Close, Handled::Answer)
     };
-    if header("almondsail-expected-instance") != shared.options.id {
+    let server = announcements.id();
+    if header("almondsail-expected-instance") != server {
         return answer(response.status(421), String::new());
     }
     let fault = *shared.fault.lock().unwrap_or_else(PoisonError::into_inner);
@@ -195,6 +217,8 @@
         deadline_ms: header("almondsail-deadline-ms").parse().unwrap_or(0),
         team: all_values(req.headers(), "almondsail-tenant"),
         has_credential: req.headers().contains_key(AUTHORIZATION),
+        server: server.clone(),
+        arrived: Instant::now(),
     };
     shared.executed.lock().unwrap_or_else(PoisonError::into_inner).push(request);
     let _running = RunningRequest::new(&shared);
@@ -205,7 +229,7 @@
     let run_time = *shared.run_time.lock().unwrap_or_else(PoisonError::into_inner);
     tokio::time::sleep(run_time).await;
     let signed = response.header("almondsail-server-signature", format!("signed-{id}"));
-    let text = format!("{} {}", shared.options.id, String::from_utf8_lossy(&body.to_bytes()));
+    let text = format!("{server} {}", String::from_utf8_lossy(&body.to_bytes()));
     match fault {
         WorkerFault::LosesAnswers => Handled::Close,
         WorkerFault::WrongId => {
--- a/crates/testkit/src/platform/worker_announcements.rs
+++ b/crates/testkit/src/platform/worker_announcements.rs
@@ -1,8 +1,8 @@
 //! The announcements that a worker sends to the node beside it.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use eyre::{Result, ensure};
@@ -20,14 +20,39 @@
 pub(super) struct WorkerAnnouncements {
     address: SocketAddr,
     options: WorkerOptions,
-    started_at: u64,
+    identity: Arc<Mutex<Identity>>,
     sequence: Arc<AtomicU64>,
 }
 
+/// The id and the start time of the worker that announces itself at present.
+#[derive(Debug, Clone)]
+struct Identity {
+    id: String,
+    started_at: u64,
+}
+
 impl WorkerAnnouncements {
     /// Creates the announcements of a worker that accepts requests on `address`.
     pub(super) fn new(address: SocketAddr, options: WorkerOptions) -> Self {
-        Self { address, options, started_at: 1_000, sequence: Arc::default() }
+        let identity = Identity { id: options.id.clone(), started_at: 1_000 };
+        let identity = Arc::new(Mutex::new(identity));
+        Self { address, options, identity, sequence: Arc::default() }
+    }
+
+    /// Returns the id of the worker.
+    pub(super) fn id(&self) -> String {
+        self.identity().id
+    }
+
+    /// Lets another worker, with a later start, take the place of this one.
+    pub(super) fn replace(&self, id: &str) {
+        let mut identity = self.identity.lock().unwrap_or_else(PoisonError::into_inner);
+        identity.id = id.to_owned();
+        identity.started_at += 1;
+    }
+
+    fn identity(&self) -> Identity {
+        self.identity.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
     /// Returns the address on which the worker accepts requests.
@@ -38,9 +63,10 @@
     /// Announces the worker with `state` to the node that accepts announcements at `node`.
     pub(super) async fn announce(&self, node: SocketAddr, state: &str) -> Result<()> {
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
+        let identity = self.identity();
         let body = json!({
             "address": self.address.to_string(),
-            "born": self.started_at,
+            "born": identity.started_at,
             "info": {
                 "service": self.options.service,
                 "version": self.options.version,
@@ -49,14 +75,14 @@
             },
             "status": {"state": state, "sequence": sequence, "cold_remaining_ms": 0},
         });
-        let reply = HttpClient::new(node).put(&self.path(), body.to_string()).await?;
+        let reply = HttpClient::new(node).put(&path(&identity.id), body.to_string()).await?;
         ensure!(reply.status == 200, "the announcement got {}", reply.status);
         Ok(())
     }
 
     /// Announces to the node that the worker leaves.
     pub(super) async fn leave(&self, node: SocketAddr) -> Result<()> {
-        let reply = HttpClient::new(node).delete(&self.path()).await?;
+        let reply = HttpClient::new(node).delete(&path(&self.id())).await?;
         ensure!(reply.status == 200, "the notice got {}", reply.status);
         Ok(())
     }
@@ -71,8 +97,8 @@
             }
         })
     }
+}
 
-    fn path(&self) -> String {
-        format!("/almondsail/instances/{}", self.options.id)
-    }
+fn path(id: &str) -> String {
+    format!("/almondsail/instances/{id}")
 }
