--- a/crates/core/benches/fleet.rs
+++ b/crates/core/benches/fleet.rs
@@ -1,17 +1,22 @@
-//! Benchmarks of the control state of a fleet by the number of nodes: time per event, and datagrams
-//! for a change.
+//! Benchmarks of a fleet by the number of nodes: time per event of the control state, datagrams for a
+//! change, and time for deciding one call of a team with a quota.
 
 use std::hint::black_box;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 use almondsail_core::fleet::{
-    AnnouncedState, Announcement, BackendStatus, ConfigText, FleetAction, FleetControl, FleetEvent,
-    FleetIdentity, Heartbeat, LatestHeartbeat, MeshConfigBuilder, NodeDigest, NodeEntry, NodeKey,
-    RouteKey, ServiceSettings,
+    AnnouncedState, Announcement, BackendStatus, CallerIdentity, ConfigText, CredentialDigest,
+    Destination, FleetAction, FleetControl, FleetEvent, FleetIdentity, Heartbeat, LatestHeartbeat,
+    MeshConfig, MeshConfigBuilder, MeshRoute, NodeDigest, NodeEntry, NodeKey, Quota, RouteKey,
+    SentCredential, ServiceSettings, Team,
 };
-use almondsail_core::ids::{ConfigVersion, Incarnation};
-use almondsail_core::units::{Instant, Micros, Millis, UnixMillis};
+use almondsail_core::ids::{ConfigVersion, Incarnation, QuotaRequestId};
+use almondsail_core::quota::{
+    OutgoingRequest, QuotaCall, QuotaDecision, QuotaGrant, QuotaMembers, QuotaNode,
+    QuotaNodeCounts, QuotaRequester, TokenCount,
+};
+use almondsail_core::units::{CallRate, Instant, Micros, Millis, UnixMillis};
 use criterion::{Criterion, criterion_group, criterion_main};
 use rand::SeedableRng as _;
 use rand::rngs::SmallRng;
@@ -210,5 +215,89 @@
     }
 }
 
-criterion_group!(benches, events);
+/// Numbers of teams and nodes for which the decision on a call is measured.
+const TEAM_AND_NODE_COUNTS: [(u16, u16); 2] = [(85, 87), (2_000, 1_412)];
+
+fn credential(team: u16) -> String {
+    format!("credential-{team:05}-of-a-usual-length")
+}
+
+/// Returns a configuration of teams with quotas.
+fn config_of_teams(teams: u16) -> MeshConfig {
+    let bays = ServiceSettings { connections: 130, ..Default::default() };
+    let route = MeshRoute {
+        name: "r1".parse().expect("a name"),
+        host: "a.example".into(),
+        prefix: "/x/".into(),
+        idempotent: true,
+        timeout: Millis::new(500),
+        target_latency: Millis::new(200),
+        priority: 1,
+        max_attempts: 2,
+        is_public: false,
+        destinations: vec![Destination { service: "bays".parse().expect("a name"), weight: 1 }],
+    };
+    let builder = MeshConfigBuilder::new(ConfigVersion::new(1))
+        .service("bays".parse().expect("a name"), bays)
+        .route(route);
+    let add = |builder: MeshConfigBuilder, n: u16| {
+        let quota = Quota { rate: CallRate::from_milli(400_000), burst: 200 };
+        let name = format!("team-{n}").parse().expect("a name");
+        let team = Team { name, priority: 1, quota: Some(quota) };
+        builder.team(team, vec![CredentialDigest::of(credential(n).as_bytes())])
+    };
+    (0..teams).fold(builder, add).build().expect("a configuration")
+}
+
+/// Measures the lookup of the credential of a call and the decision on it by the tokens at hand.
+fn quotas(criterion: &mut Criterion) {
+    for (teams, nodes) in TEAM_AND_NODE_COUNTS {
+        let config = config_of_teams(teams);
+        let route = config.route("a.example", "/x/").expect("a route");
+        let now = Instant::new(10_000_000);
+        let node = |n: u16| {
+            let address = entry_address(n);
+            QuotaNode::new(entry(n).node, address, Micros::new(700_000))
+        };
+        let members = QuotaMembers::new(entry(0).node, now);
+        let count = u32::from(nodes);
+        let counts = QuotaNodeCounts { fresh: count, local: count, known: count };
+        let members = members.update(now, (0..nodes).map(node).collect(), counts, |_| false);
+        let mut requester = QuotaRequester::new(QuotaRequestId::new(1));
+        let call = QuotaCall { latest: now + Millis::new(100), is_waiting: false };
+        let credentials: Vec<String> = (0..teams).map(credential).collect();
+        let mut turn = 0;
+        criterion.bench_function(&format!("decide_call/{teams}/{nodes}"), |bencher| {
+            bencher.iter(|| {
+                turn = (turn + 1) % credentials.len();
+                let digest = CredentialDigest::of(credentials[turn].as_bytes());
+                let sent = SentCredential::Sent(digest);
+                let identity = CallerIdentity::of(&config, route, sent);
+                let team = identity.team().expect("a team");
+                let (decision, request) =
+                    requester.decide(now, team, call, &members, config.version);
+                if let (QuotaDecision::Wait(_), Some(request)) = (decision, request) {
+                    grant(&mut requester, now, &request);
+                    let call = QuotaCall { is_waiting: true, ..call };
+                    black_box(requester.decide(now, team, call, &members, config.version));
+                }
+            });
+        });
+    }
+}
+
+/// Grants all that `request` asks for.
+fn grant(requester: &mut QuotaRequester, now: Instant, request: &OutgoingRequest) {
+    let granted = request.request.wanted.max(TokenCount::new(1));
+    let grant = QuotaGrant {
+        id: request.request.id,
+        team: request.request.team.clone(),
+        granted,
+        expires: QuotaGrant::MAX_LIFETIME,
+        retry_after: Millis::new(0),
+    };
+    requester.receive(now, request.to, &grant).expect("a pending request");
+}
+
+criterion_group!(benches, events, quotas);
 criterion_main!(benches);
--- a/crates/core/src/fleet/quota_view.rs
+++ b/crates/core/src/fleet/quota_view.rs
@@ -3,8 +3,8 @@
 use super::fleet_control::FleetControl;
 use super::peer::Peer;
 use super::peer_directory::PeerDirectory;
-use crate::ids::ConfigVersion;
-use crate::quota::{QuotaMembers, QuotaNode};
+use crate::ids::{ConfigVersion, NodeId};
+use crate::quota::{QuotaMembers, QuotaNode, QuotaNodeCounts};
 use crate::units::{Instant, Micros, Millis};
 
 impl FleetControl {
@@ -33,12 +33,21 @@
             let own = QuotaNode::new(entry.node.clone(), entry.heartbeats, Micros::default());
             candidates.push(own);
         }
-        let staying = || self.peers.iter().filter(|peer| !is_leaving(peer));
-        let is_fresh =
-            |peer: &&Peer| now.since(peer.last_seen()) <= self.peers.quota_time(peer.is_local);
-        let fresh = staying().filter(|peer| peer.heartbeat.is_some()).filter(is_fresh).count() + 1;
-        let count = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
-        Some(known.update(time, candidates, count(fresh), count(staying().count() + 1)))
+        let is_left = |node: &NodeId| self.peers.get(node).is_none_or(is_leaving);
+        Some(known.update(time, candidates, self.quota_node_counts(now), is_left))
+    }
+
+    fn quota_node_counts(&self, now: Instant) -> QuotaNodeCounts {
+        let mut counts = QuotaNodeCounts { fresh: 1, local: 1, known: 1 };
+        for peer in self.peers.iter().filter(|peer| !is_leaving(peer)) {
+            counts.known += 1;
+            let silence = now.since(peer.last_seen());
+            if peer.heartbeat.is_some() && silence <= self.peers.quota_time(peer.is_local) {
+                counts.fresh += 1;
+                counts.local += u32::from(peer.is_local);
+            }
+        }
+        counts
     }
 
     fn quota_node(&self, peer: &Peer) -> QuotaNode {
--- a/crates/core/src/quota/members.rs
+++ b/crates/core/src/quota/members.rs
@@ -5,7 +5,7 @@
 use crate::ids::NodeId;
 use crate::peers::hash::hash_text;
 use crate::peers::rank_positions;
-use crate::units::{Instant, Micros};
+use crate::units::{Instant, Micros, Millis};
 
 /// A node that can own quotas.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -38,6 +38,17 @@
     }
 }
 
+/// Numbers of nodes, each with the node that counts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct QuotaNodeCounts {
+    /// The nodes that were heard lately.
+    pub fresh: u32,
+    /// Those of `fresh` in the same data centre.
+    pub local: u32,
+    /// The nodes that are known and have not left.
+    pub known: u32,
+}
+
 /// What a node has to do with the quota of a team.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum QuotaRole {
@@ -60,10 +71,15 @@
     /// The number of nodes that this one has heard so lately that they don't use their local shares,
     /// itself included.
     pub fresh: u32,
+    /// Those of `fresh` in the same data centre, this one included.
+    pub local: u32,
     /// The number of nodes that are known and have not left, this one included; at least `fresh`.
     pub known: u32,
     /// Since when this node has been up and has known the present candidates.
     pub unchanged_since: Instant,
+    /// Until then nodes of other data centres may not have noticed that an owner is silent, and use
+    /// their local shares.
+    pub handover_until: Instant,
     /// When this node last went on after a pause.
     pub resumed: Instant,
     /// Changes with the candidates.
@@ -75,6 +91,8 @@
 impl QuotaMembers {
     /// The time after which a view that was not updated is old.
     pub const MAX_AGE: Micros = Micros::new(500_000);
+    /// How much later than within a data centre other nodes notice the silence of a node.
+    const HANDOVER_TIME: Millis = Millis::new(2_300);
 
     /// Creates the view of a node that starts at `now` and knows no candidates.
     pub const fn new(own: NodeId, now: Instant) -> Self {
@@ -82,31 +100,42 @@
             own,
             updated: now,
             fresh: 1,
+            local: 1,
             known: 1,
             unchanged_since: now,
+            handover_until: now,
             resumed: now,
             version: 0,
             candidates: Vec::new(),
         }
     }
 
-    /// Returns the view at `now` with other candidates and counts.
+    /// Returns the view at `now` with other candidates and counts. `is_leaving` tells which of the
+    /// nodes that are no candidates any more have announced it.
     #[must_use]
     pub fn update(
         &self,
         now: Instant,
         mut candidates: Vec<QuotaNode>,
-        fresh: u32,
-        known: u32,
+        counts: QuotaNodeCounts,
+        is_leaving: impl Fn(&NodeId) -> bool,
     ) -> Self {
         candidates.sort_unstable_by(|a, b| a.node.cmp(&b.node));
         let is_paused = now.since(self.updated) > Self::MAX_AGE;
         let is_same = candidates == self.candidates;
+        let is_silent = |node: &QuotaNode| {
+            let found = candidates.binary_search_by(|other| other.node.cmp(&node.node));
+            found.is_err() && !is_leaving(&node.node)
+        };
+        let has_lost = !is_same && self.candidates.iter().any(is_silent);
+        let QuotaNodeCounts { fresh, local, known } = counts;
         Self {
             own: self.own.clone(),
             updated: now,
             fresh,
+            local,
             known: known.max(fresh).max(1),
+            handover_until: if has_lost { now + Self::HANDOVER_TIME } else { self.handover_until },
             unchanged_since: if is_same && !is_paused { self.unchanged_since } else { now },
             resumed: if is_paused { now } else { self.resumed },
             version: self.version + u64::from(!is_same),
@@ -119,9 +148,11 @@
         now.since(self.updated) > Self::MAX_AGE
     }
 
-    /// Returns the share of the known nodes that this one has heard lately.
-    pub fn fresh_share(&self) -> f64 {
-        f64::from(self.fresh) / f64::from(self.known.max(1))
+    /// Returns the share of the known nodes that get their tokens from this one rather than use
+    /// their local shares.
+    pub fn share(&self, now: Instant) -> f64 {
+        let nodes = if now < self.handover_until { self.local } else { self.fresh };
+        f64::from(nodes) / f64::from(self.known.max(1))
     }
 
     /// Returns the owner of the quota of `team` and its deputy.
--- a/crates/core/src/quota/mod.rs
+++ b/crates/core/src/quota/mod.rs
@@ -22,7 +22,7 @@
 pub use decision::{QuotaCall, QuotaDecision};
 pub use grant::QuotaGrant;
 pub use grant_problem::GrantProblem;
-pub use members::{QuotaMembers, QuotaNode, QuotaRole};
+pub use members::{QuotaMembers, QuotaNode, QuotaNodeCounts, QuotaRole};
 pub use message::QuotaMessage;
 pub use owner::QuotaOwner;
 pub use request::{OutgoingRequest, QuotaRequest};
--- a/crates/core/src/quota/owner.rs
+++ b/crates/core/src/quota/owner.rs
@@ -97,9 +97,10 @@
         request: &QuotaRequest,
     ) -> Self {
         let role = members.role(request.team.as_str());
-        let limits = Limits::of(role, members, settings, quota);
-        // No other node has granted tokens since the candidates changed.
-        let unused = now.since(members.unchanged_since).get() as f64 / 1e6 * limits.rate;
+        let limits = Limits::of(now, role, members, settings, quota);
+        // No other node has granted tokens since then.
+        let unused_since = members.unchanged_since.max(members.handover_until);
+        let unused = now.since(unused_since).get() as f64 / 1e6 * limits.rate;
         let level = settings.initial_tokens() + unused;
         let bucket = TokenBucket::new(now, limits.rate, limits.capacity, level);
         Self { bucket, role, resumed: members.resumed }
@@ -112,7 +113,7 @@
         settings: &QuotaSettings,
         quota: &Quota,
     ) {
-        let limits = Limits::of(self.role, members, settings, quota);
+        let limits = Limits::of(now, self.role, members, settings, quota);
         if self.resumed != members.resumed {
             // Another node may have granted tokens during the pause.
             self.resumed = members.resumed;
@@ -154,12 +155,13 @@
     /// Returns the limits of the node's part of `quota`. The nodes that an owner doesn't hear may
     /// have another owner, or use their local shares.
     fn of(
+        now: Instant,
         role: QuotaRole,
         members: &QuotaMembers,
         settings: &QuotaSettings,
         quota: &Quota,
     ) -> Self {
-        let share = members.fresh_share();
+        let share = members.share(now);
         let (rate, capacity) = (quota.rate.per_second() * share, f64::from(quota.burst) * share);
         match role {
             QuotaRole::Owner => Self { rate, capacity },
--- a/crates/core/tests/round_trip.rs
+++ b/crates/core/tests/round_trip.rs
@@ -7,9 +7,10 @@
 use almondsail_core::control::RequestId;
 use almondsail_core::ids::{
     CallKey, ConfigVersion, DataCentre, Digest, HostName, Incarnation, NodeId, OperatorName,
-    Region, RouteName, ServiceName, TeamName, VersionName, WriteId,
+    QuotaRequestId, Region, RouteName, ServiceName, TeamName, VersionName, WriteId,
 };
 use almondsail_core::peers::{BackendState, PeerStatus};
+use almondsail_core::quota::TokenCount;
 use almondsail_core::report::Minute;
 use almondsail_core::store::Revision;
 use almondsail_core::units::{
@@ -47,6 +48,8 @@
             && round_trips(Instant::new(n))
             && round_trips(UnixMillis::new(n))
             && round_trips(Minute::new(n))
+            && round_trips(QuotaRequestId::new(n))
+            && round_trips(TokenCount::new(n as u32))
             && PerMille::new((n % 1_001) as u16).is_some_and(round_trips)
     }
 
--- a/crates/node/src/fleet/quota_link.rs
+++ b/crates/node/src/fleet/quota_link.rs
@@ -111,26 +111,29 @@
     }
 
     /// Decides on a call, and sends the request that follows from it. A request to this node itself
-    /// is answered at once.
-    fn decide(&self, team: &Team, call: QuotaCall) -> QuotaDecision {
+    /// is answered at once, after which a call that waits for it is decided again.
+    fn decide(&self, team: &Team, mut call: QuotaCall) -> QuotaDecision {
         let now = self.clock.now_with_suspended();
         let members = self.members.load();
         let config_version = self.config_version();
         let mut requester = self.requester();
-        let (decision, request) = requester.decide(now, team, call, &members, config_version);
-        let Some(request) = request else { return decision };
-        if request.to != self.own {
-            drop(requester);
-            self.send(&QuotaMessage::Request(request.request), request.to);
-            return decision;
-        }
-        let grant = self.answer(now, &members, &request.request);
-        if let Err(problem) = requester.receive(now, self.own, &grant) {
-            self.metrics.count_dropped(DropReason::Grant(problem));
+        loop {
+            let (decision, request) = requester.decide(now, team, call, &members, config_version);
+            let Some(request) = request else { return decision };
+            if request.to != self.own {
+                drop(requester);
+                self.send(&QuotaMessage::Request(request.request), request.to);
+                return decision;
+            }
+            let grant = self.answer(now, &members, &request.request);
+            if let Err(problem) = requester.receive(now, self.own, &grant) {
+                self.metrics.count_dropped(DropReason::Grant(problem));
+            }
+            call.is_waiting = matches!(decision, QuotaDecision::Wait(_));
+            if !call.is_waiting {
+                return decision;
+            }
         }
-        let QuotaDecision::Wait(_) = decision else { return decision };
-        let call = QuotaCall { is_waiting: true, ..call };
-        requester.decide(now, team, call, &members, config_version).0
     }
 
     /// Answers a request by the quota in the configuration of this node.
--- a/crates/node/tests/fleet_settings.rs
+++ b/crates/node/tests/fleet_settings.rs
@@ -2,6 +2,7 @@
 
 use std::path::Path;
 
+use almondsail_core::quota::QuotaSettings;
 use almondsail_core::units::Millis;
 use almondsail_node::fleet::FleetSettings;
 use almondsail_node::settings::{SettingsError, SettingsFile};
@@ -32,6 +33,29 @@
     assert_eq!(settings.retry_window, Millis::new(10_000));
 }
 
+/// Guards against settings of quotas that are ignored, required or accepted out of range.
+#[test]
+fn read_quota_settings() {
+    let settings = FleetSettings::parse(&sample()).unwrap();
+    assert_eq!(settings.quota, QuotaSettings::default());
+    let text = sample()
+        .replace("\"quota_window_s\": 5", "\"quota_window_s\": 2.5")
+        .replace("\"quota_overage\": 0.1", "\"quota_overage\": 0.05")
+        .replace("\"quota_tolerance\": 20", "\"quota_tolerance\": 40");
+    let quota = FleetSettings::parse(&text).unwrap().quota;
+    assert_eq!((quota.window, quota.overage.get(), quota.tolerance), (Millis::new(2_500), 50, 40));
+    let lines = sample();
+    let without: Vec<&str> = lines.lines().filter(|line| !line.contains("quota_")).collect();
+    assert_eq!(FleetSettings::parse(&without.join("\n")).unwrap().quota, QuotaSettings::default());
+    let text = sample()
+        .replace("\"quota_window_s\": 5", "\"quota_window_s\": 0")
+        .replace("\"quota_tolerance\": 20", "\"quota_tolerance\": -1");
+    let errors = errors(&text);
+    for place in ["fleet.quota_window_s", "fleet.quota_tolerance"] {
+        assert!(errors.iter().any(|error| error.contains(place)), "{place} is not in {errors:?}");
+    }
+}
+
 /// Guards against a parser that stops at the first error, so that operators find the errors of
 /// a file one at a time.
 #[test]
--- a/crates/testkit/src/platform/fleet.rs
+++ b/crates/testkit/src/platform/fleet.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use eyre::{Result, ensure};
-use serde_json::json;
+use serde_json::{Value, json};
 
 use super::raw_node::RawNode;
 use super::{KvServer, RawWorker, Worker, WorkerOptions};
@@ -121,12 +121,26 @@
         max_body_bytes: usize,
         idle_timeout: Duration,
     ) {
-        self.write_config(version, services, max_body_bytes, idle_timeout, 0);
+        self.write_config(version, services, max_body_bytes, idle_timeout, Vec::new());
     }
 
     /// Writes the configuration of [`Self::configure`] with `unused` further routes that nobody calls.
     pub fn configure_unused_routes(&self, version: u32, services: &[&str], unused: usize) {
-        self.write_config(version, services, MAX_BODY_BYTES, IDLE_TIMEOUT, unused);
+        // Texts that don't repeat, as in a real configuration.
+        let word =
+            |n: usize| format!("{:016x}", (n as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15));
+        let unused = (0..unused).map(|n| {
+            let mut unused = route(services[n % services.len()], "safe");
+            unused["metadata"]["name"] = word(n).into();
+            unused["spec"]["prefix"] = format!("/{}/", &word(n)[..8]).into();
+            unused
+        });
+        self.configure_resources(version, services, unused.collect());
+    }
+
+    /// Writes the configuration of [`Self::configure`] with further resources, such as teams.
+    pub fn configure_resources(&self, version: u32, services: &[&str], resources: Vec<Value>) {
+        self.write_config(version, services, MAX_BODY_BYTES, IDLE_TIMEOUT, resources);
     }
 
     fn write_config(
@@ -135,19 +149,8 @@
         services: &[&str],
         max_body_bytes: usize,
         idle_timeout: Duration,
-        unused: usize,
+        further: Vec<Value>,
     ) {
-        let route = |service: &str, kind: &str| {
-            json!({
-                "type": "routes",
-                "metadata": {"name": format!("{service}-{kind}")},
-                "spec": {
-                    "host": format!("{service}.example"), "prefix": format!("/{kind}/"),
-                    "kind": kind, "timeout_ms": 20_000, "target_latency_ms": 2_000,
-                    "priority": 1, "service": service, "max_attempts": 2,
-                },
-            })
-        };
         let settings = |service: &str| {
             json!({
                 "type": "services", "metadata": {"name": service},
@@ -164,15 +167,7 @@
         for service in services {
             resources.extend([route(service, "safe"), route(service, "unsafe"), settings(service)]);
         }
-        // Texts that don't repeat, as in a real configuration.
-        let word =
-            |n: usize| format!("{:016x}", (n as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15));
-        resources.extend((0..unused).map(|n| {
-            let mut unused = route(services[n % services.len()], "safe");
-            unused["metadata"]["name"] = word(n).into();
-            unused["spec"]["prefix"] = format!("/{}/", &word(n)[..8]).into();
-            unused
-        }));
+        resources.extend(further);
         let config = json!({"version": format!("{version:08x}"), "resources": resources});
         self.store.edit(|state| state.put("op/config", config.to_string().as_bytes()));
     }
@@ -290,6 +285,19 @@
     }
 }
 
+/// Returns the resource of the route `/KIND/` of a service.
+fn route(service: &str, kind: &str) -> Value {
+    json!({
+        "type": "routes",
+        "metadata": {"name": format!("{service}-{kind}")},
+        "spec": {
+            "host": format!("{service}.example"), "prefix": format!("/{kind}/"),
+            "kind": kind, "timeout_ms": 20_000, "target_latency_ms": 2_000,
+            "priority": 1, "service": service, "max_attempts": 2,
+        },
+    })
+}
+
 async fn start_node(
     harness: &mut Harness,
     store: &KvServer,
--- a/review/standins/standins.rs
+++ b/review/standins/standins.rs
@@ -597,6 +597,18 @@
 const NODE: &str = "target/release/almondsail-node";
 const TEMPLATE: &str = "platform/settings.template";
 
+/// Returns the template without its sections, whose values this deployment lacks.
+fn without_sections(template: &str) -> String {
+    let mut text = template.to_owned();
+    while let Some(start) = text.find("{{#") {
+        let name_end = start + text[start..].find("}}").expect("the end of a tag");
+        let end_tag = format!("{{{{/{}}}}}", &text[start + 3..name_end]);
+        let end = text.find(&end_tag).expect("the end of a section") + end_tag.len();
+        text.replace_range(start..end, "");
+    }
+    text
+}
+
 /// Returns four different free ports.
 fn free_ports(ip: &str) -> [u16; 4] {
     let listeners = [0; 4].map(|_| TcpListener::bind((ip, 0)).expect("a free port"));
@@ -661,7 +673,8 @@
             ("{{bounds.retry_budget_extra}}", "60".to_owned()),
             ("{{bounds.budget_window_s}}", "10".to_owned()),
         ];
-        let mut settings = fs::read_to_string(TEMPLATE).expect("the template");
+        let template = fs::read_to_string(TEMPLATE).expect("the template");
+        let mut settings = without_sections(&template);
         for (name, value) in values {
             settings = settings.replace(name, &value);
         }
