--- a/crates/node/src/fleet/caller_handler.rs
+++ b/crates/node/src/fleet/caller_handler.rs
@@ -278,8 +278,7 @@
     attempts: &Attempts,
 ) -> bool {
     let is_worth = |choice: EndpointChoice| is_worth_attempt(traffic, call, &choice);
-    !sheds_by_value(traffic)
-        || choose_endpoint(traffic, route, call, attempts).is_ok_and(is_worth)
+    !sheds_by_value(traffic) || choose_endpoint(traffic, route, call, attempts).is_ok_and(is_worth)
 }
 
 /// Returns whether `call` is worth its place at the endpoint of `choice`.
