Draw six near and two far endpoints for calls to servers that tell their rates

Cause: every node sent its calls to the server that was fastest a moment ago: the busiest of 55 servers had nine times the calls of the mean one.

Change: where a server of the service tells its rate, `LoadBalancer` places a call among six draws from its own data centre and two from the others. Other services are placed as before.

--- a/crates/core/examples/balance_experiment.rs
+++ b/crates/core/examples/balance_experiment.rs
@@ -1,17 +1,17 @@
 //! Places the calls of a fleet on servers of uneven speed, for several ways to choose a server.
 //!
-//! `cargo run --release --example balance_experiment -p almondsail-core [NODES] [POLICY]` prints for
-//! each way the occupancy of the busiest server over the mean one, the bytes between data centres,
+//! `cargo run --release --example balance_experiment -p almondsail-core [NODES] [POLICY] [LOAD]`
+//! prints for each way the occupancy of the busiest server over the mean one, the bytes between data centres,
 //! and the shares of calls that were late or refused. Without arguments, all numbers of nodes and
-//! all ways are shown.
+//! all ways are shown at load 1; `all` stands for all of them.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 use std::process::ExitCode;
 
 use almondsail_core::fleet::{
-    Admission, CallQueue, CallRank, CallRequirements, Destination, Endpoint, LoadBalancer,
-    LoadBalancerContext, MeshRoute, QueueTicket, ServiceEndpoints, VersionRule,
+    Admission, CallQueue, CallRank, CallRequirements, Destination, Endpoint, EndpointDraws,
+    LoadBalancer, LoadBalancerContext, MeshRoute, QueueTicket, ServiceEndpoints, VersionRule,
 };
 use almondsail_core::ids::NodeId;
 use almondsail_core::units::{ByteCount, Instant, Micros, Millis, Percent};
@@ -21,6 +21,8 @@
 /// The numbers of nodes that are shown, and the simulated time of each, in milliseconds.
 const FLEETS: [(usize, u64); 5] =
     [(16, 51_000), (67, 51_000), (87, 51_000), (295, 17_000), (1_412, 5_000)];
+/// The number of simulations whose results are added up.
+const SEEDS: u64 = 5;
 /// Calls that arrive before this time, in milliseconds, are not counted.
 const WARM_UP_MS: u64 = 1_000;
 const DATA_CENTRES: usize = 3;
@@ -54,11 +56,9 @@
     /// The load balancer without the rates of servers.
     NoRate,
     /// The load balancer with the rates of servers.
-    Rate,
-    /// The load balancer with rates, among this many endpoints that are drawn for each call.
+    Rate(EndpointDraws),
+    /// The load balancer with rates, among this many endpoints that are drawn from all data centres.
     Drawn(usize),
-    /// The same, among this many of the own data centre and as many of the others.
-    DrawnNearAndFar(usize),
     /// The load balancer with rates, among this many endpoints that a node keeps to.
     Subset(usize),
     /// The shortest expected queue of all endpoints, by what the node knows of them.
@@ -68,18 +68,34 @@
 }
 
 impl Policy {
-    const ALL: [(&'static str, Self); 10] = [
+    const ALL: [(&'static str, Self); 14] = [
         ("no-rate", Self::NoRate),
-        ("rate", Self::Rate),
+        ("whole", Self::Rate(EndpointDraws::All)),
         ("two", Self::Drawn(2)),
         ("four", Self::Drawn(4)),
         ("eight", Self::Drawn(8)),
-        ("near-far-2", Self::DrawnNearAndFar(2)),
-        ("near-far-4", Self::DrawnNearAndFar(4)),
+        ("near-2-far-2", Self::drawn(2, 2)),
+        ("near-4-far-2", Self::drawn(4, 2)),
+        ("near-6-far-2", Self::drawn(6, 2)),
+        ("near-6-far-4", Self::drawn(6, 4)),
+        ("near-12-far-4", Self::drawn(12, 4)),
+        ("near-6-far-0", Self::drawn(6, 0)),
         ("subset-12", Self::Subset(12)),
         ("shortest", Self::ShortestQueue),
         ("probes-3", Self::Probes(3)),
     ];
+
+    const fn drawn(near: usize, far: usize) -> Self {
+        Self::Rate(EndpointDraws::Drawn { near, far })
+    }
+
+    /// Returns how many endpoints the load balancer itself draws.
+    const fn draws(self) -> EndpointDraws {
+        match self {
+            Self::Rate(draws) => draws,
+            _ => EndpointDraws::All,
+        }
+    }
 }
 
 /// A call on its way.
@@ -168,9 +184,22 @@
     busiest: (f64, u32),
 }
 
+impl Totals {
+    fn add(&mut self, other: &Self) {
+        self.calls += other.calls;
+        self.late += other.late;
+        self.refused += other.refused;
+        self.far += other.far;
+        self.took += other.took;
+        self.busiest.0 += other.busiest.0;
+        self.busiest.1 += other.busiest.1;
+    }
+}
+
 struct Simulation {
     policy: Policy,
     end: u64,
+    load: f64,
     rng: SmallRng,
     route: MeshRoute,
     endpoints: ServiceEndpoints,
@@ -190,8 +219,8 @@
 }
 
 impl Simulation {
-    fn new(policy: Policy, nodes: usize, ms: u64) -> Self {
-        let mut rng = SmallRng::seed_from_u64(7);
+    fn new(policy: Policy, nodes: usize, ms: u64, load: f64, seed: u64) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
         let count = (nodes as f64 * SERVERS_PER_NODE).round() as usize;
         let mut server = |index: usize| {
             let mut queue = CallQueue::new();
@@ -216,12 +245,15 @@
             is_silent: false,
         };
         let endpoints = (0..count).map(endpoint).collect();
-        let balancer =
-            |node| LoadBalancer::new(data_centre_name(node).parse().expect("a valid name"));
+        let balancer = |node| {
+            LoadBalancer::new(data_centre_name(node).parse().expect("a valid name"))
+                .with_draws(policy.draws())
+        };
         let mut simulation = Self {
             policy,
             end: ms * 1_000,
-            rng: SmallRng::seed_from_u64(8),
+            load,
+            rng: SmallRng::seed_from_u64(seed + SEEDS),
             route: route(),
             endpoints: ServiceEndpoints { endpoints, rule: VersionRule::Any },
             balancers: (0..nodes).map(balancer).collect(),
@@ -322,7 +354,7 @@
         let per_node = CALLS_PER_SERVER * self.servers.len() as f64 / self.balancers.len() as f64;
         let phase = data_centre(entry) as f64 / DATA_CENTRES as f64;
         let wave = (now as f64 / 1_000.0 / WAVE_MS + phase) * std::f64::consts::TAU;
-        let rate = per_node * (1.0 + WAVE_HEIGHT * wave.sin());
+        let rate = self.load * per_node * (1.0 + WAVE_HEIGHT * wave.sin());
         let pause = -self.rng.random_range(f64::EPSILON..1.0).ln() / rate * 1e6;
         self.schedule(now + pause as u64 + 1, Event::Arrives(entry));
         let tail = if self.rng.random_bool(TAIL_SHARE) { TAIL_FACTOR } else { 1.0 };
@@ -347,23 +379,13 @@
     /// Chooses the index of the server for `call`.
     fn choose(&mut self, now: u64, call: &Call) -> usize {
         let all = self.endpoints.endpoints.len();
-        let home = data_centre(call.entry);
         let drawn: Vec<usize> = match self.policy {
-            Policy::NoRate | Policy::Rate | Policy::ShortestQueue => {
+            Policy::NoRate | Policy::Rate(_) | Policy::ShortestQueue => {
                 return self.choose_among(now, call, None);
             }
             Policy::Drawn(count) | Policy::Probes(count) => {
                 (0..count).map(|_| self.rng.random_range(0..all)).collect()
             }
-            Policy::DrawnNearAndFar(count) => {
-                let mut draw = |is_near: bool| loop {
-                    let index = self.rng.random_range(0..all);
-                    if (data_centre(index) == home) == is_near {
-                        break index;
-                    }
-                };
-                (0..2 * count).map(|n| draw(n < count)).collect()
-            }
             Policy::Subset(count) => {
                 (0..count).map(|n| (call.entry * 31 + n * (all / count).max(1)) % all).collect()
             }
@@ -515,12 +537,15 @@
     }
 }
 
-fn print(nodes: usize, ms: u64, name: &str, policy: Policy) {
-    let totals = Simulation::new(policy, nodes, ms).run();
+fn print(nodes: usize, ms: u64, load: f64, (name, policy): (&str, Policy)) {
+    let mut totals = Totals::default();
+    for seed in 0..SEEDS {
+        totals.add(&Simulation::new(policy, nodes, ms, load, seed).run());
+    }
     let share = |count: u64| 100.0 * count as f64 / totals.calls as f64;
-    let seconds = (ms - WARM_UP_MS) as f64 / 1_000.0;
+    let seconds = (SEEDS * (ms - WARM_UP_MS)) as f64 / 1_000.0;
     println!(
-        "{nodes:>5} {name:<12} {:>7.2} {:>9.1} {:>7.2} {:>8.2} {:>7.1}",
+        "{nodes:>5} {name:<13} {:>7.2} {:>9.1} {:>7.2} {:>8.2} {:>7.1}",
         totals.busiest.0 / f64::from(totals.busiest.1),
         (totals.far * CALL_BYTES) as f64 / seconds / 1_000.0,
         share(totals.late),
@@ -532,15 +557,16 @@
 fn main() -> ExitCode {
     let mut arguments = std::env::args().skip(1);
     let nodes = arguments.next().filter(|nodes| nodes != "all");
-    let policy = arguments.next();
-    println!("nodes way          busiest    kB/s far  late %  refused %  mean ms");
+    let policy = arguments.next().filter(|policy| policy != "all");
+    let load = arguments.next().and_then(|load| load.parse().ok()).unwrap_or(1.0);
+    println!("nodes way           busiest    kB/s far  late %  refused %  mean ms");
     let mut printed = 0;
     for (count, ms) in FLEETS {
         for (name, way) in Policy::ALL {
             if nodes.as_deref().is_none_or(|wanted| wanted == count.to_string())
                 && policy.as_deref().is_none_or(|wanted| wanted == name)
             {
-                print(count, ms, name, way);
+                print(count, ms, load, (name, way));
                 printed += 1;
             }
         }
--- a/crates/core/src/fleet/endpoint_load.rs
+++ b/crates/core/src/fleet/endpoint_load.rs
@@ -90,6 +90,11 @@
         self.rate = Some(ServiceRate::new(service_time, now));
     }
 
+    /// Returns whether the server tells its rate.
+    pub const fn is_rated(&self) -> bool {
+        self.rate.is_some()
+    }
+
     /// Returns the factor by which the server's run times at `now` are expected to exceed the usual
     /// ones; `None` if it does not tell its rate.
     pub fn rate_factor(&self, now: Instant) -> Option<f64> {
--- a/crates/core/src/fleet/load_balancer.rs
+++ b/crates/core/src/fleet/load_balancer.rs
@@ -4,7 +4,9 @@
 
 use rand::Rng;
 
-use crate::fleet::{Endpoint, EndpointLoad, MeshRoute, ServiceEndpoints, VersionRule};
+use crate::fleet::{
+    Endpoint, EndpointDraws, EndpointLoad, MeshRoute, ServiceEndpoints, VersionRule,
+};
 use crate::ids::{DataCentre, NodeId, RouteName, ServiceName};
 use crate::store::StorePosition;
 use crate::units::{ByteCount, Instant, Micros};
@@ -17,6 +19,8 @@
 #[derive(Debug)]
 pub struct LoadBalancer {
     data_centre: DataCentre,
+    /// How many endpoints are considered for a call to servers that tell their rates.
+    draws: EndpointDraws,
     loads: HashMap<NodeId, EndpointLoad>,
     shifts: HashMap<ServiceName, ShiftCount>,
     /// The mean size of a call of each route, in kilobytes.
@@ -69,12 +73,20 @@
     pub fn new(data_centre: DataCentre) -> Self {
         Self {
             data_centre,
+            draws: EndpointDraws::default(),
             loads: HashMap::new(),
             shifts: HashMap::new(),
             mean_kilobytes: HashMap::new(),
         }
     }
 
+    /// Sets how many endpoints are considered for a call to servers that tell their rates.
+    #[must_use]
+    pub const fn with_draws(mut self, draws: EndpointDraws) -> Self {
+        self.draws = draws;
+        self
+    }
+
     /// Returns the observed load of the endpoint of `node`, for reading and recording.
     pub fn load(&mut self, node: &NodeId) -> &mut EndpointLoad {
         if !self.loads.contains_key(node) {
@@ -138,6 +150,9 @@
             };
             endpoints.endpoints.iter().filter(may_take)
         };
+        if allowed(call.to_new).any(|endpoint| self.is_rated(endpoint)) {
+            return self.choose_rated(now, call, allowed(call.to_new), rng);
+        }
         let explores =
             call.route.idempotent && rng.random_range(0..Self::CALLS_PER_EXPLORATION) == 0;
         if explores
@@ -174,6 +189,35 @@
         reports.filter(|at| now.since(*at) < EndpointLoad::MAX_REPORT_AGE.into()).min()
     }
 
+    /// Returns whether the endpoint's server tells its rate.
+    fn is_rated(&self, endpoint: &Endpoint) -> bool {
+        self.loads.get(&endpoint.node).is_some_and(EndpointLoad::is_rated)
+    }
+
+    /// Chooses among a sample of the endpoints of a service whose servers tell their rates. Silent
+    /// and ejected endpoints are drawn only if there are no others.
+    fn choose_rated<'a>(
+        &self,
+        now: Instant,
+        call: &LoadBalancerContext<'_>,
+        endpoints: impl Iterator<Item = &'a Endpoint> + Clone,
+        rng: &mut impl Rng,
+    ) -> Option<&'a Endpoint> {
+        let is_ejected = |endpoint: &Endpoint| {
+            self.loads.get(&endpoint.node).is_some_and(|load| load.is_ejected(now))
+        };
+        let is_usable = |endpoint: &&Endpoint| !endpoint.is_silent && !is_ejected(endpoint);
+        let usable = endpoints.clone().filter(is_usable);
+        let sample = self.draws.draw(usable, &self.data_centre, rng);
+        let explores =
+            call.route.idempotent && rng.random_range(0..Self::CALLS_PER_EXPLORATION) == 0;
+        if explores && let Some(endpoint) = sample.iter().copied().find(|e| self.is_unknown(e)) {
+            return Some(endpoint);
+        }
+        let cheapest = self.cheapest(now, call, sample.into_iter(), rng);
+        cheapest.or_else(|| self.cheapest(now, call, endpoints, rng))
+    }
+
     /// Returns whether the endpoint never reported its load to this node and is not silent.
     fn is_unknown(&self, endpoint: &Endpoint) -> bool {
         let is_known = self.loads.get(&endpoint.node).is_some_and(|load| load.mean().is_some());
--- a/crates/core/tests/round_trip.rs
+++ b/crates/core/tests/round_trip.rs
@@ -13,7 +13,7 @@
 use almondsail_core::report::Minute;
 use almondsail_core::store::Revision;
 use almondsail_core::units::{
-    ByteCount, CallRate, CallsPerSecond, Instant, Micros, Millis, PerMille, UnixMillis,
+    ByteCount, CallRate, CallsPerSecond, Instant, Micros, Millis, PerMille, Percent, UnixMillis,
 };
 use almondsail_core::{RefusalReason, RetryReason, Verdict};
 use almondsail_seeded::properties;
@@ -47,6 +47,7 @@
             && round_trips(Instant::new(n))
             && round_trips(UnixMillis::new(n))
             && round_trips(Minute::new(n))
+            && round_trips(Percent::new(n as u32))
             && PerMille::new((n % 1_001) as u16).is_some_and(round_trips)
     }
 
