Test evacuations and cold servers in processes, and what is read of them

Cause: the new messages, the store's items and the path of calls had no tests.

Formats, heartbeats and odd messages have cases for evacuations. Workers of the test kit can announce that they are cold.

--- a/crates/testkit/src/platform/fleet.rs
+++ b/crates/testkit/src/platform/fleet.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use eyre::{Result, ensure};
-use serde_json::json;
+use serde_json::{Value, json};
 
 use super::raw_node::RawNode;
 use super::{KvServer, RawWorker, Worker, WorkerOptions};
@@ -129,6 +129,32 @@
         self.write_config(version, services, MAX_BODY_BYTES, IDLE_TIMEOUT, unused);
     }
 
+    /// Writes the configuration of [`Self::configure`], in which a cold worker bears `cold_per_s` calls
+    /// per second.
+    pub fn configure_cold(&self, version: u32, services: &[&str], cold_per_s: f64) {
+        self.configure(version, services);
+        self.store.edit(|state| {
+            let text = state.get("op/config").unwrap_or_default();
+            let mut config: Value = serde_json::from_slice(&text).unwrap_or_default();
+            let resources = config["resources"].as_array_mut().into_iter().flatten();
+            for service in resources.filter(|resource| resource["type"] == "services") {
+                service["spec"]["cold_start_s"] = json!(3.0);
+                service["spec"]["cold_per_s"] = json!(cold_per_s);
+            }
+            state.put("op/config", config.to_string().as_bytes());
+        });
+    }
+
+    /// Orders the evacuation of `data_centre`, or withdraws the order.
+    pub fn evacuate(&self, data_centre: &str, is_ordered: bool) {
+        let key = format!("op/evacuate/{data_centre}");
+        self.store.edit(
+            |state| {
+                if is_ordered { state.put(&key, b"{}") } else { state.remove(&key) }
+            },
+        );
+    }
+
     fn write_config(
         &self,
         version: u32,
--- a/crates/testkit/src/platform/kv_state.rs
+++ b/crates/testkit/src/platform/kv_state.rs
@@ -165,7 +165,8 @@
         self.history.push((self.revision, key.to_owned(), Some(item)));
     }
 
-    fn remove(&mut self, key: &str) {
+    /// Removes the item `key`.
+    pub fn remove(&mut self, key: &str) {
         self.revision += 1;
         self.items.remove(key);
         self.history.push((self.revision, key.to_owned(), None));
--- a/crates/testkit/src/platform/worker.rs
+++ b/crates/testkit/src/platform/worker.rs
@@ -134,6 +134,11 @@
         *self.shared.run_time.lock().unwrap_or_else(PoisonError::into_inner) = run_time;
     }
 
+    /// Sets the time for which the worker announces from now on that it stays cold.
+    pub fn set_cold(&self, cold: Duration) {
+        self.announcements.set_cold(cold);
+    }
+
     /// Returns the requests that were executed or are running, in the order of their start.
     pub fn executed_requests(&self) -> Vec<ExecutedRequest> {
         self.shared.executed.lock().unwrap_or_else(PoisonError::into_inner).clone()
--- a/crates/testkit/src/platform/worker_announcements.rs
+++ b/crates/testkit/src/platform/worker_announcements.rs
@@ -22,12 +22,20 @@
     options: WorkerOptions,
     started_at: u64,
     sequence: Arc<AtomicU64>,
+    /// The time, in milliseconds, for which the worker announces that it stays cold.
+    cold_ms: Arc<AtomicU64>,
 }
 
 impl WorkerAnnouncements {
     /// Creates the announcements of a worker that accepts requests on `address`.
     pub(super) fn new(address: SocketAddr, options: WorkerOptions) -> Self {
-        Self { address, options, started_at: 1_000, sequence: Arc::default() }
+        Self {
+            address,
+            options,
+            started_at: 1_000,
+            sequence: Arc::default(),
+            cold_ms: Arc::default(),
+        }
     }
 
     /// Returns the address on which the worker accepts requests.
@@ -35,6 +43,12 @@
         self.address
     }
 
+    /// Sets the time for which the worker announces from now on that it stays cold.
+    pub(super) fn set_cold(&self, cold: Duration) {
+        let cold_ms = u64::try_from(cold.as_millis()).unwrap_or(u64::MAX);
+        self.cold_ms.store(cold_ms, Ordering::Relaxed);
+    }
+
     /// Announces the worker with `state` to the node that accepts announcements at `node`.
     pub(super) async fn announce(&self, node: SocketAddr, state: &str) -> Result<()> {
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
@@ -47,7 +61,10 @@
                 "zone": self.options.data_centre,
                 "capacity": self.options.slots,
             },
-            "status": {"state": state, "sequence": sequence, "cold_remaining_ms": 0},
+            "status": {
+                "state": state, "sequence": sequence,
+                "cold_remaining_ms": self.cold_ms.load(Ordering::Relaxed),
+            },
         });
         let reply = HttpClient::new(node).put(&self.path(), body.to_string()).await?;
         ensure!(reply.status == 200, "the announcement got {}", reply.status);
--- a/crates/wire/tests/fleet.rs
+++ b/crates/wire/tests/fleet.rs
@@ -1,8 +1,8 @@
 //! Messages between the nodes of a fleet, and the values that they keep in the store.
 
 use almondsail_core::fleet::{
-    Confirmation, Heartbeat, LatestHeartbeat, NodeDigest, NodeEntry, NodeKey, RolloutProgress,
-    RolloutReport,
+    Confirmation, EvacuationDigest, EvacuationNotice, Evacuations, Heartbeat, LatestHeartbeat,
+    NodeDigest, NodeEntry, NodeKey, RolloutProgress, RolloutReport,
 };
 use almondsail_core::ids::{ConfigVersion, Incarnation};
 use almondsail_core::store::{Revision, StoreEra, StorePosition};
@@ -69,6 +69,28 @@
     assert_eq!(decode_progress(&encode_progress(&written)).unwrap(), written);
 }
 
+/// Guards against an order, a withdrawal or their era that is lost on the way, and against heartbeats
+/// that differ from those of earlier builds though there were no orders.
+#[test]
+fn heartbeat_evacuations() {
+    let notice = |data_centre: &str, is_ordered, era| EvacuationNotice {
+        data_centre: data_centre.parse().unwrap(),
+        is_ordered,
+        position: StorePosition::new(StoreEra::new(era), Revision::new(60)),
+    };
+    let notices = vec![notice("dc-a", true, 0), notice("dc-b", false, 3)];
+    let evacuations = Some(Box::new(EvacuationDigest { notices }));
+    let sent = Heartbeat { evacuations, ..heartbeat(None) };
+    assert_eq!(decode_heartbeat(&encode_heartbeat(&sent)).unwrap(), sent);
+    let too_many = vec![notice("dc-a", true, 0); Evacuations::MAX_KNOWN + 1];
+    let evacuations = Some(Box::new(EvacuationDigest { notices: too_many }));
+    assert!(decode_heartbeat(&encode_heartbeat(&Heartbeat { evacuations, ..sent })).is_err());
+    let empty = Some(Box::new(EvacuationDigest::default()));
+    let without = encode_heartbeat(&heartbeat(None));
+    let with_empty = encode_heartbeat(&Heartbeat { evacuations: empty, ..heartbeat(None) });
+    assert_eq!(without, with_empty);
+}
+
 /// Guards against a proof of the operator's keys that is lost or refers to another era on the way.
 #[test]
 fn heartbeat_confirmation() {
--- a/crates/wire/tests/fleet_odd_messages.rs
+++ b/crates/wire/tests/fleet_odd_messages.rs
@@ -68,6 +68,12 @@
     heartbeat.confirmation.get_or_insert_default()
 }
 
+fn evacuation(heartbeat: &mut wire::Heartbeat) -> &mut wire::Evacuation {
+    let data_centre = "dc-a".to_owned();
+    heartbeat.evacuations = vec![wire::Evacuation { data_centre, ..wire::Evacuation::default() }];
+    &mut heartbeat.evacuations[0]
+}
+
 /// Lets `heartbeat` pass on a heartbeat that passes on others in turn.
 fn nest_digest(heartbeat: &mut wire::Heartbeat) {
     latest(heartbeat);
@@ -80,7 +86,7 @@
 #[test]
 fn decode_heartbeat_out_of_range() {
     assert!(decode_heartbeat(&heartbeat().encode_to_vec()).is_ok());
-    let edits: [(&str, Edit); 17] = [
+    let edits: [(&str, Edit); 20] = [
         ("incarnation", |h| h.incarnation = TOO_LARGE),
         ("sequence", |h| h.sequence = TOO_LARGE),
         ("revision", |h| h.revision = 2),
@@ -89,6 +95,9 @@
         ("changed", |h| nest_digest(h)),
         ("confirmation.revision", |h| confirmation(h).revision = TOO_LARGE),
         ("confirmation.era", |h| confirmation(h).era = TOO_LARGE),
+        ("evacuations[0].evacuation.revision", |h| evacuation(h).revision = TOO_LARGE),
+        ("evacuations[0].evacuation.era", |h| evacuation(h).era = TOO_LARGE),
+        ("evacuations[0].data_centre", |h| evacuation(h).data_centre.clear()),
         ("config_version", |h| h.config_version = u64::MAX),
         ("departures[0].born", |h| h.departures[0].born = Some(TOO_LARGE)),
         ("slots", |h| h.backend.as_mut().unwrap().slots = 0),
