--- a/crates/node/src/fleet/inbound.rs
+++ b/crates/node/src/fleet/inbound.rs
@@ -106,6 +106,7 @@
     let until = clock.to_tokio_instant(call.deadline);
     let pool = traffic.backend_pool(call.body.len());
     let sent = pool.send(|| call.backend_request(clock.now()), until).await;
+    let has_lost = pool.take_lost();
     let (response, connection) = match sent {
         Ok(sent) => sent,
         Err(error) => {
@@ -115,7 +116,7 @@
             return Err(CallFailure::from_exchange(&error, RefusalReason::BackendDown));
         }
     };
-    if pool.take_lost() {
+    if has_lost {
         traffic.doubt_backend();
     }
     let (status, headers) = (response.status(), response.headers());
--- a/crates/testkit/tests/fleet_evacuation.rs
+++ b/crates/testkit/tests/fleet_evacuation.rs
@@ -6,7 +6,8 @@
 
 use almondsail_testkit::harness::wait_until;
 use almondsail_testkit::http::HttpClient;
-use almondsail_testkit::platform::{Fleet, Worker};
+use almondsail_testkit::mesh::Metrics;
+use almondsail_testkit::platform::{Fleet, Worker, WorkerFault};
 use eyre::{Result, ensure};
 use http::Method;
 use tokio::task::JoinHandle;
@@ -55,6 +56,23 @@
     })
 }
 
+/// Forwards a call to node 0, like an entry node that does not know of an evacuation. Returns the
+/// failure that the node reports.
+async fn forwarded(fleet: &Fleet) -> Result<String> {
+    let hop = "bays i-dc-a-bays bays-safe 1 5000 2000 2000 bays";
+    let headers = [("almondsail-hop", hop), ("almondsail-attempt-id", "forwarded")];
+    let node = HttpClient::new(fleet.address(0, "nodes")?);
+    let reply = node.send(Method::GET, "/safe/", Default::default(), &headers).await?;
+    Ok(reply.header("almondsail-failure").unwrap_or_default().to_owned())
+}
+
+/// Returns how often the server beside node 0 became cold or warm.
+async fn warmth_changes(fleet: &Fleet) -> Result<f64> {
+    let reply = HttpClient::new(fleet.address(0, "metrics")?).get("/metrics").await?;
+    let metrics = Metrics::parse(&String::from_utf8_lossy(&reply.body))?;
+    Ok(metrics.sum_with("fleet_changes_total", "backend_cold"))
+}
+
 fn executed(worker: &Worker) -> usize {
     worker.executed_requests().len()
 }
@@ -82,6 +100,7 @@
     let before = executed(worker);
     tokio::time::sleep(Duration::from_millis(1_000)).await;
     assert_eq!(executed(worker), before);
+    assert_eq!(forwarded(&fleet).await?, "refused-unrun evacuated false 1000000");
     for call in running {
         assert_eq!(call.await??.0, 200);
     }
@@ -148,5 +167,12 @@
         call(&caller, &format!("warm-{n}")).await?;
     }
     assert!(executed(&fleet.nodes[0].worker) > before + 20);
-    Ok(())
+    let changes = warmth_changes(&fleet).await?;
+    fleet.nodes[0].worker.set_fault(WorkerFault::LosesAnswers);
+    wait_until("a server that closes connections and counts as cold", || async {
+        call(&caller, "lost").await?;
+        ensure!(warmth_changes(&fleet).await? > changes, "it counts as warm");
+        Ok(())
+    })
+    .await
 }
