--- a/crates/node/src/fleet/inbound.rs
+++ b/crates/node/src/fleet/inbound.rs
@@ -130,6 +130,7 @@
             return Err(CallFailure::may_have_run(RefusalReason::BrokenExchange));
         }
     };
+    let has_lost = pool.take_lost();
     let (response, connection) = match sent {
         Ok(sent) => sent,
         Err(error) => {
@@ -142,7 +143,7 @@
             return Err(CallFailure::from_exchange(&error, RefusalReason::BackendDown));
         }
     };
-    if pool.take_lost() {
+    if has_lost {
         traffic.doubt_backend();
     }
     let (status, headers) = (response.status(), response.headers());
--- a/crates/testkit/src/platform/fleet.rs
+++ b/crates/testkit/src/platform/fleet.rs
@@ -151,6 +151,28 @@
         self.store.edit(|state| state.put("op/config", text.as_bytes()));
     }
 
+    /// Writes the configuration of [`Self::configure`], in which a cold worker bears `cold_per_s` calls
+    /// per second.
+    pub fn configure_cold(&self, version: u32, services: &[&str], cold_per_s: f64) {
+        let mut config = ConfigDocument::new(version, services).to_json();
+        let resources = config["resources"].as_array_mut().into_iter().flatten();
+        for service in resources.filter(|resource| resource["type"] == "services") {
+            service["spec"]["cold_start_s"] = json!(3.0);
+            service["spec"]["cold_per_s"] = json!(cold_per_s);
+        }
+        self.store.edit(|state| state.put("op/config", config.to_string().as_bytes()));
+    }
+
+    /// Orders the evacuation of `data_centre`, or withdraws the order.
+    pub fn evacuate(&self, data_centre: &str, is_ordered: bool) {
+        let key = format!("op/evacuate/{data_centre}");
+        self.store.edit(
+            |state| {
+                if is_ordered { state.put(&key, b"{}") } else { state.remove(&key) }
+            },
+        );
+    }
+
     /// Returns the address that a node printed under `purpose`, such as `callers`.
     pub fn address(&self, node: usize, purpose: &str) -> Result<SocketAddr> {
         self.harness.address(self.nodes[node].process, purpose)
--- a/crates/testkit/src/platform/worker_announcements.rs
+++ b/crates/testkit/src/platform/worker_announcements.rs
@@ -22,6 +22,8 @@
     options: WorkerOptions,
     identity: Arc<Mutex<Identity>>,
     sequence: Arc<AtomicU64>,
+    /// The time, in milliseconds, for which the worker announces that it stays cold.
+    cold_ms: Arc<AtomicU64>,
 }
 
 /// The id and the start time of the worker that announces itself at present.
@@ -36,7 +38,7 @@
     pub(super) fn new(address: SocketAddr, options: WorkerOptions) -> Self {
         let identity = Identity { id: options.id.clone(), started_at: 1_000 };
         let identity = Arc::new(Mutex::new(identity));
-        Self { address, options, identity, sequence: Arc::default() }
+        Self { address, options, identity, sequence: Arc::default(), cold_ms: Arc::default() }
     }
 
     /// Returns the id of the worker.
@@ -60,6 +62,12 @@
         self.address
     }
 
+    /// Sets the time for which the worker announces from now on that it stays cold.
+    pub(super) fn set_cold(&self, cold: Duration) {
+        let cold_ms = u64::try_from(cold.as_millis()).unwrap_or(u64::MAX);
+        self.cold_ms.store(cold_ms, Ordering::Relaxed);
+    }
+
     /// Announces the worker with `state` to the node that accepts announcements at `node`.
     pub(super) async fn announce(&self, node: SocketAddr, state: &str) -> Result<()> {
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
@@ -73,7 +81,10 @@
                 "zone": self.options.data_centre,
                 "capacity": self.options.slots,
             },
-            "status": {"state": state, "sequence": sequence, "cold_remaining_ms": 0},
+            "status": {
+                "state": state, "sequence": sequence,
+                "cold_remaining_ms": self.cold_ms.load(Ordering::Relaxed),
+            },
         });
         let reply = HttpClient::new(node).put(&path(&identity.id), body.to_string()).await?;
         ensure!(reply.status == 200, "the announcement got {}", reply.status);
