Serve the harmless part of a configuration with entries of unknown types

Cause: one entry of a type that a build doesn't know made it refuse the whole configuration, so that a fleet that started with it served nothing. Change: if such entries are the only flaw, the problem carries the part that can be read. A node without any configuration serves its idempotent routes whose entries have no unknown field, from 0.7 s after its start and unless another node has another configuration; it refuses all other calls unrun (partial_config), also those without a route or with an unknown credential.

--- a/crates/core/src/fleet/calls_view.rs
+++ b/crates/core/src/fleet/calls_view.rs
@@ -4,30 +4,49 @@
 use std::sync::Arc;
 
 use super::fleet_control::FleetControl;
-use crate::fleet::{BackendStatus, Endpoint, FleetView, ServiceEndpoints, VersionRule};
-use crate::ids::ServiceName;
+use crate::fleet::{BackendStatus, Endpoint, FleetView, MeshConfig, ServiceEndpoints, VersionRule};
+use crate::ids::{ConfigVersion, ServiceName};
 use crate::units::{Instant, Millis};
 
 impl FleetControl {
     /// How long after its start a node waits for the store before it serves with what other nodes
-    /// know.
+    /// know, and for other nodes before it serves part of a configuration.
     const STORE_WAIT_TIME: Millis = Millis::new(700);
     /// How long after its start a node without the store waits for departures that other nodes
     /// remember, before it sends calls to the backend server beside it.
     const DEPARTURE_WAIT_TIME: Millis = Millis::new(450);
 
+    /// Returns the configuration by which calls are handled: the one in force, or part of one while
+    /// none is.
+    fn served_config(&self, now: Instant) -> Option<&Arc<MeshConfig>> {
+        let partial =
+            self.partial_config.as_ref().filter(|partial| self.may_serve_part(now, partial));
+        self.config.as_ref().map(|text| &text.config).or(partial)
+    }
+
+    /// Returns whether no other node can be heard to have another configuration, which this node
+    /// would get from it and put in force.
+    fn may_serve_part(&self, now: Instant, partial: &MeshConfig) -> bool {
+        let mut known = self.peers.newer_nodes(ConfigVersion::default());
+        Self::has_waited(now) && known.all(|peer| peer.config_version() == partial.version)
+    }
+
+    fn has_waited(now: Instant) -> bool {
+        now > Instant::new(0) + Self::STORE_WAIT_TIME
+    }
+
     /// Returns whether the node can serve: it has a configuration, and no newer one was accepted
     /// before it started, as far as the store or the other nodes can tell.
     pub fn is_ready(&self, now: Instant) -> bool {
         let has_listed = self.operator_watcher.is_listed() && self.nodes_watcher.is_listed();
-        let has_waited = now > Instant::new(0) + Self::STORE_WAIT_TIME;
-        self.config.is_some() && (has_listed || has_waited) && !self.is_leaving
+        let has_config = self.served_config(now).is_some();
+        has_config && (has_listed || Self::has_waited(now)) && !self.is_leaving
     }
 
     /// Returns the state by which calls are handled.
     pub fn view(&self, now: Instant) -> FleetView {
         let backend = self.backend(now).cloned();
-        let config = self.config.as_ref().map(|text| Arc::clone(&text.config));
+        let config = self.served_config(now).cloned();
         let service = backend.as_ref().map(|backend| &backend.service);
         let wants_evidence = service
             .and_then(|service| self.rollouts.get(service))
--- a/crates/core/src/fleet/config_problem.rs
+++ b/crates/core/src/fleet/config_problem.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::sync::Arc;
 
+use crate::fleet::PartialConfig;
 use crate::ids::{RouteName, ServiceName, TeamName};
 
 /// The reason why a configuration is refused as a whole.
@@ -10,6 +11,8 @@
 pub enum ConfigProblem {
     /// The text can't be parsed; holds the message of the parser.
     Unreadable(Arc<str>),
+    /// The only flaw: entries of unknown types.
+    UnknownTypes(PartialConfig),
     /// A route has a prefix that does not begin and end with a slash.
     BadPrefix(RouteName),
     /// A route has no destination with a weight above zero.
@@ -32,6 +35,10 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Unreadable(problem) => write!(f, "unreadable: {problem}"),
+            Self::UnknownTypes(PartialConfig { unknown_types, .. }) => {
+                let types: Vec<_> = unknown_types.iter().map(ToString::to_string).collect();
+                f.write_str(&types.join(", "))
+            }
             Self::BadPrefix(route) => {
                 write!(f, "route {route}: the prefix must begin and end with a slash")
             }
--- a/crates/core/src/fleet/fleet_change.rs
+++ b/crates/core/src/fleet/fleet_change.rs
@@ -4,7 +4,7 @@
 
 use crate::fleet::{
     AnnouncementOutcome, KeySpace, RolloutOutcome, StoreFailure, StoreRole, UnknownKind,
-    VersionFault,
+    UnknownType, VersionFault,
 };
 use crate::ids::{BackendId, ConfigVersion, NodeId, ServiceName, VersionName};
 use crate::store::StoreEra;
@@ -35,6 +35,8 @@
     },
     /// A configuration was refused as a whole.
     ConfigRefused(String),
+    /// The node has no configuration and serves part of one that has entries of an unknown type.
+    ConfigTypeUnknown(UnknownType),
     /// An item of the store can't be decoded and is ignored.
     ItemUnreadable(String),
     /// The backend server beside the node announced itself or its leaving.
@@ -103,6 +105,7 @@
             Self::ConfigKindUnknown(_) => "config_kind_unknown",
             Self::ConfigNotFetched { .. } => "config_not_fetched",
             Self::ConfigRefused(_) => "config_refused",
+            Self::ConfigTypeUnknown(_) => "config_type_unknown",
             Self::ItemUnreadable(_) => "item_unreadable",
             Self::Backend { .. } => "backend",
             Self::BackendExpired => "backend_expired",
@@ -125,6 +128,9 @@
                 write!(f, "version {version} from {source}, before {before}, behind {behind_for}")
             }
             Self::ConfigKindUnknown(kind) => write!(f, "{kind}"),
+            Self::ConfigTypeUnknown(unknown) => {
+                write!(f, "{unknown}: only calls that may be repeated are served")
+            }
             Self::ConfigNotFetched { from, took } => write!(f, "from {from} within {took}"),
             Self::ConfigRefused(problem) | Self::ItemUnreadable(problem) => f.write_str(problem),
             Self::Backend { id, notice, outcome } => write!(f, "{id} {notice}: {outcome:?}"),
--- a/crates/core/src/fleet/fleet_control.rs
+++ b/crates/core/src/fleet/fleet_control.rs
@@ -1,6 +1,7 @@
 //! The control state of a node of a fleet.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use rand::Rng;
 
@@ -15,8 +16,8 @@
 use super::store_contact::StoreContact;
 use crate::fleet::{
     ConfigText, Departure, FleetAction, FleetChange, FleetEvent, FleetIdentity, KeySpace,
-    LastUpdates, NodeKey, PeerDirectory, Registration, Rollout, StoreRequest, StoreRole,
-    StoreWatcher,
+    LastUpdates, MeshConfig, NodeKey, PeerDirectory, Registration, Rollout, StoreRequest,
+    StoreRole, StoreWatcher,
 };
 use crate::ids::{ConfigVersion, ServiceName};
 use crate::store::StoreEra;
@@ -31,6 +32,8 @@
     pub(super) identity: FleetIdentity,
     /// The configuration in force, whose version only increases.
     pub(super) config: Option<ConfigText>,
+    /// Served in part while there is no configuration.
+    pub(super) partial_config: Option<Arc<MeshConfig>>,
     pub(super) registration: Registration,
     pub(super) peers: PeerDirectory,
     pub(super) rollouts: BTreeMap<ServiceName, Rollout>,
@@ -102,6 +105,7 @@
             relays: Relays::new(&identity.entry.node),
             identity,
             config: None,
+            partial_config: None,
             registration: Registration::default(),
             rollouts: BTreeMap::new(),
             lease,
--- a/crates/core/src/fleet/mesh_config.rs
+++ b/crates/core/src/fleet/mesh_config.rs
@@ -1,10 +1,10 @@
 //! A checked configuration with its lookup of routes.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 
 use crate::fleet::{CallerLimits, MeshRoute, ServiceSettings, Teams};
-use crate::ids::{ConfigVersion, ServiceName};
+use crate::ids::{ConfigVersion, RouteName, ServiceName};
 
 /// A checked configuration: every service that a route leads to is defined.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -17,6 +17,10 @@
     pub services: BTreeMap<ServiceName, ServiceSettings>,
     /// The teams whose callers send credentials; empty if calls need none.
     pub teams: Teams,
+    /// Whether the document has entries of unknown types, so that only part of it is read.
+    pub is_partial: bool,
+    /// The routes of a partial configuration whose entries have unknown fields.
+    pub(super) withheld: HashSet<RouteName>,
     /// The routes by host, then by path prefix.
     pub(super) hosts: HashMap<Arc<str>, HashMap<Arc<str>, Arc<MeshRoute>>>,
 }
@@ -61,6 +65,13 @@
         None
     }
 
+    /// Returns whether calls of `route` may be sent to a server. In a partial configuration they may
+    /// if it certainly does no harm: they may run more than once, and this build knows all fields of
+    /// the route's entry.
+    pub fn serves(&self, route: &MeshRoute) -> bool {
+        !self.is_partial || (route.idempotent && !self.withheld.contains(&route.name))
+    }
+
     /// Returns every route, in no particular order.
     pub fn routes(&self) -> impl Iterator<Item = &Arc<MeshRoute>> {
         self.hosts.values().flat_map(HashMap::values)
--- a/crates/core/src/fleet/mesh_config_builder.rs
+++ b/crates/core/src/fleet/mesh_config_builder.rs
@@ -1,6 +1,6 @@
 //! Builds a configuration and checks it as a whole.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 
 use super::mesh_config::host_name;
@@ -8,7 +8,7 @@
     CallerLimits, ConfigProblem, CredentialDigest, MeshConfig, MeshRoute, ServiceSettings, Team,
     Teams,
 };
-use crate::ids::{ConfigVersion, ServiceName};
+use crate::ids::{ConfigVersion, RouteName, ServiceName};
 
 /// Collects the parts of a [`MeshConfig`] and checks them together.
 #[derive(Debug)]
@@ -18,6 +18,8 @@
     services: BTreeMap<ServiceName, ServiceSettings>,
     routes: Vec<MeshRoute>,
     teams: Vec<(Team, Vec<CredentialDigest>)>,
+    is_partial: bool,
+    withheld: HashSet<RouteName>,
 }
 
 impl MeshConfigBuilder {
@@ -25,7 +27,8 @@
     pub fn new(version: ConfigVersion) -> Self {
         let limits = CallerLimits::default();
         let (services, routes, teams) = (BTreeMap::new(), Vec::new(), Vec::new());
-        Self { version, limits, services, routes, teams }
+        let (is_partial, withheld) = (false, HashSet::new());
+        Self { version, limits, services, routes, teams, is_partial, withheld }
     }
 
     /// Sets the limits on the requests of callers.
@@ -56,9 +59,17 @@
         self
     }
 
+    /// Marks the configuration as partial. The entries of the routes `withheld` have unknown fields.
+    #[must_use]
+    pub fn partial(mut self, withheld: HashSet<RouteName>) -> Self {
+        self.is_partial = true;
+        self.withheld = withheld;
+        self
+    }
+
     /// Checks all routes and teams and builds the configuration. Returns the first problem found.
     pub fn build(self) -> Result<MeshConfig, ConfigProblem> {
-        let Self { version, limits, services, routes, teams } = self;
+        let Self { version, limits, services, routes, teams, is_partial, withheld } = self;
         let mut hosts: HashMap<Arc<str>, HashMap<Arc<str>, Arc<MeshRoute>>> = HashMap::new();
         for mut route in routes {
             check_route(&route, &services)?;
@@ -73,7 +84,15 @@
         for (team, credentials) in teams {
             checked_teams.add(team, credentials)?;
         }
-        Ok(MeshConfig { version, limits, services, teams: checked_teams, hosts })
+        Ok(MeshConfig {
+            version,
+            limits,
+            services,
+            teams: checked_teams,
+            is_partial,
+            withheld,
+            hosts,
+        })
     }
 }
 
--- a/crates/core/src/fleet/node_events.rs
+++ b/crates/core/src/fleet/node_events.rs
@@ -9,7 +9,8 @@
 use super::live_nodes::Rank;
 use super::peer_directory::HeartbeatPath;
 use crate::fleet::{
-    ConfigText, FleetAction, FleetChange, Heartbeat, NodeDigest, NodeEntry, StoreRole,
+    ConfigText, FleetAction, FleetChange, Heartbeat, NodeDigest, NodeEntry, PartialConfig,
+    StoreRole,
 };
 use crate::units::{Instant, Micros, Millis, UnixMillis};
 
@@ -152,6 +153,7 @@
         let behind_for =
             self.behind_since.take().map_or(Micros::default(), |since| now.since(since));
         self.config = Some(text);
+        self.partial_config = None;
         self.config_since = Some(now);
         self.freshness.forget_refused();
         self.report(FleetChange::ConfigInForce { version, before, source, behind_for });
@@ -161,6 +163,19 @@
         self.mark_changed();
     }
 
+    /// Serves part of a configuration with entries of unknown types, while there is no other one.
+    pub(super) fn serve_part(&mut self, partial: PartialConfig) {
+        let known = self.partial_config.as_ref().map(|config| config.version);
+        if self.config.is_some() || known.is_some_and(|known| known >= partial.config.version) {
+            return;
+        }
+        self.partial_config = Some(partial.config);
+        for unknown in partial.unknown_types.into_iter().take(Self::MAX_REPORTED_KINDS) {
+            self.report(FleetChange::ConfigTypeUnknown(unknown));
+        }
+        self.mark_changed();
+    }
+
     pub(super) fn handle_peer_config(
         &mut self,
         now: Instant,
--- a/crates/core/src/fleet/store_events.rs
+++ b/crates/core/src/fleet/store_events.rs
@@ -6,8 +6,8 @@
 use super::pending_request::{PendingRequest, RequestPurpose};
 use super::store_contact::StoreContact;
 use crate::fleet::{
-    FleetAction, FleetChange, ItemChange, KeySpace, Rollout, RolloutOrder, RolloutProgress,
-    StoreFailure, StoreItem, StoreKey, StoreReply, StoreResponse, StoredValue,
+    ConfigProblem, FleetAction, FleetChange, ItemChange, KeySpace, Rollout, RolloutOrder,
+    RolloutProgress, StoreFailure, StoreItem, StoreKey, StoreReply, StoreResponse, StoredValue,
 };
 use crate::store::{Revision, StoreEra, StorePosition};
 use crate::units::{Instant, UnixMillis};
@@ -217,6 +217,9 @@
             StoredValue::Config(Ok(text)) => self.apply_config(now, text, "store"),
             StoredValue::Config(Err(problem)) => {
                 self.report(FleetChange::ConfigRefused(problem.to_string()));
+                if let ConfigProblem::UnknownTypes(partial) = problem {
+                    self.serve_part(partial);
+                }
             }
             StoredValue::Order(order) => self.record_order(now, order),
             StoredValue::Progress(progress) => self.record_progress(now, wall, &progress, revision),
--- a/crates/core/src/refusal_reason.rs
+++ b/crates/core/src/refusal_reason.rs
@@ -12,6 +12,8 @@
     NoConfig,
     /// The node's configuration lacks the route or the credential, and another node has a newer one.
     OutdatedConfig,
+    /// The node has no configuration but part of one, which does not certainly cover the call.
+    PartialConfig,
     /// No route matches the request's path.
     UnknownRoute,
     /// The caller's request is malformed.
@@ -69,9 +71,10 @@
 
 impl RefusalReason {
     /// Every reason, in the order of declaration.
-    pub const ALL: [Self; 28] = [
+    pub const ALL: [Self; 29] = [
         Self::NoConfig,
         Self::OutdatedConfig,
+        Self::PartialConfig,
         Self::UnknownRoute,
         Self::BadRequest,
         Self::UnknownCredential,
@@ -105,6 +108,7 @@
         match self {
             Self::NoConfig => "no_config",
             Self::OutdatedConfig => "outdated_config",
+            Self::PartialConfig => "partial_config",
             Self::UnknownRoute => "unknown_route",
             Self::BadRequest => "bad_request",
             Self::UnknownCredential => "unknown_credential",
--- a/crates/core/src/report/call_counts.rs
+++ b/crates/core/src/report/call_counts.rs
@@ -71,6 +71,7 @@
                 | RefusalReason::BadAnswer => Self::Unknown,
                 RefusalReason::NoConfig
                 | RefusalReason::OutdatedConfig
+                | RefusalReason::PartialConfig
                 | RefusalReason::UnknownRoute
                 | RefusalReason::BadRequest
                 | RefusalReason::UnknownCredential
--- a/crates/core/src/rollout/call_outcome.rs
+++ b/crates/core/src/rollout/call_outcome.rs
@@ -32,6 +32,7 @@
             | RefusalReason::DeadlineTooNear => Some(Self::Refused),
             RefusalReason::NoConfig
             | RefusalReason::OutdatedConfig
+            | RefusalReason::PartialConfig
             | RefusalReason::UnknownRoute
             | RefusalReason::BadRequest
             | RefusalReason::UnknownCredential
--- a/crates/core/src/traffic/retry_policy.rs
+++ b/crates/core/src/traffic/retry_policy.rs
@@ -55,7 +55,8 @@
         | R::BackendShed
         | R::BodyMemory
         | R::NoConfig
-        | R::OutdatedConfig => Some(RetryReason::RefusedUnrun),
+        | R::OutdatedConfig
+        | R::PartialConfig => Some(RetryReason::RefusedUnrun),
         R::UnknownRoute
         | R::BadRequest
         | R::UnknownCredential
--- a/crates/node/src/calls/failure.rs
+++ b/crates/node/src/calls/failure.rs
@@ -65,6 +65,7 @@
             R::BrokenExchange | R::BadAnswer => StatusCode::BAD_GATEWAY,
             R::NoConfig
             | R::OutdatedConfig
+            | R::PartialConfig
             | R::QuotaUnknown
             | R::BodyMemory
             | R::KeyRegistrarUnreachable
--- a/crates/node/src/fleet/caller_handler.rs
+++ b/crates/node/src/fleet/caller_handler.rs
@@ -32,6 +32,10 @@
 /// the node gets it.
 const CONFIG_RETRY_AFTER: Micros = Micros::new(300_000);
 
+/// Retry delay for requests that a partial configuration does not cover: the operator has to change
+/// it.
+const PARTIAL_CONFIG_RETRY_AFTER: Micros = Micros::new(2_000_000);
+
 /// Pipelining state of one connection, shared by the handlers of its requests.
 pub(crate) type SharedPipeline = Arc<Mutex<CallerPipeline>>;
 
@@ -89,13 +93,17 @@
     let Some(config) = &view.config else { return };
     result.config = config.version;
     let Some(route) = route_of(config, &request) else {
-        result.answer = Err(refuse(unknown(RefusalReason::UnknownRoute, &view)));
+        result.answer = Err(refuse(unknown(RefusalReason::UnknownRoute, &view, config)));
         return;
     };
     let sent = platform_calls::sent_credential(request.headers());
     let identity = CallerIdentity::of(config, route, sent);
     if identity == CallerIdentity::Unknown {
-        result.answer = Err(refuse(unknown(RefusalReason::UnknownCredential, &view)));
+        result.answer = Err(refuse(unknown(RefusalReason::UnknownCredential, &view, config)));
+        return;
+    }
+    if !config.serves(route) {
+        result.answer = Err(refuse(RefusalReason::PartialConfig));
         return;
     }
     let draw = rand::rng().random_range(0..route.weight());
@@ -115,7 +123,7 @@
     let route = route_of(config, head)?;
     let sent = platform_calls::sent_credential(head.headers());
     let is_unknown = CallerIdentity::of(config, route, sent) == CallerIdentity::Unknown;
-    is_unknown.then(|| unknown(RefusalReason::UnknownCredential, view))
+    is_unknown.then(|| unknown(RefusalReason::UnknownCredential, view, config))
 }
 
 fn route_of<'a, T>(config: &'a MeshConfig, request: &Request<T>) -> Option<&'a Arc<MeshRoute>> {
@@ -124,14 +132,20 @@
 }
 
 /// Returns the reason for the refusal of a request whose route or credential the configuration
-/// lacks, as `reason` says. A node that waits for a newer configuration can't say that there is none.
-const fn unknown(reason: RefusalReason, view: &FleetView) -> RefusalReason {
-    if view.is_outdated { RefusalReason::OutdatedConfig } else { reason }
+/// lacks, as `reason` says. A node that waits for a newer configuration, or reads only part of the
+/// one it has, can't say that there is none.
+const fn unknown(reason: RefusalReason, view: &FleetView, config: &MeshConfig) -> RefusalReason {
+    match (view.is_outdated, config.is_partial) {
+        (true, _) => RefusalReason::OutdatedConfig,
+        (false, true) => RefusalReason::PartialConfig,
+        (false, false) => reason,
+    }
 }
 
 const fn refuse(reason: RefusalReason) -> CallFailure {
     let retry_after = match reason {
         RefusalReason::OutdatedConfig => CONFIG_RETRY_AFTER,
+        RefusalReason::PartialConfig => PARTIAL_CONFIG_RETRY_AFTER,
         _ => Micros::new(0),
     };
     CallFailure::refused(reason, retry_after)
