--- a/crates/core/tests/traffic_retry.rs
+++ b/crates/core/tests/traffic_retry.rs
@@ -128,13 +128,17 @@
             _,
             R::NoBackend
             | R::BackendDown
+            | R::Evacuated
+            | R::ColdServer
             | R::StoppedVersion
             | R::QueueFull
+            | R::Displaced
             | R::DeadlineTooNear
             | R::BackendShed
             | R::BodyMemory
             | R::NoConfig
-            | R::OutdatedConfig,
+            | R::OutdatedConfig
+            | R::PartialConfig,
         ) => Some(RetryReason::RefusedUnrun),
         _ => None,
     }
--- a/crates/node/src/fleet/caller_handler.rs
+++ b/crates/node/src/fleet/caller_handler.rs
@@ -34,6 +34,10 @@
 /// the node gets it.
 const CONFIG_RETRY_AFTER: Micros = Micros::new(300_000);
 
+/// Retry delay for requests that a partial configuration does not cover: the operator has to change
+/// it.
+const PARTIAL_CONFIG_RETRY_AFTER: Micros = Micros::new(2_000_000);
+
 /// Pipelining state of one connection, shared by the handlers of its requests.
 pub(crate) type SharedPipeline = Arc<Mutex<CallerPipeline>>;
 
@@ -91,13 +95,17 @@
     let Some(config) = &view.config else { return };
     result.config = config.version;
     let Some(route) = route_of(config, &request) else {
-        result.answer = Err(refuse(unknown(RefusalReason::UnknownRoute, &view)));
+        result.answer = Err(refuse(unknown(RefusalReason::UnknownRoute, &view, config)));
         return;
     };
     let sent = platform_calls::sent_credential(request.headers());
     let identity = CallerIdentity::of(config, route, sent);
     if identity == CallerIdentity::Unknown {
-        result.answer = Err(refuse(unknown(RefusalReason::UnknownCredential, &view)));
+        result.answer = Err(refuse(unknown(RefusalReason::UnknownCredential, &view, config)));
+        return;
+    }
+    if !config.serves(route) {
+        result.answer = Err(refuse(RefusalReason::PartialConfig));
         return;
     }
     let draw = rand::rng().random_range(0..route.weight());
@@ -143,7 +151,7 @@
     let route = route_of(config, head)?;
     let sent = platform_calls::sent_credential(head.headers());
     let is_unknown = CallerIdentity::of(config, route, sent) == CallerIdentity::Unknown;
-    is_unknown.then(|| unknown(RefusalReason::UnknownCredential, view))
+    is_unknown.then(|| unknown(RefusalReason::UnknownCredential, view, config))
 }
 
 fn route_of<'a, T>(config: &'a MeshConfig, request: &Request<T>) -> Option<&'a Arc<MeshRoute>> {
@@ -152,14 +160,20 @@
 }
 
 /// Returns the reason for the refusal of a request whose route or credential the configuration
-/// lacks, as `reason` says. A node that waits for a newer configuration can't say that there is none.
-const fn unknown(reason: RefusalReason, view: &FleetView) -> RefusalReason {
-    if view.is_outdated { RefusalReason::OutdatedConfig } else { reason }
+/// lacks, as `reason` says. A node that waits for a newer configuration, or reads only part of the
+/// one it has, can't say that there is none.
+const fn unknown(reason: RefusalReason, view: &FleetView, config: &MeshConfig) -> RefusalReason {
+    match (view.is_outdated, config.is_partial) {
+        (true, _) => RefusalReason::OutdatedConfig,
+        (false, true) => RefusalReason::PartialConfig,
+        (false, false) => reason,
+    }
 }
 
 const fn refuse(reason: RefusalReason) -> CallFailure {
     let retry_after = match reason {
         RefusalReason::OutdatedConfig => CONFIG_RETRY_AFTER,
+        RefusalReason::PartialConfig => PARTIAL_CONFIG_RETRY_AFTER,
         _ => Micros::new(0),
     };
     CallFailure::refused(reason, retry_after)
@@ -326,10 +340,18 @@
     let hedge_call =
         ForwardedCall { backend: hedge_choice.endpoint.backend.clone(), ..call.clone() };
     let mut second = pin!(send_attempt(traffic, &hedge_choice.endpoint, &hedge_call));
-    tokio::select! {
-        result = first.as_mut() => if is_success(&result) { result } else { second.await },
-        result = second.as_mut() => if is_success(&result) { result } else { first.await },
-    }
+    let (failed, last) = tokio::select! {
+        result = first.as_mut() => match failed_verdict(&result) {
+            Some(verdict) => (verdict, second.await),
+            None => return result,
+        },
+        result = second.as_mut() => match failed_verdict(&result) {
+            Some(verdict) => (verdict, first.await),
+            None => return result,
+        },
+    };
+    attempts.record_failure_beside(failed);
+    last
 }
 
 /// Chooses a second endpoint for `call`. Returns `None` if a hedge is unlikely to help or the retry
@@ -351,8 +373,13 @@
     may.then_some(choice)
 }
 
-fn is_success(result: &Result<Response<Bytes>, CallFailure>) -> bool {
-    result.as_ref().is_ok_and(|response| !response.status().is_server_error())
+/// Returns the verdict on an attempt that failed; `None` if it succeeded.
+fn failed_verdict(result: &Result<Response<Bytes>, CallFailure>) -> Option<Verdict> {
+    match result {
+        Ok(response) if response.status().is_server_error() => Some(Verdict::MayHaveRun),
+        Ok(_) => None,
+        Err(failure) => Some(failure.verdict),
+    }
 }
 
 /// Combines the failure of the last attempt with the verdict over all attempts.
