Let time pass in the benchmark of a call's decision

Cause: at a standing time requests without an answer piled up, so the benchmark measured their search.

Change: a call arrives each millisecond, and each request is granted.

Not run as a release build.

--- a/crates/core/benches/fleet.rs
+++ b/crates/core/benches/fleet.rs
@@ -218,6 +218,9 @@
 /// Numbers of teams and nodes for which the decision on a call is measured.
 const TEAM_AND_NODE_COUNTS: [(u16, u16); 2] = [(85, 87), (2_000, 1_412)];
 
+/// The time between two calls at a node.
+const CALL_INTERVAL: Micros = Micros::new(1_000);
+
 fn credential(team: u16) -> String {
     format!("credential-{team:05}-of-a-usual-length")
 }
@@ -254,7 +257,7 @@
     for (teams, nodes) in TEAM_AND_NODE_COUNTS {
         let config = config_of_teams(teams);
         let route = config.route("a.example", "/x/").expect("a route");
-        let now = Instant::new(10_000_000);
+        let mut now = Instant::new(10_000_000);
         let node = |n: u16| {
             let address = entry_address(n);
             QuotaNode::new(entry(n).node, address, Micros::new(700_000))
@@ -264,20 +267,23 @@
         let counts = QuotaNodeCounts { fresh: count, local: count, known: count };
         let members = members.update(now, (0..nodes).map(node).collect(), counts, |_| false);
         let mut requester = QuotaRequester::new(QuotaRequestId::new(1));
-        let call = QuotaCall { latest: now + Millis::new(100), is_waiting: false };
         let credentials: Vec<String> = (0..teams).map(credential).collect();
         let mut turn = 0;
         criterion.bench_function(&format!("decide_call/{teams}/{nodes}"), |bencher| {
             bencher.iter(|| {
                 turn = (turn + 1) % credentials.len();
+                now = now + CALL_INTERVAL;
+                let call = QuotaCall { latest: now + Millis::new(100), is_waiting: false };
                 let digest = CredentialDigest::of(credentials[turn].as_bytes());
                 let sent = SentCredential::Sent(digest);
                 let identity = CallerIdentity::of(&config, route, sent);
                 let team = identity.team().expect("a team");
                 let (decision, request) =
                     requester.decide(now, team, call, &members, config.version);
-                if let (QuotaDecision::Wait(_), Some(request)) = (decision, request) {
+                if let Some(request) = request {
                     grant(&mut requester, now, &request);
+                }
+                if let QuotaDecision::Wait(_) = decision {
                     let call = QuotaCall { is_waiting: true, ..call };
                     black_box(requester.decide(now, team, call, &members, config.version));
                 }
