Refuse a call that a cold server admits after its deadline

Cause: merging the limit on cold servers into the split queue compared a call behind others with its target only, so one whose deadline is earlier waited in vain.

Measured: admit_cold_server_full failed on and passes with the change.

--- a/crates/core/src/fleet/call_queue.rs
+++ b/crates/core/src/fleet/call_queue.rs
@@ -255,7 +255,10 @@
         let ahead = self.waiting_ahead(requirements);
         let wait = self.cold_wait(now, ahead);
         let answered = now + wait + self.server.expected_run_time(&requirements.route);
-        let latest = if ahead == 0 { requirements.deadline } else { requirements.target };
+        let latest = match ahead {
+            0 => requirements.deadline,
+            _ => requirements.target.min(requirements.deadline),
+        };
         (answered > latest).then(|| Admission::Refused {
             reason: RefusalReason::ColdServer,
             retry_after: self.cold_wait(now, self.waiting.len()),
