--- a/crates/core/src/fleet/backend_warmth.rs
+++ b/crates/core/src/fleet/backend_warmth.rs
@@ -1,8 +1,8 @@
-//! What a node knows of the warmth of the backend server beside it.
+//! Whether the backend server beside a node is cold.
 
 use crate::units::Instant;
 
-/// What the last announcement of a backend server tells of its warmth.
+/// Whether a backend server is cold, by its last announcement.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct BackendWarmth {
     /// Whether the server is cold, or may have restarted since.
--- a/crates/core/src/fleet/call_queue.rs
+++ b/crates/core/src/fleet/call_queue.rs
@@ -12,7 +12,8 @@
 
 /// Queues calls for one backend server, which runs no more calls at a time than it has slots.
 ///
-/// Handles more calls than the server can run.
+/// Calls beyond the slots, or beyond the rate of a cold server, wait or are refused as the
+/// [`QueuePolicy`] says.
 #[derive(Debug, Default)]
 pub struct CallQueue {
     server: ServerSlots,
@@ -135,7 +136,8 @@
         self.cold.doubted_at()
     }
 
-    /// Gives the calls to waiting calls that a cold server admits by now.
+    /// Runs the waiting calls that a cold server admits by now. Returns the waiting calls that now
+    /// run or are refused.
     pub fn admit_waiting(&mut self, now: Instant) -> Vec<QueueWakeup> {
         self.fill_slots(now)
     }
@@ -148,7 +150,7 @@
         waits_for_cold.then(|| self.cold.wait(now, 0)).flatten()
     }
 
-    /// Returns the waiting calls that were refused in favour of calls admitted since the last time.
+    /// Returns the waiting calls that [`Self::admit`] refused since this was last called.
     pub fn take_displaced(&mut self) -> Vec<QueueWakeup> {
         match &mut self.waiting {
             Waiting::ByTarget(_) => Vec::new(),
@@ -198,7 +200,7 @@
     }
 
     /// Returns the server's current service time relative to its usual one; `None` if it does not
-    /// tell it.
+    /// report it.
     pub fn service_time(&self, now: Instant) -> Option<Percent> {
         self.server.service_time(now)
     }
@@ -219,7 +221,7 @@
         }
     }
 
-    /// Returns the number of teams that are told apart at the moment.
+    /// Returns the number of teams that are counted separately.
     pub fn teams_known(&self) -> usize {
         match &self.waiting {
             Waiting::ByTarget(_) => 0,
@@ -227,7 +229,8 @@
         }
     }
 
-    /// Gives free slots to waiting calls and refuses those that are not worth their place.
+    /// Gives free slots to waiting calls and refuses those that can't be answered in time or
+    /// are displaced.
     fn fill_slots(&mut self, now: Instant) -> Vec<QueueWakeup> {
         self.server.refresh(now);
         let mut wakeups = self.refuse_late_for_cold(now);
@@ -247,7 +250,7 @@
     }
 
     /// Refuses a call on arrival that a cold server admits too late for its target, unless no other
-    /// call waits: one waiting call takes the next turn.
+    /// call waits: one waiting call is always kept for the next admission.
     fn refused_for_cold(&self, now: Instant, requirements: &CallRequirements) -> Option<Admission> {
         if !self.cold.is_limiting() {
             return None;
@@ -288,8 +291,8 @@
         late.into_iter().map(|ticket| QueueWakeup { ticket, refused }).collect()
     }
 
-    /// Returns how long a call with `ahead` others before it waits because the server is cold. While
-    /// the limit is not known, a call may wait in vain until its deadline.
+    /// Returns how long a call with `ahead` others before it waits because the server is cold. Zero
+    /// while the limit is not known: the call then waits until it is, at most until its deadline.
     fn cold_wait(&self, now: Instant, ahead: usize) -> Micros {
         self.cold.wait(now, ahead).unwrap_or_default()
     }
--- a/crates/core/src/fleet/call_value.rs
+++ b/crates/core/src/fleet/call_value.rs
@@ -1,8 +1,8 @@
-//! What it is worth to serve a call.
+//! The value of serving a call.
 
 use crate::units::{Instant, Micros};
 
-/// What it is worth to serve a call that starts at a given time, and so the cost of refusing it.
+/// The value of serving a call that starts at a given time, and so the cost of refusing it.
 ///
 /// The values of calls compare within a rank; between ranks, the rank decides.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -40,7 +40,8 @@
     }
 
     /// Returns the value: 1 for an answer that is certain to be in time, 0 for a refusal. It is the
-    /// cost of refusing the call, and what a later start takes from it is the cost of the delay.
+    /// cost of refusing the call; the amount by which a later start lowers it is the cost of the
+    /// delay.
     pub fn total(self) -> f64 {
         self.in_time + Self::LATE_VALUE * (self.served - self.in_time)
     }
--- a/crates/core/src/fleet/cold_choice.rs
+++ b/crates/core/src/fleet/cold_choice.rs
@@ -6,10 +6,9 @@
 /// Draws at most one cold endpoint for each call, so that each gets as many calls as its node
 /// admits.
 ///
-/// An endpoint gets its share of the calls while it is warm by its share of the warm rate of the
-/// service. While it is cold it gets less by the ratio of its cold to its warm rate, and so the ratio
-/// of its cold rate to the warm rate of the service: if all nodes together send no more calls than
-/// the service takes, no cold endpoint gets more than it admits on average.
+/// A cold endpoint is drawn with the probability of its cold rate divided by the sum of the warm
+/// rates of all endpoints. So if all nodes together send no more calls than the warm service takes,
+/// no cold endpoint gets more than it admits on average.
 #[derive(Debug, Default)]
 pub struct ColdChoice<'a> {
     /// The cold endpoints with their cold rates in calls per second.
--- a/crates/core/src/fleet/cold_limiter.rs
+++ b/crates/core/src/fleet/cold_limiter.rs
@@ -10,8 +10,8 @@
 ///
 /// Only this node sends calls to the server, so its own count is the sum over all nodes. It counts
 /// calls in a sliding window, also those to a warm server, which may become cold at any moment.
-/// Without a record of the calls in the last second it admits none: a former process of the node may
-/// have sent as many as the server bears.
+/// Without a record of the calls in the last second it admits none: a former process of the node
+/// may have sent as many as the server can take.
 #[derive(Debug, Default)]
 pub struct ColdLimiter {
     rule: ColdRule,
@@ -29,9 +29,9 @@
     /// An announcement that arrives within this time after the server may have restarted does not
     /// show whether it is warm: the former process may have sent it.
     pub const SETTLE_TIME: Millis = Millis::new(200);
-    /// The shortest sliding window.
+    /// The length of the sliding window, unless the rate is below one call in it.
     const MIN_WINDOW: Micros = Micros::new(1_000_000);
-    /// The admitted rate as a percentage of the one that the server bears. Below the 150% that are
+    /// The admitted rate as a percentage of the configured one. Below the 150% that are
     /// allowed, because calls are counted when they are sent and not when they arrive.
     const RATE_PERCENT: u64 = 125;
     /// The largest number of calls in a window, which bounds memory.
@@ -81,7 +81,7 @@
         true
     }
 
-    /// Returns how long a call with `ahead` others ahead of it waits until it is admitted; `None` if
+    /// Returns how long a call with `ahead` calls before it waits until it is admitted; `None` if
     /// that is not known.
     pub fn wait(&self, now: Instant, ahead: usize) -> Option<Micros> {
         if !self.is_limiting() {
@@ -109,7 +109,7 @@
         matches!(self.rule, ColdRule::Limited(_))
     }
 
-    /// Returns whether the calls counted so far are too few to tell whether `rule` is kept.
+    /// Returns whether the calls recorded so far are not enough to enforce `rule`.
     fn needs_new_count(&self, rule: ColdRule) -> bool {
         match (self.rule, rule) {
             (ColdRule::Limited(before), ColdRule::Limited(rate)) => rate > before,
@@ -118,15 +118,15 @@
         }
     }
 
-    /// Returns the number of calls in a window.
+    /// Returns the largest number of calls in a window.
     fn capacity(&self) -> usize {
         let ColdRule::Limited(rate) = self.rule else { return 0 };
-        usize::try_from(calls_per_second(rate)).unwrap_or(usize::MAX)
+        usize::try_from(calls_per_window(rate)).unwrap_or(usize::MAX)
     }
 }
 
-/// Returns the number of calls that are admitted in a second, at least one.
-fn calls_per_second(rate: CallRate) -> u64 {
+/// Returns the number of calls that are admitted in a window, at least one.
+fn calls_per_window(rate: CallRate) -> u64 {
     let milli = rate.milli().saturating_mul(ColdLimiter::RATE_PERCENT) / 100;
     (milli / 1_000).clamp(1, ColdLimiter::MAX_CAPACITY)
 }
--- a/crates/core/src/fleet/cold_rule.rs
+++ b/crates/core/src/fleet/cold_rule.rs
@@ -5,11 +5,11 @@
 /// Whether the calls of a backend server are limited while it is cold.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum ColdRule {
-    /// The node has no configuration yet that says so.
+    /// The node has no configuration yet.
     Unknown,
-    /// A cold server is merely slow.
+    /// The calls of a cold server are not limited.
     #[default]
     Unlimited,
-    /// A cold server bears only this rate of calls.
+    /// A cold server takes at most this rate of calls.
     Limited(CallRate),
 }
--- a/crates/core/src/fleet/demand.rs
+++ b/crates/core/src/fleet/demand.rs
@@ -1,4 +1,4 @@
-//! The work that calls bring to a server, by team and by precedence.
+//! The work that calls offer to a server, by team and by precedence.
 
 use std::collections::{BTreeMap, HashMap};
 
@@ -8,7 +8,7 @@
 use crate::fleet::{FairShare, ShareHolder};
 use crate::units::{Instant, Micros, Millis};
 
-/// The work that calls bring to a server, by team and by precedence.
+/// The work that calls offer to a server, by team and by precedence.
 ///
 /// A team surges if its work, relative to that of the other teams, is far above the usual. Calls
 /// beyond what it usually needs then give way to all others.
@@ -29,26 +29,26 @@
 }
 
 impl Demand {
-    /// A team surges if it brings more than this multiple of its usual work.
+    /// A team surges if it offers more than this multiple of its usual work.
     const SURGE_FACTOR: f64 = 2.5;
-    /// A surging team keeps its place for this multiple of its usual work.
+    /// The calls of a surging team keep their precedence up to this multiple of its usual work.
     const USUAL_MARGIN: f64 = 1.5;
-    /// A team that takes less than this part of the slots doesn't surge: it harms others little,
-    /// and a few calls that arrive together aren't a trend.
+    /// A team that takes less than this fraction of the slots doesn't surge: it harms others
+    /// little, and a few calls that arrive together aren't a trend.
     const HARMLESS_FRACTION: f64 = 0.1;
     /// The weight of a surging team's work in what is usual, so that a lasting increase becomes
     /// usual after a while.
     const SURGE_WEIGHT: f64 = 0.1;
     /// The time from the first call until teams are compared with their usual work.
     const LEARNING_TIME: Millis = Millis::new(5_000);
-    /// The part of the server's work beyond which calls that running calls make lose precedence, so
-    /// that a flood of them leaves slots to others.
+    /// The fraction of the started work beyond which calls made by running calls lose precedence,
+    /// so that a flood of them leaves slots to others.
     const MADE_FRACTION: f64 = 0.7;
-    /// Work below this in a decayed sum no longer counts.
+    /// Work below this in a decayed sum, in microseconds, no longer counts.
     const NEGLIGIBLE_WORK: f64 = 1_000.0;
-    /// The number of precedences from which on those without recent calls are forgotten.
+    /// The number of precedences above which those without recent calls are forgotten.
     const MAX_PRECEDENCES: usize = 64;
-    /// The largest part of the slots that calls of better precedence are expected to take.
+    /// The largest fraction of the slots that calls of better precedence are expected to take.
     const MAX_OVERTAKING: f64 = 0.9;
 
     /// Records a call that arrives with the expected run time `work`.
@@ -90,27 +90,27 @@
             && demand.started(now) > usual.max(Self::harmless(slots))
     }
 
-    /// Returns whether the calls without a team take so much of the server that they go behind
-    /// those with one.
+    /// Returns whether calls without a team exceed [`Self::MADE_FRACTION`] of the started work.
     pub(super) fn exceeds_made_fraction(&self, now: Instant) -> bool {
         let made = self.holders.get(&ShareHolder::NoTeam).map_or(0.0, |demand| demand.started(now));
         made > Self::MADE_FRACTION * self.total.started(now)
     }
 
-    /// Returns the part of `slots` that calls which overtake one of `precedence` are expected to
-    /// take.
+    /// Returns the fraction of `slots` that calls of a better precedence than `precedence` are
+    /// expected to take.
     pub(super) fn overtaking(&self, now: Instant, slots: u32, precedence: Precedence) -> f64 {
         let sums = self.precedences.range(..precedence).map(|(_, demand)| &demand.started);
-        Self::part_of(now, slots, sums).min(Self::MAX_OVERTAKING)
+        Self::fraction_of(now, slots, sums).min(Self::MAX_OVERTAKING)
     }
 
-    /// Returns the work of calls of `precedence` or a better one relative to what the slots can do.
+    /// Returns the offered work of calls of `precedence` or a better one relative to what the slots
+    /// can do.
     pub(super) fn pressure(&self, now: Instant, slots: u32, precedence: Precedence) -> f64 {
         let sums = self.precedences.range(..=precedence).map(|(_, demand)| &demand.offered);
-        Self::part_of(now, slots, sums)
+        Self::fraction_of(now, slots, sums)
     }
 
-    /// Returns the number of teams that are told apart.
+    /// Returns the number of teams that are counted separately.
     pub(super) fn len(&self) -> usize {
         self.holders.len()
     }
@@ -124,7 +124,7 @@
     }
 
     /// Returns the usual work of a team, scaled to the present work of the others: if all teams
-    /// bring more, none of them surges.
+    /// offer more, none of them surges.
     fn usual_now(&self, now: Instant, demand: &HolderDemand) -> f64 {
         let others_usual = self.total.usual(now) - demand.usual(now);
         let others_now = self.total.recent(now) - demand.recent(now);
@@ -137,17 +137,22 @@
         Self::HARMLESS_FRACTION * Self::capacity(slots)
     }
 
-    fn part_of<'a>(now: Instant, slots: u32, sums: impl Iterator<Item = &'a DecayingSum>) -> f64 {
+    fn fraction_of<'a>(
+        now: Instant,
+        slots: u32,
+        sums: impl Iterator<Item = &'a DecayingSum>,
+    ) -> f64 {
         let work: f64 = sums.map(|sum| sum.at(now, HolderDemand::RECENT_TIME.into())).sum();
         work / Self::capacity(slots)
     }
 
-    /// Returns the work that `slots` can do in the time over which recent work counts.
+    /// Returns the work, in microseconds, that `slots` can do within [`HolderDemand::RECENT_TIME`].
     fn capacity(slots: u32) -> f64 {
         f64::from(slots.max(1)) * Micros::from(HolderDemand::RECENT_TIME).get() as f64
     }
 
-    /// Returns the account of `precedence`, for which those without recent calls make room.
+    /// Returns the account of `precedence`. Forgets precedences without recent calls if there are
+    /// too many.
     fn precedence(&mut self, now: Instant, precedence: Precedence) -> &mut PrecedenceDemand {
         if self.precedences.len() >= Self::MAX_PRECEDENCES {
             let time = HolderDemand::RECENT_TIME.into();
@@ -158,7 +163,7 @@
         self.precedences.entry(precedence).or_default()
     }
 
-    /// Returns the account of `holder`, for which room is made if there is none.
+    /// Returns the account of `holder`, or that of [`ShareHolder::Others`] if there is no room.
     fn account(&mut self, now: Instant, holder: &ShareHolder) -> &mut HolderDemand {
         if !self.holders.contains_key(holder) && self.holders.len() >= FairShare::MAX_ACCOUNTS {
             self.holders.retain(|_, demand| demand.usual(now) > Self::NEGLIGIBLE_WORK);
--- a/crates/core/src/fleet/endpoint_draws.rs
+++ b/crates/core/src/fleet/endpoint_draws.rs
@@ -1,25 +1,25 @@
-//! Draws the endpoints among which a call is placed.
+//! Samples the endpoints that are considered for a call.
 
 use rand::Rng;
 
 use crate::fleet::Endpoint;
 use crate::ids::DataCentre;
 
-/// How many endpoints are drawn for a call to servers that tell their rates.
+/// How many endpoints are drawn for a call to servers that report their rates.
 ///
 /// What a node knows of servers that change their speed many times a second is old when it is used.
-/// If every node chose among all of them, their calls would meet at the few that were fastest a
-/// moment ago. Draws of one endpoint may repeat, so that calls in a small fleet too have different
-/// endpoints to choose from.
+/// If every node chose among all of them, the nodes would overload the few servers that were
+/// fastest a moment ago. Draws are with replacement, so that calls consider different endpoints in
+/// a small fleet too.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EndpointDraws {
     /// All endpoints are considered.
     All,
-    /// This many draws from the own data centre, and from all others together.
+    /// Endpoints are drawn at random, with replacement.
     Drawn {
         /// The number of draws from the node's own data centre.
         near: usize,
-        /// The number of draws from the other data centres.
+        /// The number of draws from all other data centres together.
         far: usize,
     },
 }
--- a/crates/core/src/fleet/endpoint_load.rs
+++ b/crates/core/src/fleet/endpoint_load.rs
@@ -17,13 +17,12 @@
     in_flight: u32,
     /// The mean run time of a call, as the endpoint last reported it.
     mean_run_time: Option<Micros>,
-    /// The observed times of each route's calls at the endpoint and on their way. The run times of
-    /// a server that tells its rate are normalised to 100%.
+    /// The observed times of each route's calls at the endpoint and on the network. The run times
+    /// of a server that reports its rate are normalised to 100%.
     times: ServiceTimes,
-    /// The times on the way of the calls of a server that tells its rate, which does not change
-    /// them.
-    ways: ServiceTimes,
-    /// The server's rate as it was last reported; `None` if the server does not tell it.
+    /// The network times of calls to a server that reports its rate. The rate does not affect them.
+    network_times: ServiceTimes,
+    /// The server's rate as it was last reported; `None` if the server does not report it.
     rate: Option<ServiceRate>,
     /// The moving mean of failures, from 0 to 1, in which the newest call weighs most.
     failure_share: f64,
@@ -56,11 +55,10 @@
     const UNREACHABLE_EJECTION_TIME: Millis = Millis::new(500);
     /// How long an endpoint is ejected after it refused a call, unless no other is left.
     const REFUSAL_EJECTION_TIME: Millis = Millis::new(100);
-
-    /// The shortest and the longest time without calls after an endpoint refused one because its
-    /// server is cold. The longest one bounds the time in which a server that is warm again gets no
-    /// calls.
+    /// The shortest time without calls after an endpoint refused one because its server is cold.
     const MIN_COLD_DELAY: Micros = Micros::new(50_000);
+    /// The longest time without calls after such a refusal. Bounds the time in which a server that
+    /// is warm again gets no calls.
     const MAX_COLD_DELAY: Micros = Micros::new(1_000_000);
 
     /// Records that a call was sent to the endpoint.
@@ -98,42 +96,42 @@
         self.rate = Some(ServiceRate::new(service_time, now));
     }
 
-    /// Returns whether the server tells its rate.
+    /// Returns whether the server reports its rate.
     pub const fn is_rated(&self) -> bool {
         self.rate.is_some()
     }
 
     /// Returns the factor by which the server's run times at `now` are expected to exceed the usual
-    /// ones; `None` if it does not tell its rate.
+    /// ones; `None` if it does not report its rate.
     pub fn rate_factor(&self, now: Instant) -> Option<f64> {
         self.rate.map(|rate| rate.factor(now))
     }
 
     /// Records that a call of `route` was answered at `now`, like [`Self::record_run_time`], after
-    /// the rate of a server that tells it was recorded.
+    /// the rate of a server that reports it was recorded.
     pub fn record_run_time_at(
         &mut self,
         now: Instant,
         route: &RouteName,
         run_time: Micros,
-        way: Micros,
+        network_time: Micros,
     ) {
         let Some(factor) = self.rate_factor(now) else {
-            return self.record_run_time(route, run_time, way);
+            return self.record_run_time(route, run_time, network_time);
         };
-        self.ways.record(route, way);
+        self.network_times.record(route, network_time);
         let usual = Micros::new((run_time.get() as f64 / factor) as u64);
-        self.record_run_time(route, usual, way);
+        self.record_run_time(route, usual, network_time);
     }
 
-    /// Returns the expected time of a call of `route` that is sent at `now`, by the server's current
-    /// rate; `None` before the first answer.
+    /// Returns the expected time of a call of `route` that is sent at `now`, by the server's
+    /// current rate; `None` before the first answer.
     pub fn expected_at(&self, now: Instant, route: &RouteName) -> Option<Micros> {
         let usual = self.times.route_mean(route)?;
         let Some(factor) = self.rate_factor(now) else { return Some(usual) };
-        let way = self.ways.route_mean(route).unwrap_or_default().min(usual);
-        let run_time = usual.get() - way.get();
-        Some(Micros::new(way.get().saturating_add((run_time as f64 * factor) as u64)))
+        let network_time = self.network_times.route_mean(route).unwrap_or_default().min(usual);
+        let run_time = usual.get() - network_time.get();
+        Some(Micros::new(network_time.get().saturating_add((run_time as f64 * factor) as u64)))
     }
 
     /// Returns the mean run time of a call that is sent at `now`, by the server's current rate;
@@ -147,12 +145,12 @@
     /// Records that a call of `route` was answered and had run for `run_time`, and how long it and
     /// its answer were on their way. A large call takes long to reach an endpoint whose link is
     /// full, however fast its server is.
-    pub fn record_run_time(&mut self, route: &RouteName, run_time: Micros, way: Micros) {
-        self.times.record(route, Micros::new(run_time.get().saturating_add(way.get())));
+    pub fn record_run_time(&mut self, route: &RouteName, run_time: Micros, network_time: Micros) {
+        self.times.record(route, Micros::new(run_time.get().saturating_add(network_time.get())));
     }
 
-    /// Returns the expected time of a call of `route`, run time and way together; `None` before the
-    /// first answer.
+    /// Returns the expected time of a call of `route`, run time and network time together; `None`
+    /// before the first answer.
     pub fn expected(&self, route: &RouteName) -> Option<Micros> {
         self.times.route_mean(route)
     }
--- a/crates/core/src/fleet/evacuation_events.rs
+++ b/crates/core/src/fleet/evacuation_events.rs
@@ -1,4 +1,4 @@
-//! Handles evacuation orders, and what other nodes and calls tell of cold servers.
+//! Handles evacuation orders and the state of cold servers.
 
 use super::fleet_control::FleetControl;
 use crate::fleet::{
@@ -61,8 +61,8 @@
         outcome
     }
 
-    /// Publishes the end of a ramp of this data centre, and checks that new orders name data centres
-    /// with nodes.
+    /// Publishes the end of a ramp of this data centre, and checks that new orders name data
+    /// centres with nodes.
     pub(super) fn tick_evacuations(&mut self, now: Instant) {
         let own = &self.identity.entry.data_centre;
         let is_evacuated = self.evacuations.ramp(own).is_closed(now);
--- a/crates/core/src/fleet/fair_share.rs
+++ b/crates/core/src/fleet/fair_share.rs
@@ -30,8 +30,8 @@
 }
 
 impl FairShare {
-    /// The largest number of teams that are told apart, over all ranks. Further ones share one
-    /// account of their rank.
+    /// The largest number of teams that are counted separately, over all ranks. Further ones share
+    /// one account of their rank.
     pub const MAX_ACCOUNTS: usize = 512;
 
     /// Returns the virtual time at which the next call of `holder` starts.
@@ -49,8 +49,8 @@
         self.ranks.get(&rank).map_or(0, |shares| shares.virtual_time)
     }
 
-    /// Records that a call of `holder` starts and is expected to run for `work`. `lowest_tag` is the
-    /// lowest start tag of the holders in `rank` that have waiting calls, `holder` included.
+    /// Records that a call of `holder` starts and is expected to run for `work`. `lowest_tag` is
+    /// the lowest start tag of the holders in `rank` that have waiting calls, `holder` included.
     pub fn record_start(
         &mut self,
         rank: CallRank,
@@ -70,12 +70,13 @@
         self.forget_idle();
     }
 
-    /// Returns the number of teams that are told apart.
+    /// Returns the number of teams that are counted separately.
     pub const fn accounts(&self) -> usize {
         self.accounts
     }
 
-    /// Forgets the holders that are at the virtual time of their rank, as one without an account is.
+    /// Forgets the holders that are at the virtual time of their rank, as one without an account
+    /// is.
     fn forget_idle(&mut self) {
         self.accounts = 0;
         self.ranks.retain(|_, shares| {
--- a/crates/core/src/fleet/holder_demand.rs
+++ b/crates/core/src/fleet/holder_demand.rs
@@ -1,9 +1,9 @@
-//! The work that the calls of one team bring to a server.
+//! The work that the calls of one team offer to a server.
 
 use crate::fleet::decaying_sum::DecayingSum;
 use crate::units::{Instant, Micros, Millis};
 
-/// The work that the calls of one team, or of all of them, bring to a server.
+/// The work that the calls of one team, or of all of them, offer to a server.
 #[derive(Debug, Default, Clone, Copy)]
 pub(super) struct HolderDemand {
     recent: DecayingSum,
@@ -12,9 +12,9 @@
 }
 
 impl HolderDemand {
-    /// The time over which recent work is counted.
+    /// The time constant with which recent work decays.
     pub(super) const RECENT_TIME: Millis = Millis::new(2_000);
-    /// The time over which a team's usual work is learned.
+    /// The time constant with which usual work decays.
     pub(super) const USUAL_TIME: Millis = Millis::new(60_000);
 
     /// Records a call with the run time `work`, which counts by `usual_weight` towards the usual
--- a/crates/core/src/fleet/kind_ratios.rs
+++ b/crates/core/src/fleet/kind_ratios.rs
@@ -24,7 +24,7 @@
 }
 
 impl KindRatios {
-    /// The largest number of routes that are told apart; further ones are not compared.
+    /// The largest number of routes that are compared; further ones are ignored.
     const MAX_KINDS: usize = 32;
     /// Ratios that differ by less than this count as equal.
     const TOLERANCE: f64 = 0.02;
--- a/crates/core/src/fleet/load_balancer.rs
+++ b/crates/core/src/fleet/load_balancer.rs
@@ -20,7 +20,7 @@
 #[derive(Debug)]
 pub struct LoadBalancer {
     data_centre: DataCentre,
-    /// How many endpoints are considered for a call to servers that tell their rates.
+    /// How many endpoints are considered for a call to servers that report their rates.
     draws: EndpointDraws,
     loads: HashMap<NodeId, EndpointLoad>,
     shifts: HashMap<ServiceName, ShiftCount>,
@@ -67,8 +67,8 @@
     /// One in this many idempotent calls goes to an endpoint that was never called, if there is
     /// one: the speed of a new server is known only from calls.
     const CALLS_PER_EXPLORATION: u32 = 16;
-    /// The time after which a call may be tried again that no endpoint may take: about the time in
-    /// which an evacuation can end, or a cold server admits further calls.
+    /// The retry delay of a call that no endpoint may take: about the time in which an evacuation
+    /// can end, or a cold server admits further calls.
     const RETRY_AFTER: Micros = Micros::new(1_000_000);
     /// The weight of the newest call in the mean size of a route's calls.
     const NEWEST_SIZE_WEIGHT: f64 = 0.1;
@@ -84,7 +84,7 @@
         }
     }
 
-    /// Sets how many endpoints are considered for a call to servers that tell their rates.
+    /// Sets how many endpoints are considered for a call to servers that report their rates.
     #[must_use]
     pub const fn with_draws(mut self, draws: EndpointDraws) -> Self {
         self.draws = draws;
@@ -182,7 +182,8 @@
         })
     }
 
-    /// Returns why no endpoint may take `call`, and after which time to try again.
+    /// Returns why no endpoint may take `call`, with the retry delay; `None` if the reason is
+    /// neither a cold server nor an evacuation.
     pub fn refusal(
         &self,
         now: Instant,
@@ -199,7 +200,8 @@
         is_refused.then_some((RefusalReason::Evacuated, Self::RETRY_AFTER))
     }
 
-    /// Returns the endpoints that were not tried and may take a part of the calls like `call`.
+    /// Returns the endpoints that were not tried and may take at least a share of the calls like
+    /// `call`.
     fn open_endpoints<'a>(
         &self,
         now: Instant,
@@ -252,13 +254,13 @@
         reports.filter(|at| now.since(*at) < EndpointLoad::MAX_REPORT_AGE.into()).min()
     }
 
-    /// Returns whether the endpoint's server tells its rate.
+    /// Returns whether the endpoint's server reports its rate.
     fn is_rated(&self, endpoint: &Endpoint) -> bool {
         self.loads.get(&endpoint.node).is_some_and(EndpointLoad::is_rated)
     }
 
-    /// Chooses among a sample of the endpoints of a service whose servers tell their rates. Silent
-    /// and ejected endpoints are drawn only if there are no others.
+    /// Chooses among a sample of the endpoints of a service whose servers report their rates.
+    /// Silent and ejected endpoints are drawn only if there are no others.
     fn choose_rated<'a>(
         &self,
         now: Instant,
@@ -281,7 +283,8 @@
         cheapest.or_else(|| self.cheapest(now, call, endpoints, rng))
     }
 
-    /// Returns whether the endpoint never reported its load to this node and is not silent.
+    /// Returns whether the endpoint never reported its mean run time to this node and is not
+    /// silent.
     fn is_unknown(&self, endpoint: &Endpoint) -> bool {
         let is_known = self.loads.get(&endpoint.node).is_some_and(|load| load.mean().is_some());
         !is_known && !endpoint.is_silent
@@ -380,8 +383,8 @@
     pub tried_nodes: &'a [NodeId],
 }
 
-/// Which endpoints a call may go to, by the version rule of its service, evacuations and cold limits.
-/// Shares below the whole are drawn once for each call.
+/// Which endpoints a call may go to, by the version rule of its service, evacuations and cold
+/// limits. Shares below the whole are drawn once for each call.
 #[derive(Debug)]
 struct CallLimits<'a> {
     now: Instant,
--- a/crates/core/src/fleet/queue_policy.rs
+++ b/crates/core/src/fleet/queue_policy.rs
@@ -3,12 +3,14 @@
 /// How a [`CallQueue`](crate::fleet::CallQueue) orders calls and chooses those that it refuses.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum QueuePolicy {
-    /// By rank, then by target. A call that has waited is refused only when its turn comes.
+    /// By rank, then by target. A waiting call is not refused in favour of another one.
     #[default]
     Target,
-    /// By rank, then by target. What serving a call is worth decides which calls are refused.
+    /// By precedence, then by target. Calls of underserved routes go first, all others by rank. The
+    /// value of serving a call decides which calls are refused.
     Value,
-    /// By rank, then by the fair shares of the teams, then by target. What serving a call is worth
-    /// decides which calls are refused. Calls without a team are made by running calls.
+    /// By precedence, then by the fair shares of the teams, then by target. Calls of underserved
+    /// routes and teams go first, then calls made by running calls (those without a team), then all
+    /// others by rank. The value of serving a call decides which calls are refused.
     TeamValue,
 }
--- a/crates/core/src/fleet/quota_view.rs
+++ b/crates/core/src/fleet/quota_view.rs
@@ -8,8 +8,8 @@
 use crate::units::{Instant, Micros, Millis};
 
 impl FleetControl {
-    /// Returns the nodes that keep quotas and share them, or `None` if no team has a quota. `now` is
-    /// the time of the control state, and `time` that of quotas, which includes suspended time.
+    /// Returns the nodes that keep quotas and share them, or `None` if no team has a quota. `now`
+    /// is the time of the control state, and `time` that of quotas, which includes suspended time.
     ///
     /// Looks at every node; to be called at most about ten times a second.
     pub fn quota_members(
@@ -62,7 +62,7 @@
 }
 
 impl PeerDirectory {
-    /// How much earlier than the heartbeat timeout a node of the same data centre stops to count. A
+    /// How much earlier than the heartbeat timeout a node of the same data centre stops counting. A
     /// little more than the time between two heartbeats, by which two nodes notice the loss of each
     /// other at different times.
     const LOCAL_QUOTA_MARGIN: Millis = Millis::new(600);
@@ -70,8 +70,8 @@
     const REMOTE_QUOTA_MARGIN: Millis = Millis::new(2_000);
 
     /// Returns how long after its last heartbeat a node counts among those that share the quotas of
-    /// this one. Shorter than the heartbeat timeout, so that a node that chooses another owner after
-    /// the timeout counts here no longer.
+    /// this one. Shorter than the heartbeat timeout, so that a node no longer counts here once
+    /// it may have chosen another owner.
     fn quota_time(&self, is_local: bool) -> Micros {
         let margin = if is_local { Self::LOCAL_QUOTA_MARGIN } else { Self::REMOTE_QUOTA_MARGIN };
         Millis::new(self.timeout(is_local).get() - margin.get()).into()
--- a/crates/core/src/fleet/retry_spread.rs
+++ b/crates/core/src/fleet/retry_spread.rs
@@ -1,9 +1,9 @@
-//! Spreads the return of refused calls.
+//! Spreads the retries of refused calls.
 
 use crate::fleet::decaying_sum::DecayingSum;
 use crate::units::{Instant, Micros, Millis};
 
-/// Spreads the return of refused calls over the time in which a server can run them.
+/// Spreads the retries of refused calls over the time in which a server can run them.
 #[derive(Debug, Default)]
 pub(super) struct RetrySpread {
     /// The work of the calls that were refused lately, in microseconds.
@@ -13,16 +13,16 @@
 }
 
 impl RetrySpread {
-    /// The time over which refused work is counted.
+    /// The time constant with which refused work decays.
     const COUNTED_TIME: Millis = Millis::new(2_000);
     /// The longest time over which refused calls are spread.
     const MAX_SPREAD: Millis = Millis::new(5_000);
-    /// Multiples of this fraction, without their whole part, are evenly spread however many there
+    /// The fractional parts of the multiples of this number are evenly spread, however many there
     /// are.
     const GOLDEN_RATIO_FRACTION: f64 = 0.618_033_988_749_895;
 
-    /// Returns when a refused call with the run time `work` should come back to a server with
-    /// `slots`, whose waiting calls will have got their slots after `drain_time`.
+    /// Returns the time after which a refused call with the run time `work` should be retried at a
+    /// server with `slots`, all of whose waiting calls will have slots after `drain_time`.
     pub(super) fn retry_after(
         &mut self,
         now: Instant,
--- a/crates/core/src/fleet/server_load.rs
+++ b/crates/core/src/fleet/server_load.rs
@@ -1,8 +1,8 @@
-//! The load that a backend server tells with a response.
+//! The load that a backend server reports with a response.
 
 use crate::units::Percent;
 
-/// The load that a backend server tells with a response, as of the moment when it wrote it.
+/// The load that a backend server reports with a response, as of the moment when it wrote it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ServerLoad {
     /// The number of calls that the server runs.
@@ -12,17 +12,17 @@
     /// The number of calls that the server can run at a time; at least 1.
     pub slots: u32,
     /// The current service time on the server's host relative to the usual one, from
-    /// [`Self::MIN_SERVICE_TIME`] to [`Self::MAX_SERVICE_TIME`]; `None` if the server does not tell
-    /// it.
+    /// [`Self::MIN_SERVICE_TIME`] to [`Self::MAX_SERVICE_TIME`]; `None` if the server does not
+    /// report it.
     pub service_time: Option<Percent>,
 }
 
 impl ServerLoad {
-    /// The largest number of calls, and of slots, that a server may tell.
+    /// The largest number of calls, and of slots, that a server may report.
     pub const MAX_CALLS: u32 = 65_535;
-    /// The shortest relative service time that a server may tell.
+    /// The shortest relative service time that a server may report.
     pub const MIN_SERVICE_TIME: Percent = Percent::new(10);
-    /// The longest relative service time that a server may tell.
+    /// The longest relative service time that a server may report.
     pub const MAX_SERVICE_TIME: Percent = Percent::new(10_000);
 
     /// Returns the number of calls that the server runs or that wait there.
--- a/crates/core/src/fleet/server_occupancy.rs
+++ b/crates/core/src/fleet/server_occupancy.rs
@@ -1,4 +1,4 @@
-//! The calls at a backend server, by this node's count and by what the server tells.
+//! The calls at a backend server, by this node's count and by the load that the server reports.
 
 use std::collections::BTreeMap;
 
@@ -18,10 +18,10 @@
     Abandoned,
 }
 
-/// The calls at a backend server, by this node's count and by what the server tells.
+/// The calls at a backend server, by this node's count and by the load that the server reports.
 ///
-/// Decides how many calls may hold slots. A server that tells nothing gets as many calls as it has
-/// slots, apart from the first moments of a node's process.
+/// Decides how many calls may hold slots. A server that reports nothing gets as many calls as it
+/// has slots, apart from the first moments of a node's process.
 ///
 /// A load says nothing of calls sent after its response was written, and the order in which
 /// responses are read is not that in which they were written. So a call hangs only if two responses
@@ -35,7 +35,7 @@
     others: Vec<OtherCall>,
     next_call: u64,
     start: StartPhase,
-    /// The load that the server told last; `None` if it tells none.
+    /// The load that the server reported last; `None` if it reports none.
     told: Option<ServerLoad>,
     answered_call: AnsweredCall,
     /// When this node last closed the connection of a call.
@@ -49,7 +49,7 @@
 enum StartPhase {
     /// The server has responded to no call; the first one was sent at this instant.
     Unknown(Option<Instant>),
-    /// The server has responded, without its load if it tells none.
+    /// The server has responded, without its load if it reports none.
     Known,
 }
 
@@ -59,7 +59,7 @@
     }
 }
 
-/// Whether the load that a server tells includes the call that it answers.
+/// Whether the load that a server reports includes the call that it answers.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
 enum AnsweredCall {
     #[default]
@@ -104,7 +104,8 @@
 }
 
 impl ServerOccupancy {
-    /// A call that was sent this long before a response is counted in it.
+    /// A call that was sent this long before the answered call, or before the response was read, is
+    /// counted in the response unless the server dropped or hangs it.
     const COUNTING_DELAY: Millis = Millis::new(20);
     /// The interval at which calls may begin before the first response of the server.
     const START_INTERVAL: Millis = Millis::new(2);
@@ -131,8 +132,8 @@
         }
     }
 
-    /// Records the head of the response to `call`, with the load that it tells; `has_run` is false
-    /// for a refusal. Returns the calls that are now found hanging.
+    /// Records the head of the response to `call`, with the load that it reports; `has_run` is
+    /// false for a refusal. Returns the calls that are now found hanging.
     pub fn record_response(
         &mut self,
         now: Instant,
@@ -178,7 +179,7 @@
         }
         let is_over = matches!(ended.state, CallState::Hanging | CallState::Answered);
         let may_run = end == CallEnd::Abandoned && !is_over;
-        let may_count = may_run && (self.start != StartPhase::Known || self.tells_service_time());
+        let may_count = may_run && (self.start != StartPhase::Known || self.reports_service_time());
         if let Some(sent_at) = ended.sent_at.filter(|_| may_count) {
             let until = ended.deadline.max(now);
             self.others.push(OtherCall { sent_at, until, is_earlier: false });
@@ -199,8 +200,8 @@
         free.saturating_add(self.hanging())
     }
 
-    /// Returns the next instant at which [`Self::limit`] may rise without a further event; `None` if
-    /// it won't.
+    /// Returns the next instant at which [`Self::limit`] may rise without a further event; `None`
+    /// if it won't.
     pub fn next_change(&self, now: Instant) -> Option<Instant> {
         let next_start = match self.start {
             StartPhase::Unknown(Some(_)) => Some(now + Self::START_INTERVAL),
@@ -228,7 +229,7 @@
         own.saturating_sub(self.hanging()).saturating_add(self.others(now))
     }
 
-    /// Returns the load that the server told with its last response; `None` if it tells none.
+    /// Returns the load that the server reported with its last response; `None` if it reports none.
     pub const fn told(&self) -> Option<ServerLoad> {
         self.told
     }
@@ -238,9 +239,9 @@
         self.hanging_calls
     }
 
-    /// Servers that tell no service time keep the count of calls that they have always had: most
-    /// drop a call when its connection closes.
-    fn tells_service_time(&self) -> bool {
+    /// Returns whether the server reports its service time. The calls of closed connections count
+    /// only there: most other servers drop a call when its connection closes.
+    fn reports_service_time(&self) -> bool {
         self.told.is_some_and(|load| load.service_time.is_some())
     }
 
@@ -268,9 +269,9 @@
         started.min(slots.div_ceil(2))
     }
 
-    /// Corrects the other calls by the number of calls that the server counts, which is from `least`
-    /// to `most` without the answered call. Their number can only fall: no one else sends calls to
-    /// the server.
+    /// Corrects the other calls by the number of calls that the server counts, which is from
+    /// `least` to `most` without the answered call. Their number can only fall: no one else sends
+    /// calls to the server.
     fn update_others(&mut self, now: Instant, least: u32, most: u32, is_first: bool) {
         let is_counted = |sent_at: Instant| sent_at + Self::COUNTING_DELAY <= now;
         let own = self.calls.values().filter(|call| {
--- a/crates/core/src/fleet/server_slots.rs
+++ b/crates/core/src/fleet/server_slots.rs
@@ -14,9 +14,10 @@
     /// The number of calls that were started and not ended, hanging ones included; above `limit`
     /// only after `limit` was lowered.
     pub(super) running: u32,
-    /// The usual run times: those of a server that tells its rate are normalised to 100%.
+    /// The usual run times: those of a server that reports its rate are normalised to 100%.
     times: ServiceTimes,
-    /// The server's current service time relative to its usual one; `None` if it does not tell it.
+    /// The server's current service time relative to its usual one; `None` if it does not report
+    /// it.
     rate: Option<ServiceRate>,
     /// The factor by which run times exceed the usual ones, as of the last decision.
     factor: f64,
@@ -57,7 +58,7 @@
     }
 
     /// Returns the server's current service time relative to its usual one; `None` if it does not
-    /// tell it.
+    /// report it.
     pub(super) fn service_time(&self, now: Instant) -> Option<Percent> {
         self.rate.map(|rate| rate.percent(now))
     }
--- a/crates/core/src/fleet/service_endpoints.rs
+++ b/crates/core/src/fleet/service_endpoints.rs
@@ -33,7 +33,7 @@
     pub slots: u32,
     /// Whether the backend server still runs slowly after its start.
     pub is_cold: bool,
-    /// The rate of calls that the backend server bears now because it is cold; `None` if it is warm
+    /// The rate of calls that the backend server can take while it is cold; `None` if it is warm
     /// or its service has no limit.
     pub cold_rate: Option<CallRate>,
     /// The share of its calls that the endpoint may take by the evacuation of its data centre.
--- a/crates/core/src/fleet/service_ratio.rs
+++ b/crates/core/src/fleet/service_ratio.rs
@@ -3,7 +3,7 @@
 use crate::fleet::decaying_sum::DecayingSum;
 use crate::units::{Instant, Millis};
 
-/// The ratio of calls that are served, over the last calls.
+/// The ratio of calls that are served, over recent calls.
 #[derive(Debug, Default, Clone, Copy)]
 pub(super) struct ServiceRatio {
     served: DecayingSum,
@@ -11,9 +11,9 @@
 }
 
 impl ServiceRatio {
-    /// The time over which calls are counted.
+    /// The time constant with which counted calls decay.
     const COUNTED_TIME: Millis = Millis::new(10_000);
-    /// The number of calls from which on a ratio is meaningful.
+    /// The smallest number of calls for which a ratio is meaningful.
     const MIN_CALLS: f64 = 3.0;
 
     /// Records that a call got a slot, or was refused.
@@ -29,7 +29,7 @@
         (calls >= Self::MIN_CALLS).then(|| served / calls)
     }
 
-    /// Returns the number of calls that count.
+    /// Returns the decayed number of calls.
     pub(super) fn calls(&self, now: Instant) -> f64 {
         let time = Self::COUNTED_TIME.into();
         self.served.at(now, time) + self.refused.at(now, time)
--- a/crates/core/src/fleet/service_ratios.rs
+++ b/crates/core/src/fleet/service_ratios.rs
@@ -7,7 +7,7 @@
 use crate::ids::RouteName;
 use crate::units::Instant;
 
-/// How often the calls of each route and team are served, over the last calls.
+/// How often the calls of each route and team are served, over recent calls.
 ///
 /// A route or team is underserved if its ratio is far below that of all calls. Its calls then go
 /// first until it no longer is, so that no priority and no flood of other calls starves it.
@@ -19,7 +19,7 @@
 }
 
 impl ServiceRatios {
-    /// A ratio below this part of the ratio of all calls is too low.
+    /// A ratio below this fraction of the ratio of all calls is too low.
     const MIN_RELATIVE_RATIO: f64 = 0.42;
     /// Fewer calls than this in a decayed sum no longer count.
     const NEGLIGIBLE_CALLS: f64 = 0.1;
--- a/crates/core/src/fleet/traffic_policy.rs
+++ b/crates/core/src/fleet/traffic_policy.rs
@@ -3,8 +3,8 @@
 use crate::fleet::{BackendStatus, Endpoint, VersionRule};
 use crate::units::{Instant, PerMille};
 
-/// Decides which share of the calls for it an endpoint may take now: by the drain of its backend
-/// server, by the rollout of its service and by the evacuation of its data centre.
+/// Decides which share of its usual calls an endpoint may take, by the rollout of its service and
+/// the evacuation of its data centre. A backend server that drains has no endpoint.
 #[derive(Debug, Clone, Copy)]
 pub struct TrafficPolicy<'a> {
     /// When the calls are sent.
@@ -16,8 +16,8 @@
 }
 
 impl TrafficPolicy<'_> {
-    /// Returns the backend server beside a node if it may take new calls: it does not drain, and its
-    /// node is not about to stop.
+    /// Returns the backend server beside a node if it may take new calls: it does not drain, and
+    /// its node is not about to stop.
     pub fn open_backend(
         is_leaving: bool,
         backend: Option<&BackendStatus>,
@@ -25,7 +25,7 @@
         backend.filter(|_| !is_leaving)
     }
 
-    /// Returns the share of calls that `endpoint` may take. Endpoints that drain are none.
+    /// Returns the share of calls that `endpoint` may take.
     pub fn share(&self, endpoint: &Endpoint) -> PerMille {
         if self.rule.allows(&endpoint.version, self.to_new) {
             endpoint.ramp.share(self.now)
--- a/crates/core/src/fleet/value_queue.rs
+++ b/crates/core/src/fleet/value_queue.rs
@@ -22,9 +22,8 @@
 ///
 /// At each event it plans when each waiting call starts. A call that can't meet its deadline by
 /// that plan is refused at once. So is one that would be late while calls of its rank or a better
-/// one bring more work than the slots can do: others could be in time in its place. Work that
-/// arrives pushes back what comes after it in the order and so displaces the least urgent calls
-/// first.
+/// one offer more work than the slots can do: others could be in time in its place. A new call
+/// delays the calls after it in the order, so the least urgent calls are refused first.
 #[derive(Debug, Default)]
 pub(super) struct ValueQueue {
     /// Whether calls without a team are made by running calls.
@@ -33,20 +32,20 @@
     shares: FairShare,
     demand: Demand,
     ratios: ServiceRatios,
-    /// The ratios of the kinds of calls that go by their rank.
+    /// The ratios of the routes' calls that go by their rank.
     ranked_kinds: KindRatios,
-    /// The ratios of the kinds of calls that exceed what their team usually needs.
+    /// The ratios of the routes' calls that exceed what their team usually needs.
     surplus_kinds: KindRatios,
     spread: RetrySpread,
-    /// The refusals of waiting calls that have not been told yet.
+    /// The refusals of waiting calls that have not been returned yet.
     displaced: Vec<QueueWakeup>,
     /// The time of the last event.
     now: Instant,
 }
 
 impl ValueQueue {
-    /// The work of a precedence and of better ones, relative to what the slots can do, above which
-    /// late calls are refused: there is enough work that can be in time.
+    /// The work offered by a precedence and better ones, relative to what the slots can do, above
+    /// which late calls are refused: there are enough calls that can be in time.
     const MAX_PRESSURE: f64 = 1.15;
     /// A wait up to this fraction of the target latency is allowed even if the call will be late,
     /// so that a server slower than the target still serves.
@@ -99,8 +98,8 @@
         self.start(now, server, call, holder, precedence, tag);
     }
 
-    /// Decides whether a call that finds no free slot waits or is refused. Waiting calls may have to
-    /// give way to it; [`Self::take_displaced`] returns them.
+    /// Decides whether a call that finds no free slot waits or is refused. Waiting calls may have
+    /// to give way to it; [`Self::take_displaced`] returns them.
     pub(super) fn admit(
         &mut self,
         now: Instant,
@@ -165,7 +164,8 @@
         Some(QueueWakeup { ticket, refused: None })
     }
 
-    /// Refuses the waiting calls that are no longer worth their place.
+    /// Refuses the waiting calls that can't meet their deadlines, and late ones that others
+    /// displace.
     pub(super) fn refuse_hopeless(&mut self, now: Instant, server: &ServerSlots) {
         self.now = now;
         let refusals: Vec<_> = refusals(&self.plan(now, server, None)).collect();
@@ -197,7 +197,7 @@
         plan.iter().take_while(|call| call.ticket() != next_ticket).count()
     }
 
-    /// Returns the number of teams that are told apart.
+    /// Returns the number of teams that are counted separately.
     pub(super) fn accounts(&self) -> usize {
         self.demand.len().max(self.shares.accounts())
     }
@@ -295,10 +295,10 @@
         let mut work = 0;
         for same in plan.chunk_by_mut(|a, b| a.precedence == b.precedence) {
             let precedence = same[0].precedence;
-            let free_part = 1.0 - self.demand.overtaking(now, server.slots, precedence);
+            let free_fraction = 1.0 - self.demand.overtaking(now, server.slots, precedence);
             let pressure = self.demand.pressure(now, server.slots, precedence);
             for call in same {
-                let wait = server.time_until_free(Micros::new(work)).get() as f64 / free_part;
+                let wait = server.time_until_free(Micros::new(work)).get() as f64 / free_fraction;
                 call.wait = Micros::new(wait as u64);
                 call.value = call.value_at(now + call.wait);
                 call.refusal = refusal(call, work == 0, pressure > Self::MAX_PRESSURE);
@@ -407,7 +407,7 @@
         self.has_teams && call.team.is_none()
     }
 
-    /// Returns the ratios of the kinds of calls that compete with those of `precedence`.
+    /// Returns the ratios of the routes' calls that compete with those of `precedence`.
     const fn kinds(&self, precedence: Precedence) -> &KindRatios {
         match precedence {
             Precedence::Surplus(_) => &self.surplus_kinds,
@@ -428,8 +428,8 @@
         }
     }
 
-    /// Removes a call that is refused for `reason`. Returns the refusal with the time after which to
-    /// retry; `None` if the call doesn't wait.
+    /// Removes a call that is refused for `reason`. Returns the refusal with the time after which
+    /// to retry; `None` if the call doesn't wait.
     fn refuse(
         &mut self,
         now: Instant,
@@ -475,8 +475,8 @@
         || call.wait.get() as f64 <= ValueQueue::SHORT_WAIT_FRACTION * target_latency
 }
 
-/// Returns whether refusing `victim` lets `new`, which is worth more for the same slot time, be
-/// in time.
+/// Returns whether refusing `victim` lets `new`, which is worth more for the same slot time, be in
+/// time.
 fn makes_room(
     now: Instant,
     server: &ServerSlots,
--- a/crates/core/src/quota/decision.rs
+++ b/crates/core/src/quota/decision.rs
@@ -14,7 +14,7 @@
 /// Decides whether a call of a team with a quota goes on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum QuotaDecision {
-    /// The call has a token of the owner, which expires at the instant.
+    /// The call has a token of the owner or its deputy, which expires at the instant.
     Granted(Instant),
     /// The call has a token of the node's local share, because the owner doesn't answer.
     LocalShare,
@@ -22,6 +22,7 @@
     Wait(Instant),
     /// The team has used up its quota; there may be a token after the time.
     Refused(Micros),
-    /// The owner doesn't answer and the local share is used up; there may be a token after the time.
+    /// The owner doesn't answer and the local share is used up; there may be a token after the
+    /// time.
     Unknown(Micros),
 }
--- a/crates/core/src/quota/members.rs
+++ b/crates/core/src/quota/members.rs
@@ -14,8 +14,8 @@
     pub node: NodeId,
     /// The address to which requests go.
     pub address: SocketAddr,
-    /// How long after it last heard this node the other one still counts it among those that share
-    /// the quotas that it owns.
+    /// How long after the last heartbeat from this node the other node still counts it when it
+    /// computes the share of the quotas that it grants.
     pub counted_for: Micros,
     /// The position by which the nodes are ranked.
     position: u64,
@@ -38,7 +38,7 @@
     }
 }
 
-/// Numbers of nodes, each with the node that counts.
+/// Numbers of nodes, each including this one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct QuotaNodeCounts {
     /// The nodes that were heard lately.
@@ -49,7 +49,7 @@
     pub known: u32,
 }
 
-/// What a node has to do with the quota of a team.
+/// The role of a node in keeping the quota of a team.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum QuotaRole {
     /// The node keeps the quota.
@@ -68,19 +68,19 @@
     pub own: NodeId,
     /// When this was last updated. A node whose view is old doesn't grant tokens.
     pub updated: Instant,
-    /// The number of nodes that this one has heard so lately that they don't use their local shares,
-    /// itself included.
+    /// The number of nodes that this one has heard so lately that they don't use their local
+    /// shares, itself included.
     pub fresh: u32,
     /// Those of `fresh` in the same data centre, this one included.
     pub local: u32,
     /// The number of nodes that are known and have not left, this one included; at least `fresh`.
     pub known: u32,
-    /// Since when this node has been up and has known the present candidates.
+    /// Since when the candidates have not changed and this node has not paused.
     pub unchanged_since: Instant,
     /// Until then nodes of other data centres may not have noticed that an owner is silent, and use
     /// their local shares.
     pub handover_until: Instant,
-    /// When this node last went on after a pause.
+    /// When this node last resumed after a pause.
     pub resumed: Instant,
     /// Changes with the candidates.
     pub version: u64,
@@ -110,8 +110,8 @@
         }
     }
 
-    /// Returns the view at `now` with other candidates and counts. `is_leaving` tells which of the
-    /// nodes that are no candidates any more have announced it.
+    /// Returns the view at `now` with other candidates and counts. `is_leaving` returns
+    /// whether a node that is no longer a candidate has announced that it leaves.
     #[must_use]
     pub fn update(
         &self,
@@ -155,7 +155,7 @@
         f64::from(nodes) / f64::from(self.known.max(1))
     }
 
-    /// Returns the owner of the quota of `team` and its deputy.
+    /// Returns the owner of the quota of `team` and its deputy, in this order, if there are any.
     pub fn keepers(&self, team: &str) -> Vec<&QuotaNode> {
         let positions = self.candidates.iter().map(|node| (node.position, &node.node));
         let ranked = rank_positions(team, positions, 2);
@@ -168,7 +168,7 @@
         ranked.into_iter().filter_map(find).collect()
     }
 
-    /// Returns what this node has to do with the quota of `team`.
+    /// Returns the role of this node in keeping the quota of `team`.
     pub fn role(&self, team: &str) -> QuotaRole {
         let keepers = self.keepers(team);
         match keepers.iter().position(|node| node.node == self.own) {
--- a/crates/core/src/quota/message.rs
+++ b/crates/core/src/quota/message.rs
@@ -5,7 +5,7 @@
 /// A message about quotas between two nodes.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum QuotaMessage {
-    /// Asks the owner of a quota for tokens.
+    /// Requests tokens from the owner of a quota or its deputy.
     Request(QuotaRequest),
     /// Answers a request.
     Grant(QuotaGrant),
--- a/crates/core/src/quota/mod.rs
+++ b/crates/core/src/quota/mod.rs
@@ -1,8 +1,10 @@
 //! Limits on the calls of teams over all nodes together.
 //!
 //! Each team has one owner, the first of the live nodes by rendezvous hashing, with a
-//! [`TokenBucket`] in its [`QuotaOwner`]. The nodes that receive the team's calls ask it for tokens;
-//! [`QuotaRequester`] holds what they were granted and decides on each call.
+//! [`TokenBucket`] in its [`QuotaOwner`]. The nodes that receive the team's calls request tokens
+//! from it; [`QuotaRequester`] holds what they were granted and decides on each call. While the
+//! owner doesn't answer, its deputy, the second node, grants a few tokens; after a time each node
+//! uses a local share of the quota.
 
 mod balance;
 mod decision;
--- a/crates/core/src/quota/owner.rs
+++ b/crates/core/src/quota/owner.rs
@@ -1,4 +1,4 @@
-//! The owner's side of quotas.
+//! Grants tokens of quotas.
 
 use std::collections::HashMap;
 
@@ -23,11 +23,11 @@
 struct KeptQuota {
     bucket: TokenBucket,
     role: QuotaRole,
-    /// The pause after which the bucket was filled.
+    /// When the node resumed after the pause for which the bucket was last reset.
     resumed: Instant,
 }
 
-/// Rate and capacity of a bucket, in tokens and seconds.
+/// Rate in tokens per second and capacity in tokens of a bucket.
 #[derive(Debug, Clone, Copy)]
 struct Limits {
     rate: f64,
@@ -47,8 +47,8 @@
     }
 
     /// Forgets the teams whose quotas other nodes keep now. To be called after each change of the
-    /// candidates: the bucket of a team that comes back later must not hold the tokens of the time in
-    /// which another node granted some.
+    /// candidates: the bucket of a team that comes back later must not hold the tokens of the time
+    /// in which another node granted some.
     pub fn update_members(&mut self, now: Instant, members: &QuotaMembers) {
         self.members_version = members.version;
         let settings = self.settings;
--- a/crates/core/src/quota/request.rs
+++ b/crates/core/src/quota/request.rs
@@ -24,7 +24,7 @@
 /// A request with the address that it goes to.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct OutgoingRequest {
-    /// The address of the owner.
+    /// The address of the owner of the quota, or of its deputy.
     pub to: SocketAddr,
     /// The request.
     pub request: QuotaRequest,
--- a/crates/core/src/quota/requester.rs
+++ b/crates/core/src/quota/requester.rs
@@ -1,4 +1,4 @@
-//! The requester's side of quotas.
+//! Decides on the calls of teams with quotas.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -11,8 +11,8 @@
 use crate::ids::{ConfigVersion, QuotaRequestId, TeamName};
 use crate::units::{Instant, Micros, Millis};
 
-/// Decides on the calls of teams with quotas that arrive at this node, by the tokens that the owners
-/// of the quotas grant.
+/// Decides on the calls of teams with quotas that arrive at this node, by the tokens that were
+/// granted to it.
 #[derive(Debug)]
 pub struct QuotaRequester {
     /// The teams whose calls have arrived.
@@ -23,11 +23,11 @@
 impl QuotaRequester {
     /// The longest time that a call waits for a token.
     pub const MAX_WAIT: Millis = Millis::new(120);
-    /// The time between the grant and the call that waits for it, on the way and in queues.
-    const WAY_TIME: Micros = Micros::new(5_000);
+    /// The time that a grant takes until the waiting call has it, on the network and in queues.
+    const TRANSIT_TIME: Micros = Micros::new(5_000);
 
-    /// Creates the state of a node that has started. `first_id` differs from start to start, so that
-    /// no grant to an earlier one is taken.
+    /// Creates the state of a node that has started. `first_id` differs from start to start, so
+    /// that no grant to an earlier one is taken.
     pub fn new(first_id: QuotaRequestId) -> Self {
         Self { teams: HashMap::new(), next_id: first_id }
     }
@@ -52,7 +52,7 @@
         };
         self.next_id = self.next_id.next();
         requests.record_request(now, self.next_id, to, wanted);
-        let left = call.latest.since(now).get().saturating_sub(Self::WAY_TIME.get());
+        let left = call.latest.since(now).get().saturating_sub(Self::TRANSIT_TIME.get());
         let request = QuotaRequest {
             id: self.next_id,
             team: team.name.clone(),
--- a/crates/core/src/quota/team_requests.rs
+++ b/crates/core/src/quota/team_requests.rs
@@ -1,4 +1,4 @@
-//! What a node asks for and holds for one team.
+//! The token requests and the balance of one team at a node.
 
 use std::net::SocketAddr;
 
@@ -12,7 +12,7 @@
 use crate::ids::{QuotaRequestId, TeamName};
 use crate::units::{Instant, Micros};
 
-/// What a node asks for and holds for one team.
+/// The token requests and the balance of one team at a node.
 #[derive(Debug)]
 pub(super) struct TeamRequests {
     team: TeamName,
@@ -62,7 +62,8 @@
     /// The smallest number of expected calls for which tokens are requested. Of fewer tokens many
     /// would expire, because calls don't arrive evenly.
     const MIN_PREFETCH: u32 = 4;
-    /// How much longer than the owner counts this node the node waits before it uses its local share.
+    /// How much longer than the owner counts this node the node waits before it uses its local
+    /// share.
     const LOCAL_SHARE_MARGIN: Micros = Micros::new(100_000);
     /// The longest time that a caller is told to wait for the owner.
     const MAX_UNKNOWN_WAIT: Micros = Micros::new(1_000_000);
--- a/crates/node/src/fleet/inbound.rs
+++ b/crates/node/src/fleet/inbound.rs
@@ -85,8 +85,8 @@
     result
 }
 
-/// Checks at `now` that the node is not leaving, that its backend server is the one that `call` asks
-/// for, and that its data centre is not evacuated.
+/// Checks at `now` that the node is not leaving, that its backend server is the one that `call`
+/// asks for, and that its data centre is not evacuated.
 fn check_backend(view: &FleetView, now: Instant, call: &ForwardedCall) -> Result<(), CallFailure> {
     let refuse = |reason| Err(CallFailure::refused(reason, DEFAULT_RETRY_AFTER));
     if view.is_leaving {
@@ -183,8 +183,8 @@
     Err(failure)
 }
 
-/// Waits until `call` is found hanging, if it may then be sent to another server. A call that may not
-/// be repeated waits for its answer until its deadline.
+/// Waits until `call` is found hanging, if it may then be sent to another server. A call that may
+/// not be repeated waits for its answer until its deadline.
 async fn wait_until_movable(traffic: &FleetTraffic, call: &ForwardedCall, slot: &QueueSlot) {
     slot.wait_until_hanging().await;
     let view = traffic.view.load_full();
@@ -195,7 +195,7 @@
     }
 }
 
-/// Records the load that the backend server tells with the response to the call of `slot`.
+/// Records the load that the backend server reports with the response to the call of `slot`.
 fn record_server_load(
     traffic: &FleetTraffic,
     slot: &QueueSlot,
--- a/crates/node/src/fleet/queue_slot.rs
+++ b/crates/node/src/fleet/queue_slot.rs
@@ -45,7 +45,7 @@
         self.queue.record_sent(self.call);
     }
 
-    /// Records the head of the server's response with the load that it tells; `has_run` is false
+    /// Records the head of the server's response with the load that it reports; `has_run` is false
     /// for a refusal.
     pub(crate) fn record_response(&self, load: Option<ServerLoad>, has_run: bool) {
         self.queue.record_response(self.call, load, has_run);
--- a/crates/node/src/fleet/reported_load.rs
+++ b/crates/node/src/fleet/reported_load.rs
@@ -22,7 +22,7 @@
     /// How long the node held the call, from its arrival to its answer; `None` from earlier builds.
     pub(crate) held: Option<Micros>,
     /// Current service time of the backend server relative to its usual one; `None` if the server
-    /// does not tell it. Left out then, and ignored by earlier builds.
+    /// does not report it. Left out then, and ignored by earlier builds.
     pub(crate) service_time: Option<Percent>,
 }
 
--- a/crates/node/src/fleet/server_metrics.rs
+++ b/crates/node/src/fleet/server_metrics.rs
@@ -31,8 +31,8 @@
     }
 }
 
-/// Exports the calls at the backend server by the node's count, what the server tells, and the
-/// number of calls that hung. A server that tells nothing has no gauges of it.
+/// Exports the calls at the backend server by the node's count, what the server reports, and the
+/// number of calls that hung. A server that reports nothing has no gauges of it.
 pub(crate) fn export(meter: &Meter, traffic: &Arc<FleetTraffic>) {
     let queue = Arc::clone(&traffic.queue);
     meter
@@ -70,9 +70,9 @@
 pub(crate) struct ServerStatus {
     /// Number of calls at the server by the node's count.
     pub(crate) counted: u32,
-    /// Load that the server told last; `None` if it tells none.
+    /// Load that the server reported last; `None` if it reports none.
     pub(crate) told: Option<ServerLoad>,
-    /// Current service time relative to the usual one; `None` if the server does not tell it.
+    /// Current service time relative to the usual one; `None` if the server does not report it.
     pub(crate) service_time: Option<Percent>,
     /// Number of calls that were found hanging so far.
     pub(crate) hanging_calls: u64,
--- a/crates/node/src/fleet/slot_queue.rs
+++ b/crates/node/src/fleet/slot_queue.rs
@@ -33,7 +33,7 @@
     slots: u32,
     /// The calls that hold slots, by which `queue` limits their number.
     occupancy: ServerOccupancy,
-    /// Channels that tell running calls that they hang.
+    /// Channels that notify running calls that they hang.
     running: HashMap<SentCall, watch::Sender<bool>>,
     /// Channels that wake the waiting calls, with the same tickets as in `queue`. A call gets
     /// `None` for a slot, or the reason of its refusal and the time after which to retry.
@@ -101,7 +101,7 @@
         self.lock().occupancy.record_sent(self.clock.now(), call);
     }
 
-    /// Records the head of the response to `call` with the load that it tells; `has_run` is false
+    /// Records the head of the response to `call` with the load that it reports; `has_run` is false
     /// for a refusal. Tells the calls that are now found hanging, and fills their slots.
     pub(crate) fn record_response(&self, call: SentCall, load: Option<ServerLoad>, has_run: bool) {
         let now = self.clock.now();
@@ -304,7 +304,7 @@
     pub(crate) calls_ahead: u32,
     /// Usual mean run time of a call; `None` until one has completed.
     pub(crate) mean_time: Option<Micros>,
-    /// Current service time relative to the usual one; `None` if the server does not tell it.
+    /// Current service time relative to the usual one; `None` if the server does not report it.
     pub(crate) service_time: Option<Percent>,
 }
 
--- a/crates/node/src/fleet/team_labels.rs
+++ b/crates/node/src/fleet/team_labels.rs
@@ -1,17 +1,17 @@
-//! The teams that metrics tell apart.
+//! The teams with labels of their own in metrics.
 
 use std::collections::HashSet;
 
 use almondsail_core::ids::TeamName;
 
-/// The teams that metrics tell apart, in the order in which they were first counted.
+/// The teams with labels of their own in metrics, in the order in which they were first counted.
 #[derive(Debug, Default)]
 pub(crate) struct TeamLabels {
     known: HashSet<TeamName>,
 }
 
 impl TeamLabels {
-    /// The largest number of teams that are told apart.
+    /// The largest number of teams with labels of their own.
     const MAX_TEAMS: usize = 200;
     /// The label of all other teams.
     const OTHER: &'static str = "other";
